Lay out the workspace, the shared words and the links' messages

Cause: nothing is here yet, and several parts will be written beside each other, so they need one vocabulary and fixed messages to meet at.

--- /dev/null
+++ b/crates/sesamecart-config/src/settings.rs
@@ -0,0 +1,201 @@
+//! A node's settings: what one process must know before it can reach the log.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
+use thiserror::Error;
+
+/// The settings of one node, as read from its JSON file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The node's name, unique among all nodes.
+    pub node: NodeId,
+    /// The failure domain that its VM lies in.
+    pub failure_domain: FailureDomainId,
+    /// The region that its VM lies in.
+    pub region: RegionId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub administration: SocketAddr,
+    /// Where other nodes connect.
+    pub links: SocketAddr,
+    /// The platform's log service.
+    pub log: LogSettings,
+    /// The platform's VM list, if the node should ask it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub vm_list: Option<SocketAddr>,
+    /// The platform's weight store, if groups are to be controlled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight_store: Option<SocketAddr>,
+    /// The other nodes that are known from the start.
+    #[serde(default)]
+    pub peers: Vec<LinkPeer>,
+    /// The number of traffic threads.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: usize,
+    /// Milliseconds between not being ready and closing the callers' side on leave, which gives the
+    /// platform's balancer time to notice.
+    #[serde(default = "default_balancer_delay_ms")]
+    pub balancer_delay_ms: u64,
+    /// Milliseconds that requests in flight may take after that.
+    #[serde(default = "default_leave_limit_ms")]
+    pub leave_limit_ms: u64,
+}
+
+/// How the node reaches the platform's log.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// The address of the log service.
+    pub address: SocketAddr,
+    /// Milliseconds between two reads of the tail.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+}
+
+/// Another node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkPeer {
+    /// The other node's name.
+    pub node: NodeId,
+    /// Where it takes links.
+    pub address: SocketAddr,
+    /// The failure domain that its VM lies in.
+    pub failure_domain: FailureDomainId,
+}
+
+const fn default_traffic_threads() -> usize {
+    2
+}
+
+const fn default_balancer_delay_ms() -> u64 {
+    2_000
+}
+
+const fn default_leave_limit_ms() -> u64 {
+    120_000
+}
+
+const fn default_poll_ms() -> u64 {
+    200
+}
+
+/// The most traffic threads that settings may ask for.
+const MAX_TRAFFIC_THREADS: usize = 256;
+
+/// Why settings can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{}: can't be read: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file isn't JSON of the right shape.
+    #[error("{}: {source}", path.display())]
+    Shape {
+        /// The file.
+        path: PathBuf,
+        /// What the reader said, with line and column.
+        source: serde_json::Error,
+    },
+    /// A field's value can't be used.
+    #[error("{}: {field}: {value}: {reason}", path.display())]
+    Value {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// The value.
+        value: String,
+        /// Why it can't be used.
+        reason: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the field and the value that can't be used.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Reads and checks settings from text; `path` only names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the field and the value that can't be used.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_json::from_str(text).map_err(|source| SettingsError::Shape {
+            path: path.to_owned(),
+            source,
+        })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        let error = |field, value: String, reason| {
+            Err(SettingsError::Value {
+                path: path.to_owned(),
+                field,
+                value,
+                reason,
+            })
+        };
+        if self.traffic_threads == 0 || self.traffic_threads > MAX_TRAFFIC_THREADS {
+            let value = self.traffic_threads.to_string();
+            return error("traffic_threads", value, "must be from 1 to 256");
+        }
+        if self.log.poll_ms == 0 || self.log.poll_ms > 10_000 {
+            return error(
+                "log.poll_ms",
+                self.log.poll_ms.to_string(),
+                "must be from 1 to 10000",
+            );
+        }
+        let mut addresses = IndexSet::new();
+        for (field, address) in [
+            ("callers", self.callers),
+            ("administration", self.administration),
+            ("links", self.links),
+        ] {
+            let taken = address.port() != 0 && !addresses.insert(address);
+            if taken {
+                return error(
+                    field,
+                    address.to_string(),
+                    "stands twice among the node's addresses",
+                );
+            }
+        }
+        let mut nodes = IndexSet::from([&self.node]);
+        for peer in &self.peers {
+            if !nodes.insert(&peer.node) {
+                return error(
+                    "peers",
+                    peer.node.to_string(),
+                    "stands twice among the nodes",
+                );
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-decisions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load: admission, allowance, routing and retries as pure functions.
--- /dev/null
+++ b/crates/sesamecart-groups/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving groups: completeness, repair, fenced orders and weight loads.
--- /dev/null
+++ b/crates/sesamecart-links/src/lib.rs
@@ -0,0 +1,15 @@
+//! The links between nodes: typed messages over tonic and HTTP/2.
+//!
+//! See docs/design/links.md for which part of the node uses each message.
+
+/// The messages and services generated from `proto/link.proto`.
+#[expect(
+    clippy::allow_attributes,
+    clippy::allow_attributes_without_reason,
+    clippy::empty_structs_with_brackets,
+    missing_docs,
+    reason = "this file is generated"
+)]
+#[path = "generated/sesamecart.link.v1.rs"]
+#[rustfmt::skip]
+pub mod message;
--- /dev/null
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Quickstart and measurements of the whole system against stand-ins.
--- /dev/null
+++ b/crates/sesamecart-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of nodes: heartbeats and suspicion at a bounded cost.
--- /dev/null
+++ b/crates/sesamecart-node/src/bin/sesamecart-node.rs
@@ -0,0 +1,2 @@
+//! The node process.
+fn main() {}
--- /dev/null
+++ b/crates/sesamecart/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' command line.
+fn main() {}
