Fold the log's records into one state on every node

Cause: every agreement of the nodes rests on reading the same records alike, and nothing read them yet. Change: versioned records, verdicts for changes, leases, VM assignments, keyed actions, drains, audit lines and checkpoints, all without clock or network.

--- /dev/null
+++ b/crates/sesamecart-fold/src/fold.rs
@@ -0,0 +1,195 @@
+//! Applying records one by one.
+
+mod action;
+mod group;
+mod lease;
+mod publish;
+
+use sesamecart_vocabulary::{EndpointId, Epoch, Offset, ShardId};
+
+use crate::audit::{AuditEntry, AuditKind};
+use crate::checkpoint::CheckpointMark;
+use crate::record::{DecodeError, Record};
+use crate::state::State;
+use crate::verdict::{Applied, Rejection};
+
+/// The fold: a state, and the rules by which records change it.
+///
+/// It reads no clock and asks nobody, so every node that applies the same records reaches the same
+/// state; see docs/design/fold.md.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    state: State,
+}
+
+/// Where a record stands in the log.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    offset: Offset,
+    logged_at_ms: u64,
+}
+
+impl Fold {
+    /// Starts before the first record.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    pub(crate) const fn with_state(state: State) -> Self {
+        Self { state }
+    }
+
+    /// Returns the state so far.
+    #[must_use]
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Applies the record at `offset` and tells what it did.
+    ///
+    /// A record that was applied before, or that comes after a gap, changes nothing. Bytes that
+    /// can't be read are skipped, with a line in the audit trail: stopping at them would hold back
+    /// every later change on every node.
+    pub fn apply(&mut self, offset: Offset, logged_at_ms: u64, data: &[u8]) -> Applied {
+        let expected = self.state.next_offset;
+        if offset < expected {
+            return Applied::Before;
+        }
+        if offset > expected {
+            return Applied::Gap { expected };
+        }
+        let at = Position {
+            offset,
+            logged_at_ms: logged_at_ms.max(self.state.logged_at_ms),
+        };
+        self.state.logged_at_ms = at.logged_at_ms;
+        self.state.actions.expire(at.logged_at_ms);
+        let applied = match Record::decode(data) {
+            Ok(envelope) => self.apply_record(at, envelope.record),
+            Err(error) => self.skip(at, error),
+        };
+        self.state.next_offset = offset.next();
+        applied
+    }
+
+    fn apply_record(&mut self, at: Position, record: Record) -> Applied {
+        match record {
+            Record::Publish { .. } => self.apply_publish(at, record),
+            Record::Drain { .. } => self.apply_drain(at, record),
+            Record::Claim { .. } => self.apply_claim(at, record),
+            Record::Release {
+                shard,
+                holder,
+                epoch,
+            } => self.apply_release(at, shard, &holder, epoch),
+            Record::Assign {
+                group,
+                vms,
+                generation,
+                shard_epoch,
+            } => self.apply_assign(at, group, vms, generation, shard_epoch),
+            Record::Unassign {
+                vm,
+                group,
+                generation,
+                shard_epoch,
+            } => self.apply_unassign(at, vm, group, generation, shard_epoch),
+            Record::OrderIssued {
+                endpoint,
+                epoch,
+                order,
+                ..
+            } => self.apply_order(at, endpoint, epoch, order),
+            Record::ActionIntents {
+                shard,
+                epoch,
+                entries,
+            } => self.apply_intents(at, shard, epoch, &entries),
+            Record::ActionOutcomes { shard, entries, .. } => self.apply_outcomes(shard, &entries),
+            Record::Checkpoint { state } => self.note_checkpoint(at, &state),
+        }
+    }
+
+    fn apply_order(
+        &mut self,
+        at: Position,
+        endpoint: EndpointId,
+        epoch: Epoch,
+        order: String,
+    ) -> Applied {
+        let newest = self.state.orders.get(&endpoint).copied();
+        let mut entry = at.audit(AuditKind::Order, &endpoint);
+        entry.author = format!("epoch {epoch}");
+        entry.new = order;
+        if let Some(newest) = newest.filter(|newest| *newest > epoch) {
+            return self.reject(entry, Rejection::OldOrder { endpoint, newest });
+        }
+        self.accept(entry);
+        self.state.orders.insert(endpoint.clone(), epoch);
+        Applied::Ordered { endpoint }
+    }
+
+    /// Notes a checkpoint; a node that has read every record before it has no other use for it.
+    fn note_checkpoint(&mut self, at: Position, state: &State) -> Applied {
+        let covers = state.next_offset;
+        if covers > at.offset || state.revision > self.state.revision {
+            let entry = at.audit(AuditKind::Checkpoint, "checkpoint");
+            return self.reject(entry, Rejection::CheckpointAhead { covers });
+        }
+        self.state.checkpoint = Some(CheckpointMark {
+            offset: at.offset,
+            covers,
+            logged_at_ms: at.logged_at_ms,
+        });
+        Applied::Checkpointed { covers }
+    }
+
+    fn skip(&mut self, at: Position, error: DecodeError) -> Applied {
+        let mut entry = at.audit(AuditKind::Unreadable, "record");
+        entry.verdict = format!("skipped: {error}");
+        self.state.audit.push(entry);
+        Applied::Skipped(error)
+    }
+
+    /// Returns the rejection of a record that speaks for a lease not in force.
+    ///
+    /// A holder that was paused for longer than its lease may append long after its successor has
+    /// taken over; its records must change nothing.
+    fn stale(&self, shard: ShardId, epoch: Epoch) -> Option<Rejection> {
+        let lease = self.state.leases.get(&shard);
+        let in_force = lease.is_some_and(|lease| lease.epoch == epoch && !lease.released);
+        (!in_force).then(|| Rejection::StaleEpoch {
+            shard,
+            epoch,
+            current: self.state.epoch(shard),
+        })
+    }
+
+    fn accept(&mut self, mut entry: AuditEntry) {
+        "accepted".clone_into(&mut entry.verdict);
+        self.state.audit.push(entry);
+    }
+
+    fn reject(&mut self, mut entry: AuditEntry, rejection: Rejection) -> Applied {
+        entry.verdict = format!("rejected: {rejection}");
+        self.state.audit.push(entry);
+        Applied::Rejected(rejection)
+    }
+}
+
+impl Position {
+    fn audit(self, kind: AuditKind, subject: impl std::fmt::Display) -> AuditEntry {
+        AuditEntry {
+            offset: self.offset,
+            logged_at_ms: self.logged_at_ms,
+            kind,
+            author: String::new(),
+            from: String::new(),
+            subject: subject.to_string(),
+            old: String::new(),
+            new: String::new(),
+            verdict: String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-fold/src/fold/lease.rs
@@ -0,0 +1,92 @@
+//! Claims and releases of shards.
+
+use sesamecart_vocabulary::{Epoch, NodeId, SHARDS, ShardId};
+
+use super::{Fold, Position};
+use crate::audit::AuditKind;
+use crate::lease::LeaseRecord;
+use crate::record::Record;
+use crate::verdict::{Applied, Rejection};
+
+impl Fold {
+    /// Gives a shard to a claimant that knew the epoch in force.
+    ///
+    /// Two nodes may claim a shard at once, or a claim may lie in the log behind another that its
+    /// author never saw. Only the first that builds on the epoch in force counts, so that each
+    /// epoch has one successor.
+    pub(super) fn apply_claim(&mut self, at: Position, record: Record) -> Applied {
+        let Record::Claim {
+            shard,
+            holder,
+            incarnation,
+            builds_on,
+            voters,
+        } = record
+        else {
+            unreachable!("called with another kind of record");
+        };
+        let mut entry = at.audit(AuditKind::Lease, format_args!("shard {shard}"));
+        entry.author = holder.to_string();
+        entry.old = self.describe_lease(shard);
+        entry.new = format!("{holder} at epoch {}", at.offset);
+        if shard.0 >= SHARDS {
+            return self.reject(entry, Rejection::NoSuchShard { shard });
+        }
+        let current = self.state.epoch(shard);
+        if builds_on != current {
+            let rejection = Rejection::PastEpoch {
+                shard,
+                holder,
+                current,
+            };
+            return self.reject(entry, rejection);
+        }
+        self.accept(entry);
+        let epoch = Epoch(at.offset.0);
+        let lease = LeaseRecord {
+            holder,
+            incarnation,
+            epoch,
+            voters,
+            released: false,
+            logged_at_ms: at.logged_at_ms,
+        };
+        self.state.leases.insert(shard, lease);
+        Applied::Claimed { shard, epoch }
+    }
+
+    pub(super) fn apply_release(
+        &mut self,
+        at: Position,
+        shard: ShardId,
+        holder: &NodeId,
+        epoch: Epoch,
+    ) -> Applied {
+        let mut entry = at.audit(AuditKind::Lease, format_args!("shard {shard}"));
+        entry.author = holder.to_string();
+        entry.old = self.describe_lease(shard);
+        "released".clone_into(&mut entry.new);
+        let current = self.state.epoch(shard);
+        let stale = Rejection::StaleEpoch {
+            shard,
+            epoch,
+            current,
+        };
+        let lease = self.state.leases.get_mut(&shard);
+        let lease = lease.filter(|lease| lease.epoch == epoch && lease.holder == *holder);
+        let Some(lease) = lease else {
+            return self.reject(entry, stale);
+        };
+        lease.released = true;
+        self.accept(entry);
+        Applied::Released { shard }
+    }
+
+    fn describe_lease(&self, shard: ShardId) -> String {
+        match self.state.leases.get(&shard) {
+            None => "nobody".to_owned(),
+            Some(lease) if lease.released => format!("released at epoch {}", lease.epoch),
+            Some(lease) => format!("{} at epoch {}", lease.holder, lease.epoch),
+        }
+    }
+}
--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -1,1 +1,26 @@
 //! The pure fold over the platform's log: records, verdicts, checkpoints and audit.
+//!
+//! Every node folds the same records in the same order and so reaches the same state without a
+//! store or a consensus group of the project's own; see docs/design/fold.md.
+
+mod action;
+mod audit;
+mod body;
+mod checkpoint;
+mod drain;
+mod fold;
+mod lease;
+mod record;
+mod state;
+mod verdict;
+
+pub use action::{ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, Actions, Header};
+pub use audit::{AuditEntry, AuditKind, AuditTail};
+pub use body::EncodedBody;
+pub use checkpoint::{CheckpointError, CheckpointMark};
+pub use drain::{Drain, DrainTarget, ParseDrainTargetError};
+pub use fold::Fold;
+pub use lease::{Assignment, LeaseRecord};
+pub use record::{DecodeError, Envelope, RECORD_VERSION, Record};
+pub use state::State;
+pub use verdict::{Applied, PublishVerdict, Rejection};
--- /dev/null
+++ b/crates/sesamecart-fold/src/state.rs
@@ -0,0 +1,105 @@
+//! The state that the log's records make.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use sesamecart_config::{Configuration, EndpointKind};
+use sesamecart_vocabulary::{
+    EndpointId, Epoch, Generation, GroupId, Offset, PublishId, Revision, ShardId, VmId,
+};
+
+use crate::action::Actions;
+use crate::audit::AuditTail;
+use crate::checkpoint::CheckpointMark;
+use crate::drain::{Drain, DrainTarget};
+use crate::lease::{Assignment, LeaseRecord};
+use crate::verdict::PublishVerdict;
+
+/// What every node that has read the log up to `next_offset` agrees on.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// The offset of the next record to apply.
+    pub next_offset: Offset,
+    /// The newest time of the log's clock that was seen, in milliseconds.
+    pub logged_at_ms: u64,
+    /// The number of configurations accepted so far.
+    pub revision: Revision,
+    /// Who published the configuration in force.
+    pub author: String,
+    /// When that was, in milliseconds of wall-clock time.
+    pub published_at_ms: u64,
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// The drains in force.
+    pub drains: IndexMap<DrainTarget, Drain>,
+    /// The newest accepted claim of each shard.
+    pub leases: IndexMap<ShardId, LeaseRecord>,
+    /// The group that each VM belongs to.
+    pub assignments: IndexMap<VmId, Assignment>,
+    /// The newest generation of each group.
+    pub generations: IndexMap<GroupId, Generation>,
+    /// The newest epoch that gave each endpoint an order.
+    pub orders: IndexMap<EndpointId, Epoch>,
+    /// The keyed actions of the last hour.
+    pub actions: Actions,
+    /// What became of the newest changes, by publish id.
+    pub verdicts: IndexMap<PublishId, PublishVerdict>,
+    /// The newest lines of the audit trail.
+    pub audit: AuditTail,
+    /// The newest checkpoint in the log.
+    pub checkpoint: Option<CheckpointMark>,
+}
+
+impl State {
+    /// Returns whether operators have taken an endpoint out of service.
+    ///
+    /// It is drained by name, with its group, with any VM of its group, or with its failure domain.
+    #[must_use]
+    pub fn is_drained(&self, endpoint: &EndpointId) -> bool {
+        if self.drains.is_empty() {
+            return false;
+        }
+        if self.has_drain(DrainTarget::Endpoint(endpoint.clone())) {
+            return true;
+        }
+        let Some(found) = self.configuration.endpoints.get(endpoint) else {
+            return false;
+        };
+        if self.has_drain(DrainTarget::FailureDomain(found.failure_domain.clone())) {
+            return true;
+        }
+        match &found.kind {
+            EndpointKind::Group(group) => self.is_group_drained(group),
+            EndpointKind::Service(_) => false,
+        }
+    }
+
+    /// Returns the epoch of a shard's newest accepted claim, also if it was released since.
+    #[must_use]
+    pub fn epoch(&self, shard: ShardId) -> Option<Epoch> {
+        self.leases.get(&shard).map(|lease| lease.epoch)
+    }
+
+    /// Returns the VMs that belong to a group.
+    pub fn members<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a VmId> {
+        self.assignments
+            .iter()
+            .filter(move |(_, assignment)| assignment.group == *group)
+            .map(|(vm, _)| vm)
+    }
+
+    fn is_group_drained(&self, group: &GroupId) -> bool {
+        let configured = self.configuration.groups.get(group);
+        let mut vms = configured
+            .into_iter()
+            .flat_map(|group| &group.vms)
+            .chain(self.members(group));
+        self.has_drain(DrainTarget::Group(group.clone()))
+            || vms.any(|vm| self.has_drain(DrainTarget::Vm(vm.clone())))
+    }
+
+    fn has_drain(&self, target: DrainTarget) -> bool {
+        self.drains.contains_key(&target)
+    }
+}
