--- /dev/null
+++ b/crates/sesamecart-actions/tests/at_most_once.rs
@@ -0,0 +1,69 @@
+//! A keyed action runs at most once, whatever happens to its owners, the log and the voters.
+
+mod world;
+
+use world::{Shortcut, World};
+
+/// The steps of one random history.
+const STEPS: usize = 200;
+/// The histories that a shortcut gets to show what it breaks.
+const HISTORIES: u64 = 3_000;
+
+fn history(seed: u64, shortcut: Shortcut) -> Result<World, String> {
+    let mut world = World::new(seed, shortcut);
+    for _ in 0..STEPS {
+        world.step();
+        world
+            .check()
+            .map_err(|fault| format!("seed {seed}: {fault}"))?;
+    }
+    Ok(world)
+}
+
+/// Owners crash, are paused and race each other, the log goes out, loses answers and lands appends
+/// late, voters restart and forget. A user would notice a booking that ran twice, or one that was
+/// refused as not run and ran all the same.
+#[test]
+fn no_history_runs_an_action_twice() {
+    bolero::check!().with_type::<u64>().for_each(|seed: &u64| {
+        if let Err(fault) = history(*seed, Shortcut::None) {
+            panic!("{fault}");
+        }
+    });
+}
+
+/// The histories must reach the cases that they are meant for.
+#[test]
+fn histories_reach_every_path() {
+    let mut total = world::Seen::default();
+    for seed in 0..300 {
+        total.add(&history(seed, Shortcut::None).unwrap().seen);
+    }
+    assert!(total.sent > 0, "{total:?}");
+    assert!(total.mirrored > 0, "{total:?}");
+    assert!(total.adopted > 0, "{total:?}");
+    assert!(total.given_again > 0, "{total:?}");
+    assert!(total.unknown > 0, "{total:?}");
+    assert!(total.refused > 0, "{total:?}");
+    assert!(total.resumed_grants > 0, "{total:?}");
+}
+
+macro_rules! shortcut_runs_twice {
+    ($($name:ident: $shortcut:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let broken = (0..HISTORIES).find_map(|seed| history(seed, Shortcut::$shortcut).err());
+            let fault = broken.expect("the check must notice this shortcut");
+            assert!(fault.contains("ran 2 times"), "{fault}");
+        }
+    )*};
+}
+
+// Each leaves one rule of docs/design/actions.md out, so the check is known to notice its loss.
+shortcut_runs_twice! {
+    owner_that_does_not_read_back: NoReadBack;
+    owner_that_does_not_ask_the_voters: NoGather;
+    voter_that_promises_before_it_has_read_the_log: EarlyPromise;
+    voter_that_ignores_the_claim_it_applied: PromiseToAll;
+    owner_that_is_content_with_one_voter: OneVoter;
+}
--- a/crates/sesamecart-fold/src/action.rs
+++ b/crates/sesamecart-fold/src/action.rs
@@ -5,7 +5,9 @@
 use derive_more::Display;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use sesamecart_vocabulary::{AttemptId, BodyDigest, CustomerId, Epoch, IdempotencyKey, ServiceId};
+use sesamecart_vocabulary::{
+    AttemptId, BodyDigest, CustomerId, Epoch, IdempotencyKey, ServiceId, ShardId,
+};
 
 use crate::body::EncodedBody;
 
@@ -14,7 +16,7 @@
 /// Every action within it is part of each checkpoint, so a longer horizon makes checkpoints larger;
 /// a shorter one would refuse callers that come back after a long outage. A key older than this is
 /// refused and never run again.
-pub(crate) const ACTION_HORIZON_MS: u64 = 60 * 60 * 1_000;
+pub const ACTION_HORIZON_MS: u64 = 60 * 60 * 1_000;
 
 /// What makes a keyed action unique.
 #[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -45,6 +47,21 @@
     pub at_ms: u64,
 }
 
+/// What one append tells of one shard's keyed actions.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ActionPart {
+    /// The shard that owns the keys.
+    pub shard: ShardId,
+    /// The epoch of the shard's lease.
+    pub epoch: Epoch,
+    /// Actions that ended; they count before the intents.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub outcomes: Vec<ActionOutcome>,
+    /// Actions that are about to be sent.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub intents: Vec<ActionIntent>,
+}
+
 /// How an action ended.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ActionOutcome {
--- a/crates/sesamecart-fold/src/fold.rs
+++ b/crates/sesamecart-fold/src/fold.rs
@@ -107,6 +107,7 @@
                 entries,
             } => self.apply_intents(at, shard, epoch, &entries),
             Record::ActionOutcomes { shard, entries, .. } => self.apply_outcomes(shard, &entries),
+            Record::ActionBatch { parts } => self.apply_batch(at, &parts),
             Record::Checkpoint { state } => self.note_checkpoint(at, &state),
         }
     }
--- a/crates/sesamecart-fold/src/fold/action.rs
+++ b/crates/sesamecart-fold/src/fold/action.rs
@@ -3,7 +3,7 @@
 use sesamecart_vocabulary::{Epoch, ShardId};
 
 use super::{Fold, Position};
-use crate::action::{ActionIntent, ActionKey, ActionOutcome};
+use crate::action::{ActionIntent, ActionKey, ActionOutcome, ActionPart};
 use crate::audit::AuditKind;
 use crate::verdict::Applied;
 
@@ -34,6 +34,22 @@
         Applied::Intents { shard, refused }
     }
 
+    /// Applies the ends and intents that one append carries for several shards.
+    ///
+    /// Ends come first, so that a key whose try wasn't run can be begun again in the same append.
+    pub(super) fn apply_batch(&mut self, at: Position, parts: &[ActionPart]) -> Applied {
+        let mut verdicts = Vec::new();
+        for part in parts {
+            if !part.outcomes.is_empty() {
+                verdicts.push(self.apply_outcomes(part.shard, &part.outcomes));
+            }
+            if !part.intents.is_empty() {
+                verdicts.push(self.apply_intents(at, part.shard, part.epoch, &part.intents));
+            }
+        }
+        Applied::ActionBatch { verdicts }
+    }
+
     pub(super) fn apply_outcomes(&mut self, shard: ShardId, entries: &[ActionOutcome]) -> Applied {
         let mut ignored: Vec<ActionKey> = Vec::new();
         for outcome in entries {
--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -14,7 +14,10 @@
 mod state;
 mod verdict;
 
-pub use action::{ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, Actions, Header};
+pub use action::{
+    ACTION_HORIZON_MS, ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, ActionPart,
+    Actions, Header,
+};
 pub use audit::{AuditEntry, AuditKind, AuditTail};
 pub use body::EncodedBody;
 pub use checkpoint::{CheckpointError, CheckpointMark};
--- a/crates/sesamecart-fold/src/record.rs
+++ b/crates/sesamecart-fold/src/record.rs
@@ -9,7 +9,7 @@
 };
 use thiserror::Error;
 
-use crate::action::{ActionIntent, ActionOutcome};
+use crate::action::{ActionIntent, ActionOutcome, ActionPart};
 use crate::drain::DrainTarget;
 use crate::state::State;
 
@@ -126,6 +126,13 @@
         /// The ends.
         entries: Vec<ActionOutcome>,
     },
+    /// Keyed actions of several shards that one append carries together.
+    ///
+    /// A node owns many shards, and an append for each would pass the log's rate under load.
+    ActionBatch {
+        /// What is told of each shard.
+        parts: Vec<ActionPart>,
+    },
     /// The whole state, written again before the log forgets what made it.
     Checkpoint {
         /// The state.
@@ -157,7 +164,7 @@
 }
 
 /// The kinds of records, as they are written.
-const KINDS: [&str; 10] = [
+const KINDS: [&str; 11] = [
     "publish",
     "drain",
     "claim",
@@ -167,6 +174,7 @@
     "order_issued",
     "action_intents",
     "action_outcomes",
+    "action_batch",
     "checkpoint",
 ];
 
--- a/crates/sesamecart-fold/src/verdict.rs
+++ b/crates/sesamecart-fold/src/verdict.rs
@@ -80,6 +80,11 @@
         /// The keys for which this end was no news.
         ignored: Vec<ActionKey>,
     },
+    /// Ends and intents of several shards were applied, with a verdict for each in their order.
+    ActionBatch {
+        /// The verdicts.
+        verdicts: Vec<Applied>,
+    },
     /// A checkpoint was seen.
     Checkpointed {
         /// The offset that it goes up to.
