--- a/crates/sesamecart-config/src/lib.rs
+++ b/crates/sesamecart-config/src/lib.rs
@@ -7,4 +7,4 @@
     Configuration, Customer, Endpoint, EndpointKind, FailureDomain, Group, Limits, Model, Service,
     Vm,
 };
-pub use settings::{LinkPeer, LogSettings, Settings, SettingsError};
+pub use settings::{CallerBounds, LinkPeer, LogSettings, Settings, SettingsError};
--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
-use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
+use sesamecart_vocabulary::{Bytes, FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
 /// The settings of one node, as read from its JSON file.
@@ -38,6 +38,9 @@
     /// The number of traffic threads.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
+    /// Bounds on what callers may hold.
+    #[serde(default)]
+    pub bounds: CallerBounds,
     /// Milliseconds between not being ready and closing the callers' side on leave, which gives the
     /// platform's balancer time to notice.
     #[serde(default = "default_balancer_delay_ms")]
@@ -47,6 +50,37 @@
     pub leave_limit_ms: u64,
 }
 
+/// Bounds on what callers may hold, so that no caller can take memory without limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerBounds {
+    /// The largest body of a request.
+    pub max_body_bytes: Bytes,
+    /// The largest answer that is held whole before it is passed on.
+    pub max_answer_bytes: Bytes,
+    /// Milliseconds in which a request's body must arrive.
+    pub body_limit_ms: u64,
+    /// Milliseconds that a request may take when its caller names no deadline.
+    pub request_limit_ms: u64,
+    /// Milliseconds in which a connection to an endpoint must open.
+    pub connect_limit_ms: u64,
+    /// The most connections of callers at once.
+    pub max_connections: usize,
+}
+
+impl Default for CallerBounds {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: Bytes(8 * 1024 * 1024),
+            max_answer_bytes: Bytes(16 * 1024 * 1024),
+            body_limit_ms: 30_000,
+            request_limit_ms: 120_000,
+            connect_limit_ms: 500,
+            max_connections: 8_192,
+        }
+    }
+}
+
 /// How the node reaches the platform's log.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/sesamecart-edges/src/lib.rs
+++ b/crates/sesamecart-edges/src/lib.rs
@@ -12,7 +12,7 @@
 mod weight_store;
 
 pub use body::{BoxError, CallerBody, ReadBodyError, empty, read_whole, whole};
-pub use client::{ClientError, Exchange, HttpClient, Reuse, Sent, Step};
+pub use client::{ClientError, ConnectionLease, Exchange, HttpClient, Reuse, Sent, Step};
 pub use header::{
     ATTEMPT, CLASS, DEADLINE_MS, EPOCH, GENERATION, IDEMPOTENCY_KEY, NOT_RUN, OUTCOME, PRIORITY,
     REQUEST, RESUME_AT,
--- a/crates/sesamecart-links/src/lib.rs
+++ b/crates/sesamecart-links/src/lib.rs
@@ -23,3 +23,4 @@
 pub use error::{LinkError, LinkStep};
 pub use links::Links;
 pub use server::serve;
+pub use tonic::{Request, Response, Status, async_trait};
--- /dev/null
+++ b/crates/sesamecart-node/src/snapshot.rs
@@ -0,0 +1,117 @@
+//! What traffic threads read of the control state: one immutable picture, replaced as a whole.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use sesamecart_config::{Configuration, Customer, Endpoint, EndpointKind};
+use sesamecart_fold::State;
+use sesamecart_vocabulary::{
+    CustomerId, EndpointId, KeyHash, ModelId, Offset, Revision, ServiceId,
+};
+
+/// One picture of the control state.
+///
+/// A traffic thread takes a reference at the start of a request and keeps it to its end, so a
+/// change in the middle never mixes two configurations in one decision.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// The revision of the configuration.
+    pub revision: Revision,
+    /// The offset of the first record that isn't in this picture.
+    pub next_offset: Offset,
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// The customers by the hash of their callers' keys.
+    customers: IndexMap<KeyHash, CustomerId>,
+    /// The endpoints that take no new work by an operator's order.
+    drained: IndexSet<EndpointId>,
+    models: IndexMap<ModelId, Vec<EndpointId>>,
+    services: IndexMap<ServiceId, Vec<EndpointId>>,
+}
+
+impl Snapshot {
+    /// Makes a picture of a folded state.
+    #[must_use]
+    pub fn of(state: &State) -> Self {
+        let configuration = Arc::clone(&state.configuration);
+        let customers = configuration
+            .customers
+            .iter()
+            .flat_map(|(id, customer)| customer.keys.iter().map(|key| (*key, id.clone())))
+            .collect();
+        let drained = configuration
+            .endpoints
+            .keys()
+            .filter(|id| state.is_drained(id))
+            .cloned()
+            .collect();
+        let mut models: IndexMap<ModelId, Vec<EndpointId>> = IndexMap::new();
+        let mut services: IndexMap<ServiceId, Vec<EndpointId>> = IndexMap::new();
+        for (id, endpoint) in &configuration.endpoints {
+            match &endpoint.kind {
+                EndpointKind::Group(group) => {
+                    if let Some(group) = configuration.groups.get(group) {
+                        models
+                            .entry(group.model.clone())
+                            .or_default()
+                            .push(id.clone());
+                    }
+                }
+                EndpointKind::Service(service) => {
+                    services
+                        .entry(service.clone())
+                        .or_default()
+                        .push(id.clone());
+                }
+            }
+        }
+        Self {
+            revision: state.revision,
+            next_offset: state.next_offset,
+            configuration,
+            customers,
+            drained,
+            models,
+            services,
+        }
+    }
+
+    /// Returns the customer to whom a caller's key belongs.
+    #[must_use]
+    pub fn customer(&self, key: &KeyHash) -> Option<(&CustomerId, &Customer)> {
+        let id = self.customers.get(key)?;
+        Some((id, self.configuration.customers.get(id)?))
+    }
+
+    /// Returns the endpoints that may take new work of a customer for a model.
+    pub fn model_endpoints<'a>(
+        &'a self,
+        customer: &'a Customer,
+        model: &ModelId,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a Endpoint)> {
+        self.open(customer, self.models.get(model).map_or(&[], Vec::as_slice))
+    }
+
+    /// Returns the endpoints that may take new work of a customer for a plain service.
+    pub fn service_endpoints<'a>(
+        &'a self,
+        customer: &'a Customer,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a Endpoint)> {
+        self.open(
+            customer,
+            self.services.get(service).map_or(&[], Vec::as_slice),
+        )
+    }
+
+    fn open<'a>(
+        &'a self,
+        customer: &'a Customer,
+        ids: &'a [EndpointId],
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a Endpoint)> {
+        ids.iter()
+            .filter(|id| customer.endpoints.is_empty() || customer.endpoints.contains(*id))
+            .filter(|id| !self.drained.contains(*id))
+            .filter_map(|id| Some((id, self.configuration.endpoints.get(id)?)))
+    }
+}
