Name the VM of a plain service's endpoint

Cause: draining a VM reached only serving groups, since a plain service's endpoint named no VM. Change: an endpoint may name its VM, and a drain of that VM takes it out of service.

--- a/crates/sesamecart-config/src/configuration.rs
+++ b/crates/sesamecart-config/src/configuration.rs
@@ -104,6 +104,9 @@
     pub failure_domain: FailureDomainId,
     /// What it serves.
     pub kind: EndpointKind,
+    /// The VM that a plain service's process runs on, so that draining the VM drains it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub vm: Option<VmId>,
     /// What it can bear.
     pub limits: Limits,
     /// Whether it refuses an order with an old fencing number.
--- a/crates/sesamecart-fold/src/state.rs
+++ b/crates/sesamecart-fold/src/state.rs
@@ -54,7 +54,8 @@
 impl State {
     /// Returns whether operators have taken an endpoint out of service.
     ///
-    /// It is drained by name, with its group, with any VM of its group, or with its failure domain.
+    /// It is drained by name, with its group, with its VM or any VM of its group, or with its failure
+    /// domain.
     #[must_use]
     pub fn is_drained(&self, endpoint: &EndpointId) -> bool {
         if self.drains.is_empty() {
@@ -69,6 +70,10 @@
         if self.has_drain(DrainTarget::FailureDomain(found.failure_domain.clone())) {
             return true;
         }
+        let vm = found.vm.clone().map(DrainTarget::Vm);
+        if vm.is_some_and(|vm| self.has_drain(vm)) {
+            return true;
+        }
         match &found.kind {
             EndpointKind::Group(group) => self.is_group_drained(group),
             EndpointKind::Service(_) => false,
