--- a/crates/sesamecart-node/src/traffic/service.rs
+++ b/crates/sesamecart-node/src/traffic/service.rs
@@ -67,6 +67,10 @@
                 Err(AttemptError::NotRun(reason)) => failed = Refusal::NotReached(reason),
                 // It may have run: sending it again could run it twice.
                 Err(AttemptError::Unknown(reason)) if !idempotent => {
+                    let (id, customer) = (self.id, self.caller.id);
+                    log::warn!(
+                        "traffic: {id} of {customer} may have run at {endpoint_id}: {reason}."
+                    );
                     return Err(Refusal::NoAnswer(reason));
                 }
                 Err(AttemptError::Unknown(reason)) => failed = Refusal::NoAnswer(reason),
