Add the quickstart over stand-ins and three nodes

Cause: the whole path must be seen to work end to end in one command. Change: a cluster of stand-ins and nodes in one process, a caller that checks what it gets, and the quickstart that publishes the example sheet, chats, books, looks up, refuses and moves a failure domain under load. The relay now finds the data line of events that begin with an id line.

--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -1,1 +1,8 @@
 //! Quickstart and measurements of the whole system against stand-ins.
+
+mod caller;
+mod cluster;
+pub mod quickstart;
+
+pub use caller::{Answer, Caller, StreamAnswer};
+pub use cluster::{Cluster, ClusterPlan, NodePlan};
--- a/crates/sesamecart-node/src/traffic/sse.rs
+++ b/crates/sesamecart-node/src/traffic/sse.rs
@@ -67,14 +67,17 @@
     }
 
     fn check(&self, event: &[u8], events: &mut Events) -> Result<(), StreamFault> {
-        if event.starts_with(LAST_EVENT) {
-            events.last = true;
+        let Some(data) = event
+            .split(|byte| *byte == b'\n')
+            .find(|line| line.starts_with(b"data:"))
+        else {
             return Ok(());
-        }
-        if !event.starts_with(b"data:") {
+        };
+        if data == LAST_EVENT {
+            events.last = true;
             return Ok(());
         }
-        if find(event, self.attempt.as_str().as_bytes()).is_none() {
+        if find(data, self.attempt.as_str().as_bytes()).is_none() {
             return Err(StreamFault::Crossed);
         }
         events.count += 1;
