Decide completeness, repair, orders and weight loads of serving groups

Cause: a group that lost a VM strands the rest of its replica, and a group with a stale member answers in part. Change: pure modules for completeness, assignments with compare-and-set by generation, repair within a fabric domain, fenced orders, the weight store's rate and rolling versions, and a controller that turns events into effects. The controller itself has no tests yet.

--- /dev/null
+++ b/crates/sesamecart-groups/src/controller/planning.rs
@@ -0,0 +1,401 @@
+//! From what is known about groups to requests for the log.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{FabricDomainId, Generation, GroupId, ModelId, Timestamp, VmId};
+
+use super::group::Preparation;
+use super::{Controller, Effect, GroupPhase};
+use crate::assignment::{AssignmentChange, AssignmentRequest};
+use crate::repair::{GroupHealth, Repair, RepairView, plan_repairs, plan_replacements};
+use crate::rollout::{Replica, next_to_update};
+
+/// Fractions of a replica's worth are counted in this many parts of a model's value.
+const WORTH_SCALE: u64 = 1_000;
+
+/// Requests of one round, each built on the generation that the one before makes.
+#[derive(Default)]
+struct Batch {
+    requests: Vec<AssignmentRequest>,
+    generations: IndexMap<GroupId, Generation>,
+}
+
+impl Batch {
+    fn push(&mut self, group: &GroupId, current: Generation, change: AssignmentChange) {
+        let base = *self.generations.entry(group.clone()).or_insert(current);
+        self.generations.insert(group.clone(), base.next());
+        self.requests.push(AssignmentRequest {
+            group: group.clone(),
+            base,
+            change,
+        });
+    }
+}
+
+impl Controller {
+    pub(super) fn plan(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let mut batch = Batch::default();
+        self.assign_new(&mut batch);
+        self.release_removed(&mut batch);
+        let serving = self.serving_replicas();
+        let fabrics: Vec<FabricDomainId> = self.fabrics.keys().cloned().collect();
+        for fabric in &fabrics {
+            self.plan_fabric(fabric, &serving, &mut batch, now);
+        }
+        self.plan_versions(&mut batch);
+        for request in batch.requests {
+            self.pending.insert(request.clone(), now);
+            effects.push(Effect::Append(request));
+        }
+    }
+
+    /// Gives a group that never ran the VMs of the configuration.
+    fn assign_new(&self, batch: &mut Batch) {
+        for group in self.groups.keys() {
+            let Some((plan, model)) = self.plan_and_model(group) else {
+                continue;
+            };
+            let is_new = self.assignments.generation(group) == Generation::default();
+            let free = plan
+                .vms
+                .iter()
+                .all(|vm| self.assignments.owner(vm).is_none());
+            if !is_new || !free || self.is_pending(group) {
+                continue;
+            }
+            for vm in &plan.vms {
+                self.request(batch, group, AssignmentChange::Assign(vm.clone()));
+            }
+            self.request(
+                batch,
+                group,
+                AssignmentChange::Version(model.version.clone()),
+            );
+        }
+    }
+
+    /// Frees the VMs of groups that the configuration doesn't name any more.
+    fn release_removed(&self, batch: &mut Batch) {
+        for (group, assigned) in self.assignments.groups() {
+            if self.fleet.groups.contains_key(group) || self.is_pending(group) {
+                continue;
+            }
+            for vm in &assigned.members {
+                let place = self.fleet.vms.get(vm);
+                if place.is_some_and(|place| self.fabrics.contains_key(&place.fabric_domain)) {
+                    self.request(batch, group, AssignmentChange::Unassign(vm.clone()));
+                }
+            }
+        }
+    }
+
+    fn plan_fabric(
+        &mut self,
+        fabric: &FabricDomainId,
+        serving: &IndexMap<ModelId, u64>,
+        batch: &mut Batch,
+        now: Timestamp,
+    ) {
+        self.finish_replacements(fabric, batch);
+        let Some(view) = self.view(fabric, serving, batch) else {
+            return;
+        };
+        let repairs = plan_repairs(&view, &self.settings.repair);
+        for repair in &repairs {
+            self.request_repair(repair, batch);
+            let from_serving = repair.adopt.iter().any(|adoption| adoption.from_serving);
+            if from_serving && let Some(control) = self.groups.get_mut(&repair.group) {
+                control.hold_until = now + self.settings.append_timeout + self.settings.validity;
+            }
+        }
+        let mut rest = view;
+        let adopted = |vm: &VmId| repairs.iter().flat_map(|r| &r.adopt).any(|a| a.vm == *vm);
+        rest.free
+            .retain(|vm| !adopted(vm) && !self.is_reserved(fabric, vm));
+        for replacement in plan_replacements(&rest, &self.settings.repair) {
+            if let Some(control) = self.groups.get_mut(&replacement.group) {
+                control.preparation = Some(Preparation::Replacement(replacement));
+            }
+        }
+    }
+
+    /// Returns the fabric domain as repair sees it, or nothing if there is nothing to repair.
+    fn view(
+        &self,
+        fabric: &FabricDomainId,
+        serving: &IndexMap<ModelId, u64>,
+        batch: &Batch,
+    ) -> Option<RepairView> {
+        let members = self.fabrics.get(fabric)?;
+        let groups: Vec<GroupHealth> = members
+            .groups
+            .iter()
+            .filter_map(|group| self.health(group, serving, batch))
+            .collect();
+        let needed = |g: &GroupHealth| {
+            !g.lost.is_empty() || !g.leaving.is_empty() || g.usable.len() < g.size
+        };
+        if !groups.iter().any(needed) {
+            return None;
+        }
+        let free = members
+            .vms
+            .iter()
+            .filter(|vm| self.is_free(vm))
+            .cloned()
+            .collect();
+        Some(RepairView {
+            load_time: self.load_time(&members.groups),
+            groups,
+            free,
+        })
+    }
+
+    fn health(
+        &self,
+        group: &GroupId,
+        serving: &IndexMap<ModelId, u64>,
+        batch: &Batch,
+    ) -> Option<GroupHealth> {
+        let (plan, model) = self.plan_and_model(group)?;
+        let assigned = self.assignments.group(group)?;
+        let drained = assigned.members.iter().any(|vm| self.is_drained(vm));
+        let serves = self.phase(group)? == GroupPhase::Serving;
+        let (usable, rest): (Vec<VmId>, Vec<VmId>) = assigned
+            .members
+            .iter()
+            .cloned()
+            .partition(|vm| !self.is_lost(vm) && !self.is_leaving(vm));
+        let (lost, leaving) = if serves {
+            (Vec::new(), rest)
+        } else {
+            (rest, Vec::new())
+        };
+        let others = serving.get(&plan.model).copied().unwrap_or(0) - u64::from(serves);
+        let preparing = self.groups.get(group)?.preparation.is_some();
+        Some(GroupHealth {
+            group: group.clone(),
+            worth: u64::from(model.value.0) * WORTH_SCALE / (others + 1),
+            size: model.vms_per_group,
+            serving: serves,
+            busy: drained
+                || preparing
+                || self.is_pending(group)
+                || batch.generations.contains_key(group),
+            usable,
+            lost,
+            leaving,
+        })
+    }
+
+    /// Counts the serving replicas of each model; those controlled elsewhere are taken to serve.
+    fn serving_replicas(&self) -> IndexMap<ModelId, u64> {
+        let mut serving: IndexMap<ModelId, u64> = IndexMap::new();
+        for (group, plan) in &self.fleet.groups {
+            let serves = self
+                .phase(group)
+                .is_none_or(|phase| phase == GroupPhase::Serving);
+            *serving.entry(plan.model.clone()).or_default() += u64::from(serves);
+        }
+        serving
+    }
+
+    fn load_time(&self, groups: &[GroupId]) -> Duration {
+        let bytes = groups
+            .iter()
+            .filter_map(|group| self.fleet.model_of(group))
+            .map(|model| model.bytes_per_vm.0)
+            .max()
+            .unwrap_or(0);
+        Duration::from_secs(bytes / self.settings.vm_rate.0.max(1))
+    }
+
+    fn request_repair(&self, repair: &Repair, batch: &mut Batch) {
+        for adoption in &repair.adopt {
+            if let Some(donor) = &adoption.from {
+                self.request(
+                    batch,
+                    donor,
+                    AssignmentChange::Unassign(adoption.vm.clone()),
+                );
+            }
+        }
+        for vm in &repair.release {
+            self.request(batch, &repair.group, AssignmentChange::Unassign(vm.clone()));
+        }
+        for adoption in &repair.adopt {
+            self.request(
+                batch,
+                &repair.group,
+                AssignmentChange::Assign(adoption.vm.clone()),
+            );
+        }
+    }
+
+    /// Carries out replacements whose spares have loaded, and gives up those that make no sense
+    /// any more.
+    fn finish_replacements(&mut self, fabric: &FabricDomainId, batch: &mut Batch) {
+        let groups = self.fabrics.get(fabric).map(|fabric| fabric.groups.clone());
+        for group in groups.unwrap_or_default() {
+            let Some(control) = self.groups.get(&group) else {
+                continue;
+            };
+            let Some(Preparation::Replacement(repair)) = &control.preparation else {
+                continue;
+            };
+            let repair = repair.clone();
+            let loaded = self.assignments.group(&group).is_some_and(|assigned| {
+                let is_done = |vm| {
+                    control
+                        .loads
+                        .get(vm)
+                        .is_some_and(|load| load.is_done(&assigned.version))
+                };
+                repair.adopt.iter().all(|adoption| is_done(&adoption.vm))
+            });
+            let serves = self.phase(&group) == Some(GroupPhase::Serving);
+            let valid = serves
+                && repair.release.iter().all(|vm| self.is_leaving(vm))
+                && repair
+                    .adopt
+                    .iter()
+                    .all(|adoption| self.is_free(&adoption.vm));
+            if valid && loaded {
+                self.request_repair(&repair, batch);
+            }
+            if (!valid || loaded)
+                && let Some(control) = self.groups.get_mut(&group)
+            {
+                control.preparation = None;
+            }
+        }
+    }
+
+    fn plan_versions(&mut self, batch: &mut Batch) {
+        for (model, wanted) in self.behind() {
+            let replicas = self.replicas(&model, &wanted, batch);
+            let Some(group) = next_to_update(&replicas).cloned() else {
+                continue;
+            };
+            if self.is_pending(&group) || batch.generations.contains_key(&group) {
+                continue;
+            }
+            let serves = self.phase(&group) == Some(GroupPhase::Serving);
+            let Some(control) = self.groups.get_mut(&group) else {
+                continue;
+            };
+            if serves {
+                control.preparation = Some(Preparation::Version(wanted));
+            } else {
+                self.request(batch, &group, AssignmentChange::Version(wanted));
+            }
+        }
+        self.finish_versions(batch);
+    }
+
+    /// Returns the models of which a controlled group runs another version than wanted.
+    fn behind(&self) -> IndexMap<ModelId, String> {
+        let mut behind = IndexMap::new();
+        for group in self.groups.keys() {
+            let Some((plan, model)) = self.plan_and_model(group) else {
+                continue;
+            };
+            let assigned = self.assignments.group(group);
+            if assigned.is_some_and(|assigned| assigned.version != model.version) {
+                behind.insert(plan.model.clone(), model.version.clone());
+            }
+        }
+        behind
+    }
+
+    /// Returns the controlled replicas of a model; each fabric domain's owner rolls its own.
+    fn replicas(&self, model: &ModelId, wanted: &str, batch: &Batch) -> Vec<Replica> {
+        let is_model = |group: &&GroupId| {
+            let plan = self.fleet.groups.get(*group);
+            plan.is_some_and(|plan| plan.model == *model)
+        };
+        let replica = |group: &GroupId| {
+            let assigned = self.assignments.group(group)?;
+            let control = self.groups.get(group)?;
+            let phase = self.phase(group)?;
+            let current = assigned.version == wanted;
+            let preparing = matches!(control.preparation, Some(Preparation::Version(_)));
+            let pending = self.is_pending(group) || batch.generations.contains_key(group);
+            Some(Replica {
+                group: group.clone(),
+                routable: phase == GroupPhase::Serving,
+                current,
+                changing: preparing || pending || (current && phase == GroupPhase::Recovering),
+            })
+        };
+        self.groups
+            .keys()
+            .filter(is_model)
+            .filter_map(replica)
+            .collect()
+    }
+
+    fn finish_versions(&mut self, batch: &mut Batch) {
+        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for group in groups {
+            let Some(Preparation::Version(wanted)) = self
+                .groups
+                .get(&group)
+                .and_then(|control| control.preparation.clone())
+            else {
+                continue;
+            };
+            let members = self
+                .assignments
+                .group(&group)
+                .map(|assigned| &assigned.members);
+            let loaded = members.is_some_and(|members| {
+                let loads = &self.groups[&group].loads;
+                let is_done = |vm| loads.get(vm).is_some_and(|load| load.is_done(&wanted));
+                members.iter().all(is_done)
+            });
+            let serves = self.phase(&group) == Some(GroupPhase::Serving);
+            if loaded {
+                self.request(batch, &group, AssignmentChange::Version(wanted));
+            }
+            if loaded || !serves {
+                self.groups[&group].preparation = None;
+            }
+        }
+    }
+
+    fn request(&self, batch: &mut Batch, group: &GroupId, change: AssignmentChange) {
+        batch.push(group, self.assignments.generation(group), change);
+    }
+
+    pub(super) fn is_pending(&self, group: &GroupId) -> bool {
+        self.pending.keys().any(|request| request.group == *group)
+    }
+
+    /// Says whether a VM can be used as a spare.
+    fn is_free(&self, vm: &VmId) -> bool {
+        let assigning = |request: &AssignmentRequest| matches!(&request.change, AssignmentChange::Assign(other) if other == vm);
+        self.assignments.owner(vm).is_none()
+            && !self.is_lost(vm)
+            && !self.is_leaving(vm)
+            && !self.is_drained(vm)
+            && !self.pending.keys().any(assigning)
+    }
+
+    fn is_reserved(&self, fabric: &FabricDomainId, vm: &VmId) -> bool {
+        let groups = self
+            .fabrics
+            .get(fabric)
+            .map_or(&[][..], |fabric| &fabric.groups);
+        groups.iter().any(|group| {
+            let preparation = self.groups.get(group).and_then(|g| g.preparation.as_ref());
+            match preparation {
+                Some(Preparation::Replacement(repair)) => {
+                    repair.adopt.iter().any(|adoption| adoption.vm == *vm)
+                }
+                Some(Preparation::Version(_)) | None => false,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-groups/src/repair/tests.rs
@@ -0,0 +1,159 @@
+use std::time::Duration;
+
+use sesamecart_vocabulary::VmId;
+
+use super::{GroupHealth, RepairView, plan_repairs, plan_replacements};
+use crate::settings::RepairSettings;
+
+fn vms(text: &str) -> Vec<VmId> {
+    text.split_whitespace()
+        .map(|vm| vm.parse().unwrap())
+        .collect()
+}
+
+/// A group of three VMs that is out.
+fn broken(name: &str, worth: u64, usable: &str, lost: &str) -> GroupHealth {
+    GroupHealth {
+        group: name.parse().unwrap(),
+        worth,
+        size: 3,
+        serving: false,
+        busy: false,
+        usable: vms(usable),
+        lost: vms(lost),
+        leaving: Vec::new(),
+    }
+}
+
+fn serving(name: &str, worth: u64, usable: &str, leaving: &str) -> GroupHealth {
+    GroupHealth {
+        serving: true,
+        leaving: vms(leaving),
+        ..broken(name, worth, usable, "")
+    }
+}
+
+fn busy(group: GroupHealth) -> GroupHealth {
+    GroupHealth {
+        busy: true,
+        ..group
+    }
+}
+
+fn view(groups: Vec<GroupHealth>, free: &str) -> RepairView {
+    RepairView {
+        groups,
+        free: vms(free),
+        load_time: Duration::from_secs(35),
+    }
+}
+
+fn words(repairs: &[super::Repair]) -> Vec<String> {
+    let adopted = |repair: &super::Repair| {
+        let adopt = repair.adopt.iter().map(|adoption| match &adoption.from {
+            Some(from) => format!("{}<{from}", adoption.vm),
+            None => adoption.vm.to_string(),
+        });
+        adopt.collect::<Vec<_>>().join(",")
+    };
+    repairs
+        .iter()
+        .map(|r| format!("{}+{}", r.group, adopted(r)))
+        .collect()
+}
+
+macro_rules! repaired {
+    ($($name:ident: $groups:expr, free $free:literal => $words:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let expected: &[&str] = &$words;
+            let repairs = plan_repairs(&view($groups.into(), $free), &RepairSettings::default());
+            assert_eq!(words(&repairs), expected);
+        }
+    )*};
+}
+
+repaired! {
+    spare_first: [broken("a", 5, "a1 a2", "a3"), broken("b", 5, "b1", "b2 b3")], free "s"
+        => ["a+s"];
+    survivors_of_another: [broken("a", 5, "a1 a2", "a3"), broken("b", 5, "b1 b2", "b3")], free ""
+        => ["a+b1<b"];
+    worthier_first: [broken("a", 5, "a1 a2", "a3"), broken("b", 6, "b1 b2", "b3")], free ""
+        => ["b+a1<a"];
+    nothing_that_stays_incomplete: [broken("a", 5, "a1", "a2 a3")], free "s" => [];
+    busy_stays: [busy(broken("a", 5, "a1 a2", "a3"))], free "s" => [];
+    equals_are_not_taken_apart: [broken("a", 5, "a1 a2", "a3"), serving("b", 5, "b1 b2 b3", "")],
+        free "" => [];
+    last_replica_takes_one_of_many: [broken("a", 10, "a1 a2", "a3"), serving("b", 5, "b1 b2 b3", ""),
+        serving("c", 2, "c1 c2 c3", "")], free "" => ["a+c1<c"];
+    whole_domain_lost: [broken("a", 5, "", "a1 a2 a3"), broken("b", 5, "", "b1 b2 b3")], free "" => [];
+    first_vms_back_make_one_group: [broken("a", 5, "a1", "a2 a3"), broken("b", 5, "b1", "b2 b3"),
+        broken("c", 5, "c1", "c2 c3")], free "" => ["a+c1<c,b1<b"];
+}
+
+/// VMs restart one after the other and come back within seconds. Taking survivors elsewhere would
+/// cost two groups a load in place of one.
+#[test]
+fn survivors_stay_when_return_is_quicker() {
+    let settings = RepairSettings {
+        expected_return: Duration::from_secs(20),
+        ..RepairSettings::default()
+    };
+    let groups = vec![broken("a", 5, "a1 a2", "a3"), broken("b", 5, "b1 b2", "b3")];
+    assert_eq!(plan_repairs(&view(groups, ""), &settings), []);
+}
+
+#[test]
+fn leaving_vm_is_replaced_by_free_one_only() {
+    let groups = vec![
+        serving("a", 5, "a1 a2", "a3"),
+        serving("b", 9, "b1 b2", "b3"),
+    ];
+    let plans = plan_replacements(&view(groups, "s"), &RepairSettings::default());
+    assert_eq!(words(&plans), ["b+s"]);
+}
+
+/// Random fabric domains: every plan completes its group, no VM is given to two groups, and a
+/// serving group is taken apart only for one that is worth at least twice as much.
+#[test]
+fn plans_complete_groups_without_sharing_vms() {
+    bolero::check!()
+        .with_type::<(Vec<(u8, u8, bool)>, u8)>()
+        .for_each(|(groups, free)| {
+            let group = |(index, (worth, lost, serves)): (usize, &(u8, u8, bool))| {
+                let lost = if *serves { 0 } else { usize::from(lost % 4) };
+                let names: Vec<String> = (0..3).map(|vm| format!("vm-{index}-{vm}")).collect();
+                GroupHealth {
+                    serving: *serves,
+                    ..broken(
+                        &format!("g-{index}"),
+                        u64::from(*worth),
+                        &names[lost..].join(" "),
+                        &names[..lost].join(" "),
+                    )
+                }
+            };
+            let groups: Vec<GroupHealth> = groups.iter().take(12).enumerate().map(group).collect();
+            let free: Vec<String> = (0..free % 4).map(|vm| format!("free-{vm}")).collect();
+            let view = view(groups, &free.join(" "));
+            check_plans(&view);
+        });
+}
+
+fn check_plans(view: &RepairView) {
+    let mut used = indexmap::IndexSet::new();
+    let find = |group| view.groups.iter().find(|g| g.group == group).unwrap();
+    for repair in plan_repairs(view, &RepairSettings::default()) {
+        let group = find(repair.group);
+        assert!(!group.serving);
+        assert_eq!(group.usable.len() + repair.adopt.len(), 3);
+        assert!(group.usable.iter().all(|vm| !used.contains(vm)));
+        for adoption in repair.adopt {
+            let donor = adoption.from.map(find);
+            let source = donor.map_or(&view.free, |donor| &donor.usable);
+            assert!(source.contains(&adoption.vm));
+            assert!(donor.is_none_or(|d| !d.serving || 2 * d.worth <= group.worth));
+            assert!(used.insert(adoption.vm));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-groups/src/weights/tests.rs
@@ -0,0 +1,74 @@
+use sesamecart_vocabulary::{Bytes, Weight};
+
+use super::{LoadRequest, allot};
+
+fn load(group: &str, vm: &str, remaining: u64, value: u32, urgent: bool) -> LoadRequest {
+    LoadRequest {
+        group: group.parse().unwrap(),
+        vm: vm.parse().unwrap(),
+        remaining: Bytes(remaining),
+        value: Weight(value),
+        urgent,
+    }
+}
+
+/// Each case lists loads and the VMs that get rate, in order.
+macro_rules! granted {
+    ($($name:ident: $loads:expr, total $total:literal => $vms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let grants = allot(&$loads, Bytes($total), Bytes(10));
+            let vms: Vec<String> = grants.iter().map(|g| format!("{}:{}", g.vm, g.bytes_per_s)).collect();
+            assert_eq!(vms, $vms);
+        }
+    )*};
+}
+
+granted! {
+    least_left_first: [load("a", "a1", 90, 1, true), load("b", "b1", 30, 1, true)], total 10
+        => ["b1:10"];
+    whole_group_counts: [load("a", "a1", 20, 1, true), load("a", "a2", 20, 1, true),
+        load("b", "b1", 30, 1, true)], total 15 => ["b1:10", "a1:5"];
+    more_value_first: [load("a", "a1", 30, 1, true), load("b", "b1", 60, 3, true)], total 10
+        => ["b1:10"];
+    urgent_before_prepared: [load("a", "a1", 1, 9, false), load("b", "b1", 90, 1, true)], total 10
+        => ["b1:10"];
+    done_gets_nothing: [load("a", "a1", 0, 1, true), load("b", "b1", 9, 1, true)], total 20
+        => ["b1:10"];
+    equal_by_name: [load("b", "b1", 9, 1, true), load("a", "a1", 9, 1, true)], total 10
+        => ["a1:10"];
+}
+
+#[test]
+fn grants_never_exceed_the_rate() {
+    bolero::check!()
+        .with_type::<(Vec<(u8, u8, u16, u8, bool)>, u16, u8)>()
+        .for_each(|(loads, total, per_vm)| {
+            let loads: Vec<LoadRequest> = loads
+                .iter()
+                .enumerate()
+                .map(|(index, (group, _, left, value, urgent))| {
+                    let vm = format!("vm-{index}");
+                    load(
+                        &format!("g-{group}"),
+                        &vm,
+                        u64::from(*left),
+                        u32::from(*value),
+                        *urgent,
+                    )
+                })
+                .collect();
+            let total = Bytes(u64::from(*total));
+            let per_vm = Bytes(u64::from(*per_vm));
+            let grants = allot(&loads, total, per_vm);
+            assert!(grants.iter().map(|grant| grant.bytes_per_s).sum::<Bytes>() <= total);
+            assert!(grants.iter().all(|grant| grant.bytes_per_s <= per_vm));
+            // No rate lies idle while a load could use it.
+            let waiting = loads
+                .iter()
+                .filter(|load| load.remaining > Bytes(0))
+                .count() as u64;
+            let used: Bytes = grants.iter().map(|grant| grant.bytes_per_s).sum();
+            assert_eq!(used, total.min(Bytes(per_vm.0 * waiting)));
+        });
+}
