Run keyed actions at most once across nodes

Cause: an idempotency key was passed over, so the same booking sent through two nodes ran twice. Change: a node asks the key's shard owner before it sends, tells it the end until that is durable, and gives the first answer again; owners claim shards through the log, hear the last lease's voters and give shards up on leave. Once allowed, an action goes on when its caller leaves. A service whose configuration says so is asked what became of a try whose answer was lost. Links gain FetchMirrors, and the services' stand-in a ledger that settles tries.

--- a/crates/sesamecart-actions/src/asking.rs
+++ b/crates/sesamecart-actions/src/asking.rs
@@ -67,6 +67,37 @@
     AttemptEnded,
 }
 
+impl RefusalReason {
+    /// All reasons.
+    const ALL: [Self; 6] = [
+        Self::Full,
+        Self::NotDurable,
+        Self::TakingOver,
+        Self::Uncertain,
+        Self::FutureKey,
+        Self::AttemptEnded,
+    ];
+
+    /// Returns the reason's name between nodes.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::NotDurable => "not_durable",
+            Self::TakingOver => "taking_over",
+            Self::Uncertain => "uncertain",
+            Self::FutureKey => "future_key",
+            Self::AttemptEnded => "attempt_ended",
+        }
+    }
+
+    /// Returns the reason of a name between nodes.
+    #[must_use]
+    pub fn of_code(code: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.code() == code)
+    }
+}
+
 /// What the owner decides.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
--- a/crates/sesamecart-actions/src/commit.rs
+++ b/crates/sesamecart-actions/src/commit.rs
@@ -113,6 +113,28 @@
     Lost(CommitItem),
 }
 
+impl CommitItem {
+    /// Returns the shard and the epoch that it is told under.
+    #[must_use]
+    pub const fn lease(&self) -> (ShardId, Epoch) {
+        match self {
+            Self::Intent { shard, epoch, .. } | Self::Outcome { shard, epoch, .. } => {
+                (*shard, *epoch)
+            }
+        }
+    }
+}
+
+impl Durable {
+    /// Returns the shard and the epoch that the item is told under.
+    #[must_use]
+    pub const fn lease(&self) -> (ShardId, Epoch) {
+        match self {
+            Self::Logged(item) | Self::Mirrored(item) | Self::Lost(item) => item.lease(),
+        }
+    }
+}
+
 /// What the fold says of an intent that was read back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum IntentVerdict {
@@ -379,16 +401,15 @@
     let mut parts: Vec<ActionPart> = Vec::new();
     let mut last: IndexMap<(ShardId, Epoch), usize> = IndexMap::new();
     for item in items {
-        let (CommitItem::Intent { shard, epoch, .. } | CommitItem::Outcome { shard, epoch, .. }) =
-            item;
-        let lease = (*shard, *epoch);
+        let lease = item.lease();
+        let (shard, epoch) = lease;
         let open = last.get(&lease).copied();
         let index = match open.filter(|index| fits(&parts[*index], item)) {
             Some(index) => index,
             None => {
                 parts.push(ActionPart {
-                    shard: *shard,
-                    epoch: *epoch,
+                    shard,
+                    epoch,
                     outcomes: Vec::new(),
                     intents: Vec::new(),
                 });
--- a/crates/sesamecart-actions/src/owner.rs
+++ b/crates/sesamecart-actions/src/owner.rs
@@ -123,6 +123,13 @@
         self.entries.len()
     }
 
+    /// Returns the number of keys whose try hasn't ended.
+    #[must_use]
+    pub fn under_way(&self) -> usize {
+        let ended = |entry: &&Entry| matches!(entry.phase, Phase::Ended { .. });
+        self.entries.values().filter(|entry| !ended(entry)).count()
+    }
+
     /// Returns whether no keys are held beside the log's.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -223,10 +230,16 @@
         match local.or(logged) {
             Some(known_attempt) if known_attempt == attempt => {}
             // Another try stands, so this one was never allowed or is superseded.
-            _ => {
+            Some(_) => {
                 out.push(Effect::Recorded(ticket, true));
                 return;
             }
+            // Its intent may be still to be heard of, and an end counts only after it.
+            None => {
+                let moot = end == ActionEnd::NotRun && !self.is_gathering();
+                out.push(Effect::Recorded(ticket, moot));
+                return;
+            }
         }
         if let Some(entry) = known.actions.get(key)
             && entry.attempt == *attempt
--- a/crates/sesamecart-config/src/configuration.rs
+++ b/crates/sesamecart-config/src/configuration.rs
@@ -85,6 +85,10 @@
     /// The methods whose requests may be sent again; all others are sent at most once.
     #[serde(default = "default_idempotent_methods")]
     pub idempotent_methods: IndexSet<String>,
+    /// Whether its endpoints can be asked what became of a keyed action; see
+    /// docs/design/platform.md.
+    #[serde(default)]
+    pub settles_actions: bool,
     /// The team that administers it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub team: Option<TeamId>,
--- a/crates/sesamecart-edges/src/header.rs
+++ b/crates/sesamecart-edges/src/header.rs
@@ -20,6 +20,10 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-sesamecart-not-run");
 /// What became of a request: `answered`, `not-run` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("x-sesamecart-outcome");
+/// The one try of a keyed action, by which an endpoint can be asked what became of it.
+pub const ACTION: HeaderName = HeaderName::from_static("x-sesamecart-action");
+/// Set on an answer that was given before to a request with the same idempotency key.
+pub const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 /// The class that a caller asks for.
 pub const CLASS: HeaderName = HeaderName::from_static("x-sesamecart-class");
 /// The caller's key for an action that must run at most once.
--- a/crates/sesamecart-edges/src/lib.rs
+++ b/crates/sesamecart-edges/src/lib.rs
@@ -14,8 +14,8 @@
 pub use body::{BoxError, CallerBody, ReadBodyError, empty, read_whole, whole};
 pub use client::{ClientError, ConnectionLease, Exchange, HttpClient, Reuse, Sent, Step};
 pub use header::{
-    ATTEMPT, CLASS, DEADLINE_MS, EPOCH, GENERATION, IDEMPOTENCY_KEY, NOT_RUN, OUTCOME, PRIORITY,
-    REQUEST, RESUME_AT,
+    ACTION, ATTEMPT, CLASS, DEADLINE_MS, EPOCH, GENERATION, IDEMPOTENCY_KEY, NOT_RUN, OUTCOME,
+    PRIORITY, REPLAYED, REQUEST, RESUME_AT,
 };
 pub use log_service::{HttpLog, Log, LogError, LogPage, LoggedRecord};
 pub use server::{Connections, ServerLimits, serve};
--- /dev/null
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -0,0 +1,190 @@
+//! Claiming a shard, hearing its last owner's voters, and giving shards up on leave.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use sesamecart_actions::{Gather, Gathered, Owner, OwnerConfig, VoterId};
+use sesamecart_fold::{ActionIntent, LeaseRecord, Record};
+use sesamecart_lease::choose_voters;
+use sesamecart_links::message::FetchMirrorsRequest;
+use sesamecart_runtime::{sleep, within};
+use sesamecart_vocabulary::{Epoch, Offset, ShardId};
+
+use super::commit::intents_of;
+use super::desk::Desk;
+
+/// How long a claim may take to be appended and read back.
+const CLAIM_LIMIT: Duration = Duration::from_secs(1);
+/// How long one voter may take to tell what it keeps.
+const GATHER_CALL_LIMIT: Duration = Duration::from_millis(400);
+/// The time between two rounds of questions to the last owner's voters.
+const GATHER_REST: Duration = Duration::from_millis(100);
+
+impl Desk {
+    /// Claims a shard that nobody holds, in the background.
+    ///
+    /// Two nodes may do so at once; the fold lets the first claim win.
+    pub(super) fn take_over(self: &Arc<Self>, shard: ShardId) {
+        let mut state = self.lock();
+        let held = state.owners.contains_key(&shard);
+        if state.leaving || held || !state.taking_over.insert(shard) {
+            return;
+        }
+        drop(state);
+        let desk = Arc::clone(self);
+        self.tasks.spawn(async move {
+            if let Err(error) = desk.claim(shard).await {
+                log::info!("actions: shard {shard} can't be claimed: {error}.");
+            }
+            desk.lock().taking_over.swap_remove(&shard);
+        });
+    }
+
+    async fn claim(&self, shard: ShardId) -> anyhow::Result<()> {
+        let last = self.fold.read(|fold| fold.leases.get(&shard).cloned());
+        let record = Record::Claim {
+            shard,
+            holder: self.shared.identity.node.clone(),
+            incarnation: self.shared.identity.incarnation,
+            builds_on: last.as_ref().map(|lease| lease.epoch),
+            voters: choose_voters(shard, &self.directory.view(self.now())),
+        };
+        let appended = async {
+            let offset = self.log.append(record.encode().into()).await?;
+            self.fold.applied(offset).await;
+            Ok::<_, anyhow::Error>(offset)
+        };
+        let offset = match within(CLAIM_LIMIT, appended).await {
+            Ok(offset) => offset?,
+            Err(elapsed) => return Err(elapsed.into()),
+        };
+        let epoch = Epoch(offset.0);
+        if self.fold.read(|fold| fold.epoch(shard)) != Some(epoch) {
+            return Ok(());
+        }
+        log::info!("actions: shard {shard} is owned here under epoch {epoch}.");
+        let owner = Owner::new(shard, epoch, OwnerConfig::default());
+        self.lock().owners.insert(shard, owner);
+        self.gather(shard, epoch, last).await;
+        Ok(())
+    }
+
+    /// Asks the last owner's voters until every intent that a majority kept is known.
+    ///
+    /// A lease that was given up needs no asking: its owner had nothing left that wasn't in the log.
+    async fn gather(&self, shard: ShardId, epoch: Epoch, last: Option<LeaseRecord>) {
+        let last = last.filter(|lease| !lease.released);
+        let mut gather = match last {
+            Some(lease) => Gather::new(lease.epoch, lease.voters),
+            None => Gather::new(Epoch(0), []),
+        };
+        loop {
+            if let Some(intents) = gather.complete() {
+                self.adopt(shard, intents);
+                return;
+            }
+            let unheard: Vec<_> = gather.unheard().cloned().collect();
+            let asked = unheard
+                .iter()
+                .map(|voter| self.ask_voter(voter, shard, epoch));
+            for (voter, told) in unheard.iter().zip(join_all(asked).await) {
+                if let Some(told) = told {
+                    gather.hear(voter, told);
+                }
+            }
+            if !self.still_owns(shard) {
+                return;
+            }
+            if gather.complete().is_none() {
+                sleep(GATHER_REST).await;
+            }
+        }
+    }
+
+    fn still_owns(&self, shard: ShardId) -> bool {
+        let mut state = self.lock();
+        self.owns(&mut state, shard)
+    }
+
+    fn adopt(&self, shard: ShardId, intents: Vec<ActionIntent>) {
+        {
+            let mut state = self.lock();
+            if self.owns(&mut state, shard) {
+                self.with_owner(&mut state, shard, |owner, known, out| {
+                    owner.adopt(known, intents, true, out);
+                });
+            }
+        }
+        self.wake();
+    }
+
+    async fn ask_voter(&self, voter: &VoterId, shard: ShardId, epoch: Epoch) -> Option<Gathered> {
+        let req = FetchMirrorsRequest {
+            shard: u32::from(shard.0),
+            epoch: epoch.0,
+        };
+        let reply = if *voter == self.shared.identity.node {
+            self.tell_mirrors(&req)
+        } else {
+            let mut client = self.links.to(self.directory.address(voter)?);
+            let reply = within(GATHER_CALL_LIMIT, client.fetch_mirrors(req)).await;
+            reply.ok()?.ok()?.into_inner()
+        };
+        if !reply.applied {
+            return None;
+        }
+        let envelope = Record::decode(&reply.record).ok()?;
+        let Record::ActionBatch { parts } = envelope.record else {
+            return None;
+        };
+        Some(Gathered {
+            settled_from: Offset(reply.settled_from),
+            intents: intents_of(&parts).cloned().collect(),
+        })
+    }
+
+    /// Gives up all shards, once nothing of them is under way or missing in the log.
+    ///
+    /// Returns whether that was so within the limit; without it the next owners ask the voters.
+    pub(crate) async fn leave(&self, limit: Duration) -> bool {
+        let settled = within(limit, async {
+            while self.untold() > 0 {
+                sleep(GATHER_REST).await;
+            }
+            self.lock().leaving = true;
+            while !self.is_settled() {
+                sleep(GATHER_REST).await;
+            }
+        });
+        let settled = settled.await.is_ok();
+        self.lock().leaving = true;
+        if !settled {
+            log::warn!("actions: the node leaves with keyed actions under way.");
+            return false;
+        }
+        let held: Vec<_> = {
+            let mut state = self.lock();
+            state
+                .owners
+                .drain(..)
+                .map(|(shard, owner)| (shard, owner.epoch()))
+                .collect()
+        };
+        let released = join_all(held.into_iter().map(|(shard, epoch)| {
+            let release = Record::Release {
+                shard,
+                holder: self.shared.identity.node.clone(),
+                epoch,
+            };
+            self.log.append(release.encode().into())
+        }));
+        let released = within(limit, released).await;
+        matches!(released, Ok(results) if results.iter().all(Result::is_ok))
+    }
+
+    fn is_settled(&self) -> bool {
+        let state = self.lock();
+        state.commit.backlog() == 0 && state.owners.values().all(|owner| owner.under_way() == 0)
+    }
+}
--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use sesamecart_edges::{Log, LogError, LogPage};
-use sesamecart_fold::{Applied, Fold};
+use sesamecart_fold::Applied;
 use sesamecart_runtime::sleep;
 
+use crate::control::cell::FoldCell;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 
@@ -23,16 +24,16 @@
 pub(crate) struct Follower {
     shared: Arc<Shared>,
     log: Arc<dyn Log>,
-    fold: Fold,
+    fold: FoldCell,
     failing: bool,
 }
 
 impl Follower {
-    pub(crate) fn new(shared: Arc<Shared>, log: Arc<dyn Log>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, log: Arc<dyn Log>, fold: FoldCell) -> Self {
         Self {
             shared,
             log,
-            fold: Fold::new(),
+            fold,
             failing: false,
         }
     }
@@ -41,12 +42,13 @@
         loop {
             let wait = Duration::from_millis(self.shared.settings.log.poll_ms);
             let begun = self.shared.clock.now();
-            let from = self.fold.state().next_offset;
+            let from = self.fold.read(|state| state.next_offset);
             match self.log.read(from, READ_LIMIT, wait).await {
                 Ok(page) => {
                     self.note_success();
                     let at_tail = self.fold_page(&page);
                     if at_tail {
+                        self.fold.note_tail();
                         self.shared.note_heard(begun);
                     }
                 }
@@ -60,16 +62,18 @@
 
     /// Folds a page and returns whether the state is now as new as the log's tail.
     fn fold_page(&mut self, page: &LogPage) -> bool {
-        let before = self.fold.state().next_offset;
-        for record in &page.records {
-            let applied = self.fold.apply(record.offset, record.time_ms, &record.data);
-            report(&applied);
-        }
-        let state = self.fold.state();
-        if state.next_offset != before {
-            self.shared.snapshot.store(Arc::new(Snapshot::of(state)));
-        }
-        state.next_offset >= page.next
+        let shared = &self.shared;
+        self.fold.apply(|fold| {
+            let before = fold.state().next_offset;
+            for record in &page.records {
+                report(&fold.apply(record.offset, record.time_ms, &record.data));
+            }
+            let state = fold.state();
+            if state.next_offset != before {
+                shared.snapshot.store(Arc::new(Snapshot::of(state)));
+            }
+            state.next_offset >= page.next
+        })
     }
 
     fn note_success(&mut self) {
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -5,23 +5,25 @@
 use sesamecart_links::message::link_server::Link;
 use sesamecart_links::message::{
     BeginActionReply, BeginActionRequest, BorrowPermitsReply, BorrowPermitsRequest,
-    FetchRecordsReply, FetchRecordsRequest, FetchStateReply, FetchStateRequest, FinishActionReply,
-    FinishActionRequest, HeartbeatReply, HeartbeatRequest, Member, MirrorIntentReply,
-    MirrorIntentRequest, VoteReply, VoteRequest,
+    FetchMirrorsReply, FetchMirrorsRequest, FetchRecordsReply, FetchRecordsRequest,
+    FetchStateReply, FetchStateRequest, FinishActionReply, FinishActionRequest, HeartbeatReply,
+    HeartbeatRequest, Member, MirrorIntentReply, MirrorIntentRequest, VoteReply, VoteRequest,
 };
 use sesamecart_links::{Request, Response, Status};
 
+use crate::actions::Desk;
 use crate::shared::Shared;
 
 /// Answers other nodes' calls.
 #[derive(Clone, Debug)]
 pub(crate) struct LinkSide {
     shared: Arc<Shared>,
+    desk: Arc<Desk>,
 }
 
 impl LinkSide {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>) -> Self {
+        Self { shared, desk }
     }
 
     fn member(&self) -> Member {
@@ -80,22 +82,36 @@
 
     async fn begin_action(
         &self,
-        _request: Request<BeginActionRequest>,
+        request: Request<BeginActionRequest>,
     ) -> Result<Response<BeginActionReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let reply = self.desk.begin_for(request.get_ref()).await;
+        reply
+            .map(Response::new)
+            .map_err(|error| Status::invalid_argument(error.to_string()))
     }
 
     async fn finish_action(
         &self,
-        _request: Request<FinishActionRequest>,
+        request: Request<FinishActionRequest>,
     ) -> Result<Response<FinishActionReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let reply = self.desk.finish_for(request.into_inner()).await;
+        reply
+            .map(Response::new)
+            .map_err(|error| Status::invalid_argument(error.to_string()))
     }
 
     async fn mirror_intent(
         &self,
-        _request: Request<MirrorIntentRequest>,
+        request: Request<MirrorIntentRequest>,
     ) -> Result<Response<MirrorIntentReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let kept = self.desk.keep(request.get_ref());
+        Ok(Response::new(MirrorIntentReply { kept }))
+    }
+
+    async fn fetch_mirrors(
+        &self,
+        request: Request<FetchMirrorsRequest>,
+    ) -> Result<Response<FetchMirrorsReply>, Status> {
+        Ok(Response::new(self.desk.tell_mirrors(request.get_ref())))
     }
 }
--- a/crates/sesamecart-node/src/node.rs
+++ b/crates/sesamecart-node/src/node.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
+use futures_lite::future;
 use sesamecart_config::Settings;
 use sesamecart_runtime::{Signal, Trigger, Worker, listen, sleep};
 use sesamecart_vocabulary::NodeId;
 
+use crate::actions::Desk;
 use crate::control;
 use crate::shared::Shared;
 use crate::traffic;
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
+    desk: Arc<Desk>,
     addresses: Addresses,
     leave: Trigger,
     traffic: Vec<Worker>,
@@ -92,13 +95,14 @@
             .map_err(|reason| error("listen", reason.into()))?;
         let shared = Shared::new(settings).map_err(|reason| error("set up metrics", reason))?;
         let (leave, leaving) = Signal::new();
-        let control = control::start(&shared, &listeners, &leaving)
+        let (control, desk) = control::start(&shared, &listeners, &leaving)
             .map_err(|reason| error("start control", reason))?;
-        let traffic = traffic::start(&shared, &listeners, &leaving)
+        let traffic = traffic::start(&shared, &desk, &listeners, &leaving)
             .map_err(|reason| error("start traffic", reason))?;
         log::info!("node: {node} takes callers at {}.", addresses.callers);
         Ok(Self {
             shared,
+            desk,
             addresses,
             leave,
             traffic,
@@ -149,6 +153,13 @@
             self.shared.connections.open() == 0 || hurry.is_given()
         })
         .await;
+        if !hurry.is_given() {
+            let settled = future::or(self.desk.leave(limit), async {
+                hurry.wait().await;
+                false
+            });
+            settled.await;
+        }
         let cut_off = self.shared.connections.open();
         if cut_off > 0 {
             log::error!("node: {cut_off} connections were cut off.");
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the control thread and the traffic threads of one node share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -37,6 +37,8 @@
     pub connections: Connections,
     /// The bytes that passed over links.
     pub link_bytes: ByteCount,
+    /// The keyed actions that this node was allowed to send and whose end isn't recorded yet.
+    pub untold_ends: AtomicUsize,
     heard_at: AtomicU64,
     settled: AtomicBool,
     leaving: AtomicBool,
@@ -58,6 +60,7 @@
             metrics: Metrics::new()?,
             connections: Connections::default(),
             link_bytes: ByteCount::default(),
+            untold_ends: AtomicUsize::new(0),
             heard_at: AtomicU64::new(0),
             settled: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/crates/sesamecart-node/src/snapshot.rs
+++ b/crates/sesamecart-node/src/snapshot.rs
@@ -104,6 +104,13 @@
         )
     }
 
+    /// Returns every endpoint of a plain service, also those that take no new work.
+    pub fn all_service_endpoints(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
+        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter()
+            .filter_map(|id| self.configuration.endpoints.get(id))
+    }
+
     fn open<'a>(
         &'a self,
         customer: &'a Customer,
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -5,10 +5,12 @@
 mod caller;
 mod forward;
 mod handler;
+mod keyed;
 mod model;
 mod relay;
 mod route;
 mod service;
+mod settle;
 mod sse;
 
 use std::sync::Arc;
@@ -17,6 +19,7 @@
 use sesamecart_edges::{HttpClient, ServerLimits};
 use sesamecart_runtime::{Signal, Worker};
 
+use crate::actions::Desk;
 use crate::node::Listeners;
 use crate::shared::Shared;
 use crate::traffic::handler::Handler;
@@ -24,17 +27,19 @@
 /// Starts the traffic threads.
 pub(crate) fn start(
     shared: &Arc<Shared>,
+    desk: &Arc<Desk>,
     listeners: &Listeners,
     leaving: &Signal,
 ) -> anyhow::Result<Vec<Worker>> {
     (0..shared.settings.traffic_threads)
-        .map(|index| start_one(index, shared, listeners, leaving))
+        .map(|index| start_one(index, shared, desk, listeners, leaving))
         .collect()
 }
 
 fn start_one(
     index: usize,
     shared: &Arc<Shared>,
+    desk: &Arc<Desk>,
     listeners: &Listeners,
     leaving: &Signal,
 ) -> anyhow::Result<Worker> {
@@ -45,7 +50,7 @@
         tasks.clone(),
         Duration::from_millis(bounds.connect_limit_ms),
     );
-    let handler = Handler::new(Arc::clone(shared), client);
+    let handler = Handler::new(Arc::clone(shared), Arc::clone(desk), client, tasks.clone());
     let limits = ServerLimits {
         max_connections: bounds.max_connections,
         ..ServerLimits::default()
--- a/crates/sesamecart-node/src/traffic/answer.rs
+++ b/crates/sesamecart-node/src/traffic/answer.rs
@@ -55,6 +55,24 @@
     /// The endpoint may have run it, but gave no whole answer.
     #[display("the endpoint gave no whole answer: {_0}")]
     NoAnswer(String),
+    /// The idempotency key came with another body before.
+    #[display("the idempotency key was used with another request before")]
+    KeyMismatch,
+    /// The idempotency key is older than the horizon, so what became of it is forgotten.
+    #[display("the idempotency key is too old: what became of it is no longer known")]
+    KeyExpired,
+    /// The first request with the idempotency key is still under way.
+    #[display("the first request with this idempotency key is still under way")]
+    KeyRunning,
+    /// Whether the first request with the idempotency key ran isn't known.
+    #[display("it is not known whether the first request with this idempotency key ran")]
+    KeyUnknown,
+    /// Nobody who knows of the idempotency key can be reached.
+    #[display("what became of this idempotency key can't be found out now")]
+    KeyUnreachable,
+    /// The key is new, and it was not begun.
+    #[display("the request was not begun: {_0}")]
+    KeyRefused(String),
     /// The node isn't ready.
     #[display("{_0}")]
     NotReady(&'static str),
@@ -74,15 +92,22 @@
             Self::NoEndpoint | Self::NotReached(_) | Self::NotReady(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::NoAnswer(_) => StatusCode::BAD_GATEWAY,
+            Self::KeyMismatch | Self::KeyExpired => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyRunning => StatusCode::CONFLICT,
+            Self::KeyUnreachable | Self::KeyRefused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoAnswer(_) | Self::KeyUnknown => StatusCode::BAD_GATEWAY,
         }
     }
 
     fn kind(&self) -> &'static str {
         match self {
             Self::Key => "authentication_error",
-            Self::NoEndpoint | Self::NotReached(_) | Self::NotReady(_) => "overloaded_error",
-            Self::NoAnswer(_) => "api_error",
+            Self::NoEndpoint
+            | Self::NotReached(_)
+            | Self::NotReady(_)
+            | Self::KeyRefused(_)
+            | Self::KeyUnreachable => "overloaded_error",
+            Self::NoAnswer(_) | Self::KeyUnknown => "api_error",
             _ => "invalid_request_error",
         }
     }
@@ -100,6 +125,12 @@
             Self::NoEndpoint => "no_endpoint",
             Self::NotReached(_) => "endpoint_not_reached",
             Self::NoAnswer(_) => "no_answer",
+            Self::KeyMismatch => "idempotency_key_mismatch",
+            Self::KeyExpired => "idempotency_key_expired",
+            Self::KeyRunning => "idempotency_key_running",
+            Self::KeyUnknown => "idempotency_key_unknown",
+            Self::KeyUnreachable => "idempotency_key_unreachable",
+            Self::KeyRefused(_) => "not_begun",
             Self::NotReady(_) => "not_ready",
         }
     }
@@ -107,16 +138,25 @@
     /// Returns what the node can prove about the request.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::NoAnswer(_) => Outcome::Unknown,
+            // A key that was used before may have run then, whatever became of this request.
+            Self::NoAnswer(_)
+            | Self::KeyExpired
+            | Self::KeyRunning
+            | Self::KeyUnknown
+            | Self::KeyUnreachable => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoEndpoint | Self::NotReached(_) | Self::NotReady(_) => {
-                Some(Duration::from_secs(1))
-            }
+            Self::NoEndpoint
+            | Self::NotReached(_)
+            | Self::NotReady(_)
+            | Self::KeyRunning
+            | Self::KeyUnknown
+            | Self::KeyUnreachable
+            | Self::KeyRefused(_) => Some(Duration::from_secs(1)),
             _ => None,
         }
     }
--- a/crates/sesamecart-node/src/traffic/forward.rs
+++ b/crates/sesamecart-node/src/traffic/forward.rs
@@ -8,10 +8,10 @@
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
 use sesamecart_edges::{
-    ATTEMPT, ClientError, DEADLINE_MS, Exchange, HttpClient, NOT_RUN, PRIORITY, REQUEST, Reuse,
-    Sent,
+    ACTION, ATTEMPT, ClientError, DEADLINE_MS, EPOCH, Exchange, HttpClient, IDEMPOTENCY_KEY,
+    NOT_RUN, PRIORITY, REQUEST, Reuse, Sent,
 };
-use sesamecart_vocabulary::{AttemptId, Priority, RequestId};
+use sesamecart_vocabulary::{AttemptId, Epoch, IdempotencyKey, Priority, RequestId};
 
 /// What is sent in one attempt.
 #[derive(Debug)]
@@ -25,9 +25,21 @@
     pub(crate) body: Bytes,
     pub(crate) priority: Priority,
     pub(crate) reuse: Reuse,
+    pub(crate) action: Option<ActionTry<'a>>,
     pub(crate) limit: Duration,
 }
 
+/// The keyed action that an attempt carries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ActionTry<'a> {
+    /// The try that the key's owner allowed.
+    pub(crate) id: &'a AttemptId,
+    /// The epoch under which it did.
+    pub(crate) epoch: Epoch,
+    /// The caller's key.
+    pub(crate) key: &'a IdempotencyKey,
+}
+
 /// How an attempt failed.
 #[derive(Debug)]
 pub(crate) enum AttemptError {
@@ -88,6 +100,12 @@
         if let Some(content_type) = self.content_type {
             builder = builder.header(CONTENT_TYPE, content_type);
         }
+        if let Some(action) = self.action {
+            builder = builder
+                .header(ACTION, action.id.as_str())
+                .header(EPOCH, action.epoch.0)
+                .header(IDEMPOTENCY_KEY, action.key.as_str());
+        }
         if !self.body.is_empty() {
             builder = builder.header(CONTENT_LENGTH, self.body.len());
         }
--- a/crates/sesamecart-node/src/traffic/handler.rs
+++ b/crates/sesamecart-node/src/traffic/handler.rs
@@ -10,13 +10,16 @@
 use hyper::body::Incoming;
 use serde_json::json;
 use sesamecart_edges::{CallerBody, HttpClient, REQUEST, ReadBodyError, read_whole, whole};
+use sesamecart_runtime::Tasks;
 use sesamecart_vocabulary::{RequestClass, RequestId, Timestamp};
 
+use crate::actions::Desk;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::traffic::answer::{Refusal, json_answer};
 use crate::traffic::call::Call;
 use crate::traffic::caller::{Caller, model_class, time_limit};
+use crate::traffic::keyed::KeyedAction;
 use crate::traffic::model::ModelRequest;
 use crate::traffic::route::InFlight;
 use crate::traffic::service::ServiceRequest;
@@ -25,7 +28,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Handler {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) desk: Arc<Desk>,
     pub(crate) client: HttpClient,
+    pub(crate) tasks: Tasks,
     pub(crate) in_flight: InFlight,
 }
 
@@ -38,10 +43,17 @@
 }
 
 impl Handler {
-    pub(crate) fn new(shared: Arc<Shared>, client: HttpClient) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        desk: Arc<Desk>,
+        client: HttpClient,
+        tasks: Tasks,
+    ) -> Self {
         Self {
             shared,
+            desk,
             client,
+            tasks,
             in_flight: InFlight::default(),
         }
     }
@@ -90,6 +102,13 @@
             Call::Models => Ok(models(caller)),
             Call::Service { service, path } => {
                 let limit = self.limit(&arrived.head);
+                let keyed = KeyedAction::read(&snapshot, caller, &service, &arrived.head)?;
+                if let Some(keyed) = keyed {
+                    let keyed = keyed.with_body(path, arrived.body, arrived.id, arrived.at, limit);
+                    let answered = keyed.run(self).await;
+                    self.count(RequestClass::Action, &answered);
+                    return answered;
+                }
                 let request = ServiceRequest {
                     snapshot: &snapshot,
                     caller,
--- a/crates/sesamecart-node/src/traffic/model.rs
+++ b/crates/sesamecart-node/src/traffic/model.rs
@@ -92,6 +92,7 @@
                 body: self.body.clone(),
                 priority: self.class.priority(),
                 reuse: Reuse::Allowed,
+                action: None,
                 limit: left,
             };
             let id = attempt.id.clone();
--- a/crates/sesamecart-node/src/traffic/service.rs
+++ b/crates/sesamecart-node/src/traffic/service.rs
@@ -108,6 +108,7 @@
             } else {
                 Reuse::Never
             },
+            action: None,
             limit,
         };
         let exchange = attempt.send(&handler.client).await?;
--- a/crates/sesamecart-standins/src/body.rs
+++ b/crates/sesamecart-standins/src/body.rs
@@ -15,6 +15,8 @@
 
 /// The header that carries an attempt's id both ways.
 pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("x-sesamecart-attempt");
+/// The header that names the one try of a keyed action.
+pub(crate) const ACTION: HeaderName = HeaderName::from_static("x-sesamecart-action");
 /// The header of an answer that says that nothing was run.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-sesamecart-not-run");
 /// The header that asks for a stream from a token on, and confirms it.
--- a/crates/sesamecart-standins/src/lib.rs
+++ b/crates/sesamecart-standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod engine;
 mod faults;
+mod ledger;
 mod log_service;
 mod plain_service;
 mod server;
@@ -18,7 +19,8 @@
     answer_token, prompt_of,
 };
 pub use faults::{FaultPlan, FaultStep};
+pub use ledger::{Ledger, receipt_of};
 pub use log_service::{LogConfig, LogCounts, LogFaults, LogOutage, LogService, Retention};
-pub use plain_service::{PlainService, PlainServiceConfig, PlainServiceFaults, receipt_of};
+pub use plain_service::{PlainService, PlainServiceConfig, PlainServiceFaults};
 pub use vm_list::{ListedVm, VmList, VmRole, VmState};
 pub use weight_store::{WeightStore, WeightStoreConfig};
--- a/crates/sesamecart-standins/src/plain_service.rs
+++ b/crates/sesamecart-standins/src/plain_service.rs
@@ -2,21 +2,25 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_io::Timer;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
-use sesamecart_vocabulary::stable_hash;
 
 use crate::body::{self, Body};
 use crate::faults::{FaultPlan, Faulty};
+use crate::ledger::{Ledger, Sealed, receipt_of};
 use crate::server::{Connection, Cut, Handler, Server};
 
+/// Where a try can be asked after.
+const SETTLE_PATH: &str = "/sesamecart/settle";
 /// How often a paused service looks whether it may go on.
 const PAUSE_STEP: Duration = Duration::from_millis(2);
 /// Bytes of an answer's head that a cut at a random byte may fall into, besides its body.
@@ -48,6 +52,8 @@
 pub struct PlainServiceConfig {
     /// The faults over time.
     pub faults: FaultPlan<PlainServiceFaults>,
+    /// The ledger that it writes to; the processes of one service share theirs.
+    pub ledger: Ledger,
 }
 
 #[derive(Debug)]
@@ -56,7 +62,7 @@
     paused: AtomicBool,
     running: AtomicU64,
     served: AtomicU64,
-    runs: Mutex<IndexMap<String, u32>>,
+    ledger: Ledger,
 }
 
 /// A plain service on loopback.
@@ -66,13 +72,6 @@
     server: Server,
 }
 
-/// Returns the receipt that the service gives for a transfer, by which a checker verifies that an
-/// answer belongs to its request.
-#[must_use]
-pub fn receipt_of(transfer: &str) -> String {
-    format!("r-{:016x}", stable_hash(transfer))
-}
-
 impl PlainService {
     /// Starts a service that has run nothing.
     ///
@@ -85,7 +84,7 @@
             paused: AtomicBool::new(false),
             running: AtomicU64::new(0),
             served: AtomicU64::new(0),
-            runs: Mutex::default(),
+            ledger: config.ledger,
         });
         let server = Server::start("service", Arc::clone(&state))?;
         Ok(Self { state, server })
@@ -122,10 +121,10 @@
         self.server.listen();
     }
 
-    /// Returns how often each transfer has run.
+    /// Returns how often each transfer has run, by the whole ledger.
     #[must_use]
     pub fn runs(&self) -> IndexMap<String, u32> {
-        self.state.runs.lock().unwrap().clone()
+        self.state.ledger.runs()
     }
 
     /// Returns the number of requests that are under way.
@@ -172,6 +171,9 @@
             let load = json!({ "running": running, "waiting": 0, "ready": true });
             return Ok(body::json(StatusCode::OK, &load));
         }
+        if req.uri().path() == SETTLE_PATH {
+            return Ok(self.settle(&req));
+        }
         self.served.fetch_add(1, Ordering::Relaxed);
         let _running = Running::new(&self.running);
         let attempt = req.headers().get(body::ATTEMPT).cloned();
@@ -193,13 +195,30 @@
         }
     }
 
+    /// Tells what became of a try, or promises that it will never run.
+    fn settle(&self, req: &Request<Incoming>) -> Response<Body> {
+        let Some(action) = body::header_text(req.headers(), &body::ACTION) else {
+            return body::error(StatusCode::BAD_REQUEST, "no action");
+        };
+        let reply = match self.ledger.settle(action) {
+            None => json!({ "state": "not_run" }),
+            Some(answer) => json!({
+                "state": "run",
+                "status": 200,
+                "headers": [["content-type", "application/json"]],
+                "body": STANDARD.encode(answer.to_string()),
+            }),
+        };
+        body::json(StatusCode::OK, &reply)
+    }
+
     async fn look_up(&self, path: &str) -> Response<Body> {
         let delay_ms = self.faults.current().delay_ms;
         if delay_ms > 0 {
             Timer::after(Duration::from_millis(delay_ms)).await;
         }
         let order = path.rsplit('/').next().unwrap_or_default();
-        let runs = self.runs.lock().unwrap().get(order).copied().unwrap_or(0);
+        let runs = self.ledger.runs_of(order);
         let status = if runs > 0 { "confirmed" } else { "none" };
         let answer = json!({ "order": order, "status": status, "receipt": receipt_of(order) });
         body::json(StatusCode::OK, &answer)
@@ -217,6 +236,7 @@
         {
             return Err(Cut);
         }
+        let action = body::header_text(req.headers(), &body::ACTION).map(str::to_owned);
         let order = body::parse(&body::read(req.into_body()).await?);
         let Some(transfer) = order.get("transfer").and_then(Value::as_str) else {
             return Ok(body::not_run(StatusCode::BAD_REQUEST, "no transfer id"));
@@ -231,14 +251,16 @@
         if self.faults.chance(faults.cut_before_running) {
             return Err(Cut);
         }
-        let run = self.record(transfer);
+        let answer = match self.ledger.run(transfer, action.as_deref()) {
+            Ok(answer) => answer,
+            Err(Sealed) => return Ok(body::not_run(StatusCode::CONFLICT, "settled as not run")),
+        };
         if faults.answer_delay_ms > 0 {
             Timer::after(Duration::from_millis(faults.answer_delay_ms)).await;
         }
         if self.faults.chance(faults.cut_after_running) {
             return Err(Cut);
         }
-        let answer = json!({ "transfer": transfer, "run": run, "receipt": receipt_of(transfer) });
         if self.faults.chance(faults.cut_in_answer) {
             let bytes = answer.to_string().len() as u64 + HEAD_BYTES;
             connection.cut_after(self.faults.below(bytes));
@@ -248,11 +270,4 @@
         headers.insert("cache-control", HeaderValue::from_static("no-store"));
         Ok(response)
     }
-
-    fn record(&self, transfer: &str) -> u32 {
-        let mut runs = self.runs.lock().unwrap();
-        let count = runs.entry(transfer.to_owned()).or_insert(0);
-        *count += 1;
-        *count
-    }
 }
--- a/crates/sesamecart-standins/tests/protocol.rs
+++ b/crates/sesamecart-standins/tests/protocol.rs
@@ -6,9 +6,9 @@
 
 use serde_json::{Value, json};
 use sesamecart_standins::{
-    Engine, EngineConfig, EngineFaults, FaultPlan, ListedVm, LogConfig, LogFaults, LogOutage,
-    LogService, PlainService, PlainServiceConfig, PlainServiceFaults, VmList, VmRole, VmState,
-    WeightStore, WeightStoreConfig, answer_text, answer_token, receipt_of,
+    Engine, EngineConfig, EngineFaults, FaultPlan, Ledger, ListedVm, LogConfig, LogFaults,
+    LogOutage, LogService, PlainService, PlainServiceConfig, PlainServiceFaults, VmList, VmRole,
+    VmState, WeightStore, WeightStoreConfig, answer_text, answer_token, receipt_of,
 };
 use sesamecart_vocabulary::Bytes;
 
@@ -45,7 +45,8 @@
 
 fn faulty_service(faults: PlainServiceFaults) -> PlainService {
     let faults = FaultPlan::steady(7, faults);
-    PlainService::start(PlainServiceConfig { faults }).unwrap()
+    let ledger = Ledger::default();
+    PlainService::start(PlainServiceConfig { faults, ledger }).unwrap()
 }
 
 #[test]
@@ -103,6 +104,25 @@
     assert_eq!(service.runs()["t-1"], 2);
 }
 
+/// An answer is lost after the transfer ran. Whoever asks for the try gets the first answer, and a
+/// try that never came is refused from then on.
+#[test]
+fn service_settles_tries() {
+    let service = PlainService::start(PlainServiceConfig::default()).unwrap();
+    let send = |path: &str, action: &str, body: &str| {
+        let header = format!("x-sesamecart-action: {action}\r\n");
+        call(service.address(), "POST", path, &header, body)
+    };
+    send("/transfers", "a-1", r#"{"transfer":"t-1"}"#);
+    let settled = json_of(&send("/sesamecart/settle", "a-1", ""));
+    assert_eq!(settled["state"], "run");
+    let settled = json_of(&send("/sesamecart/settle", "a-2", ""));
+    assert_eq!(settled["state"], "not_run");
+    let late = send("/transfers", "a-2", r#"{"transfer":"t-2"}"#);
+    assert!(late.contains("x-sesamecart-not-run: 1"), "{late}");
+    assert!(!service.runs().contains_key("t-2"));
+}
+
 macro_rules! cut {
     ($($name:ident: $field:ident runs $runs:expr;)*) => {$(
         #[test]
