Measure what the node adds on the streaming path

Cause: the path must stay cheap while everything else is built onto it. Change: measure -- path, which streams directly and through a node in one run and reads the node's threads' processor time.

--- /dev/null
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -0,0 +1,47 @@
+//! Measures one part of the system: `measure -- path`.
+//!
+//! The last line that a measurement prints is JSON.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use sesamecart_measure::path;
+
+/// Measures one part of the system against stand-ins on loopback.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    part: Option<Part>,
+}
+
+/// What can be measured.
+#[derive(Debug, Options)]
+enum Part {
+    #[options(help = "the node's own time and processor use on the streaming path")]
+    Path(path::Arguments),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if let Err(error) =
+        simplelog::SimpleLogger::init(log::LevelFilter::Error, simplelog::Config::default())
+    {
+        eprintln!("measure: no logs: {error}");
+    }
+    let measured = match arguments.part {
+        Some(Part::Path(arguments)) => path::run(&arguments),
+        None => {
+            eprintln!("measure: name what to measure:\n{}", Part::usage());
+            return ExitCode::from(2);
+        }
+    };
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure failed: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -2,7 +2,11 @@
 
 mod caller;
 mod cluster;
+pub mod path;
+pub mod process;
+mod quantile;
 pub mod quickstart;
 
 pub use caller::{Answer, Caller, StreamAnswer};
 pub use cluster::{Cluster, ClusterPlan, NodePlan};
+pub use quantile::quantile;
