Add admission, allowance, routing and retries as pure code

The node needs decisions under load that can be read and tested without a network. Admission serves classes in order and customers by weight in tokens, lets a request wait only while its deadline can be met and refuses it at once otherwise. An endpoint's owner keeps one adaptive limit and lends it in slices valid for a second; a request takes as many permits as its KV memory needs. Routing uses a bounded subset, prefix hints with bounded load, two choices on free permits, the own failure domain first, and ejects slow endpoints within a bound. Retries have a budget.

The lending test found that an owner which counts only its last answer to a node lends too much when that answer is lost; it now counts every slice until it has ended.

--- /dev/null
+++ b/crates/sesamecart-decisions/src/allowance/borrowed.rs
@@ -0,0 +1,148 @@
+//! A node's side of one endpoint: the slice that it holds and what it has started under it.
+
+use std::time::Duration;
+
+use sesamecart_vocabulary::{Permits, Timestamp};
+
+use super::limit::Sample;
+use crate::settings::AllowanceSettings;
+
+/// What a node tells an endpoint's owner.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Demand {
+    /// The permits that the node could use.
+    pub wanted: Permits,
+    /// The permits of its requests that run there.
+    pub in_flight: Permits,
+    /// What it saw since its last message.
+    pub sample: Sample,
+}
+
+/// A part of an endpoint's allowance, lent for a short time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Slice {
+    /// The permits.
+    pub permits: Permits,
+    /// How long they are valid, from when the node asked.
+    pub valid_for: Duration,
+}
+
+/// One endpoint's slice at one node.
+#[derive(Clone, Debug, Default)]
+pub struct Borrowed {
+    permits: Permits,
+    valid_until: Timestamp,
+    in_flight: Permits,
+    peak: Permits,
+    sample: Sample,
+    /// When the message was sent whose answer was taken last.
+    asked: Timestamp,
+    /// When a failure ended the slice; only an answer to a later message begins a new one.
+    voided_at: Option<Timestamp>,
+    /// When the message was sent that has no answer yet.
+    outstanding: Option<Timestamp>,
+}
+
+impl Borrowed {
+    /// Returns the permits that may be used now.
+    #[must_use]
+    pub fn free(&self, now: Timestamp) -> Permits {
+        if now >= self.valid_until {
+            return Permits(0);
+        }
+        self.permits.saturating_sub(self.in_flight)
+    }
+
+    /// Returns the permits of requests that run.
+    #[must_use]
+    pub const fn in_flight(&self) -> Permits {
+        self.in_flight
+    }
+
+    /// Returns the permits of the slice, or none once it has ended.
+    #[must_use]
+    pub fn lent(&self, now: Timestamp) -> Permits {
+        if now >= self.valid_until {
+            return Permits(0);
+        }
+        self.permits
+    }
+
+    /// Starts a request if the slice has room for it.
+    pub fn start(&mut self, now: Timestamp, permits: Permits) -> bool {
+        if self.free(now) < permits {
+            return false;
+        }
+        self.in_flight += permits;
+        self.peak = self.peak.max(self.in_flight);
+        true
+    }
+
+    /// Ends a request that was started.
+    pub fn finish(&mut self, permits: Permits) {
+        self.in_flight = self.in_flight.saturating_sub(permits);
+        self.sample.finished += 1;
+    }
+
+    /// Ends a request that the endpoint failed, and stops starting work there until the owner has
+    /// been told.
+    ///
+    /// A failed request is the first sign that a warm endpoint was restarted and is cold; the
+    /// rest of the slice was lent for the warm one.
+    pub fn fail(&mut self, now: Timestamp, permits: Permits) {
+        self.in_flight = self.in_flight.saturating_sub(permits);
+        self.sample.failed += 1;
+        self.valid_until = self.valid_until.min(now);
+        self.voided_at = Some(now);
+    }
+
+    /// Notes times between tokens, or a plain service's request times.
+    pub fn observe(&mut self, seen: &Sample) {
+        self.sample.add(seen);
+    }
+
+    /// Makes the message to the owner and forgets what it tells; `waiting` are the permits that
+    /// requests in the node's queue could use here.
+    pub fn demand(&mut self, now: Timestamp, waiting: Permits) -> Demand {
+        self.outstanding = Some(now);
+        let demand = Demand {
+            wanted: self.peak.max(self.in_flight) + waiting,
+            in_flight: self.in_flight,
+            sample: std::mem::take(&mut self.sample),
+        };
+        self.peak = self.in_flight;
+        demand
+    }
+
+    /// Takes the owner's answer to a message that was sent at `asked`.
+    ///
+    /// The validity counts from the sending, so that a slow answer can't lengthen a slice beyond
+    /// the owner's own count. An answer to a message from before a failure, or before one whose
+    /// answer came earlier, is dropped.
+    pub fn take(&mut self, asked: Timestamp, slice: Slice) {
+        if self.outstanding == Some(asked) {
+            self.outstanding = None;
+        }
+        let voided = self.voided_at.is_some_and(|voided| asked < voided);
+        if voided || asked < self.asked {
+            return;
+        }
+        self.asked = asked;
+        self.voided_at = None;
+        self.permits = slice.permits;
+        self.valid_until = asked + slice.valid_for;
+    }
+
+    /// Returns whether the owner may be asked: no answer is awaited any more.
+    #[must_use]
+    pub fn may_ask(&self, now: Timestamp, cfg: &AllowanceSettings) -> bool {
+        self.outstanding
+            .is_none_or(|asked| now >= asked + cfg.borrow_timeout())
+    }
+
+    /// Returns whether it is time to renew the slice.
+    #[must_use]
+    pub fn needs_renewal(&self, now: Timestamp, cfg: &AllowanceSettings) -> bool {
+        now + cfg.slice() >= self.valid_until + cfg.renew()
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -0,0 +1,358 @@
+use std::time::Duration;
+
+use bolero::check;
+
+use sesamecart_vocabulary::{Concurrency, Incarnation, NodeId, Permits, Timestamp, Tokens};
+
+use super::*;
+use crate::settings::AllowanceSettings;
+
+const LIMITS: EndpointLimits = EndpointLimits {
+    cold: Concurrency(4),
+    warm: Concurrency(32),
+    kv_tokens: Tokens(64_000),
+    work: EndpointWork::Engine,
+};
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn node(index: usize) -> NodeId {
+    format!("node-{index}").parse().unwrap()
+}
+
+fn wants(permits: u32) -> Demand {
+    Demand {
+        wanted: Permits(permits),
+        ..Demand::default()
+    }
+}
+
+fn gap(millis: u64, in_flight: u32) -> Demand {
+    Demand {
+        wanted: Permits(in_flight),
+        in_flight: Permits(in_flight),
+        sample: Sample {
+            latency: Duration::from_millis(millis * 100),
+            tokens: Tokens(100),
+            ..Sample::default()
+        },
+    }
+}
+
+/// An allowance whose owner has waited its predecessor's slices out, at its warm limit.
+fn warm() -> Allowance {
+    let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
+    allowance.limit_mut().assume_warm();
+    allowance
+}
+
+const BEGIN: u64 = 10_000;
+
+macro_rules! permits {
+    ($($name:ident: $kv:expr => $permits:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(LIMITS.permits_for(Tokens($kv)), Permits($permits));
+        }
+    )*};
+}
+
+permits! {
+    a_short_request_takes_one_permit: 100 => 1;
+    a_request_of_an_even_share_takes_one_permit: 2_000 => 1;
+    a_long_request_takes_what_its_memory_needs: 12_001 => 7;
+}
+
+#[test]
+fn demand_is_met_while_there_is_enough() {
+    let mut allowance = warm();
+    let slice = allowance.borrow(at(BEGIN), &node(0), &wants(5));
+    assert!(slice.permits >= Permits(5));
+    let other = allowance.borrow(at(BEGIN), &node(1), &wants(5));
+    assert!(other.permits >= Permits(5));
+}
+
+#[test]
+fn scarce_permits_go_by_demand() {
+    let mut allowance = warm();
+    let mut lent = [Permits(0); 2];
+    for round in 0..10 {
+        for (index, wanted) in [(0, 60), (1, 20)] {
+            let now = at(BEGIN + round * 400);
+            lent[index] = allowance.borrow(now, &node(index), &wants(wanted)).permits;
+        }
+    }
+    assert_eq!(lent, [Permits(24), Permits(8)]);
+}
+
+/// A node dies with all of an endpoint's permits. Nobody can tell whether its requests still run,
+/// so they count until they must have ended, and then other nodes' callers are served again.
+#[test]
+fn a_dead_nodes_permits_come_back_by_time() {
+    let cfg = AllowanceSettings::default();
+    let mut allowance = warm();
+    allowance.borrow(at(BEGIN), &node(0), &wants(32));
+    let soon = at(BEGIN) + cfg.slice();
+    assert_eq!(
+        allowance.borrow(soon, &node(1), &wants(32)).permits,
+        Permits(0)
+    );
+    let later = soon + cfg.linger();
+    assert_eq!(
+        allowance.borrow(later, &node(1), &wants(32)).permits,
+        Permits(32)
+    );
+}
+
+/// The same, but the death is known, so its connections are closed and only the slice counts.
+#[test]
+fn a_node_that_is_known_dead_gives_back_with_the_end_of_its_slice() {
+    let mut allowance = warm();
+    allowance.borrow(at(BEGIN), &node(0), &wants(32));
+    allowance.node_gone(&node(0));
+    let before = allowance.borrow(at(BEGIN + 900), &node(1), &wants(32));
+    assert_eq!(before.permits, Permits(0));
+    let after = allowance.borrow(at(BEGIN + 1_000), &node(1), &wants(32));
+    assert_eq!(after.permits, Permits(32));
+}
+
+/// The owner dies and another takes over. Nodes go on under slices that the new owner knows nothing
+/// of, so it lends nothing until they have ended, and then no more than the endpoint says is free.
+#[test]
+fn a_new_owner_waits_out_the_slices_of_its_predecessor() {
+    let mut allowance = warm();
+    assert_eq!(
+        allowance.borrow(at(1_000), &node(0), &wants(8)).permits,
+        Permits(0)
+    );
+    let report = LoadReport {
+        incarnation: Incarnation(1),
+        running: Concurrency(30),
+        ready: true,
+    };
+    allowance.report(at(1_100), &report);
+    assert_eq!(
+        allowance.borrow(at(1_200), &node(0), &wants(8)).permits,
+        Permits(2)
+    );
+}
+
+fn climb(allowance: &mut Allowance, from: u64, seconds: u64, gap_ms: u64) {
+    for second in 0..seconds {
+        let used = allowance.limit().0;
+        allowance.borrow(at(from + 1_000 * second), &node(0), &gap(gap_ms, used));
+    }
+}
+
+/// A freshly started endpoint falls over under full load, and its callers lose their answers. It
+/// gets its cold share first and full load only after seconds of work that it has borne.
+#[test]
+fn a_cold_endpoint_warms_up_by_use() {
+    let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
+    assert_eq!(allowance.limit(), Permits(4));
+    climb(&mut allowance, BEGIN, 5, 15);
+    assert!(
+        (6..=12).contains(&allowance.limit().0),
+        "{}",
+        allowance.limit()
+    );
+    climb(&mut allowance, BEGIN + 5_000, 10, 15);
+    assert_eq!(allowance.limit(), Permits(32));
+}
+
+#[test]
+fn an_idle_cold_endpoint_stays_cold() {
+    let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
+    for second in 0..60 {
+        allowance.borrow(at(BEGIN + 1_000 * second), &node(0), &gap(15, 0));
+    }
+    assert_eq!(allowance.limit(), Permits(4));
+}
+
+macro_rules! turns_cold {
+    ($($(#[doc = $doc:literal])* $name:ident: $sign:expr;)*) => {$(
+        $(#[doc = $doc])*
+        #[test]
+        fn $name() {
+            let mut allowance = warm();
+            climb(&mut allowance, BEGIN, 5, 20);
+            assert_eq!(allowance.limit(), Permits(32));
+            let sign: fn(&mut Allowance, Timestamp) = $sign;
+            sign(&mut allowance, at(BEGIN + 6_000));
+            assert!(allowance.limit() <= Permits(4), "{}", allowance.limit());
+        }
+    )*};
+}
+
+turns_cold! {
+    /// An engine is restarted behind the system's back and reports another life.
+    after_a_restart_that_is_reported: |allowance, now| {
+        for incarnation in [1, 2] {
+            let report = LoadReport {
+                incarnation: Incarnation(incarnation),
+                running: Concurrency(0),
+                ready: true,
+            };
+            allowance.report(now, &report);
+        }
+    };
+    /// An engine is restarted, and nodes see their requests fail before its report arrives.
+    after_failures: |allowance, now| {
+        let sample = Sample { failed: 5, ..Sample::default() };
+        let demand = Demand { sample, ..wants(5) };
+        allowance.borrow(now, &node(0), &demand);
+    };
+    /// An engine lost what made it fast, and tokens come ten times slower.
+    after_very_slow_tokens: |allowance, now| {
+        allowance.borrow(now, &node(0), &gap(200, 20));
+    };
+}
+
+/// Tokens come somewhat too slowly, so readers see the text stutter. The limit falls step by step
+/// until they come in time, and doesn't drop to cold.
+#[test]
+fn a_limit_falls_until_latency_is_bearable() {
+    let mut allowance = warm();
+    climb(&mut allowance, BEGIN, 3, 15);
+    climb(&mut allowance, BEGIN + 3_000, 4, 45);
+    let fallen = allowance.limit().0;
+    assert!((10..32).contains(&fallen), "{fallen}");
+}
+
+#[test]
+fn a_failure_ends_a_nodes_slice_until_the_owner_has_answered_again() {
+    let cfg = AllowanceSettings::default();
+    let mut borrowed = Borrowed::default();
+    let slice = Slice {
+        permits: Permits(5),
+        valid_for: cfg.slice(),
+    };
+    borrowed.take(at(0), slice);
+    assert!(borrowed.start(at(10), Permits(2)));
+    borrowed.demand(at(15), Permits(0));
+    borrowed.fail(at(20), Permits(2));
+    borrowed.take(at(15), slice);
+    assert!(
+        !borrowed.start(at(30), Permits(1)),
+        "this answer doesn't know of the failure"
+    );
+    borrowed.take(at(25), slice);
+    assert!(borrowed.start(at(30), Permits(1)));
+}
+
+/// Messages are lost, delayed and overtaken, nodes fall silent and speak again, and owners change.
+/// At no time may more run at the endpoint than its limit; a cold one would fall over and take
+/// every caller's answer with it.
+#[test]
+fn never_more_than_the_limit_runs() {
+    check!().with_type::<u64>().for_each(|seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let mut play = LendingPlay::new();
+        for _ in 0..STEPS {
+            play.step(rng.u8(..), rng.usize(..3), rng.u8(..));
+            let running = play.running();
+            assert!(running <= play.allowance.limit(), "{running} run: {play:?}");
+        }
+    });
+}
+
+/// The steps of one play; slices are renewed, lost and replaced some ten times in it.
+const STEPS: usize = 400;
+
+/// An answer on its way to a node.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    node: usize,
+    asked: Timestamp,
+    slice: Slice,
+}
+
+/// A demand on its way to the owner.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    node: usize,
+    at: Timestamp,
+    demand: Demand,
+}
+
+#[derive(Debug)]
+struct LendingPlay {
+    cfg: AllowanceSettings,
+    now: Timestamp,
+    allowance: Allowance,
+    nodes: [Borrowed; 3],
+    asked: Vec<Asked>,
+    answers: Vec<Answer>,
+}
+
+impl LendingPlay {
+    fn new() -> Self {
+        Self {
+            cfg: AllowanceSettings::default(),
+            now: at(BEGIN),
+            allowance: warm(),
+            nodes: Default::default(),
+            asked: Vec::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    fn running(&self) -> Permits {
+        self.nodes.iter().map(Borrowed::in_flight).sum()
+    }
+
+    fn step(&mut self, kind: u8, node: usize, amount: u8) {
+        match kind % 8 {
+            0 => self.now = self.now + Duration::from_millis(u64::from(amount) * 2),
+            1 => self.ask(node, amount),
+            2 => self.deliver_demand(amount),
+            3 => self.deliver_answer(amount),
+            4 => drop(self.asked.pop()),
+            5 => drop(self.answers.pop()),
+            6 => {
+                let free = self.nodes[node].free(self.now);
+                self.nodes[node].start(self.now, free);
+            }
+            _ => self.nodes[node].finish(Permits(u32::from(amount % 16) + 1)),
+        }
+    }
+
+    fn ask(&mut self, node: usize, amount: u8) {
+        if !self.nodes[node].may_ask(self.now, &self.cfg) {
+            return;
+        }
+        let demand = self.nodes[node].demand(self.now, Permits(u32::from(amount % 40)));
+        let at = self.now;
+        self.asked.push(Asked { node, at, demand });
+    }
+
+    /// Delivers a demand, unless the node has given it up: the link then drops it.
+    fn deliver_demand(&mut self, amount: u8) {
+        if self.asked.is_empty() {
+            return;
+        }
+        let asked = self.asked.remove(usize::from(amount) % self.asked.len());
+        if self.now > asked.at + self.cfg.borrow_timeout() {
+            return;
+        }
+        let name = node(asked.node);
+        let slice = self.allowance.borrow(self.now, &name, &asked.demand);
+        self.answers.push(Answer {
+            node: asked.node,
+            asked: asked.at,
+            slice,
+        });
+    }
+
+    fn deliver_answer(&mut self, amount: u8) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let answer = self
+            .answers
+            .remove(usize::from(amount) % self.answers.len());
+        self.nodes[answer.node].take(answer.asked, answer.slice);
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-decisions/src/routing/router.rs
@@ -0,0 +1,302 @@
+//! The choice of an endpoint for one request.
+
+use sesamecart_vocabulary::{
+    EndpointId, FailureDomainId, NodeId, Permits, Timestamp, rendezvous_weight, stable_hash,
+};
+
+use super::outlier::Outliers;
+use super::prefix::{PrefixHash, PrefixHints};
+use crate::allowance::Borrowed;
+use crate::settings::RoutingSettings;
+
+/// Whether an endpoint gets new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointState {
+    /// It does.
+    Active,
+    /// It is drained, is leaving, or isn't routable: what runs may finish.
+    Draining,
+}
+
+/// One endpoint as a node's router knows it.
+#[derive(Clone, Debug)]
+pub struct PoolEndpoint {
+    /// Its name.
+    pub id: EndpointId,
+    /// The failure domain that it lies in.
+    pub domain: FailureDomainId,
+    /// Whether it gets new work.
+    pub state: EndpointState,
+    /// The slice that the node holds.
+    pub borrowed: Borrowed,
+    is_local: bool,
+    hash: u64,
+}
+
+impl PoolEndpoint {
+    /// Makes an active endpoint without a slice.
+    #[must_use]
+    pub fn new(id: EndpointId, domain: FailureDomainId) -> Self {
+        Self {
+            hash: stable_hash(id.as_str()),
+            id,
+            domain,
+            state: EndpointState::Active,
+            borrowed: Borrowed::default(),
+            is_local: false,
+        }
+    }
+}
+
+/// What the router needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// The shared part of its prompt.
+    pub prefix: Option<PrefixHash>,
+    /// The permits that it takes.
+    pub permits: Permits,
+    /// A random number that the caller draws.
+    pub draw: u64,
+}
+
+/// Why an endpoint was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteReason {
+    /// It is believed to cache the prefix.
+    CachedPrefix,
+    /// It is the one at which requests with this prefix meet.
+    PrefixHome,
+    /// It has more permits left than another one.
+    MorePermits,
+}
+
+/// A chosen endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Routed {
+    /// Its place among [`Router::endpoints`].
+    pub endpoint: usize,
+    /// Why it was chosen.
+    pub reason: RouteReason,
+}
+
+/// Chooses endpoints of one pool for one node.
+#[derive(Clone, Debug)]
+pub struct Router {
+    cfg: RoutingSettings,
+    endpoints: Vec<PoolEndpoint>,
+    outliers: Outliers,
+    hints: PrefixHints,
+}
+
+/// What a choice reads of the endpoints: gathered once a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    open: usize,
+    in_flight: u64,
+    local_lent: u64,
+    local_free: u64,
+}
+
+impl Router {
+    /// Makes a router over the subset of `endpoints` that `node` uses when `nodes` nodes share
+    /// them.
+    #[must_use]
+    pub fn new(
+        node: &NodeId,
+        domain: &FailureDomainId,
+        endpoints: impl IntoIterator<Item = PoolEndpoint>,
+        nodes: usize,
+        cfg: RoutingSettings,
+    ) -> Self {
+        let mut endpoints: Vec<_> = endpoints.into_iter().collect();
+        let size = cfg.subset(endpoints.len(), nodes);
+        endpoints.sort_by_key(|endpoint| {
+            std::cmp::Reverse(rendezvous_weight(endpoint.id.as_str(), node.as_str()))
+        });
+        endpoints.truncate(size);
+        for endpoint in &mut endpoints {
+            endpoint.is_local = endpoint.domain == *domain;
+        }
+        Self {
+            outliers: Outliers::new(endpoints.len(), cfg),
+            hints: PrefixHints::new(cfg.max_prefixes),
+            endpoints,
+            cfg,
+        }
+    }
+
+    /// Returns the endpoints that the node uses.
+    #[must_use]
+    pub fn endpoints(&self) -> &[PoolEndpoint] {
+        &self.endpoints
+    }
+
+    /// Returns the endpoints, to give them slices and states.
+    pub fn endpoints_mut(&mut self) -> &mut [PoolEndpoint] {
+        &mut self.endpoints
+    }
+
+    /// Returns the record of slow and failing endpoints.
+    pub const fn outliers_mut(&mut self) -> &mut Outliers {
+        &mut self.outliers
+    }
+
+    /// Returns the most permits that some endpoint gives to one request now.
+    #[must_use]
+    pub fn largest_free(&self, now: Timestamp) -> Permits {
+        let open = (0..self.endpoints.len()).filter(|index| self.is_open(now, *index, Permits(1)));
+        let free = open.map(|index| self.endpoints[index].borrowed.free(now));
+        free.max().unwrap_or_default()
+    }
+
+    /// Chooses an endpoint that has room, or none.
+    #[must_use]
+    pub fn choose(&self, now: Timestamp, ask: Ask) -> Option<Routed> {
+        let room = self.room(now, ask.permits);
+        if room.open == 0 {
+            return None;
+        }
+        let by_prefix = ask
+            .prefix
+            .and_then(|prefix| self.by_prefix(now, &ask, prefix, &room));
+        by_prefix.or_else(|| self.by_permits(now, &ask, &room))
+    }
+
+    /// Starts a request at a chosen endpoint; false if it has no room any more.
+    pub fn start(&mut self, now: Timestamp, endpoint: usize, ask: &Ask) -> bool {
+        let started = self.endpoints[endpoint].borrowed.start(now, ask.permits);
+        if let (true, Some(prefix)) = (started, ask.prefix) {
+            self.hints.stored(prefix, endpoint);
+        }
+        started
+    }
+
+    /// Takes the news that an endpoint caches a prefix.
+    pub fn cached(&mut self, prefix: PrefixHash, endpoint: usize) {
+        self.hints.stored(prefix, endpoint);
+    }
+
+    /// Takes the news that an endpoint doesn't cache a prefix any more.
+    pub fn evicted(&mut self, prefix: PrefixHash, endpoint: usize) {
+        self.hints.evicted(prefix, endpoint);
+    }
+
+    /// Forgets what was known of an endpoint that has started anew.
+    pub fn restarted(&mut self, endpoint: usize) {
+        self.hints.forget_endpoint(endpoint);
+        self.outliers.forget(endpoint);
+    }
+
+    fn is_open(&self, now: Timestamp, index: usize, permits: Permits) -> bool {
+        let endpoint = &self.endpoints[index];
+        endpoint.state == EndpointState::Active
+            && endpoint.borrowed.free(now) >= permits
+            && !self.outliers.is_ejected(now, index)
+    }
+
+    fn room(&self, now: Timestamp, permits: Permits) -> Room {
+        let mut room = Room::default();
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            if !self.is_open(now, index, permits) {
+                if endpoint.is_local && endpoint.state == EndpointState::Active {
+                    room.local_lent += u64::from(endpoint.borrowed.lent(now).0);
+                }
+                continue;
+            }
+            room.open += 1;
+            room.in_flight += u64::from(endpoint.borrowed.in_flight().0);
+            if endpoint.is_local {
+                room.local_lent += u64::from(endpoint.borrowed.lent(now).0);
+                room.local_free += u64::from(endpoint.borrowed.free(now).0);
+            }
+        }
+        room
+    }
+
+    /// Chooses the least loaded endpoint that is believed to cache the prefix, or else the one at
+    /// which all nodes with the same subset let this prefix meet, unless they are loaded too far
+    /// above the mean.
+    fn by_prefix(
+        &self,
+        now: Timestamp,
+        ask: &Ask,
+        prefix: PrefixHash,
+        room: &Room,
+    ) -> Option<Routed> {
+        let mean = room.in_flight as f64 / room.open as f64;
+        let bound = self.cfg.affinity_bound * mean + f64::from(ask.permits.0);
+        let may_take = |index: usize| {
+            let in_flight = f64::from(self.endpoints[index].borrowed.in_flight().0);
+            in_flight <= bound && self.is_open(now, index, ask.permits)
+        };
+        let holders = self.hints.holders(prefix).iter().copied();
+        let cached = holders
+            .filter(|index| may_take(*index))
+            .min_by_key(|index| self.endpoints[*index].borrowed.in_flight());
+        if let Some(endpoint) = cached {
+            return Some(Routed {
+                endpoint,
+                reason: RouteReason::CachedPrefix,
+            });
+        }
+        let home = self.home(prefix)?;
+        may_take(home).then_some(Routed {
+            endpoint: home,
+            reason: RouteReason::PrefixHome,
+        })
+    }
+
+    fn home(&self, prefix: PrefixHash) -> Option<usize> {
+        let active = self.endpoints.iter().enumerate();
+        let active = active.filter(|(_, endpoint)| endpoint.state == EndpointState::Active);
+        let home = active.max_by_key(|(_, endpoint)| spread(endpoint.hash ^ spread(prefix.0)));
+        home.map(|(index, _)| index)
+    }
+
+    /// Chooses the one with more free permits of two random endpoints, in the own failure domain
+    /// unless its permits run short.
+    fn by_permits(&self, now: Timestamp, ask: &Ask, room: &Room) -> Option<Routed> {
+        let local = self.stays_local(ask.draw, room);
+        let first = self.draw(now, ask, local, ask.draw);
+        let second = self.draw(now, ask, local, spread(ask.draw));
+        let free = |index: usize| self.endpoints[index].borrowed.free(now);
+        let better = match (first, second) {
+            (Some(a), Some(b)) if free(b) > free(a) => b,
+            (Some(a), _) => a,
+            (None, _) => self.draw(now, ask, false, ask.draw)?,
+        };
+        Some(Routed {
+            endpoint: better,
+            reason: RouteReason::MorePermits,
+        })
+    }
+
+    /// Spills gradually: the fewer permits the own failure domain has left, the more requests go
+    /// to others. A sharp threshold would swing all nodes' traffic to and fro.
+    fn stays_local(&self, draw: u64, room: &Room) -> bool {
+        if room.local_free == 0 {
+            return false;
+        }
+        let share = room.local_free as f64 / room.local_lent as f64;
+        let stay = (share / self.cfg.spill_below).min(1.0);
+        ((spread(draw ^ 1) >> 11) as f64 / (1_u64 << 53) as f64) < stay
+    }
+
+    /// Returns a random endpoint that has room: the first from a random place on.
+    fn draw(&self, now: Timestamp, ask: &Ask, local: bool, draw: u64) -> Option<usize> {
+        let count = self.endpoints.len();
+        let from = usize::try_from(draw % count as u64).ok()?;
+        (0..count)
+            .map(|step| (from + step) % count)
+            .filter(|index| !local || self.endpoints[*index].is_local)
+            .find(|index| self.is_open(now, *index, ask.permits))
+    }
+}
+
+/// Spreads nearby values over all 64 bits (the finalizer of splitmix64).
+const fn spread(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
