Limit KV memory beside the number of requests

A request that took whole permits for its memory wasted the rest of the last one: with a quarter of long requests 21 fitted into 32 permits where the memory has room for 28. A permit now comes with an even part of the memory, and a node's slice limits number and memory together.

--- a/crates/sesamecart-decisions/src/admission/queue.rs
+++ b/crates/sesamecart-decisions/src/admission/queue.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{
-    Bytes, CustomerId, Permits, RequestClass, Timestamp, rendezvous_weight,
+    Bytes, CustomerId, RequestClass, Timestamp, Tokens, rendezvous_weight,
 };
 
 use super::drain::DrainRate;
@@ -33,7 +33,7 @@
     size: Bytes,
     displaced: Vec<Refusal>,
     drain: DrainRate,
-    largest: Option<Permits>,
+    largest: Option<Tokens>,
 }
 
 /// The flows of one class.
@@ -80,10 +80,10 @@
         }
     }
 
-    /// Sets the most permits that any endpoint of the pool could ever give to one request.
+    /// Sets the largest request, by KV memory, that any endpoint of the pool could ever hold.
     ///
     /// Without it a request that fits nowhere would have room kept for it until its deadline.
-    pub const fn set_largest(&mut self, largest: Permits) {
+    pub const fn set_largest(&mut self, largest: Tokens) {
         self.largest = Some(largest);
     }
 
@@ -93,21 +93,11 @@
         self.by_ticket.len()
     }
 
-    /// Returns the permits that the waiting requests would take.
-    #[must_use]
-    pub fn wanted(&self) -> Permits {
-        let flows = self.lanes.iter().flat_map(|lane| lane.flows.values());
-        let waiting = flows.flat_map(|flow| flow.waiting.values());
-        waiting.map(|waiting| waiting.request.permits).sum()
-    }
-
-    /// Returns the most permits that one of the waiting requests takes.
-    #[must_use]
-    pub fn largest_waiting(&self) -> Permits {
+    /// Returns the KV memory that each waiting request would take.
+    pub fn waiting_kv(&self) -> impl Iterator<Item = Tokens> {
         let flows = self.lanes.iter().flat_map(|lane| lane.flows.values());
         let waiting = flows.flat_map(|flow| flow.waiting.values());
-        let largest = waiting.map(|waiting| waiting.request.permits).max();
-        largest.unwrap_or_default()
+        waiting.map(|waiting| waiting.request.kv)
     }
 
     /// Returns when [`Admission::expire`] next has something to return, unless more happens.
@@ -124,10 +114,7 @@
         fits: impl FnOnce(&Request) -> bool,
     ) -> Offer {
         self.drain.tick(now, !self.by_ticket.is_empty());
-        if self
-            .largest
-            .is_some_and(|largest| request.permits > largest)
-        {
+        if self.largest.is_some_and(|largest| request.kv > largest) {
             let refusal = self.refusal(request.ticket, RefusalReason::TooLarge);
             return Offer::Refuse(refusal);
         }
--- a/crates/sesamecart-decisions/src/admission/request.rs
+++ b/crates/sesamecart-decisions/src/admission/request.rs
@@ -4,7 +4,7 @@
 
 use crate::routing::PrefixHash;
 use derive_more::Display;
-use sesamecart_vocabulary::{Bytes, CustomerId, Permits, RequestClass, Timestamp, Tokens, Weight};
+use sesamecart_vocabulary::{Bytes, CustomerId, RequestClass, Timestamp, Tokens, Weight};
 
 /// A request's number at its node, unique while the request is there.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -23,8 +23,8 @@
     pub weight: Weight,
     /// The work in tokens, by which customers are made to share.
     pub cost: Tokens,
-    /// The permits that it takes at an endpoint, which count its KV memory too.
-    pub permits: Permits,
+    /// The KV memory that its prompt and answer take at an engine.
+    pub kv: Tokens,
     /// The shared part of its prompt.
     pub prefix: Option<PrefixHash>,
     /// The size of its body, which the node holds while it waits.
--- a/crates/sesamecart-decisions/src/admission/tests.rs
+++ b/crates/sesamecart-decisions/src/admission/tests.rs
@@ -2,7 +2,7 @@
 
 use bolero::check;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{Bytes, CustomerId, Permits, RequestClass, Timestamp, Tokens, Weight};
+use sesamecart_vocabulary::{Bytes, CustomerId, RequestClass, Timestamp, Tokens, Weight};
 
 use super::*;
 use crate::settings::AdmissionSettings;
@@ -25,7 +25,7 @@
         customer: customer(name),
         weight: Weight(1),
         cost: Tokens(100),
-        permits: Permits(1),
+        kv: Tokens(500),
         prefix: None,
         size: Bytes(1_000),
         deadline: at(10 * SECOND),
@@ -37,7 +37,7 @@
 fn long(ticket: u64, name: &str) -> Request {
     Request {
         cost: Tokens(5_000),
-        permits: Permits(6),
+        kv: Tokens(12_000),
         length: Duration::from_secs(8),
         ..short(ticket, name)
     }
@@ -146,7 +146,7 @@
     for ticket in 1..500 {
         admission.offer(at(1), short(ticket, "a"), full());
         if admission
-            .next(at(1), |request| request.permits < Permits(6))
+            .next(at(1), |request| request.kv < Tokens(12_000))
             .is_some()
         {
             passed += 1;
@@ -225,7 +225,7 @@
 #[test]
 fn a_request_that_fits_nowhere_is_refused() {
     let mut admission = Admission::new(AdmissionSettings::default());
-    admission.set_largest(Permits(4));
+    admission.set_largest(Tokens(8_000));
     let offer = admission.offer(at(0), long(0, "a"), |_| true);
     assert!(matches!(offer, Offer::Refuse(refusal) if refusal.reason == RefusalReason::TooLarge));
 }
@@ -256,7 +256,7 @@
                 0 | 1 => {
                     let request = Request {
                         class: RequestClass::ALL[usize::from(who % 3)],
-                        permits: Permits(u32::from(size % 4) + 1),
+                        kv: Tokens(u64::from(size % 4) * 1_000),
                         deadline: now + Duration::from_millis(u64::from(*size) * 10),
                         ..short(ticket, ["a", "b", "c"][usize::from(size % 3)])
                     };
--- a/crates/sesamecart-decisions/src/allowance.rs
+++ b/crates/sesamecart-decisions/src/allowance.rs
@@ -11,9 +11,10 @@
 //!   valid slice ([`Borrowed`]), so a node that is cut off stops by itself, and what a dead node
 //!   held comes back by time. A new owner lends nothing until its predecessor's slices have ended.
 //!
-//! A permit stands for one request's share of concurrency and of KV memory alike: a long request
-//! takes as many permits as its KV needs ([`EndpointLimits::permits_for`]), so one number limits
-//! both and a few long requests can't overrun an engine's memory.
+//! A permit stands for one request and for an even part of the KV memory
+//! ([`EndpointLimits::kv_per_permit`]). What a node runs under a slice may exceed neither the number
+//! nor the memory of its permits, so one number that is lent limits both, and a few long requests
+//! can't overrun an engine's memory.
 //!
 //! docs/policy.md tells why the thresholds are what they are.
 
--- a/crates/sesamecart-decisions/src/allowance/limit.rs
+++ b/crates/sesamecart-decisions/src/allowance/limit.rs
@@ -29,14 +29,10 @@
 }
 
 impl EndpointLimits {
-    /// Returns the permits that a request with `kv` tokens of context and answer takes.
+    /// Returns the KV memory that comes with each permit; zero if memory is no limit.
     #[must_use]
-    pub fn permits_for(&self, kv: Tokens) -> Permits {
-        if self.kv_tokens.0 == 0 {
-            return Permits(1);
-        }
-        let needed = (kv.0 * u64::from(self.warm.0)).div_ceil(self.kv_tokens.0);
-        Permits(u32::try_from(needed).unwrap_or(u32::MAX).max(1))
+    pub fn kv_per_permit(&self) -> Tokens {
+        Tokens(self.kv_tokens.0 / u64::from(self.warm.0.max(1)))
     }
 }
 
--- a/crates/sesamecart-decisions/src/routing/router.rs
+++ b/crates/sesamecart-decisions/src/routing/router.rs
@@ -1,7 +1,7 @@
 //! The choice of an endpoint for one request.
 
 use sesamecart_vocabulary::{
-    EndpointId, FailureDomainId, NodeId, Permits, Timestamp, rendezvous_weight, stable_hash,
+    EndpointId, FailureDomainId, NodeId, Timestamp, Tokens, rendezvous_weight, stable_hash,
 };
 
 use super::outlier::Outliers;
@@ -36,13 +36,13 @@
 impl PoolEndpoint {
     /// Makes an active endpoint without a slice.
     #[must_use]
-    pub fn new(id: EndpointId, domain: FailureDomainId) -> Self {
+    pub fn new(id: EndpointId, domain: FailureDomainId, kv_per_permit: Tokens) -> Self {
         Self {
             hash: stable_hash(id.as_str()),
             id,
             domain,
             state: EndpointState::Active,
-            borrowed: Borrowed::default(),
+            borrowed: Borrowed::new(kv_per_permit),
             is_local: false,
         }
     }
@@ -53,8 +53,8 @@
 pub struct Ask {
     /// The shared part of its prompt.
     pub prefix: Option<PrefixHash>,
-    /// The permits that it takes.
-    pub permits: Permits,
+    /// The KV memory that it takes.
+    pub kv: Tokens,
     /// A random number that the caller draws.
     pub draw: u64,
 }
@@ -141,18 +141,18 @@
         &mut self.outliers
     }
 
-    /// Returns the most permits that some endpoint gives to one request now.
+    /// Returns the largest request, by KV memory, that some endpoint can take now.
     #[must_use]
-    pub fn largest_free(&self, now: Timestamp) -> Permits {
-        let open = (0..self.endpoints.len()).filter(|index| self.is_open(now, *index, Permits(1)));
-        let free = open.map(|index| self.endpoints[index].borrowed.free(now));
-        free.max().unwrap_or_default()
+    pub fn largest(&self, now: Timestamp) -> Option<Tokens> {
+        let open = (0..self.endpoints.len()).filter(|index| self.is_open(now, *index, Tokens(0)));
+        open.filter_map(|index| self.endpoints[index].borrowed.largest(now))
+            .max()
     }
 
     /// Chooses an endpoint that has room, or none.
     #[must_use]
     pub fn choose(&self, now: Timestamp, ask: Ask) -> Option<Routed> {
-        let room = self.room(now, ask.permits);
+        let room = self.room(now, ask.kv);
         if room.open == 0 {
             return None;
         }
@@ -164,7 +164,7 @@
 
     /// Starts a request at a chosen endpoint; false if it has no room any more.
     pub fn start(&mut self, now: Timestamp, endpoint: usize, ask: &Ask) -> bool {
-        let started = self.endpoints[endpoint].borrowed.start(now, ask.permits);
+        let started = self.endpoints[endpoint].borrowed.start(now, ask.kv);
         if let (true, Some(prefix)) = (started, ask.prefix) {
             self.hints.stored(prefix, endpoint);
         }
@@ -187,17 +187,17 @@
         self.outliers.forget(endpoint);
     }
 
-    fn is_open(&self, now: Timestamp, index: usize, permits: Permits) -> bool {
+    fn is_open(&self, now: Timestamp, index: usize, kv: Tokens) -> bool {
         let endpoint = &self.endpoints[index];
         endpoint.state == EndpointState::Active
-            && endpoint.borrowed.free(now) >= permits
+            && endpoint.borrowed.fits(now, kv)
             && !self.outliers.is_ejected(now, index)
     }
 
-    fn room(&self, now: Timestamp, permits: Permits) -> Room {
+    fn room(&self, now: Timestamp, kv: Tokens) -> Room {
         let mut room = Room::default();
         for (index, endpoint) in self.endpoints.iter().enumerate() {
-            if !self.is_open(now, index, permits) {
+            if !self.is_open(now, index, kv) {
                 if endpoint.is_local && endpoint.state == EndpointState::Active {
                     room.local_lent += u64::from(endpoint.borrowed.lent(now).0);
                 }
@@ -224,10 +224,10 @@
         room: &Room,
     ) -> Option<Routed> {
         let mean = room.in_flight as f64 / room.open as f64;
-        let bound = self.cfg.affinity_bound * mean + f64::from(ask.permits.0);
+        let bound = self.cfg.affinity_bound * mean + 1.0;
         let may_take = |index: usize| {
             let in_flight = f64::from(self.endpoints[index].borrowed.in_flight().0);
-            in_flight <= bound && self.is_open(now, index, ask.permits)
+            in_flight <= bound && self.is_open(now, index, ask.kv)
         };
         let holders = self.hints.holders(prefix).iter().copied();
         let cached = holders
@@ -289,7 +289,7 @@
         (0..count)
             .map(|step| (from + step) % count)
             .filter(|index| !local || self.endpoints[*index].is_local)
-            .find(|index| self.is_open(now, *index, ask.permits))
+            .find(|index| self.is_open(now, *index, ask.kv))
     }
 }
 
--- a/crates/sesamecart-decisions/src/routing/tests.rs
+++ b/crates/sesamecart-decisions/src/routing/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Permits, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Permits, Timestamp, Tokens};
 
 use super::*;
 use crate::allowance::Slice;
@@ -20,7 +20,7 @@
 fn endpoints(count: usize) -> impl Iterator<Item = PoolEndpoint> {
     (0..count).map(|index| {
         let id: EndpointId = format!("engine-{index}").parse().unwrap();
-        PoolEndpoint::new(id, domain(index))
+        PoolEndpoint::new(id, domain(index), Tokens(2_000))
     })
 }
 
@@ -45,7 +45,7 @@
 fn ask(draw: u64) -> Ask {
     Ask {
         prefix: None,
-        permits: Permits(1),
+        kv: Tokens(500),
         draw,
     }
 }
