--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -10,8 +10,11 @@
 mod drain;
 mod fold;
 mod lease;
+mod reader;
 mod record;
 mod state;
+#[cfg(test)]
+mod tests;
 mod verdict;
 
 pub use action::{ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, Actions, Header};
@@ -21,6 +24,7 @@
 pub use drain::{Drain, DrainTarget, ParseDrainTargetError};
 pub use fold::Fold;
 pub use lease::{Assignment, LeaseRecord};
+pub use reader::{AppliedAt, LogReader, PageBounds, PageRead, RawRecord, Standing};
 pub use record::{DecodeError, Envelope, RECORD_VERSION, Record};
 pub use state::State;
 pub use verdict::{Applied, PublishVerdict, Rejection};
--- /dev/null
+++ b/crates/sesamecart-fold/src/reader.rs
@@ -0,0 +1,165 @@
+//! Reading the log page by page, also across a gap that retention made.
+
+use derive_more::Display;
+use sesamecart_vocabulary::Offset;
+
+use crate::checkpoint::CheckpointError;
+use crate::fold::Fold;
+use crate::record::Record;
+use crate::state::State;
+use crate::verdict::Applied;
+
+/// One record as the log or a peer hands it over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RawRecord<'a> {
+    /// Where it stands.
+    pub offset: Offset,
+    /// When the log took it, in milliseconds of the log's clock.
+    pub logged_at_ms: u64,
+    /// Its bytes.
+    pub data: &'a [u8],
+}
+
+/// The bounds of a page.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PageBounds {
+    /// The oldest offset that is kept.
+    pub first: Offset,
+    /// The offset that the next append gets.
+    pub next: Offset,
+}
+
+/// What a page did.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PageRead {
+    /// What each record did that was applied.
+    pub applied: Vec<AppliedAt>,
+    /// Where the reader stands now.
+    pub standing: Standing,
+}
+
+/// What the record at one offset did.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AppliedAt {
+    /// Where the record stands.
+    pub offset: Offset,
+    /// What it did.
+    pub applied: Applied,
+}
+
+/// Where a reader stands.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Standing {
+    /// The state is as new as the log's tail.
+    #[display("at the tail")]
+    AtTail,
+    /// There is more to read.
+    #[display("behind the tail")]
+    Behind,
+    /// Records are gone that the state needs; a checkpoint is looked for.
+    #[display("looking for a checkpoint")]
+    Seeking,
+    /// No checkpoint in the log helps; only a peer's state does. It needs an alarm.
+    #[display("without a checkpoint that helps")]
+    Stranded,
+}
+
+/// Reads pages of the log into a fold.
+///
+/// The log forgets records after its retention. A node that was away for longer, or that starts
+/// new, must not go on from what is left: it would miss the changes that are gone. It looks for a
+/// checkpoint instead, and takes only one that doesn't go back behind its own state.
+#[derive(Clone, Debug, Default)]
+pub struct LogReader {
+    fold: Fold,
+    seek: Option<Offset>,
+}
+
+impl LogReader {
+    /// Starts with a fold.
+    #[must_use]
+    pub const fn new(fold: Fold) -> Self {
+        Self { fold, seek: None }
+    }
+
+    /// Returns the fold.
+    #[must_use]
+    pub const fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Returns the offset to read from next.
+    #[must_use]
+    pub fn wants(&self) -> Offset {
+        self.seek.unwrap_or(self.fold.state().next_offset)
+    }
+
+    /// Takes one page, which must have been read from [`LogReader::wants`].
+    pub fn take<'a>(
+        &mut self,
+        bounds: PageBounds,
+        records: impl IntoIterator<Item = RawRecord<'a>>,
+    ) -> PageRead {
+        let mut applied = Vec::new();
+        if self.fold.state().next_offset < bounds.first && self.seek.is_none() {
+            self.seek = Some(bounds.first);
+        }
+        for record in records {
+            if self.seek.is_some() {
+                self.look_at(bounds, record);
+                continue;
+            }
+            let outcome = self
+                .fold
+                .apply(record.offset, record.logged_at_ms, record.data);
+            if outcome != Applied::Before {
+                applied.push(AppliedAt {
+                    offset: record.offset,
+                    applied: outcome,
+                });
+            }
+        }
+        PageRead {
+            applied,
+            standing: self.standing(bounds),
+        }
+    }
+
+    /// Takes a peer's state, which may end a search for a checkpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and keeps the own state, if the peer's is older.
+    pub fn adopt(&mut self, state: State) -> Result<(), CheckpointError> {
+        self.fold.adopt(state)?;
+        self.seek = None;
+        Ok(())
+    }
+
+    /// Takes the checkpoint in a record, if it is one that helps.
+    ///
+    /// It helps only if every record that it doesn't cover is still kept; otherwise the gap would
+    /// merely move.
+    fn look_at(&mut self, bounds: PageBounds, record: RawRecord<'_>) {
+        self.seek = Some(record.offset.next());
+        let Ok(envelope) = Record::decode(record.data) else {
+            return;
+        };
+        let Record::Checkpoint { state } = envelope.record else {
+            return;
+        };
+        let reaches = state.next_offset >= bounds.first && state.next_offset <= record.offset;
+        if reaches && self.fold.adopt(*state).is_ok() {
+            self.seek = None;
+        }
+    }
+
+    fn standing(&self, bounds: PageBounds) -> Standing {
+        match self.seek {
+            Some(seek) if seek >= bounds.next => Standing::Stranded,
+            Some(_) => Standing::Seeking,
+            None if self.fold.state().next_offset >= bounds.next => Standing::AtTail,
+            None => Standing::Behind,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-fold/src/tests/reader.rs
@@ -0,0 +1,157 @@
+//! Pages, gaps and checkpoints.
+
+use sesamecart_vocabulary::{Offset, Revision};
+
+use super::kit::{Feed, MemoryLog, drain, publish};
+use crate::{CheckpointError, Fold, LogReader, Record, Standing};
+
+fn read_all(log: &MemoryLog, reader: &mut LogReader) -> Standing {
+    for _ in 0..100 {
+        let standing = log.read_into(reader).standing;
+        if matches!(standing, Standing::AtTail | Standing::Stranded) {
+            return standing;
+        }
+    }
+    panic!("the reader never came to an end");
+}
+
+/// Fills a log with `count` configurations and a checkpoint after each of `checkpoints`.
+fn filled(count: u64, checkpoints: &[u64]) -> MemoryLog {
+    let mut log = MemoryLog::default();
+    let mut reader = LogReader::default();
+    for revision in 0..count {
+        log.append(publish(&format!("p-{revision}"), revision, "salma").encode());
+        read_all(&log, &mut reader);
+        if checkpoints.contains(&revision) {
+            log.append(reader.fold().checkpoint().encode());
+        }
+    }
+    log
+}
+
+#[test]
+fn page_by_page_gives_the_same_state_as_one_by_one() {
+    let log = filled(8, &[3]);
+    let mut reader = LogReader::default();
+    assert_eq!(read_all(&log, &mut reader), Standing::AtTail);
+    assert_eq!(reader.fold().state().revision, Revision(8));
+    assert_eq!(reader.fold().state().checkpoint.unwrap().offset, Offset(4));
+}
+
+/// A new node starts when the log has forgotten its first records. It must come to the same
+/// configuration as the nodes that have read them all.
+#[test]
+fn new_node_starts_from_a_checkpoint() {
+    let mut log = filled(8, &[5]);
+    let mut old = LogReader::default();
+    read_all(&log, &mut old);
+    log.forget_before(Offset(4));
+    let mut new = LogReader::default();
+    assert_eq!(read_all(&log, &mut new), Standing::AtTail);
+    assert_eq!(new.fold().state(), old.fold().state());
+}
+
+/// The log is out for longer than its retention, and what comes back is a checkpoint older than
+/// what a node had in force. Taking it would revert the operators' newest change.
+#[test]
+fn older_checkpoint_is_never_taken() {
+    let mut log = filled(4, &[1]);
+    let mut reader = LogReader::default();
+    read_all(&log, &mut reader);
+    assert_eq!(reader.fold().state().revision, Revision(4));
+    let Record::Checkpoint { state } = filled(2, &[]).checkpoint() else {
+        unreachable!();
+    };
+    let refused = reader.adopt(*state.clone());
+    let own = Revision(4);
+    let found = Revision(2);
+    assert_eq!(refused, Err(CheckpointError::OlderRevision { found, own }));
+    for _ in 0..4 {
+        log.append(
+            Record::Checkpoint {
+                state: state.clone(),
+            }
+            .encode(),
+        );
+    }
+    log.forget_before(Offset(7));
+    assert_eq!(read_all(&log, &mut reader), Standing::Stranded);
+    assert_eq!(reader.fold().state().revision, Revision(4));
+}
+
+#[test]
+fn checkpoint_before_the_gap_does_not_bridge_it() {
+    let mut log = filled(8, &[2, 6]);
+    log.forget_before(Offset(9));
+    let mut reader = LogReader::default();
+    assert_eq!(read_all(&log, &mut reader), Standing::Stranded);
+    assert_eq!(reader.fold().state().next_offset, Offset(0));
+}
+
+/// No checkpoint is left in the log, but other nodes still hold the state. A new node must take it
+/// from them and go on reading where it ends.
+#[test]
+fn peer_state_ends_the_search() {
+    let mut log = filled(6, &[]);
+    let mut peer = LogReader::default();
+    read_all(&log, &mut peer);
+    log.forget_before(Offset(5));
+    let mut new = LogReader::default();
+    assert_eq!(read_all(&log, &mut new), Standing::Stranded);
+    log.append(publish("later", 6, "ines").encode());
+    new.adopt(peer.fold().state().clone()).unwrap();
+    assert_eq!(read_all(&log, &mut new), Standing::AtTail);
+    assert_eq!(new.fold().state().revision, Revision(7));
+}
+
+#[test]
+fn checkpoint_ahead_of_the_log_is_refused() {
+    let mut feed = Feed::default();
+    let ahead = filled(3, &[]).checkpoint();
+    feed.apply(&ahead);
+    assert!(feed.last_audit().verdict.contains("ahead of the log"));
+    assert_eq!(feed.fold.state().revision, Revision(0));
+}
+
+#[test]
+fn checkpoint_survives_its_encoding() {
+    let log = filled(3, &[1]);
+    let mut reader = LogReader::default();
+    read_all(&log, &mut reader);
+    let record = reader.fold().checkpoint();
+    let envelope = Record::decode(&record.encode()).unwrap();
+    assert_eq!(envelope.record, record);
+    let Record::Checkpoint { state } = envelope.record else {
+        unreachable!();
+    };
+    assert_eq!(Fold::from_checkpoint(*state).state(), reader.fold().state());
+}
+
+trait CheckpointOf {
+    fn checkpoint(&self) -> Record;
+}
+
+impl CheckpointOf for MemoryLog {
+    fn checkpoint(&self) -> Record {
+        let mut reader = LogReader::default();
+        read_all(self, &mut reader);
+        reader.fold().checkpoint()
+    }
+}
+
+/// A drain doesn't change the revision. A checkpoint of the same revision, made before the drain,
+/// would put the drained domain back into service.
+#[test]
+fn checkpoint_before_a_drain_is_not_taken() {
+    let mut log = filled(2, &[]);
+    let early = log.checkpoint();
+    log.append(drain("d-1", "failure-domain:muscat-a", true).encode());
+    let mut reader = LogReader::default();
+    read_all(&log, &mut reader);
+    let Record::Checkpoint { state } = early else {
+        unreachable!();
+    };
+    let refused = reader.adopt(*state);
+    assert!(matches!(refused, Err(CheckpointError::OlderOffset { .. })));
+    assert_eq!(reader.fold().state().drains.len(), 1);
+}
