--- a/crates/sesamecart-config/src/lib.rs
+++ b/crates/sesamecart-config/src/lib.rs
@@ -19,5 +19,5 @@
 pub use diff::Change;
 pub use inventory::Inventory;
 pub use problem::{Cell, Fault, Field, Place, Problem, ProblemReport, Subject};
-pub use settings::{LinkPeer, LogSettings, Settings, SettingsError};
+pub use settings::{CallerBounds, LinkPeer, LogSettings, Settings, SettingsError};
 pub use sheet::{Import, import_sheet};
