--- a/crates/sesamecart-config/src/lib.rs
+++ b/crates/sesamecart-config/src/lib.rs
@@ -1,5 +1,6 @@
 //! The day's configuration, the node's settings and the planners' sheet, checked before use.
 
+mod access;
 mod change;
 mod check;
 mod configuration;
@@ -11,6 +12,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use access::{AdministrationAccess, Operator, Role};
 pub use change::ChangeRules;
 pub use configuration::{
     Configuration, Customer, Endpoint, EndpointKind, FailureDomain, Group, Limits, Model, Service,
--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -8,6 +8,8 @@
 use sesamecart_vocabulary::{Bytes, FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
+use crate::access::AdministrationAccess;
+
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -22,6 +24,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub administration: SocketAddr,
+    /// Who may connect there.
+    #[serde(default)]
+    pub access: AdministrationAccess,
     /// Where other nodes connect.
     pub links: SocketAddr,
     /// The platform's log service.
@@ -205,6 +210,21 @@
                 "must be from 1 to 10000",
             );
         }
+        if self.access.requests_per_s == 0 {
+            let value = "0".to_owned();
+            return error("access.requests_per_s", value, "must be at least 1");
+        }
+        let mut operators = IndexSet::new();
+        for operator in &self.access.operators {
+            if !operators.insert(&operator.name) {
+                let value = operator.name.clone();
+                return error(
+                    "access.operators",
+                    value,
+                    "stands twice among the operators",
+                );
+            }
+        }
         let mut addresses = IndexSet::new();
         for (field, address) in [
             ("callers", self.callers),
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -7,8 +7,8 @@
 use anyhow::{Context as _, bail, ensure};
 use indexmap::IndexMap;
 use sesamecart_config::{
-    CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer, LogSettings, Settings,
-    import_sheet,
+    AdministrationAccess, CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer,
+    LogSettings, Settings, import_sheet,
 };
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
@@ -163,6 +163,7 @@
             region,
             callers: loopback,
             administration: loopback,
+            access: AdministrationAccess::default(),
             links: loopback,
             log: LogSettings {
                 address: self.log.address(),
