--- a/crates/sesamecart-fold/src/reader.rs
+++ b/crates/sesamecart-fold/src/reader.rs
@@ -101,9 +101,12 @@
         records: impl IntoIterator<Item = RawRecord<'a>>,
     ) -> PageRead {
         let mut applied = Vec::new();
-        if self.fold.state().next_offset < bounds.first && self.seek.is_none() {
-            self.seek = Some(bounds.first);
-        }
+        let is_missing = self.fold.state().next_offset < bounds.first;
+        self.seek = match self.seek {
+            Some(seek) if is_missing => Some(seek.max(bounds.first)),
+            None if is_missing => Some(bounds.first),
+            _ => None,
+        };
         for record in records {
             if self.seek.is_some() {
                 self.look_at(bounds, record);
@@ -125,6 +128,29 @@
         }
     }
 
+    /// Takes records that a peer passes on, as far as they go on from the state.
+    ///
+    /// A peer keeps only the newest records, so what it lacks says nothing about the log; a gap
+    /// starts no search for a checkpoint.
+    pub fn take_from_peer<'a>(
+        &mut self,
+        records: impl IntoIterator<Item = RawRecord<'a>>,
+    ) -> Vec<AppliedAt> {
+        let mut applied = Vec::new();
+        for record in records {
+            let outcome = self
+                .fold
+                .apply(record.offset, record.logged_at_ms, record.data);
+            if !matches!(outcome, Applied::Before | Applied::Gap { .. }) {
+                applied.push(AppliedAt {
+                    offset: record.offset,
+                    applied: outcome,
+                });
+            }
+        }
+        applied
+    }
+
     /// Takes a peer's state, which may end a search for a checkpoint.
     ///
     /// # Errors
--- a/crates/sesamecart-fold/src/state.rs
+++ b/crates/sesamecart-fold/src/state.rs
@@ -58,24 +58,27 @@
     /// domain.
     #[must_use]
     pub fn is_drained(&self, endpoint: &EndpointId) -> bool {
-        if self.drains.is_empty() {
-            return false;
-        }
-        if self.has_drain(DrainTarget::Endpoint(endpoint.clone())) {
+        self.is_drained_by(endpoint, |target| self.drains.contains_key(target))
+    }
+
+    /// Returns whether an endpoint is out of service by drains that `has` knows.
+    #[must_use]
+    pub fn is_drained_by(&self, endpoint: &EndpointId, has: impl Fn(&DrainTarget) -> bool) -> bool {
+        if has(&DrainTarget::Endpoint(endpoint.clone())) {
             return true;
         }
         let Some(found) = self.configuration.endpoints.get(endpoint) else {
             return false;
         };
-        if self.has_drain(DrainTarget::FailureDomain(found.failure_domain.clone())) {
+        if has(&DrainTarget::FailureDomain(found.failure_domain.clone())) {
             return true;
         }
         let vm = found.vm.clone().map(DrainTarget::Vm);
-        if vm.is_some_and(|vm| self.has_drain(vm)) {
+        if vm.is_some_and(|vm| has(&vm)) {
             return true;
         }
         match &found.kind {
-            EndpointKind::Group(group) => self.is_group_drained(group),
+            EndpointKind::Group(group) => self.is_group_drained(group, has),
             EndpointKind::Service(_) => false,
         }
     }
@@ -94,17 +97,12 @@
             .map(|(vm, _)| vm)
     }
 
-    fn is_group_drained(&self, group: &GroupId) -> bool {
+    fn is_group_drained(&self, group: &GroupId, has: impl Fn(&DrainTarget) -> bool) -> bool {
         let configured = self.configuration.groups.get(group);
         let mut vms = configured
             .into_iter()
             .flat_map(|group| &group.vms)
             .chain(self.members(group));
-        self.has_drain(DrainTarget::Group(group.clone()))
-            || vms.any(|vm| self.has_drain(DrainTarget::Vm(vm.clone())))
-    }
-
-    fn has_drain(&self, target: DrainTarget) -> bool {
-        self.drains.contains_key(&target)
+        has(&DrainTarget::Group(group.clone())) || vms.any(|vm| has(&DrainTarget::Vm(vm.clone())))
     }
 }
--- a/crates/sesamecart-fold/src/tests.rs
+++ b/crates/sesamecart-fold/src/tests.rs
@@ -2,5 +2,6 @@
 
 mod any_order;
 mod kit;
+mod outage;
 mod reader;
 mod verdicts;
