--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -19,7 +19,10 @@
 mod tests;
 mod verdict;
 
-pub use action::{ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, Actions, Header};
+pub use action::{
+    ACTION_HORIZON_MS, ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, ActionPart,
+    Actions, Header,
+};
 pub use audit::{AuditEntry, AuditKind, AuditTail};
 pub use body::EncodedBody;
 pub use checkpoint::{CheckpointError, CheckpointMark};
