Test what callers get for requests that can't be served

Cause: bad input must get a typed error, run nothing and hold no memory without bound. Change: tests of keys, bodies, heads, paths and slow and half-sent requests against a node with an engine and a plain service; bolero over paths and over how a stream of events is cut.

--- a/crates/sesamecart-node/src/traffic/call.rs
+++ b/crates/sesamecart-node/src/traffic/call.rs
@@ -1,5 +1,8 @@
 //! What a caller asks for, as its method and path say.
 
+#[cfg(test)]
+mod tests;
+
 use http::Method;
 use sesamecart_vocabulary::ServiceId;
 
--- a/crates/sesamecart-node/src/traffic/sse.rs
+++ b/crates/sesamecart-node/src/traffic/sse.rs
@@ -1,5 +1,8 @@
 //! Splits a stream of server-sent events into whole events and checks to whom they belong.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::{Bytes, BytesMut};
 use sesamecart_vocabulary::AttemptId;
 
