Write logs as text or JSON lines and limit repeated ones

Cause: operators follow one request over nodes in logs, and an endpoint that is out must not fill them with one sentence. Change: a logger with a fixed prefix per part, JSON lines on request, and at most 20 lines of one place in 10 s with a note of how many were left out; flags of the node for format and level. Conclusion: two tests show the limit and the JSON shape.

--- a/crates/sesamecart-node/src/bin/sesamecart-node.rs
+++ b/crates/sesamecart-node/src/bin/sesamecart-node.rs
@@ -8,7 +8,7 @@
 use gumdrop::Options;
 use sesamecart_config::Settings;
 use sesamecart_node::Node;
-use sesamecart_runtime::Signal;
+use sesamecart_runtime::{LogFormat, Signal, start_logs};
 
 /// The exit status for settings or arguments that can't be used.
 const BAD_SETTINGS: u8 = 2;
@@ -22,6 +22,14 @@
     help: bool,
     #[options(no_short, help = "only check the settings and exit")]
     check: bool,
+    #[options(
+        no_short,
+        help = "how log lines are written: text or json",
+        default = "text"
+    )]
+    log_format: LogFormat,
+    #[options(no_short, help = "error, warn, info or debug", default = "info")]
+    log_level: log::LevelFilter,
     #[options(free, help = "the settings file")]
     settings: Option<PathBuf>,
 }
@@ -47,7 +55,7 @@
         );
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(settings, arguments.log_format, arguments.log_level) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(CUT_OFF),
         Err(error) => {
@@ -58,8 +66,12 @@
 }
 
 /// Runs the node until it is told to leave and returns the number of connections it cut off.
-fn run(settings: Settings) -> anyhow::Result<usize> {
-    simplelog::SimpleLogger::init(log::LevelFilter::Info, simplelog::Config::default())?;
+fn run(
+    settings: Settings,
+    log_format: LogFormat,
+    log_level: log::LevelFilter,
+) -> anyhow::Result<usize> {
+    start_logs(log_format, log_level)?;
     let mut signals = Signals::new([SystemSignal::Term, SystemSignal::Int])?;
     let node = Node::start(settings)?;
     let (hurry, hurried) = Signal::new();
--- a/crates/sesamecart-runtime/src/lib.rs
+++ b/crates/sesamecart-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Worker::stop`] returns only when all of them have ended.
 
 mod counted;
+mod logs;
 mod signal;
 mod socket;
 mod tasks;
@@ -11,6 +12,7 @@
 mod worker;
 
 pub use counted::{ByteCount, Counted};
+pub use logs::{LogFormat, start_logs};
 pub use signal::{Signal, Trigger};
 pub use socket::{Accepted, accept, connect, listen};
 pub use tasks::Tasks;
