--- a/crates/sesamecart-decisions/src/allowance/borrowed.rs
+++ b/crates/sesamecart-decisions/src/allowance/borrowed.rs
@@ -133,6 +133,11 @@
     pub fn fail(&mut self, now: Timestamp, kv: Tokens) {
         self.end(kv);
         self.sample.failed += 1;
+        self.drop_slice(now);
+    }
+
+    /// Ends the slice at once; only an answer to a later message begins a new one.
+    pub fn drop_slice(&mut self, now: Timestamp) {
         self.valid_until = self.valid_until.min(now);
         self.voided_at = Some(now);
     }
--- a/crates/sesamecart-decisions/src/pool.rs
+++ b/crates/sesamecart-decisions/src/pool.rs
@@ -130,8 +130,17 @@
     }
 
     /// Lets an endpoint have new work or not.
-    pub fn set_state(&mut self, endpoint: usize, state: EndpointState) {
-        self.router.endpoints_mut()[endpoint].state = state;
+    ///
+    /// One that comes back is cold, and what was lent before says nothing about it, so its slice is
+    /// dropped and the owner is asked again.
+    pub fn set_state(&mut self, now: Timestamp, endpoint: usize, state: EndpointState) {
+        let known = &mut self.router.endpoints_mut()[endpoint];
+        let returns = known.state == EndpointState::Draining && state == EndpointState::Active;
+        known.state = state;
+        if returns {
+            known.borrowed.drop_slice(now);
+            self.router.restarted(endpoint);
+        }
     }
 
     /// Takes a new request.
