--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -1,26 +1,50 @@
-//! Measures parts of sesamecart; `cargo run --release --example measure -- policy` and so on.
+//! Measures one part of the system: `measure -- path` or `measure -- policy`.
+//!
+//! The last line that a measurement prints is JSON.
+
+use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::policy::{self, PolicyOptions};
+use sesamecart_measure::{path, policy};
 
+/// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
-struct MeasureOptions {
+struct Arguments {
     #[options(help = "print this help")]
     help: bool,
     #[options(command)]
-    command: Option<Command>,
+    part: Option<Part>,
 }
 
+/// What can be measured.
 #[derive(Debug, Options)]
-enum Command {
+enum Part {
+    #[options(help = "the node's own time and processor use on the streaming path")]
+    Path(path::Arguments),
     #[options(help = "the decisions under load against simpler ones, in virtual time")]
-    Policy(PolicyOptions),
+    Policy(policy::Arguments),
 }
 
-fn main() -> anyhow::Result<()> {
-    let options = MeasureOptions::parse_args_default_or_exit();
-    match options.command {
-        Some(Command::Policy(options)) => policy::run(&options),
-        None => anyhow::bail!("name what to measure:\n{}", MeasureOptions::usage()),
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if let Err(error) =
+        simplelog::SimpleLogger::init(log::LevelFilter::Error, simplelog::Config::default())
+    {
+        eprintln!("measure: no logs: {error}");
+    }
+    let measured = match arguments.part {
+        Some(Part::Path(arguments)) => path::run(&arguments),
+        Some(Part::Policy(arguments)) => policy::run(&arguments),
+        None => {
+            eprintln!("measure: name what to measure:\n{}", Part::usage());
+            return ExitCode::from(2);
+        }
+    };
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure failed: {error:#}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/crates/sesamecart-measure/src/policy.rs
+++ b/crates/sesamecart-measure/src/policy.rs
@@ -37,7 +37,7 @@
 
 /// Options of `measure -- policy`.
 #[derive(Debug, Options)]
-pub struct PolicyOptions {
+pub struct Arguments {
     /// Print this help.
     #[options(help = "print this help")]
     help: bool,
@@ -76,7 +76,7 @@
 /// # Errors
 ///
 /// Returns an error if settings can't be used or the drawing can't be written.
-pub fn run(options: &PolicyOptions) -> anyhow::Result<()> {
+pub fn run(options: &Arguments) -> anyhow::Result<()> {
     let cfg = settings(options)?;
     let tasks = tasks(options);
     let figures = run_all(&tasks, cfg, options.threads.max(1));
@@ -110,7 +110,7 @@
     Ok(())
 }
 
-fn settings(options: &PolicyOptions) -> anyhow::Result<DecisionSettings> {
+fn settings(options: &Arguments) -> anyhow::Result<DecisionSettings> {
     let Some(path) = &options.settings else {
         return Ok(DecisionSettings::default());
     };
@@ -119,7 +119,7 @@
     Ok(cfg)
 }
 
-fn tasks(options: &PolicyOptions) -> Vec<Task> {
+fn tasks(options: &Arguments) -> Vec<Task> {
     let mut tasks = Vec::new();
     for deployment in Deployment::ALL {
         if options.quick && deployment == Deployment::Target {
--- a/crates/sesamecart-measure/src/policy/outcome.rs
+++ b/crates/sesamecart-measure/src/policy/outcome.rs
@@ -10,6 +10,7 @@
 use super::ours::cost;
 use super::run::{Finished, LEAD_IN};
 use super::size::Size;
+use crate::quantile;
 
 /// The figures of one run, or their means over seeds.
 pub(super) type Figures = IndexMap<&'static str, f64>;
@@ -54,12 +55,12 @@
 
 /// Returns the spread of each figure over runs.
 pub(super) fn spreads(runs: &[Figures]) -> IndexMap<&'static str, Spread> {
-    let names = runs.first().into_iter().flat_map(IndexMap::keys);
-    let spread = |name: &&'static str| {
-        let values: Vec<_> = runs.iter().map(|run| run[*name]).collect();
-        (*name, Spread::of(&values))
+    let names = runs.first().into_iter().flat_map(|run| run.keys().copied());
+    let spread = |name: &'static str| {
+        let values: Vec<_> = runs.iter().map(|run| run[name]).collect();
+        (name, Spread::of(&values))
     };
-    names.map(|name| spread(&name)).collect()
+    names.map(spread).collect()
 }
 
 /// Counts one run.
@@ -171,14 +172,6 @@
     Some((ended - first).as_secs_f64() * 1e3 / (job.answer - 1) as f64)
 }
 
-fn quantile(values: &mut [f64], part: f64) -> f64 {
-    if values.is_empty() {
-        return 0.0;
-    }
-    values.sort_by(f64::total_cmp);
-    values[((values.len() - 1) as f64 * part).round() as usize]
-}
-
 fn round(value: f64) -> f64 {
     (value * 1e4).round() / 1e4
 }
--- a/crates/sesamecart-measure/src/policy/play.rs
+++ b/crates/sesamecart-measure/src/policy/play.rs
@@ -28,10 +28,14 @@
     DomainMove,
     /// A failure domain is drained while a burst runs.
     DomainInBurst,
+    /// As `SuddenCold`, at nine tenths of what the pool can do.
+    SuddenColdAtPeak,
+    /// As `DomainMove`, at nine tenths of what the pool can do.
+    DomainMoveAtPeak,
 }
 
 impl Play {
-    pub(super) const ALL: [Self; 10] = [
+    pub(super) const ALL: [Self; 12] = [
         Self::Steady,
         Self::Burst,
         Self::TwoCustomers,
@@ -42,6 +46,8 @@
         Self::SuddenCold,
         Self::DomainMove,
         Self::DomainInBurst,
+        Self::SuddenColdAtPeak,
+        Self::DomainMoveAtPeak,
     ];
 
     /// Returns the model pool's load at a time, as a part of what it can do.
@@ -54,6 +60,7 @@
             Self::DomainInBurst if in_burst => 2.0 * BASE,
             Self::TwoCustomers => 1.2,
             Self::Saturation => 1.5,
+            Self::SuddenColdAtPeak | Self::DomainMoveAtPeak => 0.9,
             _ => BASE,
         }
     }
@@ -89,7 +96,7 @@
     pub(super) fn faults(self, size: &Size) -> Vec<Fault> {
         let begin = size.begin_s() * 1_000;
         let end = size.end_s() * 1_000;
-        let in_domain = |endpoint: &usize| endpoint % DOMAINS == 0;
+        let in_domain = |endpoint: &usize| endpoint.is_multiple_of(DOMAINS);
         let domain: Vec<usize> = (0..size.endpoints()).filter(in_domain).collect();
         let fault = |at_ms, kind, endpoints: &[usize]| Fault {
             at_ms,
@@ -98,11 +105,11 @@
         };
         match self {
             Self::SlowEndpoint => vec![fault(begin, FaultKind::Slow, &[1])],
-            Self::SuddenCold => {
+            Self::SuddenCold | Self::SuddenColdAtPeak => {
                 let third: Vec<usize> = (0..size.endpoints()).filter(|e| e % 3 == 1).collect();
                 vec![fault(begin, FaultKind::Restart, &third)]
             }
-            Self::DomainMove => vec![
+            Self::DomainMove | Self::DomainMoveAtPeak => vec![
                 fault(begin, FaultKind::Drain, &domain),
                 fault(end, FaultKind::Return, &domain),
             ],
--- a/crates/sesamecart-measure/src/policy/report.rs
+++ b/crates/sesamecart-measure/src/policy/report.rs
@@ -146,7 +146,12 @@
     let best = best.fold(0.0, f64::max);
     let ratio = ours["goodput_per_s"].mean / best;
     let wanted = match play {
-        Play::DomainMove | Play::DomainInBurst | Play::SuddenCold | Play::Saturation => 1.2,
+        Play::DomainMove
+        | Play::DomainMoveAtPeak
+        | Play::DomainInBurst
+        | Play::SuddenCold
+        | Play::SuddenColdAtPeak
+        | Play::Saturation => 1.2,
         _ => 1.0,
     };
     let mut goals = vec![
