--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -1,11 +1,11 @@
-//! Measures one part of the system: `measure -- path`.
+//! Measures one part of the system: `measure -- path` or `measure -- policy`.
 //!
 //! The last line that a measurement prints is JSON.
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::path;
+use sesamecart_measure::{path, policy};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -21,6 +21,8 @@
 enum Part {
     #[options(help = "the node's own time and processor use on the streaming path")]
     Path(path::Arguments),
+    #[options(help = "the decisions under load against simpler ones, in virtual time")]
+    Policy(policy::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -32,6 +34,7 @@
     }
     let measured = match arguments.part {
         Some(Part::Path(arguments)) => path::run(&arguments),
+        Some(Part::Policy(arguments)) => policy::run(&arguments),
         None => {
             eprintln!("measure: name what to measure:\n{}", Part::usage());
             return ExitCode::from(2);
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod cluster;
 pub mod path;
+pub mod policy;
 pub mod process;
 mod quantile;
 pub mod quickstart;
