Serve the administration API and follow the log with other nodes' help

Cause: nodes had no interface for operators, no checkpoints, and nothing to follow while the log is out. Change: publish and drain through the log with verdicts read back by publish id, provisional drains that spread between nodes, checkpoints, and start from a majority's newest state.

--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -95,6 +95,13 @@
     /// Milliseconds between two reads of the tail.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
+    /// Milliseconds between two checkpoints; the log must keep records for at least three times as
+    /// long.
+    #[serde(default = "default_checkpoint_ms")]
+    pub checkpoint_ms: u64,
+    /// The most records between two checkpoints; the log must keep at least three times as many.
+    #[serde(default = "default_checkpoint_records")]
+    pub checkpoint_records: u64,
 }
 
 /// Another node.
@@ -125,6 +132,14 @@
     200
 }
 
+const fn default_checkpoint_ms() -> u64 {
+    10 * 60 * 1_000
+}
+
+const fn default_checkpoint_records() -> u64 {
+    10_000
+}
+
 /// The most traffic threads that settings may ask for.
 const MAX_TRAFFIC_THREADS: usize = 256;
 
@@ -210,6 +225,16 @@
                 "must be from 1 to 10000",
             );
         }
+        if self.log.checkpoint_ms == 0 {
+            return error("log.checkpoint_ms", "0".to_owned(), "must be at least 1");
+        }
+        if self.log.checkpoint_records == 0 {
+            return error(
+                "log.checkpoint_records",
+                "0".to_owned(),
+                "must be at least 1",
+            );
+        }
         if self.access.requests_per_s == 0 {
             let value = "0".to_owned();
             return error("access.requests_per_s", value, "must be at least 1");
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -168,6 +168,8 @@
             log: LogSettings {
                 address: self.log.address(),
                 poll_ms: 200,
+                checkpoint_ms: 600_000,
+                checkpoint_records: 10_000,
             },
             vm_list: Some(self.vm_list.address()),
             weight_store: Some(self.weight_store.address()),
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -1,17 +1,24 @@
 //! The control thread: it follows the log, keeps links to other nodes and publishes pictures of the
 //! state to the traffic threads.
 
+mod folded;
 mod follower;
 mod link;
+mod peers;
+mod upkeep;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_edges::{HttpClient, HttpLog, Log};
+use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
+use sesamecart_links::Links;
 use sesamecart_runtime::{Signal, Worker};
 
+use crate::administration;
+pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
+pub(crate) use crate::control::peers::{PeerView, Peers};
 use crate::node::Listeners;
 use crate::shared::Shared;
 
@@ -31,12 +38,28 @@
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
     let log: Arc<dyn Log> = Arc::new(HttpLog::new(
-        client,
+        client.clone(),
         shared.settings.log.address,
         LOG_CALL_LIMIT,
     ));
-    let follower = Follower::new(Arc::clone(shared), log);
+    let links = Links::new(tasks.clone(), shared.link_bytes.clone());
+    let peers = Peers::new(Arc::clone(shared), links);
+    if let Some(address) = shared.settings.vm_list {
+        let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
+        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+    }
+    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log), peers.clone());
     tasks.spawn(follower.run());
+    tasks.spawn(upkeep::write_checkpoints(
+        Arc::clone(shared),
+        Arc::clone(&log),
+    ));
+    tasks.spawn(upkeep::spread_drains(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+    ));
+    administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared));
     let count = shared.link_bytes.clone();
@@ -48,6 +71,5 @@
             }
         }
     });
-    let _used_on_leave = leaving;
     Ok(worker)
 }
--- /dev/null
+++ b/crates/sesamecart-node/src/control/folded.rs
@@ -0,0 +1,200 @@
+//! The folded log of one node, and what it keeps to pass on to others.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use sesamecart_edges::{LogPage, LoggedRecord};
+use sesamecart_fold::{
+    AppliedAt, CheckpointError, LogReader, PageBounds, PageRead, ProvisionalDrains,
+    ProvisionalError, RawRecord, State,
+};
+use sesamecart_vocabulary::{Offset, Timestamp};
+
+use crate::shared::Shared;
+use crate::snapshot::Snapshot;
+
+/// The most records that are kept for nodes cut off from the log.
+const KEPT_RECORDS: usize = 2_000;
+
+/// The most bytes of such records.
+const KEPT_BYTES: usize = 8 * 1024 * 1024;
+
+/// The folded log.
+///
+/// Its lock is only held for the length of a call and never across a wait.
+#[derive(Debug, Default)]
+pub(crate) struct Folded(Mutex<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    reader: LogReader,
+    drains: ProvisionalDrains,
+    recent: Recent,
+    log_answers: bool,
+}
+
+/// The newest records as they stand in the log, without gaps.
+#[derive(Debug, Default)]
+struct Recent {
+    records: VecDeque<LoggedRecord>,
+    bytes: usize,
+}
+
+/// Records for a node that is cut off from the log.
+#[derive(Debug)]
+pub(crate) struct PassedOn {
+    pub(crate) first: Offset,
+    pub(crate) next: Offset,
+    pub(crate) records: Vec<LoggedRecord>,
+}
+
+impl Folded {
+    /// Returns something of the state.
+    pub(crate) fn with<T>(&self, f: impl FnOnce(&State) -> T) -> T {
+        f(self.lock().reader.fold().state())
+    }
+
+    /// Returns something of the state and of the provisional drains.
+    pub(crate) fn with_drains<T>(&self, f: impl FnOnce(&State, &ProvisionalDrains) -> T) -> T {
+        let inner = self.lock();
+        f(inner.reader.fold().state(), &inner.drains)
+    }
+
+    /// Returns the offset to read from next.
+    pub(crate) fn wants(&self) -> Offset {
+        self.lock().reader.wants()
+    }
+
+    /// Returns whether the last read of the log was answered.
+    pub(crate) fn log_answers(&self) -> bool {
+        self.lock().log_answers
+    }
+
+    pub(crate) fn note_log(&self, answers: bool) {
+        self.lock().log_answers = answers;
+    }
+
+    /// Folds a page of the log.
+    pub(crate) fn take_page(&self, page: &LogPage) -> PageRead {
+        let mut inner = self.lock();
+        let bounds = PageBounds {
+            first: page.first,
+            next: page.next,
+        };
+        let read = inner.reader.take(bounds, page.records.iter().map(raw));
+        inner.recent.keep(&page.records, &read.applied);
+        read
+    }
+
+    /// Folds records that another node passed on.
+    pub(crate) fn take_from_peer(&self, records: &[LoggedRecord]) -> Vec<AppliedAt> {
+        let mut inner = self.lock();
+        let applied = inner.reader.take_from_peer(records.iter().map(raw));
+        inner.recent.keep(records, &applied);
+        applied
+    }
+
+    /// Takes another node's state, if it is newer.
+    pub(crate) fn adopt(&self, state: State) -> Result<(), CheckpointError> {
+        let mut inner = self.lock();
+        inner.reader.adopt(state)?;
+        inner.recent = Recent::default();
+        Ok(())
+    }
+
+    /// Returns records for a node that is cut off from the log.
+    pub(crate) fn pass_on(&self, from: Offset, limit: usize) -> PassedOn {
+        let inner = self.lock();
+        let next = inner.reader.fold().state().next_offset;
+        let kept = &inner.recent.records;
+        let wanted = kept.iter().filter(|record| record.offset >= from);
+        PassedOn {
+            first: kept.front().map_or(next, |record| record.offset),
+            next,
+            records: wanted.take(limit).cloned().collect(),
+        }
+    }
+
+    /// Takes a provisional drain and returns whether it is news.
+    pub(crate) fn add_drain(
+        &self,
+        record: &[u8],
+        remaining: Duration,
+        now: Timestamp,
+    ) -> Result<bool, ProvisionalError> {
+        let inner = &mut *self.lock();
+        let state = inner.reader.fold().state();
+        inner.drains.add(record, remaining, state, now)
+    }
+
+    /// Drops provisional drains that the log has or that expired; returns whether any went.
+    pub(crate) fn settle_drains(&self, now: Timestamp) -> bool {
+        let inner = &mut *self.lock();
+        inner.drains.settle(inner.reader.fold().state(), now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Recent {
+    /// Keeps the records that were applied.
+    fn keep(&mut self, records: &[LoggedRecord], applied: &[AppliedAt]) {
+        let (Some(first), Some(last)) = (applied.first(), applied.last()) else {
+            return;
+        };
+        for record in records {
+            if record.offset < first.offset || record.offset > last.offset {
+                continue;
+            }
+            let follows = self.records.back().map(|last| last.offset.next());
+            if follows.is_some_and(|next| next != record.offset) {
+                *self = Self::default();
+            }
+            self.bytes += record.data.len();
+            self.records.push_back(record.clone());
+        }
+        while self.records.len() > KEPT_RECORDS || self.bytes > KEPT_BYTES {
+            let Some(oldest) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.data.len();
+        }
+    }
+}
+
+impl Shared {
+    /// Shows the traffic threads the newest state.
+    pub(crate) fn refresh_snapshot(&self) {
+        let snapshot = self
+            .folded
+            .with_drains(|state, drains| Snapshot::of(state, &drains.targets()));
+        self.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// Takes a provisional drain and puts it in force here.
+    pub(crate) fn take_provisional(&self, record: &[u8], remaining: Duration) -> bool {
+        match self.folded.add_drain(record, remaining, self.clock.now()) {
+            Ok(true) => {
+                log::warn!("fold: a provisional drain is in force, since the log is out.");
+                self.refresh_snapshot();
+                true
+            }
+            Ok(false) => false,
+            Err(error) => {
+                log::warn!("fold: a provisional drain was not taken: {error}.");
+                false
+            }
+        }
+    }
+}
+
+fn raw(record: &LoggedRecord) -> RawRecord<'_> {
+    RawRecord {
+        offset: record.offset,
+        logged_at_ms: record.time_ms,
+        data: &record.data,
+    }
+}
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -2,17 +2,22 @@
 
 use std::sync::Arc;
 
+use sesamecart_fold::{Record, State};
 use sesamecart_links::message::link_server::Link;
 use sesamecart_links::message::{
     BeginActionReply, BeginActionRequest, BorrowPermitsReply, BorrowPermitsRequest,
     FetchRecordsReply, FetchRecordsRequest, FetchStateReply, FetchStateRequest, FinishActionReply,
-    FinishActionRequest, HeartbeatReply, HeartbeatRequest, Member, MirrorIntentReply,
+    FinishActionRequest, HeartbeatReply, HeartbeatRequest, LogRecord, MirrorIntentReply,
     MirrorIntentRequest, VoteReply, VoteRequest,
 };
 use sesamecart_links::{Request, Response, Status};
+use sesamecart_vocabulary::Offset;
 
 use crate::shared::Shared;
 
+/// The most records that are passed on at once.
+const MAX_PASSED_ON: usize = 500;
+
 /// Answers other nodes' calls.
 #[derive(Clone, Debug)]
 pub(crate) struct LinkSide {
@@ -23,48 +28,54 @@
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
-
-    fn member(&self) -> Member {
-        let shared = &self.shared;
-        Member {
-            node: shared.identity.node.to_string(),
-            address: shared.settings.links.to_string(),
-            failure_domain: shared.settings.failure_domain.to_string(),
-            incarnation: shared.identity.incarnation.0,
-            heartbeat: 0,
-            status: 0,
-        }
-    }
 }
 
 #[sesamecart_links::async_trait]
 impl Link for LinkSide {
     async fn heartbeat(
         &self,
-        _request: Request<HeartbeatRequest>,
+        request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
-        let snapshot = self.shared.snapshot.load();
-        Ok(Response::new(HeartbeatReply {
-            receiver: Some(self.member()),
-            members: Vec::new(),
-            next_offset: snapshot.next_offset.0,
-            revision: snapshot.revision.0,
-            drains: Vec::new(),
-        }))
+        self.shared
+            .take_heartbeat_drains(&request.into_inner().drains);
+        Ok(Response::new(self.shared.heartbeat_reply()))
     }
 
     async fn fetch_records(
         &self,
-        _request: Request<FetchRecordsRequest>,
+        request: Request<FetchRecordsRequest>,
     ) -> Result<Response<FetchRecordsReply>, Status> {
-        Err(Status::unimplemented("records are not passed on yet"))
+        let request = request.into_inner();
+        let limit = usize::try_from(request.limit).unwrap_or(MAX_PASSED_ON);
+        let from = Offset(request.from_offset);
+        let passed_on = self.shared.folded.pass_on(from, limit.min(MAX_PASSED_ON));
+        let records = passed_on.records.into_iter().map(|record| LogRecord {
+            offset: record.offset.0,
+            data: record.data.to_vec(),
+            time_ms: record.time_ms,
+        });
+        Ok(Response::new(FetchRecordsReply {
+            first_offset: passed_on.first.0,
+            next_offset: passed_on.next.0,
+            records: records.collect(),
+        }))
     }
 
     async fn fetch_state(
         &self,
         _request: Request<FetchStateRequest>,
     ) -> Result<Response<FetchStateReply>, Status> {
-        Err(Status::unimplemented("state is not handed over yet"))
+        let state = self.shared.folded.with(State::clone);
+        let reply = FetchStateReply {
+            next_offset: state.next_offset.0,
+            revision: state.revision.0,
+            settled: self.shared.is_settled(),
+            checkpoint: Record::Checkpoint {
+                state: Box::new(state),
+            }
+            .encode(),
+        };
+        Ok(Response::new(reply))
     }
 
     async fn vote(&self, _request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/architecture.md draws the way of a request through it.
 
+mod administration;
 mod control;
 mod identity;
 mod metrics;
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -10,6 +10,7 @@
 use sesamecart_runtime::{ByteCount, Clock};
 use sesamecart_vocabulary::Timestamp;
 
+use crate::control::Folded;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
@@ -31,6 +32,8 @@
     pub clock: Clock,
     /// The newest picture of the control state.
     pub snapshot: ArcSwap<Snapshot>,
+    /// The folded log, of which the snapshot is a picture; only the control thread uses it.
+    pub(crate) folded: Folded,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -55,6 +58,7 @@
             identity,
             clock: Clock::start(),
             snapshot: ArcSwap::default(),
+            folded: Folded::default(),
             metrics: Metrics::new()?,
             connections: Connections::default(),
             link_bytes: ByteCount::default(),
@@ -70,6 +74,12 @@
         self.settled.store(true, Ordering::Release);
     }
 
+    /// Returns whether the node has read the log, or a majority's state, since its start.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::Acquire)
+    }
+
     /// Notes that the node leaves: it takes no new callers.
     pub fn note_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/sesamecart-node/src/snapshot.rs
+++ b/crates/sesamecart-node/src/snapshot.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_config::{Configuration, Customer, Endpoint, EndpointKind};
-use sesamecart_fold::State;
+use sesamecart_fold::{DrainTarget, State};
 use sesamecart_vocabulary::{
     CustomerId, EndpointId, KeyHash, ModelId, Offset, Revision, ServiceId,
 };
@@ -30,9 +30,9 @@
 }
 
 impl Snapshot {
-    /// Makes a picture of a folded state.
+    /// Makes a picture of a folded state and of the drains that the log doesn't have yet.
     #[must_use]
-    pub fn of(state: &State) -> Self {
+    pub fn of(state: &State, provisional: &IndexSet<DrainTarget>) -> Self {
         let configuration = Arc::clone(&state.configuration);
         let customers = configuration
             .customers
@@ -42,7 +42,10 @@
         let drained = configuration
             .endpoints
             .keys()
-            .filter(|id| state.is_drained(id))
+            .filter(|id| {
+                state.is_drained(id)
+                    || state.is_drained_by(id, |target| provisional.contains(target))
+            })
             .cloned()
             .collect();
         let mut models: IndexMap<ModelId, Vec<EndpointId>> = IndexMap::new();
