--- a/crates/sesamecart-fold/src/fold.rs
+++ b/crates/sesamecart-fold/src/fold.rs
@@ -88,7 +88,14 @@
                 vms,
                 generation,
                 shard_epoch,
-            } => self.apply_assign(at, group, vms, generation, shard_epoch),
+                version,
+            } => {
+                let applied = self.apply_assign(at, group.clone(), vms, generation, shard_epoch);
+                if matches!(applied, Applied::Assigned { .. }) {
+                    self.state.versions.insert(group, version);
+                }
+                applied
+            }
             Record::Unassign {
                 vm,
                 group,
--- a/crates/sesamecart-fold/src/fold/group.rs
+++ b/crates/sesamecart-fold/src/fold/group.rs
@@ -1,6 +1,6 @@
 //! VMs that join and leave serving groups.
 
-use sesamecart_vocabulary::{Epoch, Generation, GroupId, ShardId, VmId};
+use sesamecart_vocabulary::{Epoch, Generation, GroupId, VmId};
 
 use super::{Fold, Position};
 use crate::audit::{AuditEntry, AuditKind};
@@ -47,7 +47,7 @@
     ) -> Applied {
         let mut entry = self.assignment_audit(at, &group, shard_epoch);
         entry.new = format!("without {vm}");
-        if let Some(rejection) = self.stale(ShardId::of(group.as_str()), shard_epoch) {
+        if let Some(rejection) = self.stale(self.state.group_shard(&group), shard_epoch) {
             return self.reject(entry, rejection);
         }
         let assigned = self.state.assignments.get(&vm);
@@ -68,7 +68,7 @@
         generation: Generation,
         shard_epoch: Epoch,
     ) -> Option<Rejection> {
-        if let Some(rejection) = self.stale(ShardId::of(group.as_str()), shard_epoch) {
+        if let Some(rejection) = self.stale(self.state.group_shard(group), shard_epoch) {
             return Some(rejection);
         }
         let last = self.state.generations.get(group).copied();
@@ -89,7 +89,7 @@
     }
 
     fn assignment_audit(&self, at: Position, group: &GroupId, epoch: Epoch) -> AuditEntry {
-        let shard = ShardId::of(group.as_str());
+        let shard = self.state.group_shard(group);
         let lease = self.state.leases.get(&shard);
         let mut entry = at.audit(AuditKind::Assignment, format_args!("group {group}"));
         entry.author = match lease.filter(|lease| lease.epoch == epoch) {
--- a/crates/sesamecart-fold/src/record.rs
+++ b/crates/sesamecart-fold/src/record.rs
@@ -85,6 +85,9 @@
         generation: Generation,
         /// The epoch of the group's shard.
         shard_epoch: Epoch,
+        /// The version of the model that the generation runs; empty in records that don't say.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        version: String,
     },
     /// A VM leaves a group.
     Unassign {
--- a/crates/sesamecart-fold/src/state.rs
+++ b/crates/sesamecart-fold/src/state.rs
@@ -39,6 +39,9 @@
     pub assignments: IndexMap<VmId, Assignment>,
     /// The newest generation of each group.
     pub generations: IndexMap<GroupId, Generation>,
+    /// The version of the model that each group's generation runs.
+    #[serde(default)]
+    pub versions: IndexMap<GroupId, String>,
     /// The newest epoch that gave each endpoint an order.
     pub orders: IndexMap<EndpointId, Epoch>,
     /// The keyed actions of the last hour.
@@ -94,6 +97,22 @@
             .map(|(vm, _)| vm)
     }
 
+    /// Returns the shard whose owner controls a group: that of its fabric domain.
+    ///
+    /// Repair chooses among all groups and spares of a fabric domain. If each group had a shard of
+    /// its own, two owners could take apart each other's groups at once; see
+    /// docs/design/groups.md.
+    #[must_use]
+    pub fn group_shard(&self, group: &GroupId) -> ShardId {
+        let vms = &self.configuration.vms;
+        let configured = self.configuration.groups.get(group);
+        let configured = configured.into_iter().flat_map(|group| &group.vms);
+        let vm = configured
+            .chain(self.members(group))
+            .find_map(|vm| vms.get(vm));
+        ShardId::of(vm.map_or(group.as_str(), |vm| vm.fabric_domain.as_str()))
+    }
+
     fn is_group_drained(&self, group: &GroupId) -> bool {
         let configured = self.configuration.groups.get(group);
         let mut vms = configured
--- a/crates/sesamecart-groups/src/assignment.rs
+++ b/crates/sesamecart-groups/src/assignment.rs
@@ -2,141 +2,100 @@
 
 use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{Generation, GroupId, VmId};
 
-/// One change of a group's members or version, to be appended to the log.
+/// A change of a group's members or version, to be appended to the log.
 ///
-/// It names the generation it builds on. Appends have no compare-and-set, so two controllers (an
-/// old owner and a new one) can append at once; the one that comes second in the log builds on a
-/// past generation and is rejected everywhere alike. Appending the same request twice, after a lost
-/// answer, is harmless for the same reason.
-#[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
-#[display("{change} of {group} on generation {base}")]
-pub struct AssignmentRequest {
-    /// The group.
-    pub group: GroupId,
-    /// The generation that the change builds on; it makes the next one.
-    pub base: Generation,
-    /// What changes.
-    pub change: AssignmentChange,
-}
-
-/// What changes in a group.
-#[derive(Clone, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum AssignmentChange {
-    /// A free VM becomes a member.
-    #[display("assign {_0}")]
-    Assign(VmId),
+/// The fold accepts it only under the epoch in force of the group's shard, so that the request of an
+/// earlier owner that was paused changes nothing. A request that is appended twice after a lost
+/// answer has no second effect: the generation is past, or the VM is no member any more.
+#[derive(Clone, Debug, Display, Eq, Hash, PartialEq)]
+pub enum AssignmentRequest {
+    /// The group gets these members; those that are new must be free.
+    #[display("assign {} VMs to {group} in generation {generation}", vms.len())]
+    Assign {
+        /// The group.
+        group: GroupId,
+        /// All members, also those that it keeps.
+        vms: Vec<VmId>,
+        /// The new generation.
+        generation: Generation,
+        /// The version of the model that it runs.
+        version: String,
+    },
     /// A member becomes free.
-    #[display("unassign {_0}")]
-    Unassign(VmId),
-    /// The group is to run another version of its model.
-    #[display("version {_0}")]
-    Version(String),
-}
-
-/// Why the fold rejects a change.
-#[derive(Clone, Debug, Display, Eq, PartialEq, derive_more::Error)]
-pub enum Rejection {
-    /// The VM belongs to a group already; a second one would break both replicas.
-    #[display("{vm} belongs to {group}")]
-    #[error(ignore)]
-    Taken {
+    #[display("unassign {vm} from {group} in generation {generation}")]
+    Unassign {
         /// The VM.
         vm: VmId,
-        /// The group that has it.
+        /// The group.
         group: GroupId,
+        /// The generation that is meant.
+        generation: Generation,
     },
-    /// The VM isn't a member.
-    #[display("{_0} is no member")]
-    #[error(ignore)]
-    NoMember(VmId),
-    /// The group has changed since the request was planned.
-    #[display("the group is at generation {_0}")]
-    #[error(ignore)]
-    Stale(Generation),
+}
+
+impl AssignmentRequest {
+    /// Returns the group that is changed.
+    #[must_use]
+    pub fn group(&self) -> &GroupId {
+        match self {
+            Self::Assign { group, .. } | Self::Unassign { group, .. } => group,
+        }
+    }
+
+    /// Returns whether the request would make a VM a member.
+    #[must_use]
+    pub fn assigns(&self, vm: &VmId) -> bool {
+        match self {
+            Self::Assign { vms, .. } => vms.contains(vm),
+            Self::Unassign { .. } => false,
+        }
+    }
 }
 
 /// A group as the fold has it.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AssignedGroup {
-    /// The count of its changes.
+    /// The newest generation.
     pub generation: Generation,
-    /// The version of its model, empty before the first.
+    /// The version of its model, empty where no record says it.
     pub version: String,
     /// Its members.
     pub members: IndexSet<VmId>,
 }
 
 /// All groups' members, the same on every node that has read the log this far.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Assignments {
     groups: IndexMap<GroupId, AssignedGroup>,
     owners: IndexMap<VmId, GroupId>,
 }
 
 impl Assignments {
-    /// Applies a change if it is valid at this place in the log.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the change has no effect.
-    pub fn apply(&mut self, request: &AssignmentRequest) -> Result<Generation, Rejection> {
-        let current = self.generation(&request.group);
-        if request.base != current {
-            return Err(Rejection::Stale(current));
-        }
-        match &request.change {
-            AssignmentChange::Assign(vm) => self.assign(vm, &request.group)?,
-            AssignmentChange::Unassign(vm) => self.unassign(vm, &request.group)?,
-            AssignmentChange::Version(version) => {
-                self.entry(&request.group).version.clone_from(version);
-            }
-        }
-        let group = self.entry(&request.group);
-        group.generation = current.next();
-        Ok(group.generation)
-    }
-
-    fn entry(&mut self, group: &GroupId) -> &mut AssignedGroup {
-        self.groups.entry(group.clone()).or_default()
-    }
-
-    fn assign(&mut self, vm: &VmId, group: &GroupId) -> Result<(), Rejection> {
-        if let Some(owner) = self.owners.get(vm) {
-            return Err(Rejection::Taken {
-                vm: vm.clone(),
-                group: owner.clone(),
-            });
-        }
-        self.owners.insert(vm.clone(), group.clone());
-        self.entry(group).members.insert(vm.clone());
-        Ok(())
-    }
-
-    fn unassign(&mut self, vm: &VmId, group: &GroupId) -> Result<(), Rejection> {
-        if self.owners.get(vm) != Some(group) {
-            return Err(Rejection::NoMember(vm.clone()));
-        }
-        self.owners.swap_remove(vm);
-        self.entry(group).members.shift_remove(vm);
-        Ok(())
+    /// Makes a picture of the fold's groups.
+    #[must_use]
+    pub fn new(groups: IndexMap<GroupId, AssignedGroup>) -> Self {
+        let owner = |(group, assigned): (&GroupId, &AssignedGroup)| {
+            let group = group.clone();
+            let members = assigned.members.clone();
+            members.into_iter().map(move |vm| (vm, group.clone()))
+        };
+        let owners = groups.iter().flat_map(owner).collect();
+        Self { groups, owners }
     }
 
-    /// Returns a group that has been changed at least once.
+    /// Returns a group that was assigned at least once.
     #[must_use]
     pub fn group(&self, group: &GroupId) -> Option<&AssignedGroup> {
         self.groups.get(group)
     }
 
-    /// Returns a group's generation, zero before its first change.
+    /// Returns a group's generation, zero before its first assignment.
     #[must_use]
     pub fn generation(&self, group: &GroupId) -> Generation {
-        self.groups
-            .get(group)
-            .map_or(Generation::default(), |group| group.generation)
+        let assigned = self.groups.get(group);
+        assigned.map_or(Generation::default(), |assigned| assigned.generation)
     }
 
     /// Returns the group that a VM belongs to.
@@ -149,7 +108,15 @@
     pub fn groups(&self) -> impl Iterator<Item = (&GroupId, &AssignedGroup)> {
         self.groups.iter()
     }
-}
 
-#[cfg(test)]
-mod tests;
+    /// Returns whether a request has had its effect, or can have none any more.
+    #[must_use]
+    pub fn has_settled(&self, request: &AssignmentRequest) -> bool {
+        match request {
+            AssignmentRequest::Assign {
+                group, generation, ..
+            } => self.generation(group) >= *generation,
+            AssignmentRequest::Unassign { vm, group, .. } => self.owner(vm) != Some(group),
+        }
+    }
+}
--- a/crates/sesamecart-groups/src/controller/event.rs
+++ b/crates/sesamecart-groups/src/controller/event.rs
@@ -57,6 +57,9 @@
         /// The VM.
         vm: VmId,
     },
+    /// What the weight store gives in a second to the groups controlled here. All owners share the
+    /// store, so this falls when it refuses and rises again while it doesn't.
+    StoreRate(Bytes),
     /// The failure domains that operators have taken out.
     Drained(IndexSet<FailureDomainId>),
     /// The node holds a shard under a new epoch.
--- a/crates/sesamecart-groups/src/controller/mod.rs
+++ b/crates/sesamecart-groups/src/controller/mod.rs
@@ -95,6 +95,7 @@
                 self.take_progress(&group, &vm, &version, remaining);
             }
             Event::LoadFailed { group, vm } => self.take_failure(&group, &vm, now),
+            Event::StoreRate(rate) => self.settings.store_rate = rate,
             Event::Drained(drained) => self.drained = drained,
             Event::EpochGained { shard, epoch } => self.gain(shard, epoch, now),
             Event::EpochLost(shard) => self.lose(shard),
@@ -155,7 +156,7 @@
         self.assignments = assignments;
         let assignments = &self.assignments;
         self.pending
-            .retain(|request, _| assignments.generation(&request.group) <= request.base);
+            .retain(|request, _| !assignments.has_settled(request));
         self.publish_all(now, effects);
     }
 
--- a/crates/sesamecart-groups/src/controller/planning.rs
+++ b/crates/sesamecart-groups/src/controller/planning.rs
@@ -2,34 +2,29 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{FabricDomainId, Generation, GroupId, ModelId, Timestamp, VmId};
 
 use super::group::Preparation;
 use super::{Controller, Effect, GroupPhase};
-use crate::assignment::{AssignmentChange, AssignmentRequest};
+use crate::assignment::AssignmentRequest;
 use crate::repair::{GroupHealth, Repair, RepairView, plan_repairs, plan_replacements};
 use crate::rollout::{Replica, next_to_update};
 
 /// Fractions of a replica's worth are counted in this many parts of a model's value.
 const WORTH_SCALE: u64 = 1_000;
 
-/// Requests of one round, each built on the generation that the one before makes.
+/// Requests of one round, and the groups that they change.
 #[derive(Default)]
 struct Batch {
     requests: Vec<AssignmentRequest>,
-    generations: IndexMap<GroupId, Generation>,
+    changed: IndexSet<GroupId>,
 }
 
 impl Batch {
-    fn push(&mut self, group: &GroupId, current: Generation, change: AssignmentChange) {
-        let base = *self.generations.entry(group.clone()).or_insert(current);
-        self.generations.insert(group.clone(), base.next());
-        self.requests.push(AssignmentRequest {
-            group: group.clone(),
-            base,
-            change,
-        });
+    fn push(&mut self, request: AssignmentRequest) {
+        self.changed.insert(request.group().clone());
+        self.requests.push(request);
     }
 }
 
@@ -64,14 +59,8 @@
             if !is_new || !free || self.is_pending(group) {
                 continue;
             }
-            for vm in &plan.vms {
-                self.request(batch, group, AssignmentChange::Assign(vm.clone()));
-            }
-            self.request(
-                batch,
-                group,
-                AssignmentChange::Version(model.version.clone()),
-            );
+            let vms = plan.vms.iter().cloned().collect();
+            self.request_members(batch, group, vms, &model.version);
         }
     }
 
@@ -84,7 +73,7 @@
             for vm in &assigned.members {
                 let place = self.fleet.vms.get(vm);
                 if place.is_some_and(|place| self.fabrics.contains_key(&place.fabric_domain)) {
-                    self.request(batch, group, AssignmentChange::Unassign(vm.clone()));
+                    self.request_release(batch, group, vm);
                 }
             }
         }
@@ -179,10 +168,7 @@
             worth: u64::from(model.value.0) * WORTH_SCALE / (others + 1),
             size: model.vms_per_group,
             serving: serves,
-            busy: drained
-                || preparing
-                || self.is_pending(group)
-                || batch.generations.contains_key(group),
+            busy: drained || preparing || self.is_pending(group) || batch.changed.contains(group),
             usable,
             lost,
             leaving,
@@ -211,25 +197,49 @@
         Duration::from_secs(bytes / self.settings.vm_rate.0.max(1))
     }
 
+    /// Requests what a repair needs: VMs are freed first, since the fold gives away only free ones.
     fn request_repair(&self, repair: &Repair, batch: &mut Batch) {
+        let Some(assigned) = self.assignments.group(&repair.group) else {
+            return;
+        };
         for adoption in &repair.adopt {
             if let Some(donor) = &adoption.from {
-                self.request(
-                    batch,
-                    donor,
-                    AssignmentChange::Unassign(adoption.vm.clone()),
-                );
+                self.request_release(batch, donor, &adoption.vm);
             }
         }
         for vm in &repair.release {
-            self.request(batch, &repair.group, AssignmentChange::Unassign(vm.clone()));
+            self.request_release(batch, &repair.group, vm);
         }
-        for adoption in &repair.adopt {
-            self.request(
-                batch,
-                &repair.group,
-                AssignmentChange::Assign(adoption.vm.clone()),
-            );
+        let kept = assigned
+            .members
+            .iter()
+            .filter(|vm| !repair.release.contains(vm));
+        let adopted = repair.adopt.iter().map(|adoption| &adoption.vm);
+        let vms = kept.chain(adopted).cloned().collect();
+        self.request_members(batch, &repair.group, vms, &assigned.version);
+    }
+
+    fn request_release(&self, batch: &mut Batch, group: &GroupId, vm: &VmId) {
+        batch.push(AssignmentRequest::Unassign {
+            vm: vm.clone(),
+            group: group.clone(),
+            generation: self.assignments.generation(group),
+        });
+    }
+
+    fn request_members(&self, batch: &mut Batch, group: &GroupId, vms: Vec<VmId>, version: &str) {
+        batch.push(AssignmentRequest::Assign {
+            group: group.clone(),
+            vms,
+            generation: self.assignments.generation(group).next(),
+            version: version.to_owned(),
+        });
+    }
+
+    fn request_version(&self, batch: &mut Batch, group: &GroupId, version: &str) {
+        if let Some(assigned) = self.assignments.group(group) {
+            let vms = assigned.members.iter().cloned().collect();
+            self.request_members(batch, group, vms, version);
         }
     }
 
@@ -278,7 +288,7 @@
             let Some(group) = next_to_update(&replicas).cloned() else {
                 continue;
             };
-            if self.is_pending(&group) || batch.generations.contains_key(&group) {
+            if self.is_pending(&group) || batch.changed.contains(&group) {
                 continue;
             }
             let serves = self.phase(&group) == Some(GroupPhase::Serving);
@@ -288,7 +298,7 @@
             if serves {
                 control.preparation = Some(Preparation::Version(wanted));
             } else {
-                self.request(batch, &group, AssignmentChange::Version(wanted));
+                self.request_version(batch, &group, &wanted);
             }
         }
         self.finish_versions(batch);
@@ -321,7 +331,7 @@
             let phase = self.phase(group)?;
             let current = assigned.version == wanted;
             let preparing = matches!(control.preparation, Some(Preparation::Version(_)));
-            let pending = self.is_pending(group) || batch.generations.contains_key(group);
+            let pending = self.is_pending(group) || batch.changed.contains(group);
             Some(Replica {
                 group: group.clone(),
                 routable: phase == GroupPhase::Serving,
@@ -357,7 +367,7 @@
             });
             let serves = self.phase(&group) == Some(GroupPhase::Serving);
             if loaded {
-                self.request(batch, &group, AssignmentChange::Version(wanted));
+                self.request_version(batch, &group, &wanted);
             }
             if loaded || !serves {
                 self.groups[&group].preparation = None;
@@ -365,22 +375,17 @@
         }
     }
 
-    fn request(&self, batch: &mut Batch, group: &GroupId, change: AssignmentChange) {
-        batch.push(group, self.assignments.generation(group), change);
-    }
-
     pub(super) fn is_pending(&self, group: &GroupId) -> bool {
-        self.pending.keys().any(|request| request.group == *group)
+        self.pending.keys().any(|request| request.group() == group)
     }
 
     /// Says whether a VM can be used as a spare.
     fn is_free(&self, vm: &VmId) -> bool {
-        let assigning = |request: &AssignmentRequest| matches!(&request.change, AssignmentChange::Assign(other) if other == vm);
         self.assignments.owner(vm).is_none()
             && !self.is_lost(vm)
             && !self.is_leaving(vm)
             && !self.is_drained(vm)
-            && !self.pending.keys().any(assigning)
+            && !self.pending.keys().any(|request| request.assigns(vm))
     }
 
     fn is_reserved(&self, fabric: &FabricDomainId, vm: &VmId) -> bool {
--- a/crates/sesamecart-groups/src/lib.rs
+++ b/crates/sesamecart-groups/src/lib.rs
@@ -13,7 +13,7 @@
 mod state;
 mod weights;
 
-pub use assignment::{AssignedGroup, AssignmentChange, AssignmentRequest, Assignments, Rejection};
+pub use assignment::{AssignedGroup, AssignmentRequest, Assignments};
 pub use controller::{Controller, Effect, Event, GroupPhase, VmState};
 pub use fleet::{Fleet, GroupPlan, ModelPlan, VmPlace};
 pub use order::{FencedOrder, OrderAnswer, OrderDesk, OrderKind};
--- /dev/null
+++ b/crates/sesamecart-measure/src/groups/day.rs
@@ -0,0 +1,434 @@
+//! One day of one deployment under one policy, in virtual time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use sesamecart_groups::{Assignments, Controller, Effect, Event, OrderAnswer};
+use sesamecart_vocabulary::{Bytes, FabricDomainId, GroupId, ModelId, ShardId, Timestamp, VmId};
+
+use super::faults::{DAY, Dated};
+use super::layout::{ACCELERATORS_PER_VM, Layout, VMS_PER_GROUP};
+use super::log::Log;
+use super::platform::{Platform, STORE_RATE};
+use super::policy::Policy;
+use super::rebuild::Rebuilder;
+use super::tally::Tally;
+
+/// The time between two polls of a group, and the step of virtual time.
+const STEP: Duration = Duration::from_secs(1);
+/// How long a shard in which nothing is amiss any more is still played out.
+const SETTLE: Duration = Duration::from_secs(60);
+
+/// One shard's owner and what it owns.
+struct Owner {
+    controller: Controller,
+    fabrics: IndexMap<FabricDomainId, Members>,
+    events: Vec<Event>,
+    awake_until: Timestamp,
+    rate: Bytes,
+}
+
+#[derive(Default)]
+struct Members {
+    groups: Vec<GroupId>,
+    vms: Vec<VmId>,
+}
+
+/// One day as it goes on.
+pub(super) struct Day<'a> {
+    layout: &'a Layout,
+    policy: Policy,
+    log: Log,
+    assignments: Arc<Assignments>,
+    platform: Platform,
+    owners: IndexMap<ShardId, Owner>,
+    shard_of_vm: IndexMap<VmId, ShardId>,
+    rebuilder: Rebuilder,
+    tally: Tally,
+}
+
+impl<'a> Day<'a> {
+    /// Starts a day on which all groups run.
+    pub(super) fn begin(layout: &'a Layout, policy: Policy) -> Self {
+        let mut log = Log::default();
+        log.publish(&layout.fleet);
+        let fleet = Arc::new(layout.fleet.clone());
+        let mut owners: IndexMap<ShardId, Owner> = IndexMap::new();
+        let mut shard_of_vm = IndexMap::new();
+        for (vm, place) in &layout.fleet.vms {
+            let shard = ShardId::of(place.fabric_domain.as_str());
+            let owner = owners.entry(shard).or_insert_with(|| Owner::new(policy));
+            let members = owner
+                .fabrics
+                .entry(place.fabric_domain.clone())
+                .or_default();
+            members.vms.push(vm.clone());
+            shard_of_vm.insert(vm.clone(), shard);
+        }
+        for (group, plan) in &layout.fleet.groups {
+            let members = owners[&plan.shard()].fabrics.get_mut(&plan.fabric_domain);
+            members
+                .expect("a group's VMs lie there")
+                .groups
+                .push(group.clone());
+        }
+        for (shard, owner) in &mut owners {
+            let epoch = log.claim(*shard);
+            let now = Timestamp::ZERO;
+            owner
+                .controller
+                .handle(Event::Fleet(Arc::clone(&fleet)), now);
+            owner.controller.handle(
+                Event::EpochGained {
+                    shard: *shard,
+                    epoch,
+                },
+                now,
+            );
+            for effect in owner.controller.handle(Event::Tick, now) {
+                if let Effect::Append(request) = effect {
+                    assert!(log.request(&request), "{request} is the first of its VMs");
+                }
+            }
+        }
+        let assignments = log.assignments();
+        let platform = Platform::running(&layout.fleet, &assignments);
+        let mut day = Self {
+            layout,
+            policy,
+            log,
+            assignments,
+            platform,
+            owners,
+            shard_of_vm,
+            rebuilder: Rebuilder::default(),
+            tally: Tally::default(),
+        };
+        day.log.group_records = 0;
+        day.settle_in();
+        day
+    }
+
+    /// Lets all owners see that their groups serve, before the day's first fault.
+    fn settle_in(&mut self) {
+        let now = Timestamp::ZERO + Duration::from_secs(20);
+        for owner in self.owners.values_mut() {
+            owner
+                .events
+                .push(Event::Assignments(Arc::clone(&self.assignments)));
+            owner.awake_until = now;
+        }
+        let mut at = Timestamp::ZERO;
+        while at < now {
+            at = at + STEP;
+            self.step(at);
+        }
+        self.tally = Tally::default();
+    }
+
+    /// Plays the day out and returns what it cost.
+    pub(super) fn play(mut self, faults: &[Dated]) -> Tally {
+        let mut faults = faults.iter().peekable();
+        let mut now = Timestamp::ZERO + Duration::from_secs(20);
+        while now < DAY {
+            now = now + STEP;
+            while let Some(dated) = faults.next_if(|dated| dated.at <= now) {
+                if let Some(vm) = self.platform.happen(&dated.fault, now) {
+                    let owner = &mut self.owners[&self.shard_of_vm[&vm]];
+                    owner.awake_until = owner.awake_until.max(now + SETTLE);
+                } else {
+                    self.tell_drains(now);
+                }
+            }
+            self.step(now);
+        }
+        self.tally.records = self.log.group_records as f64;
+        self.tally
+    }
+
+    fn tell_drains(&mut self, now: Timestamp) {
+        for owner in self.owners.values_mut() {
+            owner
+                .events
+                .push(Event::Drained(self.platform.drained.clone()));
+            owner.awake_until = owner.awake_until.max(now + SETTLE);
+        }
+    }
+
+    fn step(&mut self, now: Timestamp) {
+        for progress in self.platform.advance(now, STEP) {
+            if let Some(owner) = self.owner_of(&progress.group) {
+                owner.events.push(Event::LoadProgress {
+                    group: progress.group,
+                    vm: progress.vm,
+                    version: progress.version,
+                    remaining: progress.remaining,
+                });
+            }
+        }
+        self.rebuild(now);
+        let awake: Vec<ShardId> = self
+            .owners
+            .iter()
+            .filter(|(_, owner)| owner.awake_until >= now)
+            .map(|(shard, _)| *shard)
+            .collect();
+        for shard in &awake {
+            let effects = self.run_owner(*shard, now);
+            self.carry_out(*shard, effects, now);
+        }
+        self.share_store(&awake);
+        self.count(&awake, now);
+    }
+
+    /// Tells a shard's owner what it can see and returns what it wants done.
+    fn run_owner(&mut self, shard: ShardId, now: Timestamp) -> Vec<Effect> {
+        let owner = &mut self.owners[&shard];
+        let mut effects = Vec::new();
+        let list = owner
+            .fabrics
+            .values()
+            .flat_map(|members| &members.vms)
+            .filter_map(|vm| Some((vm.clone(), *self.platform.list.get(vm)?)))
+            .collect();
+        for event in owner.events.drain(..) {
+            effects.extend(owner.controller.handle(event, now));
+        }
+        effects.extend(owner.controller.handle(Event::VmList(list), now));
+        for group in owner.fabrics.values().flat_map(|members| &members.groups) {
+            if let Some(report) = self.platform.report(group, now) {
+                effects.extend(owner.controller.handle(Event::Report(report), now));
+            }
+        }
+        effects.extend(owner.controller.handle(Event::Tick, now));
+        effects
+    }
+
+    fn carry_out(&mut self, shard: ShardId, effects: Vec<Effect>, now: Timestamp) {
+        let mut answers = Vec::new();
+        let mut appended = false;
+        for effect in effects {
+            match effect {
+                Effect::Append(request) => {
+                    appended = true;
+                    if !self.log.request(&request) {
+                        answers.push(Event::Rejected(request));
+                    }
+                }
+                Effect::Order(order) => answers.push(Event::OrderAnswered {
+                    answer: self.platform.order(&order, &self.assignments, now),
+                    group: order.group,
+                }),
+                Effect::Load {
+                    group,
+                    vm,
+                    version,
+                    bytes_per_s,
+                    ..
+                } => {
+                    answers.push(self.load(group, vm, version, bytes_per_s));
+                }
+                Effect::Publish { .. } => {}
+            }
+        }
+        if appended {
+            self.assignments = self.log.assignments();
+            answers.push(Event::Assignments(Arc::clone(&self.assignments)));
+        }
+        let owner = &mut self.owners[&shard];
+        if answers.iter().any(|event| {
+            !matches!(
+                event,
+                Event::OrderAnswered {
+                    answer: OrderAnswer::Unclear,
+                    ..
+                }
+            )
+        }) {
+            owner.awake_until = owner.awake_until.max(now + SETTLE);
+        }
+        owner.events.extend(answers);
+    }
+
+    fn load(&mut self, group: GroupId, vm: VmId, version: String, rate: Bytes) -> Event {
+        let total = self
+            .layout
+            .fleet
+            .model_of(&group)
+            .map_or(Bytes(0), |m| m.bytes_per_vm);
+        match self.platform.load(&group, &vm, &version, rate, total) {
+            Some(progress) => Event::LoadProgress {
+                group,
+                vm,
+                version,
+                remaining: progress.remaining,
+            },
+            None => Event::LoadFailed { group, vm },
+        }
+    }
+
+    /// Baseline: lays out anew the fabric domains in which a VM was lost or came back.
+    fn rebuild(&mut self, now: Timestamp) {
+        if self.policy != Policy::Rebuild {
+            return;
+        }
+        for owner in self
+            .owners
+            .values_mut()
+            .filter(|owner| owner.awake_until >= now)
+        {
+            let mut changed = false;
+            for (fabric, members) in &owner.fabrics {
+                let up = |vm: &&VmId| self.platform.is_up(vm);
+                let usable: IndexSet<VmId> = members.vms.iter().filter(up).cloned().collect();
+                let plan =
+                    self.rebuilder
+                        .plan(fabric, &members.groups, usable, &self.assignments, now);
+                for request in plan {
+                    changed = true;
+                    self.log.request(&request);
+                }
+            }
+            if changed {
+                self.assignments = self.log.assignments();
+                owner
+                    .events
+                    .push(Event::Assignments(Arc::clone(&self.assignments)));
+            }
+        }
+    }
+
+    /// Splits the store's rate evenly among the owners that load, as its refusals would do in time.
+    fn share_store(&mut self, awake: &[ShardId]) {
+        let loading: Vec<ShardId> = awake
+            .iter()
+            .filter(|shard| self.is_loading(**shard))
+            .copied()
+            .collect();
+        let part = Bytes(STORE_RATE.0 / (loading.len() as u64).max(1));
+        for shard in loading {
+            let owner = &mut self.owners[&shard];
+            if owner.rate != part {
+                owner.rate = part;
+                owner.events.push(Event::StoreRate(part));
+            }
+        }
+    }
+
+    fn is_loading(&self, shard: ShardId) -> bool {
+        let vms = self.owners[&shard]
+            .fabrics
+            .values()
+            .flat_map(|members| &members.vms);
+        vms.into_iter().any(|vm| self.platform.is_loading(vm))
+    }
+
+    fn owner_of(&mut self, group: &GroupId) -> Option<&mut Owner> {
+        let shard = self.layout.fleet.groups.get(group)?.shard();
+        self.owners.get_mut(&shard)
+    }
+
+    /// Counts this step's cost; in a shard that sleeps all groups serve.
+    fn count(&mut self, awake: &[ShardId], now: Timestamp) {
+        let mut step = Tally::default();
+        let mut served: IndexMap<ModelId, bool> = IndexMap::new();
+        for shard in awake {
+            let owner = &self.owners[shard];
+            let mut cost = Tally::default();
+            for (fabric, members) in &owner.fabrics {
+                cost += self.cost(owner, fabric, members, now, &mut served);
+            }
+            let amiss = cost.group_downtime_s > 0.0 || cost.stranded_accelerator_s > 0.0;
+            step += cost;
+            if amiss {
+                let owner = &mut self.owners[shard];
+                owner.awake_until = owner.awake_until.max(now + SETTLE);
+            }
+        }
+        step.model_out_s = self.models_out(awake, &served);
+        self.tally += step;
+    }
+
+    /// Counts the models that no group serves.
+    fn models_out(&self, awake: &[ShardId], served: &IndexMap<ModelId, bool>) -> f64 {
+        let asleep = |model: &ModelId| {
+            let mut groups = self.layout.fleet.groups.values();
+            groups.any(|plan| plan.model == *model && !awake.contains(&plan.shard()))
+        };
+        let out = served
+            .iter()
+            .filter(|(model, serves)| !**serves && !asleep(model));
+        out.count() as f64 * STEP.as_secs_f64()
+    }
+
+    /// Returns the cost of this step in one fabric domain.
+    ///
+    /// The groups of a failure domain that operators have taken out don't count: no policy could
+    /// keep them, and the domain's return counts from when it is taken in again.
+    fn cost(
+        &self,
+        owner: &Owner,
+        fabric: &FabricDomainId,
+        members: &Members,
+        now: Timestamp,
+        served: &mut IndexMap<ModelId, bool>,
+    ) -> Tally {
+        let seconds = STEP.as_secs_f64();
+        let mut cost = Tally::default();
+        let drained = self.is_drained(members);
+        let mut in_service: IndexSet<&VmId> = IndexSet::new();
+        for group in &members.groups {
+            let plan = &self.layout.fleet.groups[group];
+            let published = owner.controller.routability(group);
+            let routable = published.is_some_and(|routability| routability.is_routable(now));
+            let whole = self.platform.serves(group, now);
+            let serves = routable && whole;
+            if serves {
+                in_service.extend(
+                    self.assignments
+                        .group(group)
+                        .into_iter()
+                        .flat_map(|g| &g.members),
+                );
+            }
+            *served.entry(plan.model.clone()).or_default() |= serves;
+            if routable && !whole {
+                cost.exposed_s += seconds;
+            }
+            if !drained && !serves {
+                let value = self.layout.fleet.models[&plan.model].value;
+                cost.group_downtime_s += seconds;
+                cost.weighted_downtime_s += seconds * f64::from(value.0);
+            }
+        }
+        let up = members.vms.iter().filter(|vm| self.platform.is_up(vm));
+        let possible = up.clone().count() / VMS_PER_GROUP;
+        let idle = up.filter(|vm| !in_service.contains(vm)).count();
+        let spares = self.layout.spares.get(fabric).copied().unwrap_or(0);
+        if !drained {
+            cost.floor_s += members.groups.len().saturating_sub(possible) as f64 * seconds;
+            let stranded = idle.saturating_sub(spares) as u64 * ACCELERATORS_PER_VM;
+            cost.stranded_accelerator_s += stranded as f64 * seconds;
+        }
+        cost
+    }
+
+    fn is_drained(&self, members: &Members) -> bool {
+        let domain = |vm: &VmId| &self.layout.fleet.vms[vm].failure_domain;
+        let first = members.vms.first();
+        first.is_some_and(|vm| self.platform.drained.contains(domain(vm)))
+    }
+}
+
+impl Owner {
+    fn new(policy: Policy) -> Self {
+        Self {
+            controller: Controller::new(policy.settings()),
+            fabrics: IndexMap::new(),
+            events: Vec::new(),
+            awake_until: Timestamp::ZERO,
+            rate: STORE_RATE,
+        }
+    }
+}
