--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -1,11 +1,11 @@
-//! Measures one part of the system: `measure -- path` or `measure -- policy`.
+//! Measures one part of the system, such as `measure -- path`.
 //!
 //! The last line that a measurement prints is JSON.
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{path, policy};
+use sesamecart_measure::{groups, path, policy};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -19,6 +19,8 @@
 /// What can be measured.
 #[derive(Debug, Options)]
 enum Part {
+    #[options(help = "group downtime and stranded accelerators in a day of failures")]
+    Groups(groups::Arguments),
     #[options(help = "the node's own time and processor use on the streaming path")]
     Path(path::Arguments),
     #[options(help = "the decisions under load against simpler ones, in virtual time")]
@@ -33,6 +35,7 @@
         eprintln!("measure: no logs: {error}");
     }
     let measured = match arguments.part {
+        Some(Part::Groups(arguments)) => groups::run(&arguments),
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
         None => {
