--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -10,8 +10,13 @@
 mod drain;
 mod fold;
 mod lease;
+mod provisional;
+mod reader;
 mod record;
+mod schedule;
 mod state;
+#[cfg(test)]
+mod tests;
 mod verdict;
 
 pub use action::{
@@ -24,6 +29,9 @@
 pub use drain::{Drain, DrainTarget, ParseDrainTargetError};
 pub use fold::Fold;
 pub use lease::{Assignment, LeaseRecord};
+pub use provisional::{PROVISIONAL_LIMIT, ProvisionalDrain, ProvisionalDrains, ProvisionalError};
+pub use reader::{AppliedAt, LogReader, PageBounds, PageRead, RawRecord, Standing};
 pub use record::{DecodeError, Envelope, RECORD_VERSION, Record};
+pub use schedule::{CheckpointPace, CheckpointSchedule};
 pub use state::State;
 pub use verdict::{Applied, PublishVerdict, Rejection};
--- a/crates/sesamecart-fold/src/state.rs
+++ b/crates/sesamecart-fold/src/state.rs
@@ -39,6 +39,9 @@
     pub assignments: IndexMap<VmId, Assignment>,
     /// The newest generation of each group.
     pub generations: IndexMap<GroupId, Generation>,
+    /// The version of the model that each group's generation runs.
+    #[serde(default)]
+    pub versions: IndexMap<GroupId, String>,
     /// The newest epoch that gave each endpoint an order.
     pub orders: IndexMap<EndpointId, Epoch>,
     /// The keyed actions of the last hour.
@@ -58,24 +61,27 @@
     /// domain.
     #[must_use]
     pub fn is_drained(&self, endpoint: &EndpointId) -> bool {
-        if self.drains.is_empty() {
-            return false;
-        }
-        if self.has_drain(DrainTarget::Endpoint(endpoint.clone())) {
+        self.is_drained_by(endpoint, |target| self.drains.contains_key(target))
+    }
+
+    /// Returns whether an endpoint is out of service by drains that `has` knows.
+    #[must_use]
+    pub fn is_drained_by(&self, endpoint: &EndpointId, has: impl Fn(&DrainTarget) -> bool) -> bool {
+        if has(&DrainTarget::Endpoint(endpoint.clone())) {
             return true;
         }
         let Some(found) = self.configuration.endpoints.get(endpoint) else {
             return false;
         };
-        if self.has_drain(DrainTarget::FailureDomain(found.failure_domain.clone())) {
+        if has(&DrainTarget::FailureDomain(found.failure_domain.clone())) {
             return true;
         }
         let vm = found.vm.clone().map(DrainTarget::Vm);
-        if vm.is_some_and(|vm| self.has_drain(vm)) {
+        if vm.is_some_and(|vm| has(&vm)) {
             return true;
         }
         match &found.kind {
-            EndpointKind::Group(group) => self.is_group_drained(group),
+            EndpointKind::Group(group) => self.is_group_drained(group, has),
             EndpointKind::Service(_) => false,
         }
     }
@@ -94,17 +100,28 @@
             .map(|(vm, _)| vm)
     }
 
-    fn is_group_drained(&self, group: &GroupId) -> bool {
+    /// Returns the shard whose owner controls a group: that of its fabric domain.
+    ///
+    /// Repair chooses among all groups and spares of a fabric domain. If each group had a shard of
+    /// its own, two owners could take apart each other's groups at once; see
+    /// docs/design/groups.md.
+    #[must_use]
+    pub fn group_shard(&self, group: &GroupId) -> ShardId {
+        let vms = &self.configuration.vms;
+        let configured = self.configuration.groups.get(group);
+        let configured = configured.into_iter().flat_map(|group| &group.vms);
+        let vm = configured
+            .chain(self.members(group))
+            .find_map(|vm| vms.get(vm));
+        ShardId::of(vm.map_or(group.as_str(), |vm| vm.fabric_domain.as_str()))
+    }
+
+    fn is_group_drained(&self, group: &GroupId, has: impl Fn(&DrainTarget) -> bool) -> bool {
         let configured = self.configuration.groups.get(group);
         let mut vms = configured
             .into_iter()
             .flat_map(|group| &group.vms)
             .chain(self.members(group));
-        self.has_drain(DrainTarget::Group(group.clone()))
-            || vms.any(|vm| self.has_drain(DrainTarget::Vm(vm.clone())))
-    }
-
-    fn has_drain(&self, target: DrainTarget) -> bool {
-        self.drains.contains_key(&target)
+        has(&DrainTarget::Group(group.clone())) || vms.any(|vm| has(&DrainTarget::Vm(vm.clone())))
     }
 }
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -7,8 +7,8 @@
 use anyhow::{Context as _, bail, ensure};
 use indexmap::IndexMap;
 use sesamecart_config::{
-    CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer, LogSettings, Settings,
-    import_sheet,
+    AdministrationAccess, CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer,
+    LogSettings, Settings, import_sheet,
 };
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
@@ -163,10 +163,13 @@
             region,
             callers: loopback,
             administration: loopback,
+            access: AdministrationAccess::default(),
             links: loopback,
             log: LogSettings {
                 address: self.log.address(),
                 poll_ms: 200,
+                checkpoint_ms: 600_000,
+                checkpoint_records: 10_000,
             },
             vm_list: Some(self.vm_list.address()),
             weight_store: Some(self.weight_store.address()),
--- a/crates/sesamecart-node/src/actions/asker.rs
+++ b/crates/sesamecart-node/src/actions/asker.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use sesamecart_actions::{Asking, Decision, RefusalReason};
-use sesamecart_edges::VmList;
 use sesamecart_links::message::{
     BeginActionReply, BeginActionRequest, FinishActionReply, FinishActionRequest, HeartbeatRequest,
 };
@@ -25,8 +24,6 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
 /// The first and the longest time between two tries to tell an end.
 const TELL_RESTS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// The time between two readings of the platform's list of nodes.
-const LIST_REST: Duration = Duration::from_millis(500);
 /// The most ends that wait to be told; beyond it a request tells its own before it answers.
 const MAX_UNTOLD: usize = 4_096;
 
@@ -95,7 +92,7 @@
 
     async fn ask_there(&self, node: &NodeId, shard: ShardId, asking: &Asking) -> Option<Decision> {
         let now = self.now();
-        let mut client = self.links.to(self.directory.address(node)?);
+        let mut client = self.peers.links().to(self.directory.address(node)?);
         let req = wire::begin_request(asking, &self.shared.identity.node, now);
         let reply = within(CALL_LIMIT, client.begin_action(req)).await;
         let Ok(Ok(reply)) = reply else {
@@ -113,7 +110,7 @@
     }
 
     fn holder(&self, shard: ShardId) -> Option<NodeId> {
-        self.fold.read(|fold| {
+        self.folded().with(|fold| {
             let lease = fold.leases.get(&shard)?;
             (!lease.released).then(|| lease.holder.clone())
         })
@@ -174,7 +171,7 @@
         let Some(address) = self.directory.address(node) else {
             return;
         };
-        let mut client = self.links.to(address);
+        let mut client = self.peers.links().to(address);
         let probed = within(PROBE_LIMIT, client.heartbeat(HeartbeatRequest::default())).await;
         if matches!(probed, Ok(Ok(_))) {
             self.directory.trust(node);
@@ -225,17 +222,6 @@
         let _late = within(by - self.now(), self.tell_until_recorded(&ending)).await;
     }
 
-    /// Keeps the list of nodes as new as the platform's.
-    pub(crate) async fn follow_list(self: Arc<Self>, list: impl VmList) {
-        loop {
-            match list.read().await {
-                Ok(listed) => self.directory.take_list(&listed),
-                Err(error) => log::debug!("actions: {error}."),
-            }
-            sleep(LIST_REST).await;
-        }
-    }
-
     /// Returns how many ends wait to be told.
     pub(super) fn untold(&self) -> usize {
         self.shared.untold_ends.load(Ordering::Acquire)
@@ -266,7 +252,7 @@
                 let Some(address) = self.directory.address(&node) else {
                     return false;
                 };
-                let mut client = self.links.to(address);
+                let mut client = self.peers.links().to(address);
                 let req = wire::finish_request(ending);
                 let reply = within(CALL_LIMIT, client.finish_action(req)).await;
                 match reply {
--- a/crates/sesamecart-node/src/actions/commit.rs
+++ b/crates/sesamecart-node/src/actions/commit.rs
@@ -56,7 +56,7 @@
         let record = Record::ActionBatch { parts: batch.parts }.encode();
         let read_back = async {
             let offset = self.log.append(record.into()).await?;
-            self.fold.applied(offset).await;
+            self.folded().applied(offset).await;
             Ok::<_, anyhow::Error>(())
         };
         let done = match within(APPEND_LIMIT, read_back).await {
@@ -92,8 +92,8 @@
     /// Returns whether the follower has read every intent back, though the answer was lost.
     fn all_stand(&self, intents: &[ActionIntent]) -> bool {
         let stands = |intent| {
-            self.fold
-                .read(|fold| verdict_of(&fold.actions, intent) == IntentVerdict::Stands)
+            self.folded()
+                .with(|fold| verdict_of(&fold.actions, intent) == IntentVerdict::Stands)
         };
         !intents.is_empty() && intents.iter().all(stands)
     }
@@ -104,8 +104,8 @@
     /// least one must be in another failure domain, whose loss would otherwise take all copies.
     async fn mirror(self: Arc<Self>, batch: MirrorBatch) {
         let lease = self
-            .fold
-            .read(|fold| fold.leases.get(&batch.shard).cloned());
+            .folded()
+            .with(|fold| fold.leases.get(&batch.shard).cloned());
         let lease = lease.filter(|lease| lease.epoch == batch.epoch && !lease.released);
         let kept = match lease {
             Some(lease) => self.copy_to_voters(&batch, &lease).await,
@@ -147,7 +147,7 @@
         let Some(address) = self.directory.address(voter) else {
             return false;
         };
-        let mut client = self.links.to(address);
+        let mut client = self.peers.links().to(address);
         let reply = within(MIRROR_LIMIT, client.mirror_intent(req)).await;
         matches!(reply, Ok(Ok(reply)) if reply.get_ref().kept)
     }
--- a/crates/sesamecart-node/src/actions/desk.rs
+++ b/crates/sesamecart-node/src/actions/desk.rs
@@ -11,13 +11,12 @@
 };
 use sesamecart_edges::Log;
 use sesamecart_fold::ActionKey;
-use sesamecart_links::Links;
 use sesamecart_runtime::{Tasks, within};
 use sesamecart_vocabulary::{ShardId, Timestamp};
 
 use super::directory::Directory;
 use super::wire::Ending;
-use crate::control::FoldCell;
+use crate::control::{Folded, Peers};
 use crate::shared::Shared;
 
 /// How long a call waits for the first answer to a key before it is told to ask again.
@@ -51,9 +50,8 @@
 #[derive(Debug)]
 pub(crate) struct Desk {
     pub(super) shared: Arc<Shared>,
-    pub(super) fold: FoldCell,
     pub(super) log: Arc<dyn Log>,
-    pub(super) links: Links,
+    pub(super) peers: Peers,
     pub(super) tasks: Tasks,
     pub(super) directory: Directory,
     state: Mutex<State>,
@@ -64,13 +62,12 @@
 impl Desk {
     pub(crate) fn new(
         shared: Arc<Shared>,
-        fold: FoldCell,
         log: Arc<dyn Log>,
-        links: Links,
+        peers: Peers,
         tasks: Tasks,
     ) -> Arc<Self> {
         let (wake, woken) = async_channel::bounded(1);
-        let directory = Directory::new(&shared.settings);
+        let directory = Directory::new(&shared.settings, peers.clone());
         let state = State {
             owners: IndexMap::new(),
             commit: GroupCommit::new(CommitConfig::default()),
@@ -83,9 +80,8 @@
         };
         Arc::new(Self {
             shared,
-            fold,
             log,
-            links,
+            peers,
             tasks,
             directory,
             state: Mutex::new(state),
@@ -98,6 +94,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn folded(&self) -> &Folded {
+        &self.shared.folded
+    }
+
     pub(super) fn now(&self) -> Timestamp {
         self.shared.clock.now()
     }
@@ -163,7 +163,7 @@
         let Some(epoch) = state.owners.get(&shard).map(Owner::epoch) else {
             return false;
         };
-        let in_force = self.fold.read(|fold| {
+        let in_force = self.folded().with(|fold| {
             let lease = fold.leases.get(&shard);
             lease.is_some_and(|lease| lease.epoch == epoch && !lease.released)
         });
@@ -189,7 +189,7 @@
         };
         let mut out = Vec::new();
         let (now, wall_ms) = (self.now(), wall_ms());
-        self.fold.read(|fold| {
+        self.folded().with(|fold| {
             let known = KnownActions {
                 now,
                 wall_ms,
@@ -217,12 +217,12 @@
     /// Ends what is overdue, and forgets what the log tells by now.
     pub(super) fn tick(&self) {
         let mut state = self.lock();
-        if let Some(offset) = self.fold.settled_from() {
+        if let Some(offset) = self.folded().settled_from() {
             state.mirrors.settle(offset);
         }
         if !state.mirrors.is_empty() {
-            self.fold
-                .read(|fold| state.mirrors.forget_logged(&fold.actions));
+            self.folded()
+                .with(|fold| state.mirrors.forget_logged(&fold.actions));
         }
         let shards: Vec<_> = state.owners.keys().copied().collect();
         for shard in shards {
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -42,7 +42,7 @@
     }
 
     async fn claim(&self, shard: ShardId) -> anyhow::Result<()> {
-        let last = self.fold.read(|fold| fold.leases.get(&shard).cloned());
+        let last = self.folded().with(|fold| fold.leases.get(&shard).cloned());
         let record = Record::Claim {
             shard,
             holder: self.shared.identity.node.clone(),
@@ -52,7 +52,7 @@
         };
         let appended = async {
             let offset = self.log.append(record.encode().into()).await?;
-            self.fold.applied(offset).await;
+            self.folded().applied(offset).await;
             Ok::<_, anyhow::Error>(offset)
         };
         let offset = match within(CLAIM_LIMIT, appended).await {
@@ -60,7 +60,7 @@
             Err(elapsed) => return Err(elapsed.into()),
         };
         let epoch = Epoch(offset.0);
-        if self.fold.read(|fold| fold.epoch(shard)) != Some(epoch) {
+        if self.folded().with(|fold| fold.epoch(shard)) != Some(epoch) {
             return Ok(());
         }
         log::info!("actions: shard {shard} is owned here under epoch {epoch}.");
@@ -127,7 +127,7 @@
         let reply = if *voter == self.shared.identity.node {
             self.tell_mirrors(&req)
         } else {
-            let mut client = self.links.to(self.directory.address(voter)?);
+            let mut client = self.peers.links().to(self.directory.address(voter)?);
             let reply = within(GATHER_CALL_LIMIT, client.fetch_mirrors(req)).await;
             reply.ok()?.ok()?.into_inner()
         };
--- a/crates/sesamecart-node/src/actions/voter.rs
+++ b/crates/sesamecart-node/src/actions/voter.rs
@@ -25,7 +25,7 @@
         };
         let intents: Vec<_> = intents_of(&parts).cloned().collect();
         let mut state = self.lock();
-        if let Some(offset) = self.fold.settled_from() {
+        if let Some(offset) = self.folded().settled_from() {
             state.mirrors.settle(offset);
         }
         let in_force = self.in_force(shard);
@@ -58,6 +58,6 @@
     }
 
     fn in_force(&self, shard: ShardId) -> Option<Epoch> {
-        self.fold.read(|fold| fold.epoch(shard))
+        self.folded().with(|fold| fold.epoch(shard))
     }
 }
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -1,20 +1,25 @@
 //! The control thread: it follows the log, keeps links to other nodes and publishes pictures of the
 //! state to the traffic threads.
 
-mod cell;
+mod folded;
 mod follower;
 mod link;
+mod peers;
+mod upkeep;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log};
+use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
 use sesamecart_links::Links;
 use sesamecart_runtime::{Signal, Worker};
 
 use crate::actions::Desk;
+use crate::administration;
+pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
+pub(crate) use crate::control::peers::{PeerView, Peers};
 use crate::node::Listeners;
 use crate::shared::Shared;
 
@@ -24,8 +29,6 @@
 /// How long opening a connection to the platform may take.
 const PLATFORM_CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-pub(crate) use cell::FoldCell;
-
 /// Starts the control thread.
 pub(crate) fn start(
     shared: &Arc<Shared>,
@@ -35,22 +38,37 @@
     let worker = Worker::start(format!("control-{}", shared.identity.node))?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
-    let fold = FoldCell::default();
     let log: Arc<dyn Log> = Arc::new(HttpLog::new(
         client.clone(),
         shared.settings.log.address,
         LOG_CALL_LIMIT,
     ));
-    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log), fold.clone());
-    tasks.spawn(follower.run());
-    let links = listeners.links.try_clone()?;
-    let link_clients = Links::new(tasks.clone(), shared.link_bytes.clone());
-    let desk = Desk::new(Arc::clone(shared), fold, log, link_clients, tasks.clone());
-    tasks.spawn(Arc::clone(&desk).run());
+    let links = Links::new(tasks.clone(), shared.link_bytes.clone());
+    let peers = Peers::new(Arc::clone(shared), links);
     if let Some(address) = shared.settings.vm_list {
-        let list = HttpVmList::new(client, address, LOG_CALL_LIMIT);
-        tasks.spawn(Arc::clone(&desk).follow_list(list));
+        let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
+        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
     }
+    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log), peers.clone());
+    tasks.spawn(follower.run());
+    tasks.spawn(upkeep::write_checkpoints(
+        Arc::clone(shared),
+        Arc::clone(&log),
+    ));
+    tasks.spawn(upkeep::spread_drains(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+    ));
+    let desk = Desk::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(Arc::clone(&desk).run());
+    administration::start(shared, listeners, leaving, &tasks, log, peers)?;
+    let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
     let count = shared.link_bytes.clone();
     tasks.spawn({
@@ -61,6 +79,5 @@
             }
         }
     });
-    let _used_on_leave = leaving;
     Ok((worker, desk))
 }
