Measure keyed actions through nine nodes under faults

Cause: nothing showed what a key costs, or that transfers run once while nodes and the log fail. Change: measure -- actions books transfers through nine nodes while nodes crash and pause, the log goes out and a domain leaves, counts every run in the ledger, and does the same without keys. Nodes claim free shards ahead of the first key and wait for enough voters after their start.

--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{groups, path, policy};
+use sesamecart_measure::{actions, groups, path, policy};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -19,6 +19,8 @@
 /// What can be measured.
 #[derive(Debug, Options)]
 enum Part {
+    #[options(help = "keyed actions through nine nodes under faults, and without keys")]
+    Actions(actions::Arguments),
     #[options(help = "group downtime and stranded accelerators in a day of failures")]
     Groups(groups::Arguments),
     #[options(help = "the node's own time and processor use on the streaming path")]
@@ -35,6 +37,7 @@
         eprintln!("measure: no logs: {error}");
     }
     let measured = match arguments.part {
+        Some(Part::Actions(arguments)) => actions::run(&arguments),
         Some(Part::Groups(arguments)) => groups::run(&arguments),
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -13,13 +13,13 @@
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
 use sesamecart_node::Node;
-use sesamecart_runtime::{Worker, sleep};
+use sesamecart_runtime::{Signal, Worker, sleep};
 use sesamecart_standins::{
-    Engine, EngineConfig, EngineSpeed, ListedVm, LogConfig, LogService, PlainService,
+    Engine, EngineConfig, EngineSpeed, Ledger, ListedVm, LogConfig, LogService, PlainService,
     PlainServiceConfig, VmList, VmRole, VmState, WeightStore, WeightStoreConfig,
 };
 use sesamecart_vocabulary::{
-    Bytes, EndpointId, FailureDomainId, KeyHash, NodeId, Offset, RegionId, Revision,
+    Bytes, EndpointId, FailureDomainId, KeyHash, NodeId, Offset, RegionId, Revision, ServiceId,
 };
 
 /// The caller's key that every cluster's customers have.
@@ -65,6 +65,8 @@
     pub engines: IndexMap<EndpointId, Engine>,
     /// The plain services.
     pub services: IndexMap<EndpointId, PlainService>,
+    /// The ledger of each plain service, which its processes share.
+    pub ledgers: IndexMap<ServiceId, Ledger>,
     /// The nodes.
     pub nodes: Vec<Node>,
     /// The configuration, with the stand-ins' addresses.
@@ -90,6 +92,7 @@
         })?;
         let mut engines = IndexMap::new();
         let mut services = IndexMap::new();
+        let mut ledgers: IndexMap<ServiceId, Ledger> = IndexMap::new();
         for (id, endpoint) in &mut configuration.endpoints {
             match &endpoint.kind {
                 EndpointKind::Group(group) => {
@@ -108,8 +111,13 @@
                     endpoint.address = engine.address();
                     engines.insert(id.clone(), engine);
                 }
-                EndpointKind::Service(_) => {
-                    let service = PlainService::start(PlainServiceConfig::default())?;
+                EndpointKind::Service(service) => {
+                    let ledger = ledgers.entry(service.clone()).or_default().clone();
+                    let config = PlainServiceConfig {
+                        ledger,
+                        ..PlainServiceConfig::default()
+                    };
+                    let service = PlainService::start(config)?;
                     endpoint.address = service.address();
                     services.insert(id.clone(), service);
                 }
@@ -125,6 +133,7 @@
             weight_store,
             engines,
             services,
+            ledgers,
             nodes: Vec::new(),
             configuration,
             operator,
@@ -312,6 +321,31 @@
         self.nodes[node].shared().snapshot.load().revision
     }
 
+    /// Kills a node as a crash would, and starts it again later under the same name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such node.
+    pub fn kill_node(&mut self, node: &NodeId) -> anyhow::Result<()> {
+        let named = |one: &Node| one.shared().settings.node == *node;
+        let index = self.nodes.iter().position(named);
+        self.nodes.remove(index.context("no such node")?).kill();
+        Ok(())
+    }
+
+    /// Lets a node leave in good order and returns how many connections it cut off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such node.
+    pub async fn leave_node(&mut self, node: &NodeId) -> anyhow::Result<usize> {
+        let named = |one: &Node| one.shared().settings.node == *node;
+        let index = self.nodes.iter().position(named);
+        let node = self.nodes.remove(index.context("no such node")?);
+        let (_never, hurry) = Signal::new();
+        Ok(node.leave(&hurry).await)
+    }
+
     /// Stops all nodes and stand-ins and joins their threads.
     pub fn stop(mut self) {
         for node in self.nodes.drain(..) {
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Quickstart and measurements of the whole system against stand-ins.
 
+pub mod actions;
 mod caller;
 mod cluster;
 pub mod groups;
--- a/crates/sesamecart-measure/src/quickstart.rs
+++ b/crates/sesamecart-measure/src/quickstart.rs
@@ -305,8 +305,8 @@
 }
 
 fn count_runs(cluster: &Cluster, findings: &mut Findings) {
-    for service in cluster.services.values() {
-        findings.transfers_run += service
+    for ledger in cluster.ledgers.values() {
+        findings.transfers_run += ledger
             .runs()
             .values()
             .map(|runs| u64::from(*runs))
--- a/crates/sesamecart-node/src/actions/asker.rs
+++ b/crates/sesamecart-node/src/actions/asker.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Returns whether nobody holds a shard and this node should.
+    pub(super) fn is_to_take(&self, shard: ShardId) -> bool {
+        self.place(shard) == Place::ToTake
+    }
+
     /// Decides for another node that asks over a link.
     pub(crate) async fn begin_for(
         self: &Arc<Self>,
--- a/crates/sesamecart-node/src/actions/commit.rs
+++ b/crates/sesamecart-node/src/actions/commit.rs
@@ -27,13 +27,19 @@
 impl Desk {
     /// Runs the commit loop and the ticks until the control thread stops.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut ticked = self.now();
         loop {
             let wait = self.step();
             future::or(sleep(wait), async {
                 let _woken = self.woken.recv().await;
             })
             .await;
-            self.tick();
+            let now = self.now();
+            if now >= ticked + TICK {
+                ticked = now;
+                self.tick();
+                self.claim_free();
+            }
         }
     }
 
--- a/crates/sesamecart-node/src/actions/desk.rs
+++ b/crates/sesamecart-node/src/actions/desk.rs
@@ -1,5 +1,6 @@
 //! What this node holds of keyed actions: the shards that it owns, its group commit and its mirrors.
 
+use std::sync::atomic::AtomicU16;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -55,6 +56,8 @@
     pub(super) tasks: Tasks,
     pub(super) directory: Directory,
     state: Mutex<State>,
+    /// The shard from which the next tick looks for free ones.
+    pub(super) next_free: AtomicU16,
     wake: Sender<()>,
     pub(super) woken: Receiver<()>,
 }
@@ -85,6 +88,7 @@
             tasks,
             directory,
             state: Mutex::new(state),
+            next_free: AtomicU16::new(0),
             wake,
             woken,
         })
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -1,6 +1,7 @@
 //! Claiming a shard, hearing its last owner's voters, and giving shards up on leave.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -9,13 +10,19 @@
 use sesamecart_lease::choose_voters;
 use sesamecart_links::message::FetchMirrorsRequest;
 use sesamecart_runtime::{sleep, within};
-use sesamecart_vocabulary::{Epoch, Offset, ShardId};
+use sesamecart_vocabulary::{Epoch, Offset, SHARDS, ShardId, Timestamp};
 
 use super::commit::intents_of;
 use super::desk::Desk;
 
 /// How long a claim may take to be appended and read back.
 const CLAIM_LIMIT: Duration = Duration::from_secs(1);
+/// The fewest voters of a claim; with less, no outage could be borne.
+const FEWEST_VOTERS: usize = 3;
+/// How long after its start a node waits for the list of nodes before it claims with fewer voters.
+const START_HOLD: Duration = Duration::from_secs(3);
+/// The shards that one tick looks at, so that many nodes don't make a tick long.
+const SHARDS_PER_TICK: u16 = 8;
 /// How long one voter may take to tell what it keeps.
 const GATHER_CALL_LIMIT: Duration = Duration::from_millis(400);
 /// The time between two rounds of questions to the last owner's voters.
@@ -41,14 +48,35 @@
         });
     }
 
+    /// Claims the next shards that nobody holds and this node should.
+    ///
+    /// No claim can be made while the log is out, so a shard that was only claimed when the first
+    /// key came would refuse every key in an outage.
+    pub(super) fn claim_free(self: &Arc<Self>) {
+        if !self.shared.folded.log_answers() || self.shared.unready_because().is_some() {
+            return;
+        }
+        let first = self.next_free.fetch_add(SHARDS_PER_TICK, Ordering::Relaxed) % SHARDS;
+        for shard in (first..SHARDS).take(usize::from(SHARDS_PER_TICK)) {
+            if self.is_to_take(ShardId(shard)) {
+                self.take_over(ShardId(shard));
+            }
+        }
+    }
+
     async fn claim(&self, shard: ShardId) -> anyhow::Result<()> {
+        let now = self.now();
+        let voters = choose_voters(shard, &self.directory.view(now));
+        if voters.len() < FEWEST_VOTERS && now < Timestamp::ZERO + START_HOLD {
+            return Ok(());
+        }
         let last = self.folded().with(|fold| fold.leases.get(&shard).cloned());
         let record = Record::Claim {
             shard,
             holder: self.shared.identity.node.clone(),
             incarnation: self.shared.identity.incarnation,
             builds_on: last.as_ref().map(|lease| lease.epoch),
-            voters: choose_voters(shard, &self.directory.view(self.now())),
+            voters,
         };
         let appended = async {
             let offset = self.log.append(record.encode().into()).await?;
--- a/crates/sesamecart-node/src/node.rs
+++ b/crates/sesamecart-node/src/node.rs
@@ -168,6 +168,17 @@
         cut_off
     }
 
+    /// Stops all threads for a time, as a VM that is paused; for tests and measurements.
+    ///
+    /// The threads resume where they stopped, with leases that have lapsed and answers that are late.
+    pub fn pause(&self, time: Duration) {
+        for worker in self.traffic.iter().chain([&self.control]) {
+            worker
+                .tasks()
+                .spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
     /// Stops at once, as a crash would; requests in flight are cut off.
     pub fn kill(mut self) {
         self.stop();
--- a/crates/sesamecart-standins/src/ledger.rs
+++ b/crates/sesamecart-standins/src/ledger.rs
@@ -39,7 +39,9 @@
         self.lock().runs.clone()
     }
 
-    pub(crate) fn runs_of(&self, transfer: &str) -> u32 {
+    /// Returns how often one transfer has run.
+    #[must_use]
+    pub fn runs_of(&self, transfer: &str) -> u32 {
         self.lock().runs.get(transfer).copied().unwrap_or(0)
     }
 
