Test the command line against nodes and a failing log

Cause: publish, drains and starts through real nodes had no test. Change: 15 tests run the command line against up to four nodes: conflicts, old sheets, capacity drops, roles, drains while the log refuses, cuts or is silent, lost answers at a rate of 0.7, start from a checkpoint and from peers, keys, audit export. A unit test covers whose state a starting node takes.

--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -10,7 +10,7 @@
 use sesamecart_runtime::{sleep, within};
 use sesamecart_vocabulary::{Offset, Timestamp};
 
-use crate::control::peers::{PEER_LIMIT, Peer, Peers};
+use crate::control::peers::{PEER_LIMIT, Peer, PeerView, Peers};
 use crate::shared::Shared;
 
 /// The most records that one read asks for.
@@ -146,16 +146,7 @@
 
     async fn start_from_peers(&self, begun: Timestamp) {
         let views = self.peers.ask_all().await;
-        let nodes = views.len() + 1;
-        let folded = views.iter().filter_map(|view| {
-            let standing = view.standing?;
-            (standing.next_offset > Offset(0)).then_some((standing, &view.peer))
-        });
-        let folded: Vec<_> = folded.collect();
-        if 2 * folded.len() <= nodes {
-            return;
-        }
-        if let Some((_, newest)) = folded.into_iter().max_by_key(|(standing, _)| *standing) {
+        if let Some(newest) = newest_of_majority(&views) {
             self.adopt_from(newest, begun).await;
         }
     }
@@ -213,6 +204,22 @@
     }
 }
 
+/// Returns the node with the newest state, if a majority of all nodes, this one included, told
+/// theirs.
+fn newest_of_majority(views: &[PeerView]) -> Option<&Peer> {
+    let nodes = views.len() + 1;
+    let folded = views.iter().filter_map(|view| {
+        let standing = view.standing?;
+        (standing.next_offset > Offset(0)).then_some((standing, &view.peer))
+    });
+    let folded: Vec<_> = folded.collect();
+    if 2 * folded.len() <= nodes {
+        return None;
+    }
+    let newest = folded.into_iter().max_by_key(|(standing, _)| *standing);
+    newest.map(|(_, peer)| peer)
+}
+
 fn report(offset: Offset, applied: &Applied) {
     match applied {
         Applied::Skipped(error) => {
@@ -223,3 +230,6 @@
         other => log::debug!("fold: offset {offset}: {other:?}."),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sesamecart-node/tests/callers/setup.rs
+++ b/crates/sesamecart-node/tests/callers/setup.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use sesamecart_config::{CallerBounds, Configuration, LogSettings, Settings};
+use sesamecart_config::{CallerBounds, Configuration, Settings};
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::Record;
 use sesamecart_node::Node;
@@ -65,7 +65,7 @@
         let settings = json!({
             "node": "node-1", "failure_domain": "muscat-a", "region": "muscat",
             "callers": loopback, "administration": loopback, "links": loopback,
-            "log": LogSettings { address: log.address(), poll_ms: 50 },
+            "log": { "address": log.address(), "poll_ms": 50 },
             "bounds": CallerBounds {
                 max_body_bytes: Bytes(MAX_BODY as u64),
                 body_limit_ms: 300,
--- /dev/null
+++ b/crates/sesamecart/tests/operator/deployment.rs
@@ -0,0 +1,235 @@
+//! A log, some nodes and the command line, each test with its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use sesamecart_config::{AdministrationAccess, LinkPeer, LogSettings, Operator, Role, Settings};
+use sesamecart_node::Node;
+use sesamecart_standins::{LogConfig, LogFaults, LogOutage, LogService};
+use sesamecart_vocabulary::KeyHash;
+
+/// How long something may take before a test fails; it only bounds a hang.
+const LIMIT: Duration = Duration::from_secs(30);
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+/// A log, some nodes and a folder for files.
+pub(crate) struct Deployment {
+    log: LogService,
+    nodes: Vec<Node>,
+    folder: PathBuf,
+}
+
+/// What a run of the command line printed, and its exit status.
+#[derive(Debug)]
+pub(crate) struct Run {
+    status: i32,
+    text: String,
+}
+
+impl Deployment {
+    pub(crate) fn start(nodes: usize, config: LogConfig) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("sesamecart-operator-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut deployment = Self {
+            log: LogService::start(config).unwrap(),
+            nodes: Vec::new(),
+            folder,
+        };
+        for _ in 0..nodes {
+            deployment.start_node();
+        }
+        deployment.wait_for("ready nodes", |deployment| {
+            (0..nodes).all(|index| deployment.is_ready(index))
+        });
+        deployment
+    }
+
+    /// Starts one more node, which knows those before it; the first knows all that may come.
+    pub(crate) fn start_node(&mut self) {
+        let peers: Vec<_> = self.nodes.iter().map(peer).collect();
+        let settings = settings(self.nodes.len() + 1, self.log.address(), peers);
+        self.nodes.push(Node::start(settings).unwrap());
+    }
+
+    /// Runs the command line as an operator, at the node that knows all others.
+    pub(crate) fn run(&self, operator: &str, arguments: &[&str]) -> Run {
+        let server = self.nodes.last().unwrap().administration().to_string();
+        Run::with(arguments, &server, &format!("token-of-{operator}"))
+    }
+
+    pub(crate) fn file(&self, name: &str) -> String {
+        self.folder.join(name).to_str().unwrap().to_owned()
+    }
+
+    pub(crate) fn log_outage(&self, outage: LogOutage) {
+        self.log_faults(LogFaults {
+            outage,
+            ..LogFaults::default()
+        });
+    }
+
+    pub(crate) fn log_faults(&self, faults: LogFaults) {
+        self.log.set_faults(faults);
+    }
+
+    pub(crate) fn is_ready(&self, node: usize) -> bool {
+        self.nodes[node].shared().unready_because().is_none()
+    }
+
+    pub(crate) fn revisions(&self) -> Vec<u64> {
+        let shared = self.nodes.iter().map(Node::shared);
+        shared
+            .map(|shared| shared.snapshot.load().revision.0)
+            .collect()
+    }
+
+    /// Returns for each node how many endpoints may take new work of the first customer.
+    pub(crate) fn open_endpoints(&self) -> Vec<usize> {
+        let count = |node: &Node| {
+            let snapshot = node.shared().snapshot.load();
+            let customer = &snapshot.configuration.customers[0];
+            let models = customer
+                .models
+                .iter()
+                .map(|id| snapshot.model_endpoints(customer, id).count());
+            let services = customer.services.iter();
+            let services = services.map(|id| snapshot.service_endpoints(customer, id).count());
+            models.sum::<usize>() + services.sum::<usize>()
+        };
+        self.nodes.iter().map(count).collect()
+    }
+
+    pub(crate) fn knows_key(&self, key: &str) -> bool {
+        let snapshot = self.nodes[0].shared().snapshot.load();
+        snapshot.customer(&KeyHash::of(key.as_bytes())).is_some()
+    }
+
+    pub(crate) fn wait_for(&self, what: &str, done: impl Fn(&Self) -> bool) {
+        let begun = Instant::now();
+        while !done(self) {
+            assert!(begun.elapsed() < LIMIT, "waited in vain for {what}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for node in self.nodes.drain(..) {
+            node.kill();
+        }
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+}
+
+impl Run {
+    /// Runs the command line without a node.
+    pub(crate) fn of(arguments: &[&str]) -> Self {
+        Self::with(arguments, "", "")
+    }
+
+    fn with(arguments: &[&str], server: &str, token: &str) -> Self {
+        let output = Command::new(env!("CARGO_BIN_EXE_sesamecart"))
+            .args(arguments)
+            .env("SESAMECART_SERVER", server)
+            .env("SESAMECART_TOKEN", token)
+            .output()
+            .unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        Self {
+            status: output.status.code().unwrap(),
+            text: String::from_utf8(text).unwrap(),
+        }
+    }
+
+    pub(crate) fn done(self) -> Self {
+        self.exits(0)
+    }
+
+    pub(crate) fn exits(self, status: i32) -> Self {
+        assert_eq!(self.status, status, "{}", self.text);
+        self
+    }
+
+    pub(crate) fn says(self, part: &str) -> Self {
+        assert!(
+            self.text.contains(part),
+            "{part:?} is not in:\n{}",
+            self.text
+        );
+        self
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns what stands after `start` in the first line that begins so.
+    pub(crate) fn field(&self, start: &str) -> String {
+        let mut lines = self.text.lines();
+        lines
+            .find_map(|line| line.strip_prefix(start))
+            .unwrap()
+            .to_owned()
+    }
+}
+
+/// Returns the path of a file in `examples`.
+pub(crate) fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn peer(node: &Node) -> LinkPeer {
+    let settings = &node.shared().settings;
+    LinkPeer {
+        node: settings.node.clone(),
+        address: node.links(),
+        failure_domain: settings.failure_domain.clone(),
+    }
+}
+
+fn settings(number: usize, log: SocketAddr, peers: Vec<LinkPeer>) -> Settings {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let text = serde_json::json!({
+        "node": format!("n{number}"),
+        "failure_domain": "muscat-a",
+        "region": "muscat",
+        "callers": loopback,
+        "administration": loopback,
+        "links": loopback,
+        "log": {"address": log},
+    });
+    let mut settings: Settings = serde_json::from_value(text).unwrap();
+    settings.log = LogSettings {
+        poll_ms: 50,
+        checkpoint_records: 3,
+        ..settings.log
+    };
+    settings.peers = peers;
+    settings.traffic_threads = 1;
+    settings.access = AdministrationAccess {
+        operators: vec![
+            operator("salma", Role::Operator),
+            operator("ines", Role::Operator),
+            operator("omar", Role::OnCall),
+            operator("vera", Role::Viewer),
+        ],
+        ..AdministrationAccess::default()
+    };
+    settings
+}
+
+fn operator(name: &str, role: Role) -> Operator {
+    Operator {
+        name: name.to_owned(),
+        token: KeyHash::of(format!("token-of-{name}").as_bytes()),
+        role,
+        teams: Default::default(),
+    }
+}
