--- a/crates/sesamecart-fold/src/tests/kit.rs
+++ b/crates/sesamecart-fold/src/tests/kit.rs
@@ -127,6 +127,7 @@
         vms: vms.iter().map(|vm| name::<VmId>(vm)).collect(),
         generation: Generation(generation),
         shard_epoch: epoch,
+        version: String::new(),
     }
 }
 
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod cluster;
+pub mod groups;
 pub mod path;
 pub mod policy;
 pub mod process;
