--- /dev/null
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -0,0 +1,111 @@
+//! Which of the other nodes failed to answer lately, and which should own a shard.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_config::Settings;
+use sesamecart_lease::{NodeState, NodeView, View};
+use sesamecart_vocabulary::{
+    FailureDomainId, Incarnation, NodeId, ShardId, Timestamp, rendezvous_weight,
+};
+
+use crate::control::Peers;
+
+/// How long a node that didn't answer is passed over.
+///
+/// A wrong suspicion only moves a shard, since the log decides between owners. A longer one would
+/// keep a node that was paused for a moment from its shards.
+const SUSPICION: Duration = Duration::from_secs(2);
+
+/// The other nodes, with those that are passed over for a while.
+#[derive(Clone, Debug)]
+pub(crate) struct Directory {
+    me: NodeId,
+    home: FailureDomainId,
+    peers: Peers,
+    suspected_until: Arc<Mutex<IndexMap<NodeId, Timestamp>>>,
+}
+
+impl Directory {
+    pub(crate) fn new(settings: &Settings, peers: Peers) -> Self {
+        Self {
+            me: settings.node.clone(),
+            home: settings.failure_domain.clone(),
+            peers,
+            suspected_until: Arc::default(),
+        }
+    }
+
+    fn suspicions(&self) -> MutexGuard<'_, IndexMap<NodeId, Timestamp>> {
+        let suspicions = self.suspected_until.lock();
+        suspicions.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a node didn't answer.
+    pub(crate) fn suspect(&self, node: &NodeId, now: Timestamp) {
+        let mut suspicions = self.suspicions();
+        suspicions.retain(|_, until| *until > now);
+        suspicions.insert(node.clone(), now + SUSPICION);
+    }
+
+    /// Notes that a node answered.
+    pub(crate) fn trust(&self, node: &NodeId) {
+        self.suspicions().swap_remove(node);
+    }
+
+    fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
+        self.suspicions()
+            .get(node)
+            .is_some_and(|until| *until > now)
+    }
+
+    /// Returns where a node takes links, if it is known.
+    pub(crate) fn address(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.peers.get(node).map(|peer| peer.address)
+    }
+
+    /// Returns whether a node lies in another failure domain than this one.
+    pub(crate) fn is_elsewhere(&self, node: &NodeId) -> bool {
+        let peer = self.peers.get(node);
+        peer.is_some_and(|peer| peer.failure_domain != self.home)
+    }
+
+    /// Returns whether a node is known and not suspected.
+    pub(crate) fn is_trusted(&self, node: &NodeId, now: Timestamp) -> bool {
+        self.peers.get(node).is_some() && !self.is_suspected(node, now)
+    }
+
+    /// Returns the node that should own a shard nobody holds.
+    pub(crate) fn candidate(&self, shard: ShardId, now: Timestamp) -> NodeId {
+        let key = format!("shard-{shard}");
+        let others = self.peers.all().into_iter().map(|peer| peer.node);
+        let trusted = others.filter(|node| !self.is_suspected(node, now));
+        trusted
+            .chain([self.me.clone()])
+            .max_by_key(|node| rendezvous_weight(&key, node.as_str()))
+            .unwrap_or_else(|| self.me.clone())
+    }
+
+    /// Returns the nodes as the choice of voters takes them.
+    pub(crate) fn view(&self, now: Timestamp) -> View {
+        let view = |failure_domain: FailureDomainId, live| NodeView {
+            failure_domain,
+            incarnation: Incarnation(0),
+            state: if live {
+                NodeState::Live
+            } else {
+                NodeState::Suspected
+            },
+        };
+        let others = self.peers.all().into_iter().map(|peer| {
+            let live = !self.is_suspected(&peer.node, now);
+            (peer.node, view(peer.failure_domain, live))
+        });
+        let me = (self.me.clone(), view(self.home.clone(), true));
+        View {
+            nodes: others.chain([me]).collect(),
+        }
+    }
+}
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -14,6 +14,7 @@
 use sesamecart_links::Links;
 use sesamecart_runtime::{Signal, Worker};
 
+use crate::actions::Desk;
 use crate::administration;
 pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
@@ -33,7 +34,7 @@
     shared: &Arc<Shared>,
     listeners: &Listeners,
     leaving: &Signal,
-) -> anyhow::Result<Worker> {
+) -> anyhow::Result<(Worker, Arc<Desk>)> {
     let worker = Worker::start(format!("control-{}", shared.identity.node))?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
@@ -59,9 +60,16 @@
         Arc::clone(&log),
         peers.clone(),
     ));
+    let desk = Desk::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(Arc::clone(&desk).run());
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
-    let side = LinkSide::new(Arc::clone(shared));
+    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
     let count = shared.link_bytes.clone();
     tasks.spawn({
         let tasks = tasks.clone();
@@ -71,5 +79,5 @@
             }
         }
     });
-    Ok(worker)
+    Ok((worker, desk))
 }
--- a/crates/sesamecart-node/src/control/folded.rs
+++ b/crates/sesamecart-node/src/control/folded.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_channel::Sender;
 use sesamecart_edges::{LogPage, LoggedRecord};
 use sesamecart_fold::{
     AppliedAt, CheckpointError, LogReader, PageBounds, PageRead, ProvisionalDrains,
-    ProvisionalError, RawRecord, State,
+    ProvisionalError, RawRecord, Standing, State,
 };
 use sesamecart_vocabulary::{Offset, Timestamp};
 
@@ -32,6 +33,10 @@
     drains: ProvisionalDrains,
     recent: Recent,
     log_answers: bool,
+    /// The log's tail when this process first read it.
+    settled_from: Option<Offset>,
+    /// Who waits for a record to be applied; dropping a sender ends its wait.
+    waiting: Vec<(Offset, Sender<()>)>,
 }
 
 /// The newest records as they stand in the log, without gaps.
@@ -84,6 +89,11 @@
         };
         let read = inner.reader.take(bounds, page.records.iter().map(raw));
         inner.recent.keep(&page.records, &read.applied);
+        if read.standing == Standing::AtTail {
+            let next = inner.reader.fold().state().next_offset;
+            inner.settled_from.get_or_insert(next);
+        }
+        inner.wake();
         read
     }
 
@@ -92,6 +102,7 @@
         let mut inner = self.lock();
         let applied = inner.reader.take_from_peer(records.iter().map(raw));
         inner.recent.keep(records, &applied);
+        inner.wake();
         applied
     }
 
@@ -100,9 +111,29 @@
         let mut inner = self.lock();
         inner.reader.adopt(state)?;
         inner.recent = Recent::default();
+        inner.wake();
         Ok(())
     }
 
+    /// Returns the log's tail when this process first read it.
+    pub(crate) fn settled_from(&self) -> Option<Offset> {
+        self.lock().settled_from
+    }
+
+    /// Returns once the record at `offset` is applied.
+    pub(crate) async fn applied(&self, offset: Offset) {
+        let done = {
+            let mut inner = self.lock();
+            if inner.reader.fold().state().next_offset > offset {
+                return;
+            }
+            let (applied, done) = async_channel::bounded(1);
+            inner.waiting.push((offset, applied));
+            done
+        };
+        let _ended = done.recv().await;
+    }
+
     /// Returns records for a node that is cut off from the log.
     pub(crate) fn pass_on(&self, from: Offset, limit: usize) -> PassedOn {
         let inner = self.lock();
@@ -139,6 +170,14 @@
     }
 }
 
+impl Inner {
+    /// Ends the wait for what has been applied.
+    fn wake(&mut self) {
+        let next = self.reader.fold().state().next_offset;
+        self.waiting.retain(|(offset, _)| *offset >= next);
+    }
+}
+
 impl Recent {
     /// Keeps the records that were applied.
     fn keep(&mut self, records: &[LoggedRecord], applied: &[AppliedAt]) {
--- a/crates/sesamecart-node/src/control/peers.rs
+++ b/crates/sesamecart-node/src/control/peers.rs
@@ -74,6 +74,12 @@
         known.values().cloned().collect()
     }
 
+    /// Returns another node by its name.
+    pub(crate) fn get(&self, node: &NodeId) -> Option<Peer> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(node).cloned()
+    }
+
     /// Returns the links to other nodes.
     pub(crate) fn links(&self) -> &Links {
         &self.links
