Lend nothing between the first sign of a restart and the second

Each node's requests broke at the same moment, each asked for a new slice at once, and the owner had heard of one failure only. It now lends nothing for 50 ms after a failure, and a node without a recent sign of life starts one request.

--- a/crates/sesamecart-decisions/src/allowance/borrowed.rs
+++ b/crates/sesamecart-decisions/src/allowance/borrowed.rs
@@ -43,15 +43,19 @@
     voided_at: Option<Timestamp>,
     /// When the message was sent that has no answer yet.
     outstanding: Option<Timestamp>,
+    /// How long the last sign of life from the endpoint counts.
+    alive_until: Timestamp,
+    sign: Duration,
 }
 
 impl Borrowed {
     /// Makes the books of an endpoint where each permit comes with `kv_per_permit`; zero if memory
     /// is no limit.
     #[must_use]
-    pub fn new(kv_per_permit: Tokens) -> Self {
+    pub fn new(kv_per_permit: Tokens, cfg: &AllowanceSettings) -> Self {
         Self {
             kv_per_permit,
+            sign: cfg.sign(),
             ..Self::default()
         }
     }
@@ -70,10 +74,15 @@
     }
 
     /// Returns the largest request that may start now, by its KV memory.
+    ///
+    /// A node that has nothing running at an endpoint doesn't notice that it was restarted, and
+    /// several such nodes would overrun it while it is cold. So a node without a recent sign of life
+    /// starts one request and then waits for its first token.
     #[must_use]
     pub fn largest(&self, now: Timestamp) -> Option<Tokens> {
         let permits = self.lent(now);
-        if self.free(now) == Permits(0) {
+        let unproven = now >= self.alive_until && self.running.0 > 0;
+        if unproven || self.free(now) == Permits(0) {
             return None;
         }
         if self.kv_per_permit.0 == 0 {
@@ -120,8 +129,9 @@
     }
 
     /// Ends a request that was started.
-    pub fn finish(&mut self, kv: Tokens) {
+    pub fn finish(&mut self, now: Timestamp, kv: Tokens) {
         self.end(kv);
+        self.alive_until = now + self.sign;
         self.sample.finished += 1;
     }
 
@@ -139,6 +149,7 @@
     /// Ends the slice at once; only an answer to a later message begins a new one.
     pub fn drop_slice(&mut self, now: Timestamp) {
         self.valid_until = self.valid_until.min(now);
+        self.alive_until = self.alive_until.min(now);
         self.voided_at = Some(now);
     }
 
@@ -153,7 +164,10 @@
     }
 
     /// Notes times between tokens, or a plain service's request times.
-    pub fn observe(&mut self, seen: &Sample) {
+    pub fn observe(&mut self, now: Timestamp, seen: &Sample) {
+        if seen.tokens.0 > 0 {
+            self.alive_until = now + self.sign;
+        }
         self.sample.add(seen);
     }
 
--- a/crates/sesamecart-decisions/src/allowance/limit.rs
+++ b/crates/sesamecart-decisions/src/allowance/limit.rs
@@ -91,6 +91,8 @@
     window: Sample,
     next_step: Timestamp,
     cold_until: Timestamp,
+    failures: u32,
+    suspect_until: Timestamp,
     incarnation: Option<Incarnation>,
     ready: bool,
 }
@@ -113,6 +115,8 @@
             window: Sample::default(),
             next_step: now + cfg.step(),
             cold_until: now,
+            failures: 0,
+            suspect_until: now,
             incarnation: None,
             ready: true,
             cfg,
@@ -170,10 +174,8 @@
     /// What nodes still saw of the time before the endpoint turned cold arrives up to a slice
     /// later and is ignored: it would say that the cold endpoint is fast.
     pub fn observe(&mut self, now: Timestamp, sample: &Sample) {
-        let seen = sample.finished + sample.failed;
-        let failing = sample.failed >= COLD_FAILURES && 2 * sample.failed > seen;
-        if failing {
-            self.turn_cold(now);
+        if sample.failed > 0 {
+            self.suspect(now, sample.failed);
             return;
         }
         if now >= self.cold_until {
@@ -181,6 +183,28 @@
         }
     }
 
+    /// Returns whether failures are so recent that more may be on their way.
+    #[must_use]
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        now < self.suspect_until
+    }
+
+    /// Counts failures that come close together.
+    ///
+    /// One may be the network's. But nodes hear of a restart at the same time, and each would start
+    /// a first request under the warm limit before the owner has heard of the second failure, so
+    /// nothing is lent meanwhile.
+    fn suspect(&mut self, now: Timestamp, failed: u32) {
+        if !self.is_suspect(now) {
+            self.failures = 0;
+        }
+        self.failures += failed;
+        self.suspect_until = now + self.cfg.suspect();
+        if self.failures >= COLD_FAILURES {
+            self.turn_cold(now);
+        }
+    }
+
     /// Adapts the limit if it is time to; `used` are the permits in use.
     pub fn step(&mut self, now: Timestamp, used: Permits) {
         if now < self.next_step {
--- a/crates/sesamecart-decisions/src/allowance/owner.rs
+++ b/crates/sesamecart-decisions/src/allowance/owner.rs
@@ -151,7 +151,7 @@
 
     /// Returns the most that a node may hold from now on; it is taken out of the others.
     fn grant(&self, now: Timestamp, own: &Lent) -> Permits {
-        if now < self.lends_from {
+        if now < self.lends_from || self.limit.is_suspect(now) {
             return Permits(0);
         }
         let others = self.held(now);
--- a/crates/sesamecart-decisions/src/allowance/tests.rs
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -52,7 +52,7 @@
 
 /// Books of an endpoint with 2,000 tokens of KV memory to each permit.
 fn borrowed() -> Borrowed {
-    Borrowed::new(LIMITS.kv_per_permit())
+    Borrowed::new(LIMITS.kv_per_permit(), &AllowanceSettings::default())
 }
 
 macro_rules! fits {
@@ -62,6 +62,7 @@
             let mut books = borrowed();
             let slice = Slice { permits: Permits($permits), valid_for: Duration::from_secs(1) };
             books.take(at(0), slice);
+            books.finish(at(0), Tokens(0));
             for kv in $running {
                 assert!(books.start(at(1), Tokens(kv)));
             }
@@ -172,10 +173,32 @@
         "{}",
         allowance.limit()
     );
-    climb(&mut allowance, BEGIN + 5_000, 10, 15);
+    climb(&mut allowance, BEGIN + 5_000, 12, 15);
     assert_eq!(allowance.limit(), Permits(32));
 }
 
+/// An engine is restarted, and its nodes' requests there break at the same moment. Each node asks
+/// for a new slice at once, before the owner knows that it isn't just one broken connection. If it
+/// lent each of them a little, the cold engine would have to take several times what it bears.
+#[test]
+fn nothing_is_lent_between_the_first_sign_of_a_restart_and_the_second() {
+    let mut allowance = warm();
+    let sample = Sample {
+        failed: 1,
+        ..Sample::default()
+    };
+    let failed = Demand { sample, ..wants(4) };
+    let first = allowance.borrow(at(BEGIN), &node(0), &failed);
+    assert_eq!(first.permits, Permits(0));
+    assert_eq!(
+        allowance.limit(),
+        Permits(32),
+        "one failure may be the network's"
+    );
+    allowance.borrow(at(BEGIN + 10), &node(1), &failed);
+    assert_eq!(allowance.limit(), Permits(4));
+}
+
 #[test]
 fn an_idle_cold_endpoint_stays_cold() {
     let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
@@ -235,6 +258,26 @@
     assert!((10..32).contains(&fallen), "{fallen}");
 }
 
+/// An endpoint was restarted while a node had nothing running there, so it noticed nothing and holds
+/// a slice that was lent for the warm endpoint. It starts one request and waits for a first token.
+#[test]
+fn without_a_sign_of_life_one_request_starts() {
+    let mut books = borrowed();
+    let slice = Slice {
+        permits: Permits(5),
+        valid_for: Duration::from_secs(1),
+    };
+    books.take(at(0), slice);
+    assert!(books.start(at(1), Tokens(500)));
+    assert!(!books.start(at(2), Tokens(500)));
+    let token = Sample {
+        tokens: Tokens(1),
+        ..Sample::default()
+    };
+    books.observe(at(3), &token);
+    assert!(books.start(at(4), Tokens(500)));
+}
+
 #[test]
 fn a_failure_ends_a_nodes_slice_until_the_owner_has_answered_again() {
     let cfg = AllowanceSettings::default();
@@ -340,7 +383,7 @@
             _ => {
                 let ended = self.running[node].len().min(usize::from(amount % 16) + 1);
                 for kv in self.running[node].drain(..ended) {
-                    self.nodes[node].finish(kv);
+                    self.nodes[node].finish(self.now, kv);
                 }
             }
         }
--- a/crates/sesamecart-decisions/src/pool.rs
+++ b/crates/sesamecart-decisions/src/pool.rs
@@ -185,7 +185,7 @@
     /// plain service.
     pub fn finish(&mut self, now: Timestamp, endpoint: usize, kv: Tokens, seen: &Sample) {
         let borrowed = &mut self.router.endpoints_mut()[endpoint].borrowed;
-        borrowed.finish(kv);
+        borrowed.finish(now, kv);
         self.observe(now, endpoint, seen);
     }
 
@@ -197,7 +197,8 @@
     /// Notes times between tokens of requests that still run, so that a slow endpoint is noticed
     /// before they end.
     pub fn observe(&mut self, now: Timestamp, endpoint: usize, seen: &Sample) {
-        self.router.endpoints_mut()[endpoint].borrowed.observe(seen);
+        let borrowed = &mut self.router.endpoints_mut()[endpoint].borrowed;
+        borrowed.observe(now, seen);
         if seen.tokens.0 > 0 {
             let latency = seen.latency.as_secs_f64() / seen.tokens.0 as f64;
             self.router.outliers_mut().succeeded(now, endpoint, latency);
--- a/crates/sesamecart-decisions/src/pool/tests.rs
+++ b/crates/sesamecart-decisions/src/pool/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::admission::RefusalReason;
+use crate::allowance::Borrowed;
 use crate::retry::Progress;
 
 const ENDPOINTS: usize = 4;
@@ -13,6 +14,15 @@
     Timestamp::from_millis(millis)
 }
 
+/// Books of an endpoint that has shown a sign of life.
+fn books() -> Borrowed {
+    let mut cfg = DecisionSettings::default();
+    cfg.allowance.sign_ms = 60_000;
+    let mut books = Borrowed::new(Tokens(2_000), &cfg.allowance);
+    books.finish(at(0), Tokens(0));
+    books
+}
+
 /// A pool at a node that has been lent five permits at each of four endpoints.
 fn pool() -> Pool {
     let place = NodePlace {
@@ -22,7 +32,7 @@
     };
     let endpoints = (0..ENDPOINTS).map(|index| {
         let id: EndpointId = format!("engine-{index}").parse().unwrap();
-        PoolEndpoint::new(id, "a".parse().unwrap(), Tokens(2_000))
+        PoolEndpoint::new(id, "a".parse().unwrap(), books())
     });
     let mut pool = Pool::new(&place, endpoints, DecisionSettings::default(), 1);
     lend(&mut pool, at(0));
--- a/crates/sesamecart-decisions/src/routing/router.rs
+++ b/crates/sesamecart-decisions/src/routing/router.rs
@@ -34,15 +34,15 @@
 }
 
 impl PoolEndpoint {
-    /// Makes an active endpoint without a slice.
+    /// Makes an active endpoint with the books of its slices.
     #[must_use]
-    pub fn new(id: EndpointId, domain: FailureDomainId, kv_per_permit: Tokens) -> Self {
+    pub fn new(id: EndpointId, domain: FailureDomainId, borrowed: Borrowed) -> Self {
         Self {
             hash: stable_hash(id.as_str()),
             id,
             domain,
             state: EndpointState::Active,
-            borrowed: Borrowed::new(kv_per_permit),
+            borrowed,
             is_local: false,
         }
     }
--- a/crates/sesamecart-decisions/src/routing/tests.rs
+++ b/crates/sesamecart-decisions/src/routing/tests.rs
@@ -4,8 +4,8 @@
 use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Permits, Timestamp, Tokens};
 
 use super::*;
-use crate::allowance::Slice;
-use crate::settings::RoutingSettings;
+use crate::allowance::{Borrowed, Slice};
+use crate::settings::{AllowanceSettings, RoutingSettings};
 
 const NOW: Timestamp = Timestamp::from_millis(100);
 
@@ -20,10 +20,18 @@
 fn endpoints(count: usize) -> impl Iterator<Item = PoolEndpoint> {
     (0..count).map(|index| {
         let id: EndpointId = format!("engine-{index}").parse().unwrap();
-        PoolEndpoint::new(id, domain(index), Tokens(2_000))
+        PoolEndpoint::new(id, domain(index), books())
     })
 }
 
+/// Books of an endpoint that has shown a sign of life.
+fn books() -> Borrowed {
+    let cfg = AllowanceSettings::default();
+    let mut books = Borrowed::new(Tokens(2_000), &cfg);
+    books.finish(NOW, Tokens(0));
+    books
+}
+
 fn lend(router: &mut Router, permits: u32) {
     let slice = Slice {
         permits: Permits(permits),
@@ -37,7 +45,7 @@
 /// A router in domain `a` over twelve endpoints with `permits` permits each.
 fn router(permits: u32) -> Router {
     let cfg = RoutingSettings::default();
-    let mut router = Router::new(&node(0), &domain(0), endpoints(12), 8, cfg);
+    let mut router = Router::new(&node(0), &domain(0), endpoints(12), 1, cfg);
     lend(&mut router, permits);
     router
 }
@@ -149,7 +157,7 @@
 fn a_hot_prefix_does_not_overload_its_endpoint() {
     let cfg = RoutingSettings::default();
     let elsewhere = "elsewhere".parse().unwrap();
-    let mut router = Router::new(&node(0), &elsewhere, endpoints(12), 8, cfg);
+    let mut router = Router::new(&node(0), &elsewhere, endpoints(12), 1, cfg);
     lend(&mut router, 10);
     let chosen = send(&mut router, 60, prefixed);
     let most = (0..12)
--- a/crates/sesamecart-decisions/src/settings.rs
+++ b/crates/sesamecart-decisions/src/settings.rs
@@ -84,6 +84,11 @@
     pub renew_ms: u64,
     /// The shortest time in milliseconds between two extra borrows of one node.
     pub borrow_gap_ms: u64,
+    /// Milliseconds after a failure for which an owner lends nothing and waits for a second one.
+    pub suspect_ms: u64,
+    /// Milliseconds for which a sign of life from an endpoint counts; without one a node starts no
+    /// more than one request there.
+    pub sign_ms: u64,
     /// Milliseconds after which a node gives up a borrow; an owner keeps an ended slice in its sum
     /// for as long, since a demand that is on its way may tell of an earlier time.
     pub borrow_timeout_ms: u64,
@@ -115,17 +120,19 @@
             slice_ms: 1_000,
             renew_ms: 400,
             borrow_gap_ms: 50,
+            suspect_ms: 50,
+            sign_ms: 300,
             borrow_timeout_ms: 200,
             linger_ms: 30_000,
             drift: 0.05,
             step_ms: 1_000,
-            growth: 1.25,
+            growth: 1.2,
             decrease: 0.8,
             tolerance: 2.0,
             token_gap_ms: 30,
             service_latency_ms: 50,
             cold_latency: 4.0,
-            growth_use: 0.6,
+            growth_use: 0.75,
         }
     }
 }
@@ -159,7 +166,7 @@
 impl Default for RoutingSettings {
     fn default() -> Self {
         Self {
-            nodes_per_endpoint: 8,
+            nodes_per_endpoint: 3,
             min_subset: 16,
             max_subset: 64,
             max_prefixes: 4_096,
@@ -189,7 +196,7 @@
     fn default() -> Self {
         Self {
             budget: 0.1,
-            max_saved: 20.0,
+            max_saved: 50.0,
             max_attempts: 3,
         }
     }
@@ -234,6 +241,18 @@
         Duration::from_millis(self.borrow_gap_ms)
     }
 
+    /// Returns how long an owner waits for a second failure.
+    #[must_use]
+    pub const fn suspect(&self) -> Duration {
+        Duration::from_millis(self.suspect_ms)
+    }
+
+    /// Returns how long a sign of life from an endpoint counts.
+    #[must_use]
+    pub const fn sign(&self) -> Duration {
+        Duration::from_millis(self.sign_ms)
+    }
+
     /// Returns how long a node waits for the answer to a borrow.
     #[must_use]
     pub const fn borrow_timeout(&self) -> Duration {
@@ -333,6 +352,14 @@
             cfg.linger_ms as f64,
             0.0..=3_600_000.0,
         )?;
+        within(
+            "allowance.suspect_ms",
+            cfg.suspect_ms as f64,
+            0.0..=renew_limit,
+        )?;
+        within("allowance.sign_ms", cfg.sign_ms as f64, 1.0..=600_000.0)?;
+        let timeout = cfg.borrow_timeout_ms as f64;
+        within("allowance.borrow_timeout_ms", timeout, 1.0..=renew_limit)?;
         within("allowance.drift", cfg.drift, 0.0..=1.0)?;
         within("allowance.step_ms", cfg.step_ms as f64, 10.0..=60_000.0)?;
         within("allowance.growth", cfg.growth, 1.01..=4.0)?;
