Count only streams that flow as signs of life in measure policy

The play took a request that had just begun for one that streams, so an idle node thought a restarted engine alive.

--- a/crates/sesamecart-measure/src/policy/ours.rs
+++ b/crates/sesamecart-measure/src/policy/ours.rs
@@ -263,30 +263,36 @@
         }
     }
 
-    /// Tells a node's pools of the tokens that passed through it in the time since the last call.
+    /// Tells a node's pools of the tokens that passed through it in the time since the last call;
+    /// `streams` are the answers that flow from each endpoint.
     pub(super) fn observe(
         &mut self,
         now: Timestamp,
         node: usize,
         endpoints: &[Endpoint],
+        streams: &[u32],
         since: Duration,
     ) {
         let pool = &mut self.nodes[node].models;
         for (place, number) in pool.numbers.iter().enumerate() {
-            let running = pool.pool.endpoints()[place].borrowed.in_flight().0;
             let gap = endpoints[*number].latency();
-            let tokens = (f64::from(running) * since.as_secs_f64() / gap) as u64;
+            let tokens = (f64::from(streams[*number]) * since.as_secs_f64() / gap) as u64;
             if tokens > 0 {
-                let seen = Sample {
-                    latency: Duration::from_secs_f64(gap * tokens as f64),
-                    tokens: Tokens(tokens),
-                    ..Sample::default()
-                };
-                pool.pool.observe(now, place, &seen);
+                pool.pool.observe(now, place, &tokens_seen(gap, tokens));
             }
         }
     }
 
+    /// Tells a node's pool of an answer's first token.
+    pub(super) fn begun(&mut self, now: Timestamp, endpoint: usize, job: &Job, gap: f64) {
+        if job.is_action() {
+            return;
+        }
+        let pool = self.pool(job.node, true);
+        let place = pool.places[&endpoint];
+        pool.pool.observe(now, place, &tokens_seen(gap, 1));
+    }
+
     /// Returns the demands that a node has to send now.
     pub(super) fn borrow(&mut self, now: Timestamp, node: usize) -> Option<Borrow> {
         let mut demands = Vec::new();
@@ -364,6 +370,14 @@
     }
 }
 
+fn tokens_seen(gap: f64, tokens: u64) -> Sample {
+    Sample {
+        latency: Duration::from_secs_f64(gap * tokens as f64),
+        tokens: Tokens(tokens),
+        ..Sample::default()
+    }
+}
+
 /// Returns a request's work in tokens of answer; a prompt's token is about a hundredth of one.
 pub(super) fn cost(job: &Job) -> u64 {
     job.answer + job.prompt / 100
--- a/crates/sesamecart-measure/src/policy/run.rs
+++ b/crates/sesamecart-measure/src/policy/run.rs
@@ -105,6 +105,10 @@
     jobs: Vec<Job>,
     at: Vec<Option<usize>>,
     started: Vec<Timestamp>,
+    /// Whether a request's answer flows now.
+    flows: Vec<bool>,
+    /// The answers that flow through each node from each endpoint.
+    streams: Vec<Vec<u32>>,
     endpoints: Vec<Endpoint>,
     due: BinaryHeap<Reverse<Due>>,
     expiry: Vec<Timestamp>,
@@ -139,6 +143,8 @@
             system,
             at: vec![None; jobs.len()],
             started: vec![Timestamp::ZERO; jobs.len()],
+            flows: vec![false; jobs.len()],
+            streams: vec![vec![0; size.endpoints()]; size.nodes],
             jobs,
             endpoints: endpoints.collect(),
             due: BinaryHeap::new(),
@@ -316,6 +322,7 @@
             match step {
                 Progressed::FirstToken(number) => {
                     self.jobs[number].first_token.get_or_insert(now + way);
+                    self.begun(now, number, endpoint);
                 }
                 Progressed::Ended(number) => {
                     self.jobs[number].fate = Fate::Answered(now + way);
@@ -330,8 +337,26 @@
         }
     }
 
+    fn begun(&mut self, now: Timestamp, number: usize, endpoint: usize) {
+        let job = &self.jobs[number];
+        self.flows[number] = true;
+        self.streams[job.node][endpoint] += 1;
+        if let System::Ours(ours) = &mut self.system {
+            ours.begun(now, endpoint, job, self.endpoints[endpoint].latency());
+        }
+    }
+
+    /// Returns where a request ran, and forgets it.
+    fn take_off(&mut self, number: usize) -> Option<usize> {
+        let endpoint = self.at[number].take()?;
+        if std::mem::take(&mut self.flows[number]) {
+            self.streams[self.jobs[number].node][endpoint] -= 1;
+        }
+        Some(endpoint)
+    }
+
     fn ended(&mut self, now: Timestamp, number: usize, endpoint: usize) {
-        self.at[number] = None;
+        self.take_off(number);
         let job = &self.jobs[number];
         let took = now - self.started[number];
         match &mut self.system {
@@ -348,7 +373,7 @@
 
     /// Ends an attempt that failed; an answer that had begun is resumed where it broke.
     fn fail(&mut self, now: Timestamp, number: usize, progress: Progress) {
-        let Some(endpoint) = self.at[number].take() else {
+        let Some(endpoint) = self.take_off(number) else {
             return;
         };
         let latency = self.endpoints[endpoint].latency().max(super::job::TOKEN_S);
@@ -379,7 +404,8 @@
         if job.fate != Fate::Open || job.first_token.is_some() {
             return;
         }
-        let endpoint = self.at[number].take();
+        let endpoint = self.take_off(number);
+        let job = &self.jobs[number];
         match (&mut self.system, endpoint) {
             (System::Ours(ours), _) => ours.cancel(number, job, endpoint),
             (System::Baseline(baseline), Some(endpoint)) => {
@@ -399,7 +425,7 @@
     fn tick(&mut self, now: Timestamp, node: usize) {
         self.push(now + TICK, Event::Tick(node));
         if let System::Ours(ours) = &mut self.system {
-            ours.observe(now, node, &self.endpoints, TICK);
+            ours.observe(now, node, &self.endpoints, &self.streams[node], TICK);
         }
         self.borrow(now, node);
         self.poll(now, node);
