Follow the log through peers whenever it is silent

Cause: a node whose log calls hang asked its peers only after each call's limit, some three seconds apart, too late for a drain and close to the limit of readiness. Change: a task of its own asks up to three peers as soon as the log has been silent for a second.

--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -4,6 +4,7 @@
 mod folded;
 mod follower;
 mod link;
+mod peer_follower;
 mod peers;
 mod upkeep;
 
@@ -18,6 +19,7 @@
 pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
+use crate::control::peer_follower::PeerFollower;
 pub(crate) use crate::control::peers::{PeerView, Peers};
 use crate::node::Listeners;
 use crate::shared::Shared;
@@ -48,8 +50,10 @@
         let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
         tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
     }
-    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log), peers.clone());
+    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
+    let peer_follower = PeerFollower::new(Arc::clone(shared), peers.clone());
+    tasks.spawn(peer_follower.run());
     tasks.spawn(upkeep::write_checkpoints(
         Arc::clone(shared),
         Arc::clone(&log),
--- a/crates/sesamecart-node/src/control/folded.rs
+++ b/crates/sesamecart-node/src/control/folded.rs
@@ -7,7 +7,7 @@
 use sesamecart_edges::{LogPage, LoggedRecord};
 use sesamecart_fold::{
     AppliedAt, CheckpointError, LogReader, PageBounds, PageRead, ProvisionalDrains,
-    ProvisionalError, RawRecord, State,
+    ProvisionalError, RawRecord, Standing, State,
 };
 use sesamecart_vocabulary::{Offset, Timestamp};
 
@@ -32,6 +32,9 @@
     drains: ProvisionalDrains,
     recent: Recent,
     log_answers: bool,
+    /// When the log last answered.
+    log_answered_at: Timestamp,
+    standing: Option<Standing>,
 }
 
 /// The newest records as they stand in the log, without gaps.
@@ -71,8 +74,25 @@
         self.lock().log_answers
     }
 
-    pub(crate) fn note_log(&self, answers: bool) {
-        self.lock().log_answers = answers;
+    pub(crate) fn note_log(&self, answers: bool, now: Timestamp) {
+        let mut inner = self.lock();
+        inner.log_answers = answers;
+        if answers {
+            inner.log_answered_at = now;
+        }
+    }
+
+    pub(crate) fn note_standing(&self, standing: Standing) {
+        self.lock().standing = Some(standing);
+    }
+
+    /// Returns whether the log doesn't help this node, so that it needs others.
+    ///
+    /// It doesn't either if it hasn't answered for `silence`.
+    pub(crate) fn needs_peers(&self, silence: Duration, now: Timestamp) -> bool {
+        let inner = self.lock();
+        let is_silent = now - inner.log_answered_at > silence;
+        is_silent || !inner.log_answers || inner.standing == Some(Standing::Stranded)
     }
 
     /// Folds a page of the log.
--- a/crates/sesamecart/tests/operator/deployment.rs
+++ b/crates/sesamecart/tests/operator/deployment.rs
@@ -19,6 +19,8 @@
 /// A log, some nodes and a folder for files.
 pub(crate) struct Deployment {
     log: LogService,
+    /// A log that answers nobody, for nodes that are cut off from the other.
+    silent_log: LogService,
     nodes: Vec<Node>,
     folder: PathBuf,
 }
@@ -36,8 +38,11 @@
         let folder = format!("sesamecart-operator-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(folder);
         std::fs::create_dir_all(&folder).unwrap();
+        let silent_log = LogService::start(LogConfig::default()).unwrap();
+        silent_log.set_faults(outage(LogOutage::Silent));
         let mut deployment = Self {
             log: LogService::start(config).unwrap(),
+            silent_log,
             nodes: Vec::new(),
             folder,
         };
@@ -50,16 +55,30 @@
         deployment
     }
 
-    /// Starts one more node, which knows those before it; the first knows all that may come.
+    /// Starts one more node, which knows those before it.
     pub(crate) fn start_node(&mut self) {
+        self.start_node_at(self.log.address());
+    }
+
+    /// Starts one more node that the log never answers.
+    pub(crate) fn start_node_without_log(&mut self) {
+        self.start_node_at(self.silent_log.address());
+    }
+
+    fn start_node_at(&mut self, log: SocketAddr) {
         let peers: Vec<_> = self.nodes.iter().map(peer).collect();
-        let settings = settings(self.nodes.len() + 1, self.log.address(), peers);
+        let settings = settings(self.nodes.len() + 1, log, peers);
         self.nodes.push(Node::start(settings).unwrap());
     }
 
     /// Runs the command line as an operator, at the node that knows all others.
     pub(crate) fn run(&self, operator: &str, arguments: &[&str]) -> Run {
-        let server = self.nodes.last().unwrap().administration().to_string();
+        self.run_at(self.nodes.len() - 1, operator, arguments)
+    }
+
+    /// Runs the command line as an operator at one node.
+    pub(crate) fn run_at(&self, node: usize, operator: &str, arguments: &[&str]) -> Run {
+        let server = self.nodes[node].administration().to_string();
         Run::with(arguments, &server, &format!("token-of-{operator}"))
     }
 
@@ -67,11 +86,8 @@
         self.folder.join(name).to_str().unwrap().to_owned()
     }
 
-    pub(crate) fn log_outage(&self, outage: LogOutage) {
-        self.log_faults(LogFaults {
-            outage,
-            ..LogFaults::default()
-        });
+    pub(crate) fn log_outage(&self, kind: LogOutage) {
+        self.log_faults(outage(kind));
     }
 
     pub(crate) fn log_faults(&self, faults: LogFaults) {
@@ -185,6 +201,13 @@
     format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
 }
 
+fn outage(outage: LogOutage) -> LogFaults {
+    LogFaults {
+        outage,
+        ..LogFaults::default()
+    }
+}
+
 fn peer(node: &Node) -> LinkPeer {
     let settings = &node.shared().settings;
     LinkPeer {
--- a/crates/sesamecart/tests/operator/main.rs
+++ b/crates/sesamecart/tests/operator/main.rs
@@ -248,6 +248,26 @@
     });
 }
 
+/// A partition separates one node from the log, whose calls get no answer. What operators change must
+/// reach its callers all the same, and it stays ready.
+#[test]
+fn node_cut_off_from_the_log_follows_its_peers() {
+    let mut deployment = Deployment::start(3, LogConfig::default());
+    publish_day(&deployment);
+    deployment.start_node_without_log();
+    deployment.wait_for("the node that is cut off", |deployment| {
+        deployment.revisions() == [1, 1, 1, 1] && deployment.is_ready(3)
+    });
+    deployment
+        .run_at(0, "omar", &["drain", "failure-domain:muscat-a"])
+        .done()
+        .says("accepted");
+    deployment.wait_for("the drain on every node", |deployment| {
+        deployment.open_endpoints() == [6, 6, 6, 6]
+    });
+    assert!(deployment.is_ready(3));
+}
+
 #[test]
 fn keys_are_added_rotated_and_revoked_by_their_hashes() {
     let deployment = Deployment::start(1, LogConfig::default());
