--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -6,13 +6,14 @@
 use sesamecart_links::message::link_server::Link;
 use sesamecart_links::message::{
     BeginActionReply, BeginActionRequest, BorrowPermitsReply, BorrowPermitsRequest,
-    FetchRecordsReply, FetchRecordsRequest, FetchStateReply, FetchStateRequest, FinishActionReply,
-    FinishActionRequest, HeartbeatReply, HeartbeatRequest, LogRecord, MirrorIntentReply,
-    MirrorIntentRequest, VoteReply, VoteRequest,
+    FetchMirrorsReply, FetchMirrorsRequest, FetchRecordsReply, FetchRecordsRequest,
+    FetchStateReply, FetchStateRequest, FinishActionReply, FinishActionRequest, HeartbeatReply,
+    HeartbeatRequest, LogRecord, MirrorIntentReply, MirrorIntentRequest, VoteReply, VoteRequest,
 };
 use sesamecart_links::{Request, Response, Status};
 use sesamecart_vocabulary::Offset;
 
+use crate::actions::Desk;
 use crate::shared::Shared;
 
 /// The most records that are passed on at once.
@@ -22,11 +23,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LinkSide {
     shared: Arc<Shared>,
+    desk: Arc<Desk>,
 }
 
 impl LinkSide {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>) -> Self {
+        Self { shared, desk }
     }
 }
 
@@ -91,22 +93,36 @@
 
     async fn begin_action(
         &self,
-        _request: Request<BeginActionRequest>,
+        request: Request<BeginActionRequest>,
     ) -> Result<Response<BeginActionReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let reply = self.desk.begin_for(request.get_ref()).await;
+        reply
+            .map(Response::new)
+            .map_err(|error| Status::invalid_argument(error.to_string()))
     }
 
     async fn finish_action(
         &self,
-        _request: Request<FinishActionRequest>,
+        request: Request<FinishActionRequest>,
     ) -> Result<Response<FinishActionReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let reply = self.desk.finish_for(request.into_inner()).await;
+        reply
+            .map(Response::new)
+            .map_err(|error| Status::invalid_argument(error.to_string()))
     }
 
     async fn mirror_intent(
         &self,
-        _request: Request<MirrorIntentRequest>,
+        request: Request<MirrorIntentRequest>,
     ) -> Result<Response<MirrorIntentReply>, Status> {
-        Err(Status::unimplemented("keyed actions are not taken yet"))
+        let kept = self.desk.keep(request.get_ref());
+        Ok(Response::new(MirrorIntentReply { kept }))
+    }
+
+    async fn fetch_mirrors(
+        &self,
+        request: Request<FetchMirrorsRequest>,
+    ) -> Result<Response<FetchMirrorsReply>, Status> {
+        Ok(Response::new(self.desk.tell_mirrors(request.get_ref())))
     }
 }
--- a/crates/sesamecart/tests/operator/deployment.rs
+++ b/crates/sesamecart/tests/operator/deployment.rs
@@ -1,6 +1,7 @@
 //! A log, some nodes and the command line, each test with its own.
 
-use std::net::SocketAddr;
+use std::io::{Read as _, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -82,6 +83,21 @@
         Run::with(arguments, &server, &format!("token-of-{operator}"))
     }
 
+    /// Asks for the groups many times over one connection, and returns the statuses.
+    pub(crate) fn answers_in_a_row(&self, count: usize) -> Vec<u16> {
+        let mut stream = TcpStream::connect(self.nodes[0].administration()).unwrap();
+        let request = "GET /v1/groups HTTP/1.1\r\nhost: node\r\n\
+                       authorization: Bearer token-of-vera\r\n\r\n";
+        stream.write_all(request.repeat(count).as_bytes()).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let heads = text.lines().filter_map(|line| line.split_once("HTTP/1.1 "));
+        heads
+            .map(|(_, status)| status[..3].parse().unwrap())
+            .collect()
+    }
+
     pub(crate) fn file(&self, name: &str) -> String {
         self.folder.join(name).to_str().unwrap().to_owned()
     }
@@ -182,6 +198,11 @@
         self
     }
 
+    /// Returns whether a part was not printed.
+    pub(crate) fn lacks(&self, part: &str) -> bool {
+        !self.text.contains(part)
+    }
+
     pub(crate) fn text(&self) -> &str {
         &self.text
     }
@@ -242,6 +263,10 @@
             operator("ines", Role::Operator),
             operator("omar", Role::OnCall),
             operator("vera", Role::Viewer),
+            Operator {
+                teams: ["ledger".parse().unwrap()].into(),
+                ..operator("lina", Role::Operator)
+            },
         ],
         ..AdministrationAccess::default()
     };
--- a/crates/sesamecart/tests/operator/main.rs
+++ b/crates/sesamecart/tests/operator/main.rs
@@ -125,6 +125,55 @@
         .says("SESAMECART_TOKEN");
 }
 
+/// Two teams share the platform. One team's operator must neither see the other's customers nor
+/// reach beyond its own service.
+#[test]
+fn team_sees_and_changes_its_own_only() {
+    let deployment = Deployment::start(1, LogConfig::default());
+    let config = publish_day(&deployment);
+    let text = std::fs::read_to_string(&config).unwrap();
+    let mut teams: serde_json::Value = serde_json::from_str(&text).unwrap();
+    teams["services"]["stock"]["team"] = "ledger".into();
+    teams["customers"]["sohar-pounds"]["team"] = "ledger".into();
+    std::fs::write(&config, teams.to_string()).unwrap();
+    deployment
+        .run("salma", &["publish", &config, "--wait"])
+        .done();
+    let seen = deployment.run("lina", &["customers", "list"]).done();
+    assert!(seen.says("sohar-pounds").lacks("harbour-pounds"));
+    deployment
+        .run("lina", &["customers", "add-key", "sohar-pounds"])
+        .done();
+    deployment
+        .run("lina", &["customers", "add-key", "harbour-pounds"])
+        .exits(1);
+    deployment
+        .run("lina", &["publish", &config])
+        .exits(5)
+        .says("not of your teams");
+    deployment
+        .run("lina", &["drain", "endpoint:stock-a"])
+        .done();
+    let refused = deployment.run("lina", &["drain", "failure-domain:muscat-a"]);
+    refused.exits(5).says("an operator of the whole platform");
+    deployment.run("lina", &["leases"]).exits(5);
+    let audit = deployment.run("lina", &["audit"]).done();
+    assert!(audit.says("endpoint:stock-a").lacks("salma"));
+    let all = deployment.run("salma", &["customers", "list"]).done();
+    all.says("harbour-pounds")
+        .says("small-pounds")
+        .says("sohar-pounds");
+}
+
+#[test]
+fn script_without_pause_is_slowed_down() {
+    let deployment = Deployment::start(1, LogConfig::default());
+    let answers = deployment.answers_in_a_row(300);
+    assert!(answers.contains(&200));
+    assert!(answers.contains(&429));
+    deployment.run("salma", &["status"]).done();
+}
+
 #[test]
 fn domain_is_drained_and_put_back() {
     let deployment = Deployment::start(3, LogConfig::default());
