--- a/crates/sesamecart/tests/operator/deployment.rs
+++ b/crates/sesamecart/tests/operator/deployment.rs
@@ -1,6 +1,7 @@
 //! A log, some nodes and the command line, each test with its own.
 
-use std::net::SocketAddr;
+use std::io::{Read as _, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,6 +20,8 @@
 /// A log, some nodes and a folder for files.
 pub(crate) struct Deployment {
     log: LogService,
+    /// A log that answers nobody, for nodes that are cut off from the other.
+    silent_log: LogService,
     nodes: Vec<Node>,
     folder: PathBuf,
 }
@@ -36,8 +39,11 @@
         let folder = format!("sesamecart-operator-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(folder);
         std::fs::create_dir_all(&folder).unwrap();
+        let silent_log = LogService::start(LogConfig::default()).unwrap();
+        silent_log.set_faults(outage(LogOutage::Silent));
         let mut deployment = Self {
             log: LogService::start(config).unwrap(),
+            silent_log,
             nodes: Vec::new(),
             folder,
         };
@@ -50,28 +56,54 @@
         deployment
     }
 
-    /// Starts one more node, which knows those before it; the first knows all that may come.
+    /// Starts one more node, which knows those before it.
     pub(crate) fn start_node(&mut self) {
+        self.start_node_at(self.log.address());
+    }
+
+    /// Starts one more node that the log never answers.
+    pub(crate) fn start_node_without_log(&mut self) {
+        self.start_node_at(self.silent_log.address());
+    }
+
+    fn start_node_at(&mut self, log: SocketAddr) {
         let peers: Vec<_> = self.nodes.iter().map(peer).collect();
-        let settings = settings(self.nodes.len() + 1, self.log.address(), peers);
+        let settings = settings(self.nodes.len() + 1, log, peers);
         self.nodes.push(Node::start(settings).unwrap());
     }
 
     /// Runs the command line as an operator, at the node that knows all others.
     pub(crate) fn run(&self, operator: &str, arguments: &[&str]) -> Run {
-        let server = self.nodes.last().unwrap().administration().to_string();
+        self.run_at(self.nodes.len() - 1, operator, arguments)
+    }
+
+    /// Runs the command line as an operator at one node.
+    pub(crate) fn run_at(&self, node: usize, operator: &str, arguments: &[&str]) -> Run {
+        let server = self.nodes[node].administration().to_string();
         Run::with(arguments, &server, &format!("token-of-{operator}"))
     }
 
+    /// Asks for the groups many times over one connection, and returns the statuses.
+    pub(crate) fn answers_in_a_row(&self, count: usize) -> Vec<u16> {
+        let mut stream = TcpStream::connect(self.nodes[0].administration()).unwrap();
+        let request = "GET /v1/groups HTTP/1.1\r\nhost: node\r\n\
+                       authorization: Bearer token-of-vera\r\n\r\n";
+        stream.write_all(request.repeat(count).as_bytes()).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let heads = text.lines().filter_map(|line| line.split_once("HTTP/1.1 "));
+        heads
+            .map(|(_, status)| status[..3].parse().unwrap())
+            .collect()
+    }
+
     pub(crate) fn file(&self, name: &str) -> String {
         self.folder.join(name).to_str().unwrap().to_owned()
     }
 
-    pub(crate) fn log_outage(&self, outage: LogOutage) {
-        self.log_faults(LogFaults {
-            outage,
-            ..LogFaults::default()
-        });
+    pub(crate) fn log_outage(&self, kind: LogOutage) {
+        self.log_faults(outage(kind));
     }
 
     pub(crate) fn log_faults(&self, faults: LogFaults) {
@@ -166,6 +198,11 @@
         self
     }
 
+    /// Returns whether a part was not printed.
+    pub(crate) fn lacks(&self, part: &str) -> bool {
+        !self.text.contains(part)
+    }
+
     pub(crate) fn text(&self) -> &str {
         &self.text
     }
@@ -185,6 +222,13 @@
     format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
 }
 
+fn outage(outage: LogOutage) -> LogFaults {
+    LogFaults {
+        outage,
+        ..LogFaults::default()
+    }
+}
+
 fn peer(node: &Node) -> LinkPeer {
     let settings = &node.shared().settings;
     LinkPeer {
@@ -219,6 +263,10 @@
             operator("ines", Role::Operator),
             operator("omar", Role::OnCall),
             operator("vera", Role::Viewer),
+            Operator {
+                teams: ["ledger".parse().unwrap()].into(),
+                ..operator("lina", Role::Operator)
+            },
         ],
         ..AdministrationAccess::default()
     };
--- a/crates/sesamecart/tests/operator/main.rs
+++ b/crates/sesamecart/tests/operator/main.rs
@@ -125,6 +125,55 @@
         .says("SESAMECART_TOKEN");
 }
 
+/// Two teams share the platform. One team's operator must neither see the other's customers nor
+/// reach beyond its own service.
+#[test]
+fn team_sees_and_changes_its_own_only() {
+    let deployment = Deployment::start(1, LogConfig::default());
+    let config = publish_day(&deployment);
+    let text = std::fs::read_to_string(&config).unwrap();
+    let mut teams: serde_json::Value = serde_json::from_str(&text).unwrap();
+    teams["services"]["stock"]["team"] = "ledger".into();
+    teams["customers"]["sohar-pounds"]["team"] = "ledger".into();
+    std::fs::write(&config, teams.to_string()).unwrap();
+    deployment
+        .run("salma", &["publish", &config, "--wait"])
+        .done();
+    let seen = deployment.run("lina", &["customers", "list"]).done();
+    assert!(seen.says("sohar-pounds").lacks("harbour-pounds"));
+    deployment
+        .run("lina", &["customers", "add-key", "sohar-pounds"])
+        .done();
+    deployment
+        .run("lina", &["customers", "add-key", "harbour-pounds"])
+        .exits(1);
+    deployment
+        .run("lina", &["publish", &config])
+        .exits(5)
+        .says("not of your teams");
+    deployment
+        .run("lina", &["drain", "endpoint:stock-a"])
+        .done();
+    let refused = deployment.run("lina", &["drain", "failure-domain:muscat-a"]);
+    refused.exits(5).says("an operator of the whole platform");
+    deployment.run("lina", &["leases"]).exits(5);
+    let audit = deployment.run("lina", &["audit"]).done();
+    assert!(audit.says("endpoint:stock-a").lacks("salma"));
+    let all = deployment.run("salma", &["customers", "list"]).done();
+    all.says("harbour-pounds")
+        .says("small-pounds")
+        .says("sohar-pounds");
+}
+
+#[test]
+fn script_without_pause_is_slowed_down() {
+    let deployment = Deployment::start(1, LogConfig::default());
+    let answers = deployment.answers_in_a_row(300);
+    assert!(answers.contains(&200));
+    assert!(answers.contains(&429));
+    deployment.run("salma", &["status"]).done();
+}
+
 #[test]
 fn domain_is_drained_and_put_back() {
     let deployment = Deployment::start(3, LogConfig::default());
@@ -248,6 +297,26 @@
     });
 }
 
+/// A partition separates one node from the log, whose calls get no answer. What operators change must
+/// reach its callers all the same, and it stays ready.
+#[test]
+fn node_cut_off_from_the_log_follows_its_peers() {
+    let mut deployment = Deployment::start(3, LogConfig::default());
+    publish_day(&deployment);
+    deployment.start_node_without_log();
+    deployment.wait_for("the node that is cut off", |deployment| {
+        deployment.revisions() == [1, 1, 1, 1] && deployment.is_ready(3)
+    });
+    deployment
+        .run_at(0, "omar", &["drain", "failure-domain:muscat-a"])
+        .done()
+        .says("accepted");
+    deployment.wait_for("the drain on every node", |deployment| {
+        deployment.open_endpoints() == [6, 6, 6, 6]
+    });
+    assert!(deployment.is_ready(3));
+}
+
 #[test]
 fn keys_are_added_rotated_and_revoked_by_their_hashes() {
     let deployment = Deployment::start(1, LogConfig::default());
