--- a/crates/sesamecart-node/src/control/folded.rs
+++ b/crates/sesamecart-node/src/control/folded.rs
@@ -33,6 +33,9 @@
     drains: ProvisionalDrains,
     recent: Recent,
     log_answers: bool,
+    /// When the log last answered.
+    log_answered_at: Timestamp,
+    standing: Option<Standing>,
     /// The log's tail when this process first read it.
     settled_from: Option<Offset>,
     /// Who waits for a record to be applied; dropping a sender ends its wait.
@@ -76,8 +79,25 @@
         self.lock().log_answers
     }
 
-    pub(crate) fn note_log(&self, answers: bool) {
-        self.lock().log_answers = answers;
+    pub(crate) fn note_log(&self, answers: bool, now: Timestamp) {
+        let mut inner = self.lock();
+        inner.log_answers = answers;
+        if answers {
+            inner.log_answered_at = now;
+        }
+    }
+
+    pub(crate) fn note_standing(&self, standing: Standing) {
+        self.lock().standing = Some(standing);
+    }
+
+    /// Returns whether the log doesn't help this node, so that it needs others.
+    ///
+    /// It doesn't either if it hasn't answered for `silence`.
+    pub(crate) fn needs_peers(&self, silence: Duration, now: Timestamp) -> bool {
+        let inner = self.lock();
+        let is_silent = now - inner.log_answered_at > silence;
+        is_silent || !inner.log_answers || inner.standing == Some(Standing::Stranded)
     }
 
     /// Folds a page of the log.
