Resume broken streams, and pass on no doubled, missing or foreign token

Cause: a stream that broke ended with an error though another complete group could go on, a doubled token reached the caller, and a whole answer under the right header could be another request's.

--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod caller;
+mod completion;
 mod forward;
 mod handler;
 mod keyed;
--- a/crates/sesamecart-node/src/traffic/forward.rs
+++ b/crates/sesamecart-node/src/traffic/forward.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use sesamecart_edges::{
     ACTION, ATTEMPT, ClientError, DEADLINE_MS, EPOCH, Exchange, HttpClient, IDEMPOTENCY_KEY,
-    NOT_RUN, PRIORITY, REQUEST, Reuse, Sent,
+    NOT_RUN, PRIORITY, REQUEST, RESUME_AT, Reuse, Sent,
 };
 use sesamecart_vocabulary::{AttemptId, Epoch, IdempotencyKey, Priority, RequestId};
 
@@ -26,6 +26,8 @@
     pub(crate) priority: Priority,
     pub(crate) reuse: Reuse,
     pub(crate) action: Option<ActionTry<'a>>,
+    /// The number of tokens that the caller already has.
+    pub(crate) resume_at: Option<u64>,
     pub(crate) limit: Duration,
 }
 
@@ -100,6 +102,9 @@
         if let Some(content_type) = self.content_type {
             builder = builder.header(CONTENT_TYPE, content_type);
         }
+        if let Some(resume_at) = self.resume_at {
+            builder = builder.header(RESUME_AT, resume_at);
+        }
         if let Some(action) = self.action {
             builder = builder
                 .header(ACTION, action.id.as_str())
--- a/crates/sesamecart-node/src/traffic/handler.rs
+++ b/crates/sesamecart-node/src/traffic/handler.rs
@@ -131,7 +131,7 @@
 
     async fn complete(
         &self,
-        snapshot: &Snapshot,
+        snapshot: &Arc<Snapshot>,
         caller: Caller<'_>,
         arrived: Arrived,
     ) -> Result<Response<CallerBody>, Refusal> {
--- a/crates/sesamecart-node/src/traffic/keyed.rs
+++ b/crates/sesamecart-node/src/traffic/keyed.rs
@@ -286,6 +286,7 @@
                 epoch,
                 key: &self.key.key,
             }),
+            resume_at: None,
             limit: self.left(handler),
         };
         let exchange = sent.send(&handler.client).await?;
--- a/crates/sesamecart-node/src/traffic/service.rs
+++ b/crates/sesamecart-node/src/traffic/service.rs
@@ -109,6 +109,7 @@
                 Reuse::Never
             },
             action: None,
+            resume_at: None,
             limit,
         };
         let exchange = attempt.send(&handler.client).await?;
