Replace voters that left or restarted, and measure streams

Change: an owner claims its own shard for fresh voters while nothing is left with the old ones, and gives them nothing until it has read the verdict; nodes watch each other for it.

--- a/crates/sesamecart-actions/src/commit.rs
+++ b/crates/sesamecart-actions/src/commit.rs
@@ -224,6 +224,22 @@
         self.queue.len() + self.unlogged.len() + logging.chain(mirroring).sum::<usize>()
     }
 
+    /// Returns whether the log may lack something of a shard that its voters were given.
+    ///
+    /// While it does, the shard's voters must not change: the next owner would ask the new ones,
+    /// which were never given it.
+    #[must_use]
+    pub fn is_mirrored(&self, shard: ShardId) -> bool {
+        let waiting = self.unlogged.iter().filter(|item| item.lease().0 == shard);
+        let logging = self.logging.values().flat_map(|batch| &batch.unlogged);
+        let mirroring = self.mirroring.values().flatten();
+        let under_way = logging.chain(mirroring);
+        waiting
+            .chain(under_way.filter(|item| item.lease().0 == shard))
+            .count()
+            > 0
+    }
+
     /// Adds an item.
     pub fn push(&mut self, item: CommitItem) {
         self.queue.push_back(item);
--- a/crates/sesamecart-actions/src/owner.rs
+++ b/crates/sesamecart-actions/src/owner.rs
@@ -87,6 +87,8 @@
 pub struct Owner {
     shard: ShardId,
     epoch: Epoch,
+    /// The first of the epochs that this owner held without a break.
+    since: Epoch,
     config: OwnerConfig,
     readiness: Readiness,
     entries: IndexMap<ActionKey, Entry>,
@@ -99,6 +101,7 @@
         Self {
             shard,
             epoch,
+            since: epoch,
             config,
             readiness: Readiness::Gathering,
             entries: IndexMap::new(),
@@ -111,6 +114,20 @@
         self.epoch
     }
 
+    /// Goes on under a new epoch that this owner itself claimed, as for fresh voters.
+    ///
+    /// The caller makes sure that nothing it began under the old epoch is missing in the log before
+    /// it claims; the next owner asks only the new voters.
+    pub const fn renew(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+    }
+
+    /// Returns whether this owner held the epoch.
+    #[must_use]
+    pub fn held(&self, epoch: Epoch) -> bool {
+        self.since <= epoch && epoch <= self.epoch
+    }
+
     /// Returns the shard.
     #[must_use]
     pub const fn shard(&self) -> ShardId {
--- a/crates/sesamecart-actions/tests/at_most_once.rs
+++ b/crates/sesamecart-actions/tests/at_most_once.rs
@@ -46,6 +46,7 @@
     assert!(total.unknown > 0, "{total:?}");
     assert!(total.refused > 0, "{total:?}");
     assert!(total.resumed_grants > 0, "{total:?}");
+    assert!(total.renewed > 0, "{total:?}");
 }
 
 macro_rules! shortcut_runs_twice {
@@ -66,4 +67,5 @@
     voter_that_promises_before_it_has_read_the_log: EarlyPromise;
     voter_that_ignores_the_claim_it_applied: PromiseToAll;
     owner_that_is_content_with_one_voter: OneVoter;
+    owner_that_changes_voters_with_intents_at_the_old_ones: RenewAtOnce;
 }
--- a/crates/sesamecart-actions/tests/world/mod.rs
+++ b/crates/sesamecart-actions/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! Three nodes, one log and a few keys, moved by a seeded scheduler that has no mercy.
+//! Five nodes, one log and a few keys, moved by a seeded scheduler that has no mercy.
 
 use fastrand::Rng;
 use indexmap::IndexMap;
@@ -12,10 +12,10 @@
 };
 use std::time::Duration;
 
-const NODES: usize = 3;
+const NODES: usize = 5;
+const VOTERS: usize = 3;
 const KEYS: usize = 2;
 const SHARD: ShardId = ShardId(0);
-const MAJORITY: usize = 2;
 
 /// A rule that is left out, to see that the check notices.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,6 +26,7 @@
     EarlyPromise,
     PromiseToAll,
     OneVoter,
+    RenewAtOnce,
 }
 
 /// How often the histories reached what they are meant for.
@@ -38,6 +39,7 @@
     pub unknown: u32,
     pub refused: u32,
     pub resumed_grants: u32,
+    pub renewed: u32,
 }
 
 impl Seen {
@@ -49,6 +51,7 @@
         self.unknown += other.unknown;
         self.refused += other.refused;
         self.resumed_grants += other.resumed_grants;
+        self.renewed += other.renewed;
     }
 }
 
@@ -60,6 +63,8 @@
     owner: Option<Owner>,
     gather: Option<Gather>,
     mirrors: Mirrors,
+    /// A claim for fresh voters is sent and its verdict isn't read.
+    renewing: bool,
 }
 
 /// How far a caller's try has come.
@@ -130,6 +135,7 @@
         owner: None,
         gather: None,
         mirrors,
+        renewing: false,
     }
 }
 
@@ -184,6 +190,7 @@
             89..92 => self.log_up = !self.log_up,
             92..94 => self.crash(index),
             94..96 => self.forget(index),
+            96..98 => self.renew(index),
             _ => self.tick(index),
         }
     }
@@ -346,7 +353,15 @@
 
     fn mirror(&mut self, index: usize, batch: MirrorBatch) {
         let mut kept = 0;
+        let lease = self.nodes[index].fold.state().leases.get(&SHARD).cloned();
+        let voters = lease.map(|lease| lease.voters).unwrap_or_default();
         for voter in 0..NODES {
+            if self.nodes[index].renewing && self.shortcut != Shortcut::RenewAtOnce {
+                break;
+            }
+            if !voters.contains(&self.nodes[voter].id) {
+                continue;
+            }
             if self.rng.u32(..4) == 0 {
                 continue;
             }
@@ -361,7 +376,7 @@
         let needed = if self.shortcut == Shortcut::OneVoter {
             1
         } else {
-            MAJORITY
+            voters.len() / 2 + 1
         };
         let enough = kept >= needed;
         self.seen.mirrored += u32::from(enough);
@@ -399,7 +414,19 @@
 
     fn depose_if_replaced(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        let epoch = node.fold.state().epoch(SHARD);
+        let lease = node.fold.state().leases.get(&SHARD);
+        let epoch = lease.map(|lease| lease.epoch);
+        let own = lease.is_some_and(|lease| {
+            lease.holder == node.id && lease.incarnation == Incarnation(node.life)
+        });
+        if let Some(owner) = &mut node.owner
+            && let Some(epoch) = epoch
+            && own
+            && epoch > owner.epoch()
+        {
+            owner.renew(epoch);
+            node.renewing = false;
+        }
         if let Some(owner) = node.owner.take_if(|owner| Some(owner.epoch()) != epoch) {
             let mut out = Vec::new();
             owner.depose(&mut out);
@@ -412,6 +439,7 @@
         if !self.log_up {
             return;
         }
+        let voters = self.choose_voters();
         let node = &self.nodes[index];
         let last = node.fold.state().leases.get(&SHARD).cloned();
         let claim = Record::Claim {
@@ -419,7 +447,7 @@
             holder: node.id.clone(),
             incarnation: Incarnation(node.life),
             builds_on: last.as_ref().map(|lease| lease.epoch),
-            voters: self.nodes.iter().map(|node| node.id.clone()).collect(),
+            voters,
         };
         let epoch = Epoch(self.log.len() as u64);
         self.log.push(claim.encode());
@@ -430,6 +458,7 @@
         }
         let node = &mut self.nodes[index];
         node.owner = Some(Owner::new(SHARD, epoch, OwnerConfig::default()));
+        node.renewing = false;
         let gather = last.map_or_else(
             || Gather::new(Epoch(0), []),
             |lease| Gather::new(lease.epoch, lease.voters),
@@ -441,6 +470,40 @@
         self.adopt_if_complete(index);
     }
 
+    fn choose_voters(&mut self) -> Vec<NodeId> {
+        let mut ids: Vec<_> = self.nodes.iter().map(|node| node.id.clone()).collect();
+        self.rng.shuffle(&mut ids);
+        ids.truncate(VOTERS);
+        ids
+    }
+
+    /// An owner claims its own shard again for fresh voters; the record may land late or never.
+    fn renew(&mut self, index: usize) {
+        let voters = self.choose_voters();
+        let node = &mut self.nodes[index];
+        let Some(owner) = &node.owner else {
+            return;
+        };
+        let mirrored = node.commit.is_mirrored(SHARD);
+        if owner.is_gathering() || mirrored && self.shortcut != Shortcut::RenewAtOnce {
+            return;
+        }
+        let claim = Record::Claim {
+            shard: SHARD,
+            holder: node.id.clone(),
+            incarnation: Incarnation(node.life),
+            builds_on: Some(owner.epoch()),
+            voters,
+        };
+        node.renewing = true;
+        if self.log_up && self.rng.u32(..3) > 0 {
+            self.log.push(claim.encode());
+            self.seen.renewed += 1;
+        } else {
+            self.late.push(claim.encode());
+        }
+    }
+
     fn gather(&mut self, index: usize) {
         let voter = self.rng.usize(..NODES);
         let Some(epoch) = self.nodes[index].owner.as_ref().map(Owner::epoch) else {
--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{actions, groups, path, policy};
+use sesamecart_measure::{actions, groups, path, policy, streams};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -27,6 +27,8 @@
     Path(path::Arguments),
     #[options(help = "the decisions under load against simpler ones, in virtual time")]
     Policy(policy::Arguments),
+    #[options(help = "streamed answers under faults, and a rolling restart")]
+    Streams(streams::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -41,6 +43,7 @@
         Some(Part::Groups(arguments)) => groups::run(&arguments),
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
+        Some(Part::Streams(arguments)) => streams::run(&arguments),
         None => {
             eprintln!("measure: name what to measure:\n{}", Part::usage());
             return ExitCode::from(2);
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod process;
 mod quantile;
 pub mod quickstart;
+pub mod streams;
 
 pub use caller::{Answer, Caller, StreamAnswer};
 pub use cluster::{Cluster, ClusterPlan, NodePlan};
--- a/crates/sesamecart-node/src/actions.rs
+++ b/crates/sesamecart-node/src/actions.rs
@@ -7,6 +7,7 @@
 mod commit;
 mod desk;
 mod directory;
+mod renewal;
 mod takeover;
 mod voter;
 mod wire;
--- a/crates/sesamecart-node/src/actions/commit.rs
+++ b/crates/sesamecart-node/src/actions/commit.rs
@@ -113,9 +113,11 @@
             .folded()
             .with(|fold| fold.leases.get(&batch.shard).cloned());
         let lease = lease.filter(|lease| lease.epoch == batch.epoch && !lease.released);
+        // A claim for fresh voters may be in the log: its successor would ask only those.
+        let renewing = self.lock().renewing.contains(&batch.shard);
         let kept = match lease {
-            Some(lease) => self.copy_to_voters(&batch, &lease).await,
-            None => false,
+            Some(lease) if !renewing => self.copy_to_voters(&batch, &lease).await,
+            Some(_) | None => false,
         };
         self.note_mirrored(batch.id, kept);
         self.wake();
--- a/crates/sesamecart-node/src/actions/desk.rs
+++ b/crates/sesamecart-node/src/actions/desk.rs
@@ -13,7 +13,7 @@
 use sesamecart_edges::Log;
 use sesamecart_fold::ActionKey;
 use sesamecart_runtime::{Tasks, within};
-use sesamecart_vocabulary::{ShardId, Timestamp};
+use sesamecart_vocabulary::{Incarnation, NodeId, ShardId, Timestamp};
 
 use super::directory::Directory;
 use super::wire::Ending;
@@ -41,6 +41,10 @@
     pub(super) mirrors: Mirrors,
     /// The shards whose claim or take-over is under way.
     pub(super) taking_over: IndexSet<ShardId>,
+    /// The shards whose claim for fresh voters is sent and whose verdict isn't read.
+    pub(super) renewing: IndexSet<ShardId>,
+    /// The lives of each owned shard's voters when they were first heard under its epoch.
+    pub(super) voter_lives: IndexMap<ShardId, IndexMap<NodeId, Incarnation>>,
     pub(super) leaving: bool,
     begins: IndexMap<Ticket, Sender<Decision>>,
     finishes: IndexMap<Ticket, Sender<bool>>,
@@ -76,6 +80,8 @@
             commit: GroupCommit::new(CommitConfig::default()),
             mirrors: Mirrors::new(MirrorsConfig::default()),
             taking_over: IndexSet::new(),
+            renewing: IndexSet::new(),
+            voter_lives: IndexMap::new(),
             leaving: false,
             begins: IndexMap::new(),
             finishes: IndexMap::new(),
@@ -167,12 +173,24 @@
         let Some(epoch) = state.owners.get(&shard).map(Owner::epoch) else {
             return false;
         };
-        let in_force = self.folded().with(|fold| {
-            let lease = fold.leases.get(&shard);
-            lease.is_some_and(|lease| lease.epoch == epoch && !lease.released)
+        let identity = &self.shared.identity;
+        let newest = self.folded().with(|fold| {
+            let lease = fold.leases.get(&shard).filter(|lease| !lease.released)?;
+            let own = lease.holder == identity.node && lease.incarnation == identity.incarnation;
+            own.then_some(lease.epoch)
         });
+        if let Some(newest) = newest.filter(|newest| *newest > epoch)
+            && let Some(owner) = state.owners.get_mut(&shard)
+        {
+            owner.renew(newest);
+            state.renewing.swap_remove(&shard);
+            state.voter_lives.swap_remove(&shard);
+        }
+        let in_force = newest.is_some_and(|newest| newest >= epoch);
         if !in_force && let Some(owner) = state.owners.swap_remove(&shard) {
             log::info!("actions: shard {shard} has another owner now.");
+            state.renewing.swap_remove(&shard);
+            state.voter_lives.swap_remove(&shard);
             let mut out = Vec::new();
             owner.depose(&mut out);
             state.carry_out(out);
@@ -209,8 +227,8 @@
     pub(super) fn committed(&self, state: &mut State, durable: &[Durable]) {
         for one in durable {
             let (shard, epoch) = one.lease();
-            let current = state.owners.get(&shard).map(Owner::epoch);
-            if current == Some(epoch) {
+            let owner = state.owners.get(&shard);
+            if owner.is_some_and(|owner| owner.held(epoch)) {
                 self.with_owner(state, shard, |owner, known, out| {
                     owner.committed(known, one, out);
                 });
--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -26,6 +26,8 @@
     home: FailureDomainId,
     peers: Peers,
     suspected_until: Arc<Mutex<IndexMap<NodeId, Timestamp>>>,
+    /// The life of each node that was last heard.
+    lives: Arc<Mutex<IndexMap<NodeId, Incarnation>>>,
 }
 
 impl Directory {
@@ -35,6 +37,7 @@
             home: settings.failure_domain.clone(),
             peers,
             suspected_until: Arc::default(),
+            lives: Arc::default(),
         }
     }
 
@@ -55,6 +58,27 @@
         self.suspicions().swap_remove(node);
     }
 
+    /// Notes which life of a node answered.
+    pub(crate) fn note_life(&self, node: &NodeId, life: Incarnation) {
+        let lives = self.lives.lock();
+        let mut lives = lives.unwrap_or_else(PoisonError::into_inner);
+        lives.insert(node.clone(), life);
+    }
+
+    /// Returns the life of a node that was last heard.
+    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        let lives = self.lives.lock();
+        lives
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(node)
+            .copied()
+    }
+
+    /// Returns all other nodes.
+    pub(crate) fn others(&self) -> Vec<NodeId> {
+        self.peers.all().into_iter().map(|peer| peer.node).collect()
+    }
+
     fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
         self.suspicions()
             .get(node)
--- /dev/null
+++ b/crates/sesamecart-node/src/actions/renewal.rs
@@ -0,0 +1,152 @@
+//! Keeps the voters of owned shards alive: a voter that left or restarted is replaced.
+//!
+//! A voter that restarted has forgotten what it kept, so it can't vouch for its last life. Were too
+//! many of a shard's voters lost one after another, the next owner could never be sure of having
+//! heard of every intent, and the shard's keys would be refused. As long as the log is up, the
+//! owner claims its own shard again with fresh voters.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use sesamecart_fold::{LeaseRecord, Record};
+use sesamecart_lease::choose_voters;
+use sesamecart_links::message::HeartbeatRequest;
+use sesamecart_runtime::{sleep, within};
+use sesamecart_vocabulary::{Incarnation, NodeId, ShardId, Timestamp};
+
+use super::desk::Desk;
+
+/// The time between two rounds of asking other nodes whether they live.
+const WATCH_REST: Duration = Duration::from_millis(500);
+/// How long a node may take to answer.
+const WATCH_LIMIT: Duration = Duration::from_millis(400);
+/// The most nodes asked in one round; of more, a random part is asked each time.
+const WATCHED: usize = 24;
+/// The time between two looks at the voters of owned shards.
+const RENEWAL_REST: Duration = Duration::from_millis(250);
+/// The most shards renewed in one look, so that a lost failure domain doesn't fill the log's rate.
+const RENEWALS: usize = 4;
+/// How long a claim for fresh voters may go unread before it is appended again.
+const APPEND_LIMIT: Duration = Duration::from_secs(1);
+
+impl Desk {
+    /// Asks other nodes in turn whether they live, and which life it is.
+    pub(crate) async fn watch_nodes(self: Arc<Self>) {
+        loop {
+            let mut nodes = self.directory.others();
+            fastrand::shuffle(&mut nodes);
+            nodes.truncate(WATCHED);
+            join_all(nodes.iter().map(|node| self.watch(node))).await;
+            sleep(WATCH_REST).await;
+        }
+    }
+
+    async fn watch(&self, node: &NodeId) {
+        let Some(address) = self.directory.address(node) else {
+            return;
+        };
+        let mut client = self.peers.links().to(address);
+        let asked = within(WATCH_LIMIT, client.heartbeat(HeartbeatRequest::default())).await;
+        let receiver = asked.ok().and_then(Result::ok);
+        let receiver = receiver.and_then(|reply| reply.into_inner().receiver);
+        match receiver {
+            Some(member) if member.node == node.as_str() => {
+                self.directory.trust(node);
+                self.directory
+                    .note_life(node, Incarnation(member.incarnation));
+            }
+            _ => self.directory.suspect(node, self.now()),
+        }
+    }
+
+    /// Looks at the voters of owned shards and replaces those that left or restarted.
+    pub(crate) async fn renew_voters(self: Arc<Self>) {
+        loop {
+            sleep(RENEWAL_REST).await;
+            if !self.folded().log_answers() || self.shared.is_leaving() {
+                continue;
+            }
+            let due = self.due_renewals();
+            join_all(due.into_iter().map(|shard| self.renew(shard))).await;
+        }
+    }
+
+    /// Returns shards to renew, each marked so that its voters are given nothing meanwhile.
+    fn due_renewals(&self) -> Vec<ShardId> {
+        let now = self.now();
+        let mut state = self.lock();
+        let shards: Vec<_> = state.owners.keys().copied().collect();
+        let mut due = Vec::new();
+        for shard in shards {
+            let lease = self.folded().with(|fold| fold.leases.get(&shard).cloned());
+            let Some(lease) = lease.filter(|_| self.owns(&mut state, shard)) else {
+                continue;
+            };
+            let gathering = state
+                .owners
+                .get(&shard)
+                .is_none_or(|owner| owner.is_gathering());
+            if gathering || state.commit.is_mirrored(shard) {
+                continue;
+            }
+            // A claim whose verdict isn't read stays undecided, and is appended again.
+            let undecided = state.renewing.contains(&shard);
+            let lives = state.voter_lives.entry(shard).or_default();
+            let lost = lease.voters.iter().any(|voter| {
+                let Some(life) = self.life(voter) else {
+                    return false;
+                };
+                *lives.entry(voter.clone()).or_insert(life) != life
+            });
+            if undecided || lost || self.could_be_better(shard, &lease, now) {
+                state.renewing.insert(shard);
+                due.push(shard);
+            }
+            if due.len() >= RENEWALS {
+                break;
+            }
+        }
+        due
+    }
+
+    fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        if *node == self.shared.identity.node {
+            return Some(self.shared.identity.incarnation);
+        }
+        self.directory.life(node)
+    }
+
+    /// Returns whether a voter doesn't answer, or there are more nodes to choose from than before.
+    fn could_be_better(&self, shard: ShardId, lease: &LeaseRecord, now: Timestamp) -> bool {
+        let me = &self.shared.identity.node;
+        let silent = |voter: &NodeId| voter != me && !self.directory.is_trusted(voter, now);
+        let chosen = choose_voters(shard, &self.directory.view(now));
+        chosen.len() > lease.voters.len() || lease.voters.iter().any(silent)
+    }
+
+    async fn renew(&self, shard: ShardId) {
+        let identity = &self.shared.identity;
+        let epoch = self.lock().owners.get(&shard).map(|owner| owner.epoch());
+        let Some(epoch) = epoch else {
+            return;
+        };
+        let record = Record::Claim {
+            shard,
+            holder: identity.node.clone(),
+            incarnation: identity.incarnation,
+            builds_on: Some(epoch),
+            voters: choose_voters(shard, &self.directory.view(self.now())),
+        };
+        let appended = within(APPEND_LIMIT, async {
+            let offset = self.log.append(record.encode().into()).await?;
+            self.folded().applied(offset).await;
+            Ok::<_, anyhow::Error>(())
+        });
+        if !matches!(appended.await, Ok(Ok(()))) {
+            log::info!("actions: shard {shard} waits for the verdict on its fresh voters.");
+        }
+        let mut state = self.lock();
+        self.owns(&mut state, shard);
+    }
+}
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -71,6 +71,8 @@
         tasks.clone(),
     );
     tasks.spawn(Arc::clone(&desk).run());
+    tasks.spawn(Arc::clone(&desk).watch_nodes());
+    tasks.spawn(Arc::clone(&desk).renew_voters());
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
