--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -135,7 +135,10 @@
     pub fn may_act(&self, shard: ShardId, now: Timestamp) -> Option<Epoch> {
         let shard = self.shards.get(usize::from(shard.0))?;
         let own = self.own_span(shard)?;
-        (own.from <= now && now < own.until).then(|| shard.epoch())
+        if now < own.from || own.until <= now {
+            return None;
+        }
+        shard.epoch()
     }
 
     /// Returns a snapshot of all owners for other threads.
@@ -289,7 +292,7 @@
             Role::Releasing { since } if now < *since + self.settings.vote_interval => return None,
             Role::Releasing { .. } => Effect::AppendRelease(ReleaseSeen {
                 shard: id,
-                epoch: shard.epoch(),
+                epoch: shard.epoch()?,
             }),
             Role::Claimant(_) => return self.keep_or_release(index, view, now),
         };
--- a/crates/sesamecart-lease/src/record.rs
+++ b/crates/sesamecart-lease/src/record.rs
@@ -27,8 +27,8 @@
     pub epoch: Epoch,
     /// Who claims.
     pub holder: Holder,
-    /// The epoch that the claimant knew; zero if it knew none.
-    pub builds_on: Epoch,
+    /// The epoch that the claimant knew, if any.
+    pub builds_on: Option<Epoch>,
     /// The nodes that extend the lease while the log is out.
     pub voters: Vec<NodeId>,
 }
@@ -73,8 +73,8 @@
 pub struct ClaimDraft {
     /// The shard.
     pub shard: ShardId,
-    /// The epoch that the claim builds on; zero if there is none.
-    pub builds_on: Epoch,
+    /// The epoch that the claim builds on, if any.
+    pub builds_on: Option<Epoch>,
     /// The voters of the new lease.
     pub voters: Vec<NodeId>,
 }
--- a/crates/sesamecart-lease/src/shard.rs
+++ b/crates/sesamecart-lease/src/shard.rs
@@ -71,18 +71,18 @@
         }
     }
 
-    /// Returns the newest accepted epoch; zero if there is none.
-    pub(crate) fn epoch(&self) -> Epoch {
-        self.lease.as_ref().map_or(Epoch(0), |lease| lease.epoch)
+    /// Returns the newest accepted epoch, if any.
+    pub(crate) fn epoch(&self) -> Option<Epoch> {
+        self.lease.as_ref().map(|lease| lease.epoch)
     }
 
     /// Takes a lease from a checkpoint or from the state of peers.
     pub(crate) fn install(&mut self, lease: LeaseSeen) {
-        if lease.epoch > self.epoch() {
+        if Some(lease.epoch) > self.epoch() {
             self.role = Role::None;
             self.undecided = 0;
             self.lease = Some(lease);
-        } else if lease.epoch == self.epoch()
+        } else if Some(lease.epoch) == self.epoch()
             && lease.released
             && let Some(known) = &mut self.lease
         {
@@ -98,7 +98,7 @@
         settings: &LeaseSettings,
         now: Timestamp,
     ) -> Verdict {
-        if claim.builds_on != self.epoch() || claim.epoch <= self.epoch() {
+        if claim.builds_on != self.epoch() || Some(claim.epoch) <= self.epoch() {
             return Verdict::Past;
         }
         let before = self.lease.replace(LeaseSeen {
