--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -5,9 +5,11 @@
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
-use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
+use sesamecart_vocabulary::{Bytes, FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
+use crate::access::AdministrationAccess;
+
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -22,6 +24,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub administration: SocketAddr,
+    /// Who may connect there.
+    #[serde(default)]
+    pub access: AdministrationAccess,
     /// Where other nodes connect.
     pub links: SocketAddr,
     /// The platform's log service.
@@ -38,6 +43,9 @@
     /// The number of traffic threads.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
+    /// Bounds on what callers may hold.
+    #[serde(default)]
+    pub bounds: CallerBounds,
     /// Milliseconds between not being ready and closing the callers' side on leave, which gives the
     /// platform's balancer time to notice.
     #[serde(default = "default_balancer_delay_ms")]
@@ -47,6 +55,37 @@
     pub leave_limit_ms: u64,
 }
 
+/// Bounds on what callers may hold, so that no caller can take memory without limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerBounds {
+    /// The largest body of a request.
+    pub max_body_bytes: Bytes,
+    /// The largest answer that is held whole before it is passed on.
+    pub max_answer_bytes: Bytes,
+    /// Milliseconds in which a request's body must arrive.
+    pub body_limit_ms: u64,
+    /// Milliseconds that a request may take when its caller names no deadline.
+    pub request_limit_ms: u64,
+    /// Milliseconds in which a connection to an endpoint must open.
+    pub connect_limit_ms: u64,
+    /// The most connections of callers at once.
+    pub max_connections: usize,
+}
+
+impl Default for CallerBounds {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: Bytes(8 * 1024 * 1024),
+            max_answer_bytes: Bytes(16 * 1024 * 1024),
+            body_limit_ms: 30_000,
+            request_limit_ms: 120_000,
+            connect_limit_ms: 500,
+            max_connections: 8_192,
+        }
+    }
+}
+
 /// How the node reaches the platform's log.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +95,13 @@
     /// Milliseconds between two reads of the tail.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
+    /// Milliseconds between two checkpoints; the log must keep records for at least three times as
+    /// long.
+    #[serde(default = "default_checkpoint_ms")]
+    pub checkpoint_ms: u64,
+    /// The most records between two checkpoints; the log must keep at least three times as many.
+    #[serde(default = "default_checkpoint_records")]
+    pub checkpoint_records: u64,
 }
 
 /// Another node.
@@ -86,6 +132,14 @@
     200
 }
 
+const fn default_checkpoint_ms() -> u64 {
+    10 * 60 * 1_000
+}
+
+const fn default_checkpoint_records() -> u64 {
+    10_000
+}
+
 /// The most traffic threads that settings may ask for.
 const MAX_TRAFFIC_THREADS: usize = 256;
 
@@ -171,6 +225,31 @@
                 "must be from 1 to 10000",
             );
         }
+        if self.log.checkpoint_ms == 0 {
+            return error("log.checkpoint_ms", "0".to_owned(), "must be at least 1");
+        }
+        if self.log.checkpoint_records == 0 {
+            return error(
+                "log.checkpoint_records",
+                "0".to_owned(),
+                "must be at least 1",
+            );
+        }
+        if self.access.requests_per_s == 0 {
+            let value = "0".to_owned();
+            return error("access.requests_per_s", value, "must be at least 1");
+        }
+        let mut operators = IndexSet::new();
+        for operator in &self.access.operators {
+            if !operators.insert(&operator.name) {
+                let value = operator.name.clone();
+                return error(
+                    "access.operators",
+                    value,
+                    "stands twice among the operators",
+                );
+            }
+        }
         let mut addresses = IndexSet::new();
         for (field, address) in [
             ("callers", self.callers),
--- /dev/null
+++ b/crates/sesamecart-node/src/control.rs
@@ -0,0 +1,87 @@
+//! The control thread: it follows the log, keeps links to other nodes and publishes pictures of the
+//! state to the traffic threads.
+
+mod folded;
+mod follower;
+mod link;
+mod peer_follower;
+mod peers;
+mod upkeep;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
+use sesamecart_links::Links;
+use sesamecart_runtime::{Signal, Worker};
+
+use crate::actions::Desk;
+use crate::administration;
+pub(crate) use crate::control::folded::Folded;
+use crate::control::follower::Follower;
+use crate::control::link::LinkSide;
+use crate::control::peer_follower::PeerFollower;
+pub(crate) use crate::control::peers::{PeerView, Peers};
+use crate::node::Listeners;
+use crate::shared::Shared;
+
+/// How long one call of the log may take before the log counts as out.
+const LOG_CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long opening a connection to the platform may take.
+const PLATFORM_CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Starts the control thread.
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    listeners: &Listeners,
+    leaving: &Signal,
+) -> anyhow::Result<(Worker, Arc<Desk>)> {
+    let worker = Worker::start(format!("control-{}", shared.identity.node))?;
+    let tasks = worker.tasks().clone();
+    let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
+    let log: Arc<dyn Log> = Arc::new(HttpLog::new(
+        client.clone(),
+        shared.settings.log.address,
+        LOG_CALL_LIMIT,
+    ));
+    let links = Links::new(tasks.clone(), shared.link_bytes.clone());
+    let peers = Peers::new(Arc::clone(shared), links);
+    if let Some(address) = shared.settings.vm_list {
+        let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
+        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+    }
+    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
+    tasks.spawn(follower.run());
+    let peer_follower = PeerFollower::new(Arc::clone(shared), peers.clone());
+    tasks.spawn(peer_follower.run());
+    tasks.spawn(upkeep::write_checkpoints(
+        Arc::clone(shared),
+        Arc::clone(&log),
+    ));
+    tasks.spawn(upkeep::spread_drains(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+    ));
+    let desk = Desk::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(Arc::clone(&desk).run());
+    administration::start(shared, listeners, leaving, &tasks, log, peers)?;
+    let links = listeners.links.try_clone()?;
+    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
+    let count = shared.link_bytes.clone();
+    tasks.spawn({
+        let tasks = tasks.clone();
+        async move {
+            if let Err(error) = sesamecart_links::serve(links, side, tasks, count).await {
+                log::error!("link: can't take links: {error}.");
+            }
+        }
+    });
+    Ok((worker, desk))
+}
--- /dev/null
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -0,0 +1,122 @@
+//! Follows the platform's log and folds it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamecart_edges::{Log, LogError, LogPage};
+use sesamecart_fold::{Applied, AppliedAt, Standing};
+use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::{Offset, Timestamp};
+
+use crate::shared::Shared;
+
+/// The most records that one read asks for.
+const READ_LIMIT: usize = 500;
+
+/// How long the follower rests after a failed read.
+///
+/// Without a rest, all nodes together would ask a log that is just coming back as fast as they can.
+const FAILURE_REST: Duration = Duration::from_millis(200);
+
+/// Reads the log in order and folds each record.
+#[derive(Debug)]
+pub(crate) struct Follower {
+    shared: Arc<Shared>,
+    log: Arc<dyn Log>,
+    standing: Standing,
+}
+
+impl Follower {
+    pub(crate) fn new(shared: Arc<Shared>, log: Arc<dyn Log>) -> Self {
+        Self {
+            shared,
+            log,
+            standing: Standing::Behind,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let wait = Duration::from_millis(self.shared.settings.log.poll_ms);
+            let begun = self.shared.clock.now();
+            let from = self.shared.folded.wants();
+            match self.log.read(from, READ_LIMIT, wait).await {
+                Ok(page) => {
+                    self.note_success();
+                    self.take_page(&page, begun);
+                    if self.standing == Standing::Stranded {
+                        sleep(FAILURE_REST).await;
+                    }
+                }
+                Err(error) => {
+                    self.note_failure(&error);
+                    sleep(FAILURE_REST).await;
+                }
+            }
+        }
+    }
+
+    fn take_page(&mut self, page: &LogPage, begun: Timestamp) {
+        let read = self.shared.folded.take_page(page);
+        self.shared.note_applied(&read.applied);
+        self.note_standing(read.standing);
+        if read.standing == Standing::AtTail {
+            self.shared.note_heard(begun);
+        }
+    }
+
+    fn note_standing(&mut self, standing: Standing) {
+        let is_news = standing != self.standing;
+        self.standing = standing;
+        self.shared.folded.note_standing(standing);
+        match standing {
+            Standing::Seeking if is_news => {
+                log::warn!("fold: the log has forgotten records; looking for a checkpoint.");
+            }
+            Standing::Stranded if is_news => {
+                log::error!("fold: the log holds no checkpoint that helps; asking other nodes.");
+            }
+            _ => {}
+        }
+    }
+
+    fn note_success(&self) {
+        if !self.shared.folded.log_answers() {
+            log::info!("fold: the log answers.");
+        }
+        let now = self.shared.clock.now();
+        self.shared.folded.note_log(true, now);
+    }
+
+    fn note_failure(&self, error: &LogError) {
+        if self.shared.folded.log_answers() {
+            log::warn!("fold: {error}.");
+        }
+        let now = self.shared.clock.now();
+        self.shared.folded.note_log(false, now);
+    }
+}
+
+impl Shared {
+    /// Tells what records did and shows the traffic threads the new state.
+    pub(crate) fn note_applied(&self, applied: &[AppliedAt]) {
+        for AppliedAt { offset, applied } in applied {
+            report(*offset, applied);
+        }
+        let settled = self.folded.settle_drains(self.clock.now());
+        if settled || !applied.is_empty() {
+            self.refresh_snapshot();
+        }
+    }
+}
+
+fn report(offset: Offset, applied: &Applied) {
+    match applied {
+        Applied::Skipped(error) => {
+            log::error!("fold: the record at offset {offset} was skipped: {error}.");
+        }
+        Applied::Rejected(rejection) => log::info!("fold: offset {offset}: {rejection}."),
+        Applied::Published { revision } => log::info!("fold: revision {revision} is in force."),
+        other => log::debug!("fold: offset {offset}: {other:?}."),
+    }
+}
