Let a first claim in the roles' measurement build on nothing

Cause: a claim of a shard that was never held now names no epoch instead of epoch 0. Change: the measurement's claims build on nothing.

--- a/crates/sesamecart-measure/src/roles/leases.rs
+++ b/crates/sesamecart-measure/src/roles/leases.rs
@@ -60,7 +60,7 @@
                 node: node(owner),
                 incarnation: Incarnation(1),
             },
-            builds_on: Epoch(0),
+            builds_on: None,
             voters: (0..5).map(node).collect(),
         };
         leases.on_claim(&claim, start);
