--- a/crates/sesamecart-measure/src/actions.rs
+++ b/crates/sesamecart-measure/src/actions.rs
@@ -17,6 +17,7 @@
 use anyhow::ensure;
 use gumdrop::Options;
 use serde::Serialize;
+use sesamecart_fold::Record;
 use sesamecart_runtime::{Worker, sleep};
 use sesamecart_standins::{EngineSpeed, PlainServiceFaults};
 use sesamecart_vocabulary::ServiceId;
@@ -52,9 +53,17 @@
     baseline: Totals,
     added: Vec<latency::Added>,
     log_appends_per_s: f64,
+    lease_claims: usize,
     seconds: f64,
 }
 
+/// What a run appended to the log.
+#[derive(Clone, Copy, Debug)]
+struct LogUse {
+    appends_per_s: f64,
+    claims: usize,
+}
+
 /// Runs the measurement.
 ///
 /// # Errors
@@ -79,8 +88,7 @@
     if arguments.latency_only {
         return Ok(());
     }
-    let (keyed, log_appends_per_s) =
-        book(arguments, worker, Keys::Used, arguments.transfers).await?;
+    let (keyed, used) = book(arguments, worker, Keys::Used, arguments.transfers).await?;
     println!("with keys: {}", serde_json::to_string(&keyed)?);
     let (baseline, _) = book(arguments, worker, Keys::None, arguments.baseline).await?;
     println!("without keys: {}", serde_json::to_string(&baseline)?);
@@ -88,7 +96,8 @@
         keyed,
         baseline,
         added,
-        log_appends_per_s,
+        log_appends_per_s: used.appends_per_s,
+        lease_claims: used.claims,
         seconds: begun.elapsed().as_secs_f64(),
     };
     println!("{}", serde_json::to_string(&report)?);
@@ -141,7 +150,7 @@
     worker: &Worker,
     keys: Keys,
     transfers: u64,
-) -> anyhow::Result<(Totals, f64)> {
+) -> anyhow::Result<(Totals, LogUse)> {
     let mut cluster = start().await?;
     for service in cluster.services.values() {
         service.set_faults(service_faults());
@@ -164,9 +173,22 @@
     let appends = cluster.log.counts().appends - before.0;
     #[expect(clippy::cast_precision_loss, reason = "a count of appends is small")]
     let per_second = appends as f64 / before.1.elapsed().as_secs_f64();
+    let is_claim = |data: &bytes::Bytes| {
+        let record = Record::decode(data).map(|envelope| envelope.record);
+        matches!(record, Ok(Record::Claim { .. }))
+    };
+    let used = LogUse {
+        appends_per_s: per_second,
+        claims: cluster
+            .log
+            .records()
+            .iter()
+            .filter(|data| is_claim(data))
+            .count(),
+    };
     let totals = tally.totals();
     cluster.stop();
-    Ok((totals, per_second))
+    Ok((totals, used))
 }
 
 fn service_faults() -> PlainServiceFaults {
--- a/crates/sesamecart-measure/src/actions/booking.rs
+++ b/crates/sesamecart-measure/src/actions/booking.rs
@@ -6,7 +6,7 @@
 
 use fastrand::Rng;
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 use sesamecart_edges::OUTCOME;
 use sesamecart_runtime::{Worker, sleep};
 use sesamecart_standins::receipt_of;
@@ -21,6 +21,15 @@
 /// The time before a caller asks again.
 const REST: Duration = Duration::from_millis(100);
 
+fn error_code(body: &Value) -> Option<String> {
+    let error = body.get("error")?;
+    let code = error.get("code")?.as_str()?;
+    // Only this code's message is the same for all.
+    let message = error.get("message")?.as_str()?;
+    let detailed = code == "not_begun";
+    Some(if detailed { message } else { code }.to_owned())
+}
+
 /// Whether callers use idempotency keys.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Keys {
@@ -112,9 +121,13 @@
     fn note(&self, transfer: &str, answer: anyhow::Result<Answer>, told: &mut Told) {
         told.last_was_refusal = false;
         let Ok(answer) = answer else {
+            self.tally.note_error("no_connection");
             told.unknowns += 1;
             return;
         };
+        if let Some(code) = answer.json().ok().as_ref().and_then(error_code) {
+            self.tally.note_error(&code);
+        }
         let outcome = answer.headers.get(OUTCOME).map(http::HeaderValue::as_bytes);
         match outcome {
             Some(b"answered") => {
--- a/crates/sesamecart-measure/src/actions/tally.rs
+++ b/crates/sesamecart-measure/src/actions/tally.rs
@@ -33,6 +33,8 @@
     /// Whether callers go on beyond what was wanted, since faults are still to come.
     more: AtomicU64,
     told: Mutex<IndexMap<String, Told>>,
+    /// How often each error was given, by its code.
+    errors: Mutex<IndexMap<String, u64>>,
 }
 
 /// The totals of one run.
@@ -53,6 +55,7 @@
     pub(crate) p50_ms: f64,
     pub(crate) p99_ms: f64,
     pub(crate) to_confirmation_p99_ms: f64,
+    pub(crate) errors: IndexMap<String, u64>,
 }
 
 impl Tally {
@@ -63,6 +66,7 @@
             ledger,
             more: AtomicU64::new(1),
             told: Mutex::default(),
+            errors: Mutex::default(),
         }
     }
 
@@ -85,6 +89,15 @@
         self.told.lock().unwrap().insert(transfer, told);
     }
 
+    pub(crate) fn note_error(&self, code: &str) {
+        *self
+            .errors
+            .lock()
+            .unwrap()
+            .entry(code.to_owned())
+            .or_insert(0) += 1;
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         let told = self.told.lock().unwrap().len() as u64;
         told >= self.wanted && told >= self.next.load(Ordering::Relaxed)
@@ -97,6 +110,7 @@
             asked: self.next.load(Ordering::Relaxed),
             run: runs.len() as u64,
             run_more_than_once: runs.values().filter(|runs| **runs > 1).count() as u64,
+            errors: self.errors.lock().unwrap().clone(),
             ..Totals::default()
         };
         let mut answered = Vec::new();
--- a/crates/sesamecart-node/src/traffic/relay.rs
+++ b/crates/sesamecart-node/src/traffic/relay.rs
@@ -220,7 +220,7 @@
         Self {
             incoming: answered.exchange.response.into_body(),
             lease: answered.exchange.lease,
-            splitter: EventSplitter::new(answered.attempt, shown.clone(), next),
+            splitter: EventSplitter::new(&answered.attempt, shown, next),
             endpoint: answered.endpoint,
             _flight: answered.flight,
         }
--- a/crates/sesamecart-node/src/traffic/sse.rs
+++ b/crates/sesamecart-node/src/traffic/sse.rs
@@ -72,9 +72,10 @@
 /// Takes the bytes of one attempt's stream and gives out whole events.
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
-    attempt: AttemptId,
-    /// The id that the caller sees.
-    shown: AttemptId,
+    /// The attempt's id as events carry it, in quotes: one id can be the beginning of another.
+    own: Vec<u8>,
+    /// The id that the caller sees, if it is another.
+    shown: Option<Vec<u8>>,
     /// The position of the next token.
     next: u64,
     buf: BytesMut,
@@ -88,10 +89,10 @@
     /// Makes a splitter for an attempt that begins at the token `next`.
     ///
     /// A resumed answer shows the caller the id of its first attempt, as one answer has one id.
-    pub(crate) fn new(attempt: AttemptId, shown: AttemptId, next: u64) -> Self {
+    pub(crate) fn new(attempt: &AttemptId, shown: &AttemptId, next: u64) -> Self {
         Self {
-            attempt,
-            shown,
+            own: quoted(attempt),
+            shown: (shown != attempt).then(|| quoted(shown)),
             next,
             buf: BytesMut::new(),
             own_seen: false,
@@ -128,9 +129,9 @@
                 Ok(verdict) => {
                     events.count += u64::from(matches!(verdict, Verdict::Token));
                     events.last = matches!(verdict, Verdict::Last);
-                    if self.shown != self.attempt {
+                    if let Some(shown) = &self.shown {
                         let copied = copied.get_or_insert_with(Vec::new);
-                        copied.extend(self.renamed(event));
+                        copied.extend(replaced(event, &self.own, shown));
                     } else if let Some(copied) = &mut copied {
                         copied.extend_from_slice(event);
                     }
@@ -168,7 +169,7 @@
         if data == LAST_EVENT {
             return self.check_last();
         }
-        if find(data, self.attempt.as_str().as_bytes()).is_none() {
+        if find(data, &self.own).is_none() {
             // Between events whose positions show that none is missing, a foreign one can be left
             // out. A stream that begins with one is another request's as a whole.
             return match position {
@@ -200,14 +201,16 @@
         }
         Ok(Verdict::Last)
     }
+}
 
-    fn renamed(&self, event: &[u8]) -> Vec<u8> {
-        let attempt = self.attempt.as_str().as_bytes();
-        let Some(at) = find(event, attempt) else {
-            return event.to_vec();
-        };
-        let (before, after) = (&event[..at], &event[at + attempt.len()..]);
-        [before, self.shown.as_str().as_bytes(), after].concat()
+fn quoted(attempt: &AttemptId) -> Vec<u8> {
+    format!("\"{attempt}\"").into_bytes()
+}
+
+fn replaced(event: &[u8], from: &[u8], to: &[u8]) -> Vec<u8> {
+    match find(event, from) {
+        Some(at) => [&event[..at], to, &event[at + from.len()..]].concat(),
+        None => event.to_vec(),
     }
 }
 
--- a/crates/sesamecart-node/src/traffic/sse/tests.rs
+++ b/crates/sesamecart-node/src/traffic/sse/tests.rs
@@ -8,7 +8,7 @@
 }
 
 fn splitter() -> EventSplitter {
-    EventSplitter::new(attempt(), attempt(), 0)
+    EventSplitter::new(&attempt(), &attempt(), 0)
 }
 
 fn event(number: usize) -> String {
@@ -63,6 +63,8 @@
 
 const FOREIGN: &str = "id: 1\ndata: {\"id\":\"a-node-2\"}\n\n";
 const UNPLACED: &str = "data: {\"id\":\"a-node-2\"}\n\n";
+/// Its id begins with the attempt's own.
+const LONGER: &str = "id: 0\ndata: {\"id\":\"a-node-10\"}\n\n";
 const DONE: &str = "data: [DONE]\n\n";
 
 faulty_streams! {
@@ -70,6 +72,8 @@
         UNPLACED.to_owned() => passed String::new(), fault Some(StreamFault::Crossed);
     stream_that_begins_with_another_attempt_is_a_fault:
         FOREIGN.to_owned() + &event(0) => passed String::new(), fault Some(StreamFault::Crossed);
+    event_of_an_attempt_whose_id_begins_alike_is_a_fault:
+        LONGER.to_owned() => passed String::new(), fault Some(StreamFault::Crossed);
     foreign_event_between_placed_ones_is_left_out:
         event(0) + FOREIGN + &event(1) => passed event(0) + &event(1), fault None;
     foreign_event_without_a_place_is_a_fault:
@@ -91,7 +95,7 @@
 #[test]
 fn resumed_events_show_the_first_id() {
     let first: AttemptId = "a-node-0".parse().expect("an id");
-    let mut splitter = EventSplitter::new(attempt(), first, 3);
+    let mut splitter = EventSplitter::new(&attempt(), &first, 3);
     let events = push(&mut splitter, &(event(2) + &event(3) + DONE));
     let expected = event(3).replace("a-node-1", "a-node-0") + DONE;
     assert_eq!(String::from_utf8_lossy(&events.bytes), expected);
--- /dev/null
+++ b/crates/sesamecart-node/tests/whole_path/main.rs
@@ -0,0 +1,5 @@
+//! Actions that run at most once and answers that are whole, through real nodes.
+
+mod actions;
+mod setup;
+mod streams;
