Take no end mark for an answer's own before a token of it came

A node that had been paused took all others for dead and claimed their shards. Change: the end mark counts only after a token of the same attempt. A node that hears less than half of the others claims nothing, and time limits that passed in its own pause say nothing of others.

--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -85,6 +85,16 @@
             .is_some_and(|until| *until > now)
     }
 
+    /// Returns whether at least half of the other nodes count as alive.
+    ///
+    /// A node that was paused or cut off hears nobody and would take itself for the last one alive;
+    /// claiming every shard then, it would move them all for nothing.
+    pub(crate) fn hears_most(&self, now: Timestamp) -> bool {
+        let others = self.others();
+        let silent = others.iter().filter(|node| self.is_suspected(node, now));
+        2 * silent.count() <= others.len() + 1
+    }
+
     /// Returns where a node takes links, if it is known.
     pub(crate) fn address(&self, node: &NodeId) -> Option<SocketAddr> {
         self.peers.get(node).map(|peer| peer.address)
--- a/crates/sesamecart-node/src/actions/renewal.rs
+++ b/crates/sesamecart-node/src/actions/renewal.rs
@@ -37,14 +37,22 @@
             let mut nodes = self.directory.others();
             fastrand::shuffle(&mut nodes);
             nodes.truncate(WATCHED);
-            join_all(nodes.iter().map(|node| self.watch(node))).await;
+            let begun = self.now();
+            let heard = join_all(nodes.iter().map(|node| self.watch(node))).await;
+            // A pause of this node makes all its time limits pass at once, and says nothing of others.
+            let paused = self.now() - begun > 2 * WATCH_LIMIT;
+            for (node, heard) in nodes.iter().zip(heard) {
+                if !heard && !paused {
+                    self.directory.suspect(node, self.now());
+                }
+            }
             sleep(WATCH_REST).await;
         }
     }
 
-    async fn watch(&self, node: &NodeId) {
+    async fn watch(&self, node: &NodeId) -> bool {
         let Some(address) = self.directory.address(node) else {
-            return;
+            return false;
         };
         let mut client = self.peers.links().to(address);
         let asked = within(WATCH_LIMIT, client.heartbeat(HeartbeatRequest::default())).await;
@@ -55,8 +63,9 @@
                 self.directory.trust(node);
                 self.directory
                     .note_life(node, Incarnation(member.incarnation));
+                true
             }
-            _ => self.directory.suspect(node, self.now()),
+            _ => false,
         }
     }
 
@@ -64,7 +73,8 @@
     pub(crate) async fn renew_voters(self: Arc<Self>) {
         loop {
             sleep(RENEWAL_REST).await;
-            if !self.folded().log_answers() || self.shared.is_leaving() {
+            let hears = self.folded().log_answers() && self.directory.hears_most(self.now());
+            if !hears || self.shared.is_leaving() {
                 continue;
             }
             let due = self.due_renewals();
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -33,6 +33,9 @@
     ///
     /// Two nodes may do so at once; the fold lets the first claim win.
     pub(super) fn take_over(self: &Arc<Self>, shard: ShardId) {
+        if !self.directory.hears_most(self.now()) {
+            return;
+        }
         let mut state = self.lock();
         let held = state.owners.contains_key(&shard);
         if state.leaving || held || !state.taking_over.insert(shard) {
@@ -53,7 +56,8 @@
     /// No claim can be made while the log is out, so a shard that was only claimed when the first
     /// key came would refuse every key in an outage.
     pub(super) fn claim_free(self: &Arc<Self>) {
-        if !self.shared.folded.log_answers() || self.shared.unready_because().is_some() {
+        let ready = self.shared.folded.log_answers() && self.shared.unready_because().is_none();
+        if !ready {
             return;
         }
         let first = self.next_free.fetch_add(SHARDS_PER_TICK, Ordering::Relaxed) % SHARDS;
--- a/crates/sesamecart-node/src/traffic/sse.rs
+++ b/crates/sesamecart-node/src/traffic/sse.rs
@@ -80,7 +80,6 @@
     next: u64,
     buf: BytesMut,
     own_seen: bool,
-    resumed: bool,
     names_finish: bool,
     finished: bool,
 }
@@ -96,7 +95,6 @@
             next,
             buf: BytesMut::new(),
             own_seen: false,
-            resumed: next > 0,
             names_finish: false,
             finished: false,
         }
@@ -193,10 +191,10 @@
 
     /// Checks that the answer may end here.
     ///
-    /// The last event carries no id, so another request's could come early.
+    /// The last event carries no id, so another request's could come early: between two tokens, or
+    /// at once in a resumed stream when the other request's answer is shorter.
     fn check_last(&self) -> Result<Verdict, StreamFault> {
-        let begun = self.own_seen || self.resumed;
-        if !begun || self.names_finish && !self.finished {
+        if !self.own_seen || self.names_finish && !self.finished {
             return Err(StreamFault::Unfinished);
         }
         Ok(Verdict::Last)
--- a/crates/sesamecart-node/src/traffic/sse/tests.rs
+++ b/crates/sesamecart-node/src/traffic/sse/tests.rs
@@ -102,6 +102,19 @@
     assert!(events.last);
 }
 
+/// A stream is resumed at an engine that answers with another request's, which is shorter and so is at
+/// its end already. The caller would take the first half of its answer for the whole.
+#[test]
+fn resumed_stream_that_ends_at_once_is_a_fault() {
+    let first: AttemptId = "a-node-0".parse().expect("an id");
+    let mut splitter = EventSplitter::new(&attempt(), &first, 3);
+    let events = push(&mut splitter, DONE);
+    assert_eq!(
+        (events.last, events.fault),
+        (false, Some(StreamFault::Unfinished))
+    );
+}
+
 /// An engine never ends an event. The node would hold it in memory for as long as it grows.
 #[test]
 fn event_without_end_is_a_fault() {
