--- a/crates/sesamecart-groups/src/controller/group.rs
+++ b/crates/sesamecart-groups/src/controller/group.rs
@@ -1,7 +1,11 @@
 //! One group under control.
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{AdapterId, Bytes, Generation, Incarnation, Timestamp, VmId};
+use sesamecart_vocabulary::{
+    AdapterId, Bytes, Generation, GroupId, Incarnation, ModelId, Timestamp, VmId,
+};
+
+use super::event::Effect;
 
 use crate::assignment::AssignedGroup;
 use crate::fleet::ModelPlan;
@@ -11,13 +15,14 @@
 use crate::state::{GroupReport, NotRoutable, Routability, assess};
 
 /// How far a group is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum GroupPhase {
     /// It serves.
     Serving,
     /// It has all of its VMs and loads or starts.
     Recovering,
     /// It lacks VMs.
+    #[default]
     Out,
 }
 
@@ -62,6 +67,9 @@
     pub(super) hold_until: Timestamp,
     pub(super) adapters: Adapters,
     pub(super) published: Option<Routability>,
+    pub(super) phase: GroupPhase,
+    /// When routability was last decided.
+    pub(super) decided_at: Option<Timestamp>,
 }
 
 /// A start order that was sent.
@@ -76,6 +84,8 @@
 pub(super) struct Adapters {
     pub(super) incarnation: Incarnation,
     pub(super) ordered: IndexSet<AdapterId>,
+    /// Whether none is left to be ordered.
+    pub(super) told_all: bool,
 }
 
 impl GroupControl {
@@ -148,16 +158,16 @@
         (!same).then_some(routability)
     }
 
-    /// Returns the phase by the last decision.
-    pub(super) fn phase(&self, usable: usize, size: usize) -> GroupPhase {
-        match &self.published {
+    /// Notes the phase that follows from the last decision.
+    pub(super) fn update_phase(&mut self, usable: usize, size: usize) {
+        self.phase = match &self.published {
             Some(Routability::Routable { .. }) => GroupPhase::Serving,
             Some(Routability::Not(NotRoutable::Lost(_) | NotRoutable::Missing(_))) => {
                 GroupPhase::Out
             }
             Some(Routability::Not(_)) if usable < size => GroupPhase::Out,
             Some(Routability::Not(_)) | None => GroupPhase::Recovering,
-        }
+        };
     }
 
     /// Returns whether the engine must be told to start the assigned generation.
@@ -201,8 +211,21 @@
         })
     }
 
-    /// Forgets what a VM had loaded, since it was lost.
-    pub(super) fn forget_load(&mut self, vm: &VmId) {
-        self.loads.swap_remove(vm);
+    /// Drops a load, and stops it if it still runs: one that nobody counts any more would use up
+    /// rate that other loads are granted.
+    pub(super) fn drop_load(
+        &mut self,
+        group: &GroupId,
+        vm: &VmId,
+        model: &ModelId,
+    ) -> Option<Effect> {
+        let load = self.loads.swap_remove(vm)?;
+        (load.granted > Bytes(0)).then(|| Effect::Load {
+            group: group.clone(),
+            vm: vm.clone(),
+            model: model.clone(),
+            version: load.version,
+            bytes_per_s: Bytes(0),
+        })
     }
 }
--- a/crates/sesamecart-groups/src/controller/loading.rs
+++ b/crates/sesamecart-groups/src/controller/loading.rs
@@ -13,10 +13,9 @@
 }
 
 impl Controller {
-    pub(super) fn share_rate(&mut self, effects: &mut Vec<Effect>) {
+    pub(super) fn share_rate(&mut self, active: &[GroupId], effects: &mut Vec<Effect>) {
         let mut requests = Vec::new();
-        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
-        for group in &groups {
+        for group in active {
             let wanted = self.wanted_loads(group);
             self.sync_loads(group, &wanted, effects);
             if !wanted.is_empty() {
@@ -74,7 +73,14 @@
                 .iter()
                 .any(|w| w.vm == *vm && w.version == load.version)
         };
-        control.loads.retain(|vm, load| is_wanted(vm, load));
+        let unwanted = control
+            .loads
+            .iter()
+            .filter(|(vm, load)| !is_wanted(vm, load));
+        let stopped: Vec<VmId> = unwanted.map(|(vm, _)| vm.clone()).collect();
+        for vm in &stopped {
+            effects.extend(control.drop_load(group, vm, &model));
+        }
         for want in wanted {
             if control.loads.contains_key(&want.vm) {
                 continue;
@@ -166,7 +172,7 @@
 
     pub(super) fn take_failure(&mut self, group: &GroupId, vm: &VmId, now: Timestamp) {
         if let Some(control) = self.groups.get_mut(group) {
-            control.forget_load(vm);
+            control.loads.swap_remove(vm);
         }
         self.suspects
             .insert(vm.clone(), now + self.settings.suspect_for);
--- a/crates/sesamecart-groups/src/controller/mod.rs
+++ b/crates/sesamecart-groups/src/controller/mod.rs
@@ -10,7 +10,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{
-    Epoch, FabricDomainId, FailureDomainId, GroupId, ShardId, Timestamp, VmId,
+    Epoch, FabricDomainId, FailureDomainId, GroupId, ModelId, ShardId, Timestamp, VmId,
 };
 
 use crate::assignment::{AssignmentRequest, Assignments};
@@ -34,6 +34,8 @@
     fleet: Arc<Fleet>,
     assignments: Arc<Assignments>,
     listed: Option<IndexMap<VmId, VmState>>,
+    /// The VMs that the list calls leaving.
+    leaving: IndexSet<VmId>,
     suspects: IndexMap<VmId, Timestamp>,
     drained: IndexSet<FailureDomainId>,
     epochs: IndexMap<ShardId, Epoch>,
@@ -41,6 +43,12 @@
     groups: IndexMap<GroupId, GroupControl>,
     fabrics: IndexMap<FabricDomainId, Fabric>,
     pending: IndexMap<AssignmentRequest, Timestamp>,
+    /// The number of configured replicas of each model.
+    replicas: IndexMap<ModelId, u64>,
+    /// Whether the fleet or the assignments changed since the two were last compared.
+    compare: bool,
+    /// The models of which a controlled group runs another version than wanted.
+    behind: IndexMap<ModelId, String>,
 }
 
 /// The groups and VMs of a fabric domain whose shard is held.
@@ -59,6 +67,7 @@
             fleet: Arc::default(),
             assignments: Arc::default(),
             listed: None,
+            leaving: IndexSet::new(),
             suspects: IndexMap::new(),
             drained: IndexSet::new(),
             epochs: IndexMap::new(),
@@ -66,6 +75,9 @@
             groups: IndexMap::new(),
             fabrics: IndexMap::new(),
             pending: IndexMap::new(),
+            replicas: IndexMap::new(),
+            compare: true,
+            behind: IndexMap::new(),
         }
     }
 
@@ -113,17 +125,30 @@
     /// Returns how far each controlled group is.
     pub fn phases(&self) -> impl Iterator<Item = (&GroupId, GroupPhase)> {
         self.groups
-            .keys()
-            .filter_map(|group| Some((group, self.phase(group)?)))
+            .iter()
+            .map(|(group, control)| (group, control.phase))
     }
 
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         self.expire(now);
-        self.suspect_unseen(now);
+        self.suspect_unseen(now, effects);
         self.publish_all(now, effects);
         self.plan(now, effects);
-        self.share_rate(effects);
-        self.send_orders(now, effects);
+        let active = self.active_groups();
+        self.share_rate(&active, effects);
+        self.send_orders(&active, now, effects);
+    }
+
+    /// Returns the groups that may need loads or orders; on a quiet day there are none.
+    fn active_groups(&self) -> Vec<GroupId> {
+        let is_active = |control: &GroupControl| {
+            control.phase != GroupPhase::Serving
+                || control.preparation.is_some()
+                || !control.loads.is_empty()
+                || !control.adapters.told_all
+        };
+        let active = self.groups.iter().filter(|(_, control)| is_active(control));
+        active.map(|(group, _)| group.clone()).collect()
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -136,12 +161,15 @@
         }
     }
 
-    fn suspect_unseen(&mut self, now: Timestamp) {
+    fn suspect_unseen(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let until = now + self.settings.suspect_for;
-        for control in self.groups.values_mut() {
+        for (group, control) in &mut self.groups {
             for vm in control.unseen_for(&self.settings, now) {
                 control.unseen.swap_remove(&vm);
-                control.forget_load(&vm);
+                control.decided_at = None;
+                if let Some(plan) = self.fleet.groups.get(group) {
+                    effects.extend(control.drop_load(group, &vm, &plan.model));
+                }
                 self.suspects.insert(vm, until);
             }
         }
@@ -157,19 +185,40 @@
         let assignments = &self.assignments;
         self.pending
             .retain(|request, _| !assignments.has_settled(request));
+        self.forget_decisions();
         self.publish_all(now, effects);
     }
 
+    /// Makes sure that all groups are decided on anew, since what the decisions rest on has changed.
+    fn forget_decisions(&mut self) {
+        for control in self.groups.values_mut() {
+            control.decided_at = None;
+        }
+    }
+
     fn take_list(
         &mut self,
         list: IndexMap<VmId, VmState>,
         now: Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        for control in self.groups.values_mut() {
-            control.loads.retain(|vm, _| list.contains_key(vm));
+        for (group, control) in &mut self.groups {
+            let Some(plan) = self.fleet.groups.get(group) else {
+                continue;
+            };
+            let gone = control.loads.keys().filter(|vm| !list.contains_key(*vm));
+            let gone: Vec<VmId> = gone.cloned().collect();
+            for vm in &gone {
+                effects.extend(control.drop_load(group, vm, &plan.model));
+            }
         }
+        if self.listed.as_ref() == Some(&list) {
+            return;
+        }
+        let leaving = list.iter().filter(|(_, state)| **state == VmState::Leaving);
+        self.leaving = leaving.map(|(vm, _)| vm.clone()).collect();
         self.listed = Some(list);
+        self.forget_decisions();
         self.publish_all(now, effects);
     }
 
@@ -232,8 +281,11 @@
         let fleet = Arc::clone(&self.fleet);
         self.groups
             .retain(|group, _| fleet.groups.contains_key(group));
+        self.compare = true;
         self.fabrics.clear();
+        self.replicas.clear();
         for (group, plan) in &fleet.groups {
+            *self.replicas.entry(plan.model.clone()).or_default() += 1;
             let Some(epoch) = self.epochs.get(&plan.shard()) else {
                 continue;
             };
@@ -250,8 +302,13 @@
         }
     }
 
+    /// Decides on all groups that weren't decided on at this very moment.
     fn publish_all(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        let open = self
+            .groups
+            .iter()
+            .filter(|(_, control)| control.decided_at != Some(now));
+        let groups: Vec<GroupId> = open.map(|(group, _)| group.clone()).collect();
         for group in &groups {
             self.publish(group, now, effects);
         }
@@ -261,7 +318,7 @@
         let unassigned = crate::assignment::AssignedGroup::default();
         let assignments = Arc::clone(&self.assignments);
         let assigned = assignments.group(group).unwrap_or(&unassigned);
-        let lost = assigned
+        let lost: IndexSet<VmId> = assigned
             .members
             .iter()
             .filter(|vm| self.is_lost(vm))
@@ -275,7 +332,11 @@
             return;
         };
         let routability = control.assess(assigned, model, &lost, &self.settings, now);
-        if let Some(routability) = control.take_change(routability) {
+        let usable = assigned.members.len() - lost.len();
+        let change = control.take_change(routability);
+        control.decided_at = Some(now);
+        control.update_phase(usable, model.vms_per_group);
+        if let Some(routability) = change {
             effects.push(Effect::Publish {
                 group: group.clone(),
                 routability,
@@ -293,8 +354,7 @@
     }
 
     fn is_leaving(&self, vm: &VmId) -> bool {
-        let state = self.listed.as_ref().and_then(|list| list.get(vm));
-        state == Some(&VmState::Leaving)
+        self.leaving.contains(vm)
     }
 
     fn is_drained(&self, vm: &VmId) -> bool {
@@ -303,16 +363,7 @@
     }
 
     fn phase(&self, group: &GroupId) -> Option<GroupPhase> {
-        let model = self.fleet.model_of(group)?;
-        let control = self.groups.get(group)?;
-        let usable = self.assignments.group(group).map_or(0, |assigned| {
-            assigned
-                .members
-                .iter()
-                .filter(|vm| !self.is_lost(vm))
-                .count()
-        });
-        Some(control.phase(usable, model.vms_per_group))
+        Some(self.groups.get(group)?.phase)
     }
 
     fn plan_and_model(&self, group: &GroupId) -> Option<(&GroupPlan, &ModelPlan)> {
--- a/crates/sesamecart-groups/src/controller/ordering.rs
+++ b/crates/sesamecart-groups/src/controller/ordering.rs
@@ -7,9 +7,13 @@
 use crate::order::{FencedOrder, OrderKind};
 
 impl Controller {
-    pub(super) fn send_orders(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
-        for group in &groups {
+    pub(super) fn send_orders(
+        &mut self,
+        active: &[GroupId],
+        now: Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for group in active {
             let order = match self.phase(group) {
                 Some(GroupPhase::Recovering) => self.start_order(group, now),
                 Some(GroupPhase::Serving) => self.adapter_order(group, now),
@@ -68,7 +72,9 @@
         if control.adapters.incarnation != incarnation {
             control.adapters.ordered.clear();
             control.adapters.incarnation = incarnation;
+            control.adapters.told_all = false;
         }
+        control.adapters.told_all = wanted.is_subset(&control.adapters.ordered);
         let adapter = wanted
             .iter()
             .find(|a| !control.adapters.ordered.contains(*a))?
--- a/crates/sesamecart-groups/src/controller/planning.rs
+++ b/crates/sesamecart-groups/src/controller/planning.rs
@@ -31,8 +31,12 @@
 impl Controller {
     pub(super) fn plan(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let mut batch = Batch::default();
-        self.assign_new(&mut batch);
-        self.release_removed(&mut batch);
+        if self.compare {
+            self.assign_new(&mut batch);
+            self.release_removed(&mut batch);
+            self.behind = self.find_behind();
+            self.compare = !batch.requests.is_empty() || !self.pending.is_empty();
+        }
         let serving = self.serving_replicas();
         let fabrics: Vec<FabricDomainId> = self.fabrics.keys().cloned().collect();
         for fabric in &fabrics {
@@ -117,6 +121,11 @@
         batch: &Batch,
     ) -> Option<RepairView> {
         let members = self.fabrics.get(fabric)?;
+        let leaving = !self.leaving.is_empty() && members.vms.iter().any(|vm| self.is_leaving(vm));
+        let serves = |group| self.phase(group) == Some(GroupPhase::Serving);
+        if !leaving && members.groups.iter().all(serves) {
+            return None;
+        }
         let groups: Vec<GroupHealth> = members
             .groups
             .iter()
@@ -167,6 +176,7 @@
             group: group.clone(),
             worth: u64::from(model.value.0) * WORTH_SCALE / (others + 1),
             size: model.vms_per_group,
+            scarce: others <= 1,
             serving: serves,
             busy: drained || preparing || self.is_pending(group) || batch.changed.contains(group),
             usable,
@@ -177,12 +187,15 @@
 
     /// Counts the serving replicas of each model; those controlled elsewhere are taken to serve.
     fn serving_replicas(&self) -> IndexMap<ModelId, u64> {
-        let mut serving: IndexMap<ModelId, u64> = IndexMap::new();
-        for (group, plan) in &self.fleet.groups {
-            let serves = self
-                .phase(group)
-                .is_none_or(|phase| phase == GroupPhase::Serving);
-            *serving.entry(plan.model.clone()).or_default() += u64::from(serves);
+        let mut serving = self.replicas.clone();
+        for (group, control) in &self.groups {
+            if control.phase == GroupPhase::Serving {
+                continue;
+            }
+            let plan = self.fleet.groups.get(group);
+            if let Some(count) = plan.and_then(|plan| serving.get_mut(&plan.model)) {
+                *count -= 1;
+            }
         }
         serving
     }
@@ -246,8 +259,11 @@
     /// Carries out replacements whose spares have loaded, and gives up those that make no sense
     /// any more.
     fn finish_replacements(&mut self, fabric: &FabricDomainId, batch: &mut Batch) {
-        let groups = self.fabrics.get(fabric).map(|fabric| fabric.groups.clone());
-        for group in groups.unwrap_or_default() {
+        for group in self.preparing() {
+            let plan = self.fleet.groups.get(&group);
+            if plan.is_none_or(|plan| plan.fabric_domain != *fabric) {
+                continue;
+            }
             let Some(control) = self.groups.get(&group) else {
                 continue;
             };
@@ -282,8 +298,16 @@
         }
     }
 
+    fn preparing(&self) -> Vec<GroupId> {
+        let preparing = self
+            .groups
+            .iter()
+            .filter(|(_, control)| control.preparation.is_some());
+        preparing.map(|(group, _)| group.clone()).collect()
+    }
+
     fn plan_versions(&mut self, batch: &mut Batch) {
-        for (model, wanted) in self.behind() {
+        for (model, wanted) in self.behind.clone() {
             let replicas = self.replicas(&model, &wanted, batch);
             let Some(group) = next_to_update(&replicas).cloned() else {
                 continue;
@@ -305,7 +329,7 @@
     }
 
     /// Returns the models of which a controlled group runs another version than wanted.
-    fn behind(&self) -> IndexMap<ModelId, String> {
+    fn find_behind(&self) -> IndexMap<ModelId, String> {
         let mut behind = IndexMap::new();
         for group in self.groups.keys() {
             let Some((plan, model)) = self.plan_and_model(group) else {
@@ -347,8 +371,7 @@
     }
 
     fn finish_versions(&mut self, batch: &mut Batch) {
-        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
-        for group in groups {
+        for group in self.preparing() {
             let Some(Preparation::Version(wanted)) = self
                 .groups
                 .get(&group)
--- a/crates/sesamecart-groups/src/repair.rs
+++ b/crates/sesamecart-groups/src/repair.rs
@@ -20,6 +20,8 @@
     pub worth: u64,
     /// The number of VMs of a whole replica.
     pub size: usize,
+    /// Whether at most one other replica of its model serves.
+    pub scarce: bool,
     /// Whether it serves.
     pub serving: bool,
     /// Whether a change of it is already under way.
@@ -184,7 +186,7 @@
         if adopt.len() < need && self.merging_pays() {
             self.take_broken(need, lower, &mut adopt);
         }
-        if adopt.len() < need && self.settings.take_apart_serving {
+        if adopt.len() < need && group.scarce && self.settings.take_apart_serving {
             self.take_serving(need, group, &mut adopt);
         }
         if adopt.len() < need {
@@ -212,6 +214,10 @@
     }
 
     /// Takes the VMs of the serving group that costs least, if this one is worth much more.
+    ///
+    /// Only a model that is left with one replica or none is helped this way. Each time costs a
+    /// load and a start that no caller would otherwise miss, and for models with more replicas that
+    /// was measured to cost more than it brings.
     fn take_serving(&self, need: usize, group: &GroupHealth, adopt: &mut Vec<Adoption>) {
         let factor = u64::from(self.settings.take_apart_factor.max(2));
         let donor = self
--- a/crates/sesamecart-groups/src/repair/tests.rs
+++ b/crates/sesamecart-groups/src/repair/tests.rs
@@ -17,6 +17,7 @@
         group: name.parse().unwrap(),
         worth,
         size: 3,
+        scarce: true,
         serving: false,
         busy: false,
         usable: vms(usable),
@@ -40,6 +41,14 @@
     }
 }
 
+/// A group whose model has many other replicas.
+fn plenty(group: GroupHealth) -> GroupHealth {
+    GroupHealth {
+        scarce: false,
+        ..group
+    }
+}
+
 fn view(groups: Vec<GroupHealth>, free: &str) -> RepairView {
     RepairView {
         groups,
@@ -86,6 +95,8 @@
         free "" => [];
     last_replica_takes_one_of_many: [broken("a", 10, "a1 a2", "a3"), serving("b", 5, "b1 b2 b3", ""),
         serving("c", 2, "c1 c2 c3", "")], free "" => ["a+c1<c"];
+    many_replicas_left_take_nothing_apart: [plenty(broken("a", 10, "a1 a2", "a3")),
+        serving("b", 2, "b1 b2 b3", "")], free "" => [];
     whole_domain_lost: [broken("a", 5, "", "a1 a2 a3"), broken("b", 5, "", "b1 b2 b3")], free "" => [];
     first_vms_back_make_one_group: [broken("a", 5, "a1", "a2 a3"), broken("b", 5, "b1", "b2 b3"),
         broken("c", 5, "c1", "c2 c3")], free "" => ["a+c1<c,b1<b"];
--- a/crates/sesamecart-groups/src/settings.rs
+++ b/crates/sesamecart-groups/src/settings.rs
@@ -36,7 +36,8 @@
     pub use_spares: bool,
     /// Complete a group with the survivors of another that is out as well.
     pub merge_broken: bool,
-    /// Take apart a serving group for one whose service is worth much more.
+    /// Take apart a serving group for one of a model that has hardly any replica left and whose
+    /// service is worth much more.
     pub take_apart_serving: bool,
     /// Replace a VM that is listed as leaving before it goes.
     pub replace_leaving: bool,
--- a/crates/sesamecart-measure/src/groups/day.rs
+++ b/crates/sesamecart-measure/src/groups/day.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_groups::{Assignments, Controller, Effect, Event, OrderAnswer};
+use sesamecart_groups::{Assignments, Controller, Effect, Event, OrderAnswer, VmState};
 use sesamecart_vocabulary::{Bytes, FabricDomainId, GroupId, ModelId, ShardId, Timestamp, VmId};
 
 use super::faults::{DAY, Dated};
@@ -16,7 +16,9 @@
 use super::tally::Tally;
 
 /// The time between two polls of a group, and the step of virtual time.
-const STEP: Duration = Duration::from_secs(1);
+///
+/// The validity of a report is three of them; nodes poll twice as often.
+const STEP: Duration = Duration::from_secs(2);
 /// How long a shard in which nothing is amiss any more is still played out.
 const SETTLE: Duration = Duration::from_secs(60);
 
@@ -27,6 +29,8 @@
     events: Vec<Event>,
     awake_until: Timestamp,
     rate: Bytes,
+    /// The state of the VM list that it was told last.
+    told_list: u64,
 }
 
 #[derive(Default)]
@@ -186,16 +190,14 @@
     fn run_owner(&mut self, shard: ShardId, now: Timestamp) -> Vec<Effect> {
         let owner = &mut self.owners[&shard];
         let mut effects = Vec::new();
-        let list = owner
-            .fabrics
-            .values()
-            .flat_map(|members| &members.vms)
-            .filter_map(|vm| Some((vm.clone(), *self.platform.list.get(vm)?)))
-            .collect();
         for event in owner.events.drain(..) {
             effects.extend(owner.controller.handle(event, now));
         }
-        effects.extend(owner.controller.handle(Event::VmList(list), now));
+        if owner.told_list != self.platform.list_changes {
+            owner.told_list = self.platform.list_changes;
+            let list = owner.list(&self.platform);
+            effects.extend(owner.controller.handle(Event::VmList(list), now));
+        }
         for group in owner.fabrics.values().flat_map(|members| &members.groups) {
             if let Some(report) = self.platform.report(group, now) {
                 effects.extend(owner.controller.handle(Event::Report(report), now));
@@ -281,11 +283,9 @@
             let mut changed = false;
             for (fabric, members) in &owner.fabrics {
                 let up = |vm: &&VmId| self.platform.is_up(vm);
-                let usable: IndexSet<VmId> = members.vms.iter().filter(up).cloned().collect();
-                let plan =
-                    self.rebuilder
-                        .plan(fabric, &members.groups, usable, &self.assignments, now);
-                for request in plan {
+                let usable = members.vms.iter().filter(up);
+                let (groups, assigned) = (&members.groups, &*self.assignments);
+                for request in self.rebuilder.plan(fabric, groups, usable, assigned, now) {
                     changed = true;
                     self.log.request(&request);
                 }
@@ -301,11 +301,8 @@
 
     /// Splits the store's rate evenly among the owners that load, as its refusals would do in time.
     fn share_store(&mut self, awake: &[ShardId]) {
-        let loading: Vec<ShardId> = awake
-            .iter()
-            .filter(|shard| self.is_loading(**shard))
-            .copied()
-            .collect();
+        let shards = self.platform.loading().map(|vm| self.shard_of_vm[vm]);
+        let loading: IndexSet<ShardId> = shards.filter(|shard| awake.contains(shard)).collect();
         let part = Bytes(STORE_RATE.0 / (loading.len() as u64).max(1));
         for shard in loading {
             let owner = &mut self.owners[&shard];
@@ -316,14 +313,6 @@
         }
     }
 
-    fn is_loading(&self, shard: ShardId) -> bool {
-        let vms = self.owners[&shard]
-            .fabrics
-            .values()
-            .flat_map(|members| &members.vms);
-        vms.into_iter().any(|vm| self.platform.is_loading(vm))
-    }
-
     fn owner_of(&mut self, group: &GroupId) -> Option<&mut Owner> {
         let shard = self.layout.fleet.groups.get(group)?.shard();
         self.owners.get_mut(&shard)
@@ -422,13 +411,21 @@
 }
 
 impl Owner {
+    /// Returns the part of the platform's list that concerns this owner.
+    fn list(&self, platform: &Platform) -> IndexMap<VmId, VmState> {
+        let vms = self.fabrics.values().flat_map(|members| &members.vms);
+        vms.filter_map(|vm| Some((vm.clone(), *platform.list.get(vm)?)))
+            .collect()
+    }
+
     fn new(policy: Policy) -> Self {
         Self {
-            controller: Controller::new(policy.settings()),
+            controller: Controller::new(policy.settings(3 * STEP)),
             fabrics: IndexMap::new(),
             events: Vec::new(),
             awake_until: Timestamp::ZERO,
             rate: STORE_RATE,
+            told_list: 0,
         }
     }
 }
--- a/crates/sesamecart-measure/src/groups/faults.rs
+++ b/crates/sesamecart-measure/src/groups/faults.rs
@@ -110,13 +110,13 @@
         }
     }
 
-    /// Four VMs at a time, anywhere, with a minute's notice, away for 2 to 3 minutes.
+    /// Eight VMs at a time, anywhere, with a minute's notice, away for 2 to 3 minutes.
     fn restarts(&mut self, size: &Size) {
         let mut vms = self.vms.clone();
         self.rng.shuffle(&mut vms);
         let begin = Timestamp::ZERO + self.seconds(3_600, 36_000);
         for (index, vm) in vms.into_iter().take(size.restarts).enumerate() {
-            let notice = begin + Duration::from_secs(240 * (index as u64 / 4));
+            let notice = begin + Duration::from_secs(240 * (index as u64 / 8));
             let down = notice + Duration::from_secs(60);
             let up = down + self.seconds(120, 180);
             self.push(notice, Fault::Notice(vm.clone()));
--- a/crates/sesamecart-measure/src/groups/platform.rs
+++ b/crates/sesamecart-measure/src/groups/platform.rs
@@ -83,6 +83,10 @@
     joined: IndexMap<VmId, GroupId>,
     changes: VecDeque<ListChange>,
     pub(super) list: IndexMap<VmId, VmState>,
+    /// How often the list has changed.
+    pub(super) list_changes: u64,
+    /// The VMs that have something to load.
+    loading: IndexSet<VmId>,
     pub(super) drained: IndexSet<FailureDomainId>,
 }
 
@@ -115,6 +119,8 @@
                 .keys()
                 .map(|vm| (vm.clone(), VmState::Live))
                 .collect(),
+            list_changes: 1,
+            loading: IndexSet::new(),
             drained: IndexSet::new(),
         };
         for (group, assigned) in assignments.groups() {
@@ -205,6 +211,7 @@
     pub(super) fn advance(&mut self, now: Timestamp, step: Duration) -> Vec<Progress> {
         while self.changes.front().is_some_and(|change| change.due <= now) {
             let change = self.changes.pop_front().expect("there is a first change");
+            self.list_changes += 1;
             match change.state {
                 Some(state) => self.list.insert(change.vm, state),
                 None => self.list.swap_remove(&change.vm),
@@ -222,22 +229,28 @@
 
     /// Lets all loads go on; asked for more than it has, the store gives each its part.
     fn advance_loads(&mut self, step: Duration) -> Vec<Progress> {
-        let running = |vm: &Vm| vm.weights.as_ref().map_or(Bytes(0), |weights| weights.rate);
-        let asked: Bytes = self.vms.values().map(running).sum();
-        let mut progress = Vec::new();
+        let vms = &self.vms;
+        let weights = |vm: &VmId| vms[vm].weights.as_ref();
+        self.loading
+            .retain(|vm| weights(vm).is_some_and(|w| w.remaining > Bytes(0)));
+        let asked: Bytes = self
+            .loading
+            .iter()
+            .filter_map(weights)
+            .map(|w| w.rate)
+            .sum();
         if asked == Bytes(0) {
-            return progress;
+            return Vec::new();
         }
         let part = (STORE_RATE.0 as f64 / asked.0 as f64).min(1.0) * step.as_secs_f64();
-        for (vm, state) in &mut self.vms {
-            let Some(weights) = state.weights.as_mut().filter(|w| w.rate > Bytes(0)) else {
+        let mut progress = Vec::new();
+        for vm in &self.loading {
+            let weights = self.vms[vm].weights.as_mut();
+            let Some(weights) = weights.filter(|weights| weights.rate > Bytes(0)) else {
                 continue;
             };
             let loaded = Bytes((weights.rate.0 as f64 * part) as u64);
             weights.remaining = weights.remaining.saturating_sub(loaded);
-            if weights.remaining == Bytes(0) {
-                weights.rate = Bytes(0);
-            }
             progress.push(Progress {
                 group: weights.group.clone(),
                 vm: vm.clone(),
@@ -268,11 +281,8 @@
             });
         }
         let weights = state.weights.as_mut()?;
-        weights.rate = if weights.remaining == Bytes(0) {
-            Bytes(0)
-        } else {
-            rate
-        };
+        weights.rate = rate;
+        self.loading.insert(vm.clone());
         Some(Progress {
             group: group.clone(),
             vm: vm.clone(),
@@ -281,10 +291,9 @@
         })
     }
 
-    /// Says whether a VM still has something to load.
-    pub(super) fn is_loading(&self, vm: &VmId) -> bool {
-        let weights = self.vms.get(vm).and_then(|vm| vm.weights.as_ref());
-        weights.is_some_and(|weights| weights.remaining > Bytes(0))
+    /// Returns the VMs that still have something to load.
+    pub(super) fn loading(&self) -> impl Iterator<Item = &VmId> {
+        self.loading.iter()
     }
 
     /// Takes an order to start a generation's members.
--- a/crates/sesamecart-measure/src/groups/policy.rs
+++ b/crates/sesamecart-measure/src/groups/policy.rs
@@ -1,5 +1,7 @@
 //! The ways of repair that are compared.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use sesamecart_groups::{GroupSettings, RepairSettings};
 
@@ -32,7 +34,7 @@
     pub(super) const ABLATIONS: [Self; 3] = [Self::NoReplacement, Self::NoMerge, Self::NoTakeApart];
 
     /// Returns the controller's settings; all policies detect losses and share the store alike.
-    pub(super) fn settings(self) -> GroupSettings {
+    pub(super) fn settings(self, validity: Duration) -> GroupSettings {
         let mut repair = RepairSettings::default();
         match self {
             Self::Ours => {}
@@ -48,6 +50,7 @@
         }
         GroupSettings {
             repair,
+            validity,
             ..GroupSettings::default()
         }
     }
--- a/crates/sesamecart-measure/src/groups/rebuild.rs
+++ b/crates/sesamecart-measure/src/groups/rebuild.rs
@@ -27,21 +27,21 @@
 impl Rebuilder {
     /// Returns the requests that lay a fabric domain out anew, if its usable VMs have changed in a
     /// way that breaks a group or allows one more.
-    pub(super) fn plan(
+    pub(super) fn plan<'a>(
         &mut self,
         fabric: &FabricDomainId,
         groups: &[GroupId],
-        usable: IndexSet<VmId>,
+        usable: impl Iterator<Item = &'a VmId> + Clone,
         assignments: &Assignments,
         now: Timestamp,
     ) -> Vec<AssignmentRequest> {
         let watch = self.fabrics.entry(fabric.clone()).or_insert_with(|| Watch {
-            usable: usable.clone(),
+            usable: usable.clone().cloned().collect(),
             since: now,
             laid_out: true,
         });
-        if watch.usable != usable {
-            watch.usable = usable;
+        if !watch.usable.iter().eq(usable.clone()) {
+            watch.usable = usable.cloned().collect();
             watch.since = now;
             watch.laid_out = false;
         }
