Give every request its turn by admission, allowance and routing

The node chose the endpoint with the fewest of one thread's own requests and sent at once, whatever others sent. Traffic threads now wait for a turn: the pools' decisions run under one lock, the control thread borrows slices from the endpoints' owners (rendezvous order among nodes that answer, until shard leases take its place) and lends those of the endpoints it owns, whose load it reads. A failed attempt asks the retry budget. Waiting requests that leave take no turn, and a refusal says when to come back.

--- a/crates/sesamecart-decisions/src/allowance/borrowed.rs
+++ b/crates/sesamecart-decisions/src/allowance/borrowed.rs
@@ -131,7 +131,7 @@
     /// Ends a request that was started.
     pub fn finish(&mut self, now: Timestamp, kv: Tokens) {
         self.end(kv);
-        self.alive_until = now + self.sign;
+        self.alive(now);
         self.sample.finished += 1;
     }
 
@@ -163,10 +163,15 @@
         self.kv = self.kv.saturating_sub(kv);
     }
 
+    /// Notes a sign of life from the endpoint.
+    pub fn alive(&mut self, now: Timestamp) {
+        self.alive_until = now + self.sign;
+    }
+
     /// Notes times between tokens, or a plain service's request times.
     pub fn observe(&mut self, now: Timestamp, seen: &Sample) {
         if seen.tokens.0 > 0 {
-            self.alive_until = now + self.sign;
+            self.alive(now);
         }
         self.sample.add(seen);
     }
--- a/crates/sesamecart-decisions/src/pool.rs
+++ b/crates/sesamecart-decisions/src/pool.rs
@@ -205,6 +205,11 @@
         }
     }
 
+    /// Notes a sign of life from an endpoint, such as the first token of an answer.
+    pub fn alive(&mut self, now: Timestamp, endpoint: usize) {
+        self.router.endpoints_mut()[endpoint].borrowed.alive(now);
+    }
+
     /// Ends a request that failed, and decides whether it is sent again.
     pub fn fail(
         &mut self,
--- a/crates/sesamecart-decisions/src/settings.rs
+++ b/crates/sesamecart-decisions/src/settings.rs
@@ -171,7 +171,7 @@
             max_subset: 64,
             max_prefixes: 4_096,
             affinity_bound: 1.25,
-            spill_below: 0.25,
+            spill_below: 0.1,
             eject_latency: 3.0,
             eject_failures: 3,
             eject_ms: 5_000,
--- a/crates/sesamecart-node/src/actions.rs
+++ b/crates/sesamecart-node/src/actions.rs
@@ -13,4 +13,5 @@
 
 pub(crate) use asker::{Asked, UnderWay};
 pub(crate) use desk::Desk;
+pub(crate) use directory::Directory;
 pub(crate) use wire::Ending;
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -13,9 +13,9 @@
 
 use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
 use sesamecart_links::Links;
-use sesamecart_runtime::{Signal, Worker};
+use sesamecart_runtime::{Signal, Tasks, Worker};
 
-use crate::actions::Desk;
+use crate::actions::{Desk, Directory};
 use crate::administration;
 pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
@@ -23,6 +23,7 @@
 use crate::control::peer_follower::PeerFollower;
 pub(crate) use crate::control::peers::{PeerView, Peers};
 use crate::node::Listeners;
+use crate::pools::{Borrower, Lender, Owners};
 use crate::shared::Shared;
 
 /// How long one call of the log may take before the log counts as out.
@@ -71,9 +72,10 @@
         tasks.clone(),
     );
     tasks.spawn(Arc::clone(&desk).run());
+    let lender = start_lending(shared, &peers, &tasks);
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
-    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
+    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
     let count = shared.link_bytes.clone();
     tasks.spawn({
         let tasks = tasks.clone();
@@ -85,3 +87,22 @@
     });
     Ok((worker, desk))
 }
+
+/// Starts lending the endpoints' allowances that this node owns, and borrowing the others.
+fn start_lending(shared: &Arc<Shared>, peers: &Peers, tasks: &Tasks) -> Arc<Lender> {
+    let directory = Directory::new(&shared.settings, peers.clone());
+    let owners = Owners::new(shared.settings.node.clone(), directory);
+    let cfg = shared.pools.cfg().allowance;
+    let lender = Lender::new(Arc::clone(shared), owners.clone(), cfg);
+    let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
+    tasks.spawn(Arc::clone(&lender).read_loads(client));
+    let borrower = Borrower::new(
+        Arc::clone(shared),
+        Arc::clone(&lender),
+        owners,
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(borrower.run());
+    lender
+}
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -14,6 +14,7 @@
 use sesamecart_vocabulary::Offset;
 
 use crate::actions::Desk;
+use crate::pools::Lender;
 use crate::shared::Shared;
 
 /// The most records that are passed on at once.
@@ -24,11 +25,16 @@
 pub(crate) struct LinkSide {
     shared: Arc<Shared>,
     desk: Arc<Desk>,
+    lender: Arc<Lender>,
 }
 
 impl LinkSide {
-    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>) -> Self {
-        Self { shared, desk }
+    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>, lender: Arc<Lender>) -> Self {
+        Self {
+            shared,
+            desk,
+            lender,
+        }
     }
 }
 
@@ -86,9 +92,12 @@
 
     async fn borrow_permits(
         &self,
-        _request: Request<BorrowPermitsRequest>,
+        request: Request<BorrowPermitsRequest>,
     ) -> Result<Response<BorrowPermitsReply>, Status> {
-        Err(Status::unimplemented("permits are not lent yet"))
+        let reply = self.lender.lend(request.get_ref());
+        reply
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("the borrower has no name"))
     }
 
     async fn begin_action(
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod identity;
 mod metrics;
 mod node;
+mod pools;
 mod shared;
 mod snapshot;
 mod traffic;
--- /dev/null
+++ b/crates/sesamecart-node/src/pools/lender.rs
@@ -0,0 +1,202 @@
+//! The owner's side: this node lends the allowances of the endpoints that it owns.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::HOST;
+use http_body_util::Full;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use sesamecart_decisions::allowance::{Allowance, Demand, LoadReport, Sample};
+use sesamecart_decisions::settings::AllowanceSettings;
+use sesamecart_edges::{HttpClient, Reuse, read_whole};
+use sesamecart_links::message::{
+    BorrowPermitsReply, BorrowPermitsRequest, EndpointDemand, EndpointSlice,
+};
+use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::{
+    Concurrency, EndpointId, Incarnation, NodeId, Permits, Timestamp, Tokens,
+};
+
+use super::cell::limits_of;
+use super::owners::Owners;
+use crate::shared::Shared;
+use crate::snapshot::Snapshot;
+
+/// How often the owner looks at its endpoints' load.
+const LOAD_POLL: Duration = Duration::from_millis(500);
+/// How long an endpoint may take to report its load.
+const LOAD_LIMIT: Duration = Duration::from_millis(400);
+/// The largest load report that is read.
+const MAX_REPORT_BYTES: sesamecart_vocabulary::Bytes = sesamecart_vocabulary::Bytes(64 * 1024);
+
+/// The allowances of the endpoints that this node owns.
+#[derive(Debug)]
+pub(crate) struct Lender {
+    shared: Arc<Shared>,
+    owners: Owners,
+    cfg: AllowanceSettings,
+    books: Mutex<Books>,
+}
+
+#[derive(Debug, Default)]
+struct Books {
+    allowances: IndexMap<EndpointId, Allowance>,
+    looked_at: Timestamp,
+}
+
+/// An endpoint's own report, as docs/design/platform.md gives it.
+#[derive(Debug, Deserialize)]
+struct Load {
+    running: u32,
+    #[serde(default)]
+    incarnation: u64,
+    #[serde(default = "is_ready")]
+    ready: bool,
+}
+
+const fn is_ready() -> bool {
+    true
+}
+
+impl Lender {
+    pub(crate) fn new(shared: Arc<Shared>, owners: Owners, cfg: AllowanceSettings) -> Arc<Self> {
+        Arc::new(Self {
+            shared,
+            owners,
+            cfg,
+            books: Mutex::default(),
+        })
+    }
+
+    fn books(&self) -> MutexGuard<'_, Books> {
+        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps an allowance for each endpoint that this node owns, and for no other.
+    ///
+    /// A process that was paused for longer than a slice may have been passed over meanwhile, and
+    /// what another owner lent isn't in its books; it begins anew and waits that out.
+    pub(super) fn look(&self, snapshot: &Snapshot) {
+        let now = self.shared.clock.now();
+        let mut books = self.books();
+        if now - books.looked_at > self.cfg.slice() {
+            books.allowances.clear();
+        }
+        books.looked_at = now;
+        let endpoints = &snapshot.configuration.endpoints;
+        books
+            .allowances
+            .retain(|id, _| endpoints.contains_key(id) && self.owners.is_mine(id, now));
+        for (id, endpoint) in endpoints {
+            if !self.owners.is_mine(id, now) {
+                continue;
+            }
+            let limits = limits_of(endpoint);
+            let allowance = books
+                .allowances
+                .entry(id.clone())
+                .or_insert_with(|| Allowance::new(now, limits, self.cfg));
+            if allowance.limit_mut().configured() != limits {
+                allowance.limit_mut().set_configured(limits);
+            }
+            // It is cold when it comes back, and nodes hear of that at different times.
+            if !snapshot.takes_work(id) {
+                allowance.limit_mut().turn_cold(now);
+            }
+        }
+    }
+
+    /// Answers another node's demands.
+    pub(crate) fn lend(&self, request: &BorrowPermitsRequest) -> Option<BorrowPermitsReply> {
+        let borrower: NodeId = request.node.parse().ok()?;
+        let slices = request
+            .demands
+            .iter()
+            .filter_map(|demand| self.lend_one(&borrower, demand));
+        Some(BorrowPermitsReply {
+            slices: slices.collect(),
+        })
+    }
+
+    fn lend_one(&self, borrower: &NodeId, wanted: &EndpointDemand) -> Option<EndpointSlice> {
+        let id: EndpointId = wanted.endpoint.parse().ok()?;
+        let now = self.shared.clock.now();
+        let demand = read_demand(wanted);
+        let mut books = self.books();
+        let Some(allowance) = books.allowances.get_mut(&id) else {
+            return Some(EndpointSlice {
+                endpoint: wanted.endpoint.clone(),
+                owner: Some(self.owners.of(&id, now).to_string()),
+                ..EndpointSlice::default()
+            });
+        };
+        let slice = allowance.borrow(now, borrower, &demand);
+        Some(EndpointSlice {
+            endpoint: wanted.endpoint.clone(),
+            permits: slice.permits.0,
+            valid_ms: u64::try_from(slice.valid_for.as_millis()).unwrap_or(u64::MAX),
+            epoch: 0,
+            owner: None,
+        })
+    }
+
+    /// Reads the load reports of the endpoints that this node owns, until the thread stops.
+    pub(crate) async fn read_loads(self: Arc<Self>, client: HttpClient) {
+        loop {
+            sleep(LOAD_POLL).await;
+            let snapshot = self.shared.snapshot.load_full();
+            let mine: Vec<EndpointId> = self.books().allowances.keys().cloned().collect();
+            let endpoints = &snapshot.configuration.endpoints;
+            let reads = mine.into_iter().filter_map(|id| {
+                let peer = endpoints.get(&id)?.address;
+                Some(self.read_load(&client, id, peer))
+            });
+            futures_util::future::join_all(reads).await;
+        }
+    }
+
+    async fn read_load(&self, client: &HttpClient, id: EndpointId, peer: std::net::SocketAddr) {
+        let Some(report) = fetch_load(client, peer).await else {
+            log::debug!("lender: {id} reports no load.");
+            return;
+        };
+        let now = self.shared.clock.now();
+        if let Some(allowance) = self.books().allowances.get_mut(&id) {
+            allowance.report(now, &report);
+        }
+    }
+}
+
+async fn fetch_load(client: &HttpClient, peer: std::net::SocketAddr) -> Option<LoadReport> {
+    let request = Request::get("/load")
+        .header(HOST, peer.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let exchange = client.send(peer, request, Reuse::Allowed, LOAD_LIMIT);
+    let exchange = exchange.await.ok()?;
+    let body = exchange.response.into_body();
+    let body = read_whole(body, MAX_REPORT_BYTES, LOAD_LIMIT).await.ok()?;
+    exchange.lease.give_back();
+    let load: Load = serde_json::from_slice(&body).ok()?;
+    Some(LoadReport {
+        incarnation: Incarnation(load.incarnation),
+        running: Concurrency(load.running),
+        ready: load.ready,
+    })
+}
+
+fn read_demand(wanted: &EndpointDemand) -> Demand {
+    Demand {
+        wanted: Permits(wanted.wanted),
+        in_flight: Permits(wanted.in_flight),
+        sample: Sample {
+            finished: wanted.finished,
+            failed: wanted.failed,
+            latency: Duration::from_micros(wanted.latency_sum_us),
+            tokens: Tokens(wanted.tokens),
+        },
+    }
+}
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::control::Folded;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
+use crate::pools::Pools;
 use crate::snapshot::Snapshot;
 
 /// How long a node that hears neither the log nor a peer still says that it is ready.
@@ -34,6 +35,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// The folded log, of which the snapshot is a picture; only the control thread uses it.
     pub(crate) folded: Folded,
+    /// Admission and routing, by which requests get their turn at an endpoint.
+    pub(crate) pools: Arc<Pools>,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -55,10 +58,13 @@
     /// Returns an error when the counters can't be set up.
     pub fn new(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let identity = Identity::new(settings.node.clone());
+        let clock = Clock::start();
+        let pools = Pools::new(&settings, clock);
         Ok(Arc::new(Self {
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
+            pools,
             snapshot: ArcSwap::default(),
             folded: Folded::default(),
             metrics: Metrics::new()?,
--- a/crates/sesamecart-node/src/snapshot.rs
+++ b/crates/sesamecart-node/src/snapshot.rs
@@ -107,6 +107,36 @@
         )
     }
 
+    /// Returns every endpoint of a model by name, also those that take no new work.
+    pub fn all_model_endpoints<'a>(
+        &'a self,
+        model: &ModelId,
+    ) -> Box<dyn Iterator<Item = (&'a EndpointId, &'a Endpoint)> + 'a> {
+        self.named(self.models.get(model).map_or(&[], Vec::as_slice))
+    }
+
+    /// Returns every endpoint of a plain service by name, also those that take no new work.
+    pub fn all_endpoints_of_service<'a>(
+        &'a self,
+        service: &ServiceId,
+    ) -> Box<dyn Iterator<Item = (&'a EndpointId, &'a Endpoint)> + 'a> {
+        self.named(self.services.get(service).map_or(&[], Vec::as_slice))
+    }
+
+    /// Returns whether an endpoint may have new work.
+    #[must_use]
+    pub fn takes_work(&self, endpoint: &EndpointId) -> bool {
+        !self.drained.contains(endpoint) && self.configuration.endpoints.contains_key(endpoint)
+    }
+
+    fn named<'a>(
+        &'a self,
+        ids: &'a [EndpointId],
+    ) -> Box<dyn Iterator<Item = (&'a EndpointId, &'a Endpoint)> + 'a> {
+        let endpoints = &self.configuration.endpoints;
+        Box::new(ids.iter().filter_map(|id| Some((id, endpoints.get(id)?))))
+    }
+
     /// Returns every endpoint of a plain service, also those that take no new work.
     pub fn all_service_endpoints(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
         let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -8,10 +8,10 @@
 mod keyed;
 mod model;
 mod relay;
-mod route;
 mod service;
 mod settle;
 mod sse;
+mod weigh;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,7 @@
 use crate::actions::Desk;
 use crate::node::Listeners;
 use crate::shared::Shared;
+pub(crate) use crate::traffic::answer::Refusal;
 use crate::traffic::handler::Handler;
 
 /// Starts the traffic threads.
--- a/crates/sesamecart-node/src/traffic/answer.rs
+++ b/crates/sesamecart-node/src/traffic/answer.rs
@@ -6,6 +6,7 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::json;
+use sesamecart_decisions::admission::RefusalReason;
 use sesamecart_edges::{CallerBody, NOT_RUN, OUTCOME, whole};
 
 /// What became of a request, as far as the node can prove it.
@@ -73,6 +74,14 @@
     /// The key is new, and it was not begun.
     #[display("the request was not begun: {_0}")]
     KeyRefused(String),
+    /// Its turn wouldn't come in time.
+    #[display("there is too much work now: {reason}")]
+    Overloaded {
+        /// Why.
+        reason: RefusalReason,
+        /// When asking again has some hope.
+        retry_after: Duration,
+    },
     /// The node isn't ready.
     #[display("{_0}")]
     NotReady(&'static str),
@@ -89,9 +98,10 @@
             Self::BadRequest(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
-            Self::NoEndpoint | Self::NotReached(_) | Self::NotReady(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoEndpoint
+            | Self::NotReached(_)
+            | Self::NotReady(_)
+            | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::KeyMismatch | Self::KeyExpired => StatusCode::UNPROCESSABLE_ENTITY,
             Self::KeyRunning => StatusCode::CONFLICT,
             Self::KeyUnreachable | Self::KeyRefused(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -105,6 +115,7 @@
             Self::NoEndpoint
             | Self::NotReached(_)
             | Self::NotReady(_)
+            | Self::Overloaded { .. }
             | Self::KeyRefused(_)
             | Self::KeyUnreachable => "overloaded_error",
             Self::NoAnswer(_) | Self::KeyUnknown => "api_error",
@@ -131,6 +142,7 @@
             Self::KeyUnknown => "idempotency_key_unknown",
             Self::KeyUnreachable => "idempotency_key_unreachable",
             Self::KeyRefused(_) => "not_begun",
+            Self::Overloaded { .. } => "overloaded",
             Self::NotReady(_) => "not_ready",
         }
     }
@@ -150,6 +162,7 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
+            Self::Overloaded { retry_after, .. } => Some(*retry_after),
             Self::NoEndpoint
             | Self::NotReached(_)
             | Self::NotReady(_)
@@ -190,7 +203,10 @@
             }
         }
         if let Some(after) = self.retry_after() {
-            headers.insert(RETRY_AFTER, HeaderValue::from(after.as_secs().max(1)));
+            headers.insert(
+                RETRY_AFTER,
+                HeaderValue::from(after.as_secs_f64().ceil().max(1.0) as u64),
+            );
         }
         response
     }
--- a/crates/sesamecart-node/src/traffic/handler.rs
+++ b/crates/sesamecart-node/src/traffic/handler.rs
@@ -21,7 +21,6 @@
 use crate::traffic::caller::{Caller, model_class, time_limit};
 use crate::traffic::keyed::KeyedAction;
 use crate::traffic::model::ModelRequest;
-use crate::traffic::route::InFlight;
 use crate::traffic::service::ServiceRequest;
 
 /// Answers the requests of one traffic thread.
@@ -31,7 +30,6 @@
     pub(crate) desk: Arc<Desk>,
     pub(crate) client: HttpClient,
     pub(crate) tasks: Tasks,
-    pub(crate) in_flight: InFlight,
 }
 
 /// A request that has been read whole.
@@ -54,7 +52,6 @@
             desk,
             client,
             tasks,
-            in_flight: InFlight::default(),
         }
     }
 
--- a/crates/sesamecart-node/src/traffic/keyed.rs
+++ b/crates/sesamecart-node/src/traffic/keyed.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use sesamecart_actions::{Answer, Asking, Decision, RefusalReason};
 use sesamecart_config::Service;
+use sesamecart_decisions::retry::{FailedAttempt, Progress, RetryDecision};
 use sesamecart_edges::{CallerBody, IDEMPOTENCY_KEY, OUTCOME, REPLAYED, Reuse, read_whole, whole};
 use sesamecart_fold::{ActionEnd, ActionKey, EncodedBody, Header};
 use sesamecart_vocabulary::{
@@ -16,15 +17,14 @@
 };
 
 use crate::actions::{Asked, Ending, UnderWay};
+use crate::pools::{Entry, PoolKey};
 use crate::snapshot::Snapshot;
 use crate::traffic::answer::Refusal;
 use crate::traffic::caller::Caller;
 use crate::traffic::forward::{ActionTry, Attempt, AttemptError};
 use crate::traffic::handler::Handler;
 use crate::traffic::settle::Settled;
-
-/// The most endpoints that one try is offered to; each but the last provably ran nothing.
-const MAX_ENDPOINTS: usize = 3;
+use crate::traffic::weigh::{self, Patience};
 
 /// The largest answer that is kept to be given again, in bytes.
 ///
@@ -135,6 +135,13 @@
     answer: Result<Response<CallerBody>, Refusal>,
 }
 
+fn not_run(refusal: Refusal) -> TryEnd {
+    TryEnd {
+        end: ActionEnd::NotRun,
+        answer: Err(refusal),
+    }
+}
+
 impl KeyedAction {
     fn until(&self) -> Timestamp {
         self.arrived + self.limit
@@ -222,55 +229,80 @@
 
     /// Offers the try to endpoints until one may have run it.
     async fn send(&self, handler: &Handler, attempt: &AttemptId, epoch: Epoch) -> TryEnd {
-        let mut tried: Vec<EndpointId> = Vec::new();
-        let mut failed = Refusal::NoEndpoint;
-        while tried.len() < MAX_ENDPOINTS && !self.left(handler).is_zero() {
-            let Some(customer) = self
-                .snapshot
-                .configuration
-                .customers
-                .get(&self.key.customer)
-            else {
-                break;
+        let Some(customer) = self
+            .snapshot
+            .configuration
+            .customers
+            .get(&self.key.customer)
+        else {
+            return not_run(Refusal::NoEndpoint);
+        };
+        let caller = Caller {
+            id: &self.key.customer,
+            customer,
+        };
+        let patience = Patience {
+            arrived: self.arrived,
+            limit: self.limit,
+        };
+        let request = weigh::service(caller, self.service.class, &self.body, patience);
+        let mut attempts = 0;
+        let mut failed = None;
+        loop {
+            let entry = Entry {
+                key: PoolKey::service(&self.key.service, customer),
+                request: request.clone(),
+                again: attempts > 0,
+            };
+            let mut turn = match handler.shared.pools.enter(&self.snapshot, entry).await {
+                Ok(turn) => turn,
+                Err(refusal) => return not_run(failed.unwrap_or(refusal)),
             };
-            let candidates = self.snapshot.service_endpoints(customer, &self.key.service);
-            let home = &handler.shared.settings.failure_domain;
-            let chosen = handler.in_flight.choose(candidates, home, &tried);
-            let Some((_flight, endpoint_id, endpoint)) = chosen else {
-                break;
+            attempts += 1;
+            let endpoint = turn.endpoint();
+            let mut failing = FailedAttempt {
+                progress: Progress::NotRun,
+                idempotent: false,
+                attempts,
+                start_by: request.start_by(),
             };
-            match self.offer(handler, endpoint.address, attempt, epoch).await {
+            match self.offer(handler, &endpoint, attempt, epoch).await {
                 Ok(answer) => {
+                    turn.finish_service();
                     let response = respond(&answer);
                     return TryEnd {
                         end: kept(answer).into(),
                         answer: Ok(response),
                     };
                 }
-                Err(AttemptError::NotRun(reason)) => failed = Refusal::NotReached(reason),
+                Err(AttemptError::NotRun(reason)) => {
+                    failed = Some(Refusal::NotReached(reason.clone()));
+                    if turn.fail(failing) != RetryDecision::Retry {
+                        return not_run(Refusal::NotReached(reason));
+                    }
+                }
                 Err(AttemptError::Unknown(reason)) => {
-                    log::warn!(
-                        "traffic: {} may have run at {endpoint_id}: {reason}.",
-                        self.id
-                    );
+                    failing.progress = Progress::Sent;
+                    turn.fail(failing);
+                    log::warn!("traffic: {} may have run at {endpoint}: {reason}.", self.id);
                     return self.settle_try(handler, attempt, reason).await;
                 }
             }
-            tried.push(endpoint_id.clone());
-        }
-        TryEnd {
-            end: ActionEnd::NotRun,
-            answer: Err(failed),
         }
     }
 
     async fn offer(
         &self,
         handler: &Handler,
-        peer: std::net::SocketAddr,
+        endpoint: &EndpointId,
         attempt: &AttemptId,
         epoch: Epoch,
     ) -> Result<Answer, AttemptError> {
+        let endpoints = &self.snapshot.configuration.endpoints;
+        let Some(known) = endpoints.get(endpoint) else {
+            return Err(AttemptError::NotRun(format!("{endpoint} is new")));
+        };
+        let peer = known.address;
         let sent = Attempt {
             id: handler.shared.identity.attempt_id(),
             request: &self.id,
--- a/crates/sesamecart-node/src/traffic/relay.rs
+++ b/crates/sesamecart-node/src/traffic/relay.rs
@@ -9,9 +9,9 @@
 use sesamecart_edges::{BoxError, ConnectionLease};
 use sesamecart_vocabulary::{AttemptId, Timestamp};
 
+use crate::pools::Turn;
 use crate::shared::Shared;
 use crate::traffic::answer::Refusal;
-use crate::traffic::route::Flight;
 use crate::traffic::sse::{EventSplitter, StreamFault};
 
 /// A streamed answer on its way to the caller.
@@ -28,7 +28,7 @@
     passed_on: u64,
     complete: bool,
     ended: bool,
-    _flight: Flight,
+    turn: Turn,
 }
 
 impl Relay {
@@ -38,7 +38,7 @@
         lease: ConnectionLease,
         attempt: AttemptId,
         arrived: Timestamp,
-        flight: Flight,
+        turn: Turn,
     ) -> Self {
         Self {
             shared,
@@ -49,7 +49,7 @@
             passed_on: 0,
             complete: false,
             ended: false,
-            _flight: flight,
+            turn,
         }
     }
 
@@ -60,6 +60,7 @@
             self.shared.metrics.record_first_event(taken);
         }
         self.passed_on += events.count;
+        self.turn.tokens(events.count);
         self.complete |= events.last;
         Ok(events.bytes)
     }
@@ -70,6 +71,7 @@
     fn fail(&mut self, reason: impl std::fmt::Display) -> Frame<Bytes> {
         self.ended = true;
         self.lease = None;
+        self.turn.break_off();
         log::warn!(
             "traffic: a stream broke after {} events: {reason}.",
             self.passed_on
@@ -81,6 +83,7 @@
     fn finish(&mut self) {
         self.ended = true;
         self.shared.metrics.count_events(self.passed_on);
+        self.turn.finish_stream();
         if let Some(lease) = self.lease.take() {
             lease.give_back();
         }
--- a/crates/sesamecart-node/src/traffic/service.rs
+++ b/crates/sesamecart-node/src/traffic/service.rs
@@ -5,18 +5,17 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Response};
-use sesamecart_config::Service;
+use sesamecart_decisions::retry::{FailedAttempt, Progress, RetryDecision};
 use sesamecart_edges::{CallerBody, OUTCOME, Reuse, read_whole, whole};
 use sesamecart_vocabulary::{EndpointId, RequestClass, RequestId, ServiceId, Timestamp};
 
+use crate::pools::{Entry, PoolKey};
 use crate::snapshot::Snapshot;
 use crate::traffic::answer::Refusal;
 use crate::traffic::caller::Caller;
 use crate::traffic::forward::{Attempt, AttemptError};
 use crate::traffic::handler::Handler;
-
-/// The most endpoints that one request is tried at.
-const MAX_ATTEMPTS: usize = 3;
+use crate::traffic::weigh::{self, Patience};
 
 /// A request of one caller to a plain service.
 #[derive(Debug)]
@@ -47,52 +46,74 @@
             .get(self.service)
             .ok_or_else(unknown)?;
         let idempotent = service.idempotent_methods.contains(self.method.as_str());
-        let mut tried: Vec<EndpointId> = Vec::new();
-        let mut failed = Refusal::NoEndpoint;
-        while tried.len() < MAX_ATTEMPTS {
-            let candidates = self
-                .snapshot
-                .service_endpoints(self.caller.customer, self.service);
-            let home = &handler.shared.settings.failure_domain;
-            let Some((_flight, endpoint_id, endpoint)) =
-                handler.in_flight.choose(candidates, home, &tried)
-            else {
-                break;
+        let class = if idempotent {
+            RequestClass::Interactive
+        } else {
+            service.class
+        };
+        let patience = Patience {
+            arrived: self.arrived,
+            limit: self.limit,
+        };
+        let request = weigh::service(self.caller, class, &self.body, patience);
+        let mut attempts = 0;
+        let mut failed = None;
+        loop {
+            let entry = Entry {
+                key: PoolKey::service(self.service, self.caller.customer),
+                request: request.clone(),
+                again: attempts > 0,
+            };
+            let mut turn = match handler.shared.pools.enter(self.snapshot, entry).await {
+                Ok(turn) => turn,
+                Err(refusal) => return Err(failed.unwrap_or(refusal)),
             };
-            match self
-                .attempt(handler, service, endpoint.address, idempotent)
+            attempts += 1;
+            let endpoint = turn.endpoint();
+            let (progress, refusal) = match self
+                .attempt(handler, &endpoint, class, idempotent)
                 .await
             {
-                Ok(response) => return Ok(response),
-                Err(AttemptError::NotRun(reason)) => failed = Refusal::NotReached(reason),
-                // It may have run: sending it again could run it twice.
-                Err(AttemptError::Unknown(reason)) if !idempotent => {
-                    let (id, customer) = (self.id, self.caller.id);
-                    log::warn!(
-                        "traffic: {id} of {customer} may have run at {endpoint_id}: {reason}."
-                    );
-                    return Err(Refusal::NoAnswer(reason));
+                Ok(response) => {
+                    turn.finish_service();
+                    return Ok(response);
                 }
-                Err(AttemptError::Unknown(reason)) => failed = Refusal::NoAnswer(reason),
+                Err(AttemptError::NotRun(reason)) => {
+                    (Progress::NotRun, Refusal::NotReached(reason))
+                }
+                Err(AttemptError::Unknown(reason)) => (Progress::Sent, Refusal::NoAnswer(reason)),
+            };
+            let (id, customer) = (self.id, self.caller.id);
+            log::warn!("traffic: {id} of {customer} failed at {endpoint}: {refusal}.");
+            let decision = turn.fail(FailedAttempt {
+                progress,
+                idempotent,
+                attempts,
+                start_by: request.start_by(),
+            });
+            if !matches!(failed, Some(Refusal::NoAnswer(_))) {
+                failed = Some(refusal);
+            }
+            // What may have run and must not run twice isn't sent again.
+            if decision != RetryDecision::Retry {
+                return Err(failed.unwrap_or(Refusal::NoEndpoint));
             }
-            tried.push(endpoint_id.clone());
         }
-        Err(failed)
     }
 
     async fn attempt(
         &self,
         handler: &Handler,
-        service: &Service,
-        peer: std::net::SocketAddr,
+        endpoint: &EndpointId,
+        class: RequestClass,
         idempotent: bool,
     ) -> Result<Response<CallerBody>, AttemptError> {
         let shared = &handler.shared;
-        let class = if idempotent {
-            RequestClass::Interactive
-        } else {
-            service.class
+        let endpoints = &self.snapshot.configuration.endpoints;
+        let Some(known) = endpoints.get(endpoint) else {
+            return Err(AttemptError::NotRun(format!("{endpoint} is new")));
         };
+        let peer = known.address;
         let limit = self.limit.saturating_sub(shared.clock.now() - self.arrived);
         let attempt = Attempt {
             id: shared.identity.attempt_id(),
