--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -96,8 +96,12 @@
     /// Answers another node's question to this node as a voter.
     #[must_use]
     pub fn answer(&self, vote: &Vote, asker: &NodeId) -> bool {
+        let settled = self.settled;
+        #[cfg(test)]
+        let settled =
+            settled || self.settings.mutant == Some(crate::settings::Mutant::ForgetfulVoter);
         let shard = self.shards.get(usize::from(vote.shard.0));
-        shard.is_some_and(|shard| shard.answer(vote, asker, self.settled))
+        shard.is_some_and(|shard| shard.answer(vote, asker, settled))
     }
 
     /// Takes a voter's answer.
@@ -346,6 +350,8 @@
     /// next claimant would ask the new ones and act beside that holder.
     fn draft(&self, id: ShardId, shard: &Shard, view: &View) -> ClaimDraft {
         let own = matches!(shard.role, Role::Claimant(_));
+        #[cfg(test)]
+        let own = own || self.settings.mutant == Some(crate::settings::Mutant::NewVoters);
         let voters = match &shard.lease {
             Some(lease) if !own && !lease.released => lease.voters.clone(),
             _ => choose_voters(id, view),
--- a/crates/sesamecart-lease/src/settings.rs
+++ b/crates/sesamecart-lease/src/settings.rs
@@ -34,6 +34,25 @@
     /// The most records that one tick asks to append, so that a lost rack can't spend the log's
     /// whole rate at once.
     pub appends_per_tick: usize,
+    /// A rule that tests leave out to see that they notice.
+    #[cfg(test)]
+    pub(crate) mutant: Option<Mutant>,
+}
+
+/// A rule of the protocol that tests leave out.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mutant {
+    /// A claimant acts without waiting.
+    NoWait,
+    /// A claimant asks no voters.
+    NoMajority,
+    /// A voter that restarted promises before it has read the log.
+    ForgetfulVoter,
+    /// A holder extends by its voters while its change of them is undecided.
+    OldVoters,
+    /// A claimant brings its own voters.
+    NewVoters,
 }
 
 /// Why lease settings can't be used.
@@ -66,11 +85,22 @@
             unheard_hold: Duration::from_secs(15),
             handover_hold: Duration::from_secs(2),
             appends_per_tick: 8,
+            #[cfg(test)]
+            mutant: None,
         }
     }
 }
 
 impl LeaseSettings {
+    /// Returns whether a holder stops extending while its change of voters is undecided.
+    pub(crate) fn waits_for_verdict(&self) -> bool {
+        #[cfg(test)]
+        if self.mutant == Some(Mutant::OldVoters) {
+            return false;
+        }
+        true
+    }
+
     /// Checks that the lengths fit each other.
     ///
     /// # Errors
@@ -99,6 +129,10 @@
     /// action run twice.
     #[must_use]
     pub fn takeover_wait(&self) -> Duration {
+        #[cfg(test)]
+        if self.mutant == Some(Mutant::NoWait) {
+            return Duration::ZERO;
+        }
         self.length + self.drift + self.staleness
     }
 }
--- a/crates/sesamecart-lease/src/shard.rs
+++ b/crates/sesamecart-lease/src/shard.rs
@@ -187,7 +187,7 @@
                 };
                 // A claimant that read this node's undecided voter change asks the new voters only,
                 // so promises of the old ones no longer keep anyone else from acting.
-                if self.undecided == 0 {
+                if self.undecided == 0 || !settings.waits_for_verdict() {
                     own.on_promise(answer, &lease.voters, settings);
                 }
             }
@@ -196,7 +196,7 @@
 
     /// Returns the questions to ask now.
     pub(crate) fn questions(&mut self, settings: &LeaseSettings, now: Timestamp) -> Questions {
-        let undecided = self.undecided > 0;
+        let undecided = self.undecided > 0 && settings.waits_for_verdict();
         let (Role::Claimant(own), Some(lease)) = (&mut self.role, &self.lease) else {
             return Questions::default();
         };
@@ -248,6 +248,10 @@
         now: Timestamp,
     ) -> Self {
         let (takeover, acts_from) = match before {
+            #[cfg(test)]
+            Some(_) if settings.mutant == Some(crate::settings::Mutant::NoMajority) => {
+                (None, Some(now + settings.takeover_wait()))
+            }
             // Its holder said that it acts no more.
             Some(before) if before.released => (None, Some(now)),
             Some(before) => {
--- /dev/null
+++ b/crates/sesamecart-lease/src/tests/choice.rs
@@ -0,0 +1,103 @@
+//! Tests of the choice of owners and voters.
+
+use sesamecart_vocabulary::{Incarnation, NodeId, SHARDS, ShardId};
+
+use crate::{NodeState, NodeView, View, choose_voters, desired_owners};
+
+fn node_id(index: usize) -> NodeId {
+    format!("node-{index}").parse().unwrap()
+}
+
+fn view(count: usize) -> View {
+    let node = |index: usize| NodeView {
+        failure_domain: format!("domain-{}", index % 3).parse().unwrap(),
+        incarnation: Incarnation(1),
+        state: NodeState::Live,
+    };
+    let nodes = (0..count).map(|index| (node_id(index), node(index)));
+    View {
+        nodes: nodes.collect(),
+    }
+}
+
+fn moved(before: &View, after: &View) -> usize {
+    let (before, after) = (
+        desired_owners(SHARDS, before),
+        desired_owners(SHARDS, after),
+    );
+    before
+        .iter()
+        .filter(|(shard, node)| after.get(*shard) != Some(*node))
+        .count()
+}
+
+macro_rules! sizes {
+    ($($name:ident: $count:expr;)*) => {
+        $(mod $name {
+            #[test]
+            fn owners_are_balanced() {
+                super::owners_are_balanced($count);
+            }
+
+            #[test]
+            fn few_shards_move_when_a_node_goes() {
+                super::few_shards_move($count);
+            }
+
+            #[test]
+            fn voters_span_failure_domains() {
+                super::voters_span_failure_domains($count);
+            }
+        })*
+    };
+}
+
+sizes! {
+    three_nodes: 3;
+    nine_nodes: 9;
+    target_nodes: 380;
+}
+
+/// Without a bound the fullest node would bear far more than its share of the actions.
+fn owners_are_balanced(count: usize) {
+    let owners = desired_owners(SHARDS, &view(count));
+    assert_eq!(owners.len(), usize::from(SHARDS));
+    let bound = (usize::from(SHARDS) * 5).div_ceil(count * 4);
+    for index in 0..count {
+        let node = node_id(index);
+        let held = owners.values().filter(|owner| **owner == node).count();
+        assert!(held <= bound, "{node} holds {held}, bound {bound}");
+    }
+}
+
+/// A node is stopped for an upgrade. Each shard that moves is without an owner for a moment, so only
+/// the node's own shards and a few that the bound pushes out may move.
+fn few_shards_move(count: usize) {
+    let before = view(count);
+    let mut after = before.clone();
+    after.nodes.shift_remove(&node_id(0));
+    let own = desired_owners(SHARDS, &before)
+        .values()
+        .filter(|owner| **owner == node_id(0))
+        .count();
+    let moved = moved(&before, &after);
+    println!("{count} nodes: {moved} moved, {own} of them the node's own");
+    assert!(moved <= own + usize::from(SHARDS) / 8);
+}
+
+/// A zone loses power during a log outage. Were a majority of a shard's voters in it, the shard's
+/// holder would stop although two zones are well.
+fn voters_span_failure_domains(count: usize) {
+    let view = view(count);
+    for shard in (0..SHARDS).map(ShardId) {
+        let voters = choose_voters(shard, &view);
+        assert!(voters.len() % 2 == 1 && voters.len() >= count.min(3));
+        for domain in 0..3 {
+            let domain = format!("domain-{domain}").parse().unwrap();
+            let inside = voters
+                .iter()
+                .filter(|voter| view.nodes[*voter].failure_domain == domain);
+            assert!(inside.count() <= voters.len() / 2);
+        }
+    }
+}
