--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{groups, path, policy};
+use sesamecart_measure::{actions, groups, path, policy, roles};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -19,12 +19,16 @@
 /// What can be measured.
 #[derive(Debug, Options)]
 enum Part {
+    #[options(help = "keyed actions through nine nodes under faults, and without keys")]
+    Actions(actions::Arguments),
     #[options(help = "group downtime and stranded accelerators in a day of failures")]
     Groups(groups::Arguments),
     #[options(help = "the node's own time and processor use on the streaming path")]
     Path(path::Arguments),
     #[options(help = "the decisions under load against simpler ones, in virtual time")]
     Policy(policy::Arguments),
+    #[options(help = "what each role's pure code costs at growing sizes")]
+    Roles(roles::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -35,9 +39,11 @@
         eprintln!("measure: no logs: {error}");
     }
     let measured = match arguments.part {
+        Some(Part::Actions(arguments)) => actions::run(&arguments),
         Some(Part::Groups(arguments)) => groups::run(&arguments),
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
+        Some(Part::Roles(arguments)) => roles::run(&arguments),
         None => {
             eprintln!("measure: name what to measure:\n{}", Part::usage());
             return ExitCode::from(2);
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -13,7 +13,7 @@
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
 use sesamecart_node::Node;
-use sesamecart_runtime::{Worker, sleep};
+use sesamecart_runtime::{Signal, Worker, sleep};
 use sesamecart_standins::{
     Engine, EngineConfig, EngineSpeed, Ledger, ListedVm, LogConfig, LogService, PlainService,
     PlainServiceConfig, VmList, VmRole, VmState, WeightStore, WeightStoreConfig,
@@ -65,6 +65,8 @@
     pub engines: IndexMap<EndpointId, Engine>,
     /// The plain services.
     pub services: IndexMap<EndpointId, PlainService>,
+    /// The ledger of each plain service, which its processes share.
+    pub ledgers: IndexMap<ServiceId, Ledger>,
     /// The nodes.
     pub nodes: Vec<Node>,
     /// The configuration, with the stand-ins' addresses.
@@ -110,10 +112,12 @@
                     engines.insert(id.clone(), engine);
                 }
                 EndpointKind::Service(service) => {
-                    let service = PlainService::start(PlainServiceConfig {
-                        ledger: ledgers.entry(service.clone()).or_default().clone(),
+                    let ledger = ledgers.entry(service.clone()).or_default().clone();
+                    let config = PlainServiceConfig {
+                        ledger,
                         ..PlainServiceConfig::default()
-                    })?;
+                    };
+                    let service = PlainService::start(config)?;
                     endpoint.address = service.address();
                     services.insert(id.clone(), service);
                 }
@@ -129,6 +133,7 @@
             weight_store,
             engines,
             services,
+            ledgers,
             nodes: Vec::new(),
             configuration,
             operator,
@@ -316,6 +321,31 @@
         self.nodes[node].shared().snapshot.load().revision
     }
 
+    /// Kills a node as a crash would, and starts it again later under the same name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such node.
+    pub fn kill_node(&mut self, node: &NodeId) -> anyhow::Result<()> {
+        let named = |one: &Node| one.shared().settings.node == *node;
+        let index = self.nodes.iter().position(named);
+        self.nodes.remove(index.context("no such node")?).kill();
+        Ok(())
+    }
+
+    /// Lets a node leave in good order and returns how many connections it cut off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such node.
+    pub async fn leave_node(&mut self, node: &NodeId) -> anyhow::Result<usize> {
+        let named = |one: &Node| one.shared().settings.node == *node;
+        let index = self.nodes.iter().position(named);
+        let node = self.nodes.remove(index.context("no such node")?);
+        let (_never, hurry) = Signal::new();
+        Ok(node.leave(&hurry).await)
+    }
+
     /// Stops all nodes and stand-ins and joins their threads.
     pub fn stop(mut self) {
         for node in self.nodes.drain(..) {
