Show a checkpoint's state at once, and leave the picture alone for the rest

Cause: a node that took a checkpoint showed it only with the next record, and every keyed action's record made the traffic threads' picture of all endpoints anew. Change: the reader tells that the state was replaced; records that can't show in the picture leave it alone. A drain's answer names its offset in the log, since it has no revision of its own, and the audit trail says when nothing was published before.

--- a/crates/sesamecart-fold/src/fold/publish.rs
+++ b/crates/sesamecart-fold/src/fold/publish.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sesamecart_vocabulary::PublishId;
+use sesamecart_vocabulary::{PublishId, Revision};
 
 use super::{Fold, Position};
 use crate::audit::AuditKind;
@@ -109,6 +109,9 @@
 
     fn describe_configuration(&self) -> String {
         let cfg = &self.state.configuration;
+        if self.state.revision == Revision(0) {
+            return "nothing published".to_owned();
+        }
         format!(
             "revision {}: sheet {} of {}",
             self.state.revision, cfg.sheet, cfg.date
--- a/crates/sesamecart-fold/src/reader.rs
+++ b/crates/sesamecart-fold/src/reader.rs
@@ -32,6 +32,8 @@
 /// What a page did.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PageRead {
+    /// Whether a checkpoint in the page replaced the state.
+    pub adopted: bool,
     /// What each record did that was applied.
     pub applied: Vec<AppliedAt>,
     /// Where the reader stands now.
@@ -101,6 +103,7 @@
         records: impl IntoIterator<Item = RawRecord<'a>>,
     ) -> PageRead {
         let mut applied = Vec::new();
+        let mut adopted = false;
         let is_missing = self.fold.state().next_offset < bounds.first;
         self.seek = match self.seek {
             Some(seek) if is_missing => Some(seek.max(bounds.first)),
@@ -109,7 +112,7 @@
         };
         for record in records {
             if self.seek.is_some() {
-                self.look_at(bounds, record);
+                adopted |= self.look_at(bounds, record);
                 continue;
             }
             let outcome = self
@@ -123,6 +126,7 @@
             }
         }
         PageRead {
+            adopted,
             applied,
             standing: self.standing(bounds),
         }
@@ -162,22 +166,24 @@
         Ok(())
     }
 
-    /// Takes the checkpoint in a record, if it is one that helps.
+    /// Takes the checkpoint in a record, if it is one that helps, and returns whether it was.
     ///
     /// It helps only if every record that it doesn't cover is still kept; otherwise the gap would
     /// merely move.
-    fn look_at(&mut self, bounds: PageBounds, record: RawRecord<'_>) {
+    fn look_at(&mut self, bounds: PageBounds, record: RawRecord<'_>) -> bool {
         self.seek = Some(record.offset.next());
         let Ok(envelope) = Record::decode(record.data) else {
-            return;
+            return false;
         };
         let Record::Checkpoint { state } = envelope.record else {
-            return;
+            return false;
         };
         let reaches = state.next_offset >= bounds.first && state.next_offset <= record.offset;
-        if reaches && self.fold.adopt(*state).is_ok() {
+        let adopted = reaches && self.fold.adopt(*state).is_ok();
+        if adopted {
             self.seek = None;
         }
+        adopted
     }
 
     fn standing(&self, bounds: PageBounds) -> Standing {
--- a/crates/sesamecart-fold/src/tests/reader.rs
+++ b/crates/sesamecart-fold/src/tests/reader.rs
@@ -51,6 +51,20 @@
     assert_eq!(new.fold().state(), old.fold().state());
 }
 
+/// The log holds nothing but a checkpoint and what it covers. Whoever shows the state to others must
+/// hear that it was replaced, though no record was applied.
+#[test]
+fn page_tells_that_a_checkpoint_replaced_the_state() {
+    let mut log = filled(2, &[1]);
+    log.forget_before(Offset(2));
+    let mut reader = LogReader::default();
+    let read = log.read_into(&mut reader);
+    assert!(read.adopted);
+    assert!(read.applied.is_empty());
+    assert_eq!(reader.fold().state().revision, Revision(2));
+    assert!(!log.read_into(&mut reader).adopted);
+}
+
 /// The log is out for longer than its retention, and what comes back is a checkpoint older than
 /// what a node had in force. Taking it would revert the operators' newest change.
 #[test]
--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -59,6 +59,10 @@
     fn take_page(&mut self, page: &LogPage, begun: Timestamp) {
         let read = self.shared.folded.take_page(page);
         self.shared.note_applied(&read.applied);
+        if read.adopted {
+            log::info!("fold: took a checkpoint from the log.");
+            self.shared.refresh_snapshot();
+        }
         self.note_standing(read.standing);
         if read.standing == Standing::AtTail {
             self.shared.note_heard(begun);
@@ -104,12 +108,37 @@
             report(*offset, applied);
         }
         let settled = self.folded.settle_drains(self.clock.now());
-        if settled || !applied.is_empty() {
+        if settled || applied.iter().any(|at| shows_in_snapshot(&at.applied)) {
             self.refresh_snapshot();
         }
     }
 }
 
+/// Returns whether the traffic threads' picture may look different after a record.
+///
+/// Keyed actions alone can bring a hundred records a second. Making the picture of hundreds of
+/// endpoints anew for each of them would take more of the control thread than all else it does.
+fn shows_in_snapshot(applied: &Applied) -> bool {
+    match applied {
+        Applied::Claimed { .. }
+        | Applied::Released { .. }
+        | Applied::Ordered { .. }
+        | Applied::Intents { .. }
+        | Applied::Outcomes { .. }
+        | Applied::ActionBatch { .. }
+        | Applied::Checkpointed { .. }
+        | Applied::Before
+        | Applied::Gap { .. } => false,
+        Applied::Published { .. }
+        | Applied::Drained { .. }
+        | Applied::Repeated { .. }
+        | Applied::Assigned { .. }
+        | Applied::Unassigned { .. }
+        | Applied::Rejected(_)
+        | Applied::Skipped(_) => true,
+    }
+}
+
 fn report(offset: Offset, applied: &Applied) {
     match applied {
         Applied::Skipped(error) => {
--- a/crates/sesamecart/src/command/change.rs
+++ b/crates/sesamecart/src/command/change.rs
@@ -55,7 +55,13 @@
     let reply = send(&client, "/v1/drains", &request, &request.publish_id)?;
     let word = if on { "drained" } else { "back in service" };
     output::print(session.output, &reply, |reply| {
-        println!("{target} is {word}: {}.", reply.outcome);
+        let place = match &reply.outcome {
+            ChangeOutcome::Decided(PublishVerdict::Accepted { offset, .. }) => {
+                format!("in the log at offset {offset}")
+            }
+            other => other.to_string(),
+        };
+        println!("{target} is {word}: {place}.");
     });
     if options.wait {
         return wait(&client, &reply, Duration::from_secs(options.timeout));
