--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -8,6 +8,8 @@
 use sesamecart_vocabulary::{Bytes, FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
+use crate::access::AdministrationAccess;
+
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -22,6 +24,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub administration: SocketAddr,
+    /// Who may connect there.
+    #[serde(default)]
+    pub access: AdministrationAccess,
     /// Where other nodes connect.
     pub links: SocketAddr,
     /// The platform's log service.
@@ -90,6 +95,13 @@
     /// Milliseconds between two reads of the tail.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
+    /// Milliseconds between two checkpoints; the log must keep records for at least three times as
+    /// long.
+    #[serde(default = "default_checkpoint_ms")]
+    pub checkpoint_ms: u64,
+    /// The most records between two checkpoints; the log must keep at least three times as many.
+    #[serde(default = "default_checkpoint_records")]
+    pub checkpoint_records: u64,
 }
 
 /// Another node.
@@ -120,6 +132,14 @@
     200
 }
 
+const fn default_checkpoint_ms() -> u64 {
+    10 * 60 * 1_000
+}
+
+const fn default_checkpoint_records() -> u64 {
+    10_000
+}
+
 /// The most traffic threads that settings may ask for.
 const MAX_TRAFFIC_THREADS: usize = 256;
 
@@ -205,6 +225,31 @@
                 "must be from 1 to 10000",
             );
         }
+        if self.log.checkpoint_ms == 0 {
+            return error("log.checkpoint_ms", "0".to_owned(), "must be at least 1");
+        }
+        if self.log.checkpoint_records == 0 {
+            return error(
+                "log.checkpoint_records",
+                "0".to_owned(),
+                "must be at least 1",
+            );
+        }
+        if self.access.requests_per_s == 0 {
+            let value = "0".to_owned();
+            return error("access.requests_per_s", value, "must be at least 1");
+        }
+        let mut operators = IndexSet::new();
+        for operator in &self.access.operators {
+            if !operators.insert(&operator.name) {
+                let value = operator.name.clone();
+                return error(
+                    "access.operators",
+                    value,
+                    "stands twice among the operators",
+                );
+            }
+        }
         let mut addresses = IndexSet::new();
         for (field, address) in [
             ("callers", self.callers),
--- a/crates/sesamecart-fold/src/lib.rs
+++ b/crates/sesamecart-fold/src/lib.rs
@@ -10,17 +10,28 @@
 mod drain;
 mod fold;
 mod lease;
+mod provisional;
+mod reader;
 mod record;
+mod schedule;
 mod state;
+#[cfg(test)]
+mod tests;
 mod verdict;
 
-pub use action::{ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, Actions, Header};
+pub use action::{
+    ACTION_HORIZON_MS, ActionEnd, ActionEntry, ActionIntent, ActionKey, ActionOutcome, ActionPart,
+    Actions, Header,
+};
 pub use audit::{AuditEntry, AuditKind, AuditTail};
 pub use body::EncodedBody;
 pub use checkpoint::{CheckpointError, CheckpointMark};
 pub use drain::{Drain, DrainTarget, ParseDrainTargetError};
 pub use fold::Fold;
 pub use lease::{Assignment, LeaseRecord};
+pub use provisional::{PROVISIONAL_LIMIT, ProvisionalDrain, ProvisionalDrains, ProvisionalError};
+pub use reader::{AppliedAt, LogReader, PageBounds, PageRead, RawRecord, Standing};
 pub use record::{DecodeError, Envelope, RECORD_VERSION, Record};
+pub use schedule::{CheckpointPace, CheckpointSchedule};
 pub use state::State;
 pub use verdict::{Applied, PublishVerdict, Rejection};
--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -1,17 +1,59 @@
-//! Measurements of the system; each prints its result as JSON in its last line.
+//! Measures one part of the system, such as `measure -- path`.
+//!
+//! The last line that a measurement prints is JSON.
 
-use anyhow::bail;
+use std::process::ExitCode;
 
-/// The measurements, by name.
-const NAMES: &str = "groups";
+use gumdrop::Options;
+use sesamecart_measure::{actions, groups, path, policy, roles};
 
-fn main() -> anyhow::Result<()> {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let Some((name, rest)) = args.split_first() else {
-        bail!("name a measurement: {NAMES}");
+/// Measures one part of the system against stand-ins on loopback.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    part: Option<Part>,
+}
+
+/// What can be measured.
+#[derive(Debug, Options)]
+enum Part {
+    #[options(help = "keyed actions through nine nodes under faults, and without keys")]
+    Actions(actions::Arguments),
+    #[options(help = "group downtime and stranded accelerators in a day of failures")]
+    Groups(groups::Arguments),
+    #[options(help = "the node's own time and processor use on the streaming path")]
+    Path(path::Arguments),
+    #[options(help = "the decisions under load against simpler ones, in virtual time")]
+    Policy(policy::Arguments),
+    #[options(help = "what each role's pure code costs at growing sizes")]
+    Roles(roles::Arguments),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if let Err(error) =
+        simplelog::SimpleLogger::init(log::LevelFilter::Error, simplelog::Config::default())
+    {
+        eprintln!("measure: no logs: {error}");
+    }
+    let measured = match arguments.part {
+        Some(Part::Actions(arguments)) => actions::run(&arguments),
+        Some(Part::Groups(arguments)) => groups::run(&arguments),
+        Some(Part::Path(arguments)) => path::run(&arguments),
+        Some(Part::Policy(arguments)) => policy::run(&arguments),
+        Some(Part::Roles(arguments)) => roles::run(&arguments),
+        None => {
+            eprintln!("measure: name what to measure:\n{}", Part::usage());
+            return ExitCode::from(2);
+        }
     };
-    match name.as_str() {
-        "groups" => sesamecart_measure::groups::run(rest),
-        other => bail!("no measurement {other:?}; there are: {NAMES}"),
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure failed: {error:#}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/crates/sesamecart-measure/src/groups/mod.rs
+++ b/crates/sesamecart-measure/src/groups/mod.rs
@@ -25,7 +25,7 @@
 
 /// What `measure -- groups` takes.
 #[derive(Debug, Options)]
-struct GroupsOptions {
+pub struct Arguments {
     #[options(help = "show this help")]
     help: bool,
     #[options(help = "number of seeds", default = "10")]
@@ -43,12 +43,7 @@
 /// # Errors
 ///
 /// Returns an error for arguments that can't be read.
-pub fn run(args: &[String]) -> anyhow::Result<()> {
-    let options = GroupsOptions::parse_args_default(args)?;
-    if options.help {
-        println!("{}", GroupsOptions::usage());
-        return Ok(());
-    }
+pub fn run(options: &Arguments) -> anyhow::Result<()> {
     let sizes = SIZES.iter().filter(|size| {
         let only = options.only.as_ref();
         only.is_none_or(|only| size.name == only)
@@ -58,7 +53,7 @@
         summary.add(
             size.name,
             "day",
-            play(size, &Kind::ALL, &Policy::COMPARED, &options),
+            play(size, &Kind::ALL, &Policy::COMPARED, options),
         );
         if !options.parts {
             continue;
@@ -66,14 +61,14 @@
         summary.add(
             size.name,
             "parts",
-            play(size, &Kind::ALL, &Policy::ABLATIONS, &options),
+            play(size, &Kind::ALL, &Policy::ABLATIONS, options),
         );
         for kind in Kind::ALL {
             let name = format!("{kind:?}").to_lowercase();
             summary.add(
                 size.name,
                 &name,
-                play(size, &[kind], &Policy::COMPARED, &options),
+                play(size, &[kind], &Policy::COMPARED, options),
             );
         }
     }
@@ -82,7 +77,7 @@
 }
 
 /// Plays all seeds under all policies on a few threads.
-fn play(size: &Size, kinds: &[Kind], policies: &[Policy], options: &GroupsOptions) -> Vec<Run> {
+fn play(size: &Size, kinds: &[Kind], policies: &[Policy], options: &Arguments) -> Vec<Run> {
     let jobs: Vec<(u64, Policy)> = (1..=options.seeds)
         .flat_map(|seed| policies.iter().map(move |policy| (seed, *policy)))
         .collect();
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -1,18 +1,29 @@
 //! The control thread: it follows the log, keeps links to other nodes and publishes pictures of the
 //! state to the traffic threads.
 
+mod folded;
 mod follower;
 mod link;
+mod peer_follower;
+mod peers;
+mod upkeep;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_edges::{HttpClient, HttpLog, Log};
-use sesamecart_runtime::{Signal, Worker};
+use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
+use sesamecart_links::Links;
+use sesamecart_runtime::{Signal, Tasks, Worker};
 
+use crate::actions::{Desk, Directory};
+use crate::administration;
+pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
+use crate::control::peer_follower::PeerFollower;
+pub(crate) use crate::control::peers::{PeerView, Peers};
 use crate::node::Listeners;
+use crate::pools::{Borrower, Lender, Owners};
 use crate::shared::Shared;
 
 /// How long one call of the log may take before the log counts as out.
@@ -26,19 +37,45 @@
     shared: &Arc<Shared>,
     listeners: &Listeners,
     leaving: &Signal,
-) -> anyhow::Result<Worker> {
+) -> anyhow::Result<(Worker, Arc<Desk>)> {
     let worker = Worker::start(format!("control-{}", shared.identity.node))?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
     let log: Arc<dyn Log> = Arc::new(HttpLog::new(
-        client,
+        client.clone(),
         shared.settings.log.address,
         LOG_CALL_LIMIT,
     ));
-    let follower = Follower::new(Arc::clone(shared), log);
+    let links = Links::new(tasks.clone(), shared.link_bytes.clone());
+    let peers = Peers::new(Arc::clone(shared), links);
+    if let Some(address) = shared.settings.vm_list {
+        let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
+        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+    }
+    let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
+    let peer_follower = PeerFollower::new(Arc::clone(shared), peers.clone());
+    tasks.spawn(peer_follower.run());
+    tasks.spawn(upkeep::write_checkpoints(
+        Arc::clone(shared),
+        Arc::clone(&log),
+    ));
+    tasks.spawn(upkeep::spread_drains(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+    ));
+    let desk = Desk::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(Arc::clone(&desk).run());
+    let lender = start_lending(shared, &peers, &tasks);
+    administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
-    let side = LinkSide::new(Arc::clone(shared));
+    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
     let count = shared.link_bytes.clone();
     tasks.spawn({
         let tasks = tasks.clone();
@@ -48,6 +85,24 @@
             }
         }
     });
-    let _used_on_leave = leaving;
-    Ok(worker)
+    Ok((worker, desk))
+}
+
+/// Starts lending the endpoints' allowances that this node owns, and borrowing the others.
+fn start_lending(shared: &Arc<Shared>, peers: &Peers, tasks: &Tasks) -> Arc<Lender> {
+    let directory = Directory::new(&shared.settings, peers.clone());
+    let owners = Owners::new(shared.settings.node.clone(), directory);
+    let cfg = shared.pools.cfg().allowance;
+    let lender = Lender::new(Arc::clone(shared), owners.clone(), cfg);
+    let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
+    tasks.spawn(Arc::clone(&lender).read_loads(client));
+    let borrower = Borrower::new(
+        Arc::clone(shared),
+        Arc::clone(&lender),
+        owners,
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(borrower.run());
+    lender
 }
--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use sesamecart_edges::{Log, LogError, LogPage};
-use sesamecart_fold::{Applied, Fold};
+use sesamecart_fold::{Applied, AppliedAt, Standing};
 use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::{Offset, Timestamp};
 
 use crate::shared::Shared;
-use crate::snapshot::Snapshot;
 
 /// The most records that one read asks for.
 const READ_LIMIT: usize = 500;
@@ -23,8 +23,7 @@
 pub(crate) struct Follower {
     shared: Arc<Shared>,
     log: Arc<dyn Log>,
-    fold: Fold,
-    failing: bool,
+    standing: Standing,
 }
 
 impl Follower {
@@ -32,8 +31,7 @@
         Self {
             shared,
             log,
-            fold: Fold::new(),
-            failing: false,
+            standing: Standing::Behind,
         }
     }
 
@@ -41,13 +39,13 @@
         loop {
             let wait = Duration::from_millis(self.shared.settings.log.poll_ms);
             let begun = self.shared.clock.now();
-            let from = self.fold.state().next_offset;
+            let from = self.shared.folded.wants();
             match self.log.read(from, READ_LIMIT, wait).await {
                 Ok(page) => {
                     self.note_success();
-                    let at_tail = self.fold_page(&page);
-                    if at_tail {
-                        self.shared.note_heard(begun);
+                    self.take_page(&page, begun);
+                    if self.standing == Standing::Stranded {
+                        sleep(FAILURE_REST).await;
                     }
                 }
                 Err(error) => {
@@ -58,35 +56,96 @@
         }
     }
 
-    /// Folds a page and returns whether the state is now as new as the log's tail.
-    fn fold_page(&mut self, page: &LogPage) -> bool {
-        let before = self.fold.state().next_offset;
-        for record in &page.records {
-            let applied = self.fold.apply(record.offset, record.time_ms, &record.data);
-            report(&applied);
+    fn take_page(&mut self, page: &LogPage, begun: Timestamp) {
+        let read = self.shared.folded.take_page(page);
+        self.shared.note_applied(&read.applied);
+        if read.adopted {
+            log::info!("fold: took a checkpoint from the log.");
+            self.shared.refresh_snapshot();
         }
-        let state = self.fold.state();
-        if state.next_offset != before {
-            self.shared.snapshot.store(Arc::new(Snapshot::of(state)));
+        self.note_standing(read.standing);
+        if read.standing == Standing::AtTail {
+            self.shared.note_heard(begun);
         }
-        state.next_offset >= page.next
     }
 
-    fn note_success(&mut self) {
-        if self.failing {
-            log::info!("follower: the log answers again.");
+    fn note_standing(&mut self, standing: Standing) {
+        let is_news = standing != self.standing;
+        self.standing = standing;
+        self.shared.folded.note_standing(standing);
+        match standing {
+            Standing::Seeking if is_news => {
+                log::warn!("fold: the log has forgotten records; looking for a checkpoint.");
+            }
+            Standing::Stranded if is_news => {
+                log::error!("fold: the log holds no checkpoint that helps; asking other nodes.");
+            }
+            _ => {}
+        }
+    }
+
+    fn note_success(&self) {
+        if !self.shared.folded.log_answers() {
+            log::info!("fold: the log answers.");
+        }
+        let now = self.shared.clock.now();
+        self.shared.folded.note_log(true, now);
+    }
+
+    fn note_failure(&self, error: &LogError) {
+        if self.shared.folded.log_answers() {
+            log::warn!("fold: {error}.");
         }
-        self.failing = false;
+        let now = self.shared.clock.now();
+        self.shared.folded.note_log(false, now);
     }
+}
 
-    fn note_failure(&mut self, error: &LogError) {
-        if !self.failing {
-            log::warn!("follower: {error}.");
+impl Shared {
+    /// Tells what records did and shows the traffic threads the new state.
+    pub(crate) fn note_applied(&self, applied: &[AppliedAt]) {
+        for AppliedAt { offset, applied } in applied {
+            report(*offset, applied);
+        }
+        let settled = self.folded.settle_drains(self.clock.now());
+        if settled || applied.iter().any(|at| shows_in_snapshot(&at.applied)) {
+            self.refresh_snapshot();
         }
-        self.failing = true;
     }
 }
 
-fn report(applied: &Applied) {
-    log::debug!("follower: {applied:?}.");
+/// Returns whether the traffic threads' picture may look different after a record.
+///
+/// Keyed actions alone can bring a hundred records a second. Making the picture of hundreds of
+/// endpoints anew for each of them would take more of the control thread than all else it does.
+fn shows_in_snapshot(applied: &Applied) -> bool {
+    match applied {
+        Applied::Claimed { .. }
+        | Applied::Released { .. }
+        | Applied::Ordered { .. }
+        | Applied::Intents { .. }
+        | Applied::Outcomes { .. }
+        | Applied::ActionBatch { .. }
+        | Applied::Checkpointed { .. }
+        | Applied::Before
+        | Applied::Gap { .. } => false,
+        Applied::Published { .. }
+        | Applied::Drained { .. }
+        | Applied::Repeated { .. }
+        | Applied::Assigned { .. }
+        | Applied::Unassigned { .. }
+        | Applied::Rejected(_)
+        | Applied::Skipped(_) => true,
+    }
+}
+
+fn report(offset: Offset, applied: &Applied) {
+    match applied {
+        Applied::Skipped(error) => {
+            log::error!("fold: the record at offset {offset} was skipped: {error}.");
+        }
+        Applied::Rejected(rejection) => log::info!("fold: offset {offset}: {rejection}."),
+        Applied::Published { revision } => log::info!("fold: revision {revision} is in force."),
+        other => log::debug!("fold: offset {offset}: {other:?}."),
+    }
 }
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -2,10 +2,13 @@
 //!
 //! docs/architecture.md draws the way of a request through it.
 
+mod actions;
+mod administration;
 mod control;
 mod identity;
 mod metrics;
 mod node;
+mod pools;
 mod shared;
 mod snapshot;
 mod traffic;
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the control thread and the traffic threads of one node share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -10,8 +10,10 @@
 use sesamecart_runtime::{ByteCount, Clock};
 use sesamecart_vocabulary::Timestamp;
 
+use crate::control::Folded;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
+use crate::pools::Pools;
 use crate::snapshot::Snapshot;
 
 /// How long a node that hears neither the log nor a peer still says that it is ready.
@@ -31,12 +33,18 @@
     pub clock: Clock,
     /// The newest picture of the control state.
     pub snapshot: ArcSwap<Snapshot>,
+    /// The folded log, of which the snapshot is a picture; only the control thread uses it.
+    pub(crate) folded: Folded,
+    /// Admission and routing, by which requests get their turn at an endpoint.
+    pub(crate) pools: Arc<Pools>,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
     pub connections: Connections,
     /// The bytes that passed over links.
     pub link_bytes: ByteCount,
+    /// The keyed actions that this node was allowed to send and whose end isn't recorded yet.
+    pub untold_ends: AtomicUsize,
     heard_at: AtomicU64,
     settled: AtomicBool,
     leaving: AtomicBool,
@@ -50,14 +58,19 @@
     /// Returns an error when the counters can't be set up.
     pub fn new(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let identity = Identity::new(settings.node.clone());
+        let clock = Clock::start();
+        let pools = Pools::new(&settings, clock);
         Ok(Arc::new(Self {
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
+            pools,
             snapshot: ArcSwap::default(),
+            folded: Folded::default(),
             metrics: Metrics::new()?,
             connections: Connections::default(),
             link_bytes: ByteCount::default(),
+            untold_ends: AtomicUsize::new(0),
             heard_at: AtomicU64::new(0),
             settled: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -70,6 +83,12 @@
         self.settled.store(true, Ordering::Release);
     }
 
+    /// Returns whether the node has read the log, or a majority's state, since its start.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::Acquire)
+    }
+
     /// Notes that the node leaves: it takes no new callers.
     pub fn note_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -5,11 +5,13 @@
 mod caller;
 mod forward;
 mod handler;
+mod keyed;
 mod model;
 mod relay;
-mod route;
 mod service;
+mod settle;
 mod sse;
+mod weigh;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,24 +19,28 @@
 use sesamecart_edges::{HttpClient, ServerLimits};
 use sesamecart_runtime::{Signal, Worker};
 
+use crate::actions::Desk;
 use crate::node::Listeners;
 use crate::shared::Shared;
+pub(crate) use crate::traffic::answer::Refusal;
 use crate::traffic::handler::Handler;
 
 /// Starts the traffic threads.
 pub(crate) fn start(
     shared: &Arc<Shared>,
+    desk: &Arc<Desk>,
     listeners: &Listeners,
     leaving: &Signal,
 ) -> anyhow::Result<Vec<Worker>> {
     (0..shared.settings.traffic_threads)
-        .map(|index| start_one(index, shared, listeners, leaving))
+        .map(|index| start_one(index, shared, desk, listeners, leaving))
         .collect()
 }
 
 fn start_one(
     index: usize,
     shared: &Arc<Shared>,
+    desk: &Arc<Desk>,
     listeners: &Listeners,
     leaving: &Signal,
 ) -> anyhow::Result<Worker> {
@@ -45,7 +51,7 @@
         tasks.clone(),
         Duration::from_millis(bounds.connect_limit_ms),
     );
-    let handler = Handler::new(Arc::clone(shared), client);
+    let handler = Handler::new(Arc::clone(shared), Arc::clone(desk), client, tasks.clone());
     let limits = ServerLimits {
         max_connections: bounds.max_connections,
         ..ServerLimits::default()
--- a/crates/sesamecart-node/src/traffic/sse.rs
+++ b/crates/sesamecart-node/src/traffic/sse.rs
@@ -1,5 +1,8 @@
 //! Splits a stream of server-sent events into whole events and checks to whom they belong.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::{Bytes, BytesMut};
 use sesamecart_vocabulary::AttemptId;
 
@@ -67,14 +70,17 @@
     }
 
     fn check(&self, event: &[u8], events: &mut Events) -> Result<(), StreamFault> {
-        if event.starts_with(LAST_EVENT) {
-            events.last = true;
+        let Some(data) = event
+            .split(|byte| *byte == b'\n')
+            .find(|line| line.starts_with(b"data:"))
+        else {
             return Ok(());
-        }
-        if !event.starts_with(b"data:") {
+        };
+        if data == LAST_EVENT {
+            events.last = true;
             return Ok(());
         }
-        if find(event, self.attempt.as_str().as_bytes()).is_none() {
+        if find(data, self.attempt.as_str().as_bytes()).is_none() {
             return Err(StreamFault::Crossed);
         }
         events.count += 1;
