Read TLS files from settings, check them and read them again without a restart

Cause: rustls presents any certificate it is given, so an expired or weak one would be noticed only by callers that refuse to connect. Change: a tls section in the settings; server and client configurations from PEM files, refused with the file's name and the reason when a certificate is expired, not yet valid, of a short key or signed with SHA-1; a changed file is taken up for new connections, and a pair that doesn't fit leaves the old one in force; client certificates for links.

--- a/crates/sesamecart-config/src/lib.rs
+++ b/crates/sesamecart-config/src/lib.rs
@@ -11,6 +11,7 @@
 mod sheet;
 #[cfg(test)]
 mod tests;
+mod tls;
 
 pub use access::{AdministrationAccess, Operator, Role};
 pub use change::ChangeRules;
@@ -23,3 +24,4 @@
 pub use problem::{Cell, Fault, Field, Place, Problem, ProblemReport, Subject};
 pub use settings::{CallerBounds, LinkPeer, LogSettings, Settings, SettingsError};
 pub use sheet::{Import, import_sheet};
+pub use tls::{TlsFiles, TlsSettings, Transport};
--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::access::AdministrationAccess;
+use crate::tls::TlsSettings;
 
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -29,6 +30,9 @@
     pub access: AdministrationAccess,
     /// Where other nodes connect.
     pub links: SocketAddr,
+    /// How connections to these are encrypted; a side without an entry takes plain text.
+    #[serde(default)]
+    pub tls: TlsSettings,
     /// The platform's log service.
     pub log: LogSettings,
     /// The platform's VM list, if the node should ask it.
--- a/crates/sesamecart-edges/src/lib.rs
+++ b/crates/sesamecart-edges/src/lib.rs
@@ -8,6 +8,7 @@
 mod header;
 mod log_service;
 mod server;
+pub mod tls;
 mod vm_list;
 mod weight_store;
 
