Give permits back with each demand, and ask few owners for few permits

At the target's size 11 per cent of actions found no permit at any plain service: each of 380 nodes held one idle permit of 64 at an endpoint, since an owner rounded up what it lent beyond demand and a node asked every endpoint for each waiting request. A demand now gives back at once all that the node doesn't want (it carries the node's clock, so that an overtaken one changes nothing), the surplus is rounded down, and for few waiting requests few endpoints are asked. A node uses 8 endpoints and those for which it comes first, so that each endpoint of a large pool is used by somebody.

The messages got one field: BorrowPermitsRequest.asked_us.

--- a/crates/sesamecart-decisions/src/allowance/borrowed.rs
+++ b/crates/sesamecart-decisions/src/allowance/borrowed.rs
@@ -10,7 +10,9 @@
 /// What a node tells an endpoint's owner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Demand {
-    /// The permits that the node could use.
+    /// When the node asked, by its own clock.
+    pub asked: Timestamp,
+    /// The permits that the node could use; from `asked` on until the answer it uses no more.
     pub wanted: Permits,
     /// The permits of its requests that run there.
     pub in_flight: Permits,
@@ -37,8 +39,6 @@
     kv: Tokens,
     peak: Permits,
     sample: Sample,
-    /// When the message was sent whose answer was taken last.
-    asked: Timestamp,
     /// When a failure ended the slice; only an answer to a later message begins a new one.
     voided_at: Option<Timestamp>,
     /// When the message was sent that has no answer yet.
@@ -176,13 +176,19 @@
         self.sample.add(seen);
     }
 
-    /// Makes the message to the owner and forgets what it tells; `waiting` are the permits that
+    /// Makes the message to the owner and forgets what it tells.
+    ///
+    /// It gives back at once what the node doesn't want, so that the owner can lend it to others
+    /// without waiting for the slice to end. `waiting` are the permits that
     /// requests in the node's queue could use here.
     pub fn demand(&mut self, now: Timestamp, waiting: Permits) -> Demand {
         self.outstanding = Some(now);
         let in_flight = self.in_flight();
+        let wanted = self.peak.max(in_flight) + waiting;
+        self.permits = self.permits.min(wanted);
         let demand = Demand {
-            wanted: self.peak.max(in_flight) + waiting,
+            asked: now,
+            wanted,
             in_flight,
             sample: std::mem::take(&mut self.sample),
         };
@@ -193,17 +199,16 @@
     /// Takes the owner's answer to a message that was sent at `asked`.
     ///
     /// The validity counts from the sending, so that a slow answer can't lengthen a slice beyond
-    /// the owner's own count. An answer to a message from before a failure, or before one whose
-    /// answer came earlier, is dropped.
+    /// the owner's own count. Only the answer to the last message counts, since each message gives back
+    /// what it doesn't want, and none from before a failure.
     pub fn take(&mut self, asked: Timestamp, slice: Slice) {
-        if self.outstanding == Some(asked) {
-            self.outstanding = None;
+        if self.outstanding != Some(asked) {
+            return;
         }
-        let voided = self.voided_at.is_some_and(|voided| asked < voided);
-        if voided || asked < self.asked {
+        self.outstanding = None;
+        if self.voided_at.is_some_and(|voided| asked < voided) {
             return;
         }
-        self.asked = asked;
         self.voided_at = None;
         self.permits = slice.permits;
         self.valid_until = asked + slice.valid_for;
--- a/crates/sesamecart-decisions/src/allowance/owner.rs
+++ b/crates/sesamecart-decisions/src/allowance/owner.rs
@@ -20,6 +20,7 @@
 /// What one node holds.
 #[derive(Clone, Debug, Default)]
 struct Lent {
+    asked: Timestamp,
     grants: Vec<Grant>,
     in_flight: Permits,
     wanted: Permits,
@@ -55,6 +56,17 @@
             .retain(|grant| now < grant.valid_until + timeout);
     }
 
+    /// Takes over what a node says of itself, among it that it uses no more than it wants.
+    fn hear(&mut self, demand: &Demand) {
+        self.asked = demand.asked;
+        self.in_flight = demand.in_flight;
+        self.wanted = demand.wanted;
+        let used = demand.wanted.max(demand.in_flight);
+        for grant in &mut self.grants {
+            grant.permits = grant.permits.min(used);
+        }
+    }
+
     fn push(&mut self, grant: Grant) {
         self.grants
             .retain(|earlier| earlier.permits > grant.permits);
@@ -120,15 +132,27 @@
     }
 
     /// Takes a node's demand and lends it a slice.
+    ///
+    /// A demand that a later one has overtaken changes nothing: the node has dropped it, and what it
+    /// gives back isn't true any more.
     pub fn borrow(&mut self, now: Timestamp, node: &NodeId, demand: &Demand) -> Slice {
+        let overtaken = self
+            .lent
+            .get(node)
+            .is_some_and(|lent| demand.asked < lent.asked);
+        if overtaken {
+            return Slice {
+                permits: Permits(0),
+                valid_for: self.cfg.slice(),
+            };
+        }
         self.limit.observe(now, &demand.sample);
         self.limit.step(now, self.in_use(now));
         self.lent
             .retain(|_, lent| now < lent.valid_until || lent.held(now) > Permits(0));
         let mut lent = self.lent.swap_remove(node).unwrap_or_default();
         lent.prune(now, &self.cfg);
-        lent.in_flight = demand.in_flight;
-        lent.wanted = demand.wanted;
+        lent.hear(demand);
         let permits = self.grant(now, &lent);
         let valid_until = now + self.cfg.slice();
         lent.push(Grant {
@@ -185,7 +209,7 @@
         let own = u64::from(own.wanted.max(own.in_flight).0);
         let wanted = own + wanted_by_others;
         let share = if wanted <= limit {
-            own + (limit - wanted).div_ceil(2 * nodes)
+            own + (limit - wanted) / (2 * nodes)
         } else {
             (own * limit).div_ceil(wanted)
         };
--- a/crates/sesamecart-decisions/src/allowance/tests.rs
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -38,6 +38,7 @@
             tokens: Tokens(100),
             ..Sample::default()
         },
+        ..Demand::default()
     }
 }
 
@@ -61,6 +62,7 @@
         fn $name() {
             let mut books = borrowed();
             let slice = Slice { permits: Permits($permits), valid_for: Duration::from_secs(1) };
+            books.demand(at(0), Permits(0));
             books.take(at(0), slice);
             books.finish(at(0), Tokens(0));
             for kv in $running {
@@ -267,6 +269,7 @@
         permits: Permits(5),
         valid_for: Duration::from_secs(1),
     };
+    books.demand(at(0), Permits(0));
     books.take(at(0), slice);
     assert!(books.start(at(1), Tokens(500)));
     assert!(!books.start(at(2), Tokens(500)));
@@ -286,6 +289,7 @@
         permits: Permits(5),
         valid_for: cfg.slice(),
     };
+    borrowed.demand(at(0), Permits(0));
     borrowed.take(at(0), slice);
     assert!(borrowed.start(at(10), Tokens(500)));
     borrowed.demand(at(15), Permits(0));
@@ -295,6 +299,7 @@
         !borrowed.start(at(30), Tokens(500)),
         "this answer doesn't know of the failure"
     );
+    borrowed.demand(at(25), Permits(0));
     borrowed.take(at(25), slice);
     assert!(borrowed.start(at(30), Tokens(500)));
 }
--- a/crates/sesamecart-decisions/src/pool.rs
+++ b/crates/sesamecart-decisions/src/pool.rs
@@ -24,8 +24,8 @@
     pub node: NodeId,
     /// The failure domain that it lies in.
     pub domain: FailureDomainId,
-    /// How many nodes share the pool.
-    pub nodes: usize,
+    /// All nodes that share the pool, this one included.
+    pub nodes: Vec<NodeId>,
 }
 
 /// A request that starts now.
@@ -59,6 +59,10 @@
     pub demand: Demand,
 }
 
+/// How many endpoints are asked for each permit that is wanted, if fewer are wanted than there are
+/// endpoints: a second one for when the first has none left.
+const ASK_AROUND: u32 = 2;
+
 /// All decisions of one pool at one node.
 #[derive(Debug)]
 pub struct Pool {
@@ -85,7 +89,7 @@
                 &place.node,
                 &place.domain,
                 endpoints,
-                place.nodes,
+                &place.nodes,
                 cfg.routing,
             ),
             budget: RetryBudget::new(cfg.retry),
@@ -231,27 +235,19 @@
         if waiting {
             self.next_borrow = now + self.cfg.allowance.borrow_gap();
         }
-        let each = self.wanted_each();
-        let target = self.target_of_largest();
+        let extra = if waiting { self.extra() } else { Vec::new() };
         let allowance = self.cfg.allowance;
         let mut demands = Vec::new();
         for (index, endpoint) in self.router.endpoints_mut().iter_mut().enumerate() {
             let borrowed = &mut endpoint.borrowed;
-            let due = waiting || borrowed.needs_renewal(now, &allowance);
+            let more = extra.get(index).copied().unwrap_or_default();
+            let due = more > Permits(0) || borrowed.needs_renewal(now, &allowance);
             if !due || !borrowed.may_ask(now, &allowance) {
                 continue;
             }
-            let mut wanted = if endpoint.state == EndpointState::Active {
-                each
-            } else {
-                Permits(0)
-            };
-            if let Some(largest) = target.filter(|target| target.endpoint == index) {
-                wanted = wanted.max(largest.permits);
-            }
             demands.push(EndpointDemand {
                 endpoint: index,
-                demand: borrowed.demand(now, wanted),
+                demand: borrowed.demand(now, more),
             });
         }
         demands
@@ -264,19 +260,40 @@
             .take(asked, slice);
     }
 
-    /// Spreads what waits evenly over the endpoints that could take it.
-    fn wanted_each(&self) -> Permits {
-        let active: Vec<_> = self.active().collect();
-        let Some((_, first)) = active.first() else {
-            return Permits(0);
-        };
-        let permits: Permits = self
-            .admission
-            .waiting_kv()
-            .map(|kv| first.borrowed.permits_for(Concurrency(1), kv))
-            .sum();
+    /// Returns for each endpoint the permits to ask for beyond those in use, because requests wait.
+    ///
+    /// What waits is spread evenly. For less than one permit each, only some random endpoints are
+    /// asked: asked everywhere for one request, owners would lend many permits of which all but
+    /// one lie idle until they are given back.
+    fn extra(&mut self) -> Vec<Permits> {
+        let mut extra = vec![Permits(0); self.endpoints().len()];
+        let mut active: Vec<usize> = self.active().map(|(index, _)| index).collect();
+        let permits = self.waiting_permits();
+        if active.is_empty() || permits == 0 {
+            return extra;
+        }
         let count = u32::try_from(active.len()).unwrap_or(u32::MAX);
-        Permits(permits.0.div_ceil(count))
+        if ASK_AROUND * permits < count {
+            self.rng.shuffle(&mut active);
+            active.truncate((ASK_AROUND * permits) as usize);
+        }
+        for index in active {
+            extra[index] = Permits(permits.div_ceil(count));
+        }
+        if let Some(target) = self.target_of_largest() {
+            extra[target.endpoint] = extra[target.endpoint].max(target.permits);
+        }
+        extra
+    }
+
+    /// Returns the permits that the waiting requests take.
+    fn waiting_permits(&self) -> u32 {
+        let Some((_, first)) = self.active().next() else {
+            return 0;
+        };
+        let each = self.admission.waiting_kv();
+        let each = each.map(|kv| first.borrowed.permits_for(Concurrency(1), kv).0);
+        each.sum()
     }
 
     /// Picks one endpoint to ask for all the permits that the largest waiting request takes.
--- a/crates/sesamecart-decisions/src/pool/tests.rs
+++ b/crates/sesamecart-decisions/src/pool/tests.rs
@@ -28,7 +28,7 @@
     let place = NodePlace {
         node: "node-1".parse().unwrap(),
         domain: "a".parse().unwrap(),
-        nodes: 8,
+        nodes: vec!["node-1".parse().unwrap()],
     };
     let endpoints = (0..ENDPOINTS).map(|index| {
         let id: EndpointId = format!("engine-{index}").parse().unwrap();
@@ -39,7 +39,9 @@
     pool
 }
 
+/// Answers demands that are due at `now` as generous owners do.
 fn lend(pool: &mut Pool, now: Timestamp) {
+    pool.demands(now);
     let slice = Slice {
         permits: Permits(PERMITS),
         valid_for: Duration::from_secs(1),
--- a/crates/sesamecart-decisions/src/routing/router.rs
+++ b/crates/sesamecart-decisions/src/routing/router.rs
@@ -1,8 +1,6 @@
 //! The choice of an endpoint for one request.
 
-use sesamecart_vocabulary::{
-    EndpointId, FailureDomainId, NodeId, Timestamp, Tokens, rendezvous_weight, stable_hash,
-};
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Timestamp, Tokens, stable_hash};
 
 use super::outlier::Outliers;
 use super::prefix::{PrefixHash, PrefixHints};
@@ -98,22 +96,38 @@
 }
 
 impl Router {
-    /// Makes a router over the subset of `endpoints` that `node` uses when `nodes` nodes share
-    /// them.
+    /// Makes a router over the subset of `endpoints` that `node` uses when `nodes` share them.
+    ///
+    /// A node uses the endpoints that come first for it in rendezvous order, and those for which it
+    /// comes first among the nodes; without the latter some endpoints of a large pool would be used
+    /// by nobody.
     #[must_use]
     pub fn new(
         node: &NodeId,
         domain: &FailureDomainId,
         endpoints: impl IntoIterator<Item = PoolEndpoint>,
-        nodes: usize,
+        nodes: &[NodeId],
         cfg: RoutingSettings,
     ) -> Self {
         let mut endpoints: Vec<_> = endpoints.into_iter().collect();
-        let size = cfg.subset(endpoints.len(), nodes);
-        endpoints.sort_by_key(|endpoint| {
-            std::cmp::Reverse(rendezvous_weight(endpoint.id.as_str(), node.as_str()))
+        let size = cfg.subset(endpoints.len(), nodes.len());
+        let own = stable_hash(node.as_str());
+        let others: Vec<u64> = nodes
+            .iter()
+            .map(|node| stable_hash(node.as_str()))
+            .collect();
+        let is_first = |endpoint: &PoolEndpoint| {
+            let weight = weight(endpoint.hash, own);
+            !others
+                .iter()
+                .any(|other| weight < self::weight(endpoint.hash, *other))
+        };
+        endpoints.sort_by_key(|endpoint| std::cmp::Reverse(weight(endpoint.hash, own)));
+        let mut place = 0;
+        endpoints.retain(|endpoint| {
+            place += 1;
+            place <= size || is_first(endpoint)
         });
-        endpoints.truncate(size);
         for endpoint in &mut endpoints {
             endpoint.is_local = endpoint.domain == *domain;
         }
@@ -293,6 +307,11 @@
     }
 }
 
+/// Returns the rendezvous weight of an endpoint for a node, by their hashes.
+const fn weight(endpoint: u64, node: u64) -> u64 {
+    spread(endpoint ^ node.rotate_left(31))
+}
+
 /// Spreads nearby values over all 64 bits (the finalizer of splitmix64).
 const fn spread(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/sesamecart-decisions/src/settings.rs
+++ b/crates/sesamecart-decisions/src/settings.rs
@@ -167,7 +167,7 @@
     fn default() -> Self {
         Self {
             nodes_per_endpoint: 3,
-            min_subset: 16,
+            min_subset: 8,
             max_subset: 64,
             max_prefixes: 4_096,
             affinity_bound: 1.25,
--- a/crates/sesamecart-node/src/pools/borrower.rs
+++ b/crates/sesamecart-node/src/pools/borrower.rs
@@ -71,7 +71,7 @@
             let snapshot = self.shared.snapshot.load_full();
             self.lender.look(&snapshot);
             if !Arc::ptr_eq(&applied, &snapshot) {
-                self.pools.apply(&snapshot, self.peers.all().len() + 1);
+                self.pools.apply(&snapshot, self.nodes());
                 applied = snapshot;
             }
             for cell in self.pools.all() {
@@ -80,6 +80,11 @@
         }
     }
 
+    fn nodes(&self) -> Vec<NodeId> {
+        let others = self.peers.all().into_iter().map(|peer| peer.node);
+        others.chain([self.owners.me().clone()]).collect()
+    }
+
     fn borrow_for(self: &Arc<Self>, cell: &Arc<PoolCell>) {
         let now = self.pools.now();
         let by_owner = {
@@ -105,6 +110,7 @@
                     node: cell.borrower.to_string(),
                     incarnation: self.shared.identity.incarnation.0,
                     demands,
+                    asked_us: now.0,
                 },
             };
             if errand.owner == *self.owners.me() {
--- a/crates/sesamecart-node/src/pools/lender.rs
+++ b/crates/sesamecart-node/src/pools/lender.rs
@@ -111,20 +111,28 @@
 
     /// Answers another node's demands.
     pub(crate) fn lend(&self, request: &BorrowPermitsRequest) -> Option<BorrowPermitsReply> {
-        let borrower: NodeId = request.node.parse().ok()?;
+        // A later life of the node has another clock and other requests in flight.
+        let borrower = format!("{}.{}", request.node, request.incarnation);
+        let borrower: NodeId = borrower.parse().ok()?;
+        let asked = Timestamp(request.asked_us);
         let slices = request
             .demands
             .iter()
-            .filter_map(|demand| self.lend_one(&borrower, demand));
+            .filter_map(|demand| self.lend_one(&borrower, asked, demand));
         Some(BorrowPermitsReply {
             slices: slices.collect(),
         })
     }
 
-    fn lend_one(&self, borrower: &NodeId, wanted: &EndpointDemand) -> Option<EndpointSlice> {
+    fn lend_one(
+        &self,
+        borrower: &NodeId,
+        asked: Timestamp,
+        wanted: &EndpointDemand,
+    ) -> Option<EndpointSlice> {
         let id: EndpointId = wanted.endpoint.parse().ok()?;
         let now = self.shared.clock.now();
-        let demand = read_demand(wanted);
+        let demand = read_demand(asked, wanted);
         let mut books = self.books();
         let Some(allowance) = books.allowances.get_mut(&id) else {
             return Some(EndpointSlice {
@@ -188,8 +196,9 @@
     })
 }
 
-fn read_demand(wanted: &EndpointDemand) -> Demand {
+fn read_demand(asked: Timestamp, wanted: &EndpointDemand) -> Demand {
     Demand {
+        asked,
         wanted: Permits(wanted.wanted),
         in_flight: Permits(wanted.in_flight),
         sample: Sample {
--- a/crates/sesamecart-node/src/pools/registry.rs
+++ b/crates/sesamecart-node/src/pools/registry.rs
@@ -13,7 +13,7 @@
 use sesamecart_decisions::routing::EndpointState;
 use sesamecart_decisions::settings::DecisionSettings;
 use sesamecart_runtime::{Clock, sleep};
-use sesamecart_vocabulary::Timestamp;
+use sesamecart_vocabulary::{NodeId, Timestamp};
 
 use super::cell::{PoolCell, PoolKey, Verdict};
 use super::turn::Turn;
@@ -57,7 +57,7 @@
         let place = NodePlace {
             node: settings.node.clone(),
             domain: settings.failure_domain.clone(),
-            nodes: settings.peers.len() + 1,
+            nodes: vec![settings.node.clone()],
         };
         Arc::new(Self {
             cfg: DecisionSettings::default(),
@@ -103,8 +103,8 @@
         current.chain(&cells.retired).cloned().collect()
     }
 
-    /// Takes over a new picture of the control state, and how many nodes there are.
-    pub(super) fn apply(&self, snapshot: &Snapshot, nodes: usize) {
+    /// Takes over a new picture of the control state, and which nodes there are.
+    pub(super) fn apply(&self, snapshot: &Snapshot, nodes: Vec<NodeId>) {
         self.place
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
