Run membership and shard leases in the node

Cause: nodes knew each other by settings only, and keyed actions claimed shards whose time limits nobody kept. Change: heartbeats, votes and lease timing run on the control thread; claims stay with the keyed actions' desk, which now keeps the voters of a lease that it takes over and leaves releasing to the leases; other threads ask Shared::may_act. Conclusion: a duty that needs one owner can be tied to a lease.

--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -1,6 +1,6 @@
 //! The leases of all shards as one node sees and holds them.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{Epoch, NodeId, ShardId, Timestamp};
 
 use crate::balance::desired_owners;
@@ -28,6 +28,7 @@
     /// When the last tail read ended.
     tail_seen: Option<Timestamp>,
     leaving: bool,
+    pinned: IndexSet<ShardId>,
     desired_for: View,
     desired: IndexMap<ShardId, NodeId>,
 }
@@ -53,6 +54,7 @@
             settled: false,
             tail_seen: None,
             leaving: false,
+            pinned: IndexSet::new(),
             desired_for: View::default(),
             desired: IndexMap::new(),
         })
@@ -121,6 +123,20 @@
         }
     }
 
+    /// Names the shards whose leases must stay as they are, since duties under them are under way.
+    ///
+    /// They are neither handed over nor given new voters until they are no longer named.
+    pub fn pin(&mut self, shards: IndexSet<ShardId>) {
+        self.pinned = shards;
+    }
+
+    /// Returns whether the newest claim of a shard is this node's.
+    #[must_use]
+    pub fn is_claimant(&self, shard: ShardId) -> bool {
+        let shard = self.shards.get(usize::from(shard.0));
+        shard.is_some_and(|shard| matches!(shard.role, Role::Claimant(_)))
+    }
+
     /// Begins to hand over all shards because this node is about to stop.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -316,6 +332,9 @@
     fn keep_or_release(&mut self, index: usize, view: &View, now: Timestamp) -> Option<Effect> {
         let id = ShardId(u16::try_from(index).expect("made from a u16"));
         self.may_act(id, now)?;
+        if self.pinned.contains(&id) {
+            return None;
+        }
         if self.shards[index].undecided > 0 {
             return self.retry_voter_change(index, view, now);
         }
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use indexmap::IndexSet;
 use sesamecart_actions::{Gather, Gathered, Owner, OwnerConfig, VoterId};
 use sesamecart_fold::{ActionIntent, LeaseRecord, Record};
 use sesamecart_lease::choose_voters;
 use sesamecart_links::message::FetchMirrorsRequest;
 use sesamecart_runtime::{sleep, within};
-use sesamecart_vocabulary::{Epoch, Offset, SHARDS, ShardId, Timestamp};
+use sesamecart_vocabulary::{Epoch, NodeId, Offset, SHARDS, ShardId, Timestamp};
 
 use super::commit::intents_of;
 use super::desk::Desk;
@@ -66,11 +67,11 @@
 
     async fn claim(&self, shard: ShardId) -> anyhow::Result<()> {
         let now = self.now();
-        let voters = choose_voters(shard, &self.directory.view(now));
+        let last = self.folded().with(|fold| fold.leases.get(&shard).cloned());
+        let voters = self.voters_of_claim(shard, last.as_ref());
         if voters.len() < FEWEST_VOTERS && now < Timestamp::ZERO + START_HOLD {
             return Ok(());
         }
-        let last = self.folded().with(|fold| fold.leases.get(&shard).cloned());
         let record = Record::Claim {
             shard,
             holder: self.shared.identity.node.clone(),
@@ -98,6 +99,48 @@
         Ok(())
     }
 
+    /// Returns the voters that a claim names.
+    ///
+    /// A claim that takes over keeps those of the lease before: its holder may still act on their
+    /// promises, and they keep its intents. Were they replaced by a claimant that comes to nothing,
+    /// the next one would ask others and know of neither. Only a lease that was released, or that
+    /// this node itself has in effect, gets fresh ones.
+    fn voters_of_claim(&self, shard: ShardId, last: Option<&LeaseRecord>) -> Vec<NodeId> {
+        let now = self.now();
+        let in_effect = self.shared.duties.owners().may_act(shard, now);
+        match last {
+            Some(lease) if !lease.released && in_effect != Some(lease.epoch) => {
+                lease.voters.clone()
+            }
+            _ => choose_voters(shard, &self.directory.view(now)),
+        }
+    }
+
+    /// Returns the shards whose keyed actions don't allow that their lease changes.
+    pub(crate) fn busy_shards(&self) -> IndexSet<ShardId> {
+        let state = self.lock();
+        let backlog = state.commit.backlog() > 0;
+        let busy = state
+            .owners
+            .iter()
+            .filter(|(_, owner)| backlog || owner.under_way() > 0 || owner.is_gathering());
+        busy.map(|(shard, _)| *shard).collect()
+    }
+
+    /// Claims a shard that this node holds once more, with voters that live.
+    ///
+    /// Returns whether it does so; it doesn't while keyed actions are under way.
+    pub(crate) fn refresh_voters(self: &Arc<Self>, shard: ShardId) -> bool {
+        if self.busy_shards().contains(&shard) {
+            return false;
+        }
+        if self.lock().owners.swap_remove(&shard).is_none() {
+            return false;
+        }
+        self.take_over(shard);
+        true
+    }
+
     /// Asks the last owner's voters until every intent that a majority kept is known.
     ///
     /// A lease that was given up needs no asking: its owner had nothing left that wasn't in the log.
@@ -172,7 +215,7 @@
         })
     }
 
-    /// Gives up all shards, once nothing of them is under way or missing in the log.
+    /// Ends all work on shards, once nothing of them is under way or missing in the log.
     ///
     /// Returns whether that was so within the limit; without it the next owners ask the voters.
     pub(crate) async fn leave(&self, limit: Duration) -> bool {
@@ -191,24 +234,9 @@
             log::warn!("actions: the node leaves with keyed actions under way.");
             return false;
         }
-        let held: Vec<_> = {
-            let mut state = self.lock();
-            state
-                .owners
-                .drain(..)
-                .map(|(shard, owner)| (shard, owner.epoch()))
-                .collect()
-        };
-        let released = join_all(held.into_iter().map(|(shard, epoch)| {
-            let release = Record::Release {
-                shard,
-                holder: self.shared.identity.node.clone(),
-                epoch,
-            };
-            self.log.append(release.encode().into())
-        }));
-        let released = within(limit, released).await;
-        matches!(released, Ok(results) if results.iter().all(Result::is_ok))
+        // The leases' part of the node releases them, as it knows which are in effect.
+        self.lock().owners.clear();
+        true
     }
 
     fn is_settled(&self) -> bool {
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -22,6 +22,7 @@
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
 pub(crate) use crate::control::peers::{PeerView, Peers};
+use crate::duties::Runner;
 use crate::node::Listeners;
 use crate::shared::Shared;
 
@@ -49,7 +50,8 @@
     let peers = Peers::new(Arc::clone(shared), links);
     if let Some(address) = shared.settings.vm_list {
         let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
-        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+        let shared = Arc::clone(shared);
+        tasks.spawn(upkeep::read_vm_list(shared, list, peers.clone()));
     }
     let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
@@ -71,6 +73,14 @@
         tasks.clone(),
     );
     tasks.spawn(Arc::clone(&desk).run());
+    let runner = Runner::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        Arc::clone(&desk),
+        tasks.clone(),
+    );
+    tasks.spawn(runner.run());
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -58,9 +58,13 @@
 
     fn take_page(&mut self, page: &LogPage, begun: Timestamp) {
         let read = self.shared.folded.take_page(page);
+        if !page.records.is_empty() {
+            self.shared.note_leases(&page.records, &read.applied);
+        }
         self.shared.note_applied(&read.applied);
         self.note_standing(read.standing);
         if read.standing == Standing::AtTail {
+            self.shared.duties.on_tail(begun, self.shared.clock.now());
             self.shared.note_heard(begun);
         }
     }
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -38,9 +38,13 @@
         &self,
         request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
-        self.shared
-            .take_heartbeat_drains(&request.into_inner().drains);
-        Ok(Response::new(self.shared.heartbeat_reply()))
+        let request = request.into_inner();
+        self.shared.take_heartbeat_drains(&request.drains);
+        let members = self.shared.take_heartbeat(&request);
+        Ok(Response::new(HeartbeatReply {
+            members,
+            ..self.shared.heartbeat_reply()
+        }))
     }
 
     async fn fetch_records(
@@ -80,8 +84,11 @@
         Ok(Response::new(reply))
     }
 
-    async fn vote(&self, _request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
-        Err(Status::unimplemented("votes are not given yet"))
+    async fn vote(&self, request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
+        let reply = self.shared.answer_vote(request.get_ref());
+        reply
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("vote: no such shard or node"))
     }
 
     async fn borrow_permits(
--- a/crates/sesamecart-node/src/control/peer_follower.rs
+++ b/crates/sesamecart-node/src/control/peer_follower.rs
@@ -101,6 +101,7 @@
         });
         let records: Vec<_> = records.collect();
         let applied = self.shared.folded.take_from_peer(&records);
+        self.shared.note_leases(&records, &applied);
         self.shared.note_applied(&applied);
         let own = self.shared.folded.with(|state| state.next_offset);
         if own < Offset(reply.first_offset) {
@@ -150,6 +151,7 @@
                     standing.revision,
                     peer.node
                 );
+                self.shared.note_leases(&[], &[]);
                 self.shared.refresh_snapshot();
                 self.shared.note_heard(begun);
             }
--- a/crates/sesamecart-node/src/control/peers.rs
+++ b/crates/sesamecart-node/src/control/peers.rs
@@ -142,17 +142,10 @@
 impl Shared {
     /// Returns this node as other nodes know it.
     pub(crate) fn member(&self) -> Member {
-        Member {
-            node: self.identity.node.to_string(),
-            address: self.settings.links.to_string(),
-            failure_domain: self.settings.failure_domain.to_string(),
-            incarnation: self.identity.incarnation.0,
-            heartbeat: 0,
-            status: 0,
-        }
+        self.duties.me()
     }
 
-    fn heartbeat_request(&self) -> HeartbeatRequest {
+    pub(crate) fn heartbeat_request(&self) -> HeartbeatRequest {
         let standing = self.standing();
         HeartbeatRequest {
             sender: Some(self.member()),
--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -102,12 +102,13 @@
 }
 
 /// Reads the platform's VM list for the other nodes' addresses.
-pub(crate) async fn read_vm_list(list: Arc<dyn VmList>, peers: Peers) {
+pub(crate) async fn read_vm_list(shared: Arc<Shared>, list: Arc<dyn VmList>, peers: Peers) {
     let mut failing = false;
     loop {
         match list.read().await {
             Ok(vms) => {
                 peers.take_list(&vms);
+                shared.take_vm_list(&vms);
                 failing = false;
             }
             Err(error) => {
--- /dev/null
+++ b/crates/sesamecart-node/src/duties.rs
@@ -0,0 +1,143 @@
+//! Which nodes live and which of them owns which shard.
+//!
+//! The pure state machines are in the membership and lease crates; here they get records, messages
+//! and the time, and their effects are carried out. See docs/design/membership.md and
+//! docs/design/leases.md.
+
+mod records;
+mod runner;
+mod wire;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use sesamecart_config::Settings;
+use sesamecart_lease::{Holder, LeaseSettings, Leases, NodeState, NodeView, Owners, View};
+use sesamecart_membership::{Member, Membership, MembershipSettings, Seed, Standing, Status};
+use sesamecart_vocabulary::{NodeId, SHARDS, Timestamp, stable_hash};
+
+pub(crate) use crate::duties::runner::Runner;
+use crate::identity::Identity;
+
+/// Shards aren't handed over to a node that joins.
+///
+/// The keyed actions' desk chooses who claims, by plain rendezvous without a bound. Were the leases
+/// to hand over to the owner of their bounded choice, both would move shards back and forth.
+const NEVER: Duration = Duration::from_secs(u64::MAX / 2_000_000);
+
+/// The other nodes' states and the shards' leases, as one node sees them.
+///
+/// Its lock is only held for the length of a call and never across a wait.
+#[derive(Debug)]
+pub(crate) struct Duties {
+    state: Mutex<State>,
+    owners: ArcSwap<Owners>,
+}
+
+#[derive(Debug)]
+struct State {
+    membership: Membership,
+    leases: Leases,
+}
+
+impl Duties {
+    /// Makes the state of a node that has just started.
+    pub(crate) fn new(
+        settings: &Settings,
+        identity: &Identity,
+        now: Timestamp,
+    ) -> anyhow::Result<Self> {
+        let me = Member {
+            node: identity.node.clone(),
+            address: settings.links,
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: identity.incarnation,
+            heartbeat: 1,
+            status: Status::Alive,
+        };
+        let seed = stable_hash(identity.node.as_str()) ^ identity.incarnation.0;
+        let mut membership = Membership::new(me, MembershipSettings::default(), seed, now);
+        membership.add_seeds(settings.peers.iter().map(|peer| Seed {
+            node: peer.node.clone(),
+            address: peer.address,
+            failure_domain: peer.failure_domain.clone(),
+        }));
+        let holder = Holder {
+            node: identity.node.clone(),
+            incarnation: identity.incarnation,
+        };
+        let settings = LeaseSettings {
+            handover_hold: NEVER,
+            ..LeaseSettings::default()
+        };
+        let leases = Leases::new(holder, SHARDS, settings, now)?;
+        Ok(Self {
+            state: Mutex::new(State { membership, leases }),
+            owners: ArcSwap::default(),
+        })
+    }
+
+    /// Returns who owns which shard.
+    pub(crate) fn owners(&self) -> Arc<Owners> {
+        self.owners.load_full()
+    }
+
+    /// A read of the log that began at `begun` reached the tail.
+    pub(crate) fn on_tail(&self, begun: Timestamp, now: Timestamp) {
+        let mut state = self.lock();
+        state.leases.on_tail(begun, now);
+        self.publish(&state);
+    }
+
+    /// Tells the other nodes that this one is about to go.
+    pub(crate) fn announce_leave(&self) {
+        self.lock().membership.leave();
+    }
+
+    /// Begins to hand over all shards.
+    pub(crate) fn leave(&self) {
+        self.lock().leases.leave();
+    }
+
+    /// Returns whether this node holds no lease and waits for none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().leases.is_empty()
+    }
+
+    /// Shows other threads the newest owners.
+    ///
+    /// It must come before a release is appended: the next holder acts as soon as it reads that.
+    fn publish(&self, state: &State) {
+        self.owners.store(Arc::new(state.leases.owners()));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Returns the nodes as the choice of owners and voters takes them.
+    fn view(&self, now: Timestamp) -> View {
+        let nodes = self.membership.members(now).map(|(member, standing)| {
+            let state = match standing {
+                Standing::Live => NodeState::Live,
+                Standing::Leaving => NodeState::Leaving,
+                Standing::Suspected => NodeState::Suspected,
+                Standing::Gone => NodeState::Gone,
+            };
+            let view = NodeView {
+                failure_domain: member.failure_domain.clone(),
+                incarnation: member.incarnation,
+                state,
+            };
+            (member.node.clone(), view)
+        });
+        let mut nodes: Vec<(NodeId, NodeView)> = nodes.collect();
+        nodes.sort_by(|left, right| left.0.cmp(&right.0));
+        View {
+            nodes: nodes.into_iter().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-node/src/duties/records.rs
@@ -0,0 +1,81 @@
+//! Claims and releases on their way from the folded log to the leases.
+
+use sesamecart_edges::LoggedRecord;
+use sesamecart_fold::{Applied, AppliedAt, Record};
+use sesamecart_lease::{ClaimSeen, Holder, LeaseSeen, ReleaseSeen};
+use sesamecart_vocabulary::{Epoch, Timestamp};
+
+use super::State;
+use crate::shared::Shared;
+
+impl Shared {
+    /// Tells the leases which claims and releases the fold has just accepted.
+    ///
+    /// The records themselves are read once more, since each claim in between matters: a claimant
+    /// must ask the voters of the lease directly before its own. What a checkpoint brought is taken
+    /// from the folded state at the end.
+    pub(crate) fn note_leases(&self, records: &[LoggedRecord], applied: &[AppliedAt]) {
+        let now = self.clock.now();
+        let mut state = self.duties.lock();
+        for one in applied {
+            let is_lease = matches!(
+                one.applied,
+                Applied::Claimed { .. } | Applied::Released { .. }
+            );
+            let record = records.iter().find(|record| record.offset == one.offset);
+            if let Some(record) = record.filter(|_| is_lease) {
+                state.take_record(record, now);
+            }
+        }
+        let leases = self.folded.with(|fold| {
+            let leases = fold.leases.iter().map(|(shard, lease)| LeaseSeen {
+                shard: *shard,
+                epoch: lease.epoch,
+                holder: Holder {
+                    node: lease.holder.clone(),
+                    incarnation: lease.incarnation,
+                },
+                voters: lease.voters.clone(),
+                released: lease.released,
+            });
+            leases.collect::<Vec<_>>()
+        });
+        leases
+            .into_iter()
+            .for_each(|lease| state.leases.install(lease));
+        self.duties.publish(&state);
+    }
+}
+
+impl State {
+    fn take_record(&mut self, record: &LoggedRecord, now: Timestamp) {
+        let Ok(envelope) = Record::decode(&record.data) else {
+            return;
+        };
+        match envelope.record {
+            Record::Claim {
+                shard,
+                holder,
+                incarnation,
+                builds_on,
+                voters,
+            } => {
+                let claim = ClaimSeen {
+                    shard,
+                    epoch: Epoch(record.offset.0),
+                    holder: Holder {
+                        node: holder,
+                        incarnation,
+                    },
+                    builds_on,
+                    voters,
+                };
+                self.leases.on_claim(&claim, now);
+            }
+            Record::Release { shard, epoch, .. } => {
+                self.leases.on_release(ReleaseSeen { shard, epoch });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-node/src/duties/runner.rs
@@ -0,0 +1,177 @@
+//! Lets membership and leases run, and carries out what they want.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamecart_edges::Log;
+use sesamecart_fold::Record;
+use sesamecart_lease::{Effect, ReleaseSeen, Vote, VoteAnswer, VotePurpose};
+use sesamecart_links::Request;
+use sesamecart_links::message::{HeartbeatRequest, VoteRequest};
+use sesamecart_membership::Probe;
+use sesamecart_runtime::{Tasks, sleep, within};
+use sesamecart_vocabulary::NodeId;
+
+use super::wire::to_wire;
+use crate::actions::Desk;
+use crate::control::Peers;
+use crate::shared::Shared;
+
+/// The time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+
+/// How long another node may take to answer; a straggler's late answer still counts.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Lets membership and leases run.
+#[derive(Clone, Debug)]
+pub(crate) struct Runner {
+    shared: Arc<Shared>,
+    log: Arc<dyn Log>,
+    peers: Peers,
+    desk: Arc<Desk>,
+    tasks: Tasks,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        log: Arc<dyn Log>,
+        peers: Peers,
+        desk: Arc<Desk>,
+        tasks: Tasks,
+    ) -> Self {
+        Self {
+            shared,
+            log,
+            peers,
+            desk,
+            tasks,
+        }
+    }
+
+    pub(crate) async fn run(self) {
+        loop {
+            self.beat();
+            self.keep_leases();
+            sleep(TICK).await;
+        }
+    }
+
+    fn beat(&self) {
+        let now = self.shared.clock.now();
+        let probes = self.shared.duties.lock().membership.tick(now);
+        for probe in probes {
+            self.tasks.spawn(self.clone().probe(probe));
+        }
+    }
+
+    async fn probe(self, probe: Probe) {
+        let mut link = self.peers.links().to(probe.to.address);
+        let request = HeartbeatRequest {
+            sender: Some(to_wire(&probe.message.sender)),
+            members: probe.message.members.iter().map(to_wire).collect(),
+            ..self.shared.heartbeat_request()
+        };
+        let answered = within(CALL_LIMIT, link.heartbeat(Request::new(request))).await;
+        let now = self.shared.clock.now();
+        match answered {
+            Ok(Ok(reply)) => {
+                let reply = reply.into_inner();
+                self.shared.take_heartbeat_drains(&reply.drains);
+                self.shared.duties.on_reply(&reply, now);
+            }
+            Ok(Err(_)) | Err(_) => {
+                let mut state = self.shared.duties.lock();
+                state.membership.on_failure(&probe.to.node, now);
+            }
+        }
+    }
+
+    fn keep_leases(&self) {
+        let busy = self.desk.busy_shards();
+        let now = self.shared.clock.now();
+        let effects = {
+            let mut state = self.shared.duties.lock();
+            let view = state.view(now);
+            state.leases.pin(busy);
+            let effects = state.leases.tick(&view, now);
+            self.shared.duties.publish(&state);
+            effects
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::AppendClaim(draft) => {
+                // Claims are appended by the keyed actions' desk, which must hear the last owner's
+                // voters in any case.
+                let shard = draft.shard;
+                let is_held = self.shared.duties.lock().leases.is_claimant(shard);
+                if !is_held || !self.desk.refresh_voters(shard) {
+                    self.shared.duties.lock().leases.append_refused(shard);
+                }
+            }
+            Effect::AppendRelease(release) => self.tasks.spawn(self.clone().release(release)),
+            Effect::AskVote { to, vote } => {
+                if let Some(address) = self.address(&to) {
+                    self.tasks.spawn(self.clone().ask(to, address, vote));
+                }
+            }
+            Effect::Acquired { shard, epoch } => {
+                log::info!("lease: shard {shard} is held under epoch {epoch}.");
+            }
+            Effect::Lost { shard, epoch } => {
+                log::info!("lease: shard {shard} is no longer held under epoch {epoch}.");
+            }
+        }
+    }
+
+    fn address(&self, node: &NodeId) -> Option<SocketAddr> {
+        let state = self.shared.duties.lock();
+        let mut members = state.membership.members(self.shared.clock.now());
+        members
+            .find(|(member, _)| member.node == *node)
+            .map(|(member, _)| member.address)
+    }
+
+    async fn release(self, release: ReleaseSeen) {
+        let ReleaseSeen { shard, epoch } = release;
+        let record = Record::Release {
+            shard,
+            holder: self.shared.identity.node.clone(),
+            epoch,
+        };
+        if let Err(error) = self.log.append(record.encode().into()).await {
+            log::info!("lease: shard {shard} was not released: {error}.");
+        }
+    }
+
+    async fn ask(self, voter: NodeId, address: SocketAddr, vote: Vote) {
+        let mut link = self.peers.links().to(address);
+        let request = VoteRequest {
+            shard: u32::from(vote.shard.0),
+            epoch: vote.epoch.0,
+            extend_holder: match vote.purpose {
+                VotePurpose::Extend => Some(self.shared.identity.node.to_string()),
+                VotePurpose::Applied => None,
+            },
+        };
+        let Ok(Ok(reply)) = within(CALL_LIMIT, link.vote(Request::new(request))).await else {
+            return;
+        };
+        let answer = VoteAnswer {
+            voter,
+            vote,
+            granted: reply.get_ref().granted,
+        };
+        let now = self.shared.clock.now();
+        let mut state = self.shared.duties.lock();
+        state.leases.on_vote(&answer, now);
+        self.shared.duties.publish(&state);
+    }
+}
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -5,6 +5,7 @@
 mod actions;
 mod administration;
 mod control;
+mod duties;
 mod identity;
 mod metrics;
 mod node;
--- a/crates/sesamecart-node/src/node.rs
+++ b/crates/sesamecart-node/src/node.rs
@@ -18,6 +18,11 @@
 /// How often a leaving node looks whether its requests have ended.
 const LEAVE_POLL: Duration = Duration::from_millis(10);
 
+/// How long a leaving node tries to hand its shards over.
+///
+/// Without the hand-over the next holders wait until the leases have run out.
+const LEASE_LIMIT: Duration = Duration::from_secs(4);
+
 /// A node couldn't start.
 #[derive(Debug, Display, Error)]
 #[display("node {node}: {step}: {reason}")]
@@ -93,6 +98,10 @@
         let addresses = listeners
             .addresses()
             .map_err(|reason| error("listen", reason.into()))?;
+        let settings = Settings {
+            links: addresses.links,
+            ..settings
+        };
         let shared = Shared::new(settings).map_err(|reason| error("set up metrics", reason))?;
         let (leave, leaving) = Signal::new();
         let (control, desk) = control::start(&shared, &listeners, &leaving)
@@ -141,6 +150,7 @@
     /// `hurry` was given.
     pub async fn leave(mut self, hurry: &Signal) -> usize {
         self.shared.note_leaving();
+        self.shared.duties.announce_leave();
         let settings = &self.shared.settings;
         log::info!("node: {} leaves.", settings.node);
         wait_until(Duration::from_millis(settings.balancer_delay_ms), || {
@@ -160,6 +170,11 @@
             });
             settled.await;
         }
+        if !hurry.is_given() {
+            self.shared.duties.leave();
+            let limit = LEASE_LIMIT.min(limit);
+            wait_until(limit, || self.shared.duties.is_empty() || hurry.is_given()).await;
+        }
         let cut_off = self.shared.connections.open();
         if cut_off > 0 {
             log::error!("node: {cut_off} connections were cut off.");
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -7,10 +7,12 @@
 use arc_swap::ArcSwap;
 use sesamecart_config::Settings;
 use sesamecart_edges::Connections;
+use sesamecart_lease::Owners;
 use sesamecart_runtime::{ByteCount, Clock};
-use sesamecart_vocabulary::Timestamp;
+use sesamecart_vocabulary::{Epoch, ShardId, Timestamp};
 
 use crate::control::Folded;
+use crate::duties::Duties;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
@@ -34,6 +36,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// The folded log, of which the snapshot is a picture; only the control thread uses it.
     pub(crate) folded: Folded,
+    /// The other nodes' states and the shards' leases.
+    pub(crate) duties: Duties,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -55,10 +59,13 @@
     /// Returns an error when the counters can't be set up.
     pub fn new(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let identity = Identity::new(settings.node.clone());
+        let clock = Clock::start();
+        let duties = Duties::new(&settings, &identity, clock.now())?;
         Ok(Arc::new(Self {
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
+            duties,
             snapshot: ArcSwap::default(),
             folded: Folded::default(),
             metrics: Metrics::new()?,
@@ -83,6 +90,21 @@
         self.settled.load(Ordering::Acquire)
     }
 
+    /// Returns who owns which shard, as this node knows it.
+    #[must_use]
+    pub fn owners(&self) -> Arc<Owners> {
+        self.duties.owners()
+    }
+
+    /// Returns the epoch under which this node may act for a shard right now.
+    ///
+    /// Ask immediately before each effect; the time is read here.
+    #[must_use]
+    pub fn may_act(&self, shard: ShardId) -> Option<Epoch> {
+        let owners = self.owners();
+        owners.may_act(shard, self.clock.now())
+    }
+
     /// Notes that the node leaves: it takes no new callers.
     pub fn note_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
