Give lost and leaving nodes' shards other owners by heartbeats

Change: the desk asks membership too, nodes learn addresses from heartbeats, and the VM list is read every 30 s once others are known. Conclusion: leases move without callers having to notice.

--- a/crates/sesamecart-membership/src/membership.rs
+++ b/crates/sesamecart-membership/src/membership.rs
@@ -137,6 +137,12 @@
         std::iter::once((&self.me, mine)).chain(peers)
     }
 
+    /// Returns what is believed of another node, if it was ever heard of.
+    #[must_use]
+    pub fn standing(&self, node: &NodeId, now: Timestamp) -> Option<Standing> {
+        self.peers.get(node)?.standing(&self.settings, now)
+    }
+
     /// Does what is due: lets suspicions run out and returns the heartbeats to send.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Probe> {
         self.forgive_own_pause(now);
--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -56,9 +56,11 @@
     }
 
     fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
-        self.suspicions()
+        let by_call = self
+            .suspicions()
             .get(node)
-            .is_some_and(|until| *until > now)
+            .is_some_and(|until| *until > now);
+        by_call || self.peers.is_down(node, now)
     }
 
     /// Returns where a node takes links, if it is known.
@@ -81,7 +83,8 @@
     pub(crate) fn candidate(&self, shard: ShardId, now: Timestamp) -> NodeId {
         let key = format!("shard-{shard}");
         let others = self.peers.all().into_iter().map(|peer| peer.node);
-        let trusted = others.filter(|node| !self.is_suspected(node, now));
+        let trusted = others
+            .filter(|node| !self.is_suspected(node, now) && !self.peers.is_leaving(node, now));
         trusted
             .chain([self.me.clone()])
             .max_by_key(|node| rendezvous_weight(&key, node.as_str()))
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -21,7 +21,7 @@
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
-pub(crate) use crate::control::peers::{PeerView, Peers};
+pub(crate) use crate::control::peers::{Peer, PeerView, Peers};
 use crate::duties::Runner;
 use crate::node::Listeners;
 use crate::shared::Shared;
--- a/crates/sesamecart-node/src/control/peers.rs
+++ b/crates/sesamecart-node/src/control/peers.rs
@@ -9,8 +9,9 @@
 use sesamecart_edges::{ListedVm, VmRole};
 use sesamecart_links::message::{HeartbeatReply, HeartbeatRequest, Member, ProvisionalDrain};
 use sesamecart_links::{Links, Request};
+use sesamecart_membership::Standing;
 use sesamecart_runtime::within;
-use sesamecart_vocabulary::{FailureDomainId, NodeId, Offset, Revision};
+use sesamecart_vocabulary::{FailureDomainId, NodeId, Offset, Revision, Timestamp};
 
 use crate::shared::Shared;
 
@@ -111,6 +112,25 @@
         known.extend(listed);
     }
 
+    /// Returns whether heartbeats tell that a node is down.
+    pub(crate) fn is_down(&self, node: &NodeId, now: Timestamp) -> bool {
+        let standing = self.shared.duties.standing(node, now);
+        matches!(standing, Some(Standing::Suspected | Standing::Gone))
+    }
+
+    /// Returns whether a node said that it is about to go.
+    pub(crate) fn is_leaving(&self, node: &NodeId, now: Timestamp) -> bool {
+        self.shared.duties.standing(node, now) == Some(Standing::Leaving)
+    }
+
+    /// Takes the nodes that heartbeats tell of.
+    pub(crate) fn take_members(&self, members: impl IntoIterator<Item = Peer>) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        for peer in members {
+            known.insert(peer.node.clone(), peer);
+        }
+    }
+
     /// Asks every other node how far it has folded the log, and passes on provisional drains.
     pub(crate) async fn ask_all(&self) -> Vec<PeerView> {
         let peers = self.all();
--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -21,9 +21,18 @@
 /// that missed the first call.
 const DRAIN_POLL: Duration = Duration::from_millis(500);
 
-/// How often the platform's VM list is read.
+/// How often the platform's VM list is read by a node that knows hardly any other.
 const LIST_POLL: Duration = Duration::from_secs(2);
 
+/// How often it is read once heartbeats tell of the others.
+///
+/// The list grows with all VMs of the platform. Read every two seconds by each of 380 nodes it alone
+/// would cost more than all other control traffic.
+const SETTLED_LIST_POLL: Duration = Duration::from_secs(30);
+
+/// For how many reads after the start the list is read often, also if other nodes are known.
+const FIRST_READS: u32 = 5;
+
 /// The shard whose holder writes checkpoints.
 const CHECKPOINT_SHARD: ShardId = ShardId(0);
 
@@ -104,7 +113,9 @@
 /// Reads the platform's VM list for the other nodes' addresses.
 pub(crate) async fn read_vm_list(shared: Arc<Shared>, list: Arc<dyn VmList>, peers: Peers) {
     let mut failing = false;
+    let mut reads = 0;
     loop {
+        reads += 1;
         match list.read().await {
             Ok(vms) => {
                 peers.take_list(&vms);
@@ -118,6 +129,12 @@
                 failing = true;
             }
         }
-        sleep(LIST_POLL).await;
+        let is_settled = reads > FIRST_READS && shared.duties.knows_others(shared.clock.now());
+        sleep(if is_settled {
+            SETTLED_LIST_POLL
+        } else {
+            LIST_POLL
+        })
+        .await;
     }
 }
--- a/crates/sesamecart-node/src/duties.rs
+++ b/crates/sesamecart-node/src/duties.rs
@@ -17,6 +17,7 @@
 use sesamecart_membership::{Member, Membership, MembershipSettings, Seed, Standing, Status};
 use sesamecart_vocabulary::{NodeId, SHARDS, Timestamp, stable_hash};
 
+use crate::control::Peer;
 pub(crate) use crate::duties::runner::Runner;
 use crate::identity::Identity;
 
@@ -105,6 +106,31 @@
         self.lock().leases.is_empty()
     }
 
+    /// Returns what is believed of a node, if it was ever heard of.
+    pub(crate) fn standing(&self, node: &NodeId, now: Timestamp) -> Option<Standing> {
+        self.lock().membership.standing(node, now)
+    }
+
+    /// Returns whether heartbeats tell of any other live node.
+    pub(crate) fn knows_others(&self, now: Timestamp) -> bool {
+        !self.living(now).is_empty()
+    }
+
+    /// Returns where the other nodes that live take links.
+    pub(crate) fn living(&self, now: Timestamp) -> Vec<Peer> {
+        let state = self.lock();
+        let me = &state.membership.me().node;
+        let living = state.membership.members(now).filter(|(member, standing)| {
+            member.node != *me && matches!(standing, Standing::Live | Standing::Leaving)
+        });
+        let peers = living.map(|(member, _)| Peer {
+            node: member.node.clone(),
+            address: member.address,
+            failure_domain: member.failure_domain.clone(),
+        });
+        peers.collect()
+    }
+
     /// Shows other threads the newest owners.
     ///
     /// It must come before a release is appended: the next holder acts as soon as it reads that.
--- a/crates/sesamecart-node/src/duties/runner.rs
+++ b/crates/sesamecart-node/src/duties/runner.rs
@@ -62,6 +62,9 @@
     fn beat(&self) {
         let now = self.shared.clock.now();
         let probes = self.shared.duties.lock().membership.tick(now);
+        if !probes.is_empty() {
+            self.peers.take_members(self.shared.duties.living(now));
+        }
         for probe in probes {
             self.tasks.spawn(self.clone().probe(probe));
         }
