--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod identity;
 mod metrics;
 mod node;
+mod pools;
 mod shared;
 mod snapshot;
 mod traffic;
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::duties::Duties;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
+use crate::pools::Pools;
 use crate::snapshot::Snapshot;
 
 /// How long a node that hears neither the log nor a peer still says that it is ready.
@@ -38,6 +39,8 @@
     pub(crate) folded: Folded,
     /// The other nodes' states and the shards' leases.
     pub(crate) duties: Duties,
+    /// Admission and routing, by which requests get their turn at an endpoint.
+    pub(crate) pools: Arc<Pools>,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -61,11 +64,13 @@
         let identity = Identity::new(settings.node.clone());
         let clock = Clock::start();
         let duties = Duties::new(&settings, &identity, clock.now())?;
+        let pools = Pools::new(&settings, clock);
         Ok(Arc::new(Self {
             settings,
             identity,
             clock,
             duties,
+            pools,
             snapshot: ArcSwap::default(),
             folded: Folded::default(),
             metrics: Metrics::new()?,
