--- /dev/null
+++ b/crates/sesamecart-measure/src/control.rs
@@ -0,0 +1,264 @@
+//! `measure -- control`: what agreement costs each node, and how it grows with the deployment.
+//!
+//! Whole nodes run in this process over loopback with the log stand-in. Bytes over links are counted
+//! at the sockets, sent and received. Bytes of log reads are the number of reads that the stand-in
+//! saw times the size of one read and its answer on the wire. Processor time is that of the nodes'
+//! control threads, as the system counts it; memory is what the process grew by per node, traffic
+//! threads included. Figures at 380 nodes follow from straight lines through the measured sizes.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use gumdrop::Options;
+use serde::Serialize;
+use sesamecart_runtime::sleep;
+use sesamecart_standins::EngineSpeed;
+use sesamecart_vocabulary::{SHARDS, ShardId};
+
+use crate::cluster::{Cluster, ClusterPlan, NodePlan};
+use crate::fit::Fit;
+use crate::process::{resident, thread_cpu};
+use crate::quantile::quantile;
+use crate::roles::Point;
+
+/// The users' target.
+const TARGET_NODES: f64 = 380.0;
+
+/// How long all shards may take to get an owner.
+const OWNERS_LIMIT: Duration = Duration::from_secs(60);
+
+/// What to measure.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "numbers of nodes, separated by commas", default = "3,9,30,60")]
+    nodes: String,
+    #[options(help = "seconds of the quiet part at each size", default = "10")]
+    seconds: u64,
+    #[options(help = "configurations published at each size", default = "10")]
+    changes: usize,
+}
+
+/// What was measured at one size.
+#[derive(Clone, Debug, Serialize)]
+struct Measured {
+    nodes: usize,
+    link_bytes_per_s_per_node: f64,
+    log_bytes_per_s_per_node: f64,
+    bytes_per_s_per_node: f64,
+    cpu_fraction: f64,
+    memory_mb: f64,
+    log_reads_per_s: f64,
+    log_appends_per_s: f64,
+    owners_after_start_s: f64,
+    config_in_force_p99_s: f64,
+    bytes_per_change_per_node: f64,
+}
+
+/// The last line.
+#[derive(Debug, Serialize)]
+struct Report {
+    nodes: Vec<usize>,
+    bytes_per_s_per_node_at_380: f64,
+    cpu_fraction_at_380: f64,
+    memory_mb_at_380: f64,
+    log_appends_per_s_at_380: f64,
+    config_in_force_p99_s_at_380: f64,
+    slopes_per_node: Slopes,
+    points: Vec<Measured>,
+}
+
+/// What one more node adds to each figure.
+#[derive(Debug, Serialize)]
+struct Slopes {
+    bytes_per_s_per_node: f64,
+    cpu_fraction: f64,
+    memory_mb: f64,
+    log_appends_per_s: f64,
+    config_in_force_p99_s: f64,
+}
+
+/// Measures and prints the report.
+///
+/// # Errors
+///
+/// Returns an error when something can't start or a change isn't in force in time.
+pub fn run(arguments: &Arguments) -> anyhow::Result<()> {
+    let sizes: Result<Vec<usize>, _> = arguments.nodes.split(',').map(str::parse).collect();
+    let sizes = sizes.context("--nodes")?;
+    let mut points = Vec::new();
+    for size in &sizes {
+        let measured = async_io::block_on(measure(*size, arguments))?;
+        println!("{}", serde_json::to_string(&measured)?);
+        points.push(measured);
+    }
+    let fit = |value: fn(&Measured) -> f64| {
+        let points = points.iter().map(|measured| Point {
+            size: to_f64(measured.nodes),
+            value: value(measured),
+        });
+        Fit::of(&points.collect::<Vec<_>>())
+    };
+    let bytes = fit(|measured| measured.bytes_per_s_per_node);
+    let cpu = fit(|measured| measured.cpu_fraction);
+    let memory = fit(|measured| measured.memory_mb);
+    let appends = fit(|measured| measured.log_appends_per_s);
+    let in_force = fit(|measured| measured.config_in_force_p99_s);
+    let report = Report {
+        nodes: sizes,
+        bytes_per_s_per_node_at_380: bytes.at(TARGET_NODES),
+        cpu_fraction_at_380: cpu.at(TARGET_NODES),
+        memory_mb_at_380: memory.at(TARGET_NODES),
+        log_appends_per_s_at_380: appends.at(TARGET_NODES),
+        config_in_force_p99_s_at_380: in_force.at(TARGET_NODES),
+        slopes_per_node: Slopes {
+            bytes_per_s_per_node: bytes.slope,
+            cpu_fraction: cpu.slope,
+            memory_mb: memory.slope,
+            log_appends_per_s: appends.slope,
+            config_in_force_p99_s: in_force.slope,
+        },
+        points,
+    };
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
+
+async fn measure(size: usize, arguments: &Arguments) -> anyhow::Result<Measured> {
+    let before = resident()?;
+    let mut cluster = Cluster::start(&plan(size)?)?;
+    cluster.publish().await?;
+    cluster.wait_ready().await?;
+    let owners_after = wait_for_owners(&cluster).await?;
+    // Let the news of the start be told before the quiet part.
+    sleep(Duration::from_secs(5)).await;
+    let read_bytes = bytes_of_read(cluster.log.address())?;
+    let quiet = Counts::now(&cluster)?;
+    let begun = Instant::now();
+    sleep(Duration::from_secs(arguments.seconds)).await;
+    let taken = begun.elapsed().as_secs_f64();
+    let used = Counts::now(&cluster)?.since(&quiet);
+    let after = resident()?;
+    let nodes = to_f64(size);
+    let link_bytes = used.link_bytes / taken / nodes;
+    let log_bytes = used.log_reads * read_bytes / taken / nodes;
+    let changes = Counts::now(&cluster)?;
+    let begun = Instant::now();
+    let mut in_force = Vec::new();
+    for _ in 0..arguments.changes {
+        in_force.push(cluster.publish().await?.as_secs_f64());
+    }
+    let changing = begun.elapsed().as_secs_f64();
+    let for_changes = Counts::now(&cluster)?.since(&changes);
+    let changed = (for_changes.link_bytes - link_bytes * nodes * changing).max(0.0);
+    cluster.stop();
+    Ok(Measured {
+        nodes: size,
+        link_bytes_per_s_per_node: link_bytes,
+        log_bytes_per_s_per_node: log_bytes,
+        bytes_per_s_per_node: link_bytes + log_bytes,
+        cpu_fraction: used.cpu / taken / nodes,
+        memory_mb: to_f64(after.0.saturating_sub(before.0)) / 1e6 / nodes,
+        log_reads_per_s: used.log_reads / taken,
+        log_appends_per_s: used.log_appends / taken,
+        owners_after_start_s: owners_after.as_secs_f64(),
+        config_in_force_p99_s: quantile(&mut in_force, 0.99),
+        bytes_per_change_per_node: changed / nodes / to_f64(arguments.changes.max(1)),
+    })
+}
+
+fn plan(size: usize) -> anyhow::Result<ClusterPlan> {
+    let examples = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples"));
+    let domains = ["muscat-a", "muscat-b", "muscat-c"];
+    let nodes = (0..size).map(|index| {
+        Ok(NodePlan {
+            node: format!("n{index}").parse()?,
+            failure_domain: domains[index % domains.len()].parse()?,
+        })
+    });
+    Ok(ClusterPlan {
+        sheet: examples.join("day.csv"),
+        inventory: examples.join("inventory.json"),
+        nodes: nodes.collect::<anyhow::Result<_>>()?,
+        speed: EngineSpeed::default(),
+        traffic_threads: 1,
+    })
+}
+
+async fn wait_for_owners(cluster: &Cluster) -> anyhow::Result<Duration> {
+    let begun = Instant::now();
+    loop {
+        let owned = |shard: &ShardId| {
+            let mut nodes = cluster.nodes.iter();
+            nodes.any(|node| node.shared().may_act(*shard).is_some())
+        };
+        let missing = (0..SHARDS).map(ShardId).filter(|shard| !owned(shard));
+        let missing = missing.count();
+        if missing == 0 {
+            return Ok(begun.elapsed());
+        }
+        anyhow::ensure!(
+            begun.elapsed() < OWNERS_LIMIT,
+            "{missing} shards have no owner"
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// What the nodes have used in all.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    link_bytes: f64,
+    log_reads: f64,
+    log_appends: f64,
+    cpu: f64,
+}
+
+impl Counts {
+    fn now(cluster: &Cluster) -> anyhow::Result<Self> {
+        let links = cluster.nodes.iter().map(|node| &node.shared().link_bytes);
+        let log = cluster.log.counts();
+        Ok(Self {
+            link_bytes: links
+                .map(|count| to_f64(count.sent() + count.received()))
+                .sum(),
+            log_reads: to_f64(log.reads),
+            log_appends: to_f64(log.appends),
+            cpu: thread_cpu("control-")?.as_secs_f64(),
+        })
+    }
+
+    fn since(&self, earlier: &Self) -> Self {
+        Self {
+            link_bytes: self.link_bytes - earlier.link_bytes,
+            log_reads: self.log_reads - earlier.log_reads,
+            log_appends: self.log_appends - earlier.log_appends,
+            cpu: self.cpu - earlier.cpu,
+        }
+    }
+}
+
+/// Returns the bytes of one read of the log's tail that brings nothing new, with its answer.
+fn bytes_of_read(log: SocketAddr) -> anyhow::Result<f64> {
+    let mut stream = TcpStream::connect(log).context("connect to the log")?;
+    stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    let request = format!(
+        "GET /records?from=999999999&limit=500&wait_ms=0 HTTP/1.1\r\nhost: {log}\r\n\
+         connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes())?;
+    let mut answer = Vec::new();
+    stream
+        .read_to_end(&mut answer)
+        .context("read the log's answer")?;
+    Ok(to_f64(request.len() + answer.len()))
+}
+
+fn to_f64(count: impl TryInto<u64>) -> f64 {
+    let count = count.try_into().unwrap_or(u64::MAX);
+    count as f64
+}
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -21,7 +21,8 @@
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
-pub(crate) use crate::control::peers::{PeerView, Peers};
+pub(crate) use crate::control::peers::{Peer, PeerView, Peers};
+use crate::duties::Runner;
 use crate::node::Listeners;
 use crate::pools::{Borrower, Lender, Owners};
 use crate::shared::Shared;
@@ -50,7 +51,8 @@
     let peers = Peers::new(Arc::clone(shared), links);
     if let Some(address) = shared.settings.vm_list {
         let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
-        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+        let shared = Arc::clone(shared);
+        tasks.spawn(upkeep::read_vm_list(shared, list, peers.clone()));
     }
     let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
@@ -72,6 +74,14 @@
         tasks.clone(),
     );
     tasks.spawn(Arc::clone(&desk).run());
+    let runner = Runner::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        Arc::clone(&desk),
+        tasks.clone(),
+    );
+    tasks.spawn(runner.run());
     let lender = start_lending(shared, &peers, &tasks);
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
