--- a/crates/sesamecart-node/src/snapshot.rs
+++ b/crates/sesamecart-node/src/snapshot.rs
@@ -131,7 +131,7 @@
         &'a self,
         model: &ModelId,
     ) -> Box<dyn Iterator<Item = (&'a EndpointId, &'a Endpoint)> + 'a> {
-        self.named(self.models.get(model).map_or(&[], Vec::as_slice))
+        self.named(self.catalog.models.get(model).map_or(&[], Vec::as_slice))
     }
 
     /// Returns every endpoint of a plain service by name, also those that take no new work.
@@ -139,7 +139,12 @@
         &'a self,
         service: &ServiceId,
     ) -> Box<dyn Iterator<Item = (&'a EndpointId, &'a Endpoint)> + 'a> {
-        self.named(self.services.get(service).map_or(&[], Vec::as_slice))
+        self.named(
+            self.catalog
+                .services
+                .get(service)
+                .map_or(&[], Vec::as_slice),
+        )
     }
 
     /// Returns whether an endpoint may have new work.
