Offer provisional drains to the log in turns

Cause: when the log came back, every node appended every provisional drain at once, and again each half second; a recorded run of three nodes shows nine such records. At 380 nodes that would spend the log's rate.

--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -21,6 +21,12 @@
 /// that missed the first call.
 const DRAIN_POLL: Duration = Duration::from_millis(500);
 
+/// By how much later each further node offers a provisional drain to the log that is back.
+///
+/// Hundreds of nodes that appended the same drain at once would spend the log's rate for seconds.
+/// The first one's record settles the drain on the others before most of them have their turn.
+const DRAIN_TURN: Duration = Duration::from_millis(10);
+
 /// How often the platform's VM list is read.
 const LIST_POLL: Duration = Duration::from_secs(2);
 
@@ -77,9 +83,11 @@
 /// Every node that knows of one does so, since the node at which it was ordered may be gone when
 /// the log returns. The fold counts it once, by its publish id.
 pub(crate) async fn spread_drains(shared: Arc<Shared>, log: Arc<dyn Log>, peers: Peers) {
+    let mut answers_since = None;
     loop {
         sleep(DRAIN_POLL).await;
-        if shared.folded.settle_drains(shared.clock.now()) {
+        let now = shared.clock.now();
+        if shared.folded.settle_drains(now) {
             shared.refresh_snapshot();
         }
         let records: Vec<_> = shared.folded.with_drains(|_, drains| {
@@ -87,10 +95,16 @@
             records.collect()
         });
         if records.is_empty() {
+            answers_since = None;
             continue;
         }
-        peers.ask_all().await;
+        let nodes = peers.ask_all().await.len();
         if !shared.folded.log_answers() {
+            answers_since = None;
+            continue;
+        }
+        let turn = DRAIN_TURN.mul_f64(spread(&shared) * nodes as f64);
+        if now - *answers_since.get_or_insert(now) < turn {
             continue;
         }
         for record in records {
