--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use sesamecart_config::{
     AdministrationAccess, CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer,
-    LogSettings, Settings, import_sheet,
+    LogSettings, Settings, TlsSettings, import_sheet,
 };
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
@@ -174,6 +174,7 @@
             administration: loopback,
             access: AdministrationAccess::default(),
             links: loopback,
+            tls: TlsSettings::default(),
             log: LogSettings {
                 address: self.log.address(),
                 poll_ms: 200,
