Let a limit of one request grow, and grow by 15 per cent a step

A limit's use was compared with its fraction: an endpoint whose cold limit is one request reached 1.5, lent one permit, and stayed there for ever. It is compared with the whole permits now, and a test warms such an endpoint up. The measured owner of an allowance tells when it asks, as demands now must.

--- a/crates/sesamecart-decisions/src/allowance/limit.rs
+++ b/crates/sesamecart-decisions/src/allowance/limit.rs
@@ -225,7 +225,7 @@
             self.shrink();
         } else if latency > bearable {
             self.shrink();
-        } else if f64::from(used.0) >= self.cfg.growth_use * self.value {
+        } else if f64::from(used.0) >= self.cfg.growth_use * self.value.floor() {
             self.grow();
         }
     }
--- a/crates/sesamecart-decisions/src/allowance/tests.rs
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -175,7 +175,7 @@
         "{}",
         allowance.limit()
     );
-    climb(&mut allowance, BEGIN + 5_000, 12, 15);
+    climb(&mut allowance, BEGIN + 5_000, 16, 15);
     assert_eq!(allowance.limit(), Permits(32));
 }
 
@@ -201,6 +201,20 @@
     assert_eq!(allowance.limit(), Permits(4));
 }
 
+/// An endpoint bears one request while cold. The limit grows by less than one whole request at a
+/// time; were its use compared with the fraction, it would never grow and callers would be refused
+/// until the endpoint is replaced.
+#[test]
+fn an_endpoint_that_bears_one_request_when_cold_warms_up() {
+    let limits = EndpointLimits {
+        cold: Concurrency(1),
+        ..LIMITS
+    };
+    let mut allowance = Allowance::new(at(0), limits, AllowanceSettings::default());
+    climb(&mut allowance, BEGIN, 40, 15);
+    assert_eq!(allowance.limit(), Permits(32));
+}
+
 #[test]
 fn an_idle_cold_endpoint_stays_cold() {
     let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
--- a/crates/sesamecart-decisions/src/settings.rs
+++ b/crates/sesamecart-decisions/src/settings.rs
@@ -126,7 +126,7 @@
             linger_ms: 30_000,
             drift: 0.05,
             step_ms: 1_000,
-            growth: 1.2,
+            growth: 1.15,
             decrease: 0.8,
             tolerance: 2.0,
             token_gap_ms: 30,
--- a/crates/sesamecart-measure/src/roles/allowance.rs
+++ b/crates/sesamecart-measure/src/roles/allowance.rs
@@ -30,7 +30,8 @@
     let nodes: Vec<NodeId> = (0..nodes)
         .map(|index| format!("node-{index}").parse().expect("a name"))
         .collect();
-    let demand = Demand {
+    let mut demand = Demand {
+        asked: Timestamp::ZERO,
         wanted: Permits(2),
         in_flight: Permits(1),
         sample: Sample::default(),
@@ -40,6 +41,7 @@
     move || {
         now = now + Duration::from_millis(1);
         next = (next + 1) % nodes.len();
+        demand.asked = now;
         black_box(allowance.borrow(now, &nodes[next], &demand));
     }
 }
