Test bursts, hopeless requests and leaving callers through a whole node

Thirty callers at a cold endpoint that bears four are all answered, and never more than its allowance run there; a request without time is refused as not run with Retry-After; forty callers who leave while they wait take no turn with them.

--- a/crates/sesamecart-node/tests/callers/main.rs
+++ b/crates/sesamecart-node/tests/callers/main.rs
@@ -1,5 +1,6 @@
 //! What callers get for requests that can't be served: typed errors that say "not run".
 
+mod load;
 mod setup;
 
 use std::io::{Read as _, Write as _};
