--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -19,6 +19,9 @@
 /// keep a node that was paused for a moment from its shards.
 const SUSPICION: Duration = Duration::from_secs(2);
 
+/// How long a choice of owners is kept unless a call fails; news of nodes take longer to spread.
+const CHOICE_TIME: Duration = Duration::from_secs(1);
+
 /// The other nodes, with those that are passed over for a while.
 #[derive(Clone, Debug)]
 pub(crate) struct Directory {
@@ -28,6 +31,18 @@
     suspected_until: Arc<Mutex<IndexMap<NodeId, Timestamp>>>,
     /// The life of each node that was last heard.
     lives: Arc<Mutex<IndexMap<NodeId, Incarnation>>>,
+    chosen: Arc<Mutex<Chosen>>,
+}
+
+/// The choice of owners, kept for a while.
+///
+/// It is asked for every endpoint a few times a second. At hundreds of nodes and endpoints, weighing
+/// each pair anew would take a good part of the control thread.
+#[derive(Debug, Default)]
+struct Chosen {
+    until: Timestamp,
+    nodes: Vec<NodeId>,
+    owners: IndexMap<ShardId, NodeId>,
 }
 
 impl Directory {
@@ -38,6 +53,7 @@
             peers,
             suspected_until: Arc::default(),
             lives: Arc::default(),
+            chosen: Arc::default(),
         }
     }
 
@@ -51,11 +67,16 @@
         let mut suspicions = self.suspicions();
         suspicions.retain(|_, until| *until > now);
         suspicions.insert(node.clone(), now + SUSPICION);
+        drop(suspicions);
+        self.choose_anew();
     }
 
     /// Notes that a node answered.
     pub(crate) fn trust(&self, node: &NodeId) {
-        self.suspicions().swap_remove(node);
+        let was_suspected = self.suspicions().swap_remove(node).is_some();
+        if was_suspected {
+            self.choose_anew();
+        }
     }
 
     /// Notes which life of a node answered.
@@ -80,9 +101,11 @@
     }
 
     fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
-        self.suspicions()
+        let by_call = self
+            .suspicions()
             .get(node)
-            .is_some_and(|until| *until > now)
+            .is_some_and(|until| *until > now);
+        by_call || self.peers.is_down(node, now)
     }
 
     /// Returns whether at least half of the other nodes count as alive.
@@ -113,13 +136,38 @@
 
     /// Returns the node that should own a shard nobody holds.
     pub(crate) fn candidate(&self, shard: ShardId, now: Timestamp) -> NodeId {
+        let mut chosen = self.chosen();
+        if now >= chosen.until {
+            *chosen = Chosen {
+                until: now + CHOICE_TIME,
+                ..Chosen::default()
+            };
+            let others = self.peers.all().into_iter().map(|peer| peer.node);
+            let trusted = others
+                .filter(|node| !self.is_suspected(node, now) && !self.peers.is_leaving(node, now));
+            chosen.nodes = trusted.chain([self.me.clone()]).collect();
+        }
+        if let Some(node) = chosen.owners.get(&shard) {
+            return node.clone();
+        }
         let key = format!("shard-{shard}");
-        let others = self.peers.all().into_iter().map(|peer| peer.node);
-        let trusted = others.filter(|node| !self.is_suspected(node, now));
-        trusted
-            .chain([self.me.clone()])
-            .max_by_key(|node| rendezvous_weight(&key, node.as_str()))
-            .unwrap_or_else(|| self.me.clone())
+        let best = chosen
+            .nodes
+            .iter()
+            .max_by_key(|node| rendezvous_weight(&key, node.as_str()));
+        let best = best.unwrap_or(&self.me).clone();
+        chosen.owners.insert(shard, best.clone());
+        best
+    }
+
+    fn chosen(&self) -> MutexGuard<'_, Chosen> {
+        let chosen = self.chosen.lock();
+        chosen.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes the next choice with the newest suspicions.
+    fn choose_anew(&self) {
+        *self.chosen() = Chosen::default();
     }
 
     /// Returns the nodes as the choice of voters takes them.
--- a/crates/sesamecart-node/src/actions/renewal.rs
+++ b/crates/sesamecart-node/src/actions/renewal.rs
@@ -97,7 +97,10 @@
                 .owners
                 .get(&shard)
                 .is_none_or(|owner| owner.is_gathering());
-            if gathering || state.commit.is_mirrored(shard) {
+            // Only a lease in effect may change its voters: before that, its last holder may still
+            // act on the promises of the old ones.
+            let in_effect = self.shared.duties.owners().may_act(shard, now);
+            if gathering || state.commit.is_mirrored(shard) || in_effect != Some(lease.epoch) {
                 continue;
             }
             // A claim whose verdict isn't read stays undecided, and is appended again.
@@ -135,6 +138,25 @@
         chosen.len() > lease.voters.len() || lease.voters.iter().any(silent)
     }
 
+    /// Claims a shard that this node holds once more, with voters that live.
+    ///
+    /// Returns whether it does so; it doesn't while something is left with the old ones.
+    pub(crate) fn refresh_voters(self: &Arc<Self>, shard: ShardId) -> bool {
+        let mut state = self.lock();
+        let gathering = state
+            .owners
+            .get(&shard)
+            .is_none_or(|owner| owner.is_gathering());
+        if gathering || state.commit.is_mirrored(shard) {
+            return false;
+        }
+        state.renewing.insert(shard);
+        drop(state);
+        let desk = Arc::clone(self);
+        self.tasks.spawn(async move { desk.renew(shard).await });
+        true
+    }
+
     async fn renew(&self, shard: ShardId) {
         let identity = &self.shared.identity;
         let epoch = self.lock().owners.get(&shard).map(|owner| owner.epoch());
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -13,16 +13,18 @@
 
 use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
 use sesamecart_links::Links;
-use sesamecart_runtime::{Signal, Worker};
+use sesamecart_runtime::{Signal, Tasks, Worker};
 
-use crate::actions::Desk;
+use crate::actions::{Desk, Directory};
 use crate::administration;
 pub(crate) use crate::control::folded::Folded;
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
-pub(crate) use crate::control::peers::{PeerView, Peers};
+pub(crate) use crate::control::peers::{Peer, PeerView, Peers};
+use crate::duties::Runner;
 use crate::node::Listeners;
+use crate::pools::{Borrower, Lender, Owners};
 use crate::shared::Shared;
 
 /// How long one call of the log may take before the log counts as out.
@@ -49,7 +51,8 @@
     let peers = Peers::new(Arc::clone(shared), links);
     if let Some(address) = shared.settings.vm_list {
         let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
-        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+        let shared = Arc::clone(shared);
+        tasks.spawn(upkeep::read_vm_list(shared, list, peers.clone()));
     }
     let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
@@ -73,9 +76,18 @@
     tasks.spawn(Arc::clone(&desk).run());
     tasks.spawn(Arc::clone(&desk).watch_nodes());
     tasks.spawn(Arc::clone(&desk).renew_voters());
+    let runner = Runner::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        Arc::clone(&desk),
+        tasks.clone(),
+    );
+    tasks.spawn(runner.run());
+    let lender = start_lending(shared, &peers, &tasks);
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
-    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk));
+    let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
     let count = shared.link_bytes.clone();
     tasks.spawn({
         let tasks = tasks.clone();
@@ -87,3 +99,22 @@
     });
     Ok((worker, desk))
 }
+
+/// Starts lending the endpoints' allowances that this node owns, and borrowing the others.
+fn start_lending(shared: &Arc<Shared>, peers: &Peers, tasks: &Tasks) -> Arc<Lender> {
+    let directory = Directory::new(&shared.settings, peers.clone());
+    let owners = Owners::new(shared.settings.node.clone(), directory);
+    let cfg = shared.pools.cfg().allowance;
+    let lender = Lender::new(Arc::clone(shared), owners.clone(), cfg);
+    let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
+    tasks.spawn(Arc::clone(&lender).read_loads(client));
+    let borrower = Borrower::new(
+        Arc::clone(shared),
+        Arc::clone(&lender),
+        owners,
+        peers.clone(),
+        tasks.clone(),
+    );
+    tasks.spawn(borrower.run());
+    lender
+}
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -14,6 +14,7 @@
 use sesamecart_vocabulary::Offset;
 
 use crate::actions::Desk;
+use crate::pools::Lender;
 use crate::shared::Shared;
 
 /// The most records that are passed on at once.
@@ -24,11 +25,16 @@
 pub(crate) struct LinkSide {
     shared: Arc<Shared>,
     desk: Arc<Desk>,
+    lender: Arc<Lender>,
 }
 
 impl LinkSide {
-    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>) -> Self {
-        Self { shared, desk }
+    pub(crate) fn new(shared: Arc<Shared>, desk: Arc<Desk>, lender: Arc<Lender>) -> Self {
+        Self {
+            shared,
+            desk,
+            lender,
+        }
     }
 }
 
@@ -38,9 +44,13 @@
         &self,
         request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
-        self.shared
-            .take_heartbeat_drains(&request.into_inner().drains);
-        Ok(Response::new(self.shared.heartbeat_reply()))
+        let request = request.into_inner();
+        self.shared.take_heartbeat_drains(&request.drains);
+        let members = self.shared.take_heartbeat(&request);
+        Ok(Response::new(HeartbeatReply {
+            members,
+            ..self.shared.heartbeat_reply()
+        }))
     }
 
     async fn fetch_records(
@@ -80,15 +90,21 @@
         Ok(Response::new(reply))
     }
 
-    async fn vote(&self, _request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
-        Err(Status::unimplemented("votes are not given yet"))
+    async fn vote(&self, request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
+        let reply = self.shared.answer_vote(request.get_ref());
+        reply
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("vote: no such shard or node"))
     }
 
     async fn borrow_permits(
         &self,
-        _request: Request<BorrowPermitsRequest>,
+        request: Request<BorrowPermitsRequest>,
     ) -> Result<Response<BorrowPermitsReply>, Status> {
-        Err(Status::unimplemented("permits are not lent yet"))
+        let reply = self.lender.lend(request.get_ref());
+        reply
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("the borrower has no name"))
     }
 
     async fn begin_action(
--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -21,9 +21,24 @@
 /// that missed the first call.
 const DRAIN_POLL: Duration = Duration::from_millis(500);
 
-/// How often the platform's VM list is read.
+/// By how much later each further node offers a provisional drain to the log that is back.
+///
+/// Hundreds of nodes that appended the same drain at once would spend the log's rate for seconds.
+/// The first one's record settles the drain on the others before most of them have their turn.
+const DRAIN_TURN: Duration = Duration::from_millis(10);
+
+/// How often the platform's VM list is read by a node that knows hardly any other.
 const LIST_POLL: Duration = Duration::from_secs(2);
 
+/// How often it is read once heartbeats tell of the others.
+///
+/// The list grows with all VMs of the platform. Read every two seconds by each of 380 nodes it alone
+/// would cost more than all other control traffic.
+const SETTLED_LIST_POLL: Duration = Duration::from_secs(30);
+
+/// For how many reads after the start the list is read often, also if other nodes are known.
+const FIRST_READS: u32 = 5;
+
 /// The shard whose holder writes checkpoints.
 const CHECKPOINT_SHARD: ShardId = ShardId(0);
 
@@ -77,9 +92,11 @@
 /// Every node that knows of one does so, since the node at which it was ordered may be gone when
 /// the log returns. The fold counts it once, by its publish id.
 pub(crate) async fn spread_drains(shared: Arc<Shared>, log: Arc<dyn Log>, peers: Peers) {
+    let mut answers_since = None;
     loop {
         sleep(DRAIN_POLL).await;
-        if shared.folded.settle_drains(shared.clock.now()) {
+        let now = shared.clock.now();
+        if shared.folded.settle_drains(now) {
             shared.refresh_snapshot();
         }
         let records: Vec<_> = shared.folded.with_drains(|_, drains| {
@@ -87,10 +104,16 @@
             records.collect()
         });
         if records.is_empty() {
+            answers_since = None;
             continue;
         }
-        peers.ask_all().await;
+        let nodes = peers.ask_all().await.len();
         if !shared.folded.log_answers() {
+            answers_since = None;
+            continue;
+        }
+        let turn = DRAIN_TURN.mul_f64(spread(&shared) * nodes as f64);
+        if now - *answers_since.get_or_insert(now) < turn {
             continue;
         }
         for record in records {
@@ -102,12 +125,15 @@
 }
 
 /// Reads the platform's VM list for the other nodes' addresses.
-pub(crate) async fn read_vm_list(list: Arc<dyn VmList>, peers: Peers) {
+pub(crate) async fn read_vm_list(shared: Arc<Shared>, list: Arc<dyn VmList>, peers: Peers) {
     let mut failing = false;
+    let mut reads = 0;
     loop {
+        reads += 1;
         match list.read().await {
             Ok(vms) => {
                 peers.take_list(&vms);
+                shared.take_vm_list(&vms);
                 failing = false;
             }
             Err(error) => {
@@ -117,6 +143,12 @@
                 failing = true;
             }
         }
-        sleep(LIST_POLL).await;
+        let is_settled = reads > FIRST_READS && shared.duties.knows_others(shared.clock.now());
+        sleep(if is_settled {
+            SETTLED_LIST_POLL
+        } else {
+            LIST_POLL
+        })
+        .await;
     }
 }
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -5,9 +5,11 @@
 mod actions;
 mod administration;
 mod control;
+mod duties;
 mod identity;
 mod metrics;
 mod node;
+mod pools;
 mod shared;
 mod snapshot;
 mod traffic;
--- a/crates/sesamecart-node/src/traffic/completion.rs
+++ b/crates/sesamecart-node/src/traffic/completion.rs
@@ -5,22 +5,24 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method};
+use sesamecart_config::Customer;
+use sesamecart_decisions::admission::Request;
+use sesamecart_decisions::retry::{FailedAttempt, Progress, RetryDecision};
 use sesamecart_edges::{Exchange, RESUME_AT, Reuse};
 use sesamecart_vocabulary::{
     AttemptId, CustomerId, EndpointId, ModelId, RequestClass, RequestId, Timestamp,
 };
 
+use crate::pools::{Entry, PoolKey, Turn};
 use crate::snapshot::Snapshot;
 use crate::traffic::answer::Refusal;
+use crate::traffic::caller::Caller;
 use crate::traffic::forward::{Attempt, AttemptError};
 use crate::traffic::handler::Handler;
-use crate::traffic::route::Flight;
+use crate::traffic::weigh::{self, Patience};
 
 /// The most attempts of one request, the resumptions of its stream included.
-const MAX_ATTEMPTS: usize = 6;
-
-/// The most endpoints that refuse or fail in a row before the request is given up.
-const MAX_FAILURES: usize = 3;
+const MAX_ATTEMPTS: u32 = 8;
 
 /// A completion request; it owns all it needs, since its stream outlives the call that began it.
 #[derive(Clone, Debug)]
@@ -33,6 +35,8 @@
     pub(crate) path: String,
     pub(crate) body: Bytes,
     pub(crate) class: RequestClass,
+    /// The most tokens that the answer may have, if the caller says it.
+    pub(crate) answer_limit: Option<u64>,
     pub(crate) arrived: Timestamp,
     pub(crate) limit: Duration,
 }
@@ -40,36 +44,31 @@
 /// The attempts that a request has used up.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
-    made: usize,
-    /// The endpoints that failed since the last token.
-    failed: Vec<EndpointId>,
+    made: u32,
+    /// Those since the last token.
+    in_a_row: u32,
 }
 
-/// An attempt whose answer's head has arrived.
+/// An attempt whose answer's head has arrived, and the turn that it takes until its end.
 #[derive(Debug)]
 pub(crate) struct Answered {
     pub(crate) exchange: Exchange,
     pub(crate) attempt: AttemptId,
     pub(crate) endpoint: EndpointId,
-    pub(crate) flight: Flight,
+    pub(crate) turn: Turn,
 }
 
 impl Attempts {
-    /// Notes that an endpoint failed in the middle of an answer.
-    pub(crate) fn note_failure(&mut self, endpoint: EndpointId) {
-        self.failed.push(endpoint);
-    }
-
     /// Notes that an endpoint made progress, so that earlier failures count no more.
     ///
     /// Only the total of attempts still bounds the request; else a long stream that breaks three
     /// times within minutes would be given up though each group served it well for a while.
-    pub(crate) fn note_progress(&mut self) {
-        self.failed.clear();
+    pub(crate) const fn note_progress(&mut self) {
+        self.in_a_row = 0;
     }
 
-    fn are_left(&self) -> bool {
-        self.made < MAX_ATTEMPTS && self.failed.len() < MAX_FAILURES
+    pub(crate) const fn are_left(&self) -> bool {
+        self.made < MAX_ATTEMPTS
     }
 }
 
@@ -87,64 +86,109 @@
         attempts: &mut Attempts,
         resume_at: Option<u64>,
     ) -> Result<Answered, Refusal> {
-        let shared = &self.handler.shared;
-        let mut failed = Refusal::NoEndpoint;
-        let Some(customer) = self.snapshot.configuration.customers.get(&self.customer) else {
-            return Err(failed);
+        let customers = &self.snapshot.configuration.customers;
+        let Some(customer) = customers.get(&self.customer) else {
+            return Err(Refusal::NoEndpoint);
         };
-        while attempts.are_left() && !self.left().is_zero() {
-            attempts.made += 1;
-            let candidates = self.snapshot.model_endpoints(customer, &self.model);
-            let home = &shared.settings.failure_domain;
-            let chosen = self
-                .handler
-                .in_flight
-                .choose(candidates, home, &attempts.failed);
-            let Some((flight, endpoint_id, endpoint)) = chosen else {
-                break;
+        let request = self.weigh(customer, resume_at);
+        let mut failed = None;
+        while attempts.are_left() {
+            let entry = Entry {
+                key: PoolKey::model(&self.model, customer),
+                request: request.clone(),
+                again: attempts.made > 0,
             };
-            let attempt = Attempt {
-                id: shared.identity.attempt_id(),
-                request: &self.id,
-                peer: endpoint.address,
-                method: &Method::POST,
-                path: &self.path,
-                content_type: Some(&HeaderValue::from_static("application/json")),
-                body: self.body.clone(),
-                priority: self.class.priority(),
-                reuse: Reuse::Allowed,
-                action: None,
-                resume_at,
-                limit: self.left(),
+            let entered = self.handler.shared.pools.enter(&self.snapshot, entry);
+            // What an earlier attempt may have run isn't undone by a refusal of the next.
+            let mut turn = match entered.await {
+                Ok(turn) => turn,
+                Err(refusal) => return Err(failed.unwrap_or(refusal)),
             };
-            let id = attempt.id.clone();
-            match attempt.send(&self.handler.client).await {
-                Ok(exchange) if resumes(&exchange, resume_at) => {
+            attempts.made += 1;
+            attempts.in_a_row += 1;
+            let endpoint = turn.endpoint();
+            let (progress, refusal) = match self.send(&endpoint, resume_at).await {
+                Ok((exchange, attempt)) => {
                     return Ok(Answered {
                         exchange,
-                        attempt: id,
-                        endpoint: endpoint_id.clone(),
-                        flight,
+                        attempt,
+                        endpoint,
+                        turn,
                     });
                 }
-                Ok(_) => {
-                    let reason = format!("{endpoint_id} does not resume streams");
-                    failed = Refusal::NoAnswer(reason);
-                }
                 Err(AttemptError::NotRun(reason)) => {
-                    let id = &self.id;
-                    log::info!("traffic: {id} was not run at {endpoint_id}: {reason}.");
-                    failed = Refusal::NotReached(reason);
-                }
-                Err(AttemptError::Unknown(reason)) => {
-                    let id = &self.id;
-                    log::warn!("traffic: {id} got no answer of {endpoint_id}: {reason}.");
-                    failed = Refusal::NoAnswer(reason);
+                    (Progress::NotRun, Refusal::NotReached(reason))
                 }
+                Err(AttemptError::Unknown(reason)) => (Progress::Sent, Refusal::NoAnswer(reason)),
+            };
+            log::info!("traffic: {} failed at {endpoint}: {refusal}.", self.id);
+            let decision = turn.fail(FailedAttempt {
+                progress,
+                idempotent: true,
+                attempts: attempts.in_a_row,
+                start_by: request.start_by(),
+            });
+            if !matches!(failed, Some(Refusal::NoAnswer(_))) {
+                failed = Some(refusal);
+            }
+            if decision != RetryDecision::Retry {
+                break;
             }
-            attempts.failed.push(endpoint_id.clone());
         }
-        Err(failed)
+        Err(failed.unwrap_or(Refusal::NoEndpoint))
+    }
+
+    /// Weighs the request; a stream that goes on is weighed from now on.
+    fn weigh(&self, customer: &Customer, resume_at: Option<u64>) -> Request {
+        let caller = Caller {
+            id: &self.customer,
+            customer,
+        };
+        let patience = match resume_at {
+            None => Patience {
+                arrived: self.arrived,
+                limit: self.limit,
+            },
+            Some(_) => Patience {
+                arrived: self.handler.shared.clock.now(),
+                limit: self.left(),
+            },
+        };
+        let answer = self.answer_limit;
+        let left = answer.map(|answer| answer.saturating_sub(resume_at.unwrap_or(0)));
+        weigh::completion(caller, self.class, &self.body, left, patience)
+    }
+
+    async fn send(
+        &self,
+        endpoint: &EndpointId,
+        resume_at: Option<u64>,
+    ) -> Result<(Exchange, AttemptId), AttemptError> {
+        let endpoints = &self.snapshot.configuration.endpoints;
+        let Some(known) = endpoints.get(endpoint) else {
+            return Err(AttemptError::NotRun(format!("{endpoint} is new")));
+        };
+        let attempt = Attempt {
+            id: self.handler.shared.identity.attempt_id(),
+            request: &self.id,
+            peer: known.address,
+            method: &Method::POST,
+            path: &self.path,
+            content_type: Some(&HeaderValue::from_static("application/json")),
+            body: self.body.clone(),
+            priority: self.class.priority(),
+            reuse: Reuse::Allowed,
+            action: None,
+            resume_at,
+            limit: self.left(),
+        };
+        let id = attempt.id.clone();
+        let exchange = attempt.send(&self.handler.client).await?;
+        if !resumes(&exchange, resume_at) {
+            let reason = format!("{endpoint} does not resume streams");
+            return Err(AttemptError::Unknown(reason));
+        }
+        Ok((exchange, id))
     }
 }
 
--- a/crates/sesamecart-node/src/traffic/model.rs
+++ b/crates/sesamecart-node/src/traffic/model.rs
@@ -23,6 +23,17 @@
     model: ModelId,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+}
+
+impl Completion {
+    /// Returns the most tokens that the answer may have, if the caller says it.
+    fn answer_limit(&self) -> Option<u64> {
+        self.max_completion_tokens.or(self.max_tokens)
+    }
 }
 
 /// The field of a whole answer that tells whose it is.
@@ -49,6 +60,7 @@
     pub(crate) async fn run(self, handler: &Handler) -> Result<Response<CallerBody>, Refusal> {
         let completion: Completion = serde_json::from_slice(&self.body)
             .map_err(|error| Refusal::BadRequest(format!("the body can't be read: {error}")))?;
+        let answer_limit = completion.answer_limit();
         let model = completion.model;
         if !self.caller.customer.models.contains(&model) {
             return Err(Refusal::UnknownModel(model.to_string()));
@@ -62,6 +74,7 @@
             path: self.path.to_owned(),
             body: self.body,
             class: self.class,
+            answer_limit,
             arrived: self.arrived,
             limit: self.limit,
         };
@@ -91,10 +104,9 @@
             let answered = self.attempt(attempts, None).await?;
             let endpoint = answered.endpoint.clone();
             match self.pass_on(answered).await {
-                Err(Refusal::NoAnswer(reason)) => {
+                Err(Refusal::NoAnswer(reason)) if attempts.are_left() => {
                     let id = &self.id;
                     log::warn!("traffic: {id} got no whole answer of {endpoint}: {reason}.");
-                    attempts.note_failure(endpoint);
                 }
                 answer => return answer,
             }
@@ -104,18 +116,25 @@
     async fn pass_on(&self, answered: Answered) -> Result<Response<CallerBody>, Refusal> {
         let (head, incoming) = answered.exchange.response.into_parts();
         let max = self.handler.shared.settings.bounds.max_answer_bytes;
-        let body = read_whole(incoming, max, self.left())
-            .await
-            .map_err(|error| Refusal::NoAnswer(error.to_string()))?;
+        let mut turn = answered.turn;
+        let body = match read_whole(incoming, max, self.left()).await {
+            Ok(body) => body,
+            Err(error) => {
+                turn.break_off();
+                return Err(Refusal::NoAnswer(error.to_string()));
+            }
+        };
         answered.exchange.lease.give_back();
         // The header may be right over another request's body, as when an engine mixes up two.
         if head.status == StatusCode::OK {
             let own = serde_json::from_slice::<AnswerId<'_>>(&body)
                 .is_ok_and(|answer| answer.id == answered.attempt.as_str());
             if !own {
+                turn.break_off();
                 return Err(Refusal::NoAnswer("it is another request's".to_owned()));
             }
         }
+        turn.finish_stream();
         let mut response = Response::new(whole(body));
         *response.status_mut() = head.status;
         let headers = response.headers_mut();
--- a/crates/sesamecart-node/src/traffic/relay.rs
+++ b/crates/sesamecart-node/src/traffic/relay.rs
@@ -16,9 +16,9 @@
 use sesamecart_runtime::within;
 use sesamecart_vocabulary::{AttemptId, EndpointId};
 
+use crate::pools::Turn;
 use crate::traffic::answer::Refusal;
 use crate::traffic::completion::{Answered, Attempts, CompletionRequest};
-use crate::traffic::route::Flight;
 use crate::traffic::sse::EventSplitter;
 
 /// How long an engine may take to end its answer after the last event.
@@ -31,7 +31,7 @@
     lease: ConnectionLease,
     splitter: EventSplitter,
     endpoint: EndpointId,
-    _flight: Flight,
+    turn: Turn,
 }
 
 /// A streamed answer on its way to the caller.
@@ -141,6 +141,7 @@
                     .record_first_event(taken);
             }
             self.passed_on += events.count;
+            source.turn.tokens(events.count);
             self.attempts.note_progress();
         }
         if events.last {
@@ -165,7 +166,7 @@
 
     /// Goes on at another endpoint from the first token that the caller hasn't got.
     async fn resume(&mut self, reason: &str) -> Step {
-        let Some(broken) = self.source.take() else {
+        let Some(mut broken) = self.source.take() else {
             return self.fail(reason);
         };
         let (id, passed_on) = (&self.request.id, self.passed_on);
@@ -173,13 +174,17 @@
         let finished = broken.splitter.is_finished();
         log::info!("traffic: {id} broke at {endpoint} after {passed_on} events: {reason}.");
         // Its connection is closed first, which frees the engine's place.
+        if finished {
+            broken.turn.finish_stream();
+        } else {
+            broken.turn.break_off();
+        }
         drop(broken);
         if finished {
             // Only the end mark was lost.
             self.complete = true;
             return Step::Pass(Bytes::from_static(b"data: [DONE]\n\n"));
         }
-        self.attempts.note_failure(endpoint);
         let resume_at = (passed_on > 0).then_some(passed_on);
         match self.request.attempt(&mut self.attempts, resume_at).await {
             Ok(answered) => {
@@ -194,7 +199,9 @@
     ///
     /// A stream that just stopped would look like a whole, short answer.
     fn fail(&mut self, reason: &str) -> Step {
-        self.source = None;
+        if let Some(mut source) = self.source.take() {
+            source.turn.break_off();
+        }
         let (id, passed_on) = (&self.request.id, self.passed_on);
         log::warn!("traffic: {id} was given up after {passed_on} events: {reason}.");
         let refusal = Refusal::NoAnswer(format!("the stream broke: {reason}"));
@@ -208,6 +215,7 @@
         let Some(mut source) = self.source.take() else {
             return;
         };
+        source.turn.finish_stream();
         let ended = within(END_LIMIT, source.incoming.frame()).await;
         if matches!(ended, Ok(None)) {
             source.lease.give_back();
@@ -222,7 +230,7 @@
             lease: answered.exchange.lease,
             splitter: EventSplitter::new(&answered.attempt, shown, next),
             endpoint: answered.endpoint,
-            _flight: answered.flight,
+            turn: answered.turn,
         }
     }
 }
