Replay traces of keyed actions, and tell the leases of a change of voters

Cause: fresh voters were claimed without the leases knowing of it, so a holder might have extended by the old voters while a claimant asked the new ones; and no trace showed the faults of keyed actions.

--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -123,6 +123,22 @@
         }
     }
 
+    /// Notes that this node is about to claim a shard that it holds once more, with other voters.
+    ///
+    /// Returns whether it may. Until the verdict is read it doesn't extend by the old voters, since
+    /// a claimant that has seen the record asks only the new ones.
+    pub fn begin_voter_change(&mut self, shard: ShardId, now: Timestamp) -> bool {
+        if self.may_act(shard, now).is_none() {
+            return false;
+        }
+        let Some(shard) = self.shard_mut(shard) else {
+            return false;
+        };
+        shard.appended_at = Some(now);
+        shard.undecided += 1;
+        true
+    }
+
     /// Names the shards whose leases must stay as they are, since duties under them are under way.
     ///
     /// They are neither handed over nor given new voters until they are no longer named.
--- a/crates/sesamecart-node/src/actions/renewal.rs
+++ b/crates/sesamecart-node/src/actions/renewal.rs
@@ -112,7 +112,8 @@
                 };
                 *lives.entry(voter.clone()).or_insert(life) != life
             });
-            if undecided || lost || self.could_be_better(shard, &lease, now) {
+            let due_now = undecided || lost || self.could_be_better(shard, &lease, now);
+            if due_now && self.shared.duties.begin_voter_change(shard, now) {
                 state.renewing.insert(shard);
                 due.push(shard);
             }
--- a/crates/sesamecart-node/src/duties.rs
+++ b/crates/sesamecart-node/src/duties.rs
@@ -15,7 +15,7 @@
 use sesamecart_config::Settings;
 use sesamecart_lease::{Holder, LeaseSettings, Leases, NodeState, NodeView, Owners, View};
 use sesamecart_membership::{Member, Membership, MembershipSettings, Seed, Standing, Status};
-use sesamecart_vocabulary::{NodeId, SHARDS, Timestamp, stable_hash};
+use sesamecart_vocabulary::{NodeId, SHARDS, ShardId, Timestamp, stable_hash};
 
 use crate::control::Peer;
 pub(crate) use crate::duties::runner::Runner;
@@ -138,6 +138,12 @@
         self.owners.store(Arc::new(state.leases.owners()));
     }
 
+    /// Notes that a claim for other voters of a held shard is about to be appended; tells whether it
+    /// may be.
+    pub(crate) fn begin_voter_change(&self, shard: ShardId, now: Timestamp) -> bool {
+        self.lock().leases.begin_voter_change(shard, now)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sesamecart/src/replay.rs
+++ b/crates/sesamecart/src/replay.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/design/replay.md describes the format.
 
+mod actions;
 mod fold;
 mod lease;
 
@@ -35,6 +36,8 @@
     Fold,
     /// The leases of one shard, on several nodes.
     Lease,
+    /// Keyed actions of one shard, whose owners change.
+    Actions,
 }
 
 /// Why a trace doesn't come out as stated.
@@ -134,6 +137,7 @@
     let header: Header = first.read()?;
     first.expect("trace version", &TRACE_VERSION, &header.trace)?;
     match header.core {
+        Core::Actions => actions::replay(steps)?,
         Core::Fold => fold::replay(steps)?,
         Core::Lease => lease::replay(steps)?,
     }
