--- a/crates/sesamecart-actions/tests/world/mod.rs
+++ b/crates/sesamecart-actions/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! Five nodes, one log and a few keys, moved by a seeded scheduler that has no mercy.
+//! A few nodes, one log and a few keys, moved by a seeded scheduler that has no mercy.
 
 use fastrand::Rng;
 use indexmap::IndexMap;
@@ -12,7 +12,8 @@
 };
 use std::time::Duration;
 
-const NODES: usize = 5;
+/// The fewest nodes of a history; every second one has one more, so that voters change.
+const NODES: usize = 3;
 const VOTERS: usize = 3;
 const KEYS: usize = 2;
 const SHARD: ShardId = ShardId(0);
@@ -141,11 +142,15 @@
 
 impl World {
     pub fn new(seed: u64, shortcut: Shortcut) -> Self {
+        Self::with_nodes(seed, shortcut, NODES + usize::from(seed % 2 == 1))
+    }
+
+    pub fn with_nodes(seed: u64, shortcut: Shortcut, nodes: usize) -> Self {
         Self {
             rng: Rng::with_seed(seed),
             shortcut,
             now: Timestamp::ZERO,
-            nodes: (0..NODES).map(|index| node(index, 1, true)).collect(),
+            nodes: (0..nodes).map(|index| node(index, 1, true)).collect(),
             log: Vec::new(),
             log_up: true,
             late: Vec::new(),
@@ -176,7 +181,7 @@
     }
 
     pub fn step(&mut self) {
-        let index = self.rng.usize(..NODES);
+        let index = self.rng.usize(..self.nodes.len());
         match self.rng.u32(..100) {
             0..16 => self.ask(index),
             16..22 => self.ask_again(index),
@@ -195,6 +200,33 @@
         }
     }
 
+    /// An owner dies after it has mirrored an action in an outage and, if it may, renewed its voters.
+    pub fn renew_with_intents_at_the_voters(&mut self) {
+        self.claim(0);
+        (0..self.nodes.len()).for_each(|index| self.read_to_end(index));
+        self.log_up = false;
+        self.ask(0);
+        self.commit(0);
+        self.commit(0);
+        self.send();
+        self.log_up = true;
+        self.renew(0);
+        self.read_to_end(0);
+        self.depose_if_replaced(0);
+        self.crash(0);
+        self.read_to_end(1);
+        self.claim(1);
+        (1..self.nodes.len()).for_each(|index| self.read_to_end(index));
+        for _ in 0..20 {
+            self.gather(1);
+        }
+        for _ in 0..4 {
+            self.ask(1);
+            self.commit(1);
+            self.send();
+        }
+    }
+
     fn ask(&mut self, index: usize) {
         let attempt = format!("a-{}", self.tries.len()).parse().unwrap();
         self.tries.push(Try {
@@ -355,7 +387,7 @@
         let mut kept = 0;
         let lease = self.nodes[index].fold.state().leases.get(&SHARD).cloned();
         let voters = lease.map(|lease| lease.voters).unwrap_or_default();
-        for voter in 0..NODES {
+        for voter in 0..self.nodes.len() {
             if self.nodes[index].renewing && self.shortcut != Shortcut::RenewAtOnce {
                 break;
             }
@@ -505,7 +537,7 @@
     }
 
     fn gather(&mut self, index: usize) {
-        let voter = self.rng.usize(..NODES);
+        let voter = self.rng.usize(..self.nodes.len());
         let Some(epoch) = self.nodes[index].owner.as_ref().map(Owner::epoch) else {
             return;
         };
@@ -594,7 +626,7 @@
         let mut fresh = node(index, life, settled);
         if settled {
             // It takes the folded state from a peer and promises at once, without the log's tail.
-            fresh.fold = self.nodes[(index + 1) % NODES].fold.clone();
+            fresh.fold = self.nodes[(index + 1) % self.nodes.len()].fold.clone();
         }
         self.nodes[index] = fresh;
     }
