Lend permits for whole groups only, and control groups in the node

Cause: nodes routed to a group's front whatever its members did, so callers could get a part of a model's answer. Change: the owner of an endpoint's allowance judges the group by its report and the fold's members, and lends nothing while it isn't whole; the owner of a fabric domain's shard runs the group controller when settings name a weight store, under the epoch that it holds; counters of downtime, stranded VMs and serving time. A group that is assigned for the first time keeps the generation of an engine that serves already.

--- a/crates/sesamecart-decisions/src/allowance/limit.rs
+++ b/crates/sesamecart-decisions/src/allowance/limit.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Notes whether the endpoint may have work, without a report of its own.
+    pub fn set_ready(&mut self, ready: bool) {
+        self.ready = ready;
+    }
+
     /// Takes what a node saw.
     ///
     /// What nodes still saw of the time before the endpoint turned cold arrives up to a slice
--- a/crates/sesamecart-groups/src/assignment.rs
+++ b/crates/sesamecart-groups/src/assignment.rs
@@ -115,7 +115,10 @@
         match request {
             AssignmentRequest::Assign {
                 group, generation, ..
-            } => self.generation(group) >= *generation,
+            } => {
+                let assigned = self.groups.get(group);
+                assigned.is_some_and(|assigned| assigned.generation >= *generation)
+            }
             AssignmentRequest::Unassign { vm, group, .. } => self.owner(vm) != Some(group),
         }
     }
--- a/crates/sesamecart-groups/src/assignment/tests.rs
+++ b/crates/sesamecart-groups/src/assignment/tests.rs
@@ -46,6 +46,13 @@
     freed_vm_is_settled: unassign("vm-2") => true;
 }
 
+/// A group that was never assigned may begin in generation 0, that of an engine that runs already.
+#[test]
+fn first_assignment_is_open() {
+    let none = Assignments::default();
+    assert!(!none.has_settled(&assign(0)));
+}
+
 #[test]
 fn owners_follow_members() {
     let assignments = assignments();
--- a/crates/sesamecart-groups/src/controller/group.rs
+++ b/crates/sesamecart-groups/src/controller/group.rs
@@ -55,6 +55,8 @@
 pub(super) struct GroupControl {
     pub(super) desk: OrderDesk,
     pub(super) report: Option<GroupReport>,
+    /// Since when this controller has the group.
+    pub(super) since: Timestamp,
     /// Since when each member has been missing from reports.
     pub(super) unseen: IndexMap<VmId, Timestamp>,
     pub(super) loads: IndexMap<VmId, Load>,
@@ -199,6 +201,14 @@
             .is_some_and(|since| now.since(since) >= settings.patience)
     }
 
+    /// Returns the generation in which the engine already serves with these members, if it does.
+    pub(super) fn serving_generation(&self, members: &IndexSet<VmId>) -> Option<Generation> {
+        let report = self.report.as_ref()?;
+        let is_ready = |vm| report.members.get(vm).is_some_and(|member| member.ready);
+        let same = report.members.len() == members.len() && members.iter().all(is_ready);
+        (report.ready && same).then_some(report.generation)
+    }
+
     /// Returns whether the engine still serves an older generation with the same members.
     pub(super) fn same_members(&self, assigned: &AssignedGroup) -> bool {
         self.report.as_ref().is_some_and(|report| {
--- a/crates/sesamecart-groups/src/controller/mod.rs
+++ b/crates/sesamecart-groups/src/controller/mod.rs
@@ -289,7 +289,13 @@
             let Some(epoch) = self.epochs.get(&plan.shard()) else {
                 continue;
             };
-            let control = self.groups.entry(group.clone()).or_default();
+            let control = self
+                .groups
+                .entry(group.clone())
+                .or_insert_with(|| GroupControl {
+                    since: now,
+                    ..GroupControl::default()
+                });
             let longest = self.settings.longest_order;
             control.desk.gain(*epoch, plan.checks_epoch, longest, now);
             let fabric = self.fabrics.entry(plan.fabric_domain.clone()).or_default();
--- a/crates/sesamecart-groups/src/controller/planning.rs
+++ b/crates/sesamecart-groups/src/controller/planning.rs
@@ -32,10 +32,10 @@
     pub(super) fn plan(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let mut batch = Batch::default();
         if self.compare {
-            self.assign_new(&mut batch);
+            self.assign_new(&mut batch, now);
             self.release_removed(&mut batch);
             self.behind = self.find_behind();
-            self.compare = !batch.requests.is_empty() || !self.pending.is_empty();
+            self.compare = self.has_unassigned() || !self.pending.is_empty();
         }
         let serving = self.serving_replicas();
         let fabrics: Vec<FabricDomainId> = self.fabrics.keys().cloned().collect();
@@ -49,25 +49,42 @@
         }
     }
 
-    /// Gives a group that never ran the VMs of the configuration.
-    fn assign_new(&self, batch: &mut Batch) {
-        for group in self.groups.keys() {
+    /// Gives a group that was never assigned the VMs of the configuration.
+    ///
+    /// An engine that already serves with them keeps its generation: a system that is put in front
+    /// of running engines must not restart them all.
+    fn assign_new(&self, batch: &mut Batch, now: Timestamp) {
+        for (group, control) in &self.groups {
+            if self.assignments.group(group).is_some() || self.is_pending(group) {
+                continue;
+            }
             let Some((plan, model)) = self.plan_and_model(group) else {
                 continue;
             };
-            let is_new = self.assignments.generation(group) == Generation::default();
+            let waited = now.since(control.since) >= self.settings.append_timeout;
+            let heard = control.report.is_some() || waited;
             let free = plan
                 .vms
                 .iter()
                 .all(|vm| self.assignments.owner(vm).is_none());
-            if !is_new || !free || self.is_pending(group) {
+            if !heard || !free {
                 continue;
             }
-            let vms = plan.vms.iter().cloned().collect();
-            self.request_members(batch, group, vms, &model.version);
+            let serving = control.serving_generation(&plan.vms);
+            batch.push(AssignmentRequest::Assign {
+                group: group.clone(),
+                vms: plan.vms.iter().cloned().collect(),
+                generation: serving.unwrap_or(Generation(1)),
+                version: model.version.clone(),
+            });
         }
     }
 
+    fn has_unassigned(&self) -> bool {
+        let mut groups = self.groups.keys();
+        groups.any(|group| self.assignments.group(group).is_none())
+    }
+
     /// Frees the VMs of groups that the configuration doesn't name any more.
     fn release_removed(&self, batch: &mut Batch) {
         for (group, assigned) in self.assignments.groups() {
--- a/crates/sesamecart-node/src/actions/desk.rs
+++ b/crates/sesamecart-node/src/actions/desk.rs
@@ -13,7 +13,7 @@
 use sesamecart_edges::Log;
 use sesamecart_fold::ActionKey;
 use sesamecart_runtime::{Tasks, within};
-use sesamecart_vocabulary::{ShardId, Timestamp};
+use sesamecart_vocabulary::{Epoch, ShardId, Timestamp};
 
 use super::directory::Directory;
 use super::wire::Ending;
@@ -180,6 +180,15 @@
         in_force
     }
 
+    /// Returns the epoch under which this node owns a shard, by all it knows.
+    pub(crate) fn held(&self, shard: ShardId) -> Option<Epoch> {
+        let mut state = self.lock();
+        if !self.owns(&mut state, shard) {
+            return None;
+        }
+        state.owners.get(&shard).map(Owner::epoch)
+    }
+
     /// Lets a shard's owner act, and carries out what it decides.
     pub(super) fn with_owner(
         &self,
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, Log, VmList};
+use sesamecart_edges::{HttpClient, HttpLog, HttpVmList, HttpWeightStore, Log, VmList};
 use sesamecart_links::Links;
 use sesamecart_runtime::{Signal, Tasks, Worker};
 
@@ -22,6 +22,7 @@
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
 pub(crate) use crate::control::peers::{PeerView, Peers};
+use crate::groups::Duty;
 use crate::node::Listeners;
 use crate::pools::{Borrower, Lender, Owners};
 use crate::shared::Shared;
@@ -73,6 +74,7 @@
     );
     tasks.spawn(Arc::clone(&desk).run());
     let lender = start_lending(shared, &peers, &tasks);
+    start_groups(shared, &desk, &log, &tasks);
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
@@ -88,6 +90,28 @@
     Ok((worker, desk))
 }
 
+/// Starts controlling the groups of the shards that this node holds, if settings name a weight store.
+fn start_groups(shared: &Arc<Shared>, desk: &Arc<Desk>, log: &Arc<dyn Log>, tasks: &Tasks) {
+    let Some(address) = shared.settings.weight_store else {
+        return;
+    };
+    let client = HttpClient::new(tasks.clone(), PLATFORM_CONNECT_LIMIT);
+    let store = HttpWeightStore::new(client.clone(), address, LOG_CALL_LIMIT);
+    let list = shared.settings.vm_list.map(|address| -> Arc<dyn VmList> {
+        Arc::new(HttpVmList::new(client.clone(), address, LOG_CALL_LIMIT))
+    });
+    let duty = Duty::new(
+        Arc::clone(shared),
+        Arc::clone(desk),
+        Arc::clone(log),
+        Arc::new(store),
+        list,
+        client,
+        tasks.clone(),
+    );
+    tasks.spawn(duty.run());
+}
+
 /// Starts lending the endpoints' allowances that this node owns, and borrowing the others.
 fn start_lending(shared: &Arc<Shared>, peers: &Peers, tasks: &Tasks) -> Arc<Lender> {
     let directory = Directory::new(&shared.settings, peers.clone());
--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -5,6 +5,7 @@
 mod actions;
 mod administration;
 mod control;
+mod groups;
 mod identity;
 mod metrics;
 mod node;
--- a/crates/sesamecart-node/src/pools/lender.rs
+++ b/crates/sesamecart-node/src/pools/lender.rs
@@ -3,34 +3,24 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
-use http::header::HOST;
-use http_body_util::Full;
 use indexmap::IndexMap;
-use serde::Deserialize;
 use sesamecart_decisions::allowance::{Allowance, Demand, LoadReport, Sample};
 use sesamecart_decisions::settings::AllowanceSettings;
-use sesamecart_edges::{HttpClient, Reuse, read_whole};
+use sesamecart_edges::HttpClient;
 use sesamecart_links::message::{
     BorrowPermitsReply, BorrowPermitsRequest, EndpointDemand, EndpointSlice,
 };
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::{
-    Concurrency, EndpointId, Incarnation, NodeId, Permits, Timestamp, Tokens,
-};
+use sesamecart_vocabulary::{Concurrency, EndpointId, NodeId, Permits, Timestamp, Tokens};
 
 use super::cell::limits_of;
 use super::owners::Owners;
+use crate::groups::{Load, fetch_load};
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 
 /// How often the owner looks at its endpoints' load.
 const LOAD_POLL: Duration = Duration::from_millis(500);
-/// How long an endpoint may take to report its load.
-const LOAD_LIMIT: Duration = Duration::from_millis(400);
-/// The largest load report that is read.
-const MAX_REPORT_BYTES: sesamecart_vocabulary::Bytes = sesamecart_vocabulary::Bytes(64 * 1024);
 
 /// The allowances of the endpoints that this node owns.
 #[derive(Debug)]
@@ -47,20 +37,6 @@
     looked_at: Timestamp,
 }
 
-/// An endpoint's own report, as docs/design/platform.md gives it.
-#[derive(Debug, Deserialize)]
-struct Load {
-    running: u32,
-    #[serde(default)]
-    incarnation: u64,
-    #[serde(default = "is_ready")]
-    ready: bool,
-}
-
-const fn is_ready() -> bool {
-    true
-}
-
 impl Lender {
     pub(crate) fn new(shared: Arc<Shared>, owners: Owners, cfg: AllowanceSettings) -> Arc<Self> {
         Arc::new(Self {
@@ -159,33 +135,30 @@
     }
 
     async fn read_load(&self, client: &HttpClient, id: EndpointId, peer: std::net::SocketAddr) {
-        let Some(report) = fetch_load(client, peer).await else {
+        let asked_at = self.shared.clock.now();
+        let load = fetch_load(client, peer).await;
+        if load.is_none() {
             log::debug!("lender: {id} reports no load.");
-            return;
-        };
+        }
         let now = self.shared.clock.now();
+        let gate = &self.shared.gate;
+        let folded = &self.shared.folded;
+        let open = folded.with(|state| gate.take(state, &id, load.as_ref(), asked_at, now));
         if let Some(allowance) = self.books().allowances.get_mut(&id) {
-            allowance.report(now, &report);
+            match load {
+                Some(load) => allowance.report(now, &report_of(&load, open)),
+                None => allowance.limit_mut().set_ready(open),
+            }
         }
     }
 }
 
-async fn fetch_load(client: &HttpClient, peer: std::net::SocketAddr) -> Option<LoadReport> {
-    let request = Request::get("/load")
-        .header(HOST, peer.to_string())
-        .body(Full::new(Bytes::new()))
-        .ok()?;
-    let exchange = client.send(peer, request, Reuse::Allowed, LOAD_LIMIT);
-    let exchange = exchange.await.ok()?;
-    let body = exchange.response.into_body();
-    let body = read_whole(body, MAX_REPORT_BYTES, LOAD_LIMIT).await.ok()?;
-    exchange.lease.give_back();
-    let load: Load = serde_json::from_slice(&body).ok()?;
-    Some(LoadReport {
-        incarnation: Incarnation(load.incarnation),
+fn report_of(load: &Load, ready: bool) -> LoadReport {
+    LoadReport {
+        incarnation: load.incarnation,
         running: Concurrency(load.running),
-        ready: load.ready,
-    })
+        ready,
+    }
 }
 
 fn read_demand(wanted: &EndpointDemand) -> Demand {
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -11,6 +11,7 @@
 use sesamecart_vocabulary::Timestamp;
 
 use crate::control::Folded;
+use crate::groups::Gate;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
 use crate::pools::Pools;
@@ -37,6 +38,8 @@
     pub(crate) folded: Folded,
     /// Admission and routing, by which requests get their turn at an endpoint.
     pub(crate) pools: Arc<Pools>,
+    /// Whether groups are whole, for the endpoints whose allowance this node owns.
+    pub(crate) gate: Gate,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -60,6 +63,7 @@
         let identity = Identity::new(settings.node.clone());
         let clock = Clock::start();
         let pools = Pools::new(&settings, clock);
+        let metrics = Metrics::new()?;
         Ok(Arc::new(Self {
             settings,
             identity,
@@ -67,7 +71,8 @@
             pools,
             snapshot: ArcSwap::default(),
             folded: Folded::default(),
-            metrics: Metrics::new()?,
+            gate: Gate::new(&metrics),
+            metrics,
             connections: Connections::default(),
             link_bytes: ByteCount::default(),
             untold_ends: AtomicUsize::new(0),
