--- a/crates/sesamecart-decisions/src/allowance/tests.rs
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -38,6 +38,7 @@
             tokens: Tokens(100),
             ..Sample::default()
         },
+        ..Demand::default()
     }
 }
 
@@ -61,6 +62,7 @@
         fn $name() {
             let mut books = borrowed();
             let slice = Slice { permits: Permits($permits), valid_for: Duration::from_secs(1) };
+            books.demand(at(0), Permits(0));
             books.take(at(0), slice);
             books.finish(at(0), Tokens(0));
             for kv in $running {
@@ -173,7 +175,7 @@
         "{}",
         allowance.limit()
     );
-    climb(&mut allowance, BEGIN + 5_000, 12, 15);
+    climb(&mut allowance, BEGIN + 5_000, 16, 15);
     assert_eq!(allowance.limit(), Permits(32));
 }
 
@@ -199,6 +201,20 @@
     assert_eq!(allowance.limit(), Permits(4));
 }
 
+/// An endpoint bears one request while cold. The limit grows by less than one whole request at a
+/// time; were its use compared with the fraction, it would never grow and callers would be refused
+/// until the endpoint is replaced.
+#[test]
+fn an_endpoint_that_bears_one_request_when_cold_warms_up() {
+    let limits = EndpointLimits {
+        cold: Concurrency(1),
+        ..LIMITS
+    };
+    let mut allowance = Allowance::new(at(0), limits, AllowanceSettings::default());
+    climb(&mut allowance, BEGIN, 40, 15);
+    assert_eq!(allowance.limit(), Permits(32));
+}
+
 #[test]
 fn an_idle_cold_endpoint_stays_cold() {
     let mut allowance = Allowance::new(at(0), LIMITS, AllowanceSettings::default());
@@ -267,6 +283,7 @@
         permits: Permits(5),
         valid_for: Duration::from_secs(1),
     };
+    books.demand(at(0), Permits(0));
     books.take(at(0), slice);
     assert!(books.start(at(1), Tokens(500)));
     assert!(!books.start(at(2), Tokens(500)));
@@ -286,6 +303,7 @@
         permits: Permits(5),
         valid_for: cfg.slice(),
     };
+    borrowed.demand(at(0), Permits(0));
     borrowed.take(at(0), slice);
     assert!(borrowed.start(at(10), Tokens(500)));
     borrowed.demand(at(15), Permits(0));
@@ -295,6 +313,7 @@
         !borrowed.start(at(30), Tokens(500)),
         "this answer doesn't know of the failure"
     );
+    borrowed.demand(at(25), Permits(0));
     borrowed.take(at(25), slice);
     assert!(borrowed.start(at(30), Tokens(500)));
 }
--- a/crates/sesamecart-decisions/src/settings.rs
+++ b/crates/sesamecart-decisions/src/settings.rs
@@ -126,7 +126,7 @@
             linger_ms: 30_000,
             drift: 0.05,
             step_ms: 1_000,
-            growth: 1.2,
+            growth: 1.15,
             decrease: 0.8,
             tolerance: 2.0,
             token_gap_ms: 30,
@@ -167,7 +167,7 @@
     fn default() -> Self {
         Self {
             nodes_per_endpoint: 3,
-            min_subset: 16,
+            min_subset: 8,
             max_subset: 64,
             max_prefixes: 4_096,
             affinity_bound: 1.25,
--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{actions, groups, path, policy, roles};
+use sesamecart_measure::{actions, control, groups, path, policy, roles};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -21,6 +21,8 @@
 enum Part {
     #[options(help = "keyed actions through nine nodes under faults, and without keys")]
     Actions(actions::Arguments),
+    #[options(help = "what agreement costs each node, at growing numbers of nodes")]
+    Control(control::Arguments),
     #[options(help = "group downtime and stranded accelerators in a day of failures")]
     Groups(groups::Arguments),
     #[options(help = "the node's own time and processor use on the streaming path")]
@@ -40,6 +42,7 @@
     }
     let measured = match arguments.part {
         Some(Part::Actions(arguments)) => actions::run(&arguments),
+        Some(Part::Control(arguments)) => control::run(&arguments),
         Some(Part::Groups(arguments)) => groups::run(&arguments),
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod actions;
 mod caller;
 mod cluster;
+pub mod control;
 mod fit;
 pub mod groups;
 pub mod path;
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -21,7 +21,8 @@
 use crate::control::follower::Follower;
 use crate::control::link::LinkSide;
 use crate::control::peer_follower::PeerFollower;
-pub(crate) use crate::control::peers::{PeerView, Peers};
+pub(crate) use crate::control::peers::{Peer, PeerView, Peers};
+use crate::duties::Runner;
 use crate::groups::Duty;
 use crate::node::Listeners;
 use crate::pools::{Borrower, Lender, Owners};
@@ -51,7 +52,8 @@
     let peers = Peers::new(Arc::clone(shared), links);
     if let Some(address) = shared.settings.vm_list {
         let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(client, address, LOG_CALL_LIMIT));
-        tasks.spawn(upkeep::read_vm_list(list, peers.clone()));
+        let shared = Arc::clone(shared);
+        tasks.spawn(upkeep::read_vm_list(shared, list, peers.clone()));
     }
     let follower = Follower::new(Arc::clone(shared), Arc::clone(&log));
     tasks.spawn(follower.run());
@@ -73,8 +75,16 @@
         tasks.clone(),
     );
     tasks.spawn(Arc::clone(&desk).run());
+    let runner = Runner::new(
+        Arc::clone(shared),
+        Arc::clone(&log),
+        peers.clone(),
+        Arc::clone(&desk),
+        tasks.clone(),
+    );
+    tasks.spawn(runner.run());
     let lender = start_lending(shared, &peers, &tasks);
-    start_groups(shared, &desk, &log, &tasks);
+    start_groups(shared, &log, &tasks);
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
@@ -91,7 +101,7 @@
 }
 
 /// Starts controlling the groups of the shards that this node holds, if settings name a weight store.
-fn start_groups(shared: &Arc<Shared>, desk: &Arc<Desk>, log: &Arc<dyn Log>, tasks: &Tasks) {
+fn start_groups(shared: &Arc<Shared>, log: &Arc<dyn Log>, tasks: &Tasks) {
     let Some(address) = shared.settings.weight_store else {
         return;
     };
@@ -102,7 +112,6 @@
     });
     let duty = Duty::new(
         Arc::clone(shared),
-        Arc::clone(desk),
         Arc::clone(log),
         Arc::new(store),
         list,
--- a/crates/sesamecart-node/src/groups/carry.rs
+++ b/crates/sesamecart-node/src/groups/carry.rs
@@ -52,6 +52,9 @@
 impl Carrier {
     /// Appends a request and returns the news if the fold has rejected it.
     pub(super) async fn append(&self, request: AssignmentRequest, epoch: Epoch) -> Option<Event> {
+        if !self.may_act(request.group(), epoch) {
+            return Some(Event::Rejected(request));
+        }
         let record = record_of(request.clone(), epoch).encode();
         let offset = match self.log.append(record.into()).await {
             Ok(offset) => offset,
@@ -105,6 +108,14 @@
         }
     }
 
+    /// Returns whether this node may still act for a group under an epoch.
+    ///
+    /// The process can have been paused since the controller decided, for longer than its lease.
+    fn may_act(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let shard = self.shared.folded.with(|state| state.group_shard(group));
+        self.shared.may_act(shard) == Some(epoch)
+    }
+
     async fn send_order(&self, order: &FencedOrder, peer: SocketAddr) -> OrderAnswer {
         let body = Bytes::from(body_of(order).to_string());
         let request = Request::post("/orders")
@@ -114,6 +125,9 @@
         let Ok(request) = request else {
             return OrderAnswer::Unclear;
         };
+        if !self.may_act(&order.group, order.epoch) {
+            return OrderAnswer::Unclear;
+        }
         // An order isn't sent again by itself: the controller reads the state first.
         let sent = self
             .client
--- a/crates/sesamecart-node/src/groups/duty.rs
+++ b/crates/sesamecart-node/src/groups/duty.rs
@@ -16,7 +16,6 @@
 use super::carry::{Carrier, LoadStep, WantedLoad};
 use super::fleet::{assignments_of, endpoint_of, fleet_of};
 use super::load::fetch_load;
-use crate::actions::Desk;
 use crate::shared::Shared;
 
 /// The time between two polls of the groups that are controlled here.
@@ -30,7 +29,6 @@
 #[derive(Debug)]
 pub(crate) struct Duty {
     carrier: Carrier,
-    desk: Arc<Desk>,
     vm_list: Option<Arc<dyn VmList>>,
     tasks: Tasks,
     controller: Controller,
@@ -55,7 +53,6 @@
 impl Duty {
     pub(crate) fn new(
         shared: Arc<Shared>,
-        desk: Arc<Desk>,
         log: Arc<dyn Log>,
         store: Arc<dyn WeightStore>,
         vm_list: Option<Arc<dyn VmList>>,
@@ -71,7 +68,6 @@
                 store,
                 client,
             },
-            desk,
             vm_list,
             tasks,
             controller: Controller::new(settings),
@@ -161,7 +157,7 @@
             .values()
             .map(|plan| plan.shard())
             .collect();
-        let held = |shard: ShardId| Some((shard, self.desk.held(shard)?));
+        let held = |shard: ShardId| Some((shard, self.carrier.shared.may_act(shard)?));
         shards.into_iter().filter_map(held).collect()
     }
 
