--- a/crates/sesamecart-measure/src/groups/layout.rs
+++ b/crates/sesamecart-measure/src/groups/layout.rs
@@ -55,10 +55,10 @@
 /// The target with large fabric domains and with rack-sized ones, and both of today's deployments.
 pub(super) const SIZES: &[Size] = &[
     Size {
-        name: "target_12_fabrics",
+        name: "target_24_fabrics",
         models: TARGET_MODELS,
         failure_domains: 4,
-        fabric_domains: 12,
+        fabric_domains: 24,
         spares: 10,
         vm_failures: 13,
         pauses: 20,
--- a/crates/sesamecart-node/src/pools/lender.rs
+++ b/crates/sesamecart-node/src/pools/lender.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use sesamecart_config::{Endpoint, EndpointKind};
 use sesamecart_decisions::allowance::{Allowance, Demand, LoadReport, Sample};
 use sesamecart_decisions::settings::AllowanceSettings;
 use sesamecart_edges::HttpClient;
@@ -74,7 +75,7 @@
             let allowance = books
                 .allowances
                 .entry(id.clone())
-                .or_insert_with(|| Allowance::new(now, limits, self.cfg));
+                .or_insert_with(|| self.begin(now, endpoint));
             if allowance.limit_mut().configured() != limits {
                 allowance.limit_mut().set_configured(limits);
             }
@@ -85,6 +86,15 @@
         }
     }
 
+    /// Begins to keep an endpoint's allowance; a group must first be seen to be whole.
+    fn begin(&self, now: Timestamp, endpoint: &Endpoint) -> Allowance {
+        let mut allowance = Allowance::new(now, limits_of(endpoint), self.cfg);
+        if matches!(endpoint.kind, EndpointKind::Group(_)) {
+            allowance.limit_mut().set_ready(false);
+        }
+        allowance
+    }
+
     /// Answers another node's demands.
     pub(crate) fn lend(&self, request: &BorrowPermitsRequest) -> Option<BorrowPermitsReply> {
         // A later life of the node has another clock and other requests in flight.
--- a/crates/sesamecart-node/tests/callers/setup.rs
+++ b/crates/sesamecart-node/tests/callers/setup.rs
@@ -58,7 +58,11 @@
     fn prepare(faults: LogFaults) -> Self {
         let log = LogService::start(LogConfig::default()).expect("start the log");
         log.set_faults(faults);
-        let engine = Engine::start(EngineConfig::default()).expect("start the engine");
+        let engine = Engine::start(EngineConfig {
+            members: vec!["engine-1".parse().expect("a name")],
+            ..EngineConfig::default()
+        })
+        .expect("start the engine");
         let service =
             PlainService::start(PlainServiceConfig::default()).expect("start the service");
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
