--- a/crates/sesamecart-node/src/lib.rs
+++ b/crates/sesamecart-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod administration;
 mod control;
 mod duties;
+mod groups;
 mod identity;
 mod metrics;
 mod node;
--- a/crates/sesamecart-node/src/shared.rs
+++ b/crates/sesamecart-node/src/shared.rs
@@ -13,6 +13,7 @@
 
 use crate::control::Folded;
 use crate::duties::Duties;
+use crate::groups::Gate;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
 use crate::pools::Pools;
@@ -41,6 +42,8 @@
     pub(crate) duties: Duties,
     /// Admission and routing, by which requests get their turn at an endpoint.
     pub(crate) pools: Arc<Pools>,
+    /// Whether groups are whole, for the endpoints whose allowance this node owns.
+    pub(crate) gate: Gate,
     /// The node's counters.
     pub metrics: Metrics,
     /// The callers' open connections.
@@ -65,6 +68,7 @@
         let clock = Clock::start();
         let duties = Duties::new(&settings, &identity, clock.now())?;
         let pools = Pools::new(&settings, clock);
+        let metrics = Metrics::new()?;
         Ok(Arc::new(Self {
             settings,
             identity,
@@ -73,7 +77,8 @@
             pools,
             snapshot: ArcSwap::default(),
             folded: Folded::default(),
-            metrics: Metrics::new()?,
+            gate: Gate::new(&metrics),
+            metrics,
             connections: Connections::default(),
             link_bytes: ByteCount::default(),
             untold_ends: AtomicUsize::new(0),
