--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -96,7 +96,7 @@
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
     /// Milliseconds between two checkpoints; the log must keep records for at least three times as
-    /// long.
+    /// long, and for the hour of keyed actions; see docs/design/fold.md.
     #[serde(default = "default_checkpoint_ms")]
     pub checkpoint_ms: u64,
     /// The most records between two checkpoints; the log must keep at least three times as many.
--- a/crates/sesamecart-fold/src/checkpoint.rs
+++ b/crates/sesamecart-fold/src/checkpoint.rs
@@ -30,6 +30,9 @@
         /// The revision in force.
         own: Revision,
     },
+    /// It knows fewer keyed actions.
+    #[error("the checkpoint goes no further and knows fewer keyed actions")]
+    FewerActions,
     /// It ends before the state does.
     #[error("the checkpoint goes up to offset {found}, but this node has read up to {own}")]
     OlderOffset {
@@ -41,9 +44,21 @@
 }
 
 impl Fold {
-    /// Returns the state as a record for the log or for a peer.
+    /// Returns the state as a record for the log, without the keyed actions.
+    ///
+    /// An hour of keyed actions can take tens of megabytes. Writing them again with each checkpoint
+    /// would spend every node's share of the network on reading them. They stay in the records that
+    /// told of them, which the log must keep for longer than the hour.
     #[must_use]
     pub fn checkpoint(&self) -> Record {
+        Record::Checkpoint {
+            state: Box::new(self.state().without_actions()),
+        }
+    }
+
+    /// Returns the whole state as a record for a peer.
+    #[must_use]
+    pub fn hand_over(&self) -> Record {
         Record::Checkpoint {
             state: Box::new(self.state().clone()),
         }
@@ -76,7 +91,11 @@
                 own: own.next_offset,
             });
         }
-        *self = Self::with_state(state);
+        if state.next_offset == own.next_offset && own.knows_actions() && !state.knows_actions() {
+            return Err(CheckpointError::FewerActions);
+        }
+        let own = std::mem::take(self).into_state();
+        *self = Self::with_state(state.with_actions_of(own));
         Ok(())
     }
 }
--- a/crates/sesamecart-fold/src/fold.rs
+++ b/crates/sesamecart-fold/src/fold.rs
@@ -7,6 +7,7 @@
 
 use sesamecart_vocabulary::{EndpointId, Epoch, Offset, ShardId};
 
+use crate::action::ACTION_HORIZON_MS;
 use crate::audit::{AuditEntry, AuditKind};
 use crate::checkpoint::CheckpointMark;
 use crate::record::{DecodeError, Record};
@@ -40,6 +41,10 @@
         Self { state }
     }
 
+    pub(crate) fn into_state(self) -> State {
+        self.state
+    }
+
     /// Returns the state so far.
     #[must_use]
     pub const fn state(&self) -> &State {
@@ -64,7 +69,7 @@
             logged_at_ms: logged_at_ms.max(self.state.logged_at_ms),
         };
         self.state.logged_at_ms = at.logged_at_ms;
-        self.state.actions.expire(at.logged_at_ms);
+        self.expire_actions(at.logged_at_ms);
         let applied = match Record::decode(data) {
             Ok(envelope) => self.apply_record(at, envelope.record),
             Err(error) => self.skip(at, error),
@@ -73,6 +78,17 @@
         applied
     }
 
+    fn expire_actions(&mut self, now_ms: u64) {
+        self.state.actions.expire(now_ms);
+        let known_from = self
+            .state
+            .actions_since_ms
+            .saturating_add(ACTION_HORIZON_MS);
+        if known_from < now_ms {
+            self.state.actions_since_ms = 0;
+        }
+    }
+
     fn apply_record(&mut self, at: Position, record: Record) -> Applied {
         match record {
             Record::Publish { .. } => self.apply_publish(at, record),
--- a/crates/sesamecart-fold/src/state.rs
+++ b/crates/sesamecart-fold/src/state.rs
@@ -46,6 +46,9 @@
     pub orders: IndexMap<EndpointId, Epoch>,
     /// The keyed actions of the last hour.
     pub actions: Actions,
+    /// The log's time from which on every keyed action is known; 0 once the whole hour is.
+    #[serde(default)]
+    pub actions_since_ms: u64,
     /// What became of the newest changes, by publish id.
     pub verdicts: IndexMap<PublishId, PublishVerdict>,
     /// The newest lines of the audit trail.
@@ -86,6 +89,49 @@
         }
     }
 
+    /// Returns whether every keyed action of the last hour is known.
+    ///
+    /// A node that started from a checkpoint doesn't know those before it. Until they have expired,
+    /// it must refuse keys that it never heard of: one of them may have run.
+    #[must_use]
+    pub fn knows_actions(&self) -> bool {
+        self.actions_since_ms == 0
+    }
+
+    /// Returns the state as the log's checkpoints hold it, without the keyed actions.
+    pub(crate) fn without_actions(&self) -> Self {
+        Self {
+            next_offset: self.next_offset,
+            logged_at_ms: self.logged_at_ms,
+            revision: self.revision,
+            author: self.author.clone(),
+            published_at_ms: self.published_at_ms,
+            configuration: Arc::clone(&self.configuration),
+            drains: self.drains.clone(),
+            leases: self.leases.clone(),
+            assignments: self.assignments.clone(),
+            generations: self.generations.clone(),
+            versions: self.versions.clone(),
+            orders: self.orders.clone(),
+            actions: Actions::default(),
+            actions_since_ms: self.logged_at_ms.max(1),
+            verdicts: self.verdicts.clone(),
+            audit: self.audit.clone(),
+            checkpoint: self.checkpoint,
+        }
+    }
+
+    /// Keeps what a node knew of keyed actions before it took a checkpoint that knows none.
+    ///
+    /// This node may itself have let some of them in, and would run them again if it forgot them.
+    pub(crate) fn with_actions_of(mut self, own: Self) -> Self {
+        if !self.knows_actions() && self.actions.is_empty() {
+            self.actions = own.actions;
+            self.actions.expire(self.logged_at_ms);
+        }
+        self
+    }
+
     /// Returns the epoch of a shard's newest accepted claim, also if it was released since.
     #[must_use]
     pub fn epoch(&self, shard: ShardId) -> Option<Epoch> {
--- a/crates/sesamecart-fold/src/tests/any_order.rs
+++ b/crates/sesamecart-fold/src/tests/any_order.rs
@@ -153,6 +153,11 @@
             || log.read_into(&mut slow).standing == Standing::Seeking
         {}
         assert_eq!(log.read_into(&mut slow).standing, Standing::AtTail);
+        let without_actions = feed.fold.state().without_actions();
+        assert_eq!(slow.fold().state().without_actions(), without_actions);
+        if !slow.fold().state().knows_actions() {
+            slow.adopt(feed.fold.state().clone()).unwrap();
+        }
         assert_eq!(slow.fold().state(), feed.fold.state());
         for vm in slow.fold().state().assignments.keys() {
             let groups = GROUPS.map(|group| {
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use sesamecart_actions::{Gather, Gathered, Owner, OwnerConfig, VoterId};
-use sesamecart_fold::{ActionIntent, LeaseRecord, Record};
+use sesamecart_fold::{ActionIntent, LeaseRecord, Record, State};
 use sesamecart_lease::choose_voters;
 use sesamecart_links::message::FetchMirrorsRequest;
 use sesamecart_runtime::{sleep, within};
@@ -135,12 +135,20 @@
         self.owns(&mut state, shard)
     }
 
+    /// Begins to decide, with what the last owner's voters kept.
+    ///
+    /// A node that started from a checkpoint doesn't know the keyed actions before it; it refuses
+    /// keys that it never heard of, since one of them may have run.
     fn adopt(&self, shard: ShardId, intents: Vec<ActionIntent>) {
+        let complete = self.folded().with(State::knows_actions);
+        if !complete {
+            log::warn!("actions: shard {shard} refuses new keys, since older ones aren't known.");
+        }
         {
             let mut state = self.lock();
             if self.owns(&mut state, shard) {
                 self.with_owner(&mut state, shard, |owner, known, out| {
-                    owner.adopt(known, intents, true, out);
+                    owner.adopt(known, intents, complete, out);
                 });
             }
         }
--- a/crates/sesamecart-node/src/control/folded.rs
+++ b/crates/sesamecart-node/src/control/folded.rs
@@ -8,7 +8,7 @@
 use sesamecart_edges::{LogPage, LoggedRecord};
 use sesamecart_fold::{
     AppliedAt, CheckpointError, LogReader, PageBounds, PageRead, ProvisionalDrains,
-    ProvisionalError, RawRecord, Standing, State,
+    ProvisionalError, RawRecord, Record, Standing, State,
 };
 use sesamecart_vocabulary::{Offset, Timestamp};
 
@@ -69,6 +69,16 @@
         f(inner.reader.fold().state(), &inner.drains)
     }
 
+    /// Returns the state as a record for the log.
+    pub(crate) fn checkpoint(&self) -> Record {
+        self.lock().reader.fold().checkpoint()
+    }
+
+    /// Returns the whole state as a record for another node.
+    pub(crate) fn hand_over(&self) -> Record {
+        self.lock().reader.fold().hand_over()
+    }
+
     /// Returns the offset to read from next.
     pub(crate) fn wants(&self) -> Offset {
         self.lock().reader.wants()
--- a/crates/sesamecart-node/src/control/link.rs
+++ b/crates/sesamecart-node/src/control/link.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use sesamecart_fold::{Record, State};
 use sesamecart_links::message::link_server::Link;
 use sesamecart_links::message::{
     BeginActionReply, BeginActionRequest, BorrowPermitsReply, BorrowPermitsRequest,
@@ -73,15 +72,12 @@
         &self,
         _request: Request<FetchStateRequest>,
     ) -> Result<Response<FetchStateReply>, Status> {
-        let state = self.shared.folded.with(State::clone);
+        let standing = self.shared.standing();
         let reply = FetchStateReply {
-            next_offset: state.next_offset.0,
-            revision: state.revision.0,
+            next_offset: standing.next_offset.0,
+            revision: standing.revision.0,
             settled: self.shared.is_settled(),
-            checkpoint: Record::Checkpoint {
-                state: Box::new(state),
-            }
-            .encode(),
+            checkpoint: self.shared.folded.hand_over().encode(),
         };
         Ok(Response::new(reply))
     }
--- a/crates/sesamecart-node/src/control/peer_follower.rs
+++ b/crates/sesamecart-node/src/control/peer_follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sesamecart_edges::LoggedRecord;
-use sesamecart_fold::Record;
+use sesamecart_fold::{Record, State};
 use sesamecart_links::Request;
 use sesamecart_links::message::{FetchRecordsRequest, FetchStateRequest};
 use sesamecart_runtime::{sleep, within};
@@ -30,6 +30,11 @@
 /// How many other nodes are tried in a row.
 const TRIES: usize = 3;
 
+/// How long the node rests between two tries to learn keyed actions from others.
+///
+/// A state with an hour of them is large, and while the other node's state is behind, it is refused.
+const LEARN_REST: Duration = Duration::from_secs(1);
+
 /// How long another node may take to hand over its state, which can be large.
 const STATE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -53,6 +58,8 @@
             let now = self.shared.clock.now();
             if self.shared.folded.needs_peers(silence, now) {
                 self.ask_peers().await;
+            } else if !self.shared.folded.with(State::knows_actions) {
+                self.learn_actions().await;
             }
         }
     }
@@ -111,6 +118,16 @@
         true
     }
 
+    /// Takes the keyed actions that a checkpoint didn't hold from a node that knows them.
+    async fn learn_actions(&self) {
+        let peers = self.peers.all();
+        if let Some(peer) = fastrand::choice(&peers) {
+            let begun = self.shared.clock.now();
+            self.adopt_from(peer, begun).await;
+        }
+        sleep(LEARN_REST).await;
+    }
+
     async fn start_from_peers(&self) {
         let begun = self.shared.clock.now();
         let views = self.peers.ask_all().await;
--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sesamecart_edges::{Log, VmList};
-use sesamecart_fold::{CheckpointPace, CheckpointSchedule, Record, State};
+use sesamecart_fold::{CheckpointPace, CheckpointSchedule, State};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::{ShardId, stable_hash};
 
@@ -53,9 +53,7 @@
         if !due {
             continue;
         }
-        let checkpoint = shared.folded.with(|state| Record::Checkpoint {
-            state: Box::new(state.clone()),
-        });
+        let checkpoint = shared.folded.checkpoint();
         match log.append(checkpoint.encode().into()).await {
             Ok(offset) => log::info!("fold: wrote a checkpoint at offset {offset}."),
             Err(error) => log::warn!("fold: no checkpoint: {error}."),
