Measure what agreement costs each node at growing sizes

Change: whole nodes over loopback with the log stand-in, quiet and while configurations change, with lines fitted through the sizes at which heartbeats are full and the endpoints' share measured apart.

--- a/crates/sesamecart-measure/src/control.rs
+++ b/crates/sesamecart-measure/src/control.rs
@@ -3,8 +3,12 @@
 //! Whole nodes run in this process over loopback with the log stand-in. Bytes over links are counted
 //! at the sockets, sent and received. Bytes of log reads are the number of reads that the stand-in
 //! saw times the size of one read and its answer on the wire. Processor time is that of the nodes'
-//! control threads, as the system counts it; memory is what the process grew by per node, traffic
-//! threads included. Figures at 380 nodes follow from straight lines through the measured sizes.
+//! control threads, as the system counts it. Memory is what the process grew by from one size to the
+//! next, per node added, traffic threads included.
+//!
+//! Figures at 380 nodes follow from straight lines through the sizes from which on heartbeats are
+//! full; below, they carry fewer members. What endpoints add is measured at nine nodes with a
+//! multiple of the example's endpoints, and the users' target number is added to the figures.
 
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
@@ -27,6 +31,16 @@
 /// The users' target.
 const TARGET_NODES: f64 = 380.0;
 
+/// The users' target of endpoints.
+const TARGET_ENDPOINTS: f64 = 660.0;
+
+/// The fewest nodes at which heartbeats are full.
+const FULL_FROM: usize = 14;
+
+/// The number of nodes at which endpoints are multiplied, and by what.
+const ENDPOINT_NODES: usize = 9;
+const ENDPOINT_COPIES: usize = 10;
+
 /// How long all shards may take to get an owner.
 const OWNERS_LIMIT: Duration = Duration::from_secs(60);
 
@@ -35,9 +49,12 @@
 pub struct Arguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "numbers of nodes, separated by commas", default = "3,9,30,60")]
+    #[options(
+        help = "numbers of nodes, separated by commas",
+        default = "3,9,30,60,90"
+    )]
     nodes: String,
-    #[options(help = "seconds of the quiet part at each size", default = "10")]
+    #[options(help = "seconds of the quiet part at each size", default = "8")]
     seconds: u64,
     #[options(help = "configurations published at each size", default = "10")]
     changes: usize,
@@ -47,11 +64,12 @@
 #[derive(Clone, Debug, Serialize)]
 struct Measured {
     nodes: usize,
+    endpoints: usize,
     link_bytes_per_s_per_node: f64,
     log_bytes_per_s_per_node: f64,
     bytes_per_s_per_node: f64,
     cpu_fraction: f64,
-    memory_mb: f64,
+    resident_mb: f64,
     log_reads_per_s: f64,
     log_appends_per_s: f64,
     owners_after_start_s: f64,
@@ -69,6 +87,9 @@
     log_appends_per_s_at_380: f64,
     config_in_force_p99_s_at_380: f64,
     slopes_per_node: Slopes,
+    slopes_per_endpoint: EndpointSlopes,
+    bytes_per_change_per_node: f64,
+    with_more_endpoints: Measured,
     points: Vec<Measured>,
 }
 
@@ -82,6 +103,14 @@
     config_in_force_p99_s: f64,
 }
 
+/// What one more endpoint adds on each node.
+#[derive(Debug, Serialize)]
+struct EndpointSlopes {
+    bytes_per_s_per_node: f64,
+    cpu_fraction: f64,
+    memory_mb: f64,
+}
+
 /// Measures and prints the report.
 ///
 /// # Errors
@@ -92,12 +121,38 @@
     let sizes = sizes.context("--nodes")?;
     let mut points = Vec::new();
     for size in &sizes {
-        let measured = async_io::block_on(measure(*size, arguments))?;
-        println!("{}", serde_json::to_string(&measured)?);
-        points.push(measured);
+        points.push(measure_and_print(*size, 1, arguments)?);
     }
+    let few = measure_and_print(ENDPOINT_NODES, 1, arguments)?;
+    let many = measure_and_print(ENDPOINT_NODES, ENDPOINT_COPIES, arguments)?;
+    let report = report(sizes, points, &few, many)?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
+
+fn measure_and_print(
+    size: usize,
+    copies: usize,
+    arguments: &Arguments,
+) -> anyhow::Result<Measured> {
+    let measured = async_io::block_on(measure(size, copies, arguments))?;
+    println!("{}", serde_json::to_string(&measured)?);
+    Ok(measured)
+}
+
+fn report(
+    nodes: Vec<usize>,
+    points: Vec<Measured>,
+    few: &Measured,
+    many: Measured,
+) -> anyhow::Result<Report> {
+    let full: Vec<&Measured> = points
+        .iter()
+        .filter(|measured| measured.nodes >= FULL_FROM)
+        .collect();
+    let last = full.last().context("no size has full heartbeats")?;
     let fit = |value: fn(&Measured) -> f64| {
-        let points = points.iter().map(|measured| Point {
+        let points = full.iter().map(|measured| Point {
             size: to_f64(measured.nodes),
             value: value(measured),
         });
@@ -105,14 +160,23 @@
     };
     let bytes = fit(|measured| measured.bytes_per_s_per_node);
     let cpu = fit(|measured| measured.cpu_fraction);
-    let memory = fit(|measured| measured.memory_mb);
     let appends = fit(|measured| measured.log_appends_per_s);
     let in_force = fit(|measured| measured.config_in_force_p99_s);
-    let report = Report {
-        nodes: sizes,
-        bytes_per_s_per_node_at_380: bytes.at(TARGET_NODES),
-        cpu_fraction_at_380: cpu.at(TARGET_NODES),
-        memory_mb_at_380: memory.at(TARGET_NODES),
+    let memory = memory_per_node(&points);
+    let added = to_f64(many.endpoints - few.endpoints);
+    let per_endpoint = EndpointSlopes {
+        bytes_per_s_per_node: (many.bytes_per_s_per_node - few.bytes_per_s_per_node) / added,
+        cpu_fraction: (many.cpu_fraction - few.cpu_fraction) / added,
+        memory_mb: (many.resident_mb - few.resident_mb) / added / to_f64(few.nodes),
+    };
+    let missing = TARGET_ENDPOINTS - to_f64(few.endpoints);
+    let more = |slope: f64| (slope * missing).max(0.0);
+    Ok(Report {
+        nodes,
+        bytes_per_s_per_node_at_380: bytes.at(TARGET_NODES)
+            + more(per_endpoint.bytes_per_s_per_node),
+        cpu_fraction_at_380: cpu.at(TARGET_NODES) + more(per_endpoint.cpu_fraction),
+        memory_mb_at_380: memory.at(TARGET_NODES) + more(per_endpoint.memory_mb),
         log_appends_per_s_at_380: appends.at(TARGET_NODES),
         config_in_force_p99_s_at_380: in_force.at(TARGET_NODES),
         slopes_per_node: Slopes {
@@ -122,15 +186,31 @@
             log_appends_per_s: appends.slope,
             config_in_force_p99_s: in_force.slope,
         },
+        slopes_per_endpoint: per_endpoint,
+        bytes_per_change_per_node: last.bytes_per_change_per_node,
+        with_more_endpoints: many,
         points,
-    };
-    println!("{}", serde_json::to_string(&report)?);
-    Ok(())
+    })
 }
 
-async fn measure(size: usize, arguments: &Arguments) -> anyhow::Result<Measured> {
-    let before = resident()?;
+/// Fits the memory of one node against the number of nodes.
+///
+/// If each of n nodes takes b + c n, all take b n + c n^2, and from one size to the next the growth
+/// per added node is b + c (n1 + n2): a line in the sum of both sizes.
+fn memory_per_node(points: &[Measured]) -> Fit {
+    let growth = points.windows(2).map(|pair| {
+        let (from, to) = (&pair[0], &pair[1]);
+        Point {
+            size: to_f64(from.nodes + to.nodes),
+            value: (to.resident_mb - from.resident_mb) / to_f64(to.nodes - from.nodes),
+        }
+    });
+    Fit::of(&growth.collect::<Vec<_>>())
+}
+
+async fn measure(size: usize, copies: usize, arguments: &Arguments) -> anyhow::Result<Measured> {
     let mut cluster = Cluster::start(&plan(size)?)?;
+    multiply_endpoints(&mut cluster, copies)?;
     cluster.publish().await?;
     cluster.wait_ready().await?;
     let owners_after = wait_for_owners(&cluster).await?;
@@ -154,23 +234,42 @@
     }
     let changing = begun.elapsed().as_secs_f64();
     let for_changes = Counts::now(&cluster)?.since(&changes);
-    let changed = (for_changes.link_bytes - link_bytes * nodes * changing).max(0.0);
+    let over_links = (for_changes.link_bytes - link_bytes * nodes * changing).max(0.0);
+    // The log's answers carry records in base64.
+    let changed = over_links / nodes + for_changes.appended_bytes * 4.0 / 3.0;
+    let endpoints = cluster.configuration.endpoints.len();
     cluster.stop();
     Ok(Measured {
         nodes: size,
+        endpoints,
         link_bytes_per_s_per_node: link_bytes,
         log_bytes_per_s_per_node: log_bytes,
         bytes_per_s_per_node: link_bytes + log_bytes,
         cpu_fraction: used.cpu / taken / nodes,
-        memory_mb: to_f64(after.0.saturating_sub(before.0)) / 1e6 / nodes,
+        resident_mb: to_f64(after.0) / 1e6,
         log_reads_per_s: used.log_reads / taken,
         log_appends_per_s: used.log_appends / taken,
         owners_after_start_s: owners_after.as_secs_f64(),
         config_in_force_p99_s: quantile(&mut in_force, 0.99),
-        bytes_per_change_per_node: changed / nodes / to_f64(arguments.changes.max(1)),
+        bytes_per_change_per_node: changed / to_f64(arguments.changes.max(1)),
     })
 }
 
+/// Gives every endpoint some doubles at the same address.
+fn multiply_endpoints(cluster: &mut Cluster, copies: usize) -> anyhow::Result<()> {
+    let endpoints = cluster.configuration.endpoints.clone();
+    for copy in 1..copies {
+        for (id, endpoint) in &endpoints {
+            let double = format!("{id}-{copy}").parse()?;
+            cluster
+                .configuration
+                .endpoints
+                .insert(double, endpoint.clone());
+        }
+    }
+    Ok(())
+}
+
 fn plan(size: usize) -> anyhow::Result<ClusterPlan> {
     let examples = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples"));
     let domains = ["muscat-a", "muscat-b", "muscat-c"];
@@ -215,6 +314,7 @@
     link_bytes: f64,
     log_reads: f64,
     log_appends: f64,
+    appended_bytes: f64,
     cpu: f64,
 }
 
@@ -228,6 +328,7 @@
                 .sum(),
             log_reads: to_f64(log.reads),
             log_appends: to_f64(log.appends),
+            appended_bytes: to_f64(log.appended_bytes),
             cpu: thread_cpu("control-")?.as_secs_f64(),
         })
     }
@@ -237,6 +338,7 @@
             link_bytes: self.link_bytes - earlier.link_bytes,
             log_reads: self.log_reads - earlier.log_reads,
             log_appends: self.log_appends - earlier.log_appends,
+            appended_bytes: self.appended_bytes - earlier.appended_bytes,
             cpu: self.cpu - earlier.cpu,
         }
     }
