--- a/crates/sesamecart-lease/src/balance.rs
+++ b/crates/sesamecart-lease/src/balance.rs
@@ -7,9 +7,9 @@
 
 /// How far above the mean a node's number of shards may lie, as a fraction.
 ///
-/// Plain rendezvous leaves the fullest of nine nodes about 40 percent above the mean, and that node
-/// would bear the actions of a domain that leaves first. A tighter bound moves more shards when a
-/// node joins.
+/// Plain rendezvous spreads the numbers by chance, by some 5 either way at nine nodes with 28 shards
+/// each, and the fullest node would bear the most when a domain leaves. A tighter bound moves more
+/// shards when a node joins.
 const SLACK_NUMERATOR: usize = 5;
 const SLACK_DENOMINATOR: usize = 4;
 
