--- a/crates/sesamecart-measure/src/policy.rs
+++ b/crates/sesamecart-measure/src/policy.rs
@@ -58,7 +58,7 @@
     #[options(no_short, meta = "FILE", help = "settings of the decisions as JSON")]
     settings: Option<PathBuf>,
     /// The number of threads.
-    #[options(no_short, meta = "N", default = "6", help = "threads (default 6)")]
+    #[options(no_short, meta = "N", default = "8", help = "threads (default 8)")]
     threads: usize,
 }
 
