Take nodes' lives from heartbeats instead of asking 24 nodes twice a second

Cause: each owner of keys asked up to 24 random nodes every half second whether they live, beside the membership's heartbeats. Change: the membership tells the life that it last heard of a node, and voters are compared by it. Conclusion: one watch instead of two.

--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -29,8 +29,6 @@
     home: FailureDomainId,
     peers: Peers,
     suspected_until: Arc<Mutex<IndexMap<NodeId, Timestamp>>>,
-    /// The life of each node that was last heard.
-    lives: Arc<Mutex<IndexMap<NodeId, Incarnation>>>,
     chosen: Arc<Mutex<Chosen>>,
 }
 
@@ -52,7 +50,6 @@
             home: settings.failure_domain.clone(),
             peers,
             suspected_until: Arc::default(),
-            lives: Arc::default(),
             chosen: Arc::default(),
         }
     }
@@ -79,25 +76,9 @@
         }
     }
 
-    /// Notes which life of a node answered.
-    pub(crate) fn note_life(&self, node: &NodeId, life: Incarnation) {
-        let lives = self.lives.lock();
-        let mut lives = lives.unwrap_or_else(PoisonError::into_inner);
-        lives.insert(node.clone(), life);
-    }
-
     /// Returns the life of a node that was last heard.
     pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
-        let lives = self.lives.lock();
-        lives
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(node)
-            .copied()
-    }
-
-    /// Returns all other nodes.
-    pub(crate) fn others(&self) -> Vec<NodeId> {
-        self.peers.all().into_iter().map(|peer| peer.node).collect()
+        self.peers.life(node)
     }
 
     fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
@@ -113,8 +94,10 @@
     /// A node that was paused or cut off hears nobody and would take itself for the last one alive;
     /// claiming every shard then, it would move them all for nothing.
     pub(crate) fn hears_most(&self, now: Timestamp) -> bool {
-        let others = self.others();
-        let silent = others.iter().filter(|node| self.is_suspected(node, now));
+        let others = self.peers.all();
+        let silent = others
+            .iter()
+            .filter(|peer| self.is_suspected(&peer.node, now));
         2 * silent.count() <= others.len() + 1
     }
 
--- a/crates/sesamecart-node/src/actions/renewal.rs
+++ b/crates/sesamecart-node/src/actions/renewal.rs
@@ -3,7 +3,8 @@
 //! A voter that restarted has forgotten what it kept, so it can't vouch for its last life. Were too
 //! many of a shard's voters lost one after another, the next owner could never be sure of having
 //! heard of every intent, and the shard's keys would be refused. As long as the log is up, the
-//! owner claims its own shard again with fresh voters.
+//! owner claims its own shard again with fresh voters. Heartbeats tell which life of a node they come
+//! from.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,18 +12,11 @@
 use futures_util::future::join_all;
 use sesamecart_fold::{LeaseRecord, Record};
 use sesamecart_lease::choose_voters;
-use sesamecart_links::message::HeartbeatRequest;
 use sesamecart_runtime::{sleep, within};
 use sesamecart_vocabulary::{Incarnation, NodeId, ShardId, Timestamp};
 
 use super::desk::Desk;
 
-/// The time between two rounds of asking other nodes whether they live.
-const WATCH_REST: Duration = Duration::from_millis(500);
-/// How long a node may take to answer.
-const WATCH_LIMIT: Duration = Duration::from_millis(400);
-/// The most nodes asked in one round; of more, a random part is asked each time.
-const WATCHED: usize = 24;
 /// The time between two looks at the voters of owned shards.
 const RENEWAL_REST: Duration = Duration::from_millis(250);
 /// The most shards renewed in one look, so that a lost failure domain doesn't fill the log's rate.
@@ -31,44 +25,6 @@
 const APPEND_LIMIT: Duration = Duration::from_secs(1);
 
 impl Desk {
-    /// Asks other nodes in turn whether they live, and which life it is.
-    pub(crate) async fn watch_nodes(self: Arc<Self>) {
-        loop {
-            let mut nodes = self.directory.others();
-            fastrand::shuffle(&mut nodes);
-            nodes.truncate(WATCHED);
-            let begun = self.now();
-            let heard = join_all(nodes.iter().map(|node| self.watch(node))).await;
-            // A pause of this node makes all its time limits pass at once, and says nothing of others.
-            let paused = self.now() - begun > 2 * WATCH_LIMIT;
-            for (node, heard) in nodes.iter().zip(heard) {
-                if !heard && !paused {
-                    self.directory.suspect(node, self.now());
-                }
-            }
-            sleep(WATCH_REST).await;
-        }
-    }
-
-    async fn watch(&self, node: &NodeId) -> bool {
-        let Some(address) = self.directory.address(node) else {
-            return false;
-        };
-        let mut client = self.peers.links().to(address);
-        let asked = within(WATCH_LIMIT, client.heartbeat(HeartbeatRequest::default())).await;
-        let receiver = asked.ok().and_then(Result::ok);
-        let receiver = receiver.and_then(|reply| reply.into_inner().receiver);
-        match receiver {
-            Some(member) if member.node == node.as_str() => {
-                self.directory.trust(node);
-                self.directory
-                    .note_life(node, Incarnation(member.incarnation));
-                true
-            }
-            _ => false,
-        }
-    }
-
     /// Looks at the voters of owned shards and replaces those that left or restarted.
     pub(crate) async fn renew_voters(self: Arc<Self>) {
         loop {
--- a/crates/sesamecart-node/src/control/peers.rs
+++ b/crates/sesamecart-node/src/control/peers.rs
@@ -11,7 +11,7 @@
 use sesamecart_links::{Links, Request};
 use sesamecart_membership::Standing;
 use sesamecart_runtime::within;
-use sesamecart_vocabulary::{FailureDomainId, NodeId, Offset, Revision, Timestamp};
+use sesamecart_vocabulary::{FailureDomainId, Incarnation, NodeId, Offset, Revision, Timestamp};
 
 use crate::shared::Shared;
 
@@ -112,6 +112,11 @@
         known.extend(listed);
     }
 
+    /// Returns the life of a node that heartbeats told of last.
+    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        self.shared.duties.life(node)
+    }
+
     /// Returns whether heartbeats tell that a node is down.
     pub(crate) fn is_down(&self, node: &NodeId, now: Timestamp) -> bool {
         let standing = self.shared.duties.standing(node, now);
--- a/crates/sesamecart-node/src/duties.rs
+++ b/crates/sesamecart-node/src/duties.rs
@@ -15,7 +15,7 @@
 use sesamecart_config::Settings;
 use sesamecart_lease::{Holder, LeaseSettings, Leases, NodeState, NodeView, Owners, View};
 use sesamecart_membership::{Member, Membership, MembershipSettings, Seed, Standing, Status};
-use sesamecart_vocabulary::{NodeId, SHARDS, Timestamp, stable_hash};
+use sesamecart_vocabulary::{Incarnation, NodeId, SHARDS, Timestamp, stable_hash};
 
 use crate::control::Peer;
 pub(crate) use crate::duties::runner::Runner;
@@ -111,6 +111,11 @@
         self.lock().membership.standing(node, now)
     }
 
+    /// Returns the life of another node's process that was last heard of.
+    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        self.lock().membership.incarnation(node)
+    }
+
     /// Returns whether heartbeats tell of any other live node.
     pub(crate) fn knows_others(&self, now: Timestamp) -> bool {
         !self.living(now).is_empty()
