Wait for an owner of every shard before a test takes the log away

Cause: the tests counted claims, of which one shard can have several, so an outage could begin before some shard had an owner; the booking in a silent outage then failed in one run of 26 tests. Change: distinct shards are counted.

--- a/crates/sesamecart-node/tests/whole_path/setup.rs
+++ b/crates/sesamecart-node/tests/whole_path/setup.rs
@@ -5,6 +5,7 @@
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexSet;
 use serde_json::{Value, json};
 use sesamecart_config::{Configuration, Settings};
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
@@ -15,7 +16,7 @@
     Engine, EngineConfig, EngineSpeed, Ledger, ListedVm, LogConfig, LogFaults, LogOutage,
     LogService, PlainService, PlainServiceConfig, PlainServiceFaults, VmList, VmRole, VmState,
 };
-use sesamecart_vocabulary::{Concurrency, KeyHash, Revision, SHARDS, Tokens};
+use sesamecart_vocabulary::{Concurrency, KeyHash, Revision, SHARDS, ShardId, Tokens};
 
 pub(crate) const KEY: &str = "key-of-the-test";
 const DOMAINS: [&str; 3] = ["muscat-a", "muscat-b", "muscat-c"];
@@ -116,13 +117,9 @@
         deployment.list_nodes();
         deployment.publish(settles_actions);
         wait_until("an owner of each shard", || {
-            let owned = deployment
-                .log
-                .records()
-                .iter()
-                .filter(|data| is_claim(data))
-                .count();
-            owned >= usize::from(SHARDS)
+            let records = deployment.log.records();
+            let owned: IndexSet<_> = records.iter().filter_map(|data| claimed(data)).collect();
+            owned.len() >= usize::from(SHARDS)
         });
         let nodes = deployment.nodes.len();
         let body = r#"{"model":"assistant","max_tokens":1,"prompt":"ready"}"#;
@@ -286,9 +283,11 @@
     }
 }
 
-fn is_claim(data: &[u8]) -> bool {
-    let record = Record::decode(data).map(|envelope| envelope.record);
-    matches!(record, Ok(Record::Claim { .. }))
+fn claimed(data: &[u8]) -> Option<ShardId> {
+    match Record::decode(data).ok()?.record {
+        Record::Claim { shard, .. } => Some(shard),
+        _ => None,
+    }
 }
 
 fn start_engine(index: usize) -> Engine {
