Describe groups, metrics and alerts for the users' three measures

Cause: what the controller weighs, what it was measured to bring and what isn't built stood nowhere.

--- a/crates/sesamecart-node/tests/groups/main.rs
+++ b/crates/sesamecart-node/tests/groups/main.rs
@@ -191,3 +191,48 @@
     let orders = deployment.engine.orders();
     assert!(orders.iter().all(|order| order.epoch.0 > 0), "{orders:?}");
 }
+
+/// Every metric that a node exports stands in docs/metrics.md, and the measures' alerts name metrics
+/// that exist.
+#[test]
+fn exported_metrics_are_documented() {
+    let deployment = Deployment::start(&["vm-1", "vm-2"], false);
+    wait("the group answers", || deployment.is_answered());
+    deployment.engine.set_ready(false);
+    let page = include_str!("../../../../docs/metrics.md");
+    let alerts = include_str!("../../../../docs/alerts.yaml");
+    let exported = || {
+        let text = deployment.node.shared().metrics.render().expect("render");
+        let text = String::from_utf8(text).expect("text");
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        let names = types.filter_map(|line| line.split(' ').next());
+        names.map(str::to_owned).collect::<Vec<_>>()
+    };
+    wait("the group's downtime is counted", || {
+        exported()
+            .iter()
+            .any(|name| name == "sesamecart_group_downtime_seconds_total")
+    });
+    for name in exported()
+        .iter()
+        .filter(|name| name.starts_with("sesamecart_"))
+    {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} isn't documented"
+        );
+    }
+    let words = alerts.split(|c: char| !(c.is_ascii_alphanumeric() || c == '_'));
+    let mut used: Vec<&str> = words
+        .filter(|word| word.starts_with("sesamecart_"))
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used.len(), 4, "{used:?}");
+    for name in used {
+        assert!(
+            exported().iter().any(|known| known == name),
+            "{name} isn't exported"
+        );
+    }
+}
