--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -29,6 +29,8 @@
     home: FailureDomainId,
     peers: Peers,
     suspected_until: Arc<Mutex<IndexMap<NodeId, Timestamp>>>,
+    /// The life of each node that was last heard.
+    lives: Arc<Mutex<IndexMap<NodeId, Incarnation>>>,
     chosen: Arc<Mutex<Chosen>>,
 }
 
@@ -50,6 +52,7 @@
             home: settings.failure_domain.clone(),
             peers,
             suspected_until: Arc::default(),
+            lives: Arc::default(),
             chosen: Arc::default(),
         }
     }
@@ -76,6 +79,27 @@
         }
     }
 
+    /// Notes which life of a node answered.
+    pub(crate) fn note_life(&self, node: &NodeId, life: Incarnation) {
+        let lives = self.lives.lock();
+        let mut lives = lives.unwrap_or_else(PoisonError::into_inner);
+        lives.insert(node.clone(), life);
+    }
+
+    /// Returns the life of a node that was last heard.
+    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        let lives = self.lives.lock();
+        lives
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(node)
+            .copied()
+    }
+
+    /// Returns all other nodes.
+    pub(crate) fn others(&self) -> Vec<NodeId> {
+        self.peers.all().into_iter().map(|peer| peer.node).collect()
+    }
+
     fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
         let by_call = self
             .suspicions()
@@ -84,6 +108,16 @@
         by_call || self.peers.is_down(node, now)
     }
 
+    /// Returns whether at least half of the other nodes count as alive.
+    ///
+    /// A node that was paused or cut off hears nobody and would take itself for the last one alive;
+    /// claiming every shard then, it would move them all for nothing.
+    pub(crate) fn hears_most(&self, now: Timestamp) -> bool {
+        let others = self.others();
+        let silent = others.iter().filter(|node| self.is_suspected(node, now));
+        2 * silent.count() <= others.len() + 1
+    }
+
     /// Returns where a node takes links, if it is known.
     pub(crate) fn address(&self, node: &NodeId) -> Option<SocketAddr> {
         self.peers.get(node).map(|peer| peer.address)
--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -7,7 +7,7 @@
 use futures_util::future::join_all;
 use indexmap::IndexSet;
 use sesamecart_actions::{Gather, Gathered, Owner, OwnerConfig, VoterId};
-use sesamecart_fold::{ActionIntent, LeaseRecord, Record};
+use sesamecart_fold::{ActionIntent, LeaseRecord, Record, State};
 use sesamecart_lease::choose_voters;
 use sesamecart_links::message::FetchMirrorsRequest;
 use sesamecart_runtime::{sleep, within};
@@ -34,6 +34,9 @@
     ///
     /// Two nodes may do so at once; the fold lets the first claim win.
     pub(super) fn take_over(self: &Arc<Self>, shard: ShardId) {
+        if !self.directory.hears_most(self.now()) {
+            return;
+        }
         let mut state = self.lock();
         let held = state.owners.contains_key(&shard);
         if state.leaving || held || !state.taking_over.insert(shard) {
@@ -54,7 +57,8 @@
     /// No claim can be made while the log is out, so a shard that was only claimed when the first
     /// key came would refuse every key in an outage.
     pub(super) fn claim_free(self: &Arc<Self>) {
-        if !self.shared.folded.log_answers() || self.shared.unready_because().is_some() {
+        let ready = self.shared.folded.log_answers() && self.shared.unready_because().is_none();
+        if !ready {
             return;
         }
         let first = self.next_free.fetch_add(SHARDS_PER_TICK, Ordering::Relaxed) % SHARDS;
@@ -127,20 +131,6 @@
         busy.map(|(shard, _)| *shard).collect()
     }
 
-    /// Claims a shard that this node holds once more, with voters that live.
-    ///
-    /// Returns whether it does so; it doesn't while keyed actions are under way.
-    pub(crate) fn refresh_voters(self: &Arc<Self>, shard: ShardId) -> bool {
-        if self.busy_shards().contains(&shard) {
-            return false;
-        }
-        if self.lock().owners.swap_remove(&shard).is_none() {
-            return false;
-        }
-        self.take_over(shard);
-        true
-    }
-
     /// Asks the last owner's voters until every intent that a majority kept is known.
     ///
     /// A lease that was given up needs no asking: its owner had nothing left that wasn't in the log.
@@ -178,12 +168,20 @@
         self.owns(&mut state, shard)
     }
 
+    /// Begins to decide, with what the last owner's voters kept.
+    ///
+    /// A node that started from a checkpoint doesn't know the keyed actions before it; it refuses
+    /// keys that it never heard of, since one of them may have run.
     fn adopt(&self, shard: ShardId, intents: Vec<ActionIntent>) {
+        let complete = self.folded().with(State::knows_actions);
+        if !complete {
+            log::warn!("actions: shard {shard} refuses new keys, since older ones aren't known.");
+        }
         {
             let mut state = self.lock();
             if self.owns(&mut state, shard) {
                 self.with_owner(&mut state, shard, |owner, known, out| {
-                    owner.adopt(known, intents, true, out);
+                    owner.adopt(known, intents, complete, out);
                 });
             }
         }
