Take callers and operators by TLS where settings say so

Cause: the TLS files could be read and checked, but no listener used them. Change: callers' and operators' listeners take TLS by the settings' files, with a limit on the handshake; a node looks for new files every five seconds; it doesn't start with files that can't be used, or with TLS asked for on links, which isn't built yet.

--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -8,15 +8,16 @@
 use std::time::Duration;
 
 use async_io::Async;
-use futures_lite::future;
+use futures_lite::{AsyncRead, AsyncWrite, future};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use sesamecart_runtime::{Accepted, Signal, Tasks, accept, sleep};
+use sesamecart_runtime::{Accepted, Signal, Tasks, accept, sleep, within};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body::CallerBody;
+use crate::tls::TlsServer;
 
 /// Bounds on the connections of one server.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +68,9 @@
     }
 }
 
+/// How long a TLS handshake may take; a peer that stays silent would hold a connection for nothing.
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Takes connections and hands their requests to `handle` until `leave` is given.
 ///
 /// Connections that are open then end after the request they are at, so that a graceful shutdown
@@ -77,6 +81,7 @@
 /// Returns the system's error when the listener can't be watched.
 pub async fn serve<H, F>(
     listener: TcpListener,
+    tls: Option<TlsServer>,
     limits: ServerLimits,
     tasks: Tasks,
     connections: Connections,
@@ -103,19 +108,47 @@
         let open = connections.enter();
         let leave = leave.clone();
         let handle = handle.clone();
+        let tls = tls.clone();
         tasks.spawn(async move {
-            run_connection(accepted, limits, leave, handle).await;
+            take_connection(accepted, tls, limits, leave, handle).await;
             drop(open);
         });
     }
 }
 
-async fn run_connection<H, F>(accepted: Accepted, limits: ServerLimits, leave: Signal, handle: H)
-where
+/// Runs a connection, after a handshake where the side takes TLS.
+async fn take_connection<H, F>(
+    accepted: Accepted,
+    tls: Option<TlsServer>,
+    limits: ServerLimits,
+    leave: Signal,
+    handle: H,
+) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
     let peer = accepted.peer;
+    let Some(tls) = tls else {
+        return run_connection(accepted.stream, peer, limits, leave, handle).await;
+    };
+    match within(HANDSHAKE_LIMIT, tls.acceptor().accept(accepted.stream)).await {
+        Ok(Ok(stream)) => run_connection(stream, peer, limits, leave, handle).await,
+        Ok(Err(error)) => log::debug!("server: TLS with {peer}: {error}."),
+        Err(_) => log::debug!("server: TLS with {peer}: the handshake took too long."),
+    }
+}
+
+async fn run_connection<S, H, F>(
+    stream: S,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    leave: Signal,
+    handle: H,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<CallerBody>> + Send + 'static,
+{
     let service = service_fn(move |req| {
         let answer = handle(req, peer);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -124,7 +157,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(limits.head_limit)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(FuturesIo::new(accepted.stream), service);
+        .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = future::or(async { Some(connection.as_mut().await) }, async {
         leave.wait().await;
--- a/crates/sesamecart-edges/src/tls.rs
+++ b/crates/sesamecart-edges/src/tls.rs
@@ -13,8 +13,9 @@
 use rustls::crypto::{CryptoProvider, ring};
 use rustls::server::WebPkiClientVerifier;
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
+pub use rustls_pki_types::UnixTime;
 use rustls_pki_types::pem::PemObject as _;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer, UnixTime};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
 use sesamecart_config::TlsFiles;
 
 pub use certificate::Weakness;
--- a/crates/sesamecart-edges/src/tls/server.rs
+++ b/crates/sesamecart-edges/src/tls/server.rs
@@ -7,7 +7,7 @@
 use futures_rustls::TlsAcceptor;
 use futures_rustls::rustls::ServerConfig;
 use rustls_pki_types::UnixTime;
-use sesamecart_config::TlsFiles;
+use sesamecart_config::{TlsFiles, Transport};
 
 use super::{TlsError, server_config};
 
@@ -66,6 +66,22 @@
         })
     }
 
+    /// Reads the files that settings name for a side, or nothing where it takes plain text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and why it can't be used.
+    pub fn of(
+        transport: &Transport,
+        protocols: &'static [&'static [u8]],
+        now: UnixTime,
+    ) -> Result<Option<Self>, TlsError> {
+        match transport {
+            Transport::PlainText => Ok(None),
+            Transport::Tls(files) => Self::new(files.clone(), protocols, now).map(Some),
+        }
+    }
+
     /// Reads the files again if one of them has changed.
     ///
     /// A set that can't be used leaves the old one in force: a certificate and its key are two files
--- a/crates/sesamecart-node/src/administration.rs
+++ b/crates/sesamecart-node/src/administration.rs
@@ -38,6 +38,7 @@
         log::warn!("administration: settings name no operators, so every request is refused.");
     }
     let listener = listeners.administration.try_clone()?;
+    let tls = listeners.administration_tls.clone();
     let changes = Changes::new(Arc::clone(shared), log, peers.clone());
     let handler = Handler::new(Arc::clone(shared), changes, peers);
     let leaving = leaving.clone();
@@ -50,7 +51,7 @@
             };
             let connections = Connections::default();
             let served =
-                sesamecart_edges::serve(listener, LIMITS, tasks, connections, leaving, handle);
+                sesamecart_edges::serve(listener, tls, LIMITS, tasks, connections, leaving, handle);
             if let Err(error) = served.await {
                 log::error!("administration: can't take operators: {error}.");
             }
--- a/crates/sesamecart-node/src/control.rs
+++ b/crates/sesamecart-node/src/control.rs
@@ -87,6 +87,11 @@
     tasks.spawn(runner.run());
     let lender = start_lending(shared, &peers, &tasks);
     start_groups(shared, &log, &tasks);
+    for tls in [&listeners.callers_tls, &listeners.administration_tls] {
+        if let Some(tls) = tls.clone() {
+            tasks.spawn(upkeep::reload_tls(tls));
+        }
+    }
     administration::start(shared, listeners, leaving, &tasks, log, peers)?;
     let links = listeners.links.try_clone()?;
     let side = LinkSide::new(Arc::clone(shared), Arc::clone(&desk), lender);
--- a/crates/sesamecart-node/src/control/upkeep.rs
+++ b/crates/sesamecart-node/src/control/upkeep.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sesamecart_edges::tls::{Reload, TlsServer, UnixTime};
 use sesamecart_edges::{Log, VmList};
 use sesamecart_fold::{CheckpointPace, CheckpointSchedule, State};
 use sesamecart_runtime::sleep;
@@ -150,3 +151,28 @@
         .await;
     }
 }
+
+/// How often a node looks whether its TLS files have changed.
+const TLS_POLL: Duration = Duration::from_secs(5);
+
+/// Takes up new TLS files, and tells operators when they can't be used.
+pub(super) async fn reload_tls(tls: TlsServer) {
+    let mut last_error = String::new();
+    loop {
+        sleep(TLS_POLL).await;
+        match tls.reload(UnixTime::now()) {
+            Ok(Reload::Unchanged) => {}
+            Ok(Reload::Replaced) => {
+                last_error.clear();
+                log::info!("tls: new files are in use.");
+            }
+            Err(error) => {
+                let text = error.to_string();
+                if text != last_error {
+                    log::error!("{text}; the old files stay in use.");
+                }
+                last_error = text;
+            }
+        }
+    }
+}
--- a/crates/sesamecart-node/src/node.rs
+++ b/crates/sesamecart-node/src/node.rs
@@ -6,7 +6,8 @@
 
 use derive_more::{Display, Error};
 use futures_lite::future;
-use sesamecart_config::Settings;
+use sesamecart_config::{Settings, Transport};
+use sesamecart_edges::tls::{TlsServer, UnixTime};
 use sesamecart_runtime::{Signal, Trigger, Worker, listen, sleep};
 use sesamecart_vocabulary::NodeId;
 
@@ -58,17 +59,29 @@
     pub(crate) callers: TcpListener,
     pub(crate) links: TcpListener,
     pub(crate) administration: TcpListener,
+    pub(crate) callers_tls: Option<TlsServer>,
+    pub(crate) administration_tls: Option<TlsServer>,
 }
 
+/// What callers and operators speak inside TLS.
+const HTTP: &[&[u8]] = &[b"http/1.1"];
+
 impl Listeners {
     fn bind(settings: &Settings) -> anyhow::Result<Self> {
         let bind = |field: &str, address| {
             listen(address).map_err(|error| anyhow::anyhow!("{field}: {address}: {error}"))
         };
+        // Plain text in place of what settings ask for would be noticed only by who listens in.
+        if settings.tls.links != Transport::PlainText {
+            anyhow::bail!("tls.links: links can't be encrypted yet");
+        }
+        let now = UnixTime::now();
         Ok(Self {
             callers: bind("callers", settings.callers)?,
             links: bind("links", settings.links)?,
             administration: bind("administration", settings.administration)?,
+            callers_tls: TlsServer::of(&settings.tls.callers, HTTP, now)?,
+            administration_tls: TlsServer::of(&settings.tls.administration, HTTP, now)?,
         })
     }
 
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -59,6 +59,7 @@
     };
     // Every thread takes connections from a handle of the same listening socket.
     let listener = listeners.callers.try_clone()?;
+    let tls = listeners.callers_tls.clone();
     let connections = shared.connections.clone();
     let leaving = leaving.clone();
     tasks.spawn({
@@ -69,7 +70,7 @@
                 async move { handler.answer(req).await }
             };
             let served =
-                sesamecart_edges::serve(listener, limits, tasks, connections, leaving, handle);
+                sesamecart_edges::serve(listener, tls, limits, tasks, connections, leaving, handle);
             if let Err(error) = served.await {
                 log::error!("traffic: can't take callers: {error}.");
             }
