--- a/crates/sesamecart-groups/src/controller/mod.rs
+++ b/crates/sesamecart-groups/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod loading;
 mod ordering;
 mod planning;
+mod versions;
 
 use std::sync::Arc;
 
--- a/crates/sesamecart-measure/src/groups/mod.rs
+++ b/crates/sesamecart-measure/src/groups/mod.rs
@@ -3,6 +3,7 @@
 //! The real controller and the real fold run in virtual time against a small fake of the platform,
 //! beside two baselines under the same faults. docs/design/groups.md has the results.
 
+mod cost;
 mod day;
 mod faults;
 mod layout;
