--- a/crates/sesamecart-groups/src/assignment.rs
+++ b/crates/sesamecart-groups/src/assignment.rs
@@ -123,3 +123,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sesamecart-groups/src/assignment/tests.rs
+++ b/crates/sesamecart-groups/src/assignment/tests.rs
@@ -56,6 +56,9 @@
 #[test]
 fn owners_follow_members() {
     let assignments = assignments();
-    assert_eq!(assignments.owner(&"vm-1".parse().unwrap()), Some(&"a".parse().unwrap()));
+    assert_eq!(
+        assignments.owner(&"vm-1".parse().unwrap()),
+        Some(&"a".parse().unwrap())
+    );
     assert_eq!(assignments.generation(&"b".parse().unwrap()), Generation(0));
 }
