--- a/crates/sesamecart-node/tests/whole_path/setup.rs
+++ b/crates/sesamecart-node/tests/whole_path/setup.rs
@@ -70,7 +70,7 @@
         let log = LogService::start(LogConfig::default()).expect("start the log");
         let vm_list = VmList::start(Vec::new(), Duration::ZERO).expect("start the list");
         let ledger = Ledger::default();
-        let engines = (0..2).map(|_| start_engine()).collect();
+        let engines = (0..2).map(start_engine).collect();
         let services = (0..2).map(|_| start_service(&ledger)).collect();
         let nodes = (0..3)
             .map(|index| start_node(index, &log, &vm_list))
@@ -251,7 +251,7 @@
     matches!(record, Ok(Record::Claim { .. }))
 }
 
-fn start_engine() -> Engine {
+fn start_engine(number: usize) -> Engine {
     let speed = EngineSpeed {
         first_token: Duration::from_millis(1),
         prompt_token: Duration::ZERO,
@@ -260,6 +260,7 @@
     };
     let config = EngineConfig {
         speed,
+        members: vec![format!("engine-{number}").parse().expect("a name")],
         ..EngineConfig::default()
     };
     Engine::start(config).expect("start an engine")
