--- a/crates/sesamecart-node/tests/groups/main.rs
+++ b/crates/sesamecart-node/tests/groups/main.rs
@@ -122,11 +122,6 @@
         String::from_utf8_lossy(&answer).into_owned()
     }
 
-    fn has_logged(&self, text: &str) -> bool {
-        let holds = |record: &bytes::Bytes| String::from_utf8_lossy(record).contains(text);
-        self.log.records().iter().any(holds)
-    }
-
     fn is_answered(&self) -> bool {
         self.chat(Duration::from_secs(2))
             .starts_with("HTTP/1.1 200")
@@ -173,17 +168,23 @@
 }
 
 /// The system is put in front of an engine that serves. Restarting it would take service away for
-/// nothing. Later the engine runs another generation than the log says, as after a restart by hand,
-/// and is ordered back under the shard's epoch.
+/// nothing. Later the engine runs another generation than the log says, as after a restart by hand:
+/// it gets no request from the first moment on, and is ordered back under the shard's epoch.
 #[test]
 fn controller_keeps_what_runs_and_orders_back_what_strays() {
     let deployment = Deployment::start(&["vm-1", "vm-2"], true);
     wait("the group answers", || deployment.is_answered());
+    let front = "pound-1".parse().expect("a name");
     wait("the group is assigned", || {
-        deployment.has_logged("\"assign\"")
+        let snapshot = deployment.node.shared().snapshot.load();
+        snapshot.generation(&front).is_some()
     });
     assert_eq!(deployment.engine.orders().len(), 0);
     deployment.engine.set_generation(Generation(9));
+    let begun = deployment.engine.counts().begun;
+    let answer = deployment.chat(Duration::from_millis(500));
+    assert!(answer.contains("not-run"), "{answer}");
+    assert_eq!(deployment.engine.counts().begun, begun);
     wait("the engine is ordered back", || {
         !deployment.engine.orders().is_empty()
     });
@@ -191,3 +192,48 @@
     let orders = deployment.engine.orders();
     assert!(orders.iter().all(|order| order.epoch.0 > 0), "{orders:?}");
 }
+
+/// Every metric that a node exports stands in docs/metrics.md, and the measures' alerts name metrics
+/// that exist.
+#[test]
+fn exported_metrics_are_documented() {
+    let deployment = Deployment::start(&["vm-1", "vm-2"], false);
+    wait("the group answers", || deployment.is_answered());
+    deployment.engine.set_ready(false);
+    let page = include_str!("../../../../docs/metrics.md");
+    let alerts = include_str!("../../../../docs/alerts.yaml");
+    let exported = || {
+        let text = deployment.node.shared().metrics.render().expect("render");
+        let text = String::from_utf8(text).expect("text");
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        let names = types.filter_map(|line| line.split(' ').next());
+        names.map(str::to_owned).collect::<Vec<_>>()
+    };
+    wait("the group's downtime is counted", || {
+        exported()
+            .iter()
+            .any(|name| name == "sesamecart_group_downtime_seconds_total")
+    });
+    for name in exported()
+        .iter()
+        .filter(|name| name.starts_with("sesamecart_"))
+    {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} isn't documented"
+        );
+    }
+    let words = alerts.split(|c: char| !(c.is_ascii_alphanumeric() || c == '_'));
+    let mut used: Vec<&str> = words
+        .filter(|word| word.starts_with("sesamecart_"))
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used.len(), 4, "{used:?}");
+    for name in used {
+        assert!(
+            exported().iter().any(|known| known == name),
+            "{name} isn't exported"
+        );
+    }
+}
