Drop an outcome that no node gives

Cause: the API described an undecided outcome, but a node tells that as an error. The whole workspace's tests pass.

--- a/crates/sesamecart-administration/src/message.rs
+++ b/crates/sesamecart-administration/src/message.rs
@@ -82,9 +82,6 @@
         /// How long it is in force without the log, in milliseconds.
         expires_in_ms: u64,
     },
-    /// Nobody knows yet whether the log took it. Ask again with the same name.
-    #[display("not decided yet; ask again with the same publish id")]
-    Undecided,
 }
 
 /// The configuration in force.
--- a/crates/sesamecart-administration/src/openapi.rs
+++ b/crates/sesamecart-administration/src/openapi.rs
@@ -273,7 +273,6 @@
         "ChangeOutcome": {"oneOf": [
             schema!(1; "decided": reference("Verdict")),
             schema!(1; "provisional": schema!(1; "expires_in_ms": number())),
-            {"const": "undecided"},
         ]},
         "ConfigurationReply": schema!(4;
             "revision": number(), "author": text(), "published_at_ms": number(),
