Take no old answer of the log for its tail

Cause: an answer that ended before the node's own state counted as the tail, so a lagging copy of the log would have renewed leases that someone else had claimed, and an emptied log would have gone unnoticed.

--- a/crates/sesamecart-fold/src/reader.rs
+++ b/crates/sesamecart-fold/src/reader.rs
@@ -1,5 +1,7 @@
 //! Reading the log page by page, also across a gap that retention made.
 
+use std::cmp::Ordering;
+
 use derive_more::Display;
 use sesamecart_vocabulary::Offset;
 
@@ -55,6 +57,10 @@
     /// The state is as new as the log's tail.
     #[display("at the tail")]
     AtTail,
+    /// The log's end lies before the state's, so its answer is an old one. It needs an alarm if it
+    /// stays so.
+    #[display("ahead of the log's answer")]
+    Ahead,
     /// There is more to read.
     #[display("behind the tail")]
     Behind,
@@ -190,8 +196,13 @@
         match self.seek {
             Some(seek) if seek >= bounds.next => Standing::Stranded,
             Some(_) => Standing::Seeking,
-            None if self.fold.state().next_offset >= bounds.next => Standing::AtTail,
-            None => Standing::Behind,
+            None => match self.fold.state().next_offset.cmp(&bounds.next) {
+                Ordering::Less => Standing::Behind,
+                Ordering::Equal => Standing::AtTail,
+                // A copy of the log that lags must not count as its tail: a lease would be renewed
+                // by a read that can't show the claim against it.
+                Ordering::Greater => Standing::Ahead,
+            },
         }
     }
 }
--- a/crates/sesamecart-fold/src/tests/reader.rs
+++ b/crates/sesamecart-fold/src/tests/reader.rs
@@ -239,3 +239,16 @@
     let refused = feed.fold.adopt(*state);
     assert_eq!(refused, Err(CheckpointError::FewerActions));
 }
+
+/// A copy of the log that lags answers a read. A holder that took the end of that answer for the
+/// log's tail would renew its lease although a claim against it may be in the log.
+#[test]
+fn answer_older_than_the_state_is_not_the_tail() {
+    let log = filled(3, &[]);
+    let mut reader = LogReader::default();
+    read_all(&log, &mut reader);
+    let lagging = filled(2, &[]);
+    assert_eq!(lagging.read_into(&mut reader).standing, Standing::Ahead);
+    assert_eq!(reader.fold().state().revision, Revision(3));
+    assert_eq!(log.read_into(&mut reader).standing, Standing::AtTail);
+}
--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -44,7 +44,7 @@
                 Ok(page) => {
                     self.note_success();
                     self.take_page(&page, begun);
-                    if self.standing == Standing::Stranded {
+                    if matches!(self.standing, Standing::Stranded | Standing::Ahead) {
                         sleep(FAILURE_REST).await;
                     }
                 }
@@ -81,6 +81,9 @@
             Standing::Seeking if is_news => {
                 log::warn!("fold: the log has forgotten records; looking for a checkpoint.");
             }
+            Standing::Ahead if is_news => {
+                log::warn!("fold: the log's answer ends before what this node has read.");
+            }
             Standing::Stranded if is_news => {
                 log::error!("fold: the log holds no checkpoint that helps; asking other nodes.");
             }
