--- a/crates/sesamecart-node/src/actions/takeover.rs
+++ b/crates/sesamecart-node/src/actions/takeover.rs
@@ -34,6 +34,9 @@
     ///
     /// Two nodes may do so at once; the fold lets the first claim win.
     pub(super) fn take_over(self: &Arc<Self>, shard: ShardId) {
+        if !self.directory.hears_most(self.now()) {
+            return;
+        }
         let mut state = self.lock();
         let held = state.owners.contains_key(&shard);
         if state.leaving || held || !state.taking_over.insert(shard) {
@@ -54,7 +57,8 @@
     /// No claim can be made while the log is out, so a shard that was only claimed when the first
     /// key came would refuse every key in an outage.
     pub(super) fn claim_free(self: &Arc<Self>) {
-        if !self.shared.folded.log_answers() || self.shared.unready_because().is_some() {
+        let ready = self.shared.folded.log_answers() && self.shared.unready_because().is_none();
+        if !ready {
             return;
         }
         let first = self.next_free.fetch_add(SHARDS_PER_TICK, Ordering::Relaxed) % SHARDS;
@@ -127,20 +131,6 @@
         busy.map(|(shard, _)| *shard).collect()
     }
 
-    /// Claims a shard that this node holds once more, with voters that live.
-    ///
-    /// Returns whether it does so; it doesn't while keyed actions are under way.
-    pub(crate) fn refresh_voters(self: &Arc<Self>, shard: ShardId) -> bool {
-        if self.busy_shards().contains(&shard) {
-            return false;
-        }
-        if self.lock().owners.swap_remove(&shard).is_none() {
-            return false;
-        }
-        self.take_over(shard);
-        true
-    }
-
     /// Asks the last owner's voters until every intent that a majority kept is known.
     ///
     /// A lease that was given up needs no asking: its owner had nothing left that wasn't in the log.
