Copy leases only when records change them

Cause: every page of the log, also one of keyed actions alone, copied all 256 leases for the lease duties, in keeping with nothing that had changed. Change: they are copied after claims, releases and adopted states. The node's lease, caller and unit tests and the command line's 29 pass.

--- a/crates/sesamecart-node/src/control/follower.rs
+++ b/crates/sesamecart-node/src/control/follower.rs
@@ -64,6 +64,7 @@
         self.shared.note_applied(&read.applied);
         if read.adopted {
             log::info!("fold: took a checkpoint from the log.");
+            self.shared.note_leases(&[], &[]);
             self.shared.refresh_snapshot();
         }
         self.note_standing(read.standing);
--- a/crates/sesamecart-node/src/duties/records.rs
+++ b/crates/sesamecart-node/src/duties/records.rs
@@ -17,16 +17,19 @@
     pub(crate) fn note_leases(&self, records: &[LoggedRecord], applied: &[AppliedAt]) {
         let now = self.clock.now();
         let mut state = self.duties.lock();
-        for one in applied {
-            let is_lease = matches!(
-                one.applied,
-                Applied::Claimed { .. } | Applied::Released { .. }
-            );
+        let mut has_leases = applied.is_empty();
+        for one in applied.iter().filter(|one| is_lease(&one.applied)) {
+            has_leases = true;
             let record = records.iter().find(|record| record.offset == one.offset);
-            if let Some(record) = record.filter(|_| is_lease) {
+            if let Some(record) = record {
                 state.take_record(record, now);
             }
         }
+        // Keyed actions bring many pages a second; copying every lease for each would cost more
+        // than all else that the control thread does.
+        if !has_leases {
+            return;
+        }
         let leases = self.folded.with(|fold| {
             let leases = fold.leases.iter().map(|(shard, lease)| LeaseSeen {
                 shard: *shard,
@@ -47,6 +50,10 @@
     }
 }
 
+fn is_lease(applied: &Applied) -> bool {
+    matches!(applied, Applied::Claimed { .. } | Applied::Released { .. })
+}
+
 impl State {
     fn take_record(&mut self, record: &LoggedRecord, now: Timestamp) {
         let Ok(envelope) = Record::decode(&record.data) else {
