Tell endpoints' costs apart in the measurement of control

Cause: one slope per endpoint mixed what each node pays and what only an endpoint's owner pays. Change: two runs with many endpoints separate both; the picture of the nodes is made once a second and voters are only chosen anew when one is lost.

--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -10,7 +10,7 @@
 use crate::shard::{Role, Shard};
 use crate::view::{NodeState, View};
 use crate::vote::{Vote, VoteAnswer};
-use crate::voters::choose_voters;
+use crate::voters::{MAX_VOTERS, choose_voters};
 
 /// The leases of all shards as one node sees and holds them.
 ///
@@ -345,11 +345,11 @@
         let shard = &self.shards[index];
         let voters = &shard.lease.as_ref()?.voters;
         let lost = voters.iter().any(|voter| !is_live(view, voter));
-        let chosen = choose_voters(id, view);
-        if !lost && voters.len() >= chosen.len() {
+        if !lost && voters.len() >= MAX_VOTERS {
             return None;
         }
-        if chosen == *voters {
+        let chosen = choose_voters(id, view);
+        if (!lost && voters.len() >= chosen.len()) || chosen == *voters {
             return None;
         }
         let effect = Effect::AppendClaim(self.draft(id, shard, view));
--- a/crates/sesamecart-lease/src/voters.rs
+++ b/crates/sesamecart-lease/src/voters.rs
@@ -10,7 +10,7 @@
 /// With five, two may be lost without a pause, and one failure domain of three holds at most two
 /// of them. More would cost every holder more questions in an outage and gain little, since a
 /// holder replaces a lost voter as long as the log is up.
-const MAX_VOTERS: usize = 5;
+pub(crate) const MAX_VOTERS: usize = 5;
 
 /// Chooses a shard's voters: the highest rendezvous weights, spread over the failure domains.
 ///
--- a/crates/sesamecart-measure/src/control.rs
+++ b/crates/sesamecart-measure/src/control.rs
@@ -7,8 +7,9 @@
 //! next, per node added, traffic threads included.
 //!
 //! Figures at 380 nodes follow from straight lines through the sizes from which on heartbeats are
-//! full; below, they carry fewer members. What endpoints add is measured at nine nodes with a
-//! multiple of the example's endpoints, and the users' target number is added to the figures.
+//! full; below, they carry fewer members. Endpoints cost a node twice: it knows all of them, and it
+//! owns the allowances of some. Both are told apart by two more runs with many endpoints, at nine
+//! nodes and at the largest size, and what the users' target needs is added to the figures.
 
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
@@ -37,10 +38,13 @@
 /// The fewest nodes at which heartbeats are full.
 const FULL_FROM: usize = 14;
 
-/// The number of nodes at which endpoints are multiplied, and by what.
+/// A number of nodes at which endpoints are multiplied, and by what.
 const ENDPOINT_NODES: usize = 9;
 const ENDPOINT_COPIES: usize = 10;
 
+/// By what endpoints are multiplied at the largest size: the example's nine become the target's.
+const TARGET_COPIES: usize = 73;
+
 /// How long all shards may take to get an owner.
 const OWNERS_LIMIT: Duration = Duration::from_secs(60);
 
@@ -89,7 +93,7 @@
     slopes_per_node: Slopes,
     slopes_per_endpoint: EndpointSlopes,
     bytes_per_change_per_node: f64,
-    with_more_endpoints: Measured,
+    with_more_endpoints: [Measured; 2],
     points: Vec<Measured>,
 }
 
@@ -103,12 +107,49 @@
     config_in_force_p99_s: f64,
 }
 
-/// What one more endpoint adds on each node.
+/// What endpoints add on each node.
 #[derive(Debug, Serialize)]
 struct EndpointSlopes {
-    bytes_per_s_per_node: f64,
-    cpu_fraction: f64,
-    memory_mb: f64,
+    bytes_per_s_per_node: EndpointCost,
+    cpu_fraction: EndpointCost,
+    memory_mb: EndpointCost,
+}
+
+/// What one more endpoint adds on a node that knows it, and on the one that owns it besides.
+#[derive(Debug, Serialize)]
+struct EndpointCost {
+    known: f64,
+    owned: f64,
+}
+
+impl EndpointCost {
+    /// Solves two runs with many endpoints against those with few at the same numbers of nodes.
+    fn of(
+        points: &[Measured],
+        many: &[Measured; 2],
+        value: fn(&Measured) -> f64,
+    ) -> anyhow::Result<Self> {
+        let mut rows = [[0.0; 3]; 2];
+        for (row, more) in rows.iter_mut().zip(many) {
+            let few = points.iter().find(|point| point.nodes == more.nodes);
+            let few = few.context("no run with few endpoints at the same size")?;
+            let added = to_f64(more.endpoints - few.endpoints);
+            *row = [added, added / to_f64(more.nodes), value(more) - value(few)];
+        }
+        let [[known_a, owned_a, value_a], [known_b, owned_b, value_b]] = rows;
+        let determinant = known_a * owned_b - known_b * owned_a;
+        Ok(Self {
+            known: (value_a * owned_b - value_b * owned_a) / determinant,
+            owned: (known_a * value_b - known_b * value_a) / determinant,
+        })
+    }
+
+    /// Returns what the target's endpoints add to a node's cost with `few`; what is lost in the
+    /// noise below zero isn't taken off.
+    fn more(&self, few: f64) -> f64 {
+        let missing = TARGET_ENDPOINTS - few;
+        (self.known * missing).max(0.0) + (self.owned * missing / TARGET_NODES).max(0.0)
+    }
 }
 
 /// Measures and prints the report.
@@ -123,9 +164,12 @@
     for size in &sizes {
         points.push(measure_and_print(*size, 1, arguments)?);
     }
-    let few = measure_and_print(ENDPOINT_NODES, 1, arguments)?;
-    let many = measure_and_print(ENDPOINT_NODES, ENDPOINT_COPIES, arguments)?;
-    let report = report(sizes, points, &few, many)?;
+    let largest = sizes.iter().copied().max().context("--nodes")?;
+    let many = [
+        measure_and_print(ENDPOINT_NODES, ENDPOINT_COPIES, arguments)?,
+        measure_and_print(largest, TARGET_COPIES, arguments)?,
+    ];
+    let report = report(sizes, points, many)?;
     println!("{}", serde_json::to_string(&report)?);
     Ok(())
 }
@@ -140,12 +184,7 @@
     Ok(measured)
 }
 
-fn report(
-    nodes: Vec<usize>,
-    points: Vec<Measured>,
-    few: &Measured,
-    many: Measured,
-) -> anyhow::Result<Report> {
+fn report(nodes: Vec<usize>, points: Vec<Measured>, many: [Measured; 2]) -> anyhow::Result<Report> {
     let full: Vec<&Measured> = points
         .iter()
         .filter(|measured| measured.nodes >= FULL_FROM)
@@ -163,20 +202,18 @@
     let appends = fit(|measured| measured.log_appends_per_s);
     let in_force = fit(|measured| measured.config_in_force_p99_s);
     let memory = memory_per_node(&points);
-    let added = to_f64(many.endpoints - few.endpoints);
-    let per_endpoint = EndpointSlopes {
-        bytes_per_s_per_node: (many.bytes_per_s_per_node - few.bytes_per_s_per_node) / added,
-        cpu_fraction: (many.cpu_fraction - few.cpu_fraction) / added,
-        memory_mb: (many.resident_mb - few.resident_mb) / added / to_f64(few.nodes),
+    let endpoints = EndpointSlopes {
+        bytes_per_s_per_node: EndpointCost::of(&points, &many, |one| one.bytes_per_s_per_node)?,
+        cpu_fraction: EndpointCost::of(&points, &many, |one| one.cpu_fraction)?,
+        memory_mb: EndpointCost::of(&points, &many, |one| one.resident_mb / to_f64(one.nodes))?,
     };
-    let missing = TARGET_ENDPOINTS - to_f64(few.endpoints);
-    let more = |slope: f64| (slope * missing).max(0.0);
+    let few = to_f64(last.endpoints);
     Ok(Report {
         nodes,
         bytes_per_s_per_node_at_380: bytes.at(TARGET_NODES)
-            + more(per_endpoint.bytes_per_s_per_node),
-        cpu_fraction_at_380: cpu.at(TARGET_NODES) + more(per_endpoint.cpu_fraction),
-        memory_mb_at_380: memory.at(TARGET_NODES) + more(per_endpoint.memory_mb),
+            + endpoints.bytes_per_s_per_node.more(few),
+        cpu_fraction_at_380: cpu.at(TARGET_NODES) + endpoints.cpu_fraction.more(few),
+        memory_mb_at_380: memory.at(TARGET_NODES) + endpoints.memory_mb.more(few),
         log_appends_per_s_at_380: appends.at(TARGET_NODES),
         config_in_force_p99_s_at_380: in_force.at(TARGET_NODES),
         slopes_per_node: Slopes {
@@ -186,7 +223,7 @@
             log_appends_per_s: appends.slope,
             config_in_force_p99_s: in_force.slope,
         },
-        slopes_per_endpoint: per_endpoint,
+        slopes_per_endpoint: endpoints,
         bytes_per_change_per_node: last.bytes_per_change_per_node,
         with_more_endpoints: many,
         points,
--- a/crates/sesamecart-node/src/duties/runner.rs
+++ b/crates/sesamecart-node/src/duties/runner.rs
@@ -6,12 +6,12 @@
 
 use sesamecart_edges::Log;
 use sesamecart_fold::Record;
-use sesamecart_lease::{Effect, ReleaseSeen, Vote, VoteAnswer, VotePurpose};
+use sesamecart_lease::{Effect, ReleaseSeen, View, Vote, VoteAnswer, VotePurpose};
 use sesamecart_links::Request;
 use sesamecart_links::message::{HeartbeatRequest, VoteRequest};
 use sesamecart_membership::Probe;
 use sesamecart_runtime::{Tasks, sleep, within};
-use sesamecart_vocabulary::NodeId;
+use sesamecart_vocabulary::{NodeId, Timestamp};
 
 use super::wire::to_wire;
 use crate::actions::Desk;
@@ -21,6 +21,10 @@
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(200);
 
+/// How long a picture of the nodes is used; with hundreds of nodes, making one takes a while, and a
+/// node is only down after seconds of silence.
+const VIEW_TIME: Duration = Duration::from_secs(1);
+
 /// How long another node may take to answer; a straggler's late answer still counts.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
@@ -32,6 +36,9 @@
     peers: Peers,
     desk: Arc<Desk>,
     tasks: Tasks,
+    /// The nodes as leases take them, and until when this picture is used.
+    view: View,
+    view_until: Timestamp,
 }
 
 impl Runner {
@@ -48,10 +55,20 @@
             peers,
             desk,
             tasks,
+            view: View::default(),
+            view_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Returns what a call of its own needs.
+    fn caller(&self) -> Self {
+        Self {
+            view: View::default(),
+            ..self.clone()
         }
     }
 
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         loop {
             self.beat();
             self.keep_leases();
@@ -66,7 +83,7 @@
             self.peers.take_members(self.shared.duties.living(now));
         }
         for probe in probes {
-            self.tasks.spawn(self.clone().probe(probe));
+            self.tasks.spawn(self.caller().probe(probe));
         }
     }
 
@@ -92,14 +109,17 @@
         }
     }
 
-    fn keep_leases(&self) {
+    fn keep_leases(&mut self) {
         let busy = self.desk.busy_shards();
         let now = self.shared.clock.now();
         let effects = {
             let mut state = self.shared.duties.lock();
-            let view = state.view(now);
+            if now >= self.view_until {
+                self.view = state.view(now);
+                self.view_until = now + VIEW_TIME;
+            }
             state.leases.pin(busy);
-            let effects = state.leases.tick(&view, now);
+            let effects = state.leases.tick(&self.view, now);
             self.shared.duties.publish(&state);
             effects
         };
@@ -119,10 +139,10 @@
                     self.shared.duties.lock().leases.append_refused(shard);
                 }
             }
-            Effect::AppendRelease(release) => self.tasks.spawn(self.clone().release(release)),
+            Effect::AppendRelease(release) => self.tasks.spawn(self.caller().release(release)),
             Effect::AskVote { to, vote } => {
                 if let Some(address) = self.address(&to) {
-                    self.tasks.spawn(self.clone().ask(to, address, vote));
+                    self.tasks.spawn(self.caller().ask(to, address, vote));
                 }
             }
             Effect::Acquired { shard, epoch } => {
