--- a/crates/sesamecart-membership/src/membership.rs
+++ b/crates/sesamecart-membership/src/membership.rs
@@ -143,11 +143,10 @@
         self.peers.get(node)?.standing(&self.settings, now)
     }
 
-    /// Returns the life of another node that was last heard of.
+    /// Returns the life of another node's process that was last heard of.
     #[must_use]
-    pub fn life(&self, node: &NodeId) -> Option<Incarnation> {
-        let member = self.peers.get(node)?.member.as_ref()?;
-        Some(member.incarnation)
+    pub fn incarnation(&self, node: &NodeId) -> Option<Incarnation> {
+        Some(self.peers.get(node)?.member.as_ref()?.incarnation)
     }
 
     /// Does what is due: lets suspicions run out and returns the heartbeats to send.
--- a/crates/sesamecart-node/src/control/peers.rs
+++ b/crates/sesamecart-node/src/control/peers.rs
@@ -112,17 +112,17 @@
         known.extend(listed);
     }
 
+    /// Returns the life of a node that heartbeats told of last.
+    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
+        self.shared.duties.life(node)
+    }
+
     /// Returns whether heartbeats tell that a node is down.
     pub(crate) fn is_down(&self, node: &NodeId, now: Timestamp) -> bool {
         let standing = self.shared.duties.standing(node, now);
         matches!(standing, Some(Standing::Suspected | Standing::Gone))
     }
 
-    /// Returns the life of a node that heartbeats tell of.
-    pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
-        self.shared.duties.life(node)
-    }
-
     /// Returns whether a node said that it is about to go.
     pub(crate) fn is_leaving(&self, node: &NodeId, now: Timestamp) -> bool {
         self.shared.duties.standing(node, now) == Some(Standing::Leaving)
--- a/crates/sesamecart-node/src/duties.rs
+++ b/crates/sesamecart-node/src/duties.rs
@@ -130,9 +130,9 @@
         self.lock().membership.standing(node, now)
     }
 
-    /// Returns the life of a node that was last heard of.
+    /// Returns the life of another node's process that was last heard of.
     pub(crate) fn life(&self, node: &NodeId) -> Option<Incarnation> {
-        self.lock().membership.life(node)
+        self.lock().membership.incarnation(node)
     }
 
     /// Returns whether heartbeats tell of any other live node.
