--- a/crates/sesamecart-lease/src/leases.rs
+++ b/crates/sesamecart-lease/src/leases.rs
@@ -10,7 +10,7 @@
 use crate::shard::{Role, Shard};
 use crate::view::{NodeState, View};
 use crate::vote::{Vote, VoteAnswer};
-use crate::voters::choose_voters;
+use crate::voters::{MAX_VOTERS, choose_voters};
 
 /// The leases of all shards as one node sees and holds them.
 ///
@@ -114,6 +114,18 @@
         }
     }
 
+    /// Takes note that a claim of this node is being appended that no effect of [`Self::tick`] asked
+    /// for.
+    ///
+    /// Until its verdict is read, a holder doesn't extend by its voters: a claimant that read the
+    /// claim asks only those that it names.
+    pub fn claim_sent(&mut self, shard: ShardId, now: Timestamp) {
+        if let Some(shard) = self.shard_mut(shard) {
+            shard.undecided += 1;
+            shard.appended_at = Some(now);
+        }
+    }
+
     /// Takes note that the log refused one of this node's claims without appending it.
     ///
     /// Only a certain refusal counts. After a lost answer the claim may stand in the log.
@@ -361,11 +373,11 @@
         let shard = &self.shards[index];
         let voters = &shard.lease.as_ref()?.voters;
         let lost = voters.iter().any(|voter| !is_live(view, voter));
-        let chosen = choose_voters(id, view);
-        if !lost && voters.len() >= chosen.len() {
+        if !lost && voters.len() >= MAX_VOTERS {
             return None;
         }
-        if chosen == *voters {
+        let chosen = choose_voters(id, view);
+        if (!lost && voters.len() >= chosen.len()) || chosen == *voters {
             return None;
         }
         let effect = Effect::AppendClaim(self.draft(id, shard, view));
