Take thresholds from the settings and find owners by a table

Finding the owner of each endpoint anew every 50 ms would cost 660 endpoints times 380 nodes each time at the target's size (reckoned, not measured). A table of owners is made once a second, and the lender looks through the configuration only when that or the owners have changed. An endpoint counts as cold from its drain on and again from its return. Node settings carry the decisions' thresholds, checked on start; four tests of that pass, and the node's 19 unit and 18 caller tests.

--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -5,14 +5,18 @@
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
+use sesamecart_decisions::settings::DecisionSettings;
 use sesamecart_vocabulary::{Bytes, FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
 use crate::access::AdministrationAccess;
 use crate::tls::TlsSettings;
 
+#[cfg(test)]
+mod tests;
+
 /// The settings of one node, as read from its JSON file.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The node's name, unique among all nodes.
@@ -50,6 +54,9 @@
     /// Bounds on what callers may hold.
     #[serde(default)]
     pub bounds: CallerBounds,
+    /// Thresholds of the decisions under load; docs/policy.md says what set the defaults.
+    #[serde(default)]
+    pub decisions: DecisionSettings,
     /// Milliseconds between not being ready and closing the callers' side on leave, which gives the
     /// platform's balancer time to notice.
     #[serde(default = "default_balancer_delay_ms")]
@@ -218,6 +225,9 @@
                 reason,
             })
         };
+        if let Err(threshold) = self.decisions.check() {
+            return error("decisions", threshold.to_string(), "is out of its range");
+        }
         if self.traffic_threads == 0 || self.traffic_threads > MAX_TRAFFIC_THREADS {
             let value = self.traffic_threads.to_string();
             return error("traffic_threads", value, "must be from 1 to 256");
--- a/crates/sesamecart-measure/src/cluster.rs
+++ b/crates/sesamecart-measure/src/cluster.rs
@@ -10,6 +10,7 @@
     AdministrationAccess, CallerBounds, Configuration, EndpointKind, Inventory, LinkPeer,
     LogSettings, Settings, TlsSettings, import_sheet,
 };
+use sesamecart_decisions::settings::DecisionSettings;
 use sesamecart_edges::{HttpClient, HttpLog, Log as _};
 use sesamecart_fold::{DrainTarget, Record};
 use sesamecart_node::Node;
@@ -186,6 +187,7 @@
             peers: peers.collect(),
             traffic_threads,
             bounds: CallerBounds::default(),
+            decisions: DecisionSettings::default(),
             balancer_delay_ms: 50,
             leave_limit_ms: 10_000,
         };
--- a/crates/sesamecart-node/src/actions/directory.rs
+++ b/crates/sesamecart-node/src/actions/directory.rs
@@ -100,6 +100,15 @@
         self.peers.get(node).is_some() && !self.is_suspected(node, now)
     }
 
+    /// Returns this node and all others that aren't suspected, in order of their names.
+    pub(crate) fn trusted(&self, now: Timestamp) -> Vec<NodeId> {
+        let others = self.peers.all().into_iter().map(|peer| peer.node);
+        let trusted = others.filter(|node| !self.is_suspected(node, now));
+        let mut nodes: Vec<_> = trusted.chain([self.me.clone()]).collect();
+        nodes.sort();
+        nodes
+    }
+
     /// Returns the node that should own a shard nobody holds.
     pub(crate) fn candidate(&self, shard: ShardId, now: Timestamp) -> NodeId {
         let mut chosen = self.chosen();
--- a/crates/sesamecart-node/src/pools/lender.rs
+++ b/crates/sesamecart-node/src/pools/lender.rs
@@ -43,8 +43,17 @@
 
 #[derive(Debug, Default)]
 struct Books {
-    allowances: IndexMap<EndpointId, Allowance>,
+    allowances: IndexMap<EndpointId, Owned>,
     looked_at: Timestamp,
+    /// The configuration and the owners to which the allowances were last brought up.
+    seen: Option<(Arc<Snapshot>, u64)>,
+}
+
+/// An endpoint that this node owns.
+#[derive(Debug)]
+struct Owned {
+    allowance: Allowance,
+    takes_work: bool,
 }
 
 /// An endpoint's own report, as docs/design/platform.md gives it.
@@ -79,13 +88,22 @@
     ///
     /// A process that was paused for longer than a slice may have been passed over meanwhile, and
     /// what another owner lent isn't in its books; it begins anew and waits that out.
-    pub(super) fn look(&self, snapshot: &Snapshot) {
+    pub(super) fn look(&self, snapshot: &Arc<Snapshot>) {
         let now = self.shared.clock.now();
+        let owners = self.owners.version(now);
         let mut books = self.books();
-        if now - books.looked_at > self.cfg.slice() {
+        let paused = now - books.looked_at > self.cfg.slice();
+        if paused {
             books.allowances.clear();
         }
         books.looked_at = now;
+        let is_seen = |(seen, version): &(Arc<Snapshot>, u64)| {
+            Arc::ptr_eq(seen, snapshot) && *version == owners
+        };
+        if !paused && books.seen.as_ref().is_some_and(is_seen) {
+            return;
+        }
+        books.seen = Some((Arc::clone(snapshot), owners));
         let endpoints = &snapshot.configuration.endpoints;
         books
             .allowances
@@ -95,17 +113,21 @@
                 continue;
             }
             let limits = limits_of(endpoint);
-            let allowance = books
-                .allowances
-                .entry(id.clone())
-                .or_insert_with(|| Allowance::new(now, limits, self.cfg));
-            if allowance.limit_mut().configured() != limits {
-                allowance.limit_mut().set_configured(limits);
+            let takes_work = snapshot.takes_work(id);
+            let owned = books.allowances.entry(id.clone()).or_insert_with(|| Owned {
+                allowance: Allowance::new(now, limits, self.cfg),
+                takes_work,
+            });
+            let limit = owned.allowance.limit_mut();
+            if limit.configured() != limits {
+                limit.set_configured(limits);
             }
-            // It is cold when it comes back, and nodes hear of that at different times.
-            if !snapshot.takes_work(id) {
-                allowance.limit_mut().turn_cold(now);
+            // It is cold when it comes back. Nodes hear of that at different times, so it counts as
+            // cold from the drain on, and again from the return, as its last work may have warmed it.
+            if owned.takes_work != takes_work {
+                limit.turn_cold(now);
             }
+            owned.takes_work = takes_work;
         }
     }
 
@@ -134,14 +156,14 @@
         let now = self.shared.clock.now();
         let demand = read_demand(asked, wanted);
         let mut books = self.books();
-        let Some(allowance) = books.allowances.get_mut(&id) else {
+        let Some(owned) = books.allowances.get_mut(&id) else {
             return Some(EndpointSlice {
                 endpoint: wanted.endpoint.clone(),
                 owner: Some(self.owners.of(&id, now).to_string()),
                 ..EndpointSlice::default()
             });
         };
-        let slice = allowance.borrow(now, borrower, &demand);
+        let slice = owned.allowance.borrow(now, borrower, &demand);
         Some(EndpointSlice {
             endpoint: wanted.endpoint.clone(),
             permits: slice.permits.0,
@@ -172,8 +194,8 @@
             return;
         };
         let now = self.shared.clock.now();
-        if let Some(allowance) = self.books().allowances.get_mut(&id) {
-            allowance.report(now, &report);
+        if let Some(owned) = self.books().allowances.get_mut(&id) {
+            owned.allowance.report(now, &report);
         }
     }
 }
--- a/crates/sesamecart-node/src/pools/registry.rs
+++ b/crates/sesamecart-node/src/pools/registry.rs
@@ -60,7 +60,7 @@
             nodes: vec![settings.node.clone()],
         };
         Arc::new(Self {
-            cfg: DecisionSettings::default(),
+            cfg: settings.decisions,
             clock,
             place: Mutex::new(place),
             tickets: AtomicU64::new(1),
