Split the large files of decisions and measure policy

A stream's tokens are noted in the pool ten times a second instead of each time, since each takes the pool's lock. 71 tests of decisions, 3 of the plays, and the node's 19, 18 and 3 pass.

--- a/crates/sesamecart-decisions/src/admission/queue.rs
+++ b/crates/sesamecart-decisions/src/admission/queue.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{
-    Bytes, CustomerId, RequestClass, Timestamp, Tokens, rendezvous_weight,
-};
+use sesamecart_vocabulary::{Bytes, CustomerId, RequestClass, Timestamp, Tokens};
 
 use super::drain::DrainRate;
 use super::flow::{Flow, Place};
@@ -358,7 +356,7 @@
         let drained = self.drain.time_for(backlog as f64).unwrap_or_default();
         let low = self.cfg.min_retry_after();
         let high = self.cfg.max_retry_after();
-        let base = drained.max(low).mul_f64(1.0 + jitter(ticket));
+        let base = drained.max(low).mul_f64(1.0 + ticket.jitter());
         Refusal {
             ticket,
             reason,
@@ -367,13 +365,6 @@
     }
 }
 
-/// Spreads the callers' return over half as long again, so that those refused together don't come
-/// back together.
-fn jitter(ticket: Ticket) -> f64 {
-    let hash = rendezvous_weight("retry-after", &ticket.to_string());
-    0.5 * (hash >> 11) as f64 / (1_u64 << 53) as f64
-}
-
 fn lane_of(class: RequestClass) -> usize {
     usize::from(class.priority().0)
 }
--- a/crates/sesamecart-decisions/src/admission/request.rs
+++ b/crates/sesamecart-decisions/src/admission/request.rs
@@ -4,7 +4,9 @@
 
 use crate::routing::PrefixHash;
 use derive_more::Display;
-use sesamecart_vocabulary::{Bytes, CustomerId, RequestClass, Timestamp, Tokens, Weight};
+use sesamecart_vocabulary::{
+    Bytes, CustomerId, RequestClass, Timestamp, Tokens, Weight, rendezvous_weight,
+};
 
 /// A request's number at its node, unique while the request is there.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -37,6 +39,15 @@
     pub length: Duration,
 }
 
+impl Ticket {
+    /// Spreads the callers' return over half as long again, so that those refused together don't
+    /// come back together.
+    pub(super) fn jitter(self) -> f64 {
+        let hash = rendezvous_weight("retry-after", &self.to_string());
+        0.5 * (hash >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
 impl Request {
     /// Returns the latest start that still meets the deadline.
     #[must_use]
--- a/crates/sesamecart-measure/src/policy/ours.rs
+++ b/crates/sesamecart-measure/src/policy/ours.rs
@@ -1,24 +1,22 @@
 //! Our policy: the real decision code at every node, and the owners of the endpoints' allowances.
 
+mod node_pool;
+
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use sesamecart_decisions::admission::{Request, Ticket};
-use sesamecart_decisions::allowance::{
-    Allowance, Borrowed, EndpointLimits, EndpointWork, LoadReport, Sample, Slice,
-};
-use sesamecart_decisions::pool::{EndpointDemand, NodePlace, Placement, Pool};
+use sesamecart_decisions::allowance::{Allowance, LoadReport, Sample, Slice};
+use sesamecart_decisions::pool::{EndpointDemand, NodePlace, Pool};
 use sesamecart_decisions::retry::{FailedAttempt, RetryDecision};
-use sesamecart_decisions::routing::{EndpointState, PoolEndpoint};
+use sesamecart_decisions::routing::EndpointState;
 use sesamecart_decisions::settings::DecisionSettings;
-use sesamecart_vocabulary::{Bytes, Concurrency, CustomerId, NodeId, Timestamp, Tokens, Weight};
+use sesamecart_vocabulary::{Bytes, CustomerId, NodeId, Timestamp, Tokens, Weight};
 
 use super::dispatch::Decision;
-use super::endpoint::{
-    COLD, CacheEvent, Endpoint, KV_TOKENS, SERVICE_COLD, SERVICE_WARM, WARM, WARM_SLOWDOWN,
-};
+use super::endpoint::{CacheEvent, Endpoint, WARM_SLOWDOWN};
 use super::job::Job;
-use super::size::{DOMAINS, Size};
+use super::size::Size;
+use node_pool::{NodePool, domain, limits};
 
 /// Our policy at all nodes and owners.
 #[derive(Debug)]
@@ -36,14 +34,6 @@
     services: NodePool,
 }
 
-/// A pool with the places of its endpoints in the whole system.
-#[derive(Debug)]
-struct NodePool {
-    pool: Pool,
-    numbers: Vec<usize>,
-    places: IndexMap<usize, usize>,
-}
-
 /// A node's demands, on their way to the endpoints' owners.
 #[derive(Clone, Debug)]
 pub(super) struct Borrow {
@@ -60,66 +50,6 @@
     slices: Vec<(usize, Slice)>,
 }
 
-impl NodePool {
-    fn new(
-        place: &NodePlace,
-        size: &Size,
-        range: std::ops::Range<usize>,
-        cfg: DecisionSettings,
-        seed: u64,
-    ) -> Self {
-        let name = |endpoint: usize| {
-            format!("endpoint-{endpoint}")
-                .parse()
-                .expect("a valid name")
-        };
-        let endpoints = range.clone().map(|endpoint| {
-            let kv = limits(size, endpoint).kv_per_permit();
-            let books = Borrowed::new(kv, &cfg.allowance);
-            PoolEndpoint::new(name(endpoint), domain(endpoint), books)
-        });
-        let mut pool = Pool::new(place, endpoints, cfg, seed);
-        if size.is_engine(range.start) {
-            pool.set_largest(Tokens(KV_TOKENS));
-        }
-        let number = |known: &PoolEndpoint| {
-            let number = known.id.as_str().rsplit('-').next();
-            number
-                .and_then(|number| number.parse().ok())
-                .expect("a numbered name")
-        };
-        let numbers: Vec<usize> = pool.endpoints().iter().map(number).collect();
-        let places = numbers.iter().copied().enumerate();
-        Self {
-            places: places.map(|(place, number)| (number, place)).collect(),
-            numbers,
-            pool,
-        }
-    }
-
-    fn decision(&self, job: usize, placement: Placement) -> Decision {
-        match placement {
-            Placement::Run(start) => Decision::Start {
-                job,
-                endpoint: self.numbers[start.endpoint],
-            },
-            Placement::Wait => Decision::Wait,
-            Placement::Refuse(_) => Decision::Refuse { job },
-        }
-    }
-
-    fn poll(&mut self, now: Timestamp) -> Vec<Decision> {
-        let placements = self.pool.poll(now);
-        let ticket = |placement: &Placement| match placement {
-            Placement::Run(start) => start.ticket,
-            Placement::Refuse(refusal) => refusal.ticket,
-            Placement::Wait => unreachable!("what waits isn't returned"),
-        };
-        let decide = |placement| self.decision(ticket(&placement).0 as usize, placement);
-        placements.into_iter().map(decide).collect()
-    }
-}
-
 impl Ours {
     pub(super) fn new(size: &Size, cfg: DecisionSettings, seed: u64) -> Self {
         let name = |node| format!("node-{node}").parse().expect("a valid name");
@@ -390,26 +320,3 @@
 pub(super) fn cost(job: &Job) -> u64 {
     job.answer + job.prompt / 100
 }
-
-fn domain(number: usize) -> sesamecart_vocabulary::FailureDomainId {
-    format!("domain-{}", number % DOMAINS)
-        .parse()
-        .expect("a valid name")
-}
-
-fn limits(size: &Size, endpoint: usize) -> EndpointLimits {
-    if size.is_engine(endpoint) {
-        return EndpointLimits {
-            cold: Concurrency(COLD),
-            warm: Concurrency(WARM),
-            kv_tokens: Tokens(KV_TOKENS),
-            work: EndpointWork::Engine,
-        };
-    }
-    EndpointLimits {
-        cold: Concurrency(SERVICE_COLD),
-        warm: Concurrency(SERVICE_WARM),
-        kv_tokens: Tokens(0),
-        work: EndpointWork::Service,
-    }
-}
--- a/crates/sesamecart-measure/src/policy/run.rs
+++ b/crates/sesamecart-measure/src/policy/run.rs
@@ -1,5 +1,7 @@
 //! One run: a play, a policy and a seed, in virtual time.
 
+mod event;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -14,9 +16,10 @@
 use super::dispatch::{Decision, Policy};
 use super::endpoint::{CacheEvent, Endpoint, Progressed, Received};
 use super::job::{Fate, Job};
-use super::ours::{Borrow, Lend, Ours};
+use super::ours::Ours;
 use super::play::{Fault, FaultKind, Play};
 use super::size::Size;
+use event::{Due, Event};
 
 /// How often nodes look after their slices and what they saw.
 const TICK: Duration = Duration::from_millis(100);
@@ -40,56 +43,6 @@
     Baseline(Baseline),
 }
 
-#[derive(Clone, Debug)]
-enum Event {
-    Arrive(usize),
-    Endpoint {
-        endpoint: usize,
-        version: u64,
-    },
-    Leave(usize),
-    Tick(usize),
-    Expire(usize),
-    Borrow(Borrow),
-    Lend(Lend),
-    Report,
-    Reported(Vec<LoadReport>),
-    Cached(Vec<Vec<CacheEvent>>),
-    Fault(Fault),
-    Drained {
-        endpoints: Vec<usize>,
-        drained: bool,
-    },
-}
-
-/// An event in order of time, then of its making.
-#[derive(Debug)]
-struct Due {
-    at: Timestamp,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
 /// What a run leaves behind.
 #[derive(Debug)]
 pub(super) struct Finished {
--- a/crates/sesamecart-node/src/pools/turn.rs
+++ b/crates/sesamecart-node/src/pools/turn.rs
@@ -20,9 +20,18 @@
     kv: Tokens,
     begun: Timestamp,
     last_token: Option<Timestamp>,
+    /// What was seen and isn't noted in the pool yet.
+    seen: Sample,
+    noted: Timestamp,
     open: bool,
 }
 
+/// How often a stream's tokens are noted in the pool.
+///
+/// Each time takes the pool's lock; for every token it would be contended by all streams. It has
+/// to stay below the time for which a sign of life counts.
+const NOTE_EVERY: Duration = Duration::from_millis(100);
+
 impl Turn {
     pub(super) fn new(pools: Arc<Pools>, cell: Arc<PoolCell>, start: Start, kv: Tokens) -> Self {
         Self {
@@ -32,6 +41,8 @@
             start,
             kv,
             last_token: None,
+            seen: Sample::default(),
+            noted: Timestamp::ZERO,
             open: true,
         }
     }
@@ -49,14 +60,15 @@
         }
         let now = self.pools.now();
         // The first token's time is the prompt's and says nothing about the time between tokens.
-        let seen = match self.last_token.replace(now) {
-            Some(last) => Sample {
-                latency: now - last,
-                tokens: Tokens(count),
-                ..Sample::default()
-            },
-            None => Sample::default(),
-        };
+        if let Some(last) = self.last_token.replace(now) {
+            self.seen.latency += now - last;
+            self.seen.tokens += Tokens(count);
+        }
+        if now - self.noted < NOTE_EVERY {
+            return;
+        }
+        self.noted = now;
+        let seen = std::mem::take(&mut self.seen);
         let mut inner = self.cell.lock();
         inner.pool.alive(now, self.start.endpoint);
         inner.pool.observe(now, self.start.endpoint, &seen);
@@ -64,7 +76,8 @@
 
     /// Ends the turn of a streamed answer that came whole.
     pub(crate) fn finish_stream(&mut self) {
-        self.finish(&Sample::default());
+        let seen = std::mem::take(&mut self.seen);
+        self.finish(&seen);
     }
 
     /// Ends the turn of a whole answer, whose time is the endpoint's latency if it is a plain
