--- a/crates/sesamecart-decisions/src/allowance/tests.rs
+++ b/crates/sesamecart-decisions/src/allowance/tests.rs
@@ -295,6 +295,60 @@
     assert!(books.start(at(4), Tokens(500)));
 }
 
+/// A node's slice is halved, but the answer that says so is lost, and the node goes on under the
+/// earlier slice. Were the other half lent at once, more would run than the endpoint bears.
+#[test]
+fn a_slice_counts_until_its_end_though_a_smaller_one_followed() {
+    let mut allowance = warm();
+    let first = allowance.borrow(at(BEGIN), &node(0), &wants(32));
+    assert_eq!(first.permits, Permits(32));
+    allowance.borrow(at(BEGIN + 10), &node(1), &wants(32));
+    let halved = allowance.borrow(at(BEGIN + 400), &node(0), &wants(32));
+    assert_eq!(halved.permits, Permits(16));
+    let early = allowance.borrow(at(BEGIN + 410), &node(1), &wants(32));
+    assert_eq!(early.permits, Permits(0));
+    allowance.borrow(at(BEGIN + 1_300), &node(0), &wants(32));
+    let late = allowance.borrow(at(BEGIN + 1_310), &node(1), &wants(32));
+    assert_eq!(late.permits, Permits(16));
+}
+
+/// A demand that gave permits back was delayed, and the node has asked for them again meanwhile. Were
+/// the owner to believe the old one, it would lend the same permits to another node too.
+#[test]
+fn an_overtaken_demand_changes_nothing() {
+    let mut allowance = warm();
+    let later = Demand {
+        asked: at(20),
+        ..wants(8)
+    };
+    allowance.borrow(at(BEGIN), &node(0), &later);
+    let earlier = Demand {
+        asked: at(10),
+        ..wants(0)
+    };
+    let slice = allowance.borrow(at(BEGIN), &node(0), &earlier);
+    assert_eq!(slice.permits, Permits(0));
+    let other = allowance.borrow(at(BEGIN), &node(1), &wants(32));
+    assert!(other.permits <= Permits(24), "{other:?}");
+}
+
+/// An answer comes after the node has asked again and given back what it didn't want. Were it taken,
+/// the node would use permits that the owner may have lent to others.
+#[test]
+fn only_the_answer_to_the_last_demand_counts() {
+    let mut books = borrowed();
+    let slice = Slice {
+        permits: Permits(5),
+        valid_for: Duration::from_secs(1),
+    };
+    books.demand(at(0), Permits(5));
+    books.demand(at(300), Permits(0));
+    books.take(at(0), slice);
+    assert!(!books.fits(at(310), Tokens(0)));
+    books.take(at(300), slice);
+    assert!(books.fits(at(310), Tokens(0)));
+}
+
 #[test]
 fn a_failure_ends_a_nodes_slice_until_the_owner_has_answered_again() {
     let cfg = AllowanceSettings::default();
