--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{actions, control, groups, path, policy, roles};
+use sesamecart_measure::{actions, control, groups, path, policy, roles, streams};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -31,6 +31,8 @@
     Policy(policy::Arguments),
     #[options(help = "what each role's pure code costs at growing sizes")]
     Roles(roles::Arguments),
+    #[options(help = "streamed answers under faults, and a rolling restart")]
+    Streams(streams::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -47,6 +49,7 @@
         Some(Part::Path(arguments)) => path::run(&arguments),
         Some(Part::Policy(arguments)) => policy::run(&arguments),
         Some(Part::Roles(arguments)) => roles::run(&arguments),
+        Some(Part::Streams(arguments)) => streams::run(&arguments),
         None => {
             eprintln!("measure: name what to measure:\n{}", Part::usage());
             return ExitCode::from(2);
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -12,6 +12,7 @@
 mod quantile;
 pub mod quickstart;
 pub mod roles;
+pub mod streams;
 
 pub use caller::{Answer, Caller, StreamAnswer};
 pub use cluster::{Cluster, ClusterPlan, NodePlan};
--- a/crates/sesamecart-node/src/traffic/model.rs
+++ b/crates/sesamecart-node/src/traffic/model.rs
@@ -5,22 +5,17 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, Response};
-use http_body_util::BodyExt as _;
+use http::{HeaderValue, Response, StatusCode};
 use serde::Deserialize;
-use sesamecart_decisions::retry::{FailedAttempt, Progress, RetryDecision};
-use sesamecart_edges::{CallerBody, Exchange, OUTCOME, Reuse, read_whole, whole};
-use sesamecart_vocabulary::{AttemptId, ModelId, RequestClass, RequestId, Timestamp};
+use sesamecart_edges::{CallerBody, OUTCOME, read_whole, whole};
+use sesamecart_vocabulary::{ModelId, RequestClass, RequestId, Timestamp};
 
-use crate::pools::{Entry, PoolKey, Turn};
-use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::traffic::answer::Refusal;
 use crate::traffic::caller::Caller;
-use crate::traffic::forward::{Attempt, AttemptError};
+use crate::traffic::completion::{Answered, Attempts, CompletionRequest};
 use crate::traffic::handler::Handler;
 use crate::traffic::relay::Relay;
-use crate::traffic::weigh::{self, Patience};
 
 /// The fields of a completion request that routing needs; the rest is passed on as it came.
 #[derive(Debug, Deserialize)]
@@ -41,10 +36,16 @@
     }
 }
 
+/// The field of a whole answer that tells whose it is.
+#[derive(Debug, Deserialize)]
+struct AnswerId<'a> {
+    id: &'a str,
+}
+
 /// A completion request of one caller.
 #[derive(Debug)]
 pub(crate) struct ModelRequest<'a> {
-    pub(crate) snapshot: &'a Snapshot,
+    pub(crate) snapshot: &'a Arc<Snapshot>,
     pub(crate) caller: Caller<'a>,
     pub(crate) id: &'a RequestId,
     pub(crate) path: &'a str,
@@ -54,159 +55,69 @@
     pub(crate) limit: Duration,
 }
 
-/// An attempt that was sent, with its answer's head.
-struct SentAttempt {
-    exchange: Exchange,
-    attempt: AttemptId,
-}
-
-/// An attempt whose answer's head has arrived, and the turn that it takes until its end.
-struct Answered {
-    exchange: Exchange,
-    attempt: AttemptId,
-    turn: Turn,
-}
-
 impl ModelRequest<'_> {
     /// Passes the request on and returns the answer.
     pub(crate) async fn run(self, handler: &Handler) -> Result<Response<CallerBody>, Refusal> {
         let completion: Completion = serde_json::from_slice(&self.body)
             .map_err(|error| Refusal::BadRequest(format!("the body can't be read: {error}")))?;
-        let model = completion.model.clone();
+        let answer_limit = completion.answer_limit();
+        let model = completion.model;
         if !self.caller.customer.models.contains(&model) {
             return Err(Refusal::UnknownModel(model.to_string()));
         }
-        let answered = self
-            .attempt(handler, &model, completion.answer_limit())
-            .await?;
-        if completion.stream {
-            return Ok(self.stream(&handler.shared, answered));
-        }
-        self.whole(&handler.shared, answered).await
-    }
-
-    /// Tries endpoints until one answers. A completion changes nothing, so it may be tried again
-    /// even when an endpoint may have begun it.
-    async fn attempt(
-        &self,
-        handler: &Handler,
-        model: &ModelId,
-        answer: Option<u64>,
-    ) -> Result<Answered, Refusal> {
-        let shared = &handler.shared;
-        let patience = Patience {
+        let request = CompletionRequest {
+            handler: handler.clone(),
+            snapshot: Arc::clone(self.snapshot),
+            customer: self.caller.id.clone(),
+            model,
+            id: self.id.clone(),
+            path: self.path.to_owned(),
+            body: self.body,
+            class: self.class,
+            answer_limit,
             arrived: self.arrived,
             limit: self.limit,
         };
-        let request = weigh::completion(self.caller, self.class, &self.body, answer, patience);
-        let mut attempts = 0;
-        let mut failed = None;
+        let mut attempts = Attempts::default();
+        if !completion.stream {
+            return request.whole(&mut attempts).await;
+        }
+        let answered = request.attempt(&mut attempts, None).await?;
+        // An error of the engine comes whole and isn't a stream.
+        if !answered.exchange.response.status().is_success() {
+            return request.pass_on(answered).await;
+        }
+        let head = answered.exchange.response.headers();
+        let content_type = head.get(CONTENT_TYPE).cloned();
+        let mut response = Response::new(Relay::new(request, attempts, answered).into_body());
+        if let Some(content_type) = content_type {
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+        }
+        Ok(response)
+    }
+}
+
+impl CompletionRequest {
+    /// Reads a whole answer, trying again while it breaks off or is another request's.
+    async fn whole(&self, attempts: &mut Attempts) -> Result<Response<CallerBody>, Refusal> {
         loop {
-            let entry = Entry {
-                key: PoolKey::model(model, self.caller.customer),
-                request: request.clone(),
-                again: attempts > 0,
-            };
-            let entered = shared.pools.enter(self.snapshot, entry).await;
-            // What an earlier attempt may have run isn't undone by a refusal of the next.
-            let mut turn = match entered {
-                Ok(turn) => turn,
-                Err(refusal) => return Err(failed.unwrap_or(refusal)),
-            };
-            attempts += 1;
-            let (error, refusal) = match self.send(handler, &turn).await {
-                Ok(sent) => {
-                    return Ok(Answered {
-                        exchange: sent.exchange,
-                        attempt: sent.attempt,
-                        turn,
-                    });
+            let answered = self.attempt(attempts, None).await?;
+            let endpoint = answered.endpoint.clone();
+            match self.pass_on(answered).await {
+                Err(Refusal::NoAnswer(reason)) if attempts.are_left() => {
+                    let id = &self.id;
+                    log::warn!("traffic: {id} got no whole answer of {endpoint}: {reason}.");
                 }
-                Err(AttemptError::NotRun(reason)) => {
-                    (Progress::NotRun, Refusal::NotReached(reason))
-                }
-                Err(AttemptError::Unknown(reason)) => (Progress::Sent, Refusal::NoAnswer(reason)),
-            };
-            log::info!(
-                "traffic: {} failed at {}: {refusal}.",
-                self.id,
-                turn.endpoint()
-            );
-            let decision = turn.fail(FailedAttempt {
-                progress: error,
-                idempotent: true,
-                attempts,
-                start_by: request.start_by(),
-            });
-            if !matches!(failed, Some(Refusal::NoAnswer(_))) {
-                failed = Some(refusal);
-            }
-            if decision != RetryDecision::Retry {
-                return Err(failed.unwrap_or(Refusal::NoEndpoint));
+                answer => return answer,
             }
         }
     }
 
-    async fn send(&self, handler: &Handler, turn: &Turn) -> Result<SentAttempt, AttemptError> {
-        let shared = &handler.shared;
-        let endpoint = turn.endpoint();
-        let endpoints = &self.snapshot.configuration.endpoints;
-        let Some(known) = endpoints.get(&endpoint) else {
-            return Err(AttemptError::NotRun(format!("{endpoint} is new")));
-        };
-        let left = self.limit.saturating_sub(shared.clock.now() - self.arrived);
-        let attempt = Attempt {
-            id: shared.identity.attempt_id(),
-            request: self.id,
-            peer: known.address,
-            method: &Method::POST,
-            path: self.path,
-            content_type: Some(&HeaderValue::from_static("application/json")),
-            body: self.body.clone(),
-            priority: self.class.priority(),
-            reuse: Reuse::Allowed,
-            action: None,
-            limit: left,
-        };
-        let id = attempt.id.clone();
-        let exchange = attempt.send(&handler.client).await?;
-        Ok(SentAttempt {
-            exchange,
-            attempt: id,
-        })
-    }
-
-    fn stream(&self, shared: &Arc<Shared>, answered: Answered) -> Response<CallerBody> {
-        let Answered {
-            exchange,
-            attempt,
-            turn,
-        } = answered;
-        let (head, incoming) = exchange.response.into_parts();
-        let relay = Relay::new(
-            Arc::clone(shared),
-            incoming,
-            exchange.lease,
-            attempt,
-            self.arrived,
-            turn,
-        );
-        let mut response = Response::new(relay.boxed_unsync());
-        *response.status_mut() = head.status;
-        copy_content_type(&head.headers, &mut response);
-        response
-    }
-
-    async fn whole(
-        &self,
-        shared: &Shared,
-        answered: Answered,
-    ) -> Result<Response<CallerBody>, Refusal> {
+    async fn pass_on(&self, answered: Answered) -> Result<Response<CallerBody>, Refusal> {
         let (head, incoming) = answered.exchange.response.into_parts();
-        let left = self.limit.saturating_sub(shared.clock.now() - self.arrived);
+        let max = self.handler.shared.settings.bounds.max_answer_bytes;
         let mut turn = answered.turn;
-        let read = read_whole(incoming, shared.settings.bounds.max_answer_bytes, left).await;
-        let body = match read {
+        let body = match read_whole(incoming, max, self.left()).await {
             Ok(body) => body,
             Err(error) => {
                 turn.break_off();
@@ -214,19 +125,23 @@
             }
         };
         answered.exchange.lease.give_back();
+        // The header may be right over another request's body, as when an engine mixes up two.
+        if head.status == StatusCode::OK {
+            let own = serde_json::from_slice::<AnswerId<'_>>(&body)
+                .is_ok_and(|answer| answer.id == answered.attempt.as_str());
+            if !own {
+                turn.break_off();
+                return Err(Refusal::NoAnswer("it is another request's".to_owned()));
+            }
+        }
         turn.finish_stream();
         let mut response = Response::new(whole(body));
         *response.status_mut() = head.status;
-        response
-            .headers_mut()
-            .insert(OUTCOME, HeaderValue::from_static("answered"));
-        copy_content_type(&head.headers, &mut response);
+        let headers = response.headers_mut();
+        headers.insert(OUTCOME, HeaderValue::from_static("answered"));
+        if let Some(content_type) = head.headers.get(CONTENT_TYPE) {
+            headers.insert(CONTENT_TYPE, content_type.clone());
+        }
         Ok(response)
     }
 }
-
-fn copy_content_type(from: &http::HeaderMap, to: &mut Response<CallerBody>) {
-    if let Some(content_type) = from.get(CONTENT_TYPE) {
-        to.headers_mut().insert(CONTENT_TYPE, content_type.clone());
-    }
-}
