--- a/crates/sesamecart-node/src/traffic/weigh.rs
+++ b/crates/sesamecart-node/src/traffic/weigh.rs
@@ -13,6 +13,11 @@
 const BYTES_PER_TOKEN: u64 = 4;
 /// The tokens of an answer whose request names no limit.
 const DEFAULT_ANSWER: u64 = 256;
+/// The most tokens of an answer that are reckoned with, whatever the request allows.
+///
+/// Callers name limits far above the length of answers; reckoned with in full, one such request would
+/// keep an engine's memory empty for itself, or fit nowhere.
+const LONGEST_ANSWER: u64 = 1_024;
 /// The bytes at a body's head that requests with a shared prompt have in common.
 const PREFIX_BYTES: usize = 512;
 /// Microseconds of an engine at its warm limit for a prompt's token, and for an answer's.
@@ -55,7 +60,7 @@
     patience: Patience,
 ) -> Request {
     let prompt = body.len() as u64 / BYTES_PER_TOKEN;
-    let answer = answer.unwrap_or(DEFAULT_ANSWER);
+    let answer = answer.unwrap_or(DEFAULT_ANSWER).min(LONGEST_ANSWER);
     let head = String::from_utf8_lossy(&body[..body.len().min(PREFIX_BYTES)]);
     let expected = BEGIN + Duration::from_micros(prompt * PROMPT_TOKEN_US);
     Request {
--- a/crates/sesamecart-node/tests/whole_path/setup.rs
+++ b/crates/sesamecart-node/tests/whole_path/setup.rs
@@ -251,16 +251,17 @@
     matches!(record, Ok(Record::Claim { .. }))
 }
 
-fn start_engine(number: usize) -> Engine {
+fn start_engine(index: usize) -> Engine {
     let speed = EngineSpeed {
         first_token: Duration::from_millis(1),
         prompt_token: Duration::ZERO,
         token: Duration::from_millis(1),
         batch_knee: Concurrency(64),
     };
+    let member = format!("engine-{index}");
     let config = EngineConfig {
         speed,
-        members: vec![format!("engine-{number}").parse().expect("a name")],
+        members: vec![member.parse().expect("a name")],
         ..EngineConfig::default()
     };
     Engine::start(config).expect("start an engine")
