--- a/crates/sesamecart-node/src/duties.rs
+++ b/crates/sesamecart-node/src/duties.rs
@@ -162,6 +162,12 @@
         self.owners.store(Arc::new(state.leases.owners()));
     }
 
+    /// Notes that a claim for other voters of a held shard is about to be appended; tells whether it
+    /// may be.
+    pub(crate) fn begin_voter_change(&self, shard: ShardId, now: Timestamp) -> bool {
+        self.lock().leases.begin_voter_change(shard, now)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
