--- a/crates/sesamecart-measure/examples/measure.rs
+++ b/crates/sesamecart-measure/examples/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use sesamecart_measure::{actions, control, groups, path, policy, roles, streams};
+use sesamecart_measure::{actions, capacity, control, groups, path, policy, roles, streams};
 
 /// Measures one part of the system against stand-ins on loopback.
 #[derive(Debug, Options)]
@@ -19,6 +19,8 @@
 /// What can be measured.
 #[derive(Debug, Options)]
 enum Part {
+    #[options(help = "the tables of docs/CAPACITY.md from the committed measurements")]
+    Capacity(capacity::Arguments),
     #[options(help = "keyed actions through nine nodes under faults, and without keys")]
     Actions(actions::Arguments),
     #[options(help = "what agreement costs each node, at growing numbers of nodes")]
@@ -43,6 +45,7 @@
         eprintln!("measure: no logs: {error}");
     }
     let measured = match arguments.part {
+        Some(Part::Capacity(arguments)) => capacity::run(&arguments),
         Some(Part::Actions(arguments)) => actions::run(&arguments),
         Some(Part::Control(arguments)) => control::run(&arguments),
         Some(Part::Groups(arguments)) => groups::run(&arguments),
--- a/crates/sesamecart-measure/src/lib.rs
+++ b/crates/sesamecart-measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod actions;
 mod caller;
+pub mod capacity;
 mod cluster;
 pub mod control;
 mod fit;
