--- a/crates/sesamecart-config/src/settings/tests.rs
+++ b/crates/sesamecart-config/src/settings/tests.rs
@@ -31,3 +31,28 @@
     a_threshold_is_out_of_range: r#"{"allowance": {"growth": 9.0}}"#, Some("allowance.growth: 9 must be from 1.01 to 4");
     a_threshold_is_unknown: r#"{"allowance": {"grwoth": 1.3}}"#, Some("grwoth");
 }
+
+/// Operators write settings by hand and by scripts that break them. Whatever stands in the file, the
+/// node must end with an error that names it and never with a panic.
+#[test]
+fn any_text_is_settings_or_an_error_that_names_the_file() {
+    let whole = serde_json::json!({
+        "node": "node-1", "failure_domain": "muscat-a", "region": "muscat",
+        "callers": "127.0.0.1:1", "administration": "127.0.0.1:2", "links": "127.0.0.1:3",
+        "log": { "address": "127.0.0.1:4", "poll_ms": 200 }, "traffic_threads": 2,
+    })
+    .to_string();
+    let path = std::path::Path::new("node-1.json");
+    bolero::check!()
+        .with_type::<(u16, u16, Vec<u8>)>()
+        .for_each(|(from, length, written)| {
+            let mut bytes = whole.clone().into_bytes();
+            let from = usize::from(*from) % bytes.len();
+            let to = (from + usize::from(*length) % 24).min(bytes.len());
+            bytes.splice(from..to, written.iter().copied().take(24));
+            let text = String::from_utf8_lossy(&bytes);
+            if let Err(error) = super::Settings::parse(path, &text) {
+                assert!(error.to_string().starts_with("node-1.json: "), "{error}");
+            }
+        });
+}
--- a/crates/sesamecart-node/tests/callers/main.rs
+++ b/crates/sesamecart-node/tests/callers/main.rs
@@ -176,3 +176,40 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("hasn't read the log"), "{answer}");
 }
+
+/// A broken program, or a scanner, sends bytes that are no request, or a request with something in it
+/// overwritten. The node must answer or close the connection, run nothing that wasn't asked for with a
+/// valid key, and go on serving others.
+#[test]
+fn any_bytes_are_answered_or_the_connection_is_closed() {
+    let deployment = Deployment::start();
+    let callers = deployment.node.callers();
+    let whole = post(
+        "/services/stock/transfers",
+        "wrong",
+        "{\"transfer\":\"t-1\"}",
+    );
+    bolero::check!()
+        .with_iterations(200)
+        .with_type::<(u16, u16, Vec<u8>)>()
+        .for_each(|(from, length, written)| {
+            let mut request = whole.clone().into_bytes();
+            let from = usize::from(*from) % request.len();
+            let to = (from + usize::from(*length) % 64).min(request.len());
+            request.splice(from..to, written.iter().copied().take(64));
+            let mut stream = TcpStream::connect(callers).expect("connect");
+            let limit = Some(Duration::from_secs(20));
+            stream.set_read_timeout(limit).expect("set a time limit");
+            let _written = stream.write_all(&request);
+            let _closed = stream.shutdown(Shutdown::Write);
+            let mut answer = Vec::new();
+            let _read = stream.read_to_end(&mut answer);
+            let answer = String::from_utf8_lossy(&answer);
+            assert!(
+                answer.is_empty() || answer.starts_with("HTTP/1.1 "),
+                "{answer}"
+            );
+        });
+    assert!(deployment.service.runs().is_empty(), "something was run");
+    assert!(exchange(&deployment, get("/healthz").as_bytes()).starts_with("HTTP/1.1 200"));
+}
