Turn an assignment request into its record in one place

Cause: the same match stood in the node, in the groups' tests and in their measurement; a field added to one, as the version was, had to be added to each. Conclusion: one conversion.

--- a/crates/sesamecart-groups/src/assignment.rs
+++ b/crates/sesamecart-groups/src/assignment.rs
@@ -2,7 +2,8 @@
 
 use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{Generation, GroupId, VmId};
+use sesamecart_fold::Record;
+use sesamecart_vocabulary::{Epoch, Generation, GroupId, VmId};
 
 /// A change of a group's members or version, to be appended to the log.
 ///
@@ -44,6 +45,35 @@
         }
     }
 
+    /// Makes the record that is appended under a shard's epoch.
+    #[must_use]
+    pub fn into_record(self, shard_epoch: Epoch) -> Record {
+        match self {
+            Self::Assign {
+                group,
+                vms,
+                generation,
+                version,
+            } => Record::Assign {
+                group,
+                vms,
+                generation,
+                shard_epoch,
+                version,
+            },
+            Self::Unassign {
+                vm,
+                group,
+                generation,
+            } => Record::Unassign {
+                vm,
+                group,
+                generation,
+                shard_epoch,
+            },
+        }
+    }
+
     /// Returns whether the request would make a VM a member.
     #[must_use]
     pub fn assigns(&self, vm: &VmId) -> bool {
--- a/crates/sesamecart-groups/src/controller/tests/world.rs
+++ b/crates/sesamecart-groups/src/controller/tests/world.rs
@@ -234,30 +234,7 @@
             .get(&shard())
             .copied()
             .unwrap_or_default();
-        let record = match request.clone() {
-            AssignmentRequest::Assign {
-                group,
-                vms,
-                generation,
-                version,
-            } => Record::Assign {
-                group,
-                vms,
-                generation,
-                shard_epoch,
-                version,
-            },
-            AssignmentRequest::Unassign {
-                vm,
-                group,
-                generation,
-            } => Record::Unassign {
-                vm,
-                group,
-                generation,
-                shard_epoch,
-            },
-        };
+        let record = request.clone().into_record(shard_epoch);
         if let Applied::Rejected(_) = self.append(&record) {
             self.tell(Event::Rejected(request));
         }
--- a/crates/sesamecart-measure/src/groups/log.rs
+++ b/crates/sesamecart-measure/src/groups/log.rs
@@ -47,30 +47,7 @@
     pub(super) fn request(&mut self, request: &AssignmentRequest) -> bool {
         let shard = self.fold.state().group_shard(request.group());
         let epoch = self.fold.state().epoch(shard).unwrap_or_default();
-        let record = match request.clone() {
-            AssignmentRequest::Assign {
-                group,
-                vms,
-                generation,
-                version,
-            } => Record::Assign {
-                group,
-                vms,
-                generation,
-                shard_epoch: epoch,
-                version,
-            },
-            AssignmentRequest::Unassign {
-                vm,
-                group,
-                generation,
-            } => Record::Unassign {
-                vm,
-                group,
-                generation,
-                shard_epoch: epoch,
-            },
-        };
+        let record = request.clone().into_record(epoch);
         self.group_records += 1;
         !matches!(self.append(&record), Applied::Rejected(_))
     }
--- a/crates/sesamecart-node/src/groups/carry.rs
+++ b/crates/sesamecart-node/src/groups/carry.rs
@@ -55,7 +55,7 @@
         if !self.may_act(request.group(), epoch) {
             return Some(Event::Rejected(request));
         }
-        let record = record_of(request.clone(), epoch).encode();
+        let record = request.clone().into_record(epoch).encode();
         let offset = match self.log.append(record.into()).await {
             Ok(offset) => offset,
             Err(error) => {
@@ -181,33 +181,6 @@
     Failed,
 }
 
-fn record_of(request: AssignmentRequest, shard_epoch: Epoch) -> Record {
-    match request {
-        AssignmentRequest::Assign {
-            group,
-            vms,
-            generation,
-            version,
-        } => Record::Assign {
-            group,
-            vms,
-            generation,
-            shard_epoch,
-            version,
-        },
-        AssignmentRequest::Unassign {
-            vm,
-            group,
-            generation,
-        } => Record::Unassign {
-            vm,
-            group,
-            generation,
-            shard_epoch,
-        },
-    }
-}
-
 fn body_of(order: &FencedOrder) -> Value {
     let (name, mut body) = match &order.kind {
         OrderKind::LoadModel { model, version } => {
