Count look-ups of plain services in their own class

Cause: every request to a plain service was counted as an action, so an operator who watched actions saw order-status look-ups among them; and metrics that can't be written were told as the caller's fault. Change: the request names its class, by which it is admitted and counted; the handler's branch for plain services is a function of its own; failing metrics answer 500 and are logged.

--- a/crates/sesamecart-node/src/traffic/handler.rs
+++ b/crates/sesamecart-node/src/traffic/handler.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use sesamecart_edges::{CallerBody, HttpClient, REQUEST, ReadBodyError, read_whole, whole};
 use sesamecart_runtime::Tasks;
-use sesamecart_vocabulary::{RequestClass, RequestId, Timestamp};
+use sesamecart_vocabulary::{RequestClass, RequestId, ServiceId, Timestamp};
 
 use crate::actions::Desk;
 use crate::shared::Shared;
@@ -98,34 +98,45 @@
             Call::Completion => self.complete(&snapshot, caller, arrived).await,
             Call::Models => Ok(models(caller)),
             Call::Service { service, path } => {
-                let limit = self.limit(&arrived.head);
-                let keyed = KeyedAction::read(&snapshot, caller, &service, &arrived.head)?;
-                if let Some(keyed) = keyed {
-                    let keyed = keyed.with_body(path, arrived.body, arrived.id, arrived.at, limit);
-                    let answered = keyed.run(self).await;
-                    self.count(RequestClass::Action, &answered);
-                    return answered;
-                }
-                let request = ServiceRequest {
-                    snapshot: &snapshot,
-                    caller,
-                    id: &arrived.id,
-                    service: &service,
-                    method: &arrived.head.method,
-                    path: &path,
-                    content_type: arrived.head.headers.get(CONTENT_TYPE),
-                    body: arrived.body,
-                    arrived: arrived.at,
-                    limit,
-                };
-                let answered = request.run(self).await;
-                self.count(RequestClass::Action, &answered);
-                answered
+                self.serve(&snapshot, caller, &service, path, arrived).await
             }
             Call::Health | Call::Ready | Call::Metrics => Err(Refusal::UnknownPath),
         }
     }
 
+    async fn serve(
+        &self,
+        snapshot: &Arc<Snapshot>,
+        caller: Caller<'_>,
+        service: &ServiceId,
+        path: String,
+        arrived: Arrived,
+    ) -> Result<Response<CallerBody>, Refusal> {
+        let limit = self.limit(&arrived.head);
+        if let Some(keyed) = KeyedAction::read(snapshot, caller, service, &arrived.head)? {
+            let keyed = keyed.with_body(path, arrived.body, arrived.id, arrived.at, limit);
+            let answered = keyed.run(self).await;
+            self.count(RequestClass::Action, &answered);
+            return answered;
+        }
+        let request = ServiceRequest {
+            snapshot,
+            caller,
+            id: &arrived.id,
+            service,
+            method: &arrived.head.method,
+            path: &path,
+            content_type: arrived.head.headers.get(CONTENT_TYPE),
+            body: arrived.body,
+            arrived: arrived.at,
+            limit,
+        };
+        let class = request.class();
+        let answered = request.run(self).await;
+        self.count(class, &answered);
+        answered
+    }
+
     async fn complete(
         &self,
         snapshot: &Arc<Snapshot>,
@@ -187,7 +198,11 @@
     fn metrics(&self) -> Response<CallerBody> {
         match self.shared.metrics.render() {
             Ok(text) => Response::new(whole(text)),
-            Err(error) => Refusal::BadRequest(format!("metrics: {error}")).answer(),
+            Err(error) => {
+                log::error!("traffic: the metrics can't be written: {error}.");
+                let body = json!({"error": {"message": "the metrics can't be written"}});
+                json_answer(StatusCode::INTERNAL_SERVER_ERROR, &body)
+            }
         }
     }
 }
--- a/crates/sesamecart-node/src/traffic/service.rs
+++ b/crates/sesamecart-node/src/traffic/service.rs
@@ -33,6 +33,18 @@
 }
 
 impl ServiceRequest<'_> {
+    /// Returns the request's class: one that may be repeated, such as a look-up, waits behind those
+    /// that change stock or money.
+    pub(crate) fn class(&self) -> RequestClass {
+        let services = &self.snapshot.configuration.services;
+        match services.get(self.service) {
+            Some(service) if !service.idempotent_methods.contains(self.method.as_str()) => {
+                service.class
+            }
+            _ => RequestClass::Interactive,
+        }
+    }
+
     /// Passes the request on and returns the answer.
     pub(crate) async fn run(self, handler: &Handler) -> Result<Response<CallerBody>, Refusal> {
         let unknown = || Refusal::UnknownService(self.service.to_string());
@@ -46,11 +58,7 @@
             .get(self.service)
             .ok_or_else(unknown)?;
         let idempotent = service.idempotent_methods.contains(self.method.as_str());
-        let class = if idempotent {
-            RequestClass::Interactive
-        } else {
-            service.class
-        };
+        let class = self.class();
         let patience = Patience {
             arrived: self.arrived,
             limit: self.limit,
