Name the field and the value in every error of a node's settings

Cause: a wrong address or an unknown field was told by line and column only; an operator who wrote the settings by a script had to count lines. Change: settings are read with their path, and an error names the file, the field from the top and what stands there.

--- a/crates/sesamecart-config/src/settings.rs
+++ b/crates/sesamecart-config/src/settings.rs
@@ -166,10 +166,14 @@
         source: std::io::Error,
     },
     /// The file isn't JSON of the right shape.
-    #[error("{}: {source}", path.display())]
+    #[error("{}: {field}: {value}: {source}", path.display())]
     Shape {
         /// The file.
         path: PathBuf,
+        /// The field, as a path from the top; `.` for the file as a whole.
+        field: String,
+        /// What stands there, cut short, or a dash if nothing can be read there.
+        value: String,
         /// What the reader said, with line and column.
         source: serde_json::Error,
     },
@@ -187,6 +191,21 @@
     },
 }
 
+/// The most characters of a wrong value that an error shows.
+const SHOWN_CHARACTERS: usize = 60;
+
+/// Returns what stands at a field, for an error to show.
+fn value_at(text: &str, field: &str) -> String {
+    let Ok(whole) = serde_json::from_str::<serde_json::Value>(text) else {
+        return "-".to_owned();
+    };
+    let pointer = format!("/{}", field.replace(['.', '['], "/").replace(']', ""));
+    match whole.pointer(&pointer) {
+        Some(value) => value.to_string().chars().take(SHOWN_CHARACTERS).collect(),
+        None => "-".to_owned(),
+    }
+}
+
 impl Settings {
     /// Reads and checks the settings in a file.
     ///
@@ -208,9 +227,15 @@
     ///
     /// Returns an error that names the file, the field and the value that can't be used.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = serde_json::from_str(text).map_err(|source| SettingsError::Shape {
-            path: path.to_owned(),
-            source,
+        let reader = &mut serde_json::Deserializer::from_str(text);
+        let settings: Self = serde_path_to_error::deserialize(reader).map_err(|error| {
+            let field = error.path().to_string();
+            SettingsError::Shape {
+                path: path.to_owned(),
+                value: value_at(text, &field),
+                field,
+                source: error.into_inner(),
+            }
         })?;
         settings.check(path)?;
         Ok(settings)
--- a/crates/sesamecart-config/src/settings/tests.rs
+++ b/crates/sesamecart-config/src/settings/tests.rs
@@ -56,3 +56,35 @@
             }
         });
 }
+
+macro_rules! wrong_settings {
+    ($($name:ident: $field:literal = $value:expr => $expected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut whole = serde_json::json!({
+                "node": "node-1", "failure_domain": "muscat-a", "region": "muscat",
+                "callers": "127.0.0.1:1", "administration": "127.0.0.1:2", "links": "127.0.0.1:3",
+                "log": { "address": "127.0.0.1:4" },
+            });
+            whole[$field] = $value;
+            let parsed = Settings::parse(Path::new("node-1.json"), &whole.to_string());
+            let error = parsed.expect_err("the settings can't be used").to_string();
+            assert!(error.starts_with($expected), "{error}");
+        }
+    )*};
+}
+
+wrong_settings! {
+    wrong_address_is_named: "callers" = "300.0.0.1:80".into()
+        => "node-1.json: callers: \"300.0.0.1:80\": ";
+    wrong_address_of_the_log_is_named: "log" = serde_json::json!({ "address": "here" })
+        => "node-1.json: log.address: \"here\": ";
+    unknown_field_is_named: "colour" = 3.into() => "node-1.json: colour: 3: unknown field";
+    wrong_peer_is_named: "peers" = serde_json::json!([{ "node": "node-2", "address": 5, "failure_domain": "a" }])
+        => "node-1.json: peers[0].address: 5: ";
+    own_name_among_peers_is_named:
+        "peers" = serde_json::json!([{ "node": "node-1", "address": "127.0.0.1:5", "failure_domain": "a" }])
+        => "node-1.json: peers: node-1: ";
+    address_that_stands_twice_is_named: "links" = "127.0.0.1:1".into()
+        => "node-1.json: links: 127.0.0.1:1: ";
+}
