Get a bounded answer in one place

Cause: the VM list, the weight store and the endpoints' load were each read by the same dozen lines, and the VM list's adapter passed over the answer's status, so a refusal was told as broken JSON. Change: HttpClient::get reads a path within bytes and time; the three use it, and the list names a refusal's status. Conclusion: one bounded read.

--- a/crates/sesamecart-edges/src/client.rs
+++ b/crates/sesamecart-edges/src/client.rs
@@ -6,15 +6,17 @@
 
 use bytes::Bytes;
 use derive_more::{Debug, Display, Error};
+use http::header::HOST;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use indexmap::IndexMap;
 use sesamecart_runtime::{Tasks, connect, within};
+use sesamecart_vocabulary::Bytes as ByteSize;
 use smol_hyper::rt::FuturesIo;
 
-use crate::body::BoxError;
+use crate::body::{BoxError, read_whole};
 
 /// The most idle connections that are kept for one peer.
 const MAX_IDLE: usize = 64;
@@ -174,6 +176,28 @@
             .map_err(|failed| failed.error)
     }
 
+    /// Gets a path and reads the whole answer, whatever its status, within `max` bytes and `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what failed: the request, the exchange or the reading of the answer.
+    pub async fn get(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        max: ByteSize,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, BoxError> {
+        let req = Request::get(path)
+            .header(HOST, peer.to_string())
+            .body(Full::new(Bytes::new()))?;
+        let exchange = self.send(peer, req, Reuse::Allowed, limit).await?;
+        let (head, body) = exchange.response.into_parts();
+        let body = read_whole(body, max, limit).await?;
+        exchange.lease.give_back();
+        Ok(Response::from_parts(head, body))
+    }
+
     fn take_idle(&self, peer: SocketAddr, reuse: Reuse) -> Option<Sender> {
         if reuse == Reuse::Never {
             return None;
--- a/crates/sesamecart-edges/src/vm_list.rs
+++ b/crates/sesamecart-edges/src/vm_list.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_lite::future::Boxed;
-use http::Request;
-use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{Bytes as ByteSize, FailureDomainId, VmId};
 
-use crate::body::{BoxError, read_whole};
-use crate::client::{HttpClient, Reuse};
+use crate::body::BoxError;
+use crate::client::HttpClient;
 
 /// The largest list that is read, in bytes.
 const MAX_LIST: ByteSize = ByteSize(16 * 1024 * 1024);
@@ -96,19 +93,16 @@
     async fn read_list(self) -> Result<Vec<ListedVm>, VmListError> {
         let peer = self.peer;
         let error = |reason: BoxError| VmListError { peer, reason };
-        let req = Request::get("/vms")
-            .header(http::header::HOST, peer.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(|cause| error(cause.into()))?;
-        let exchange = self
+        let response = self
             .client
-            .send(peer, req, Reuse::Allowed, self.limit)
+            .get(peer, "/vms", MAX_LIST, self.limit)
             .await
-            .map_err(|cause| error(cause.into()))?;
-        let body = read_whole(exchange.response.into_body(), MAX_LIST, self.limit)
-            .await
-            .map_err(|cause| error(cause.into()))?;
-        exchange.lease.give_back();
+            .map_err(error)?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(error(format!("answered {status}").into()));
+        }
+        let body = response.into_body();
         let list: List = serde_json::from_slice(&body).map_err(|cause| error(cause.into()))?;
         Ok(list.vms)
     }
--- a/crates/sesamecart-edges/src/weight_store.rs
+++ b/crates/sesamecart-edges/src/weight_store.rs
@@ -3,16 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_lite::future::Boxed;
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{Bytes as ByteSize, ModelId};
 
-use crate::body::{BoxError, read_whole};
-use crate::client::{HttpClient, Reuse};
+use crate::body::BoxError;
+use crate::client::HttpClient;
 
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: ByteSize = ByteSize(64 * 1024);
@@ -84,20 +82,13 @@
     ) -> Result<WeightTransfer, WeightStoreError> {
         let peer = self.peer;
         let failed = |reason: BoxError| WeightStoreError::Failed { peer, reason };
-        let req = Request::get(format!("/weights/{model}/{version}"))
-            .header(http::header::HOST, peer.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(|cause| failed(cause.into()))?;
-        let exchange = self
+        let path = format!("/weights/{model}/{version}");
+        let response = self
             .client
-            .send(peer, req, Reuse::Allowed, self.limit)
+            .get(peer, &path, MAX_ANSWER, self.limit)
             .await
-            .map_err(|cause| failed(cause.into()))?;
-        let (head, body) = exchange.response.into_parts();
-        let body = read_whole(body, MAX_ANSWER, self.limit)
-            .await
-            .map_err(|cause| failed(cause.into()))?;
-        exchange.lease.give_back();
+            .map_err(failed)?;
+        let (head, body) = response.into_parts();
         if head.status == StatusCode::TOO_MANY_REQUESTS {
             let again_after = retry_after(&head.headers);
             return Err(WeightStoreError::OutOfRate { peer, again_after });
--- a/crates/sesamecart-node/src/groups/load.rs
+++ b/crates/sesamecart-node/src/groups/load.rs
@@ -3,13 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
-use http::header::HOST;
-use http_body_util::Full;
 use indexmap::IndexMap;
 use serde::Deserialize;
-use sesamecart_edges::{HttpClient, Reuse, read_whole};
+use sesamecart_edges::HttpClient;
 use sesamecart_groups::{GroupReport, MemberReport};
 use sesamecart_vocabulary::{Generation, GroupId, Incarnation, Timestamp, VmId};
 
@@ -68,14 +64,9 @@
 
 /// Asks an endpoint for its load; nothing if it doesn't answer in time.
 pub(crate) async fn fetch_load(client: &HttpClient, peer: SocketAddr) -> Option<Load> {
-    let request = Request::get("/load")
-        .header(HOST, peer.to_string())
-        .body(Full::new(Bytes::new()))
+    let response = client
+        .get(peer, "/load", MAX_REPORT_BYTES, LOAD_LIMIT)
+        .await
         .ok()?;
-    let exchange = client.send(peer, request, Reuse::Allowed, LOAD_LIMIT);
-    let exchange = exchange.await.ok()?;
-    let body = exchange.response.into_body();
-    let body = read_whole(body, MAX_REPORT_BYTES, LOAD_LIMIT).await.ok()?;
-    exchange.lease.give_back();
-    serde_json::from_slice(&body).ok()
+    serde_json::from_slice(response.body()).ok()
 }
