Fail the quickstart when a configuration takes too long to be in force

Cause: the quickstart printed the time and checked every other promise but this one. Change: it fails at 4 seconds, the users' limit. Conclusion: each figure of the last line is now checked.

--- a/crates/sesamecart-measure/src/quickstart.rs
+++ b/crates/sesamecart-measure/src/quickstart.rs
@@ -23,6 +23,8 @@
 const TOKENS: u64 = 24;
 /// The callers that chat while a failure domain is taken out.
 const CALLERS: usize = 12;
+/// How long a configuration may take to be in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
 /// How long new work may still reach a drained failure domain.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// How long the load runs before, during and after the drain.
@@ -314,6 +316,11 @@
 }
 
 fn check(findings: &Findings) -> anyhow::Result<()> {
+    ensure!(
+        findings.config_in_force_s < IN_FORCE_LIMIT.as_secs_f64(),
+        "the configuration was in force only after {:.1} s",
+        findings.config_in_force_s
+    );
     ensure!(
         findings.wrong_answers == 0,
         "{} chat answers were wrong",
