Weigh allowance owners by the shared rendezvous weight

Cause: the table of allowance owners had written the hash finalizer again to weigh names that are hashed already; had the two drifted apart, nodes of two releases would have named different owners. Change: the vocabulary gives the weight of two hashes, and both callers use it; the values are the same. Figures: 54 tests of the node's unit, callers and groups suites pass as before. Conclusion: one formula decides owners.

--- a/crates/sesamecart-node/src/pools/owners.rs
+++ b/crates/sesamecart-node/src/pools/owners.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sesamecart_vocabulary::{EndpointId, NodeId, SHARDS, ShardId, Timestamp, stable_hash};
+use sesamecart_vocabulary::{
+    EndpointId, NodeId, SHARDS, ShardId, Timestamp, rendezvous_weight_of, stable_hash,
+};
 
 use crate::actions::Directory;
 
@@ -103,15 +105,8 @@
         .collect();
     let owner = |shard: u16| {
         let key = stable_hash(&format!("allowance-{shard}"));
-        let weight = |place: &usize| mix(key ^ hashes[*place].rotate_left(31));
+        let weight = |place: &usize| rendezvous_weight_of(key, hashes[*place]);
         (0..nodes.len()).max_by_key(weight).unwrap_or_default()
     };
     (0..SHARDS).map(owner).collect()
 }
-
-/// Spreads nearby values over all 64 bits (the finalizer of splitmix64).
-const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/sesamecart-vocabulary/src/hash.rs
+++ b/crates/sesamecart-vocabulary/src/hash.rs
@@ -37,7 +37,15 @@
 /// ```
 #[must_use]
 pub fn rendezvous_weight(key: &str, candidate: &str) -> u64 {
-    mix(stable_hash(key) ^ stable_hash(candidate).rotate_left(31))
+    rendezvous_weight_of(stable_hash(key), stable_hash(candidate))
+}
+
+/// Returns the rendezvous weight for a key and a candidate that are hashed already.
+///
+/// Who weighs many pairs hashes each name once by [`stable_hash`] instead of once a pair.
+#[must_use]
+pub const fn rendezvous_weight_of(key: u64, candidate: u64) -> u64 {
+    mix(key ^ candidate.rotate_left(31))
 }
 
 impl ShardId {
@@ -50,7 +58,7 @@
 }
 
 /// Spreads nearby values over all 64 bits (the finalizer of splitmix64).
-fn mix(value: u64) -> u64 {
+const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
