Require a trace's outcome in one place

Cause: the check that a trace states an outcome, without which a replay proves nothing, stood three times, once in each core. Change: replay.rs decides it for all cores; the error and its line are the same. Conclusion: a further core can't forget its own copy.

--- a/crates/sesamecart/src/replay.rs
+++ b/crates/sesamecart/src/replay.rs
@@ -66,13 +66,15 @@
     },
 }
 
-impl ReplayError {
-    fn without_outcome(line: usize) -> Self {
-        Self::Line {
-            line,
-            reason: "the trace states no outcome".to_owned(),
-        }
+/// Refuses a trace that states no outcome, since nothing it does could differ from what is expected.
+fn require_outcome(steps: &[Line], has_outcome: bool) -> Result<(), ReplayError> {
+    if has_outcome {
+        return Ok(());
     }
+    Err(ReplayError::Line {
+        line: steps.last().map_or(1, |line| line.number),
+        reason: "the trace states no outcome".to_owned(),
+    })
 }
 
 /// A line of a trace.
--- a/crates/sesamecart/src/replay/actions.rs
+++ b/crates/sesamecart/src/replay/actions.rs
@@ -13,7 +13,7 @@
     AttemptId, BodyDigest, Epoch, IdempotencyKey, Incarnation, NodeId, Offset, ShardId, Timestamp,
 };
 
-use super::{Line, ReplayError};
+use super::{Line, ReplayError, require_outcome};
 
 const SHARD: ShardId = ShardId(0);
 
@@ -123,13 +123,7 @@
     for line in steps {
         replay.step(line)?;
     }
-    if !replay.has_outcome {
-        return Err(ReplayError::Line {
-            line: steps.last().map_or(1, |line| line.number),
-            reason: "the trace states no outcome".to_owned(),
-        });
-    }
-    Ok(())
+    require_outcome(steps, replay.has_outcome)
 }
 
 fn key_of(key: &IdempotencyKey) -> ActionKey {
--- a/crates/sesamecart/src/replay/fold.rs
+++ b/crates/sesamecart/src/replay/fold.rs
@@ -6,7 +6,7 @@
 use sesamecart_fold::{DrainTarget, LogReader, PageBounds, RawRecord, Standing, State};
 use sesamecart_vocabulary::{Epoch, GroupId, NodeId, Offset, PublishId, Revision, ShardId, VmId};
 
-use super::{Line, ReplayError};
+use super::{Line, ReplayError, require_outcome};
 
 /// The records that one read returns; small, so that traces cross pages.
 const PAGE: usize = 2;
@@ -126,11 +126,7 @@
     for line in steps {
         replay.step(line)?;
     }
-    let last = steps.last().map_or(1, |line| line.number);
-    if replay.has_outcome {
-        return Ok(());
-    }
-    Err(ReplayError::without_outcome(last))
+    require_outcome(steps, replay.has_outcome)
 }
 
 impl Replay {
--- a/crates/sesamecart/src/replay/lease.rs
+++ b/crates/sesamecart/src/replay/lease.rs
@@ -10,7 +10,7 @@
 };
 use sesamecart_vocabulary::{Epoch, FailureDomainId, Incarnation, NodeId, ShardId, Timestamp};
 
-use super::{Line, ReplayError};
+use super::{Line, ReplayError, require_outcome};
 
 /// The time between two rounds, in which every node reads the log and does what is due.
 const ROUND: Duration = Duration::from_millis(50);
@@ -130,11 +130,7 @@
     for line in steps {
         replay.step(line)?;
     }
-    let last = steps.last().map_or(1, |line| line.number);
-    if replay.has_outcome {
-        return Ok(());
-    }
-    Err(ReplayError::without_outcome(last))
+    require_outcome(steps, replay.has_outcome)
 }
 
 impl Replay {
