--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -74,7 +74,8 @@
 /// Takes connections and hands their requests to `handle` until `leave` is given.
 ///
 /// Connections that are open then end after the request they are at, so that a graceful shutdown
-/// cuts nothing off.
+/// cuts nothing off. `limits` is asked for each connection anew, so that they may follow a
+/// configuration.
 ///
 /// # Errors
 ///
@@ -82,7 +83,7 @@
 pub async fn serve<H, F>(
     listener: TcpListener,
     tls: Option<TlsServer>,
-    limits: ServerLimits,
+    limits: impl Fn() -> ServerLimits,
     tasks: Tasks,
     connections: Connections,
     leave: Signal,
@@ -94,7 +95,7 @@
 {
     let listener = Async::new(listener)?;
     loop {
-        if connections.open() >= limits.max_connections {
+        if connections.open() >= limits().max_connections {
             future::or(sleep(FULL_REST), leave.wait()).await;
         }
         let accepted = future::or(async { Some(accept(&listener).await) }, async {
@@ -109,6 +110,7 @@
         let leave = leave.clone();
         let handle = handle.clone();
         let tls = tls.clone();
+        let limits = limits();
         tasks.spawn(async move {
             take_connection(accepted, tls, limits, leave, handle).await;
             drop(open);
--- /dev/null
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -0,0 +1,258 @@
+//! What a node knows: one picture for all its threads, with its age.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use indexmap::IndexMap;
+use sesamecart_edges::Connections;
+use sesamecart_fleet::{
+    Catalog, ColdAllowance, Directory, Endpoint, Freshness, GroupKey, LoadBook, RetryAllowance,
+};
+use sesamecart_runtime::{Signal, Trigger};
+use sesamecart_vocabulary::{EndpointId, NodeId, ServiceId, Timestamp, rendezvous_weight};
+
+use crate::clock;
+use crate::events::EventLog;
+use crate::metrics::Metrics;
+use crate::settings::EntrySettings;
+
+/// What is kept of a key's revocation time for clocks that differ and for requests under way.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(250);
+
+/// How long a group that was found lost is left alone; by then its head has given up and says so.
+const LOST_FOR: Duration = Duration::from_secs(6);
+
+/// What the threads of one node share.
+#[derive(Debug)]
+pub struct Beliefs {
+    /// The node's settings.
+    pub settings: EntrySettings,
+    /// The decision log.
+    pub events: EventLog,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The callers' open connections.
+    pub connections: Connections,
+    pub(crate) catalog: ArcSwapOption<Catalog>,
+    pub(crate) directory: ArcSwap<Directory>,
+    pub(crate) nodes: ArcSwap<Vec<NodeId>>,
+    pub(crate) loads: Mutex<LoadBook>,
+    vouched_at: AtomicU64,
+    registry_read: AtomicBool,
+    leaving: AtomicBool,
+    requests: AtomicUsize,
+    groups: Mutex<IndexMap<GroupKey, Watched>>,
+    retries: Mutex<IndexMap<ServiceId, RetryAllowance>>,
+    cold: Mutex<IndexMap<EndpointId, ColdAllowance>>,
+}
+
+/// A group that requests of this node depend on.
+#[derive(Debug)]
+struct Watched {
+    lost: Signal,
+    trigger: Trigger,
+    lost_at: Option<Timestamp>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Beliefs {
+    /// Makes the beliefs of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: EntrySettings, events: EventLog, metrics: Metrics) -> Self {
+        Self {
+            nodes: ArcSwap::from_pointee(vec![settings.node.clone()]),
+            settings,
+            events,
+            metrics,
+            connections: Connections::default(),
+            catalog: ArcSwapOption::empty(),
+            directory: ArcSwap::default(),
+            loads: Mutex::default(),
+            vouched_at: AtomicU64::new(0),
+            registry_read: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            groups: Mutex::default(),
+            retries: Mutex::default(),
+            cold: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadBook> {
+        lock(&self.loads)
+    }
+
+    /// Notes that the configuration was complete at a read that was sent at `sent`.
+    pub(crate) fn vouch(&self, sent: Timestamp) {
+        self.vouched_at.fetch_max(sent.0, Ordering::AcqRel);
+    }
+
+    /// Returns the age of the configuration, by the clock that goes on through a suspension.
+    pub(crate) fn configuration_age(&self) -> Option<Duration> {
+        self.freshness().age(clock::now())
+    }
+
+    /// Returns whether callers with keys may be let in.
+    pub(crate) fn is_vouched(&self) -> bool {
+        let bound = Duration::from_millis(self.settings.bounds.key_revocation_ms);
+        let limit = bound.saturating_sub(REVOCATION_MARGIN);
+        self.freshness().is_vouched(clock::now(), limit)
+    }
+
+    /// Returns whether the configuration may miss a change that should be in force by now.
+    pub(crate) fn is_outdated(&self) -> bool {
+        let bound = Duration::from_millis(self.settings.bounds.configuration_ms);
+        !self.freshness().is_vouched(clock::now(), bound)
+    }
+
+    fn freshness(&self) -> Freshness {
+        let mut freshness = Freshness::default();
+        let vouched = self.vouched_at.load(Ordering::Acquire);
+        if vouched > 0 {
+            freshness.vouch(Timestamp(vouched));
+        }
+        freshness
+    }
+
+    pub(crate) fn note_registry_read(&self) {
+        self.registry_read.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn note_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Returns why the node takes no callers, or nothing when it does.
+    pub(crate) fn unready_because(&self) -> Option<&'static str> {
+        if self.is_leaving() {
+            return Some("the node is leaving");
+        }
+        if self.catalog.load().is_none() {
+            return Some("the node has no configuration yet");
+        }
+        if !self.registry_read.load(Ordering::Acquire) {
+            return Some("the node hasn't read the registry yet");
+        }
+        if !self.is_vouched() {
+            return Some("the node's configuration is too old");
+        }
+        None
+    }
+
+    pub(crate) fn note_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether callers' requests have come.
+    pub(crate) fn is_in_traffic(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns the signal that is given when a group is found lost.
+    pub(crate) fn watch_group(&self, key: &GroupKey) -> Signal {
+        let mut groups = lock(&self.groups);
+        if let Some(watched) = groups.get(key) {
+            return watched.lost.clone();
+        }
+        let (trigger, lost) = Signal::new();
+        let watched = Watched {
+            lost: lost.clone(),
+            trigger,
+            lost_at: None,
+        };
+        groups.insert(key.clone(), watched);
+        lost
+    }
+
+    /// Notes that a group is lost, so that its requests go elsewhere at once.
+    pub(crate) fn lose_group(&self, key: &GroupKey) {
+        let now = clock::now();
+        let _watched = self.watch_group(key);
+        if let Some(watched) = lock(&self.groups).get_mut(key) {
+            watched.lost_at = Some(now);
+            watched.trigger.give();
+        }
+    }
+
+    /// Returns whether a group was found lost lately.
+    pub(crate) fn is_lost(&self, endpoint: &Endpoint) -> bool {
+        let Some(key) = group_key(endpoint) else {
+            return false;
+        };
+        let groups = lock(&self.groups);
+        groups.get(&key).is_some_and(|group| group.lost_at.is_some())
+    }
+
+    /// Forgets groups that nobody speaks of any more, and losses that are long ago.
+    pub(crate) fn tidy_groups(&self, now: Timestamp, directory: &Directory) {
+        lock(&self.groups).retain(|key, watched| {
+            let lost_long = watched.lost_at.is_some_and(|at| now.since(at) > LOST_FOR);
+            !lost_long && directory.members(key).next().is_some()
+        });
+        self.loads().forget(|id| directory.find(id).is_some());
+        lock(&self.cold).retain(|id, _| directory.is_cold(now, id));
+    }
+
+    /// Counts a first attempt at a service.
+    pub(crate) fn earn_retry(&self, service: &ServiceId) {
+        self.with_retries(service, RetryAllowance::earn);
+    }
+
+    /// Takes a retry at a service, if this node has one left.
+    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+        self.with_retries(service, RetryAllowance::take)
+    }
+
+    fn with_retries<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut RetryAllowance) -> T,
+    ) -> T {
+        let nodes = self.nodes.load().len();
+        let mut retries = lock(&self.retries);
+        if !retries.contains_key(service) {
+            let allowance = RetryAllowance::new(self.settings.bounds.retries(), nodes);
+            retries.insert(service.clone(), allowance);
+        }
+        let allowance = &mut retries[service];
+        allowance.set_nodes(nodes);
+        act(allowance)
+    }
+
+    /// Takes one request out of this node's share of what a cold endpoint bears.
+    pub(crate) fn take_cold(&self, endpoint: &Endpoint, per_s: f64) -> bool {
+        let now = clock::now();
+        let mut cold = lock(&self.cold);
+        let allowance = cold.entry(endpoint.id.clone()).or_insert_with(|| {
+            let nodes = self.nodes.load();
+            let rank = rank(&self.settings.node, &nodes, &endpoint.id);
+            ColdAllowance::new(now, per_s, rank, nodes.len())
+        });
+        allowance.take(now)
+    }
+}
+
+/// Returns this node's place among all nodes for one endpoint, the same at every node that knows
+/// the same nodes.
+fn rank(own: &NodeId, nodes: &[NodeId], endpoint: &EndpointId) -> usize {
+    let weight = |node: &NodeId| rendezvous_weight(endpoint.as_str(), node.as_str());
+    let mine = weight(own);
+    nodes.iter().filter(|node| weight(node) > mine).count()
+}
+
+/// Returns the membership that an endpoint is in.
+pub(crate) fn group_key(endpoint: &Endpoint) -> Option<GroupKey> {
+    endpoint.group.as_ref().map(|role| GroupKey {
+        group: role.group.clone(),
+        epoch: role.epoch,
+    })
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -0,0 +1,407 @@
+//! Controls the serving groups while this node holds the lease.
+
+mod engines;
+mod lease;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use futures_util::future::join_all;
+use sesamecart_edges::HttpClient;
+use sesamecart_fleet::{
+    Fence, Formation, GroupKey, Planner, PlannerInput, Step, Verdict,
+};
+use sesamecart_platform::{Expected, Offset, Order, OrderOutcome, Read, Record, Store, Topic};
+use sesamecart_runtime::{Tasks, sleep};
+use sesamecart_vocabulary::EndpointId;
+
+use crate::beliefs::Beliefs;
+use crate::clock;
+use crate::controller::engines::Engines;
+use crate::controller::lease::Lease;
+use crate::events::Event;
+use crate::watch;
+
+/// How often the plan is made anew when nothing has changed.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+
+/// How long members of a formation that failed are left alone.
+const REST_AFTER_FAILURE: Duration = Duration::from_millis(400);
+
+/// What is kept of a head's stall for its timers and for orders that arrive late.
+const STALL_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long the store holds a read of observations that finds nothing.
+const OBSERVATIONS_WAIT: Duration = Duration::from_millis(2_000);
+
+/// How long a failed call to the store is followed by a rest.
+const REST: Duration = Duration::from_millis(200);
+
+/// What a step that was carried out brought.
+#[derive(Debug)]
+enum Outcome {
+    /// The members were told to join, or some couldn't be.
+    Joined { key: GroupKey, all: bool },
+    /// The head was told to open, or couldn't be.
+    Opened { key: GroupKey, opening: bool },
+    /// A load has begun, or hasn't.
+    Staged { endpoint: EndpointId, begun: bool },
+    /// The members of a group are out of it; some may join others only after a time.
+    Dissolved {
+        key: GroupKey,
+        held: Vec<EndpointId>,
+        hold: Duration,
+    },
+}
+
+/// Takes the lease when it can, and acts while it holds it.
+pub(crate) struct Controller {
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) store: Store,
+    pub(crate) client: HttpClient,
+    pub(crate) tasks: Tasks,
+    /// Told of each change of the registry.
+    pub(crate) changed: Receiver<()>,
+    /// Groups that this node found lost.
+    pub(crate) found: Receiver<GroupKey>,
+}
+
+/// One term of control, under one lease.
+struct Term {
+    planner: Planner,
+    engines: Arc<Engines>,
+    outcomes: Receiver<Outcome>,
+    tell: Sender<Outcome>,
+    observed: Receiver<GroupKey>,
+    tasks: Tasks,
+}
+
+/// What woke the controller.
+enum Woken {
+    Plan,
+    Found(GroupKey),
+    Observed(GroupKey),
+    Outcome(Outcome),
+}
+
+impl Controller {
+    pub(crate) async fn run(self) {
+        let lease = Arc::new(Lease::new(
+            Arc::clone(&self.beliefs),
+            self.store.clone(),
+        ));
+        self.tasks.spawn(Arc::clone(&lease).keep());
+        let mut term: Option<Term> = None;
+        loop {
+            let holds = lease.holds();
+            match (&mut term, holds) {
+                (None, Some(fence)) => term = Some(self.begin(&lease, fence)),
+                (Some(_), None) => {
+                    if let Some(ended) = term.take() {
+                        ended.tasks.cancel().await;
+                    }
+                }
+                _ => {}
+            }
+            let woken = self.wait(term.as_ref()).await;
+            self.act(term.as_mut(), woken).await;
+        }
+    }
+
+    fn begin(&self, lease: &Arc<Lease>, fence: Fence) -> Term {
+        let (tell, outcomes) = async_channel::unbounded();
+        let (observe, observed) = async_channel::unbounded();
+        let tasks = Tasks::new(Arc::clone(self.tasks.executor()));
+        tasks.spawn(follow_observations(self.store.clone(), observe));
+        Term {
+            planner: Planner::new(fence),
+            engines: Arc::new(Engines::new(
+                Arc::clone(&self.beliefs),
+                self.client.clone(),
+                Arc::clone(lease),
+            )),
+            outcomes,
+            tell,
+            observed,
+            tasks,
+        }
+    }
+
+    async fn wait(&self, term: Option<&Term>) -> Woken {
+        let plan = async {
+            future::or(sleep(PLAN_EVERY), async {
+                if self.changed.recv().await.is_err() {
+                    future::pending::<()>().await;
+                }
+            })
+            .await;
+            Woken::Plan
+        };
+        let found = async { received(&self.found).await.map_or(Woken::Plan, Woken::Found) };
+        let here = future::or(found, plan);
+        let Some(term) = term else {
+            return here.await;
+        };
+        let outcome = async { received(&term.outcomes).await.map_or(Woken::Plan, Woken::Outcome) };
+        let observed = async { received(&term.observed).await.map_or(Woken::Plan, Woken::Observed) };
+        future::or(future::or(outcome, observed), here).await
+    }
+
+    async fn act(&self, term: Option<&mut Term>, woken: Woken) {
+        match (term, woken) {
+            (Some(term), Woken::Found(key) | Woken::Observed(key)) => {
+                term.start(Step::Examine(key), self);
+            }
+            (Some(term), Woken::Outcome(outcome)) => {
+                term.take(outcome);
+                self.plan(term);
+            }
+            (Some(term), Woken::Plan) => self.plan(term),
+            (None, Woken::Found(key)) => self.tell_controller(&key).await,
+            (None, _) => {}
+        }
+    }
+
+    /// Tells the node that controls the groups of a loss that this one found.
+    async fn tell_controller(&self, key: &GroupKey) {
+        let record = Record {
+            key: None,
+            value: Some(key.to_string().into_bytes()),
+        };
+        let appended = self.store.append(Topic::Observations, &record, Expected::Anything);
+        if let Err(error) = appended.await {
+            // The controller's own streams, or the lapsed entry, show the loss somewhat later.
+            self.beliefs.metrics.count_store_failure();
+            self.beliefs.events.write(&Event::RecordIgnored {
+                topic: "observations",
+                key: &key.to_string(),
+                cause: &error.to_string(),
+            });
+        }
+    }
+
+    fn plan(&self, term: &mut Term) {
+        let Some(catalog) = self.beliefs.catalog.load_full() else {
+            return;
+        };
+        let directory = self.beliefs.directory.load_full();
+        let now = clock::now();
+        for (service, known) in &catalog.services {
+            let Some(spec) = &known.engine else { continue };
+            if spec.models.is_empty() {
+                continue;
+            }
+            let input = PlannerInput {
+                service,
+                spec,
+                directory: &directory,
+                in_traffic: self.beliefs.is_in_traffic(),
+            };
+            for step in term.planner.plan(now, &input) {
+                term.start(step, self);
+            }
+        }
+    }
+}
+
+async fn received<T>(channel: &Receiver<T>) -> Option<T> {
+    channel.recv().await.ok()
+}
+
+impl Term {
+    fn take(&mut self, outcome: Outcome) {
+        let now = clock::now();
+        match outcome {
+            Outcome::Joined { all: true, .. }
+            | Outcome::Opened { opening: true, .. }
+            | Outcome::Staged { begun: true, .. } => {}
+            Outcome::Joined { key, .. } | Outcome::Opened { key, .. } => {
+                self.planner.failed(&key, now, REST_AFTER_FAILURE);
+            }
+            Outcome::Staged { endpoint, .. } => {
+                self.planner.not_loading(&endpoint);
+                self.planner.hold(endpoint, now + REST_AFTER_FAILURE);
+            }
+            Outcome::Dissolved { key, held, hold } => {
+                self.planner.dissolved(&key);
+                for endpoint in held {
+                    self.planner.hold(endpoint, now + hold);
+                }
+            }
+        }
+    }
+
+    fn start(&self, step: Step, controller: &Controller) {
+        let engines = Arc::clone(&self.engines);
+        let tell = self.tell.clone();
+        let (beliefs, client) = (Arc::clone(&controller.beliefs), controller.client.clone());
+        self.tasks.spawn(async move {
+            let outcome = carry_out(step, &beliefs, &client, &engines).await;
+            if let Some(outcome) = outcome {
+                // Nobody listens when the term has ended, and then nothing depends on it.
+                let _told = tell.send(outcome).await;
+            }
+        });
+    }
+}
+
+async fn carry_out(
+    step: Step,
+    beliefs: &Beliefs,
+    client: &HttpClient,
+    engines: &Engines,
+) -> Option<Outcome> {
+    match step {
+        Step::Join(formation) => Some(join(beliefs, engines, formation).await),
+        Step::Open(formation) => {
+            let head = formation.members.first()?;
+            let order = Order::Open(formation.key.clone());
+            let outcome = engines.order(head, &order).await;
+            Some(Outcome::Opened {
+                opening: is_done(&outcome),
+                key: formation.key,
+            })
+        }
+        Step::Stage { endpoint, model } => {
+            let outcome = engines.order(&endpoint, &Order::Stage(model)).await;
+            Some(Outcome::Staged {
+                begun: is_done(&outcome),
+                endpoint,
+            })
+        }
+        Step::Close(key) => {
+            let head = head_of(beliefs, &key)?;
+            engines.order(&head, &Order::Close(key)).await;
+            None
+        }
+        Step::Dissolve(key) => Some(dissolve(beliefs, engines, key, Verdict::Lost).await),
+        Step::Examine(key) => match watch::examine(beliefs, client, &key).await {
+            Verdict::Sound => None,
+            verdict => {
+                beliefs.lose_group(&key);
+                Some(dissolve(beliefs, engines, key, verdict).await)
+            }
+        },
+    }
+}
+
+fn is_done(outcome: &OrderOutcome) -> bool {
+    matches!(outcome, OrderOutcome::Begun | OrderOutcome::Already)
+}
+
+async fn join(beliefs: &Beliefs, engines: &Engines, formation: Formation) -> Outcome {
+    let members: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
+    beliefs.events.write(&Event::GroupPlanned {
+        group: &formation.key.to_string(),
+        model: formation.model.as_str(),
+        members: &members.join(" "),
+        fence: engines.fence().0,
+    });
+    let order = Order::Join {
+        key: formation.key.clone(),
+        model: formation.model.clone(),
+        members: formation.members.clone(),
+    };
+    let orders = formation.members.iter().map(|id| engines.order(id, &order));
+    let all = join_all(orders).await.iter().all(is_done);
+    if !all {
+        leave(engines, &formation.key, &formation.members).await;
+    }
+    Outcome::Joined {
+        key: formation.key,
+        all,
+    }
+}
+
+fn head_of(beliefs: &Beliefs, key: &GroupKey) -> Option<EndpointId> {
+    let directory = beliefs.directory.load();
+    let head = directory.members(key).find(|member| {
+        let role = member.group.as_ref();
+        role.is_some_and(|role| role.rank == 0)
+    });
+    head.map(|head| head.id.clone())
+}
+
+/// Takes a group apart.
+///
+/// The head goes first: a member that joined elsewhere while the old head might still serve would be
+/// in two groups at once. Where the head doesn't answer, the members' leaving makes it stand still,
+/// and they are held back until it must have given up.
+async fn dissolve(
+    beliefs: &Beliefs,
+    engines: &Engines,
+    key: GroupKey,
+    verdict: Verdict,
+) -> Outcome {
+    let members: Vec<EndpointId> = {
+        let directory = beliefs.directory.load();
+        directory.members(&key).map(|member| member.id.clone()).collect()
+    };
+    let head = head_of(beliefs, &key);
+    let head_is_out = match (&head, verdict) {
+        (_, Verdict::HeadEnded) => true,
+        (Some(head), Verdict::Lost | Verdict::Sound) => {
+            is_done(&engines.order(head, &Order::Leave(key.clone())).await)
+        }
+        _ => false,
+    };
+    let others: Vec<EndpointId> = members
+        .into_iter()
+        .filter(|id| Some(id) != head.as_ref())
+        .collect();
+    leave(engines, &key, &others).await;
+    let hold = beliefs.settings.bounds.group_stall() + STALL_MARGIN;
+    let held = if head_is_out {
+        Vec::new()
+    } else {
+        others.into_iter().chain(head).collect()
+    };
+    Outcome::Dissolved { key, held, hold }
+}
+
+async fn leave(engines: &Engines, key: &GroupKey, members: &[EndpointId]) {
+    let order = Order::Leave(key.clone());
+    let orders = members.iter().map(|id| engines.order(id, &order));
+    join_all(orders).await;
+}
+
+/// Reads what other nodes tell the controller, from now on.
+async fn follow_observations(store: Store, observe: Sender<GroupKey>) {
+    let mut from: Option<Offset> = None;
+    loop {
+        let Some(at) = from else {
+            // An offset past the end is answered with where the topic ends.
+            match store.read(Topic::Observations, Offset(0), Duration::ZERO).await {
+                Ok(Read::Records { end, .. }) => from = Some(end),
+                Ok(Read::Trimmed { first }) => from = Some(first),
+                Err(_) => sleep(REST).await,
+            }
+            continue;
+        };
+        match store.read(Topic::Observations, at, OBSERVATIONS_WAIT).await {
+            Ok(Read::Records { records, next, .. }) => {
+                from = Some(next);
+                for record in records {
+                    if let Some(key) = read_observation(&record) {
+                        if observe.send(key).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+            Ok(Read::Trimmed { first }) => from = Some(first),
+            Err(_) => sleep(REST).await,
+        }
+    }
+}
+
+fn read_observation(record: &Record) -> Option<GroupKey> {
+    let text = std::str::from_utf8(record.value.as_deref()?).ok()?;
+    let (group, epoch) = text.rsplit_once('@')?;
+    Some(GroupKey {
+        group: group.parse().ok()?,
+        epoch: epoch.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -0,0 +1,175 @@
+//! Orders to engines, each at most once.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_edges::HttpClient;
+use sesamecart_fleet::{Fence, Incarnation, OrderCount};
+use sesamecart_platform::{Order, OrderOutcome, Orders, report};
+use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::EndpointId;
+
+use crate::beliefs::Beliefs;
+use crate::controller::lease::Lease;
+use crate::events::Event;
+
+/// How long an engine has to answer an order; one that lives does within a few milliseconds.
+const ORDER_LIMIT: Duration = Duration::from_millis(250);
+
+/// How often an order without answer is given; each carries the same expected count, so that the
+/// engine carries out one of them at most.
+const TRIES: usize = 3;
+
+/// The rest between two tries.
+const REST: Duration = Duration::from_millis(30);
+
+/// The count of orders that each engine has begun, as far as this controller knows.
+#[derive(Debug, Default)]
+struct Counts(IndexMap<EndpointId, (Option<Incarnation>, OrderCount)>);
+
+/// Gives orders under the lease.
+#[derive(Debug)]
+pub(crate) struct Engines {
+    beliefs: Arc<Beliefs>,
+    client: HttpClient,
+    orders: Orders,
+    lease: Arc<Lease>,
+    counts: Mutex<Counts>,
+}
+
+impl Engines {
+    pub(crate) fn new(beliefs: Arc<Beliefs>, client: HttpClient, lease: Arc<Lease>) -> Self {
+        Self {
+            beliefs,
+            orders: Orders::new(client.clone(), ORDER_LIMIT),
+            client,
+            lease,
+            counts: Mutex::default(),
+        }
+    }
+
+    /// Returns the fence of the lease, or zero once it has run out.
+    pub(crate) fn fence(&self) -> Fence {
+        self.lease.holds().unwrap_or_default()
+    }
+
+    /// Gives an order.
+    ///
+    /// An order that got no answer may be carried out seconds later, after newer ones. It names the
+    /// count of orders that the engine must have begun so far, so by then it does nothing.
+    pub(crate) async fn order(&self, engine: &EndpointId, order: &Order) -> OrderOutcome {
+        let (outcome, fence) = self.try_order(engine, order).await;
+        self.beliefs.metrics.count_order(kind(&outcome));
+        self.beliefs.events.write(&Event::OrderGiven {
+            endpoint: engine.as_str(),
+            order: &order.to_string(),
+            fence: fence.0,
+            outcome: &outcome.to_string(),
+        });
+        if outcome == OrderOutcome::Fenced && fence != Fence::default() {
+            self.lease.step_down("an engine has seen a higher fence");
+        }
+        outcome
+    }
+
+    async fn try_order(&self, engine: &EndpointId, order: &Order) -> (OrderOutcome, Fence) {
+        let known = self.beliefs.directory.load().find(engine).cloned();
+        let Some(known) = known else {
+            let outcome = OrderOutcome::NotSent("the endpoint is gone".to_owned());
+            return (outcome, Fence::default());
+        };
+        let mut outcome = OrderOutcome::NoAnswer("not tried".to_owned());
+        let mut used = Fence::default();
+        for _ in 0..TRIES {
+            let count = match self.count(engine, known.incarnation) {
+                Some(count) => count,
+                None => match report(&self.client, known.address, ORDER_LIMIT).await {
+                    Ok(report) => {
+                        self.note(engine, known.incarnation, report.orders);
+                        report.orders
+                    }
+                    Err(error) => {
+                        outcome = OrderOutcome::NotSent(error.to_string());
+                        sleep(REST).await;
+                        continue;
+                    }
+                },
+            };
+            // The lease is looked at right before the effect: the wait above may have outlived it.
+            let Some(fence) = self.lease.holds() else {
+                return (OrderOutcome::Fenced, Fence::default());
+            };
+            used = fence;
+            let given = self.orders.give(engine, known.address, order, fence, Some(count));
+            outcome = given.await;
+            match &outcome {
+                OrderOutcome::Begun => {
+                    self.note(engine, known.incarnation, OrderCount(count.0 + 1));
+                    return (outcome, fence);
+                }
+                OrderOutcome::NoAnswer(_) => {
+                    if self.has_begun(engine, &known, count).await {
+                        return (OrderOutcome::Begun, fence);
+                    }
+                    sleep(REST).await;
+                }
+                OrderOutcome::NotSent(_) => sleep(REST).await,
+                OrderOutcome::Conflict => {
+                    // The count may be what doesn't fit; it is asked for before the next order.
+                    self.forget(engine);
+                    return (outcome, fence);
+                }
+                OrderOutcome::Already
+                | OrderOutcome::Fenced
+                | OrderOutcome::Misdirected
+                | OrderOutcome::Unknown => return (outcome, fence),
+            }
+        }
+        self.forget(engine);
+        (outcome, used)
+    }
+
+    /// Returns whether an order without answer has begun: the engine's count shows it.
+    async fn has_begun(
+        &self,
+        engine: &EndpointId,
+        known: &sesamecart_fleet::Endpoint,
+        before: OrderCount,
+    ) -> bool {
+        let Ok(report) = report(&self.client, known.address, ORDER_LIMIT).await else {
+            return false;
+        };
+        self.note(engine, known.incarnation, report.orders);
+        report.orders > before
+    }
+
+    fn count(&self, engine: &EndpointId, life: Option<Incarnation>) -> Option<OrderCount> {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let (known, count) = counts.0.get(engine)?;
+        (*known == life).then_some(*count)
+    }
+
+    fn note(&self, engine: &EndpointId, life: Option<Incarnation>, count: OrderCount) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.0.insert(engine.clone(), (life, count));
+    }
+
+    fn forget(&self, engine: &EndpointId) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.0.swap_remove(engine);
+    }
+}
+
+fn kind(outcome: &OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Already => "already",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::Misdirected => "misdirected",
+        OrderOutcome::Unknown => "unknown",
+        OrderOutcome::NotSent(_) => "not_sent",
+        OrderOutcome::NoAnswer(_) => "no_answer",
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -0,0 +1,116 @@
+//! What a node counts; docs/metrics.md lists it.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+/// The counters of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    attempts_failed: Counter<u64>,
+    resumed: Counter<u64>,
+    store_failures: Counter<u64>,
+    orders: Counter<u64>,
+    groups_lost: Counter<u64>,
+    first: Histogram<f64>,
+}
+
+/// Bounds of the buckets of the time to an answer, in seconds; callers are promised 0.1 to 0.4.
+const FIRST_BOUNDS: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 5.0];
+
+impl Metrics {
+    /// Makes counters that start at zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns the exporter's error.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sesamecart");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Ok(Self {
+            answers: counter(
+                "sesamecart.answers",
+                "Requests that got their final answer, by who gave it and its status.",
+            ),
+            attempts_failed: counter(
+                "sesamecart.attempts.failed",
+                "Attempts at endpoints that failed, by whether they may have run.",
+            ),
+            resumed: counter(
+                "sesamecart.streams.resumed",
+                "Streams that went on at another endpoint.",
+            ),
+            store_failures: counter("sesamecart.store.failures", "Failed calls to the store."),
+            orders: counter("sesamecart.orders", "Orders to engines, by outcome."),
+            groups_lost: counter(
+                "sesamecart.groups.lost",
+                "Groups that this node found to have lost a member.",
+            ),
+            first: meter
+                .f64_histogram("sesamecart.first.seconds")
+                .with_description("Time from a request's arrival to its answer's first sign.")
+                .with_boundaries(FIRST_BOUNDS.to_vec())
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    pub(crate) fn count_answer(&self, by: &'static str, status: u16) {
+        let labels = [
+            KeyValue::new("by", by),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.answers.add(1, &labels);
+    }
+
+    pub(crate) fn count_failed_attempt(&self, may_have_run: bool) {
+        self.attempts_failed
+            .add(1, &[KeyValue::new("may_have_run", may_have_run)]);
+    }
+
+    pub(crate) fn count_resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+
+    pub(crate) fn count_store_failure(&self) {
+        self.store_failures.add(1, &[]);
+    }
+
+    pub(crate) fn count_order(&self, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn count_group_lost(&self) {
+        self.groups_lost.add(1, &[]);
+    }
+
+    pub(crate) fn record_first(&self, taken: Duration) {
+        self.first.record(taken.as_secs_f64(), &[]);
+    }
+
+    /// Writes all counters in Prometheus's text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn render(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -0,0 +1,194 @@
+//! A node's settings on the platform: what it must know before it can reach the store.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+use sesamecart_fleet::RetryShare;
+use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
+use thiserror::Error;
+
+/// The settings of one node, as read from its JSON file.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The node's name, unique among all nodes.
+    pub node: NodeId,
+    /// The failure domain that its VM lies in.
+    pub failure_domain: FailureDomainId,
+    /// The region that its VM lies in.
+    pub region: RegionId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform's balancer asks whether the node is ready.
+    pub readiness: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Bounds that the operator sets for all nodes.
+    pub bounds: OperatorBounds,
+}
+
+/// Bounds that the operator sets for all nodes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorBounds {
+    /// Milliseconds after which a key that was taken away may not work any more.
+    pub key_revocation_ms: u64,
+    /// Milliseconds in which a configuration has to be in force.
+    pub configuration_ms: u64,
+    /// Milliseconds that a group stands still after a loss before its head gives up.
+    pub group_stall_ms: u64,
+    /// Seconds between a SIGTERM and the SIGKILL.
+    pub leave_s: f64,
+    /// Retries that each request earns.
+    pub retry_ratio: f64,
+    /// Retries that all nodes together may send beyond that.
+    pub retry_burst: f64,
+    /// Milliseconds between two heartbeats of an endpoint.
+    pub heartbeat_ms: u64,
+    /// Milliseconds that a member of a store's group is kept at least.
+    pub lease_least_ms: u64,
+}
+
+impl OperatorBounds {
+    /// Returns the retries that all nodes may send.
+    #[must_use]
+    pub const fn retries(&self) -> RetryShare {
+        RetryShare {
+            ratio: self.retry_ratio,
+            burst: self.retry_burst,
+        }
+    }
+
+    /// Returns the time between a SIGTERM and the SIGKILL.
+    #[must_use]
+    pub fn leave(&self) -> Duration {
+        // Settings with another value don't pass their check.
+        Duration::try_from_secs_f64(self.leave_s).unwrap_or_default()
+    }
+
+    /// Returns how long a group stands still before its head gives up.
+    #[must_use]
+    pub const fn group_stall(&self) -> Duration {
+        Duration::from_millis(self.group_stall_ms)
+    }
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{}: can't be read: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file isn't JSON of the right shape.
+    #[error("{}: {field}: {source}", path.display())]
+    Shape {
+        /// The file.
+        path: PathBuf,
+        /// The field, as a path from the top; `.` for the file as a whole.
+        field: String,
+        /// What the reader said, with line and column.
+        source: serde_json::Error,
+    },
+    /// A field's value can't be used.
+    #[error("{}: {field}: {value}: {reason}", path.display())]
+    Value {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// The value.
+        value: String,
+        /// Why it can't be used.
+        reason: &'static str,
+    },
+}
+
+impl EntrySettings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the field and the value that can't be used.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Reads and checks settings from text; `path` only names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the field and the value that can't be used.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let reader = &mut serde_json::Deserializer::from_str(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(reader).map_err(|error| SettingsError::Shape {
+                path: path.to_owned(),
+                field: error.path().to_string(),
+                source: error.into_inner(),
+            })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        let error = |field, value: String, reason| {
+            Err(SettingsError::Value {
+                path: path.to_owned(),
+                field,
+                value,
+                reason,
+            })
+        };
+        let bounds = &self.bounds;
+        let positive = [
+            ("bounds.key_revocation_ms", bounds.key_revocation_ms),
+            ("bounds.configuration_ms", bounds.configuration_ms),
+            ("bounds.group_stall_ms", bounds.group_stall_ms),
+            ("bounds.heartbeat_ms", bounds.heartbeat_ms),
+            ("bounds.lease_least_ms", bounds.lease_least_ms),
+        ];
+        for (field, value) in positive {
+            if value == 0 {
+                return error(field, value.to_string(), "must be at least 1");
+            }
+        }
+        if Duration::try_from_secs_f64(bounds.leave_s).is_err() || bounds.leave_s == 0.0 {
+            let value = bounds.leave_s.to_string();
+            return error("bounds.leave_s", value, "must be more than 0");
+        }
+        for (field, value) in [
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_burst", bounds.retry_burst),
+        ] {
+            if !(value.is_finite() && value >= 0.0) {
+                return error(field, value.to_string(), "must be 0 or more");
+            }
+        }
+        let addresses = [
+            ("readiness", self.readiness, self.callers),
+            ("metrics", self.metrics, self.readiness),
+            ("metrics", self.metrics, self.callers),
+        ];
+        for (field, address, other) in addresses {
+            if address == other && address.port() != 0 {
+                let value = address.to_string();
+                return error(field, value, "stands twice among the node's addresses");
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -0,0 +1,472 @@
+//! One caller's request, with all that a further attempt of it needs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future;
+use http::request::Parts;
+use http::{HeaderMap, Response, StatusCode};
+use hyper::body::Incoming;
+use sesamecart_edges::{ConnectionLease, Exchange, HttpClient, Reuse, Sent, read_whole};
+use sesamecart_fleet::{
+    Candidate, Catalog, Customer, Delivery, Endpoint, PathRoute, Unavailable, WeightedService,
+};
+use sesamecart_platform::{AnswerHead, Asked, Handover, NotRun, forward};
+use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, ServiceId, Timestamp, stable_hash};
+
+use crate::beliefs::{Beliefs, group_key};
+use crate::clock;
+use crate::events::Event;
+use crate::follower::millis;
+use crate::traffic::flight::Flight;
+use crate::traffic::refusal::Refusal;
+
+/// The largest answer that is held whole before it is passed on.
+const MAX_ANSWER: ByteSize = ByteSize(16 * 1024 * 1024);
+
+/// Attempts that may be rejected or lost before one request is given up, besides those that its
+/// route allows to run.
+const SPARE_ATTEMPTS: u32 = 2;
+
+/// How much longer than its promised time an answer that may be repeated is waited for, before
+/// another endpoint is tried.
+const PATIENCE_FACTOR: u32 = 2;
+
+/// The least time for which an answer is waited for: work of 15 to 30 ms may take 110 ms.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
+/// The longest wait for a stream's first event at one endpoint; callers leave after two seconds.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// How long an endpoint that rejected a request gets nothing more.
+const REJECTED_REST: Duration = Duration::from_millis(60);
+
+/// How long an endpoint whose address answers for another one gets nothing more; the registry shows
+/// the change by then.
+const MISDIRECTED_REST: Duration = Duration::from_millis(500);
+
+/// A request that has been read whole, and the route that it takes.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) client: HttpClient,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) route: Arc<PathRoute>,
+    pub(crate) customer: Option<Arc<Customer>>,
+    pub(crate) asked: Asked,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Timestamp,
+}
+
+/// The attempts of one request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    pub(crate) made: u32,
+    may_have_run: u32,
+    tried: Vec<EndpointId>,
+}
+
+/// An endpoint's answer whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) lease: ConnectionLease,
+    pub(crate) flight: Flight,
+}
+
+/// Why an attempt failed.
+#[derive(Debug)]
+struct Failed {
+    cause: String,
+    may_have_run: bool,
+}
+
+/// An endpoint that was chosen.
+struct Placed {
+    endpoint: Arc<Endpoint>,
+    service: ServiceId,
+    load: f64,
+}
+
+impl Call {
+    pub(crate) fn after(&self) -> Duration {
+        clock::now().since(self.arrived)
+    }
+
+    /// Returns what is left of the time that the caller waits or the operator allows.
+    pub(crate) fn left(&self) -> Duration {
+        let limit = match (self.asked.patience, self.route.time_limit) {
+            (Some(patience), Some(limit)) => patience.min(limit),
+            (Some(limit), None) | (None, Some(limit)) => limit,
+            (None, None) => Duration::from_secs(60),
+        };
+        limit.saturating_sub(self.after())
+    }
+
+    /// Returns what is left of the time that the caller itself named.
+    fn callers_left(&self) -> Duration {
+        let patience = self.asked.patience.unwrap_or_else(|| self.left());
+        patience.saturating_sub(self.after())
+    }
+
+    /// Tries endpoints until one answers.
+    ///
+    /// A request that may have run and must not run twice isn't sent again.
+    pub(crate) async fn attempt(
+        &self,
+        attempts: &mut Attempts,
+        last_event: Option<&str>,
+    ) -> Result<Answered, Refusal> {
+        let mut failed: Option<Failed> = None;
+        loop {
+            if self.left().is_zero() {
+                return Err(self.give_up(failed, attempts, None));
+            }
+            let placed = match self.place(attempts) {
+                Ok(placed) => placed,
+                Err(unavailable) => return Err(self.give_up(failed, attempts, Some(unavailable))),
+            };
+            if attempts.made > 0 && !self.beliefs.take_retry(&placed.service) {
+                let spent = Failed {
+                    cause: "the retry budget is spent".to_owned(),
+                    may_have_run: failed.as_ref().is_some_and(|failed| failed.may_have_run),
+                };
+                return Err(self.give_up(Some(spent), attempts, None));
+            }
+            if attempts.made == 0 {
+                self.beliefs.earn_retry(&placed.service);
+            }
+            let endpoint = placed.endpoint.id.clone();
+            match self.send(attempts, placed, last_event).await {
+                Ok(answered) => return Ok(answered),
+                Err(cause) => {
+                    self.note_failure(&endpoint, &cause);
+                    let before = failed.is_some_and(|failed| failed.may_have_run);
+                    attempts.may_have_run += u32::from(cause.may_have_run);
+                    attempts.tried.push(endpoint);
+                    let last = Failed {
+                        may_have_run: cause.may_have_run || before,
+                        cause: cause.cause,
+                    };
+                    let may_go_on = !last.may_have_run || self.route.delivery.may_repeat();
+                    if !may_go_on || !self.has_attempts_left(attempts) {
+                        return Err(self.give_up(Some(last), attempts, None));
+                    }
+                    failed = Some(last);
+                }
+            }
+        }
+    }
+
+    fn has_attempts_left(&self, attempts: &Attempts) -> bool {
+        attempts.may_have_run < self.route.max_attempts
+            && attempts.made < self.route.max_attempts + SPARE_ATTEMPTS
+    }
+
+    /// Chooses the answer when no attempt follows.
+    fn give_up(
+        &self,
+        failed: Option<Failed>,
+        attempts: &Attempts,
+        unavailable: Option<Unavailable>,
+    ) -> Refusal {
+        let ran = attempts.may_have_run > 0;
+        match (failed, unavailable) {
+            (Some(failed), _) if ran && self.left().is_zero() => {
+                log::debug!("traffic: {}: {}.", self.asked.id, failed.cause);
+                Refusal::TimedOut
+            }
+            (Some(failed), _) if ran => Refusal::NoAnswer(failed.cause),
+            (Some(failed), None) => Refusal::NotRun(failed.cause),
+            (_, Some(unavailable)) => Refusal::Unavailable(unavailable),
+            (None, None) => Refusal::NotRun("its time ran out".to_owned()),
+        }
+    }
+
+    fn note_failure(&self, endpoint: &EndpointId, failed: &Failed) {
+        self.beliefs
+            .metrics
+            .count_failed_attempt(failed.may_have_run);
+        self.beliefs.events.write(&Event::AttemptFailed {
+            request: self.asked.id.as_str(),
+            endpoint: endpoint.as_str(),
+            cause: &failed.cause,
+            may_have_run: failed.may_have_run,
+            after_ms: millis(self.after()),
+        });
+    }
+
+    /// Chooses an endpoint that this request hasn't tried.
+    fn place(&self, attempts: &Attempts) -> Result<Placed, Unavailable> {
+        let service = self.service().ok_or(Unavailable::NoEndpoint)?;
+        let known = self.catalog.services.get(service);
+        let is_model = known.is_some_and(|known| known.engine.is_some());
+        let model = self.asked.model.as_ref().filter(|_| is_model);
+        let directory = self.beliefs.directory.load_full();
+        let slots = known.and_then(|known| known.engine.as_ref().map(|engine| engine.slots));
+        let mut endpoints: Vec<&Arc<Endpoint>> = directory
+            .candidates(service, model)
+            .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
+            .filter(|endpoint| !self.beliefs.is_lost(endpoint))
+            .collect();
+        let now = clock::now();
+        loop {
+            let candidates: Vec<Candidate<'_>> = endpoints
+                .iter()
+                .map(|endpoint| Candidate {
+                    id: &endpoint.id,
+                    slots: slots.unwrap_or(endpoint.slots),
+                    is_local: endpoint.failure_domain == self.beliefs.settings.failure_domain,
+                })
+                .collect();
+            let chosen = self.beliefs.loads().choose(now, &candidates, fastrand::f64)?;
+            let endpoint = Arc::clone(endpoints[chosen.index]);
+            let cold_per_s = known.and_then(|known| known.cold_per_s);
+            let is_refused = cold_per_s.is_some_and(|per_s| {
+                directory.is_cold(now, &endpoint.id) && !self.beliefs.take_cold(&endpoint, per_s)
+            });
+            if is_refused {
+                endpoints.remove(chosen.index);
+                continue;
+            }
+            return Ok(Placed {
+                endpoint,
+                service: service.clone(),
+                load: chosen.load,
+            });
+        }
+    }
+
+    /// Returns the service that the route's weights give this request, the same at each attempt.
+    fn service(&self) -> Option<&ServiceId> {
+        let services = &self.route.services;
+        let total: u64 = services.iter().map(|part| u64::from(part.weight)).sum();
+        let mut draw = stable_hash(self.asked.id.as_str()) % total.max(1);
+        let drawn = services.iter().find(|part| {
+            let weight = u64::from(part.weight);
+            let found = draw < weight;
+            draw = draw.saturating_sub(weight);
+            found
+        });
+        drawn.map(|part: &WeightedService| &part.service)
+    }
+
+    /// Sends the request to an endpoint and waits for the head of its answer.
+    async fn send(
+        &self,
+        attempts: &mut Attempts,
+        placed: Placed,
+        last_event: Option<&str>,
+    ) -> Result<Answered, Failed> {
+        attempts.made += 1;
+        let endpoint = &placed.endpoint;
+        self.beliefs.events.write_success(
+            clock::now(),
+            &Event::Sent {
+                request: self.asked.id.as_str(),
+                endpoint: endpoint.id.as_str(),
+                attempt: attempts.made,
+                load: placed.load,
+                configuration: self.catalog.version.0,
+            },
+        );
+        let lost = group_key(endpoint).map(|key| self.beliefs.watch_group(&key));
+        let mut flight = Flight::begin(
+            Arc::clone(&self.beliefs),
+            endpoint.id.clone(),
+            self.asked.id.clone(),
+            self.arrived,
+            lost,
+        );
+        match self.exchange(endpoint, &mut flight, last_event).await {
+            Ok(exchange) => self.check(exchange, flight).await,
+            Err((failed, is_endpoints_fault)) => {
+                if is_endpoints_fault {
+                    flight.fail();
+                } else {
+                    flight.settle();
+                }
+                Err(failed)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        endpoint: &Endpoint,
+        flight: &mut Flight,
+        last_event: Option<&str>,
+    ) -> Result<Exchange, (Failed, bool)> {
+        let handover = Handover {
+            endpoint: &endpoint.id,
+            customer: self.customer.as_deref(),
+            left: self.callers_left(),
+            priority: self.priority(),
+            last_event,
+        };
+        let req = forward(&self.head, &self.body, &handover);
+        let patience = self.patience();
+        let reuse = if self.route.delivery.may_repeat() {
+            Reuse::Allowed
+        } else {
+            // A connection may be closing while the request is written into it; whether it ran
+            // couldn't be told then.
+            Reuse::Never
+        };
+        let sent = self.client.send(endpoint.address, req, reuse, patience);
+        let lost = flight.lost();
+        let raced = future::or(async { Some(sent.await) }, async {
+            lost.await;
+            None
+        });
+        match raced.await {
+            Some(Ok(exchange)) => Ok(exchange),
+            Some(Err(error)) => {
+                let failed = Failed {
+                    may_have_run: error.sent == Sent::Maybe,
+                    cause: error.to_string(),
+                };
+                // A caller's own short time is no fault of the endpoint.
+                let ran_out = self.left().is_zero();
+                Err((failed, !ran_out))
+            }
+            None => {
+                let failed = Failed {
+                    may_have_run: true,
+                    cause: "its group has lost a member".to_owned(),
+                };
+                Err((failed, false))
+            }
+        }
+    }
+
+    /// Returns how long one attempt's answer is waited for.
+    fn patience(&self) -> Duration {
+        let left = self.left();
+        let aim = self.route.latency_aim.unwrap_or(LEAST_PATIENCE);
+        match self.route.delivery {
+            Delivery::Stream { resumable: true } => left.min(FIRST_EVENT_PATIENCE.max(aim)),
+            Delivery::Idempotent => left.min(LEAST_PATIENCE.max(aim * PATIENCE_FACTOR)),
+            Delivery::Stream { resumable: false } | Delivery::AtMostOnce => left,
+        }
+    }
+
+    fn priority(&self) -> u8 {
+        let customers = self.customer.as_ref().and_then(|customer| customer.priority);
+        customers.unwrap_or(self.route.priority)
+    }
+
+    /// Tells an answer to this request from one that proves that it wasn't run, and from one that
+    /// belongs to another request.
+    async fn check(&self, exchange: Exchange, mut flight: Flight) -> Result<Answered, Failed> {
+        let (head, body) = exchange.response.into_parts();
+        let said = AnswerHead::read(&head);
+        if let Some(load) = said.load {
+            self.beliefs.loads().reported(&flight.endpoint, load);
+        }
+        if let Some(not_run) = said.not_run {
+            flight.settle();
+            self.note_rejection(&flight.endpoint, not_run, &said);
+            if read_whole(body, MAX_ANSWER, LEAST_PATIENCE).await.is_ok() {
+                exchange.lease.give_back();
+            }
+            return Err(Failed {
+                cause: format!("{not_run} ({})", said.status),
+                may_have_run: false,
+            });
+        }
+        let fault = if said.request.as_ref() != Some(&self.asked.id) {
+            Some("the answer belongs to another request")
+        } else if said.is_encoded {
+            Some("the answer's body is encoded")
+        } else if promises_not_run(said.status) {
+            Some("the answer's status promises what isn't proved")
+        } else if said.status.is_success() && !said.is_sealed {
+            Some("the answer has no seal")
+        } else {
+            None
+        };
+        if let Some(fault) = fault {
+            flight.fail();
+            return Err(Failed {
+                cause: format!("{fault} ({})", said.status),
+                may_have_run: true,
+            });
+        }
+        flight.heard();
+        Ok(Answered {
+            status: said.status,
+            headers: head.headers,
+            body,
+            lease: exchange.lease,
+            flight,
+        })
+    }
+
+    fn note_rejection(&self, endpoint: &EndpointId, not_run: NotRun, said: &AnswerHead) {
+        let now = clock::now();
+        let rest = match not_run {
+            NotRun::Misdirected => MISDIRECTED_REST,
+            NotRun::Full | NotRun::Rejected => REJECTED_REST,
+        };
+        self.beliefs.loads().rest(now, endpoint, rest);
+        if said.at_fault.as_ref().is_some_and(|id| id != endpoint) {
+            log::debug!("traffic: {endpoint} rejects because of {:?}.", said.at_fault);
+        }
+    }
+
+    /// Reads an answer whole, which is passed on only if all of it came.
+    pub(crate) async fn read(&self, answered: Answered) -> Result<Response<Bytes>, Refusal> {
+        let Answered {
+            status,
+            headers,
+            body,
+            lease,
+            mut flight,
+        } = answered;
+        match read_whole(body, MAX_ANSWER, self.left()).await {
+            Ok(body) => {
+                lease.give_back();
+                if status.is_server_error() {
+                    flight.fail();
+                } else {
+                    flight.succeed();
+                }
+                let mut response = Response::new(body);
+                *response.status_mut() = status;
+                *response.headers_mut() = headers;
+                Ok(response)
+            }
+            Err(error) => {
+                flight.fail();
+                Err(Refusal::NoAnswer(error.to_string()))
+            }
+        }
+    }
+
+    /// Notes that an attempt whose head had come failed later, so that no further one is owed.
+    pub(crate) fn note_broken(&self, attempts: &mut Attempts, endpoint: EndpointId) {
+        attempts.may_have_run += 1;
+        attempts.tried.push(endpoint);
+    }
+
+    /// Returns whether another attempt may follow one that may have run.
+    pub(crate) fn may_go_on(&self, attempts: &Attempts) -> bool {
+        self.route.delivery.may_repeat() && self.has_attempts_left(attempts)
+    }
+}
+
+/// Returns whether a status would tell the caller that its request hasn't run.
+fn promises_not_run(status: StatusCode) -> bool {
+    [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ]
+    .contains(&status)
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -0,0 +1,130 @@
+//! Finds groups that have lost a member from the silence of their heads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use futures_util::future::join_all;
+use sesamecart_edges::{BoxError, ClientError, HttpClient};
+use sesamecart_fleet::{Directory, Endpoint, Finding, GroupKey, MemberProbe, SilenceLimits, Verdict, judge};
+use sesamecart_platform::report;
+use sesamecart_runtime::{Tasks, sleep};
+
+use crate::beliefs::{Beliefs, group_key};
+use crate::clock;
+use crate::events::Event;
+
+/// How often heads are looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(40);
+
+/// How long a member has to answer; one that lives does within a few milliseconds.
+const ANSWER_LIMIT: Duration = Duration::from_millis(70);
+
+/// How often a member is asked before it counts as silent: one packet may be lost.
+const QUESTIONS: usize = 2;
+
+/// Looks at the heads that this node's requests depend on, until the task is dropped.
+pub(crate) async fn watch_heads(
+    beliefs: Arc<Beliefs>,
+    client: HttpClient,
+    tasks: Tasks,
+    found: Sender<GroupKey>,
+) {
+    loop {
+        sleep(LOOK_EVERY).await;
+        let silent = beliefs.loads().silent(clock::now(), SilenceLimits::default());
+        if silent.is_empty() {
+            continue;
+        }
+        let directory = beliefs.directory.load_full();
+        for head in silent {
+            let key = directory.find(&head).and_then(|head| group_key(head));
+            let Some(key) = key else { continue };
+            let (beliefs, client, found) = (Arc::clone(&beliefs), client.clone(), found.clone());
+            tasks.spawn(async move {
+                if examine(&beliefs, &client, &key).await != Verdict::Sound {
+                    beliefs.metrics.count_group_lost();
+                    beliefs.lose_group(&key);
+                    // The controller is told by whoever finds it; a closed channel means that the
+                    // process ends.
+                    let _told = found.send(key).await;
+                }
+            });
+        }
+    }
+}
+
+/// Asks a group's members and judges it.
+pub(crate) async fn examine(beliefs: &Beliefs, client: &HttpClient, key: &GroupKey) -> Verdict {
+    let directory = beliefs.directory.load_full();
+    let finding = ask_members(beliefs, &directory, client, key).await;
+    let verdict = judge(&finding);
+    let others: Vec<String> = finding.others.iter().map(ToString::to_string).collect();
+    beliefs.events.write(&Event::GroupExamined {
+        group: &key.to_string(),
+        verdict: &verdict.to_string(),
+        finding: &format!("head {}; members {}", finding.head, others.join(", ")),
+    });
+    verdict
+}
+
+async fn ask_members(
+    beliefs: &Beliefs,
+    directory: &Directory,
+    client: &HttpClient,
+    key: &GroupKey,
+) -> Finding {
+    let members: Vec<Arc<Endpoint>> = directory.members(key).cloned().collect();
+    let asked = members.iter().map(|member| ask(client, member, key));
+    let answers = join_all(asked).await;
+    let mut head = MemberProbe::Silent;
+    let mut others = Vec::new();
+    for (member, answer) in members.iter().zip(answers) {
+        if member.group.as_ref().is_some_and(|role| role.rank == 0) {
+            head = answer;
+        } else {
+            others.push(answer);
+        }
+    }
+    let size = group_size(beliefs, &members);
+    others.resize(size.saturating_sub(1).max(others.len()), MemberProbe::Silent);
+    Finding { head, others }
+}
+
+fn group_size(beliefs: &Beliefs, members: &[Arc<Endpoint>]) -> usize {
+    let Some(catalog) = beliefs.catalog.load_full() else {
+        return 0;
+    };
+    let sizes = members.iter().filter_map(|member| {
+        let spec = catalog.services.get(&member.service)?.engine.as_ref()?;
+        let model = member.models.first()?;
+        let model = spec.models.iter().find(|known| known.model == *model)?;
+        Some(model.group_size)
+    });
+    sizes.max().unwrap_or(0)
+}
+
+async fn ask(client: &HttpClient, member: &Endpoint, key: &GroupKey) -> MemberProbe {
+    let mut last = MemberProbe::Silent;
+    for _ in 0..QUESTIONS {
+        match report(client, member.address, ANSWER_LIMIT).await {
+            Ok(report) => {
+                return match report.group {
+                    Some(role) if role.group == key.group && role.epoch == key.epoch => {
+                        MemberProbe::Member(role.state)
+                    }
+                    _ => MemberProbe::Elsewhere,
+                };
+            }
+            Err(error) if is_refused(&error) => last = MemberProbe::Ended,
+            Err(_) => last = MemberProbe::Silent,
+        }
+    }
+    last
+}
+
+/// Returns whether nothing listens at an address; its VM answers for the process that has ended.
+fn is_refused(error: &BoxError) -> bool {
+    let error = error.downcast_ref::<ClientError>();
+    error.is_some_and(ClientError::is_refused)
+}
--- /dev/null
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -0,0 +1,29 @@
+//! What a node knows of the fleet, and the decisions that follow from it alone.
+//!
+//! Nothing here reads a clock or a network: time comes in as an argument, so that each decision can
+//! be played and tested by itself. docs/design/platform-run.md says how the parts meet.
+
+mod allowance;
+mod catalog;
+mod directory;
+mod endpoint;
+mod freshness;
+mod loads;
+mod number;
+mod planner;
+mod repair;
+mod silence;
+
+pub use allowance::{ColdAllowance, RetryAllowance, RetryShare};
+pub use catalog::{
+    Catalog, Customer, Delivery, EngineModel, EngineSpec, Limits, PathRoute, RouteMatch, Service,
+    WeightedService,
+};
+pub use directory::{Directory, GroupKey, GroupView};
+pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
+pub use freshness::Freshness;
+pub use loads::{Candidate, Choice, LoadBook, LoadReport, Unavailable};
+pub use number::{CatalogVersion, Fence, GroupEpoch, Incarnation, OrderCount};
+pub use planner::{Formation, Planner, PlannerInput, Step};
+pub use repair::{Finding, MemberProbe, Verdict, judge};
+pub use silence::{Silence, SilenceLimits};
--- /dev/null
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -0,0 +1,218 @@
+//! Which endpoint takes a request: what this node knows of each one's load and failures.
+//!
+//! It answers load that is uneven between endpoints, and endpoints that fail or stand still. Nodes
+//! don't see each other's requests: what an endpoint said last, corrected by what this node sent and
+//! saw end since, is the best guess. A node that followed reports alone would send all that arrives
+//! between two reports to the same endpoint.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
+
+use crate::silence::{Silence, SilenceLimits};
+
+/// What an endpoint says of its load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can work on at once.
+    pub slots: u32,
+}
+
+/// An endpoint that may take a request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// The endpoint.
+    pub id: &'a EndpointId,
+    /// The requests that it works on at once.
+    pub slots: u32,
+    /// Whether it lies in this node's failure domain.
+    pub is_local: bool,
+}
+
+/// Why no endpoint takes a request.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum Unavailable {
+    /// There is none, or all that there are failed lately.
+    #[display("no endpoint is there")]
+    NoEndpoint,
+    /// All have as much as they can do in time.
+    #[display("all endpoints are full")]
+    Full,
+}
+
+/// The endpoint chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its place among the candidates.
+    pub index: usize,
+    /// Its guessed load, in requests for each slot.
+    pub load: f64,
+}
+
+/// Requests that may wait at an endpoint beyond its slots.
+///
+/// Of 26 requests that run about a second each, one ends every 40 ms, so the third waiting one starts
+/// within 120 ms, well inside the 200 to 400 ms that callers are promised for a first event.
+const WAITING_MOST: f64 = 3.0;
+
+/// How much a crossing of failure domains counts, in requests for each slot; it pays for the bytes
+/// between them only while loads are about equal.
+const CROSSING: f64 = 0.08;
+
+/// How far equal loads are spread, in requests for each slot; nodes with the same reports would all
+/// choose the same endpoint otherwise.
+const SPREAD: f64 = 0.06;
+
+/// The first rest of an endpoint that failed; each further failure doubles it.
+const REST: Duration = Duration::from_millis(250);
+
+/// The longest rest of an endpoint that fails again and again.
+const REST_MOST: Duration = Duration::from_secs(4);
+
+/// Failures in a row after which an endpoint rests: one lost answer says little.
+const FAILURES_BEFORE_REST: u32 = 2;
+
+#[derive(Clone, Debug, Default)]
+struct Load {
+    reported: Option<LoadReport>,
+    /// Requests sent less those ended since the report.
+    since: i64,
+    in_flight: u32,
+    failures: u32,
+    rests_until: Timestamp,
+    silence: Silence,
+}
+
+impl Load {
+    fn guess(&self) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some(report) = self.reported else {
+            return own;
+        };
+        let reported = i64::from(report.running) + i64::from(report.waiting);
+        ((reported + self.since).max(0) as f64).max(own)
+    }
+}
+
+/// What a node knows of the load of all endpoints.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    loads: IndexMap<EndpointId, Load>,
+}
+
+impl LoadBook {
+    /// Chooses an endpoint; `rng` gives numbers from 0 to 1.
+    ///
+    /// # Errors
+    ///
+    /// Says why none can take the request in time.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        candidates: &[Candidate<'_>],
+        mut rng: impl FnMut() -> f64,
+    ) -> Result<Choice, Unavailable> {
+        let mut best: Option<(f64, Choice)> = None;
+        let mut refused = Unavailable::NoEndpoint;
+        for (index, candidate) in candidates.iter().enumerate() {
+            let load = self.loads.get(candidate.id);
+            if load.is_some_and(|load| load.rests_until > now) {
+                continue;
+            }
+            let requests = load.map_or(0.0, Load::guess);
+            let slots = f64::from(candidate.slots.max(1));
+            if requests >= slots + WAITING_MOST {
+                refused = Unavailable::Full;
+                continue;
+            }
+            let crossing = if candidate.is_local { 0.0 } else { CROSSING };
+            let score = requests / slots + crossing + rng() * SPREAD;
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                let load = requests / slots;
+                best = Some((score, Choice { index, load }));
+            }
+        }
+        best.map(|(_, choice)| choice).ok_or(refused)
+    }
+
+    /// Notes a request that is sent.
+    pub fn sent(&mut self, now: Timestamp, id: &EndpointId) {
+        let load = self.load(id);
+        load.in_flight += 1;
+        load.since += 1;
+        load.silence.sent(now);
+    }
+
+    /// Notes what an endpoint said of its load; it includes what this node has there.
+    pub fn reported(&mut self, id: &EndpointId, report: LoadReport) {
+        let load = self.load(id);
+        load.reported = Some(report);
+        load.since = 0;
+    }
+
+    /// Notes the first sign of a request's answer.
+    pub fn begun(&mut self, now: Timestamp, id: &EndpointId) {
+        self.load(id).silence.begun(now);
+    }
+
+    /// Notes any sign of life.
+    pub fn heard(&mut self, now: Timestamp, id: &EndpointId) {
+        self.load(id).silence.heard(now);
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&mut self, id: &EndpointId, begun: bool) {
+        let load = self.load(id);
+        load.in_flight = load.in_flight.saturating_sub(1);
+        load.since -= 1;
+        load.silence.ended(begun);
+    }
+
+    /// Notes a sound answer.
+    pub fn succeeded(&mut self, id: &EndpointId) {
+        let load = self.load(id);
+        load.failures = 0;
+        load.rests_until = Timestamp::ZERO;
+    }
+
+    /// Notes a failure; returns how long the endpoint rests, if it does.
+    pub fn failed(&mut self, now: Timestamp, id: &EndpointId) -> Option<Duration> {
+        let load = self.load(id);
+        load.failures += 1;
+        let over = load.failures.checked_sub(FAILURES_BEFORE_REST)?;
+        let rest = REST.saturating_mul(1 << over.min(10)).min(REST_MOST);
+        load.rests_until = now + rest;
+        Some(rest)
+    }
+
+    /// Takes an endpoint out for a time: it is known to stand still or to be another one.
+    pub fn rest(&mut self, now: Timestamp, id: &EndpointId, rest: Duration) {
+        self.load(id).rests_until = now + rest;
+    }
+
+    /// Returns the endpoints whose silence calls for asking their group's members.
+    pub fn silent(&mut self, now: Timestamp, limits: SilenceLimits) -> Vec<EndpointId> {
+        let silent = self.loads.iter_mut();
+        silent
+            .filter_map(|(id, load)| load.silence.ask(now, limits).then(|| id.clone()))
+            .collect()
+    }
+
+    /// Forgets endpoints that are gone and have nothing of this node's any more.
+    pub fn forget(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+        self.loads
+            .retain(|id, load| load.in_flight > 0 || is_known(id));
+    }
+
+    fn load(&mut self, id: &EndpointId) -> &mut Load {
+        if !self.loads.contains_key(id) {
+            self.loads.insert(id.clone(), Load::default());
+        }
+        &mut self.loads[id]
+    }
+}
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -0,0 +1,600 @@
+//! Which engines form which groups, and what is loaded ahead.
+//!
+//! It answers engines that are lost in pairs every few seconds while empty ones come as often, and a
+//! start at which all engines are empty. Loads are scarce (a few at once, seconds each), so a group is
+//! made of the engines that are ready soonest, and each fabric domain is kept to one model: survivors
+//! of two broken groups then fit together. docs/design/platform-run.md has the ways weighed.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, GroupId, ModelId, ServiceId, Timestamp};
+
+use crate::catalog::{EngineModel, EngineSpec};
+use crate::directory::{Directory, GroupKey};
+use crate::endpoint::{Endpoint, EndpointState, GroupState};
+use crate::number::{Fence, GroupEpoch};
+
+/// Loads that run at once before the first request, beyond what the weight store bears unslowed.
+///
+/// A group's loads begin together, and a pause between two groups wastes the store.
+const LOADS_OVER: usize = 1;
+
+/// How long the joins of a group may take beyond what its slowest member needs.
+const JOIN_SLACK: Duration = Duration::from_millis(2_500);
+
+/// How long a member that joins again in the same model takes.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+
+/// How often a group that looks unsound is examined.
+const EXAMINE_EVERY: Duration = Duration::from_millis(400);
+
+/// Loads that may begin in [`LOAD_WINDOW`]: less than half of what the operator allows (4.5/s), since a
+/// controller that takes over counts anew.
+const LOAD_STARTS: usize = 10;
+const LOAD_WINDOW: Duration = Duration::from_secs(5);
+
+/// Epochs that one controller may use; its fence gives the next range.
+const EPOCHS_PER_FENCE: u64 = 1_000_000;
+
+/// How far a group that is being formed is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// The members were told to join.
+    Joining,
+    /// The head was told to open.
+    Opening,
+}
+
+/// A group that is being formed.
+#[derive(Clone, Debug)]
+pub struct Formation {
+    /// Which membership.
+    pub key: GroupKey,
+    /// The model.
+    pub model: ModelId,
+    /// The members; the first one is the head.
+    pub members: Vec<EndpointId>,
+    progress: Progress,
+    give_up_at: Timestamp,
+}
+
+/// What the controller has to do next.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Tell all members to join.
+    Join(Formation),
+    /// Tell the head to open.
+    Open(Formation),
+    /// Load a model onto an engine's host.
+    Stage {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The model.
+        model: ModelId,
+    },
+    /// Ask a group's members whether it is sound.
+    Examine(GroupKey),
+    /// Take a group apart that nobody forms any more; its head isn't open.
+    Dissolve(GroupKey),
+    /// Let the head take no more requests and end those it has: a member is about to leave.
+    Close(GroupKey),
+}
+
+/// What a plan is made from.
+#[derive(Debug)]
+pub struct PlannerInput<'a> {
+    /// The service whose engines are planned.
+    pub service: &'a ServiceId,
+    /// How its engines work.
+    pub spec: &'a EngineSpec,
+    /// All endpoints.
+    pub directory: &'a Directory,
+    /// Whether requests have come: from then on loads take their full time and are limited.
+    pub in_traffic: bool,
+}
+
+/// Plans the groups of one service, under one fence.
+#[derive(Debug)]
+pub struct Planner {
+    fence: Fence,
+    formed: u64,
+    primaries: IndexMap<FabricDomainId, ModelId>,
+    formations: IndexMap<GroupKey, Formation>,
+    /// When each load that this controller began ends.
+    loading: IndexMap<EndpointId, Timestamp>,
+    starts: VecDeque<Timestamp>,
+    /// Engines that may not join anything before a time.
+    held: IndexMap<EndpointId, Timestamp>,
+    examined: IndexMap<GroupKey, Timestamp>,
+    /// Groups that were found lost, whose members' entries may still name them.
+    dissolved: IndexSet<GroupKey>,
+}
+
+impl Planner {
+    /// Makes a planner for a controller that has just been given `fence`.
+    #[must_use]
+    pub fn new(fence: Fence) -> Self {
+        Self {
+            fence,
+            formed: 0,
+            primaries: IndexMap::new(),
+            formations: IndexMap::new(),
+            loading: IndexMap::new(),
+            starts: VecDeque::new(),
+            held: IndexMap::new(),
+            examined: IndexMap::new(),
+            dissolved: IndexSet::new(),
+        }
+    }
+
+    /// Keeps an engine from joining anything before `until`.
+    pub fn hold(&mut self, endpoint: EndpointId, until: Timestamp) {
+        let held = self.held.entry(endpoint).or_default();
+        *held = (*held).max(until);
+    }
+
+    /// Notes that a group was taken apart, so that its members may join others.
+    pub fn dissolved(&mut self, key: &GroupKey) {
+        self.formations.swap_remove(key);
+        self.dissolved.insert(key.clone());
+    }
+
+    /// Notes that a formation failed; its members are free again after `rest`.
+    pub fn failed(&mut self, key: &GroupKey, now: Timestamp, rest: Duration) {
+        if let Some(formation) = self.formations.swap_remove(key) {
+            for member in formation.members {
+                self.loading.swap_remove(&member);
+                self.hold(member, now + rest);
+            }
+        }
+        self.dissolved.insert(key.clone());
+    }
+
+    /// Notes that an engine's load didn't begin.
+    pub fn not_loading(&mut self, endpoint: &EndpointId) {
+        self.loading.swap_remove(endpoint);
+    }
+
+    /// Returns what to do now.
+    pub fn plan(&mut self, now: Timestamp, input: &PlannerInput<'_>) -> Vec<Step> {
+        self.tidy(now, input);
+        self.assign_domains(input);
+        let mut steps = Vec::new();
+        self.follow_formations(now, input, &mut steps);
+        let occupied = self.follow_groups(now, input, &mut steps);
+        let mut free = self.free(now, input, &occupied);
+        self.form(now, input, &mut free, &mut steps);
+        self.stage(now, input, &free, &mut steps);
+        steps
+    }
+
+    fn tidy(&mut self, now: Timestamp, input: &PlannerInput<'_>) {
+        let directory = input.directory;
+        self.held.retain(|_, until| *until > now);
+        self.loading
+            .retain(|id, ends| *ends > now && directory.is_listed(id));
+        while let Some(first) = self.starts.front() {
+            if now.since(*first) < LOAD_WINDOW {
+                break;
+            }
+            self.starts.pop_front();
+        }
+    }
+
+    /// Gives each new fabric domain the model that is furthest behind its share.
+    ///
+    /// What engines hold already goes first, so that a controller that takes over doesn't reload.
+    fn assign_domains(&mut self, input: &PlannerInput<'_>) {
+        let mut new: IndexMap<&FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
+        for endpoint in engines(input) {
+            if let Some(domain) = &endpoint.fabric_domain
+                && !self.primaries.contains_key(domain)
+            {
+                new.entry(domain).or_default().push(endpoint);
+            }
+        }
+        new.sort_by(|a, _, b, _| a.cmp(b));
+        for (domain, engines) in new {
+            let model = majority(&engines).or_else(|| self.behind(input));
+            if let Some(model) = model {
+                self.primaries.insert(domain.clone(), model);
+            }
+        }
+    }
+
+    fn behind(&self, input: &PlannerInput<'_>) -> Option<ModelId> {
+        let total = self.primaries.len() as f64 + 1.0;
+        let share_sum: f64 = input.spec.models.iter().map(|model| model.share).sum();
+        let lack = |model: &EngineModel| {
+            let has = self.primaries.values().filter(|id| **id == model.model);
+            total * model.share / share_sum.max(f64::EPSILON) - has.count() as f64
+        };
+        let models = input.spec.models.iter();
+        models
+            .max_by(|a, b| lack(a).total_cmp(&lack(b)))
+            .map(|model| model.model.clone())
+    }
+
+    /// Opens formations that are ready and gives up those that take too long.
+    fn follow_formations(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        steps: &mut Vec<Step>,
+    ) {
+        let mut ended = Vec::new();
+        for (key, formation) in &mut self.formations {
+            let states: Vec<Option<GroupState>> = formation
+                .members
+                .iter()
+                .map(|id| state_in(input.directory, id, key))
+                .collect();
+            if states.first() == Some(&Some(GroupState::Open)) {
+                ended.push((key.clone(), false));
+                continue;
+            }
+            let ready = states.iter().all(|state| *state == Some(GroupState::Ready));
+            if ready && formation.progress == Progress::Joining {
+                formation.progress = Progress::Opening;
+                formation.give_up_at = now + JOIN_SLACK;
+                steps.push(Step::Open(formation.clone()));
+            } else if now > formation.give_up_at {
+                ended.push((key.clone(), true));
+            }
+        }
+        for (key, gave_up) in ended {
+            if gave_up {
+                steps.push(Step::Dissolve(key.clone()));
+                self.failed(&key, now, Duration::from_millis(500));
+            } else {
+                self.formations.swap_remove(&key);
+            }
+        }
+    }
+
+    /// Looks after the groups that exist; returns the engines that belong to one.
+    fn follow_groups(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        steps: &mut Vec<Step>,
+    ) -> IndexSet<EndpointId> {
+        let size = |model: &ModelId| group_size(input.spec, model);
+        let groups = input.directory.groups(input.service, size);
+        self.dissolved.retain(|key| groups.contains_key(key));
+        let mut occupied = IndexSet::new();
+        for (key, group) in &groups {
+            if self.dissolved.contains(key) || self.formations.contains_key(key) {
+                continue;
+            }
+            let members = group.members.iter().flatten();
+            occupied.extend(members.map(|member| member.id.clone()));
+            match group.head_state() {
+                Some(GroupState::Open) if group.is_sound => {}
+                Some(GroupState::Open) if leaves(input.directory, group) => {
+                    if self.may_examine(now, key) {
+                        steps.push(Step::Close(key.clone()));
+                    }
+                }
+                Some(GroupState::Joining | GroupState::Ready) => {
+                    if self.may_examine(now, key) {
+                        steps.push(Step::Dissolve(key.clone()));
+                    }
+                }
+                Some(GroupState::Open | GroupState::Closing | GroupState::Broken) | None => {
+                    if self.may_examine(now, key) {
+                        steps.push(Step::Examine(key.clone()));
+                    }
+                }
+            }
+        }
+        self.examined
+            .retain(|_, at| now.since(*at) < EXAMINE_EVERY);
+        occupied
+    }
+
+    fn may_examine(&mut self, now: Timestamp, key: &GroupKey) -> bool {
+        let lately = self.examined.get(key);
+        if lately.is_some_and(|at| now.since(*at) < EXAMINE_EVERY) {
+            return false;
+        }
+        self.examined.insert(key.clone(), now);
+        true
+    }
+
+    fn free<'a>(
+        &self,
+        now: Timestamp,
+        input: &PlannerInput<'a>,
+        occupied: &IndexSet<EndpointId>,
+    ) -> IndexMap<FabricDomainId, Vec<&'a Arc<Endpoint>>> {
+        let forming: IndexSet<&EndpointId> = self
+            .formations
+            .values()
+            .flat_map(|formation| &formation.members)
+            .collect();
+        let mut free: IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
+        for engine in engines(input) {
+            let held = self.held.get(&engine.id).is_some_and(|until| *until > now);
+            let taken = forming.contains(&engine.id) || occupied.contains(&engine.id);
+            if held || taken || engine.state != EndpointState::Ready {
+                continue;
+            }
+            if let Some(domain) = &engine.fabric_domain {
+                free.entry(domain.clone()).or_default().push(engine);
+            }
+        }
+        free.sort_keys();
+        free
+    }
+
+    /// Forms groups as long as engines allow, the model that is furthest behind first.
+    fn form(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        free: &mut IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        steps: &mut Vec<Step>,
+    ) {
+        loop {
+            let mut models: Vec<&EngineModel> = input.spec.models.iter().collect();
+            models.sort_by(|a, b| {
+                let a = self.engines_of(input, a) / a.share.max(f64::EPSILON);
+                let b = self.engines_of(input, b) / b.share.max(f64::EPSILON);
+                a.total_cmp(&b)
+            });
+            let formed = models
+                .into_iter()
+                .any(|model| self.form_one(now, input, model, free, steps));
+            if !formed {
+                return;
+            }
+        }
+    }
+
+    /// Returns the engines in groups of a model, those being formed included.
+    fn engines_of(&self, input: &PlannerInput<'_>, model: &EngineModel) -> f64 {
+        let open = engines(input)
+            .filter(|engine| engine.is_open_head() && engine.models.contains(&model.model));
+        let forming = self.formations.values();
+        let forming = forming.filter(|formation| formation.model == model.model);
+        ((open.count() + forming.count()) * model.group_size) as f64
+    }
+
+    fn form_one(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        model: &EngineModel,
+        free: &mut IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        steps: &mut Vec<Step>,
+    ) -> bool {
+        let mut best: Option<(Duration, usize, FabricDomainId)> = None;
+        for (domain, engines) in free.iter() {
+            let Some(time) = self.forming_time(input, domain, model, engines) else {
+                continue;
+            };
+            let groups = self.groups_near(input, model, engines);
+            if best.as_ref().is_none_or(|(t, g, _)| (time, groups) < (*t, *g)) {
+                best = Some((time, groups, domain.clone()));
+            }
+        }
+        let Some((time, _, domain)) = best else {
+            return false;
+        };
+        let engines = &mut free[&domain];
+        engines.sort_by_key(|engine| (joining_time(engine, model), engine.id.clone()));
+        let members: Vec<EndpointId> = engines
+            .drain(..model.group_size)
+            .map(|engine| engine.id.clone())
+            .collect();
+        for id in &members {
+            let engine = input.directory.find(id);
+            if engine.is_some_and(|engine| needs_load(engine, model)) {
+                self.note_load(now, input, id, model);
+            }
+        }
+        let slack = if input.in_traffic {
+            JOIN_SLACK
+        } else {
+            // The first loads take a tenth of their time, but many at once slow each other.
+            JOIN_SLACK + JOIN_SLACK
+        };
+        self.formed += 1;
+        let formation = Formation {
+            key: self.next_key(),
+            model: model.model.clone(),
+            members,
+            progress: Progress::Joining,
+            give_up_at: now + time + slack,
+        };
+        self.formations
+            .insert(formation.key.clone(), formation.clone());
+        steps.push(Step::Join(formation));
+        true
+    }
+
+    fn next_key(&self) -> GroupKey {
+        let name = format!("g{}-{}", self.fence, self.formed);
+        // The name holds digits and a hyphen only, which names allow.
+        let group = name.parse::<GroupId>().unwrap_or_else(|_| unreachable!());
+        let epoch = GroupEpoch(self.fence.0 * EPOCHS_PER_FENCE + self.formed);
+        GroupKey { group, epoch }
+    }
+
+    /// Returns how long a group of a domain's free engines takes, if it may be formed now.
+    fn forming_time(
+        &self,
+        input: &PlannerInput<'_>,
+        domain: &FabricDomainId,
+        model: &EngineModel,
+        engines: &[&Arc<Endpoint>],
+    ) -> Option<Duration> {
+        if engines.len() < model.group_size {
+            return None;
+        }
+        let mut times: Vec<Duration> = engines
+            .iter()
+            .map(|engine| joining_time(engine, model))
+            .collect();
+        times.sort();
+        let time = times[model.group_size - 1];
+        let loads = engines.iter().filter(|engine| needs_load(engine, model));
+        let loads = loads.count().min(
+            times[..model.group_size]
+                .iter()
+                .filter(|time| **time >= model.load_time)
+                .count(),
+        );
+        if loads == 0 {
+            return Some(time);
+        }
+        let is_primary = self.primaries.get(domain) == Some(&model.model);
+        // Engines that the domain's own model can still use aren't spent on another one.
+        let fits_primary = self.primaries.get(domain).is_some_and(|primary| {
+            group_size(input.spec, primary).is_some_and(|size| engines.len() >= size)
+        });
+        if input.in_traffic || (!is_primary && fits_primary) {
+            return None;
+        }
+        let most = input.spec.loads_at_once + LOADS_OVER;
+        (self.loading.len() + loads <= most.max(model.group_size)
+            && (self.loading.is_empty() || self.loading.len() + loads <= most))
+            .then_some(time)
+    }
+
+    /// Counts the groups of a model in the failure domain of some engines, to spread them.
+    fn groups_near(
+        &self,
+        input: &PlannerInput<'_>,
+        model: &EngineModel,
+        near: &[&Arc<Endpoint>],
+    ) -> usize {
+        let Some(failure_domain) = near.first().map(|engine| &engine.failure_domain) else {
+            return 0;
+        };
+        let is_near = |engine: &Endpoint| engine.failure_domain == *failure_domain;
+        let open = engines(input).filter(|engine| {
+            engine.is_open_head() && engine.models.contains(&model.model) && is_near(engine)
+        });
+        let forming = self.formations.values().filter(|formation| {
+            let head = formation.members.first();
+            let head = head.and_then(|id| input.directory.find(id));
+            formation.model == model.model && head.is_some_and(|head| is_near(head))
+        });
+        open.count() + forming.count()
+    }
+
+    /// Loads the domain's model ahead onto free engines that hold nothing useful.
+    fn stage(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        steps: &mut Vec<Step>,
+    ) {
+        let mut wanted: Vec<(usize, &Arc<Endpoint>, &EngineModel)> = Vec::new();
+        for (domain, engines) in free {
+            let primary = self.primaries.get(domain);
+            let model = primary.and_then(|id| find_model(input.spec, id));
+            let Some(model) = model else { continue };
+            let held = engines.iter().filter(|engine| !needs_load(engine, model));
+            let lacking = model.group_size.saturating_sub(held.count());
+            let empty = engines.iter().filter(|engine| needs_load(engine, model));
+            wanted.extend(empty.map(|engine| (lacking, *engine, model)));
+        }
+        // The group that lacks least is whole soonest.
+        wanted.sort_by_key(|(lacking, engine, _)| (*lacking, engine.id.clone()));
+        for (_, engine, model) in wanted {
+            if self.loading.len() >= input.spec.loads_at_once {
+                return;
+            }
+            if self.loading.contains_key(&engine.id) {
+                continue;
+            }
+            if input.in_traffic && self.starts.len() >= LOAD_STARTS {
+                return;
+            }
+            self.note_load(now, input, &engine.id, model);
+            steps.push(Step::Stage {
+                endpoint: engine.id.clone(),
+                model: model.model.clone(),
+            });
+        }
+    }
+
+    fn note_load(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        endpoint: &EndpointId,
+        model: &EngineModel,
+    ) {
+        let time = if input.in_traffic {
+            self.starts.push_back(now);
+            model.load_time
+        } else {
+            model.load_time / EARLY_LOADS_FASTER
+        };
+        self.loading.insert(endpoint.clone(), now + time);
+    }
+}
+
+/// Loads before the first request take this part of their time.
+const EARLY_LOADS_FASTER: u32 = 10;
+
+fn engines<'a>(input: &PlannerInput<'a>) -> impl Iterator<Item = &'a Arc<Endpoint>> + use<'a> {
+    let service = input.service;
+    let listed = input.directory.listed();
+    listed.filter(move |endpoint| endpoint.service == *service)
+}
+
+fn find_model<'a>(spec: &'a EngineSpec, id: &ModelId) -> Option<&'a EngineModel> {
+    spec.models.iter().find(|model| model.model == *id)
+}
+
+fn group_size(spec: &EngineSpec, id: &ModelId) -> Option<usize> {
+    find_model(spec, id).map(|model| model.group_size)
+}
+
+fn needs_load(engine: &Endpoint, model: &EngineModel) -> bool {
+    !engine.models.contains(&model.model) && !engine.staged.contains(&model.model)
+}
+
+fn joining_time(engine: &Endpoint, model: &EngineModel) -> Duration {
+    if engine.models.contains(&model.model) {
+        REJOIN_TIME
+    } else if engine.staged.contains(&model.model) {
+        model.warm_time
+    } else {
+        model.load_time
+    }
+}
+
+/// Returns the model that most of some engines hold.
+fn majority(engines: &[&Arc<Endpoint>]) -> Option<ModelId> {
+    let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
+    for engine in engines {
+        if let Some(model) = engine.models.first().or(engine.staged.first()) {
+            *counts.entry(model).or_default() += 1;
+        }
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(model, _)| model.clone())
+}
+
+fn state_in(directory: &Directory, id: &EndpointId, key: &GroupKey) -> Option<GroupState> {
+    let role = directory.find(id)?.group.as_ref()?;
+    (role.group == key.group && role.epoch == key.epoch).then_some(role.state)
+}
+
+/// Returns whether all that is wrong with a group is that members are about to leave.
+fn leaves(directory: &Directory, group: &crate::directory::GroupView) -> bool {
+    group.members.iter().all(|member| {
+        let member = member.as_ref();
+        member.is_some_and(|member| directory.is_listed(&member.id))
+    })
+}
--- a/crates/sesamecart-node/src/administration.rs
+++ b/crates/sesamecart-node/src/administration.rs
@@ -51,7 +51,7 @@
             };
             let connections = Connections::default();
             let served =
-                sesamecart_edges::serve(listener, tls, LIMITS, tasks, connections, leaving, handle);
+                sesamecart_edges::serve(listener, tls, || LIMITS, tasks, connections, leaving, handle);
             if let Err(error) = served.await {
                 log::error!("administration: can't take operators: {error}.");
             }
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -70,7 +70,7 @@
                 async move { handler.answer(req).await }
             };
             let served =
-                sesamecart_edges::serve(listener, tls, limits, tasks, connections, leaving, handle);
+                sesamecart_edges::serve(listener, tls, move || limits, tasks, connections, leaving, handle);
             if let Err(error) = served.await {
                 log::error!("traffic: can't take callers: {error}.");
             }
