Make a restarted controller another member of the lease's group

Ruled out: a second controller (no other node led).

Change: the member's name is unique to the process; a refused fence leaves the group, as only a change brings a new one; group names go on across terms. Also: one examination a loss (all nodes report it), orders only to members that answered, the count of orders is asked for after an order that was done at once, and the model furthest behind waits for room in the weight store.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -9,10 +9,9 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use futures_util::future::join_all;
+use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{
-    Fence, Formation, GroupKey, Planner, PlannerInput, Step, Verdict,
-};
+use sesamecart_fleet::{Fence, Formation, GroupKey, Planner, PlannerInput, Step, Verdict};
 use sesamecart_platform::{Expected, Offset, Order, OrderOutcome, Read, Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
 use sesamecart_vocabulary::EndpointId;
@@ -22,7 +21,7 @@
 use crate::controller::engines::Engines;
 use crate::controller::lease::Lease;
 use crate::events::Event;
-use crate::watch;
+use crate::watch::{self, Examined};
 
 /// How often the plan is made anew when nothing has changed.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -30,8 +29,8 @@
 /// How long members of a formation that failed are left alone.
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(400);
 
-/// What is kept of a head's stall for its timers and for orders that arrive late.
-const STALL_MARGIN: Duration = Duration::from_millis(400);
+/// How long an engine that didn't answer is left alone; its entry has lapsed by then if it is gone.
+const REST_AFTER_SILENCE: Duration = Duration::from_millis(4_500);
 
 /// How long the store holds a read of observations that finds nothing.
 const OBSERVATIONS_WAIT: Duration = Duration::from_millis(2_000);
@@ -48,12 +47,13 @@
     Opened { key: GroupKey, opening: bool },
     /// A load has begun, or hasn't.
     Staged { endpoint: EndpointId, begun: bool },
-    /// The members of a group are out of it; some may join others only after a time.
+    /// The members of a group are out of it, but for those that couldn't be told.
     Dissolved {
         key: GroupKey,
-        held: Vec<EndpointId>,
-        hold: Duration,
+        untold: Vec<EndpointId>,
     },
+    /// A group was examined and is sound.
+    Sound { key: GroupKey },
 }
 
 /// Takes the lease when it can, and acts while it holds it.
@@ -75,6 +75,8 @@
     outcomes: Receiver<Outcome>,
     tell: Sender<Outcome>,
     observed: Receiver<GroupKey>,
+    /// Groups that are being examined or taken apart: all nodes report a loss at about once.
+    handled: IndexSet<GroupKey>,
     tasks: Tasks,
 }
 
@@ -88,6 +90,7 @@
 
 impl Controller {
     pub(crate) async fn run(self) {
+        let mut formed = 0;
         let lease = Arc::new(Lease::new(
             Arc::clone(&self.beliefs),
             self.store.clone(),
@@ -97,9 +100,11 @@
         loop {
             let holds = lease.holds();
             match (&mut term, holds) {
-                (None, Some(fence)) => term = Some(self.begin(&lease, fence)),
+                (None, Some(fence)) => term = Some(self.begin(&lease, fence, formed)),
                 (Some(_), None) => {
                     if let Some(ended) = term.take() {
+                        // Names of groups aren't given twice, also when the fence stays the same.
+                        formed = ended.planner.formed();
                         ended.tasks.cancel().await;
                     }
                 }
@@ -110,13 +115,14 @@
         }
     }
 
-    fn begin(&self, lease: &Arc<Lease>, fence: Fence) -> Term {
+    fn begin(&self, lease: &Arc<Lease>, fence: Fence, formed: u64) -> Term {
         let (tell, outcomes) = async_channel::unbounded();
         let (observe, observed) = async_channel::unbounded();
         let tasks = Tasks::new(Arc::clone(self.tasks.executor()));
         tasks.spawn(follow_observations(self.store.clone(), observe));
         Term {
-            planner: Planner::new(fence),
+            planner: Planner::new(fence, formed),
+            handled: IndexSet::new(),
             engines: Arc::new(Engines::new(
                 Arc::clone(&self.beliefs),
                 self.client.clone(),
@@ -224,16 +230,26 @@
                 self.planner.not_loading(&endpoint);
                 self.planner.hold(endpoint, now + REST_AFTER_FAILURE);
             }
-            Outcome::Dissolved { key, held, hold } => {
+            Outcome::Dissolved { key, untold } => {
+                self.handled.swap_remove(&key);
                 self.planner.dissolved(&key);
-                for endpoint in held {
-                    self.planner.hold(endpoint, now + hold);
+                for endpoint in untold {
+                    self.planner.hold(endpoint, now + REST_AFTER_SILENCE);
                 }
             }
+            Outcome::Sound { key } => {
+                self.handled.swap_remove(&key);
+            }
         }
     }
 
-    fn start(&self, step: Step, controller: &Controller) {
+    fn start(&mut self, step: Step, controller: &Controller) {
+        if let Step::Examine(key) | Step::Dissolve(key) = &step {
+            let is_known = self.planner.is_dissolved(key);
+            if is_known || !self.handled.insert(key.clone()) {
+                return;
+            }
+        }
         let engines = Arc::clone(&self.engines);
         let tell = self.tell.clone();
         let (beliefs, client) = (Arc::clone(&controller.beliefs), controller.client.clone());
@@ -276,14 +292,21 @@
             engines.order(&head, &Order::Close(key)).await;
             None
         }
-        Step::Dissolve(key) => Some(dissolve(beliefs, engines, key, Verdict::Lost).await),
-        Step::Examine(key) => match watch::examine(beliefs, client, &key).await {
-            Verdict::Sound => None,
-            verdict => {
-                beliefs.lose_group(&key);
-                Some(dissolve(beliefs, engines, key, verdict).await)
+        Step::Dissolve(key) => {
+            let examined = Examined {
+                verdict: Verdict::Lost,
+                silent: Vec::new(),
+            };
+            Some(dissolve(beliefs, engines, key, examined).await)
+        }
+        Step::Examine(key) => {
+            let examined = watch::examine(beliefs, client, &key).await;
+            if examined.verdict == Verdict::Sound {
+                return Some(Outcome::Sound { key });
             }
-        },
+            beliefs.lose_group(&key);
+            Some(dissolve(beliefs, engines, key, examined).await)
+        }
     }
 }
 
@@ -326,39 +349,40 @@
 
 /// Takes a group apart.
 ///
-/// The head goes first: a member that joined elsewhere while the old head might still serve would be
-/// in two groups at once. Where the head doesn't answer, the members' leaving makes it stand still,
-/// and they are held back until it must have given up.
+/// A member that joined elsewhere while the old head might still serve would be in two groups at once.
+/// So the head leaves first, which ends the group; where it doesn't answer, each other member leaves
+/// before it joins anything, without which the head can't serve.
 async fn dissolve(
     beliefs: &Beliefs,
     engines: &Engines,
     key: GroupKey,
-    verdict: Verdict,
+    examined: Examined,
 ) -> Outcome {
-    let members: Vec<EndpointId> = {
-        let directory = beliefs.directory.load();
-        directory.members(&key).map(|member| member.id.clone()).collect()
-    };
     let head = head_of(beliefs, &key);
-    let head_is_out = match (&head, verdict) {
+    let order = Order::Leave(key.clone());
+    let head_is_out = match (&head, examined.verdict) {
         (_, Verdict::HeadEnded) => true,
         (Some(head), Verdict::Lost | Verdict::Sound) => {
-            is_done(&engines.order(head, &Order::Leave(key.clone())).await)
+            is_done(&engines.order(head, &order).await)
         }
         _ => false,
     };
-    let others: Vec<EndpointId> = members
-        .into_iter()
-        .filter(|id| Some(id) != head.as_ref())
-        .collect();
-    leave(engines, &key, &others).await;
-    let hold = beliefs.settings.bounds.group_stall() + STALL_MARGIN;
-    let held = if head_is_out {
-        Vec::new()
-    } else {
-        others.into_iter().chain(head).collect()
-    };
-    Outcome::Dissolved { key, held, hold }
+    let mut untold = examined.silent;
+    if !head_is_out {
+        let others: Vec<EndpointId> = {
+            let directory = beliefs.directory.load();
+            let members = directory.members(&key).map(|member| member.id.clone());
+            members
+                .filter(|id| Some(id) != head.as_ref() && !untold.contains(id))
+                .collect()
+        };
+        let orders = others.iter().map(|id| engines.order(id, &order));
+        let outcomes = join_all(orders).await;
+        let failed = others.into_iter().zip(outcomes);
+        untold.extend(failed.filter(|(_, outcome)| !is_done(outcome)).map(|(id, _)| id));
+        untold.extend(head);
+    }
+    Outcome::Dissolved { key, untold }
 }
 
 async fn leave(engines: &Engines, key: &GroupKey, members: &[EndpointId]) {
--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -68,7 +68,8 @@
             outcome: &outcome.to_string(),
         });
         if outcome == OrderOutcome::Fenced && fence != Fence::default() {
-            self.lease.step_down("an engine has seen a higher fence");
+            self.lease
+                .step_down(fence, "an engine has seen a higher fence");
         }
         outcome
     }
@@ -115,13 +116,14 @@
                     sleep(REST).await;
                 }
                 OrderOutcome::NotSent(_) => sleep(REST).await,
-                OrderOutcome::Conflict => {
-                    // The count may be what doesn't fit; it is asked for before the next order.
+                // The count may be what doesn't fit, so it is asked for anew.
+                OrderOutcome::Conflict => self.forget(engine),
+                OrderOutcome::Already => {
+                    // Whether the engine counted an order that was done at once isn't said.
                     self.forget(engine);
                     return (outcome, fence);
                 }
-                OrderOutcome::Already
-                | OrderOutcome::Fenced
+                OrderOutcome::Fenced
                 | OrderOutcome::Misdirected
                 | OrderOutcome::Unknown => return (outcome, fence),
             }
--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -1,5 +1,6 @@
 //! The lease under which one node controls the groups.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,14 +16,15 @@
 
 /// How long the store keeps a member that sends nothing; another node takes over after it.
 ///
-/// Shorter, a slow store would move control to and fro; longer, losses wait longer for repair.
-const TTL: Duration = Duration::from_millis(1_500);
+/// Shorter, a slow store would move control to and fro; longer, losses wait longer for repair while
+/// a holder that was killed is waited for.
+const TTL: Duration = Duration::from_millis(1_100);
 
 /// How often the lease is renewed: a third of its time, so that two renewals may be lost.
-const RENEW_EVERY: Duration = Duration::from_millis(450);
+const RENEW_EVERY: Duration = Duration::from_millis(330);
 
 /// What is kept of the lease for an order that is on its way when it ends.
-const MARGIN: Duration = Duration::from_millis(250);
+const MARGIN: Duration = Duration::from_millis(150);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Held {
@@ -40,15 +42,26 @@
 pub(crate) struct Lease {
     beliefs: Arc<Beliefs>,
     store: Store,
+    /// This process as the store's group knows it.
+    ///
+    /// A process that was killed and started again within the lease's time is another member. Under
+    /// the node's name alone it would hold the lease at once under the fence of the one that died,
+    /// and give names and epochs a second time that groups have already.
+    member: String,
     held: Mutex<Option<Held>>,
+    /// Fences up to here were refused by an engine.
+    refused: AtomicU64,
 }
 
 impl Lease {
-    pub(crate) const fn new(beliefs: Arc<Beliefs>, store: Store) -> Self {
+    pub(crate) fn new(beliefs: Arc<Beliefs>, store: Store) -> Self {
+        let member = format!("{}-{:08x}", beliefs.settings.node, fastrand::u32(..));
         Self {
             beliefs,
             store,
+            member,
             held: Mutex::new(None),
+            refused: AtomicU64::new(0),
         }
     }
 
@@ -59,8 +72,9 @@
         Some(held.fence)
     }
 
-    /// Gives control up at once: another node has used a higher fence.
-    pub(crate) fn step_down(&self, reason: &str) {
+    /// Gives control up at once: another node has used a fence higher than `fence`.
+    pub(crate) fn step_down(&self, fence: Fence, reason: &str) {
+        self.refused.fetch_max(fence.0, Ordering::AcqRel);
         self.set(None, reason);
     }
 
@@ -68,15 +82,21 @@
     pub(crate) async fn keep(self: Arc<Self>) {
         let least = Duration::from_millis(self.beliefs.settings.bounds.lease_least_ms);
         let ttl = TTL.max(least);
-        let member = self.beliefs.settings.node.to_string();
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
         loop {
             let sent = clock::now();
-            match self.store.join(&member, ttl, generation).await {
+            match self.store.join(&self.member, ttl, generation).await {
                 Ok(joined) => {
                     let _was_away = dependency.answered(&self.beliefs);
                     generation = joined.generation;
+                    let is_refused = generation <= self.refused.load(Ordering::Acquire);
+                    if joined.holds && is_refused {
+                        // Only a change of the group brings a fence that engines accept.
+                        self.give_back("an engine refused the fence").await;
+                        sleep(RENEW_EVERY).await;
+                        continue;
+                    }
                     let held = joined.holds.then_some(Held {
                         fence: Fence(generation),
                         until: sent + ttl.saturating_sub(MARGIN),
@@ -86,15 +106,15 @@
                 Err(error) => dependency.failed(&self.beliefs, &error),
             }
             if self.beliefs.is_leaving() {
-                return self.give_back(&member).await;
+                return self.give_back("the node is leaving").await;
             }
             sleep(RENEW_EVERY).await;
         }
     }
 
-    async fn give_back(&self, member: &str) {
-        self.set(None, "the node is leaving");
-        if let Err(error) = self.store.leave(member).await {
+    async fn give_back(&self, reason: &str) {
+        self.set(None, reason);
+        if let Err(error) = self.store.leave(&self.member).await {
             // The others wait until the lease has run out.
             log::warn!("control: the lease could not be given back: {error}.");
         }
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -9,6 +9,7 @@
 use sesamecart_fleet::{Directory, Endpoint, Finding, GroupKey, MemberProbe, SilenceLimits, Verdict, judge};
 use sesamecart_platform::report;
 use sesamecart_runtime::{Tasks, sleep};
+use sesamecart_vocabulary::EndpointId;
 
 use crate::beliefs::{Beliefs, group_key};
 use crate::clock;
@@ -38,11 +39,15 @@
         }
         let directory = beliefs.directory.load_full();
         for head in silent {
-            let key = directory.find(&head).and_then(|head| group_key(head));
-            let Some(key) = key else { continue };
+            let known = directory.find(&head);
+            // A group that was found lost stands still until its head gives up; nothing is learnt.
+            let known = known.filter(|head| !beliefs.is_lost(head));
+            let Some(key) = known.and_then(|head| group_key(head)) else {
+                continue;
+            };
             let (beliefs, client, found) = (Arc::clone(&beliefs), client.clone(), found.clone());
             tasks.spawn(async move {
-                if examine(&beliefs, &client, &key).await != Verdict::Sound {
+                if examine(&beliefs, &client, &key).await.verdict != Verdict::Sound {
                     beliefs.metrics.count_group_lost();
                     beliefs.lose_group(&key);
                     // The controller is told by whoever finds it; a closed channel means that the
@@ -54,10 +59,18 @@
     }
 }
 
+/// A group whose members were asked.
+#[derive(Debug)]
+pub(crate) struct Examined {
+    pub(crate) verdict: Verdict,
+    /// The members that didn't answer, or have ended.
+    pub(crate) silent: Vec<EndpointId>,
+}
+
 /// Asks a group's members and judges it.
-pub(crate) async fn examine(beliefs: &Beliefs, client: &HttpClient, key: &GroupKey) -> Verdict {
+pub(crate) async fn examine(beliefs: &Beliefs, client: &HttpClient, key: &GroupKey) -> Examined {
     let directory = beliefs.directory.load_full();
-    let finding = ask_members(beliefs, &directory, client, key).await;
+    let (finding, silent) = ask_members(beliefs, &directory, client, key).await;
     let verdict = judge(&finding);
     let others: Vec<String> = finding.others.iter().map(ToString::to_string).collect();
     beliefs.events.write(&Event::GroupExamined {
@@ -65,7 +78,7 @@
         verdict: &verdict.to_string(),
         finding: &format!("head {}; members {}", finding.head, others.join(", ")),
     });
-    verdict
+    Examined { verdict, silent }
 }
 
 async fn ask_members(
@@ -73,13 +86,17 @@
     directory: &Directory,
     client: &HttpClient,
     key: &GroupKey,
-) -> Finding {
+) -> (Finding, Vec<EndpointId>) {
     let members: Vec<Arc<Endpoint>> = directory.members(key).cloned().collect();
     let asked = members.iter().map(|member| ask(client, member, key));
     let answers = join_all(asked).await;
     let mut head = MemberProbe::Silent;
     let mut others = Vec::new();
+    let mut silent = Vec::new();
     for (member, answer) in members.iter().zip(answers) {
+        if matches!(answer, MemberProbe::Silent | MemberProbe::Ended) {
+            silent.push(member.id.clone());
+        }
         if member.group.as_ref().is_some_and(|role| role.rank == 0) {
             head = answer;
         } else {
@@ -88,7 +105,7 @@
     }
     let size = group_size(beliefs, &members);
     others.resize(size.saturating_sub(1).max(others.len()), MemberProbe::Silent);
-    Finding { head, others }
+    (Finding { head, others }, silent)
 }
 
 fn group_size(beliefs: &Beliefs, members: &[Arc<Endpoint>]) -> usize {
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -17,10 +17,11 @@
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::{Fence, GroupEpoch};
 
-/// Loads that run at once before the first request, beyond what the weight store bears unslowed.
+/// The part of a group's loads that may run beyond what the weight store bears unslowed.
 ///
-/// A group's loads begin together, and a pause between two groups wastes the store.
-const LOADS_OVER: usize = 1;
+/// A group's loads begin together. Waiting until all of them fit would leave the store idle in part;
+/// beginning many groups at once would have all of them wait for each other.
+const LOADS_OVER: f64 = 0.5;
 
 /// How long the joins of a group may take beyond what its slowest member needs.
 const JOIN_SLACK: Duration = Duration::from_millis(2_500);
@@ -96,6 +97,32 @@
     pub in_traffic: bool,
 }
 
+/// A load that was begun.
+#[derive(Clone, Debug)]
+struct Load {
+    model: ModelId,
+    /// When it counts as failed, if the engine hasn't reported the model by then.
+    give_up_at: Timestamp,
+}
+
+/// Whether a domain's free engines can form a group of a model now.
+enum Forming {
+    /// They can, and take so long.
+    Possible(Duration),
+    /// They could, but the weight store has enough to do.
+    WaitsForLoads,
+    /// They can't.
+    Impossible,
+}
+
+/// What came of forming one group of a model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Formed {
+    Group,
+    Waits,
+    Nothing,
+}
+
 /// Plans the groups of one service, under one fence.
 #[derive(Debug)]
 pub struct Planner {
@@ -103,8 +130,8 @@
     formed: u64,
     primaries: IndexMap<FabricDomainId, ModelId>,
     formations: IndexMap<GroupKey, Formation>,
-    /// When each load that this controller began ends.
-    loading: IndexMap<EndpointId, Timestamp>,
+    /// The loads that this controller began.
+    loading: IndexMap<EndpointId, Load>,
     starts: VecDeque<Timestamp>,
     /// Engines that may not join anything before a time.
     held: IndexMap<EndpointId, Timestamp>,
@@ -114,12 +141,13 @@
 }
 
 impl Planner {
-    /// Makes a planner for a controller that has just been given `fence`.
+    /// Makes a planner for a controller that has just been given `fence`; `formed` groups have got
+    /// names under it already.
     #[must_use]
-    pub fn new(fence: Fence) -> Self {
+    pub fn new(fence: Fence, formed: u64) -> Self {
         Self {
             fence,
-            formed: 0,
+            formed,
             primaries: IndexMap::new(),
             formations: IndexMap::new(),
             loading: IndexMap::new(),
@@ -130,6 +158,18 @@
         }
     }
 
+    /// Returns how many groups have got names.
+    #[must_use]
+    pub const fn formed(&self) -> u64 {
+        self.formed
+    }
+
+    /// Returns whether a group was taken apart.
+    #[must_use]
+    pub fn is_dissolved(&self, key: &GroupKey) -> bool {
+        self.dissolved.contains(key)
+    }
+
     /// Keeps an engine from joining anything before `until`.
     pub fn hold(&mut self, endpoint: EndpointId, until: Timestamp) {
         let held = self.held.entry(endpoint).or_default();
@@ -174,8 +214,11 @@
     fn tidy(&mut self, now: Timestamp, input: &PlannerInput<'_>) {
         let directory = input.directory;
         self.held.retain(|_, until| *until > now);
-        self.loading
-            .retain(|id, ends| *ends > now && directory.is_listed(id));
+        self.loading.retain(|id, load| {
+            let engine = directory.find(id).filter(|_| directory.is_listed(id));
+            let is_loading = |engine: &Arc<Endpoint>| !holds(engine, &load.model);
+            load.give_up_at > now && engine.is_some_and(is_loading)
+        });
         while let Some(first) = self.starts.front() {
             if now.since(*first) < LOAD_WINDOW {
                 break;
@@ -348,8 +391,9 @@
             });
             let formed = models
                 .into_iter()
-                .any(|model| self.form_one(now, input, model, free, steps));
-            if !formed {
+                .map(|model| self.form_one(now, input, model, free, steps))
+                .find(|formed| *formed != Formed::Nothing);
+            if formed != Some(Formed::Group) {
                 return;
             }
         }
@@ -371,11 +415,17 @@
         model: &EngineModel,
         free: &mut IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
         steps: &mut Vec<Step>,
-    ) -> bool {
+    ) -> Formed {
+        let mut waits = false;
         let mut best: Option<(Duration, usize, FabricDomainId)> = None;
         for (domain, engines) in free.iter() {
-            let Some(time) = self.forming_time(input, domain, model, engines) else {
-                continue;
+            let time = match self.forming_time(input, domain, model, engines) {
+                Forming::Possible(time) => time,
+                Forming::WaitsForLoads => {
+                    waits = true;
+                    continue;
+                }
+                Forming::Impossible => continue,
             };
             let groups = self.groups_near(input, model, engines);
             if best.as_ref().is_none_or(|(t, g, _)| (time, groups) < (*t, *g)) {
@@ -383,7 +433,9 @@
             }
         }
         let Some((time, _, domain)) = best else {
-            return false;
+            // A model with smaller groups would take each place in the weight store that becomes
+            // free, and the one that is furthest behind would never find room for all its loads.
+            return if waits { Formed::Waits } else { Formed::Nothing };
         };
         let engines = &mut free[&domain];
         engines.sort_by_key(|engine| (joining_time(engine, model), engine.id.clone()));
@@ -414,7 +466,7 @@
         self.formations
             .insert(formation.key.clone(), formation.clone());
         steps.push(Step::Join(formation));
-        true
+        Formed::Group
     }
 
     fn next_key(&self) -> GroupKey {
@@ -432,25 +484,21 @@
         domain: &FabricDomainId,
         model: &EngineModel,
         engines: &[&Arc<Endpoint>],
-    ) -> Option<Duration> {
+    ) -> Forming {
         if engines.len() < model.group_size {
-            return None;
+            return Forming::Impossible;
         }
         let mut times: Vec<Duration> = engines
             .iter()
             .map(|engine| joining_time(engine, model))
             .collect();
         times.sort();
-        let time = times[model.group_size - 1];
-        let loads = engines.iter().filter(|engine| needs_load(engine, model));
-        let loads = loads.count().min(
-            times[..model.group_size]
-                .iter()
-                .filter(|time| **time >= model.load_time)
-                .count(),
-        );
+        let members = &times[..model.group_size];
+        let time = members[model.group_size - 1];
+        let loads = members.iter().filter(|time| **time >= model.load_time);
+        let loads = loads.count();
         if loads == 0 {
-            return Some(time);
+            return Forming::Possible(time);
         }
         let is_primary = self.primaries.get(domain) == Some(&model.model);
         // Engines that the domain's own model can still use aren't spent on another one.
@@ -458,12 +506,15 @@
             group_size(input.spec, primary).is_some_and(|size| engines.len() >= size)
         });
         if input.in_traffic || (!is_primary && fits_primary) {
-            return None;
+            return Forming::Impossible;
+        }
+        let over = (model.group_size as f64 * LOADS_OVER) as usize;
+        let most = input.spec.loads_at_once + over;
+        if self.loading.is_empty() || self.loading.len() + loads <= most {
+            Forming::Possible(time)
+        } else {
+            Forming::WaitsForLoads
         }
-        let most = input.spec.loads_at_once + LOADS_OVER;
-        (self.loading.len() + loads <= most.max(model.group_size)
-            && (self.loading.is_empty() || self.loading.len() + loads <= most))
-            .then_some(time)
     }
 
     /// Counts the groups of a model in the failure domain of some engines, to spread them.
@@ -533,13 +584,25 @@
         endpoint: &EndpointId,
         model: &EngineModel,
     ) {
-        let time = if input.in_traffic {
+        if input.in_traffic {
             self.starts.push_back(now);
-            model.load_time
-        } else {
-            model.load_time / EARLY_LOADS_FASTER
+        }
+        let load = Load {
+            model: model.model.clone(),
+            give_up_at: now + loading_time(input, model) * LOAD_PATIENCE,
         };
-        self.loading.insert(endpoint.clone(), now + time);
+        self.loading.insert(endpoint.clone(), load);
+    }
+}
+
+/// How much longer than alone a load may take before it counts as failed: loads slow each other.
+const LOAD_PATIENCE: u32 = 3;
+
+fn loading_time(input: &PlannerInput<'_>, model: &EngineModel) -> Duration {
+    if input.in_traffic {
+        model.load_time
+    } else {
+        model.load_time / EARLY_LOADS_FASTER
     }
 }
 
@@ -560,8 +623,12 @@
     find_model(spec, id).map(|model| model.group_size)
 }
 
+fn holds(engine: &Endpoint, model: &ModelId) -> bool {
+    engine.models.contains(model) || engine.staged.contains(model)
+}
+
 fn needs_load(engine: &Endpoint, model: &EngineModel) -> bool {
-    !engine.models.contains(&model.model) && !engine.staged.contains(&model.model)
+    !holds(engine, &model.model)
 }
 
 fn joining_time(engine: &Endpoint, model: &EngineModel) -> Duration {
