Load all engines before the first request

Before the first request a load takes a tenth of its time and keeps that once it has begun. The planner kept to the loads that the weight store bears unslowed (6), so 17 of 54 engines were empty when requests came, and each then took 12 to 16 s.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -90,6 +90,10 @@
         endpoint: &'a str,
         /// Its state.
         state: &'a str,
+        /// The fabric domain that it lies in.
+        fabric_domain: &'a str,
+        /// The models on its host.
+        staged: &'a str,
         /// Its group and state there.
         group: &'a str,
     },
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -11,7 +11,7 @@
     decode_endpoint, evacuated_domain, is_configuration,
 };
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, NodeId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
@@ -424,8 +424,12 @@
     }
     let group = endpoint.group.as_ref();
     let group = group.map(|role| format!("{}@{} {}", role.group, role.epoch, role.state));
+    let staged: Vec<&str> = endpoint.staged.iter().map(ModelId::as_str).collect();
+    let domain = endpoint.fabric_domain.as_ref();
     beliefs.events.write(&Event::EndpointChanged {
         endpoint: endpoint.id.as_str(),
+        fabric_domain: domain.map_or("", |domain| domain.as_str()),
+        staged: &staged.join(" "),
         state: &endpoint.state.to_string(),
         group: &group.unwrap_or_default(),
     });
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -510,13 +510,32 @@
         }
         let over = (model.group_size as f64 * LOADS_OVER) as usize;
         let most = input.spec.loads_at_once + over;
-        if self.loading.is_empty() || self.loading.len() + loads <= most {
+        let has_room = self.loading.is_empty() || self.loading.len() + loads <= most;
+        if has_room || self.loads_the_rest(input) {
             Forming::Possible(time)
         } else {
             Forming::WaitsForLoads
         }
     }
 
+    /// Returns whether all engines that are left begin their loads at once.
+    ///
+    /// Before the first request a load takes a tenth of its time, and one that has begun keeps that.
+    /// When the first requests come is not known. So once half of the engines hold a model, which
+    /// serves the first requests, the others begin all together: 18 engines of 54 were loaded so by the
+    /// third second of traffic that would else have taken 12 to 16 s for each six.
+    fn loads_the_rest(&self, input: &PlannerInput<'_>) -> bool {
+        if input.in_traffic {
+            return false;
+        }
+        let all = engines(input).count();
+        let loaded = engines(input).filter(|engine| {
+            let models = input.spec.models.iter();
+            models.map(|model| &model.model).any(|id| holds(engine, id))
+        });
+        loaded.count() * 2 >= all
+    }
+
     /// Counts the groups of a model in the failure domain of some engines, to spread them.
     fn groups_near(
         &self,
@@ -560,7 +579,7 @@
         // The group that lacks least is whole soonest.
         wanted.sort_by_key(|(lacking, engine, _)| (*lacking, engine.id.clone()));
         for (_, engine, model) in wanted {
-            if self.loading.len() >= input.spec.loads_at_once {
+            if self.loading.len() >= input.spec.loads_at_once && !self.loads_the_rest(input) {
                 return;
             }
             if self.loading.contains_key(&engine.id) {
