Take a group apart that may have opened, and find records missed by a long read

The controller took the formation for failed after 2.5 s, forgot the group and joined its members to another while the head was open.

Change: a formation that is given up is taken apart like any orphan, head first; an engine that reports a group which the registry doesn't show isn't joined elsewhere; after records comes one short read.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -26,7 +26,7 @@
 /// How often the plan is made anew when nothing has changed.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
 
-/// How long members of a formation that failed are left alone.
+/// How long an engine whose load didn't begin is left alone.
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(400);
 
 /// How long an engine that didn't answer is left alone; its entry has lapsed by then if it is gone.
@@ -224,7 +224,7 @@
             | Outcome::Opened { opening: true, .. }
             | Outcome::Staged { begun: true, .. } => {}
             Outcome::Joined { key, .. } | Outcome::Opened { key, .. } => {
-                self.planner.failed(&key, now, REST_AFTER_FAILURE);
+                self.planner.abandon(&key, now);
             }
             Outcome::Staged { endpoint, .. } => {
                 self.planner.not_loading(&endpoint);
@@ -329,9 +329,6 @@
     };
     let orders = formation.members.iter().map(|id| engines.order(id, &order));
     let all = join_all(orders).await.iter().all(is_done);
-    if !all {
-        leave(engines, &formation.key, &formation.members).await;
-    }
     Outcome::Joined {
         key: formation.key,
         all,
@@ -385,12 +382,6 @@
     Outcome::Dissolved { key, untold }
 }
 
-async fn leave(engines: &Engines, key: &GroupKey, members: &[EndpointId]) {
-    let order = Order::Leave(key.clone());
-    let orders = members.iter().map(|id| engines.order(id, &order));
-    join_all(orders).await;
-}
-
 /// Reads what other nodes tell the controller, from now on.
 async fn follow_observations(store: Store, observe: Sender<GroupKey>) {
     let mut from: Option<Offset> = None;
--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -5,8 +5,8 @@
 
 use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{Fence, Incarnation, OrderCount};
-use sesamecart_platform::{Order, OrderOutcome, Orders, report};
+use sesamecart_fleet::{Endpoint, Fence, GroupRole, Incarnation, OrderCount};
+use sesamecart_platform::{EngineReport, Order, OrderOutcome, Orders, report};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::EndpointId;
 
@@ -88,6 +88,9 @@
                 None => match report(&self.client, known.address, ORDER_LIMIT).await {
                     Ok(report) => {
                         self.note(engine, known.incarnation, report.orders);
+                        if is_joined_elsewhere(order, &report, &known) {
+                            return (OrderOutcome::Conflict, Fence::default());
+                        }
                         report.orders
                     }
                     Err(error) => {
@@ -136,7 +139,7 @@
     async fn has_begun(
         &self,
         engine: &EndpointId,
-        known: &sesamecart_fleet::Endpoint,
+        known: &Endpoint,
         before: OrderCount,
     ) -> bool {
         let Ok(report) = report(&self.client, known.address, ORDER_LIMIT).await else {
@@ -163,6 +166,17 @@
     }
 }
 
+/// Returns whether an engine that is to join is in a group that the registry doesn't show yet.
+///
+/// The controller before this one may have formed and opened that group a moment ago. Joining its
+/// members to another would put them into two groups at once.
+fn is_joined_elsewhere(order: &Order, report: &EngineReport, known: &Endpoint) -> bool {
+    let is_join = matches!(order, Order::Join { .. });
+    let place = |role: &GroupRole| (role.group.clone(), role.epoch);
+    let reported = report.group.as_ref().map(place);
+    is_join && reported.is_some() && reported != known.group.as_ref().map(place)
+}
+
 fn kind(outcome: &OrderOutcome) -> &'static str {
     match outcome {
         OrderOutcome::Begun => "begun",
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -25,7 +25,14 @@
 
 /// How long the store holds a read of the registry that finds nothing; only lost reads are found
 /// by its end.
-const REGISTRY_WAIT: Duration = Duration::from_millis(4_000);
+const REGISTRY_WAIT: Duration = Duration::from_millis(2_000);
+
+/// The same right after records came.
+///
+/// Records come in bursts. A read that reaches the store while a record is being appended sees
+/// nothing and isn't woken for it, so the last record of a burst was known on some nodes only seconds
+/// later, with the next one. A second, short read finds it.
+const AFTER_RECORDS_WAIT: Duration = Duration::from_millis(120);
 
 /// The least time between two reads of a topic: a burst of records is read at once and not by a
 /// call for each.
@@ -160,10 +167,16 @@
 
     /// Reads what comes after `from` until the topic's history has to be read anew.
     async fn follow(&mut self, mut from: Offset) {
+        let mut wait = AFTER_RECORDS_WAIT;
         loop {
             let sent = clock::now();
-            match self.store.read(self.topic, from, self.wait).await {
+            match self.store.read(self.topic, from, wait).await {
                 Ok(Read::Records { next, end, records }) => {
+                    wait = if records.is_empty() {
+                        self.wait
+                    } else {
+                        AFTER_RECORDS_WAIT
+                    };
                     let was_away = self.dependency.answered(&self.beliefs);
                     if end < from {
                         return;
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, GroupId, ModelId, ServiceId, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, FabricDomainId, FailureDomainId, GroupId, ModelId, ServiceId, Timestamp,
+};
 
 use crate::catalog::{EngineModel, EngineSpec};
 use crate::directory::{Directory, GroupKey};
@@ -26,6 +28,9 @@
 /// How long the joins of a group may take beyond what its slowest member needs.
 const JOIN_SLACK: Duration = Duration::from_millis(2_500);
 
+/// How long members of a formation that failed are left alone.
+const REST_AFTER_FAILURE: Duration = Duration::from_millis(400);
+
 /// How long a member that joins again in the same model takes.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
 
@@ -182,15 +187,18 @@
         self.dissolved.insert(key.clone());
     }
 
-    /// Notes that a formation failed; its members are free again after `rest`.
-    pub fn failed(&mut self, key: &GroupKey, now: Timestamp, rest: Duration) {
-        if let Some(formation) = self.formations.swap_remove(key) {
-            for member in formation.members {
-                self.loading.swap_remove(&member);
-                self.hold(member, now + rest);
-            }
+    /// Notes that a formation won't come about; its members rest for a while.
+    ///
+    /// Some may have joined and the head may even have opened, so the group isn't taken for gone: it
+    /// is taken apart like any group that nobody forms.
+    pub fn abandon(&mut self, key: &GroupKey, now: Timestamp) {
+        let Some(formation) = self.formations.swap_remove(key) else {
+            return;
+        };
+        for member in formation.members {
+            self.loading.swap_remove(&member);
+            self.hold(member, now + REST_AFTER_FAILURE);
         }
-        self.dissolved.insert(key.clone());
     }
 
     /// Notes that an engine's load didn't begin.
@@ -227,38 +235,64 @@
         }
     }
 
-    /// Gives each new fabric domain the model that is furthest behind its share.
+    /// Gives each fabric domain the model that its groups should serve.
     ///
-    /// What engines hold already goes first, so that a controller that takes over doesn't reload.
+    /// What engines hold already goes first, so that a controller that takes over doesn't reload. The
+    /// others get the model whose groups, as many as domains of this size hold, are furthest behind
+    /// what its share of the work needs. Counting engines instead of whole groups would give a model
+    /// with large groups too little, as its domains have engines left over.
     fn assign_domains(&mut self, input: &PlannerInput<'_>) {
-        let mut new: IndexMap<&FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
+        let mut domains: IndexMap<&FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
         for endpoint in engines(input) {
-            if let Some(domain) = &endpoint.fabric_domain
-                && !self.primaries.contains_key(domain)
-            {
-                new.entry(domain).or_default().push(endpoint);
+            if let Some(domain) = &endpoint.fabric_domain {
+                domains.entry(domain).or_default().push(endpoint);
+            }
+        }
+        let engines_each = domains.values().map(Vec::len).max().unwrap_or(0);
+        self.primaries.clear();
+        let mut empty = Vec::new();
+        for (domain, engines) in &domains {
+            match self.held_in(engines) {
+                Some(model) => {
+                    self.primaries.insert((*domain).clone(), model);
+                }
+                None => empty.push((*domain, &engines[0].failure_domain)),
             }
         }
-        new.sort_by(|a, _, b, _| a.cmp(b));
-        for (domain, engines) in new {
-            let model = majority(&engines).or_else(|| self.behind(input));
-            if let Some(model) = model {
+        for domain in by_turns(empty) {
+            if let Some(model) = self.behind(input, engines_each) {
                 self.primaries.insert(domain.clone(), model);
             }
         }
     }
 
-    fn behind(&self, input: &PlannerInput<'_>) -> Option<ModelId> {
-        let total = self.primaries.len() as f64 + 1.0;
-        let share_sum: f64 = input.spec.models.iter().map(|model| model.share).sum();
-        let lack = |model: &EngineModel| {
-            let has = self.primaries.values().filter(|id| **id == model.model);
-            total * model.share / share_sum.max(f64::EPSILON) - has.count() as f64
+    /// Returns the model that most engines of a domain hold or load.
+    fn held_in(&self, engines: &[&Arc<Endpoint>]) -> Option<ModelId> {
+        let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
+        for engine in engines {
+            let loading = self.loading.get(&engine.id).map(|load| &load.model);
+            if let Some(model) = loading.or(engine.models.first()).or(engine.staged.first()) {
+                *counts.entry(model).or_default() += 1;
+            }
+        }
+        let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        most.map(|(model, _)| model.clone())
+    }
+
+    /// Returns the model whose domains hold the fewest groups for its share of the work.
+    fn behind(&self, input: &PlannerInput<'_>, engines_each: usize) -> Option<ModelId> {
+        let groups_for_share = |model: &EngineModel| {
+            let domains = self.primaries.values().filter(|id| **id == model.model);
+            let groups = domains.count() * (engines_each / model.group_size);
+            groups as f64 * model.group_size as f64 / model.share.max(f64::EPSILON)
         };
         let models = input.spec.models.iter();
-        models
-            .max_by(|a, b| lack(a).total_cmp(&lack(b)))
-            .map(|model| model.model.clone())
+        let least = models.min_by(|a, b| {
+            let by_groups = groups_for_share(a).total_cmp(&groups_for_share(b));
+            // The larger group first: it finds fewer domains with room later.
+            by_groups.then(b.group_size.cmp(&a.group_size))
+        });
+        least.map(|model| model.model.clone())
     }
 
     /// Opens formations that are ready and gives up those that take too long.
@@ -290,8 +324,7 @@
         }
         for (key, gave_up) in ended {
             if gave_up {
-                steps.push(Step::Dissolve(key.clone()));
-                self.failed(&key, now, Duration::from_millis(500));
+                self.abandon(&key, now);
             } else {
                 self.formations.swap_remove(&key);
             }
@@ -566,6 +599,10 @@
         free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
         steps: &mut Vec<Step>,
     ) {
+        if !input.in_traffic && !self.loads_the_rest(input) {
+            // Whole groups come first; what is left over is loaded after them.
+            return;
+        }
         let mut wanted: Vec<(usize, &Arc<Endpoint>, &EngineModel)> = Vec::new();
         for (domain, engines) in free {
             let primary = self.primaries.get(domain);
@@ -660,16 +697,21 @@
     }
 }
 
-/// Returns the model that most of some engines hold.
-fn majority(engines: &[&Arc<Endpoint>]) -> Option<ModelId> {
-    let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
-    for engine in engines {
-        if let Some(model) = engine.models.first().or(engine.staged.first()) {
-            *counts.entry(model).or_default() += 1;
-        }
+/// Orders domains so that those of one failure domain don't follow each other: each model then lies in
+/// several of them, and the loss of one takes none away.
+fn by_turns<'a>(
+    mut domains: Vec<(&'a FabricDomainId, &'a FailureDomainId)>,
+) -> Vec<&'a FabricDomainId> {
+    domains.sort();
+    let mut turns: IndexMap<&FailureDomainId, usize> = IndexMap::new();
+    let mut ordered: Vec<(usize, &FabricDomainId)> = Vec::new();
+    for (domain, failure_domain) in domains {
+        let turn = turns.entry(failure_domain).or_default();
+        ordered.push((*turn, domain));
+        *turn += 1;
     }
-    let most = counts.into_iter().max_by_key(|(_, count)| *count);
-    most.map(|(model, _)| model.clone())
+    ordered.sort();
+    ordered.into_iter().map(|(_, domain)| domain).collect()
 }
 
 fn state_in(directory: &Directory, id: &EndpointId, key: &GroupKey) -> Option<GroupState> {
