Let members leave by themselves where their head can't be told to

Change: a refused connection says no more than silence; unless the head acknowledges its leaving, each member leaves before it joins anything. Test: a_head_that_cannot_be_reached_has_not_ended.

--- a/crates/sesamecart-edges/src/client.rs
+++ b/crates/sesamecart-edges/src/client.rs
@@ -68,15 +68,6 @@
     source: BoxError,
 }
 
-impl ClientError {
-    /// Returns whether nothing listens at the peer: its VM lives, and the process there has ended.
-    #[must_use]
-    pub fn is_refused(&self) -> bool {
-        let cause = self.source.downcast_ref::<std::io::Error>();
-        cause.is_some_and(|cause| cause.kind() == std::io::ErrorKind::ConnectionRefused)
-    }
-}
-
 /// Whether a request may go out on a connection that served another one before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse {
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -358,7 +358,6 @@
     let head = head_of(beliefs, &key);
     let order = Order::Leave(key.clone());
     let head_is_out = match (&head, examined.verdict) {
-        (_, Verdict::HeadEnded) => true,
         (Some(head), Verdict::Lost | Verdict::Sound) => {
             is_done(&engines.order(head, &order).await)
         }
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Sender;
 use futures_util::future::join_all;
-use sesamecart_edges::{BoxError, ClientError, HttpClient};
+use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{Directory, Endpoint, Finding, GroupKey, MemberProbe, SilenceLimits, Verdict, judge};
 use sesamecart_platform::report;
 use sesamecart_runtime::{Tasks, sleep};
@@ -94,7 +94,7 @@
     let mut others = Vec::new();
     let mut silent = Vec::new();
     for (member, answer) in members.iter().zip(answers) {
-        if matches!(answer, MemberProbe::Silent | MemberProbe::Ended) {
+        if answer == MemberProbe::Silent {
             silent.push(member.id.clone());
         }
         if member.group.as_ref().is_some_and(|role| role.rank == 0) {
@@ -122,26 +122,16 @@
 }
 
 async fn ask(client: &HttpClient, member: &Endpoint, key: &GroupKey) -> MemberProbe {
-    let mut last = MemberProbe::Silent;
     for _ in 0..QUESTIONS {
-        match report(client, member.address, ANSWER_LIMIT).await {
-            Ok(report) => {
-                return match report.group {
-                    Some(role) if role.group == key.group && role.epoch == key.epoch => {
-                        MemberProbe::Member(role.state)
-                    }
-                    _ => MemberProbe::Elsewhere,
-                };
+        let Ok(report) = report(client, member.address, ANSWER_LIMIT).await else {
+            continue;
+        };
+        return match report.group {
+            Some(role) if role.group == key.group && role.epoch == key.epoch => {
+                MemberProbe::Member(role.state)
             }
-            Err(error) if is_refused(&error) => last = MemberProbe::Ended,
-            Err(_) => last = MemberProbe::Silent,
-        }
+            _ => MemberProbe::Elsewhere,
+        };
     }
-    last
-}
-
-/// Returns whether nothing listens at an address; its VM answers for the process that has ended.
-fn is_refused(error: &BoxError) -> bool {
-    let error = error.downcast_ref::<ClientError>();
-    error.is_some_and(ClientError::is_refused)
+    MemberProbe::Silent
 }
--- a/crates/sesamecart-fleet/src/repair.rs
+++ b/crates/sesamecart-fleet/src/repair.rs
@@ -4,6 +4,9 @@
 
 use crate::endpoint::GroupState;
 
+#[cfg(test)]
+mod tests;
+
 /// What one member answered when it was asked.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum MemberProbe {
@@ -13,10 +16,10 @@
     /// It answers, and is in another membership or none.
     #[display("in another group")]
     Elsewhere,
-    /// Nothing listens there: the process has ended.
-    #[display("ended")]
-    Ended,
-    /// It doesn't answer.
+    /// It doesn't answer, or nothing listens there.
+    ///
+    /// An endpoint that leaves stops listening while it still works on what it has, so a refused
+    /// connection says no more than silence does.
     #[display("silent")]
     Silent,
 }
@@ -39,10 +42,7 @@
     /// It can't serve any more; the head answers and can be told to leave.
     #[display("lost, its head answers")]
     Lost,
-    /// It can't serve any more, and its head has ended: nothing stands still.
-    #[display("lost, its head has ended")]
-    HeadEnded,
-    /// It can't serve any more, and its head can't be reached: it may stand still for a while.
+    /// It can't serve any more, and its head can't be reached: it may stand still or end its work.
     #[display("lost, its head is silent")]
     HeadSilent,
 }
@@ -50,11 +50,11 @@
 /// Judges a group.
 ///
 /// A head that can't be reached may still be open, and members that join elsewhere meanwhile would be
-/// in two groups at once. So a silent head is told apart from one that has ended.
+/// in two groups at once. So a group whose head can be told to leave is told apart from one whose
+/// members have to leave by themselves.
 #[must_use]
 pub fn judge(finding: &Finding) -> Verdict {
     match finding.head {
-        MemberProbe::Ended => Verdict::HeadEnded,
         MemberProbe::Silent => Verdict::HeadSilent,
         MemberProbe::Elsewhere | MemberProbe::Member(GroupState::Broken) => Verdict::Lost,
         MemberProbe::Member(_) => {
