--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -189,7 +189,9 @@
             return false;
         };
         let groups = lock(&self.groups);
-        groups.get(&key).is_some_and(|group| group.lost_at.is_some())
+        groups
+            .get(&key)
+            .is_some_and(|group| group.lost_at.is_some())
     }
 
     /// Forgets groups that nobody speaks of any more, and losses that are long ago.
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -91,10 +91,7 @@
 impl Controller {
     pub(crate) async fn run(self) {
         let mut formed = 0;
-        let lease = Arc::new(Lease::new(
-            Arc::clone(&self.beliefs),
-            self.store.clone(),
-        ));
+        let lease = Arc::new(Lease::new(Arc::clone(&self.beliefs), self.store.clone()));
         self.tasks.spawn(Arc::clone(&lease).keep());
         let mut term: Option<Term> = None;
         loop {
@@ -145,13 +142,25 @@
             .await;
             Woken::Plan
         };
-        let found = async { received(&self.found).await.map_or(Woken::Plan, Woken::Found) };
+        let found = async {
+            received(&self.found)
+                .await
+                .map_or(Woken::Plan, Woken::Found)
+        };
         let here = future::or(found, plan);
         let Some(term) = term else {
             return here.await;
         };
-        let outcome = async { received(&term.outcomes).await.map_or(Woken::Plan, Woken::Outcome) };
-        let observed = async { received(&term.observed).await.map_or(Woken::Plan, Woken::Observed) };
+        let outcome = async {
+            received(&term.outcomes)
+                .await
+                .map_or(Woken::Plan, Woken::Outcome)
+        };
+        let observed = async {
+            received(&term.observed)
+                .await
+                .map_or(Woken::Plan, Woken::Observed)
+        };
         future::or(future::or(outcome, observed), here).await
     }
 
@@ -176,7 +185,9 @@
             key: None,
             value: Some(key.to_string().into_bytes()),
         };
-        let appended = self.store.append(Topic::Observations, &record, Expected::Anything);
+        let appended = self
+            .store
+            .append(Topic::Observations, &record, Expected::Anything);
         if let Err(error) = appended.await {
             // The controller's own streams, or the lapsed entry, show the loss somewhat later.
             self.beliefs.metrics.count_store_failure();
@@ -358,9 +369,7 @@
     let head = head_of(beliefs, &key);
     let order = Order::Leave(key.clone());
     let head_is_out = match (&head, examined.verdict) {
-        (Some(head), Verdict::Lost | Verdict::Sound) => {
-            is_done(&engines.order(head, &order).await)
-        }
+        (Some(head), Verdict::Lost | Verdict::Sound) => is_done(&engines.order(head, &order).await),
         _ => false,
     };
     let mut untold = examined.silent;
@@ -375,7 +384,11 @@
         let orders = others.iter().map(|id| engines.order(id, &order));
         let outcomes = join_all(orders).await;
         let failed = others.into_iter().zip(outcomes);
-        untold.extend(failed.filter(|(_, outcome)| !is_done(outcome)).map(|(id, _)| id));
+        untold.extend(
+            failed
+                .filter(|(_, outcome)| !is_done(outcome))
+                .map(|(id, _)| id),
+        );
         untold.extend(head);
     }
     Outcome::Dissolved { key, untold }
@@ -387,7 +400,10 @@
     loop {
         let Some(at) = from else {
             // An offset past the end is answered with where the topic ends.
-            match store.read(Topic::Observations, Offset(0), Duration::ZERO).await {
+            match store
+                .read(Topic::Observations, Offset(0), Duration::ZERO)
+                .await
+            {
                 Ok(Read::Records { end, .. }) => from = Some(end),
                 Ok(Read::Trimmed { first }) => from = Some(first),
                 Err(_) => sleep(REST).await,
--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -105,7 +105,9 @@
                 return (OrderOutcome::Fenced, Fence::default());
             };
             used = fence;
-            let given = self.orders.give(engine, known.address, order, fence, Some(count));
+            let given = self
+                .orders
+                .give(engine, known.address, order, fence, Some(count));
             outcome = given.await;
             match &outcome {
                 OrderOutcome::Begun => {
@@ -126,9 +128,9 @@
                     self.forget(engine);
                     return (outcome, fence);
                 }
-                OrderOutcome::Fenced
-                | OrderOutcome::Misdirected
-                | OrderOutcome::Unknown => return (outcome, fence),
+                OrderOutcome::Fenced | OrderOutcome::Misdirected | OrderOutcome::Unknown => {
+                    return (outcome, fence);
+                }
             }
         }
         self.forget(engine);
@@ -136,12 +138,7 @@
     }
 
     /// Returns whether an order without answer has begun: the engine's count shows it.
-    async fn has_begun(
-        &self,
-        engine: &EndpointId,
-        known: &Endpoint,
-        before: OrderCount,
-    ) -> bool {
+    async fn has_begun(&self, engine: &EndpointId, known: &Endpoint, before: OrderCount) -> bool {
         let Ok(report) = report(&self.client, known.address, ORDER_LIMIT).await else {
             return false;
         };
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -304,7 +304,9 @@
         before: before.map_or(0, |version| version.0),
         routes: catalog.route_count(),
     });
-    beliefs.catalog.store(Some(Arc::new(Catalog::clone(&catalog))));
+    beliefs
+        .catalog
+        .store(Some(Arc::new(Catalog::clone(&catalog))));
 }
 
 fn ignore(beliefs: &Beliefs, topic: Topic, key: &str, cause: &str) {
@@ -342,7 +344,9 @@
             .iter()
             .filter_map(|record| record.key.as_deref())
             .collect();
-        let gone = current.listed_ids().filter(|id| !there.contains(id.as_str()));
+        let gone = current
+            .listed_ids()
+            .filter(|id| !there.contains(id.as_str()));
         let gone: Vec<Record> = gone
             .map(|id| Record {
                 key: Some(id.to_string()),
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -100,8 +100,8 @@
         let callers = callers.map_err(|reason| error("listen", reason.into()))?;
         let readiness = listeners.readiness.local_addr();
         let readiness = readiness.map_err(|reason| error("listen", reason.into()))?;
-        let (events, log_writer) =
-            EventLog::start(node.clone()).map_err(|reason| error("start the log", reason.into()))?;
+        let (events, log_writer) = EventLog::start(node.clone())
+            .map_err(|reason| error("start the log", reason.into()))?;
         events.write(&Event::Started {
             version: env!("CARGO_PKG_VERSION"),
         });
@@ -187,7 +187,9 @@
             Ok(_) => "the new settings take effect at the next start".to_owned(),
             Err(error) => format!("the settings stay as they are: {error}"),
         };
-        self.beliefs.events.write(&Event::Reloaded { outcome: &outcome });
+        self.beliefs
+            .events
+            .write(&Event::Reloaded { outcome: &outcome });
     }
 }
 
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -56,15 +56,8 @@
                 let handler = handler.clone();
                 async move { handler.answer(req).await }
             };
-            let served = sesamecart_edges::serve(
-                callers,
-                None,
-                limits,
-                tasks,
-                connections,
-                leaving,
-                handle,
-            );
+            let served =
+                sesamecart_edges::serve(callers, None, limits, tasks, connections, leaving, handle);
             if let Err(error) = served.await {
                 log::error!("traffic: can't take callers: {error}.");
             }
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -223,7 +223,10 @@
                     is_local: endpoint.failure_domain == self.beliefs.settings.failure_domain,
                 })
                 .collect();
-            let chosen = self.beliefs.loads().choose(now, &candidates, fastrand::f64)?;
+            let chosen = self
+                .beliefs
+                .loads()
+                .choose(now, &candidates, fastrand::f64)?;
             let endpoint = Arc::clone(endpoints[chosen.index]);
             let cold_per_s = known.and_then(|known| known.cold_per_s);
             let is_refused = cold_per_s.is_some_and(|per_s| {
@@ -356,7 +359,10 @@
     }
 
     fn priority(&self) -> u8 {
-        let customers = self.customer.as_ref().and_then(|customer| customer.priority);
+        let customers = self
+            .customer
+            .as_ref()
+            .and_then(|customer| customer.priority);
         customers.unwrap_or(self.route.priority)
     }
 
@@ -415,7 +421,10 @@
         };
         self.beliefs.loads().rest(now, endpoint, rest);
         if said.at_fault.as_ref().is_some_and(|id| id != endpoint) {
-            log::debug!("traffic: {endpoint} rejects because of {:?}.", said.at_fault);
+            log::debug!(
+                "traffic: {endpoint} rejects because of {:?}.",
+                said.at_fault
+            );
         }
     }
 
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -143,7 +143,10 @@
 fn head_bytes(head: &Parts) -> u64 {
     let headers = head.headers.iter();
     let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
     (lines.sum::<usize>() + target) as u64
 }
 
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -56,7 +56,8 @@
 const FULL_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(700));
 
 /// The same where no endpoint is there: a group is mended within about two seconds.
-const ABSENT_RETRY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(1_500));
+const ABSENT_RETRY: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_500));
 
 impl Refusal {
     pub(crate) const fn status(&self) -> StatusCode {
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -179,7 +179,10 @@
         source.flight.succeed();
         source.lease.give_back();
         let now = clock::now();
-        self.call.beliefs.metrics.count_answer("endpoint", self.status);
+        self.call
+            .beliefs
+            .metrics
+            .count_answer("endpoint", self.status);
         self.call.beliefs.events.write_success(
             now,
             &Event::Answered {
@@ -198,7 +201,10 @@
             source.flight.settle();
             source.flight.endpoint.clone()
         });
-        self.call.beliefs.metrics.count_answer("broken", self.status);
+        self.call
+            .beliefs
+            .metrics
+            .count_answer("broken", self.status);
         self.call.beliefs.events.write(&Event::Broken {
             request: self.call.asked.id.as_str(),
             endpoint: endpoint.as_ref().map_or("", |id| id.as_str()),
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -6,7 +6,9 @@
 use async_channel::Sender;
 use futures_util::future::join_all;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{Directory, Endpoint, Finding, GroupKey, MemberProbe, SilenceLimits, Verdict, judge};
+use sesamecart_fleet::{
+    Directory, Endpoint, Finding, GroupKey, MemberProbe, SilenceLimits, Verdict, judge,
+};
 use sesamecart_platform::report;
 use sesamecart_runtime::{Tasks, sleep};
 use sesamecart_vocabulary::EndpointId;
@@ -33,7 +35,9 @@
 ) {
     loop {
         sleep(LOOK_EVERY).await;
-        let silent = beliefs.loads().silent(clock::now(), SilenceLimits::default());
+        let silent = beliefs
+            .loads()
+            .silent(clock::now(), SilenceLimits::default());
         if silent.is_empty() {
             continue;
         }
@@ -104,7 +108,10 @@
         }
     }
     let size = group_size(beliefs, &members);
-    others.resize(size.saturating_sub(1).max(others.len()), MemberProbe::Silent);
+    others.resize(
+        size.saturating_sub(1).max(others.len()),
+        MemberProbe::Silent,
+    );
     (Finding { head, others }, silent)
 }
 
--- a/crates/sesamecart-fleet/src/allowance.rs
+++ b/crates/sesamecart-fleet/src/allowance.rs
@@ -8,6 +8,9 @@
 
 use sesamecart_vocabulary::Timestamp;
 
+#[cfg(test)]
+mod tests;
+
 /// The retries that all nodes together may send to one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryShare {
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -8,6 +8,9 @@
 
 use crate::number::CatalogVersion;
 
+#[cfg(test)]
+mod tests;
+
 /// What a request of a route may be put through.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum Delivery {
--- a/crates/sesamecart-fleet/src/directory.rs
+++ b/crates/sesamecart-fleet/src/directory.rs
@@ -9,6 +9,9 @@
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::GroupEpoch;
 
+#[cfg(test)]
+mod tests;
+
 /// How long an endpoint that left the registry is remembered.
 ///
 /// A member that fell silent lapses from the registry while its head still stands still; without its
--- a/crates/sesamecart-fleet/src/endpoint.rs
+++ b/crates/sesamecart-fleet/src/endpoint.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, FailureDomainId, GroupId, ModelId, ServiceId};
+use sesamecart_vocabulary::{
+    EndpointId, FabricDomainId, FailureDomainId, GroupId, ModelId, ServiceId,
+};
 
 use crate::number::{GroupEpoch, Incarnation};
 
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -13,6 +13,8 @@
 mod planner;
 mod repair;
 mod silence;
+#[cfg(test)]
+mod testkit;
 
 pub use allowance::{ColdAllowance, RetryAllowance, RetryShare};
 pub use catalog::{
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -12,6 +12,9 @@
 
 use crate::silence::{Silence, SilenceLimits};
 
+#[cfg(test)]
+mod tests;
+
 /// What an endpoint says of its load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
--- /dev/null
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -0,0 +1,130 @@
+//! Where requests go, by what a node knows of loads and failures.
+
+use std::time::Duration;
+
+use sesamecart_vocabulary::{EndpointId, Timestamp};
+
+use super::{Candidate, LoadBook, LoadReport, Unavailable};
+use crate::silence::SilenceLimits;
+use crate::testkit::id;
+
+const NOW: Timestamp = Timestamp(10_000_000);
+
+fn candidate(id: &EndpointId, is_local: bool) -> Candidate<'_> {
+    Candidate {
+        id,
+        slots: 4,
+        is_local,
+    }
+}
+
+fn report(running: u32, waiting: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: 4,
+    }
+}
+
+/// Nodes don't see each other's requests. One that went by its own alone would send to an endpoint
+/// that the others have filled.
+#[test]
+fn what_an_endpoint_reports_counts_besides_own_requests() {
+    let (full, free) = (id("full"), id("free"));
+    let mut loads = LoadBook::default();
+    loads.reported(&full, report(4, 0));
+    loads.reported(&free, report(1, 0));
+    let candidates = [candidate(&full, true), candidate(&free, false)];
+    let choice = loads.choose(NOW, &candidates, || 0.5).expect("one is free");
+    assert_eq!(choice.index, 1);
+}
+
+/// Reports come with answers only. All that arrives between two of them would go to the endpoint that
+/// looked free at the last one.
+#[test]
+fn requests_sent_since_a_report_count() {
+    let (first, second) = (id("first"), id("second"));
+    let mut loads = LoadBook::default();
+    loads.reported(&first, report(0, 0));
+    loads.reported(&second, report(1, 0));
+    let candidates = [candidate(&first, true), candidate(&second, true)];
+    let mut sent = [0, 0];
+    for _ in 0..5 {
+        let choice = loads
+            .choose(NOW, &candidates, || 0.5)
+            .expect("there is room");
+        sent[choice.index] += 1;
+        loads.sent(NOW, candidates[choice.index].id);
+    }
+    assert_eq!(sent, [3, 2]);
+}
+
+/// When everything is full a caller is told so at once; a request that only waited in a queue until
+/// its caller had given up would have been of use to nobody.
+#[test]
+fn full_endpoints_refuse_at_once() {
+    let only = id("only");
+    let mut loads = LoadBook::default();
+    loads.reported(&only, report(4, 3));
+    let refused = loads.choose(NOW, &[candidate(&only, true)], || 0.5);
+    assert_eq!(refused, Err(Unavailable::Full));
+    assert_eq!(loads.choose(NOW, &[], || 0.5), Err(Unavailable::NoEndpoint));
+}
+
+/// An endpoint that fails what it gets answers fastest of all, so it would get ever more. It rests
+/// after two failures in a row, longer each time, and one success ends that.
+#[test]
+fn an_endpoint_that_fails_rests_for_a_while() {
+    let only = id("only");
+    let mut loads = LoadBook::default();
+    assert_eq!(loads.failed(NOW, &only), None);
+    let rest = loads.failed(NOW, &only).expect("it rests");
+    let candidates = [candidate(&only, true)];
+    assert!(loads.choose(NOW, &candidates, || 0.5).is_err());
+    assert!(loads.choose(NOW + rest, &candidates, || 0.5).is_ok());
+    assert!(loads.failed(NOW, &only).expect("it rests") > rest);
+    loads.succeeded(&only);
+    assert!(loads.choose(NOW, &candidates, || 0.5).is_ok());
+}
+
+/// Bytes between failure domains cost, so equal loads stay local; a full local endpoint doesn't hold
+/// its callers back.
+#[test]
+fn equal_loads_stay_in_the_failure_domain() {
+    let (local, remote) = (id("local"), id("remote"));
+    let mut loads = LoadBook::default();
+    let candidates = [candidate(&remote, false), candidate(&local, true)];
+    let choice = loads
+        .choose(NOW, &candidates, || 0.5)
+        .expect("both are free");
+    assert_eq!(choice.index, 1);
+    loads.reported(&local, report(3, 0));
+    let choice = loads.choose(NOW, &candidates, || 0.5).expect("one is free");
+    assert_eq!(choice.index, 0);
+}
+
+/// A group that lost a member goes on taking requests while nothing moves. Callers see their streams
+/// stop; the registry shows it only after three heartbeats.
+#[test]
+fn a_head_whose_streams_fall_silent_is_asked_about() {
+    let head = id("head");
+    let mut loads = LoadBook::default();
+    let limits = SilenceLimits::default();
+    loads.sent(NOW, &head);
+    loads.begun(NOW, &head);
+    let moving = NOW + Duration::from_millis(100);
+    assert!(loads.silent(moving, limits).is_empty());
+    loads.heard(moving, &head);
+    let silent = moving + limits.flowing;
+    assert_eq!(loads.silent(silent, limits), [head.clone()]);
+    assert!(
+        loads.silent(silent, limits).is_empty(),
+        "it was just asked about"
+    );
+    loads.ended(&head, true);
+    let idle = silent + Duration::from_secs(5);
+    assert!(
+        loads.silent(idle, limits).is_empty(),
+        "nothing is expected of it"
+    );
+}
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -19,6 +19,9 @@
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::{Fence, GroupEpoch};
 
+#[cfg(test)]
+mod tests;
+
 /// The part of a group's loads that may run beyond what the weight store bears unslowed.
 ///
 /// A group's loads begin together. Waiting until all of them fit would leave the store idle in part;
@@ -367,8 +370,7 @@
                 }
             }
         }
-        self.examined
-            .retain(|_, at| now.since(*at) < EXAMINE_EVERY);
+        self.examined.retain(|_, at| now.since(*at) < EXAMINE_EVERY);
         occupied
     }
 
@@ -461,14 +463,21 @@
                 Forming::Impossible => continue,
             };
             let groups = self.groups_near(input, model, engines);
-            if best.as_ref().is_none_or(|(t, g, _)| (time, groups) < (*t, *g)) {
+            if best
+                .as_ref()
+                .is_none_or(|(t, g, _)| (time, groups) < (*t, *g))
+            {
                 best = Some((time, groups, domain.clone()));
             }
         }
         let Some((time, _, domain)) = best else {
             // A model with smaller groups would take each place in the weight store that becomes
             // free, and the one that is furthest behind would never find room for all its loads.
-            return if waits { Formed::Waits } else { Formed::Nothing };
+            return if waits {
+                Formed::Waits
+            } else {
+                Formed::Nothing
+            };
         };
         let engines = &mut free[&domain];
         engines.sort_by_key(|engine| (joining_time(engine, model), engine.id.clone()));
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -0,0 +1,340 @@
+//! Plays engines that come, load, form groups and are lost, and checks what the planner asks for.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
+
+use super::{Planner, PlannerInput, Step};
+use crate::directory::{Directory, GroupKey};
+use crate::endpoint::{Endpoint, EndpointState, GroupState};
+use crate::number::Fence;
+use crate::testkit::{engine, id, key, member, model, service, spec};
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn directory(endpoints: impl IntoIterator<Item = Endpoint>) -> Directory {
+    let mut directory = Directory::default();
+    for endpoint in endpoints {
+        directory.put(START, endpoint);
+    }
+    directory
+}
+
+fn plan(
+    planner: &mut Planner,
+    now: Timestamp,
+    directory: &Directory,
+    in_traffic: bool,
+) -> Vec<Step> {
+    let (service, spec) = (service(), spec());
+    let input = PlannerInput {
+        service: &service,
+        spec: &spec,
+        directory,
+        in_traffic,
+    };
+    planner.plan(now, &input)
+}
+
+fn joins(steps: &[Step]) -> Vec<(&str, Vec<&str>)> {
+    let joins = steps.iter().filter_map(|step| match step {
+        Step::Join(formation) => Some((
+            formation.model.as_str(),
+            formation.members.iter().map(EndpointId::as_str).collect(),
+        )),
+        _ => None,
+    });
+    joins.collect()
+}
+
+/// All members of a group; the head is at rank 0 in `head`, the others are ready.
+fn group(
+    key: &GroupKey,
+    domain: &str,
+    names: &[&str],
+    serves: &str,
+    head: GroupState,
+) -> Vec<Endpoint> {
+    let members = names.iter().enumerate().map(|(rank, name)| {
+        let state = if rank == 0 { head } else { GroupState::Ready };
+        member(engine(name, domain), key, rank, state, serves)
+    });
+    members.collect()
+}
+
+fn six_domains_of_nine() -> Vec<Endpoint> {
+    let domains = ["a-0", "a-1", "b-0", "b-1", "c-0", "c-1"];
+    let names = domains
+        .iter()
+        .flat_map(|domain| (0..9).map(move |index| (format!("{domain}.{index}"), *domain)));
+    names.map(|(name, domain)| engine(&name, domain)).collect()
+}
+
+/// When all engines come at once, a store that loads six at once must not be given thirty: every
+/// group would be whole only at the end, and the first requests would find none.
+#[test]
+fn the_first_groups_are_not_held_up_by_the_others() {
+    let directory = directory(six_domains_of_nine());
+    let mut planner = Planner::new(Fence(1), 0);
+    let steps = plan(&mut planner, START, &directory, false);
+    let engines: usize = joins(&steps).iter().map(|(_, members)| members.len()).sum();
+    assert!((6..=8).contains(&engines), "{engines} engines load at once");
+    let models: IndexSet<&str> = joins(&steps).iter().map(|(model, _)| *model).collect();
+    assert_eq!(
+        models.len(),
+        2,
+        "both models are served by the first groups"
+    );
+}
+
+/// Loads take ten times longer once requests come, and nobody says when that is. Engines that wait
+/// for their turn then stay empty for half a minute, and callers find too few groups.
+#[test]
+fn once_half_of_the_engines_hold_a_model_the_others_load_at_once() {
+    let mut endpoints = six_domains_of_nine();
+    for endpoint in endpoints.iter_mut().step_by(2) {
+        let domain = endpoint.fabric_domain.clone().expect("it has one");
+        let serves = if domain.as_str().ends_with('0') {
+            "large"
+        } else {
+            "small"
+        };
+        endpoint.staged = vec![model(serves)];
+    }
+    let directory = directory(endpoints);
+    let mut planner = Planner::new(Fence(1), 0);
+    let steps = plan(&mut planner, START, &directory, false);
+    let joining: usize = joins(&steps).iter().map(|(_, members)| members.len()).sum();
+    let staged = steps
+        .iter()
+        .filter(|step| matches!(step, Step::Stage { .. }));
+    assert_eq!(joining + staged.count(), 54);
+}
+
+/// A group is mended by whoever is ready soonest: a caller of its model waits for 0.2 s instead of
+/// 16 s if the survivors go together with a spare.
+#[test]
+fn survivors_and_a_staged_spare_form_the_next_group() {
+    let lost = key("g1-1", 1);
+    let mut endpoints = group(
+        &lost,
+        "a-0",
+        &["e1", "e2", "e3"],
+        "large",
+        GroupState::Broken,
+    );
+    for endpoint in &mut endpoints {
+        endpoint.group = None;
+    }
+    let mut spare = engine("spare", "a-0");
+    spare.staged = vec![model("large")];
+    endpoints.push(spare);
+    endpoints.push(engine("empty", "a-0"));
+    let directory = directory(endpoints);
+    let mut planner = Planner::new(Fence(1), 0);
+    let steps = plan(&mut planner, START, &directory, true);
+    assert_eq!(joins(&steps), [("large", vec!["e1", "e2", "e3", "spare"])]);
+}
+
+/// Groups across fabric domains run three times slower, so engines of two domains aren't put
+/// together even if each domain has too few.
+#[test]
+fn a_group_never_spans_two_fabric_domains() {
+    let mut endpoints = vec![engine("e1", "a-0"), engine("e2", "a-0")];
+    endpoints.extend([engine("e3", "a-1"), engine("e4", "a-1")]);
+    for endpoint in &mut endpoints {
+        endpoint.staged = vec![model("large")];
+    }
+    let directory = directory(endpoints);
+    let mut planner = Planner::new(Fence(1), 0);
+    assert!(joins(&plan(&mut planner, START, &directory, true)).is_empty());
+}
+
+/// A head opens when every member has reported ready under this name and epoch; opened earlier, it
+/// would answer callers with a part of the model missing.
+#[test]
+fn a_group_opens_only_when_all_members_are_ready() {
+    let empty = directory(["e1", "e2", "e3"].map(|name| {
+        let mut engine = engine(name, "a-0");
+        engine.staged = vec![model("small")];
+        engine
+    }));
+    let mut planner = Planner::new(Fence(1), 0);
+    let steps = plan(&mut planner, START, &empty, true);
+    let Some(Step::Join(formation)) = steps.first() else {
+        panic!("a group is formed: {steps:?}");
+    };
+    let names: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
+    let mut endpoints = group(&formation.key, "a-0", &names, "small", GroupState::Ready);
+    if let Some(role) = &mut endpoints[2].group {
+        role.state = GroupState::Joining;
+    }
+    let later = START + Duration::from_millis(50);
+    let steps = plan(&mut planner, later, &directory(endpoints.clone()), true);
+    assert!(steps.is_empty(), "one member isn't ready: {steps:?}");
+    if let Some(role) = &mut endpoints[2].group {
+        role.state = GroupState::Ready;
+    }
+    let steps = plan(&mut planner, later, &directory(endpoints), true);
+    assert!(matches!(steps.as_slice(), [Step::Open(opened)] if opened.key == formation.key));
+}
+
+/// The registry may show a head's opening seconds late. The controller that gave the group up then
+/// must not join its members elsewhere: the head may be open, and they would be in two groups.
+#[test]
+fn members_of_a_group_that_may_have_opened_are_not_free() {
+    let empty = directory(["e1", "e2", "e3"].map(|name| {
+        let mut engine = engine(name, "a-0");
+        engine.staged = vec![model("small")];
+        engine
+    }));
+    let mut planner = Planner::new(Fence(1), 0);
+    let steps = plan(&mut planner, START, &empty, true);
+    let Some(Step::Join(formation)) = steps.first() else {
+        panic!("a group is formed: {steps:?}");
+    };
+    let names: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
+    let ready = directory(group(
+        &formation.key,
+        "a-0",
+        &names,
+        "small",
+        GroupState::Ready,
+    ));
+    let _opened = plan(&mut planner, START, &ready, true);
+    let much_later = START + Duration::from_secs(10);
+    let mut steps = plan(&mut planner, much_later, &ready, true);
+    steps.extend(plan(
+        &mut planner,
+        much_later + Duration::from_secs(1),
+        &ready,
+        true,
+    ));
+    assert!(joins(&steps).is_empty(), "{steps:?}");
+    assert!(
+        steps
+            .iter()
+            .any(|step| matches!(step, Step::Dissolve(key) if *key == formation.key))
+    );
+}
+
+/// A controller that dies between two orders leaves a group half formed. Its successor knows nothing
+/// of the plan; the engines would stay bound for ever.
+#[test]
+fn a_successor_takes_a_half_formed_group_apart() {
+    let half = key("g1-7", 7);
+    let directory = directory(group(
+        &half,
+        "a-0",
+        &["e1", "e2"],
+        "small",
+        GroupState::Joining,
+    ));
+    let mut planner = Planner::new(Fence(9), 0);
+    let steps = plan(&mut planner, START, &directory, true);
+    assert!(
+        matches!(steps.as_slice(), [Step::Dissolve(key)] if *key == half),
+        "{steps:?}"
+    );
+}
+
+/// After a restart of all nodes the groups still serve. Forming them anew would leave callers without
+/// any for seconds.
+#[test]
+fn a_successor_leaves_whole_groups_as_they_stand() {
+    let whole = key("g1-7", 7);
+    let directory = directory(group(
+        &whole,
+        "a-0",
+        &["e1", "e2", "e3"],
+        "small",
+        GroupState::Open,
+    ));
+    let mut planner = Planner::new(Fence(9), 0);
+    assert!(plan(&mut planner, START, &directory, true).is_empty());
+}
+
+/// A member's entry lapses when it is cut off from the store though it serves on, so the group is
+/// asked before it is taken apart.
+#[test]
+fn a_group_with_a_missing_member_is_examined_first() {
+    let group_key = key("g1-7", 7);
+    let endpoints = group(
+        &group_key,
+        "a-0",
+        &["e1", "e2", "e3"],
+        "small",
+        GroupState::Open,
+    );
+    let mut directory = directory(endpoints);
+    directory.remove(START, &id("e2"));
+    let mut planner = Planner::new(Fence(9), 0);
+    let steps = plan(&mut planner, START, &directory, true);
+    assert!(
+        matches!(steps.as_slice(), [Step::Examine(key)] if *key == group_key),
+        "{steps:?}"
+    );
+}
+
+/// A member that says it leaves takes its group with it within seconds. The head is closed, so that
+/// the streams it has end instead of breaking off.
+#[test]
+fn a_group_with_a_leaving_member_is_closed() {
+    let group_key = key("g1-7", 7);
+    let mut endpoints = group(
+        &group_key,
+        "a-0",
+        &["e1", "e2", "e3"],
+        "small",
+        GroupState::Open,
+    );
+    endpoints[2].state = EndpointState::Draining;
+    let mut planner = Planner::new(Fence(9), 0);
+    let steps = plan(&mut planner, START, &directory(endpoints), true);
+    assert!(
+        matches!(steps.as_slice(), [Step::Close(key)] if *key == group_key),
+        "{steps:?}"
+    );
+}
+
+/// Names that were given before a term ended and began again under the same fence would make engines
+/// refuse the new members, and one of them could be in both groups.
+#[test]
+fn a_new_term_under_the_same_fence_gives_no_name_twice() {
+    let endpoints = ["e1", "e2", "e3"].map(|name| {
+        let mut engine = engine(name, "a-0");
+        engine.staged = vec![model("small")];
+        engine
+    });
+    let directory = directory(endpoints);
+    let mut first = Planner::new(Fence(4), 0);
+    let named = |steps: &[Step]| match steps.first() {
+        Some(Step::Join(formation)) => formation.key.clone(),
+        other => panic!("a group is formed: {other:?}"),
+    };
+    let before = named(&plan(&mut first, START, &directory, true));
+    let mut second = Planner::new(Fence(4), first.formed());
+    let after = named(&plan(&mut second, START, &directory, true));
+    assert_ne!(before, after);
+    assert!(after.epoch > before.epoch);
+}
+
+/// The weight store admits so many loads in a window, from all controllers together; a controller
+/// that lost its engines again and again would use it up alone.
+#[test]
+fn loads_in_traffic_keep_to_their_share_of_the_ceiling() {
+    let mut planner = Planner::new(Fence(1), 0);
+    let mut begun = 0;
+    for round in 0..40 {
+        let names: Vec<String> = (0..5).map(|index| format!("e{round}-{index}")).collect();
+        let endpoints = names.iter().map(|name| engine(name, "a-0"));
+        let now = START + Duration::from_millis(100 * round);
+        let steps = plan(&mut planner, now, &directory(endpoints), true);
+        begun += steps
+            .iter()
+            .filter(|step| matches!(step, Step::Stage { .. }))
+            .count();
+    }
+    assert!(begun <= 10, "{begun} loads began within four seconds");
+}
--- a/crates/sesamecart-fleet/src/repair.rs
+++ b/crates/sesamecart-fleet/src/repair.rs
@@ -58,9 +58,9 @@
         MemberProbe::Silent => Verdict::HeadSilent,
         MemberProbe::Elsewhere | MemberProbe::Member(GroupState::Broken) => Verdict::Lost,
         MemberProbe::Member(_) => {
-            let whole = finding.others.iter().all(|other| {
-                matches!(other, MemberProbe::Member(state) if *state != GroupState::Broken)
-            });
+            let whole = finding.others.iter().all(
+                |other| matches!(other, MemberProbe::Member(state) if *state != GroupState::Broken),
+            );
             if whole { Verdict::Sound } else { Verdict::Lost }
         }
     }
--- /dev/null
+++ b/crates/sesamecart-fleet/src/testkit.rs
@@ -0,0 +1,91 @@
+//! Endpoints and configurations for tests.
+
+use std::time::Duration;
+
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, ServiceId};
+
+use crate::catalog::{EngineModel, EngineSpec};
+use crate::directory::GroupKey;
+use crate::endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
+use crate::number::GroupEpoch;
+
+pub(crate) fn service() -> ServiceId {
+    "llm".parse().expect("a name")
+}
+
+pub(crate) fn id(text: &str) -> EndpointId {
+    text.parse().expect("a name")
+}
+
+pub(crate) fn model(text: &str) -> ModelId {
+    text.parse().expect("a name")
+}
+
+pub(crate) fn key(group: &str, epoch: u64) -> GroupKey {
+    GroupKey {
+        group: group.parse().expect("a name"),
+        epoch: GroupEpoch(epoch),
+    }
+}
+
+/// An empty engine; `domain` is a failure domain, a hyphen and a fabric domain within it.
+pub(crate) fn engine(name: &str, domain: &str) -> Endpoint {
+    let failure_domain = domain.split('-').next().expect("a failure domain");
+    Endpoint {
+        id: id(name),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        service: service(),
+        failure_domain: failure_domain.parse().expect("a name"),
+        slots: 26,
+        state: EndpointState::Ready,
+        cold_for: Duration::ZERO,
+        incarnation: None,
+        fabric_domain: Some(domain.parse::<FabricDomainId>().expect("a name")),
+        models: Vec::new(),
+        staged: Vec::new(),
+        group: None,
+    }
+}
+
+/// The same engine as a member of a group.
+pub(crate) fn member(
+    mut engine: Endpoint,
+    key: &GroupKey,
+    rank: usize,
+    state: GroupState,
+    serves: &str,
+) -> Endpoint {
+    engine.models = vec![model(serves)];
+    engine.staged = vec![model(serves)];
+    engine.group = Some(GroupRole {
+        group: key.group.clone(),
+        epoch: key.epoch,
+        rank,
+        state,
+    });
+    engine
+}
+
+fn engine_model(name: &str, size: usize, share: f64, load_s: u64) -> EngineModel {
+    EngineModel {
+        model: model(name),
+        group_size: size,
+        share,
+        pace: 1.0,
+        load_time: Duration::from_secs(load_s),
+        warm_time: Duration::from_millis(100 * load_s),
+    }
+}
+
+/// A large model in groups of four and a small one in groups of three, of about equal load.
+pub(crate) fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 26,
+        models: vec![
+            engine_model("large", 4, 0.57, 16),
+            engine_model("small", 3, 0.43, 12),
+        ],
+        loads_per_s: 4.5,
+        loads_at_once: 6,
+    }
+}
--- a/crates/sesamecart-node/src/administration.rs
+++ b/crates/sesamecart-node/src/administration.rs
@@ -50,8 +50,15 @@
                 async move { handler.answer(req, peer).await }
             };
             let connections = Connections::default();
-            let served =
-                sesamecart_edges::serve(listener, tls, || LIMITS, tasks, connections, leaving, handle);
+            let served = sesamecart_edges::serve(
+                listener,
+                tls,
+                || LIMITS,
+                tasks,
+                connections,
+                leaving,
+                handle,
+            );
             if let Err(error) = served.await {
                 log::error!("administration: can't take operators: {error}.");
             }
--- a/crates/sesamecart-node/src/traffic.rs
+++ b/crates/sesamecart-node/src/traffic.rs
@@ -69,8 +69,15 @@
                 let handler = handler.clone();
                 async move { handler.answer(req).await }
             };
-            let served =
-                sesamecart_edges::serve(listener, tls, move || limits, tasks, connections, leaving, handle);
+            let served = sesamecart_edges::serve(
+                listener,
+                tls,
+                move || limits,
+                tasks,
+                connections,
+                leaving,
+                handle,
+            );
             if let Err(error) = served.await {
                 log::error!("traffic: can't take callers: {error}.");
             }
