--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -204,8 +204,12 @@
         status: u16,
         /// The attempts it took.
         attempts: u32,
+        /// Its route.
+        route: &'a str,
         /// Milliseconds to the answer, or to the first event.
         first_ms: u64,
+        /// The longest pause between events, in milliseconds.
+        pause_ms: u64,
         /// Milliseconds in all.
         total_ms: u64,
     },
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -233,7 +233,9 @@
             endpoint: endpoint.as_str(),
             status,
             attempts: attempts.made,
+            route: &call.route.name,
             first_ms: millis(taken),
+            pause_ms: 0,
             total_ms: millis(taken),
         },
     );
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -5,6 +5,7 @@
 //! dropped, which closes the endpoint's connection and frees its slot.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -42,6 +43,7 @@
     status: u16,
     first_ms: u64,
     heard_at: Timestamp,
+    longest_pause: Duration,
 }
 
 /// What reading the endpoint's side gave.
@@ -63,6 +65,7 @@
             status: answered.status.as_u16(),
             first_ms: millis(taken),
             heard_at: clock::now(),
+            longest_pause: Duration::ZERO,
             splitter: EventSplitter::after(last_event),
             source: Some(Source::of(answered)),
             attempts,
@@ -131,7 +134,9 @@
         let heard = future::or(frame, future::or(lost, late)).await;
         if matches!(heard, Heard::Data(_)) {
             source.flight.heard();
-            self.heard_at = clock::now();
+            let now = clock::now();
+            self.longest_pause = self.longest_pause.max(now.since(self.heard_at));
+            self.heard_at = now;
         }
         heard
     }
@@ -190,7 +195,9 @@
                 endpoint: source.flight.endpoint.as_str(),
                 status: self.status,
                 attempts: self.attempts.made,
+                route: &self.call.route.name,
                 first_ms: self.first_ms,
+                pause_ms: millis(self.longest_pause),
                 total_ms: millis(self.call.after()),
             },
         );
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -137,6 +137,8 @@
     fence: Fence,
     formed: u64,
     primaries: IndexMap<FabricDomainId, ModelId>,
+    /// The domains whose engines hold or load anything.
+    begun: IndexSet<FabricDomainId>,
     formations: IndexMap<GroupKey, Formation>,
     /// The loads that this controller began.
     loading: IndexMap<EndpointId, Load>,
@@ -157,6 +159,7 @@
             fence,
             formed,
             primaries: IndexMap::new(),
+            begun: IndexSet::new(),
             formations: IndexMap::new(),
             loading: IndexMap::new(),
             starts: VecDeque::new(),
@@ -253,11 +256,13 @@
         }
         let engines_each = domains.values().map(Vec::len).max().unwrap_or(0);
         self.primaries.clear();
+        self.begun.clear();
         let mut empty = Vec::new();
         for (domain, engines) in &domains {
             match self.held_in(engines) {
                 Some(model) => {
                     self.primaries.insert((*domain).clone(), model);
+                    self.begun.insert((*domain).clone());
                 }
                 None => empty.push((*domain, &engines[0].failure_domain)),
             }
@@ -452,7 +457,7 @@
         steps: &mut Vec<Step>,
     ) -> Formed {
         let mut waits = false;
-        let mut best: Option<(Duration, usize, FabricDomainId)> = None;
+        let mut best: Option<(Duration, bool, usize, FabricDomainId)> = None;
         for (domain, engines) in free.iter() {
             let time = match self.forming_time(input, domain, model, engines) {
                 Forming::Possible(time) => time,
@@ -462,15 +467,19 @@
                 }
                 Forming::Impossible => continue,
             };
+            // How large domains are shows only when all engines have come; until then few domains
+            // are begun, so that the others can still get the model that needs them.
+            let is_begun = self.begun.contains(domain);
             let groups = self.groups_near(input, model, engines);
-            if best
+            let place = (time, !is_begun, groups);
+            let is_best = best
                 .as_ref()
-                .is_none_or(|(t, g, _)| (time, groups) < (*t, *g))
-            {
-                best = Some((time, groups, domain.clone()));
+                .is_none_or(|(time, new, groups, _)| place < (*time, *new, *groups));
+            if is_best {
+                best = Some((time, !is_begun, groups, domain.clone()));
             }
         }
-        let Some((time, _, domain)) = best else {
+        let Some((time, _, _, domain)) = best else {
             // A model with smaller groups would take each place in the weight store that becomes
             // free, and the one that is furthest behind would never find room for all its loads.
             return if waits {
