End the controller when the node stops

Cause: when a node stops, the tasks that send to the controller are cancelled before it. Its receive from a closed channel returned at once, so it spun and its thread never came to cancel it; the process ended only by the SIGKILL after the grace. Ruled out: the planner (it wasn't reached), the store (no call was under way), a lock (no system calls).

Change: a closed channel is waited for for ever.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -136,33 +136,16 @@
 
     async fn wait(&self, term: Option<&Term>) -> Woken {
         let plan = async {
-            future::or(sleep(PLAN_EVERY), async {
-                if self.changed.recv().await.is_err() {
-                    future::pending::<()>().await;
-                }
-            })
-            .await;
+            future::or(sleep(PLAN_EVERY), received(&self.changed)).await;
             Woken::Plan
         };
-        let found = async {
-            received(&self.found)
-                .await
-                .map_or(Woken::Plan, Woken::Found)
-        };
+        let found = async { Woken::Found(received(&self.found).await) };
         let here = future::or(found, plan);
         let Some(term) = term else {
             return here.await;
         };
-        let outcome = async {
-            received(&term.outcomes)
-                .await
-                .map_or(Woken::Plan, Woken::Outcome)
-        };
-        let observed = async {
-            received(&term.observed)
-                .await
-                .map_or(Woken::Plan, Woken::Observed)
-        };
+        let outcome = async { Woken::Outcome(received(&term.outcomes).await) };
+        let observed = async { Woken::Observed(received(&term.observed).await) };
         future::or(future::or(outcome, observed), here).await
     }
 
@@ -225,8 +208,16 @@
     }
 }
 
-async fn received<T>(channel: &Receiver<T>) -> Option<T> {
-    channel.recv().await.ok()
+/// Waits for the next message, for ever once nobody can send any more.
+///
+/// When the node stops, the senders' tasks are cancelled before the controller's. A closed channel
+/// that counted as a message made the controller spin, so that its thread never came to cancel it and
+/// the process ended only by the SIGKILL.
+async fn received<T>(channel: &Receiver<T>) -> T {
+    match channel.recv().await {
+        Ok(message) => message,
+        Err(_) => future::pending().await,
+    }
 }
 
 impl Term {
