--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -11,7 +11,9 @@
     Catalog, ColdAllowance, Directory, Endpoint, Freshness, GroupKey, LoadBook, RetryAllowance,
 };
 use sesamecart_runtime::{Signal, Trigger};
-use sesamecart_vocabulary::{EndpointId, NodeId, ServiceId, Timestamp, rendezvous_weight};
+use sesamecart_vocabulary::{
+    EndpointId, FailureDomainId, NodeId, ServiceId, Timestamp, rendezvous_weight,
+};
 
 use crate::clock;
 use crate::events::EventLog;
@@ -85,6 +87,23 @@
         }
     }
 
+    /// Returns how many open groups this node may send to.
+    #[must_use]
+    pub fn open_groups(&self) -> usize {
+        let directory = self.directory.load();
+        let heads = directory
+            .listed()
+            .filter(|endpoint| endpoint.is_open_head());
+        heads.filter(|head| directory.takes_work(head)).count()
+    }
+
+    /// Returns the failure domains that get no new work.
+    #[must_use]
+    pub fn evacuated(&self) -> Vec<FailureDomainId> {
+        let directory = self.directory.load();
+        directory.evacuated().iter().cloned().collect()
+    }
+
     pub(crate) fn loads(&self) -> MutexGuard<'_, LoadBook> {
         lock(&self.loads)
     }
--- /dev/null
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -0,0 +1,264 @@
+//! A real node before a stand-in platform: from its settings to whole answers, and what callers get
+//! when endpoints or the store fail.
+
+mod setup;
+
+use std::time::Duration;
+
+use sesamecart_platform_standins::{Fault, Outage};
+
+use crate::setup::{Answer, Deployment, Path};
+
+/// The events of a whole stream.
+const EVENTS: u64 = 12;
+
+fn whole_stream() -> String {
+    (1..=EVENTS)
+        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
+        .collect()
+}
+
+#[test]
+fn groups_are_formed_and_a_stream_comes_whole() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let answer = deployment.ask(Path::Stream, "r1", "key-1");
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, whole_stream().as_str())
+    );
+    assert!(answer.is_sealed);
+    let heads = deployment
+        .engines
+        .iter()
+        .filter(|engine| engine.is_open_head());
+    assert_eq!(heads.count(), 2, "six engines make two groups of three");
+    deployment.leave();
+}
+
+/// A member dies and its head cuts a stream in the middle of an event. The caller must see each event
+/// once and whole: what was cut belongs to no event of the group that goes on.
+#[test]
+fn a_stream_that_breaks_in_an_event_goes_on_elsewhere() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    for engine in &deployment.engines {
+        engine.set_fault(Fault::BreakInEvent(5));
+    }
+    let first = deployment.ask(Path::Stream, "r1", "key-1");
+    // Both heads break their next stream; the second attempt is the last that the route allows.
+    assert_ne!(first, Answer::whole(200, &whole_stream()));
+    let second = deployment.ask(Path::Stream, "r2", "key-1");
+    assert_eq!(second.body, whole_stream());
+    for engine in &deployment.engines {
+        engine.set_fault(Fault::None);
+    }
+    let head = deployment
+        .engines
+        .iter()
+        .find(|engine| engine.is_open_head());
+    head.expect("a group is open")
+        .set_fault(Fault::BreakInEvent(5));
+    for request in 0..6 {
+        let answer = deployment.ask(Path::Stream, &format!("again-{request}"), "key-1");
+        assert_eq!((answer.status, answer.body), (200, whole_stream()));
+    }
+    deployment.leave();
+}
+
+/// A booking's answer is lost after it ran. Sent again it would run twice; told "not run", the caller
+/// would send it again itself.
+#[test]
+fn a_booking_whose_answer_is_lost_runs_once_and_is_not_refused() {
+    let deployment = Deployment::start(EVENTS);
+    for plain in &deployment.plain {
+        plain.set_fault(Fault::LoseAnswer);
+    }
+    let answer = deployment.ask(Path::Booking, "r1", "key-1");
+    assert_eq!(answer.status, 502);
+    assert_eq!(deployment.runs("r1"), 1);
+    deployment.leave();
+}
+
+/// The same for a look-up, which may run twice: the caller gets the other endpoint's answer.
+#[test]
+fn a_lookup_whose_answer_is_lost_is_tried_elsewhere() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.plain[0].set_fault(Fault::LoseAnswer);
+    for request in 0..4 {
+        let answer = deployment.ask(Path::Lookup, &format!("r{request}"), "key-1");
+        assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+    }
+    deployment.leave();
+}
+
+/// Only an endpoint that says so hasn't run a booking; a bare 503 passed on would promise it falsely.
+#[test]
+fn a_bare_503_is_not_passed_on_as_a_refusal() {
+    let deployment = Deployment::start(EVENTS);
+    for plain in &deployment.plain {
+        plain.set_fault(Fault::BareUnavailable);
+    }
+    let answer = deployment.ask(Path::Booking, "r1", "key-1");
+    assert_eq!((answer.status, answer.is_sealed), (502, false));
+    deployment.leave();
+}
+
+/// An endpoint that is full has run nothing, so another one may take even a booking.
+#[test]
+fn a_booking_that_a_full_endpoint_rejects_is_tried_elsewhere() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.plain[0].set_fault(Fault::Full);
+    for request in 0..4 {
+        let id = format!("r{request}");
+        assert_eq!(deployment.ask(Path::Booking, &id, "key-1").status, 200);
+        assert_eq!(deployment.runs(&id), 1);
+    }
+    deployment.plain[1].set_fault(Fault::Full);
+    let refused = deployment.ask(Path::Booking, "last", "key-1");
+    assert_eq!((refused.status, deployment.runs("last")), (503, 0));
+    assert!(
+        refused.retry_after.is_some(),
+        "the caller is told when to come back"
+    );
+    deployment.leave();
+}
+
+/// An endpoint's late second answer arrives where the next one is expected. The next caller must not
+/// get it.
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let deployment = Deployment::start(EVENTS);
+    for plain in &deployment.plain {
+        plain.set_fault(Fault::AnswerAnother);
+    }
+    let answer = deployment.ask(Path::Booking, "r1", "key-1");
+    assert_eq!(answer.status, 502);
+    assert!(!answer.body.contains("another's answer"));
+    deployment.leave();
+}
+
+/// A key is taken away. The caller that held it is turned away, the endpoint never sees a key, and
+/// the older configuration that a slow writer brings later doesn't give the key back.
+#[test]
+fn a_revoked_key_stops_working_and_stays_revoked() {
+    let deployment = Deployment::start(EVENTS);
+    assert_eq!(deployment.ask(Path::Lookup, "r1", "key-2").status, 200);
+    assert_eq!(deployment.ask(Path::Lookup, "r2", "key-9").status, 401);
+    deployment.publish(2, &["key-1"]);
+    deployment.wait_until("the key is revoked", || {
+        deployment.ask(Path::Lookup, "r3", "key-2").status == 401
+    });
+    deployment.publish(1, &["key-1", "key-2"]);
+    // A record after it shows that the older one has been read.
+    deployment
+        .store
+        .publish("evacuate/elsewhere", &serde_json::json!({}));
+    deployment.wait_until("the evacuation is known", || {
+        deployment.knows_evacuation("elsewhere")
+    });
+    assert_eq!(deployment.ask(Path::Lookup, "r4", "key-2").status, 401);
+    let told: Vec<_> = deployment
+        .plain
+        .iter()
+        .flat_map(|plain| plain.customers())
+        .collect();
+    assert!(
+        told.iter()
+            .all(|customer| customer.as_deref() == Some("customer-2"))
+    );
+    deployment.leave();
+}
+
+/// The store falls silent for this node alone, and keys may go meanwhile. A node that can't know must
+/// refuse before a revoked key would work too long, and truthfully: nothing has run.
+#[test]
+fn a_node_that_hears_nothing_from_the_store_stops_serving_keys() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.store.set_outage(Outage::Silent);
+    deployment.wait_until("the node refuses", || {
+        let id = format!("r{}", fastrand::u64(..));
+        let answer = deployment.ask(Path::Booking, &id, "key-1");
+        answer.status == 503 && deployment.runs(&id) == 0 && answer.retry_after.is_some()
+    });
+    assert_eq!(deployment.readiness(), 503);
+    deployment.store.set_outage(Outage::None);
+    deployment.wait_until("the node serves again", || {
+        deployment.ask(Path::Lookup, "back", "key-1").status == 200
+    });
+    deployment.leave();
+}
+
+/// Another writer's entries lie in the registry. They name nobody, and the good ones hold.
+#[test]
+fn entries_that_cannot_be_read_hide_no_endpoint() {
+    let deployment = Deployment::start(EVENTS);
+    deployment
+        .store
+        .register("i-foreign", b"{\"service\":\"app\"".to_vec());
+    deployment.store.register("not a name", b"{}".to_vec());
+    deployment
+        .store
+        .publish("evacuate/elsewhere", &serde_json::json!({}));
+    deployment.wait_until("the evacuation is known", || {
+        deployment.knows_evacuation("elsewhere")
+    });
+    for request in 0..4 {
+        assert_eq!(
+            deployment
+                .ask(Path::Lookup, &format!("r{request}"), "key-1")
+                .status,
+            200
+        );
+    }
+    deployment.leave();
+}
+
+/// A member of a group falls silent. Its head goes on accepting while nothing moves; callers' streams
+/// must go on at the other group, and a new group form from who is left.
+#[test]
+fn a_group_with_a_silent_member_is_taken_apart() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let member = deployment
+        .engines
+        .iter()
+        .find(|engine| !engine.is_open_head());
+    let member = member.expect("a group has members");
+    member.set_fault(Fault::Silent);
+    deployment.store.unregister(member.id());
+    deployment.wait_until("a head has left its group", || {
+        deployment.engines.iter().any(|engine| {
+            engine
+                .operations()
+                .iter()
+                .any(|operation| operation == "leave")
+        })
+    });
+    let answer = deployment.ask(Path::Stream, "r1", "key-1");
+    assert_eq!((answer.status, answer.body), (200, whole_stream()));
+    deployment.leave();
+}
+
+/// When a node stops, the tasks that send to the controller end before it does. A closed channel that
+/// counts as a message makes it spin, and the process ends only by the SIGKILL, its log unwritten.
+#[test]
+fn a_node_that_leaves_joins_its_threads() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    assert_eq!(deployment.leave(), 0, "no connection was cut off");
+}
+
+/// A caller names a deadline that passes while an endpoint is silent. It gets a final answer then, not
+/// when the endpoint comes back.
+#[test]
+fn a_callers_deadline_ends_its_wait() {
+    let deployment = Deployment::start(EVENTS);
+    for plain in &deployment.plain {
+        plain.set_fault(Fault::Silent);
+    }
+    let limit = Duration::from_millis(300);
+    let answer = deployment.ask_within(Path::Booking, "r1", "key-1", limit);
+    assert_eq!(answer.status, 504);
+    deployment.kill();
+}
--- /dev/null
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -0,0 +1,251 @@
+//! A deployment of one node, a store, six engines and two plain endpoints, and a caller.
+
+use std::net::SocketAddr;
+use std::path::Path as FilePath;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt as _, Full};
+use serde_json::json;
+use sesamecart_edges::{HttpClient, Reuse};
+use sesamecart_entry::{Entry, EntrySettings};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_runtime::Worker;
+
+/// How long anything that has to come about is waited for; it bounds a hang and asserts no speed.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// How long a caller waits when a test doesn't say.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Path {
+    Stream,
+    Booking,
+    Lookup,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Answer {
+    /// 0 when the connection ended without a whole answer.
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    pub(crate) is_sealed: bool,
+    pub(crate) retry_after: Option<String>,
+}
+
+impl Answer {
+    pub(crate) fn whole(status: u16, body: &str) -> Self {
+        Self {
+            status,
+            body: body.to_owned(),
+            is_sealed: true,
+            retry_after: None,
+        }
+    }
+
+    fn broken() -> Self {
+        Self {
+            is_sealed: false,
+            ..Self::whole(0, "")
+        }
+    }
+}
+
+pub(crate) struct Deployment {
+    pub(crate) store: Store,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) plain: Vec<Engine>,
+    node: Entry,
+    caller: HttpClient,
+    _worker: Worker,
+}
+
+impl Deployment {
+    /// Starts everything and returns once the node is ready and knows the plain endpoints.
+    pub(crate) fn start(events: u64) -> Self {
+        let store = Store::start().expect("the store listens");
+        store.publish("config", &configuration(1, &["key-1", "key-2"]));
+        let engines = (0..6).map(|index| {
+            let kind = EngineKind::Model {
+                domain: "a-0".to_owned(),
+            };
+            endpoint(&store, &format!("e{index}"), "llm", kind, events)
+        });
+        let engines = engines.collect();
+        let plain = (0..2).map(|index| {
+            endpoint(
+                &store,
+                &format!("p{index}"),
+                "app",
+                EngineKind::Plain,
+                events,
+            )
+        });
+        let plain = plain.collect();
+        let node = Entry::start(settings(&store)).expect("the node starts");
+        let worker = Worker::start("caller").expect("a thread starts");
+        let caller = HttpClient::new(worker.tasks().clone(), Duration::from_secs(1));
+        let deployment = Self {
+            store,
+            engines,
+            plain,
+            node,
+            caller,
+            _worker: worker,
+        };
+        deployment.wait_until("the node is ready", || deployment.readiness() == 200);
+        deployment
+    }
+
+    pub(crate) fn wait_until(&self, what: &str, done: impl Fn() -> bool) {
+        let begun = Instant::now();
+        while !done() {
+            assert!(begun.elapsed() < LIMIT, "{what} doesn't come about");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits for groups that the node has formed and routes to.
+    pub(crate) fn wait_for_groups(&self, count: usize) {
+        self.wait_until("groups are open", || {
+            let open = self.engines.iter().filter(|engine| engine.is_open_head());
+            open.count() >= count && self.node.beliefs().open_groups() >= count
+        });
+    }
+
+    pub(crate) fn publish(&self, version: u64, keys: &[&str]) {
+        self.store.publish("config", &configuration(version, keys));
+    }
+
+    pub(crate) fn knows_evacuation(&self, failure_domain: &str) -> bool {
+        let known = self.node.beliefs().evacuated();
+        known.iter().any(|known| known.as_str() == failure_domain)
+    }
+
+    /// Returns how often a booking or look-up was begun, over all endpoints.
+    pub(crate) fn runs(&self, request: &str) -> u32 {
+        self.plain.iter().map(|plain| plain.runs(request)).sum()
+    }
+
+    pub(crate) fn readiness(&self) -> u16 {
+        let req = Request::get("/readiness").header("host", "node");
+        let req = req.body(Full::default()).expect("it is valid");
+        self.send(self.node.readiness(), req, PATIENCE).status
+    }
+
+    pub(crate) fn ask(&self, path: Path, id: &str, key: &str) -> Answer {
+        self.ask_within(path, id, key, PATIENCE)
+    }
+
+    pub(crate) fn ask_within(&self, path: Path, id: &str, key: &str, patience: Duration) -> Answer {
+        let prefix = match path {
+            Path::Stream => "/chat/",
+            Path::Booking => "/book/",
+            Path::Lookup => "/look/",
+        };
+        let mut req = Request::post(format!("{prefix}1"))
+            .header("host", "shop.example")
+            .header("request-id", id)
+            .header("credential", key)
+            .header("deadline-ms", patience.as_millis().to_string());
+        if path == Path::Stream {
+            req = req.header("model-name", "m").header("token-count", "10,80");
+        }
+        let req = req.body(Full::from("asked")).expect("it is valid");
+        self.send(self.node.callers(), req, LIMIT)
+    }
+
+    fn send(&self, peer: SocketAddr, req: Request<Full<Bytes>>, limit: Duration) -> Answer {
+        async_io::block_on(async {
+            let sent = self.caller.send(peer, req, Reuse::Never, limit).await;
+            let Ok(exchange) = sent else {
+                return Answer::broken();
+            };
+            let (head, body) = exchange.response.into_parts();
+            let Ok(body) = body.collect().await else {
+                return Answer::broken();
+            };
+            let text = |headers: &HeaderMap, name: &str| {
+                let value = headers.get(name)?;
+                value.to_str().ok().map(str::to_owned)
+            };
+            Answer {
+                status: head.status.as_u16(),
+                body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+                is_sealed: head.headers.contains_key("response-seal"),
+                retry_after: text(&head.headers, "retry-after"),
+            }
+        })
+    }
+
+    /// Lets the node leave as on a SIGTERM and returns the connections that it cut off.
+    pub(crate) fn leave(self) -> usize {
+        let Self { node, store, .. } = self;
+        let cut_off = async_io::block_on(node.leave());
+        drop(store);
+        cut_off
+    }
+
+    pub(crate) fn kill(self) {
+        self.node.kill();
+    }
+}
+
+fn endpoint(store: &Store, id: &str, service: &str, kind: EngineKind, events: u64) -> Engine {
+    let setup = EngineSetup {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        zone: "a".to_owned(),
+        kind,
+        events,
+    };
+    Engine::start(store, setup).expect("an endpoint listens")
+}
+
+fn settings(store: &Store) -> EntrySettings {
+    let text = json!({
+        "node": "n1", "failure_domain": "a", "region": "r",
+        "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+        "store": store.address().to_string(),
+        "bounds": {
+            "key_revocation_ms": 5_000, "configuration_ms": 2_000, "group_stall_ms": 5_000,
+            "leave_s": 8, "retry_ratio": 0.2, "retry_burst": 132, "heartbeat_ms": 1_200,
+            "lease_least_ms": 1_000,
+        },
+    });
+    let path = FilePath::new("settings.json");
+    EntrySettings::parse(path, &text.to_string()).expect("the settings are valid")
+}
+
+fn configuration(version: u64, keys: &[&str]) -> serde_json::Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "shop.example", "pathPrefix": prefix, "routeType": kind,
+            "timeoutMs": 20_000, "targetLatencyMs": 1_000, "priority": 1, "service": service,
+            "maxAttempts": attempts, "authExempt": false, "streamResume": kind == "streaming"})
+    };
+    let customers: Vec<_> = keys
+        .iter()
+        .map(|key| json!({"name": key.replace("key", "customer"), "apiKeys": [key]}))
+        .collect();
+    json!({
+        "version": version,
+        "routes": [
+            route("chat", "/chat/", "streaming", "llm", 2),
+            route("book", "/book/", "unsafe", "app", 1),
+            route("look", "/look/", "safe", "app", 2),
+        ],
+        "services": [
+            {"name": "llm", "healthPath": "/health", "maxConnections": 100, "coldPerS": 0.0,
+             "engine": {"slots": 8, "loadsPerS": 4.5, "loads_at_once": 6, "models": [
+                {"name": "m", "size": 3, "share": 1.0, "pace": 1.0, "loadS": 1.0, "warmS": 0.1}]}},
+            {"name": "app", "healthPath": "/health", "maxConnections": 100, "coldPerS": 0.0},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000},
+        "tenants": customers,
+    })
+}
