--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -185,7 +185,10 @@
     /// Lets the node leave as on a SIGTERM and returns the connections that it cut off.
     pub(crate) fn leave(self) -> usize {
         let Self { node, store, .. } = self;
-        let cut_off = async_io::block_on(node.leave());
+        let (tell, told) = std::sync::mpsc::channel();
+        let leaving = std::thread::spawn(move || tell.send(async_io::block_on(node.leave())));
+        let cut_off = told.recv_timeout(LIMIT).expect("the node leaves in time");
+        leaving.join().expect("leaving doesn't panic").expect("somebody listens");
         drop(store);
         cut_off
     }
