Ask engines before they are told to join a group

Ruled out: loads (the members were staged).

Test: a_dead_engine_that_is_still_registered_binds_no_other.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -43,6 +43,11 @@
 enum Outcome {
     /// The members were told to join, or some couldn't be.
     Joined { key: GroupKey, all: bool },
+    /// Some members don't answer, so none was told to join.
+    Unreachable {
+        key: GroupKey,
+        silent: Vec<EndpointId>,
+    },
     /// The head was told to open, or couldn't be.
     Opened { key: GroupKey, opening: bool },
     /// A load has begun, or hasn't.
@@ -230,6 +235,12 @@
             Outcome::Joined { key, .. } | Outcome::Opened { key, .. } => {
                 self.planner.abandon(&key, now);
             }
+            Outcome::Unreachable { key, silent } => {
+                self.planner.abandon(&key, now);
+                for endpoint in silent {
+                    self.planner.hold(endpoint, now + REST_AFTER_SILENCE);
+                }
+            }
             Outcome::Staged { endpoint, .. } => {
                 self.planner.not_loading(&endpoint);
                 self.planner.hold(endpoint, now + REST_AFTER_FAILURE);
@@ -326,6 +337,11 @@
         members: &members.join(" "),
         fence: engines.fence().0,
     });
+    let silent = engines.silent(&formation.members).await;
+    if !silent.is_empty() {
+        let key = formation.key;
+        return Outcome::Unreachable { key, silent };
+    }
     let order = Order::Join {
         key: formation.key.clone(),
         model: formation.model.clone(),
--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{Endpoint, Fence, GroupRole, Incarnation, OrderCount};
@@ -13,6 +14,7 @@
 use crate::beliefs::Beliefs;
 use crate::controller::lease::Lease;
 use crate::events::Event;
+use crate::watch::{ANSWER_LIMIT, QUESTIONS};
 
 /// How long an engine has to answer an order; one that lives does within a few milliseconds.
 const ORDER_LIMIT: Duration = Duration::from_millis(250);
@@ -54,6 +56,36 @@
         self.lease.holds().unwrap_or_default()
     }
 
+    /// Returns those of some engines that don't answer, of the ones that this controller hasn't spoken
+    /// to.
+    ///
+    /// An engine that died is in the registry for three heartbeats more. A controller that has just
+    /// taken over would join the living to it and wait for a second until the dead one's order has
+    /// failed for good; with restarts every two seconds no group was mended in between.
+    pub(crate) async fn silent(&self, engines: &[EndpointId]) -> Vec<EndpointId> {
+        let asked = engines.iter().map(|engine| self.is_silent(engine));
+        let answers = join_all(asked).await;
+        let silent = engines.iter().zip(answers).filter(|(_, silent)| *silent);
+        silent.map(|(engine, _)| engine.clone()).collect()
+    }
+
+    async fn is_silent(&self, engine: &EndpointId) -> bool {
+        let known = self.beliefs.directory.load().find(engine).cloned();
+        let Some(known) = known else { return true };
+        if self.count(engine, known.incarnation).is_some() {
+            return false;
+        }
+        for _ in 0..QUESTIONS {
+            if report(&self.client, known.address, ANSWER_LIMIT)
+                .await
+                .is_ok()
+            {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Gives an order.
     ///
     /// An order that got no answer may be carried out seconds later, after newer ones. It names the
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -21,10 +21,10 @@
 const LOOK_EVERY: Duration = Duration::from_millis(40);
 
 /// How long a member has to answer; one that lives does within a few milliseconds.
-const ANSWER_LIMIT: Duration = Duration::from_millis(70);
+pub(crate) const ANSWER_LIMIT: Duration = Duration::from_millis(70);
 
 /// How often a member is asked before it counts as silent: one packet may be lost.
-const QUESTIONS: usize = 2;
+pub(crate) const QUESTIONS: usize = 2;
 
 /// Looks at the heads that this node's requests depend on, until the task is dropped.
 pub(crate) async fn watch_heads(
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -240,6 +240,29 @@
     deployment.leave();
 }
 
+/// An engine is dead and still in the registry when a controller plans its first groups. The others
+/// must not be bound to it: callers would find no group until the dead one's order has failed.
+#[test]
+fn a_dead_engine_that_is_still_registered_binds_no_other() {
+    let deployment = Deployment::start_with(EVENTS, |engines| engines[0].set_fault(Fault::Silent));
+    deployment.wait_for_groups(1);
+    let head = deployment
+        .engines
+        .iter()
+        .find(|engine| engine.is_open_head());
+    assert_ne!(head.map(|head| head.id()), Some("e0"));
+    let bound = deployment
+        .engines
+        .iter()
+        .flat_map(|engine| engine.operations());
+    let joins = bound.filter(|operation| operation == "join").count();
+    assert_eq!(
+        joins, 3,
+        "only the members of the group that opened were told to join"
+    );
+    deployment.leave();
+}
+
 /// When a node stops, the tasks that send to the controller end before it does. A closed channel that
 /// counts as a message makes it spin, and the process ends only by the SIGKILL, its log unwritten.
 #[test]
--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -67,6 +67,11 @@
 impl Deployment {
     /// Starts everything and returns once the node is ready and knows the plain endpoints.
     pub(crate) fn start(events: u64) -> Self {
+        Self::start_with(events, |_| {})
+    }
+
+    /// The same, with engines that are prepared before the node starts.
+    pub(crate) fn start_with(events: u64, prepare: impl FnOnce(&[Engine])) -> Self {
         let store = Store::start().expect("the store listens");
         store.publish("config", &configuration(1, &["key-1", "key-2"]));
         let engines = (0..6).map(|index| {
@@ -75,7 +80,8 @@
             };
             endpoint(&store, &format!("e{index}"), "llm", kind, events)
         });
-        let engines = engines.collect();
+        let engines: Vec<Engine> = engines.collect();
+        prepare(&engines);
         let plain = (0..2).map(|index| {
             endpoint(
                 &store,
@@ -188,7 +194,10 @@
         let (tell, told) = std::sync::mpsc::channel();
         let leaving = std::thread::spawn(move || tell.send(async_io::block_on(node.leave())));
         let cut_off = told.recv_timeout(LIMIT).expect("the node leaves in time");
-        leaving.join().expect("leaving doesn't panic").expect("somebody listens");
+        leaving
+            .join()
+            .expect("leaving doesn't panic")
+            .expect("somebody listens");
         drop(store);
         cut_off
     }
