--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -70,7 +70,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
     pub(crate) made: u32,
-    may_have_run: u32,
+    may_have_run: bool,
+    /// Those that may have run, but for those whose group was lost: a group that stands still is no
+    /// reason to give up a stream that another one can go on with.
+    counted: u32,
     tried: Vec<EndpointId>,
 }
 
@@ -89,6 +92,8 @@
 struct Failed {
     cause: String,
     may_have_run: bool,
+    /// Whether the endpoint's group was found lost.
+    is_lost: bool,
 }
 
 /// An endpoint that was chosen.
@@ -98,6 +103,21 @@
     load: f64,
 }
 
+impl Attempts {
+    /// Notes that an attempt whose head had come failed later.
+    pub(crate) fn note_broken(&mut self, endpoint: EndpointId, is_lost: bool) {
+        self.may_have_run = true;
+        self.counted += u32::from(!is_lost);
+        self.tried.push(endpoint);
+    }
+
+    fn note(&mut self, endpoint: EndpointId, failed: &Failed) {
+        self.may_have_run |= failed.may_have_run;
+        self.counted += u32::from(failed.may_have_run && !failed.is_lost);
+        self.tried.push(endpoint);
+    }
+}
+
 impl Call {
     pub(crate) fn after(&self) -> Duration {
         clock::now().since(self.arrived)
@@ -139,7 +159,8 @@
             if attempts.made > 0 && !self.beliefs.take_retry(&placed.service) {
                 let spent = Failed {
                     cause: "the retry budget is spent".to_owned(),
-                    may_have_run: failed.as_ref().is_some_and(|failed| failed.may_have_run),
+                    may_have_run: attempts.may_have_run,
+                    is_lost: false,
                 };
                 return Err(self.give_up(Some(spent), attempts, None));
             }
@@ -151,25 +172,19 @@
                 Ok(answered) => return Ok(answered),
                 Err(cause) => {
                     self.note_failure(&endpoint, &cause);
-                    let before = failed.is_some_and(|failed| failed.may_have_run);
-                    attempts.may_have_run += u32::from(cause.may_have_run);
-                    attempts.tried.push(endpoint);
-                    let last = Failed {
-                        may_have_run: cause.may_have_run || before,
-                        cause: cause.cause,
-                    };
-                    let may_go_on = !last.may_have_run || self.route.delivery.may_repeat();
+                    attempts.note(endpoint, &cause);
+                    let may_go_on = !attempts.may_have_run || self.route.delivery.may_repeat();
                     if !may_go_on || !self.has_attempts_left(attempts) {
-                        return Err(self.give_up(Some(last), attempts, None));
+                        return Err(self.give_up(Some(cause), attempts, None));
                     }
-                    failed = Some(last);
+                    failed = Some(cause);
                 }
             }
         }
     }
 
     fn has_attempts_left(&self, attempts: &Attempts) -> bool {
-        attempts.may_have_run < self.route.max_attempts
+        attempts.counted < self.route.max_attempts
             && attempts.made < self.route.max_attempts + SPARE_ATTEMPTS
     }
 
@@ -180,7 +195,7 @@
         attempts: &Attempts,
         unavailable: Option<Unavailable>,
     ) -> Refusal {
-        let ran = attempts.may_have_run > 0;
+        let ran = attempts.may_have_run;
         match (failed, unavailable) {
             (Some(failed), _) if ran && self.left().is_zero() => {
                 log::debug!("traffic: {}: {}.", self.asked.id, failed.cause);
@@ -338,6 +353,7 @@
                 let failed = Failed {
                     may_have_run: error.sent == Sent::Maybe,
                     cause: error.to_string(),
+                    is_lost: false,
                 };
                 // A caller's own short time is no fault of the endpoint.
                 let ran_out = self.left().is_zero();
@@ -347,6 +363,7 @@
                 let failed = Failed {
                     may_have_run: true,
                     cause: "its group has lost a member".to_owned(),
+                    is_lost: true,
                 };
                 Err((failed, false))
             }
@@ -397,6 +414,7 @@
             return Err(Failed {
                 cause: format!("{not_run} ({})", said.status),
                 may_have_run: false,
+                is_lost: false,
             });
         }
         let fault = if said.request.as_ref() != Some(&self.asked.id) {
@@ -415,6 +433,7 @@
             return Err(Failed {
                 cause: format!("{fault} ({})", said.status),
                 may_have_run: true,
+                is_lost: false,
             });
         }
         flight.heard();
@@ -471,12 +490,6 @@
         }
     }
 
-    /// Notes that an attempt whose head had come failed later, so that no further one is owed.
-    pub(crate) fn note_broken(&self, attempts: &mut Attempts, endpoint: EndpointId) {
-        attempts.may_have_run += 1;
-        attempts.tried.push(endpoint);
-    }
-
     /// Returns whether another attempt may follow one that may have run.
     pub(crate) fn may_go_on(&self, attempts: &Attempts) -> bool {
         self.route.delivery.may_repeat() && self.has_attempts_left(attempts)
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -10,7 +10,7 @@
 use sesamecart_edges::{CallerBody, HttpClient, ReadBodyError, read_whole, whole};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, RouteMatch};
 use sesamecart_platform::{Asked, forwarded_headers};
-use sesamecart_vocabulary::Timestamp;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
@@ -176,32 +176,43 @@
             return Ok(stream(call, attempts, answered));
         }
         let endpoint = answered.flight.endpoint.clone();
-        match call.read(answered).await {
-            Ok(response) => {
-                // The endpoint's own failure of a request that may be repeated is worth a second
-                // endpoint, as long as one is allowed.
-                let failed = response.status().is_server_error();
-                if failed {
-                    call.note_broken(&mut attempts, endpoint.clone());
-                }
-                if failed && call.may_go_on(&attempts) {
-                    match call.attempt(&mut attempts, last_event).await {
-                        Ok(second) => match call.read(second).await {
-                            Ok(second) => return Ok(pass_on(call, &attempts, &endpoint, second)),
-                            Err(_) => return Ok(pass_on(call, &attempts, &endpoint, response)),
-                        },
-                        Err(_) => return Ok(pass_on(call, &attempts, &endpoint, response)),
-                    }
-                }
-                return Ok(pass_on(call, &attempts, &endpoint, response));
-            }
+        let response = match call.read(answered).await {
+            Ok(response) => response,
             Err(refusal) => {
-                call.note_broken(&mut attempts, endpoint);
-                if !call.may_go_on(&attempts) {
-                    return Err(refusal);
+                attempts.note_broken(endpoint, false);
+                if call.may_go_on(&attempts) {
+                    continue;
                 }
+                return Err(refusal);
             }
+        };
+        if !response.status().is_server_error() {
+            return Ok(pass_on(call, &attempts, &endpoint, response));
         }
+        attempts.note_broken(endpoint.clone(), false);
+        return Ok(second_opinion(call, attempts, endpoint, response).await);
+    }
+}
+
+/// Asks another endpoint after the first one failed a request that may be repeated; the first
+/// answer stands unless the second endpoint gives one.
+async fn second_opinion(
+    call: &Call,
+    mut attempts: Attempts,
+    endpoint: EndpointId,
+    first: Response<Bytes>,
+) -> Response<CallerBody> {
+    if !call.may_go_on(&attempts) {
+        return pass_on(call, &attempts, &endpoint, first);
+    }
+    let last_event = call.asked.last_event.as_deref();
+    let Ok(answered) = call.attempt(&mut attempts, last_event).await else {
+        return pass_on(call, &attempts, &endpoint, first);
+    };
+    let second = answered.flight.endpoint.clone();
+    match call.read(answered).await {
+        Ok(response) => pass_on(call, &attempts, &second, response),
+        Err(_) => pass_on(call, &attempts, &endpoint, first),
     }
 }
 
@@ -218,7 +229,7 @@
 fn pass_on(
     call: &Call,
     attempts: &Attempts,
-    endpoint: &sesamecart_vocabulary::EndpointId,
+    endpoint: &EndpointId,
     response: Response<Bytes>,
 ) -> Response<CallerBody> {
     let (head, body) = response.into_parts();
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -91,7 +91,9 @@
     /// Returns the next whole events, or nothing at the stream's own end.
     async fn next(&mut self) -> Result<Option<Bytes>, BoxError> {
         loop {
-            let reason = match self.hear().await {
+            let heard = self.hear().await;
+            let is_lost = matches!(heard, Heard::Lost);
+            let reason = match heard {
                 Heard::Data(data) => match self.splitter.push(&data) {
                     Pushed::Events(events) if events.is_empty() => continue,
                     Pushed::Events(events) => return Ok(Some(events)),
@@ -106,7 +108,7 @@
                 Heard::Lost => "its group has lost a member".to_owned(),
                 Heard::TooLate => return Err(self.fail("its time ran out")),
             };
-            self.resume(&reason).await?;
+            self.resume(&reason, is_lost).await?;
         }
     }
 
@@ -142,15 +144,20 @@
     }
 
     /// Goes on at another endpoint after the last whole event.
-    async fn resume(&mut self, reason: &str) -> Result<(), BoxError> {
+    async fn resume(&mut self, reason: &str, is_lost: bool) -> Result<(), BoxError> {
         let Some(mut broken) = self.source.take() else {
             return Err(self.fail(reason));
         };
         let from = broken.flight.endpoint.clone();
-        broken.flight.fail();
+        if is_lost {
+            // The group is taken out as a whole; the endpoint may head another one in a moment.
+            broken.flight.settle();
+        } else {
+            broken.flight.fail();
+        }
         // Its connection is closed first, which frees the endpoint's slot.
         drop(broken);
-        self.call.note_broken(&mut self.attempts, from.clone());
+        self.attempts.note_broken(from.clone(), is_lost);
         if !self.call.may_go_on(&self.attempts) {
             return Err(self.fail(reason));
         }
