--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub use beliefs::Beliefs;
 pub use events::{Event, EventLog};
+pub use metrics::Metrics;
 pub use node::{Entry, StartError, run};
 pub use settings::{EntrySettings, SettingsError};
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -41,7 +41,7 @@
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
-        Ok(Self {
+        let metrics = Self {
             answers: counter(
                 "sesamecart.answers",
                 "Requests that got their final answer, by who gave it and its status.",
@@ -67,7 +67,21 @@
                 .build(),
             registry,
             _provider: provider,
-        })
+        };
+        metrics.touch();
+        Ok(metrics)
+    }
+
+    /// Gives each counter a first value, so that all of them are exported from the start.
+    ///
+    /// A counter that appears only with its first failure can't be told from one that was renamed.
+    fn touch(&self) {
+        self.answers.add(0, &[]);
+        self.attempts_failed.add(0, &[]);
+        self.resumed.add(0, &[]);
+        self.store_failures.add(0, &[]);
+        self.orders.add(0, &[]);
+        self.groups_lost.add(0, &[]);
     }
 
     pub(crate) fn count_answer(&self, by: &'static str, status: u16) {
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -70,10 +70,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
     pub(crate) made: u32,
-    may_have_run: bool,
-    /// Those that may have run, but for those whose group was lost: a group that stands still is no
-    /// reason to give up a stream that another one can go on with.
-    counted: u32,
+    may_have_run: u32,
     tried: Vec<EndpointId>,
 }
 
@@ -92,8 +89,6 @@
 struct Failed {
     cause: String,
     may_have_run: bool,
-    /// Whether the endpoint's group was found lost.
-    is_lost: bool,
 }
 
 /// An endpoint that was chosen.
@@ -105,15 +100,13 @@
 
 impl Attempts {
     /// Notes that an attempt whose head had come failed later.
-    pub(crate) fn note_broken(&mut self, endpoint: EndpointId, is_lost: bool) {
-        self.may_have_run = true;
-        self.counted += u32::from(!is_lost);
+    pub(crate) fn note_broken(&mut self, endpoint: EndpointId) {
+        self.may_have_run += 1;
         self.tried.push(endpoint);
     }
 
     fn note(&mut self, endpoint: EndpointId, failed: &Failed) {
-        self.may_have_run |= failed.may_have_run;
-        self.counted += u32::from(failed.may_have_run && !failed.is_lost);
+        self.may_have_run += u32::from(failed.may_have_run);
         self.tried.push(endpoint);
     }
 }
@@ -159,8 +152,7 @@
             if attempts.made > 0 && !self.beliefs.take_retry(&placed.service) {
                 let spent = Failed {
                     cause: "the retry budget is spent".to_owned(),
-                    may_have_run: attempts.may_have_run,
-                    is_lost: false,
+                    may_have_run: attempts.may_have_run > 0,
                 };
                 return Err(self.give_up(Some(spent), attempts, None));
             }
@@ -173,7 +165,7 @@
                 Err(cause) => {
                     self.note_failure(&endpoint, &cause);
                     attempts.note(endpoint, &cause);
-                    let may_go_on = !attempts.may_have_run || self.route.delivery.may_repeat();
+                    let may_go_on = attempts.may_have_run == 0 || self.route.delivery.may_repeat();
                     if !may_go_on || !self.has_attempts_left(attempts) {
                         return Err(self.give_up(Some(cause), attempts, None));
                     }
@@ -184,7 +176,7 @@
     }
 
     fn has_attempts_left(&self, attempts: &Attempts) -> bool {
-        attempts.counted < self.route.max_attempts
+        attempts.may_have_run < self.route.max_attempts
             && attempts.made < self.route.max_attempts + SPARE_ATTEMPTS
     }
 
@@ -195,7 +187,7 @@
         attempts: &Attempts,
         unavailable: Option<Unavailable>,
     ) -> Refusal {
-        let ran = attempts.may_have_run;
+        let ran = attempts.may_have_run > 0;
         match (failed, unavailable) {
             (Some(failed), _) if ran && self.left().is_zero() => {
                 log::debug!("traffic: {}: {}.", self.asked.id, failed.cause);
@@ -353,7 +345,6 @@
                 let failed = Failed {
                     may_have_run: error.sent == Sent::Maybe,
                     cause: error.to_string(),
-                    is_lost: false,
                 };
                 // A caller's own short time is no fault of the endpoint.
                 let ran_out = self.left().is_zero();
@@ -363,7 +354,6 @@
                 let failed = Failed {
                     may_have_run: true,
                     cause: "its group has lost a member".to_owned(),
-                    is_lost: true,
                 };
                 Err((failed, false))
             }
@@ -414,7 +404,6 @@
             return Err(Failed {
                 cause: format!("{not_run} ({})", said.status),
                 may_have_run: false,
-                is_lost: false,
             });
         }
         let fault = if said.request.as_ref() != Some(&self.asked.id) {
@@ -433,7 +422,6 @@
             return Err(Failed {
                 cause: format!("{fault} ({})", said.status),
                 may_have_run: true,
-                is_lost: false,
             });
         }
         flight.heard();
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -179,7 +179,7 @@
         let response = match call.read(answered).await {
             Ok(response) => response,
             Err(refusal) => {
-                attempts.note_broken(endpoint, false);
+                attempts.note_broken(endpoint);
                 if call.may_go_on(&attempts) {
                     continue;
                 }
@@ -189,7 +189,7 @@
         if !response.status().is_server_error() {
             return Ok(pass_on(call, &attempts, &endpoint, response));
         }
-        attempts.note_broken(endpoint.clone(), false);
+        attempts.note_broken(endpoint.clone());
         return Ok(second_opinion(call, attempts, endpoint, response).await);
     }
 }
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -157,7 +157,7 @@
         }
         // Its connection is closed first, which frees the endpoint's slot.
         drop(broken);
-        self.attempts.note_broken(from.clone(), is_lost);
+        self.attempts.note_broken(from.clone());
         if !self.call.may_go_on(&self.attempts) {
             return Err(self.fail(reason));
         }
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -66,6 +66,31 @@
     deployment.leave();
 }
 
+/// A route allows two endpoints for one attempt of a caller. Groups that are lost one after the other
+/// would else have a stream begun on all of them, at the cost of everybody's first events.
+#[test]
+fn a_stream_runs_on_no_more_endpoints_than_its_route_allows() {
+    let deployment = Deployment::start_with(EVENTS, |engines| {
+        for engine in engines {
+            engine.break_all_after(3);
+        }
+    });
+    deployment.wait_for_groups(2);
+    for request in 0..6 {
+        let id = format!("r{request}");
+        let answer = deployment.ask(Path::Stream, &id, "key-1");
+        // Endpoints that fail rest for a while, and then the caller is told to come back.
+        assert!([0, 503].contains(&answer.status), "{answer:?} looks whole");
+        let runs: u32 = deployment
+            .engines
+            .iter()
+            .map(|engine| engine.runs(&id))
+            .sum();
+        assert!(runs <= 2, "it ran {runs} times");
+    }
+    deployment.leave();
+}
+
 /// A booking's answer is lost after it ran. Sent again it would run twice; told "not run", the caller
 /// would send it again itself.
 #[test]
