--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -115,7 +115,11 @@
     let moving = NOW + Duration::from_millis(100);
     assert!(loads.silent(moving, limits).is_empty());
     loads.heard(moving, &head);
-    let silent = moving + limits.flowing;
+    assert!(
+        loads.silent(moving + limits.flowing, limits).is_empty(),
+        "one stream says little"
+    );
+    let silent = moving + limits.flowing * 2;
     assert_eq!(loads.silent(silent, limits), std::slice::from_ref(&head));
     assert!(
         loads.silent(silent, limits).is_empty(),
--- a/crates/sesamecart-fleet/src/silence.rs
+++ b/crates/sesamecart-fleet/src/silence.rs
@@ -12,7 +12,10 @@
 /// with a full piece of a prompt each take 7 x (6 + 40) ms.
 #[derive(Clone, Copy, Debug)]
 pub struct SilenceLimits {
-    /// For a head with streams that had begun.
+    /// For a head with many streams that had begun; twice as long for a single one.
+    ///
+    /// All streams of a head move in one pass, but the fewer a node has there the less their pauses
+    /// say: 71 nodes asked 39,000 times a day about heads at which each had a stream or two.
     pub flowing: Duration,
     /// For a head at which requests only wait for their first event.
     pub waiting: Duration,
@@ -75,7 +78,7 @@
         let limit = match (self.flowing, self.waiting) {
             (0, 0) => return false,
             (0, _) => limits.waiting,
-            _ => limits.flowing,
+            (flowing, _) => limits.flowing.mul_f64(1.0 + 1.0 / f64::from(flowing)),
         };
         let asked_lately = self.asked_at.is_some_and(|at| now.since(at) < limits.again);
         if asked_lately || now.since(self.heard_at) < limit {
