--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -1,21 +1,23 @@
 //! Follows what the operator, the endpoints and the other nodes write into the store.
 
+mod nodes;
+mod operator;
+mod registry;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
-use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{Catalog, Directory, Endpoint};
-use sesamecart_platform::{
-    Expected, Offset, Read, Record, Store, StoreError, Topic, decode_configuration,
-    decode_endpoint, evacuated_domain, is_configuration,
-};
+use sesamecart_platform::{Offset, Read, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, NodeId, Timestamp};
+use sesamecart_vocabulary::Timestamp;
 
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
+pub(crate) use crate::follower::nodes::follow_nodes;
+use crate::follower::operator::OperatorPicture;
+use crate::follower::registry::RegistryPicture;
 
 /// The part of the time in which a configuration has to be in force for which the store holds a read
 /// of the operator's topic that finds nothing.
@@ -52,13 +54,6 @@
 /// How long a follower rests after a failed read.
 const REST: Duration = Duration::from_millis(150);
 
-/// How long entries that the store lost during an outage have to come back, less what a node takes to
-/// act on it: endpoints that live are back within about two seconds.
-const RETURN_TIME: Duration = Duration::from_millis(1_900);
-
-/// How often the list of nodes is read.
-const NODES_EVERY: Duration = Duration::from_secs(10);
-
 /// A dependency whose loss and return are logged once each.
 #[derive(Debug)]
 pub(crate) struct Dependency {
@@ -247,85 +242,6 @@
     }
 }
 
-#[derive(Default)]
-struct OperatorPicture {
-    evacuated: IndexSet<FailureDomainId>,
-}
-
-impl OperatorPicture {
-    fn replace(&mut self, beliefs: &Beliefs, records: &[Record]) {
-        let evacuated = records.iter().filter(|record| record.value.is_some());
-        let evacuated = evacuated.filter_map(|record| evacuated_domain(record.key.as_deref()?));
-        let evacuated: IndexSet<_> = evacuated.collect();
-        if evacuated != self.evacuated {
-            self.evacuated = evacuated;
-            publish_evacuated(beliefs, &self.evacuated);
-        }
-        for record in records {
-            take_configuration(beliefs, record);
-        }
-    }
-
-    fn apply(&mut self, beliefs: &Beliefs, records: &[Record]) {
-        for record in records {
-            let Some(key) = record.key.as_deref() else {
-                ignore(beliefs, Topic::Operator, "", "the key can't be read");
-                continue;
-            };
-            if let Some(domain) = evacuated_domain(key) {
-                if record.value.is_some() {
-                    self.evacuated.insert(domain);
-                } else {
-                    self.evacuated.shift_remove(&domain);
-                }
-                publish_evacuated(beliefs, &self.evacuated);
-            } else {
-                take_configuration(beliefs, record);
-            }
-        }
-    }
-}
-
-fn publish_evacuated(beliefs: &Beliefs, evacuated: &IndexSet<FailureDomainId>) {
-    beliefs.directory.rcu(|directory| {
-        let mut directory = Directory::clone(directory);
-        directory.set_evacuated(evacuated.clone());
-        directory
-    });
-    let names: Vec<String> = evacuated.iter().map(ToString::to_string).collect();
-    beliefs.events.write(&Event::EvacuationChanged {
-        failure_domains: &names,
-    });
-}
-
-/// Puts a configuration in force, unless a newer one is: a reread or a slow answer must not bring
-/// back a key that was taken away.
-fn take_configuration(beliefs: &Beliefs, record: &Record) {
-    let (Some(key), Some(value)) = (record.key.as_deref(), record.value.as_deref()) else {
-        return;
-    };
-    if !is_configuration(key) {
-        return;
-    }
-    let catalog = match decode_configuration(value) {
-        Ok(catalog) => catalog,
-        Err(error) => return ignore(beliefs, Topic::Operator, key, &error.to_string()),
-    };
-    let in_force = beliefs.catalog.load_full();
-    let before = in_force.map(|catalog| catalog.version);
-    if before.is_some_and(|before| before >= catalog.version) {
-        return;
-    }
-    beliefs.events.write(&Event::ConfigurationApplied {
-        version: catalog.version.0,
-        before: before.map_or(0, |version| version.0),
-        routes: catalog.route_count(),
-    });
-    beliefs
-        .catalog
-        .store(Some(Arc::new(Catalog::clone(&catalog))));
-}
-
 fn ignore(beliefs: &Beliefs, topic: Topic, key: &str, cause: &str) {
     let topic = topic.to_string();
     beliefs.events.write(&Event::RecordIgnored {
@@ -334,184 +250,3 @@
         cause,
     });
 }
-
-struct RegistryPicture {
-    changed: Sender<()>,
-    /// When the store came back after it was away.
-    returned_at: Option<Timestamp>,
-    /// Endpoints whose entries were gone when it came back, and may come back themselves.
-    missing: IndexMap<EndpointId, Timestamp>,
-}
-
-impl RegistryPicture {
-    fn new(changed: Sender<()>) -> Self {
-        Self {
-            changed,
-            returned_at: None,
-            missing: IndexMap::new(),
-        }
-    }
-
-    fn replace(&mut self, beliefs: &Beliefs, records: &[Record], was_away: bool) {
-        if was_away {
-            self.returned_at = Some(clock::now());
-        }
-        let current = beliefs.directory.load();
-        let there: IndexSet<&str> = records
-            .iter()
-            .filter_map(|record| record.key.as_deref())
-            .collect();
-        let gone = current
-            .listed_ids()
-            .filter(|id| !there.contains(id.as_str()));
-        let gone: Vec<Record> = gone
-            .map(|id| Record {
-                key: Some(id.to_string()),
-                value: None,
-            })
-            .collect();
-        drop(current);
-        let all: Vec<Record> = records.iter().cloned().chain(gone).collect();
-        self.apply(beliefs, &all);
-    }
-
-    fn apply(&mut self, beliefs: &Beliefs, records: &[Record]) {
-        let now = clock::now();
-        let mut directory = Directory::clone(&beliefs.directory.load());
-        for record in records {
-            self.apply_one(beliefs, &mut directory, now, record);
-        }
-        let overdue = self.missing.extract_if(.., |_, until| *until <= now);
-        for (id, _) in overdue {
-            remove(beliefs, &mut directory, now, &id);
-        }
-        directory.forget(now);
-        beliefs.tidy_groups(now, &directory);
-        beliefs.directory.rcu(|current| {
-            // Evacuations are another follower's to change.
-            let mut directory = directory.clone();
-            directory.set_evacuated(current.evacuated().clone());
-            directory
-        });
-        // A full channel holds a notice already.
-        let _told = self.changed.try_send(());
-    }
-
-    fn apply_one(
-        &mut self,
-        beliefs: &Beliefs,
-        directory: &mut Directory,
-        now: Timestamp,
-        record: &Record,
-    ) {
-        let Some(key) = record.key.as_deref() else {
-            return ignore(beliefs, Topic::Registry, "", "the key can't be read");
-        };
-        let Ok(id) = key.parse::<EndpointId>() else {
-            return ignore(beliefs, Topic::Registry, key, "the key is no name");
-        };
-        let Some(value) = record.value.as_deref() else {
-            return self.lapse(beliefs, directory, now, id);
-        };
-        match decode_endpoint(key, value) {
-            Ok(endpoint) => {
-                self.missing.swap_remove(&id);
-                log_change(beliefs, directory, &endpoint);
-                directory.put(now, endpoint);
-            }
-            Err(error) => {
-                ignore(beliefs, Topic::Registry, key, &error.to_string());
-                remove(beliefs, directory, now, &id);
-            }
-        }
-    }
-
-    /// Takes an entry out, or waits a while for its return if the store was away.
-    fn lapse(
-        &mut self,
-        beliefs: &Beliefs,
-        directory: &mut Directory,
-        now: Timestamp,
-        id: EndpointId,
-    ) {
-        let until = self.returned_at.map(|at| at + RETURN_TIME);
-        match until {
-            Some(until) if until > now => {
-                self.missing.entry(id).or_insert(until);
-            }
-            _ => remove(beliefs, directory, now, &id),
-        }
-    }
-}
-
-fn remove(beliefs: &Beliefs, directory: &mut Directory, now: Timestamp, id: &EndpointId) {
-    if directory.remove(now, id) {
-        let endpoint = id.as_str();
-        beliefs.events.write(&Event::EndpointGone { endpoint });
-    }
-}
-
-fn log_change(beliefs: &Beliefs, directory: &Directory, endpoint: &Endpoint) {
-    let known = directory.find(&endpoint.id);
-    if known.is_some_and(|known| **known == *endpoint && directory.is_listed(&endpoint.id)) {
-        return;
-    }
-    let group = endpoint.group.as_ref();
-    let group = group.map(|role| format!("{}@{} {}", role.group, role.epoch, role.state));
-    let staged: Vec<&str> = endpoint.staged.iter().map(ModelId::as_str).collect();
-    let domain = endpoint.fabric_domain.as_ref();
-    beliefs.events.write(&Event::EndpointChanged {
-        endpoint: endpoint.id.as_str(),
-        fabric_domain: domain.map_or("", |domain| domain.as_str()),
-        staged: &staged.join(" "),
-        state: &endpoint.state.to_string(),
-        group: &group.unwrap_or_default(),
-    });
-}
-
-/// Tells the other nodes of this one, and counts them.
-///
-/// Bounds that hold for all nodes together are kept by shares, for which a node has to know how many
-/// there are. A node that was killed stays in the list, which makes the shares smaller, never larger.
-pub(crate) async fn follow_nodes(beliefs: Arc<Beliefs>, store: Store) {
-    let own = Record {
-        key: Some(beliefs.settings.node.to_string()),
-        value: Some(beliefs.settings.failure_domain.to_string().into_bytes()),
-    };
-    let mut told = false;
-    let mut dependency = Dependency::new("store, nodes");
-    loop {
-        if !told {
-            let appended = store.append(Topic::Nodes, &own, Expected::Anything).await;
-            told = appended.is_ok();
-            if let Err(error) = appended {
-                dependency.failed(&beliefs, &error);
-            }
-        }
-        match read_nodes(&store).await {
-            Ok(nodes) => {
-                let _was_away = dependency.answered(&beliefs);
-                let mut nodes: IndexSet<NodeId> = nodes.into_iter().collect();
-                nodes.insert(beliefs.settings.node.clone());
-                beliefs.nodes.store(Arc::new(nodes.into_iter().collect()));
-            }
-            Err(error) => dependency.failed(&beliefs, &error),
-        }
-        let rest = if told { NODES_EVERY } else { REST };
-        sleep(rest).await;
-    }
-}
-
-async fn read_nodes(store: &Store) -> Result<Vec<NodeId>, StoreError> {
-    let mut nodes = Vec::new();
-    let mut after = None;
-    loop {
-        let page = store.newest(Topic::Nodes, after.as_deref()).await?;
-        let names = page.records.iter().filter_map(|record| record.key.as_ref());
-        nodes.extend(names.filter_map(|name| name.parse().ok()));
-        match page.next {
-            Some(next) => after = Some(next),
-            None => return Ok(nodes),
-        }
-    }
-}
--- /dev/null
+++ b/crates/sesamecart-entry/src/follower/operator.rs
@@ -0,0 +1,91 @@
+//! What the operator has written: the configuration, and the failure domains that get no new work.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use sesamecart_fleet::Directory;
+use sesamecart_platform::{
+    Record, Topic, decode_configuration, evacuated_domain, is_configuration,
+};
+use sesamecart_vocabulary::FailureDomainId;
+
+use super::ignore;
+use crate::beliefs::Beliefs;
+use crate::events::Event;
+
+#[derive(Default)]
+pub(super) struct OperatorPicture {
+    evacuated: IndexSet<FailureDomainId>,
+}
+
+impl OperatorPicture {
+    pub(super) fn replace(&mut self, beliefs: &Beliefs, records: &[Record]) {
+        let evacuated = records.iter().filter(|record| record.value.is_some());
+        let evacuated = evacuated.filter_map(|record| evacuated_domain(record.key.as_deref()?));
+        let evacuated: IndexSet<_> = evacuated.collect();
+        if evacuated != self.evacuated {
+            self.evacuated = evacuated;
+            publish_evacuated(beliefs, &self.evacuated);
+        }
+        for record in records {
+            take_configuration(beliefs, record);
+        }
+    }
+
+    pub(super) fn apply(&mut self, beliefs: &Beliefs, records: &[Record]) {
+        for record in records {
+            let Some(key) = record.key.as_deref() else {
+                ignore(beliefs, Topic::Operator, "", "the key can't be read");
+                continue;
+            };
+            if let Some(domain) = evacuated_domain(key) {
+                if record.value.is_some() {
+                    self.evacuated.insert(domain);
+                } else {
+                    self.evacuated.shift_remove(&domain);
+                }
+                publish_evacuated(beliefs, &self.evacuated);
+            } else {
+                take_configuration(beliefs, record);
+            }
+        }
+    }
+}
+
+fn publish_evacuated(beliefs: &Beliefs, evacuated: &IndexSet<FailureDomainId>) {
+    beliefs.directory.rcu(|directory| {
+        let mut directory = Directory::clone(directory);
+        directory.set_evacuated(evacuated.clone());
+        directory
+    });
+    let names: Vec<String> = evacuated.iter().map(ToString::to_string).collect();
+    beliefs.events.write(&Event::EvacuationChanged {
+        failure_domains: &names,
+    });
+}
+
+/// Puts a configuration in force, unless a newer one is: a reread or a slow answer must not bring
+/// back a key that was taken away.
+fn take_configuration(beliefs: &Beliefs, record: &Record) {
+    let (Some(key), Some(value)) = (record.key.as_deref(), record.value.as_deref()) else {
+        return;
+    };
+    if !is_configuration(key) {
+        return;
+    }
+    let catalog = match decode_configuration(value) {
+        Ok(catalog) => catalog,
+        Err(error) => return ignore(beliefs, Topic::Operator, key, &error.to_string()),
+    };
+    let in_force = beliefs.catalog.load_full();
+    let before = in_force.map(|catalog| catalog.version);
+    if before.is_some_and(|before| before >= catalog.version) {
+        return;
+    }
+    beliefs.events.write(&Event::ConfigurationApplied {
+        version: catalog.version.0,
+        before: before.map_or(0, |version| version.0),
+        routes: catalog.route_count(),
+    });
+    beliefs.catalog.store(Some(Arc::new(catalog)));
+}
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -0,0 +1,111 @@
+//! Which loads begin when.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, Timestamp};
+
+use super::engine::{engines, find_model, holds, needs_load};
+use super::{Load, Planner, PlannerInput, Step};
+use crate::catalog::EngineModel;
+use crate::endpoint::Endpoint;
+
+/// Loads that may begin in [`LOAD_WINDOW`]: less than half of what the operator allows (4.5/s), since a
+/// controller that takes over counts anew.
+const LOAD_STARTS: usize = 10;
+
+pub(super) const LOAD_WINDOW: Duration = Duration::from_secs(5);
+
+/// How much longer than alone a load may take before it counts as failed: loads slow each other.
+const LOAD_PATIENCE: u32 = 3;
+
+/// Loads before the first request take this part of their time.
+const EARLY_LOADS_FASTER: u32 = 10;
+
+impl Planner {
+    /// Returns whether all engines that are left begin their loads at once.
+    ///
+    /// Before the first request a load takes a tenth of its time, and one that has begun keeps that.
+    /// When the first requests come is not known. So once half of the engines hold a model, which
+    /// serves the first requests, the others begin all together: 18 engines of 54 were loaded so by the
+    /// third second of traffic that would else have taken 12 to 16 s for each six.
+    pub(super) fn loads_the_rest(&self, input: &PlannerInput<'_>) -> bool {
+        if input.in_traffic {
+            return false;
+        }
+        let all = engines(input).count();
+        let loaded = engines(input).filter(|engine| {
+            let models = input.spec.models.iter();
+            models.map(|model| &model.model).any(|id| holds(engine, id))
+        });
+        loaded.count() * 2 >= all
+    }
+
+    /// Loads the domain's model ahead onto free engines that hold nothing useful.
+    pub(super) fn stage(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        steps: &mut Vec<Step>,
+    ) {
+        if !input.in_traffic && !self.loads_the_rest(input) {
+            // Whole groups come first; what is left over is loaded after them.
+            return;
+        }
+        let mut wanted: Vec<(usize, &Arc<Endpoint>, &EngineModel)> = Vec::new();
+        for (domain, engines) in free {
+            let primary = self.primaries.get(domain);
+            let model = primary.and_then(|id| find_model(input.spec, id));
+            let Some(model) = model else { continue };
+            let held = engines.iter().filter(|engine| !needs_load(engine, model));
+            let lacking = model.group_size.saturating_sub(held.count());
+            let empty = engines.iter().filter(|engine| needs_load(engine, model));
+            wanted.extend(empty.map(|engine| (lacking, *engine, model)));
+        }
+        // The group that lacks least is whole soonest.
+        wanted.sort_by_key(|(lacking, engine, _)| (*lacking, engine.id.clone()));
+        for (_, engine, model) in wanted {
+            if self.loading.len() >= input.spec.loads_at_once && !self.loads_the_rest(input) {
+                return;
+            }
+            if self.loading.contains_key(&engine.id) {
+                continue;
+            }
+            if input.in_traffic && self.starts.len() >= LOAD_STARTS {
+                return;
+            }
+            self.note_load(now, input, &engine.id, model);
+            steps.push(Step::Stage {
+                endpoint: engine.id.clone(),
+                model: model.model.clone(),
+            });
+        }
+    }
+
+    pub(super) fn note_load(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        endpoint: &EndpointId,
+        model: &EngineModel,
+    ) {
+        if input.in_traffic {
+            self.starts.push_back(now);
+        }
+        let load = Load {
+            model: model.model.clone(),
+            give_up_at: now + loading_time(input, model) * LOAD_PATIENCE,
+        };
+        self.loading.insert(endpoint.clone(), load);
+    }
+}
+
+fn loading_time(input: &PlannerInput<'_>, model: &EngineModel) -> Duration {
+    if input.in_traffic {
+        model.load_time
+    } else {
+        model.load_time / EARLY_LOADS_FASTER
+    }
+}
