Keep members bound to a group that couldn't be told of its end

Ruled out: late orders (none was answered), a second controller.

Change: only a head's own leaving ends a group; without it members are free when their entry no longer names the group, and the group is examined again 1.6 s later.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -52,9 +52,10 @@
     Opened { key: GroupKey, opening: bool },
     /// A load has begun, or hasn't.
     Staged { endpoint: EndpointId, begun: bool },
-    /// The members of a group are out of it, but for those that couldn't be told.
+    /// The head of a group is out of it, which ends the group, or members that could be told are.
     Dissolved {
         key: GroupKey,
+        head_is_out: bool,
         untold: Vec<EndpointId>,
     },
     /// A group was examined and is sound.
@@ -245,9 +246,17 @@
                 self.planner.not_loading(&endpoint);
                 self.planner.hold(endpoint, now + REST_AFTER_FAILURE);
             }
-            Outcome::Dissolved { key, untold } => {
+            Outcome::Dissolved {
+                key,
+                head_is_out,
+                untold,
+            } => {
                 self.handled.swap_remove(&key);
-                self.planner.dissolved(&key);
+                if head_is_out {
+                    self.planner.dissolved(&key);
+                } else {
+                    self.planner.rest_examination(&key, now);
+                }
                 for endpoint in untold {
                     self.planner.hold(endpoint, now + REST_AFTER_SILENCE);
                 }
@@ -400,7 +409,11 @@
         );
         untold.extend(head);
     }
-    Outcome::Dissolved { key, untold }
+    Outcome::Dissolved {
+        key,
+        head_is_out,
+        untold,
+    }
 }
 
 /// Reads what other nodes tell the controller, from now on.
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -288,6 +288,38 @@
     deployment.leave();
 }
 
+/// A failure domain is cut off from the controller for seconds and comes back. Its groups have served
+/// all the while for callers on the other side. Their members couldn't be told to leave, so they must
+/// not be joined to others.
+#[test]
+fn a_group_that_was_cut_off_for_a_while_is_not_joined_elsewhere() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    for engine in &deployment.engines {
+        engine.set_lasting_silence(true);
+    }
+    // A stream at each head makes the node ask about it.
+    for request in 0..4 {
+        let id = format!("lost-{request}");
+        let patience = std::time::Duration::from_millis(1_500);
+        deployment.ask_within(Path::Stream, &id, "key-1", patience);
+    }
+    std::thread::sleep(std::time::Duration::from_secs(6));
+    for engine in &deployment.engines {
+        engine.set_lasting_silence(false);
+    }
+    std::thread::sleep(std::time::Duration::from_secs(3));
+    for engine in &deployment.engines {
+        let operations = engine.operations();
+        let joined_again = operations.windows(2).any(|pair| {
+            let stays = ["join", "open"].contains(&pair[0].as_str());
+            stays && pair[1] == "join"
+        });
+        assert!(!joined_again, "{}: {operations:?}", engine.id());
+    }
+    deployment.leave();
+}
+
 /// When a node stops, the tasks that send to the controller end before it does. A closed channel that
 /// counts as a message makes it spin, and the process ends only by the SIGKILL, its log unwritten.
 #[test]
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -35,6 +35,9 @@
 /// How often a group that looks unsound is examined.
 const EXAMINE_EVERY: Duration = Duration::from_millis(400);
 
+/// How much longer a group whose head can't be reached is left alone; a cut lasts seconds.
+const UNREACHABLE_REST: Duration = Duration::from_millis(1_200);
+
 /// How far a group that is being formed is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Progress {
@@ -162,6 +165,15 @@
         *held = (*held).max(until);
     }
 
+    /// Notes that a group's head couldn't be told to leave; it is examined again after a while.
+    ///
+    /// Where a failure domain is cut off, nobody there can be told anything, and its groups serve on
+    /// for callers on the other side. Members that still show the group aren't free, however long
+    /// they were silent: joined to others when the cut heals, they would be in two groups at once.
+    pub fn rest_examination(&mut self, key: &GroupKey, now: Timestamp) {
+        self.examined.insert(key.clone(), now + UNREACHABLE_REST);
+    }
+
     /// Notes that a group was taken apart, so that its members may join others.
     pub fn dissolved(&mut self, key: &GroupKey) {
         self.formations.swap_remove(key);
@@ -294,7 +306,7 @@
 
     fn may_examine(&mut self, now: Timestamp, key: &GroupKey) -> bool {
         let lately = self.examined.get(key);
-        if lately.is_some_and(|at| now.since(*at) < EXAMINE_EVERY) {
+        if lately.is_some_and(|at| now < *at + EXAMINE_EVERY) {
             return false;
         }
         self.examined.insert(key.clone(), now);
