--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -1,14 +1,16 @@
 //! What a node knows: one picture for all its threads, with its age.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use indexmap::IndexMap;
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
-    Catalog, ColdAllowance, Directory, Endpoint, Freshness, GroupKey, LoadBook, RetryAllowance,
+    Catalog, ColdAllowance, Directory, Endpoint, Freshness, GroupKey, LoadBook, PeerNode,
+    RetryAllowance,
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{
@@ -17,6 +19,7 @@
 
 use crate::clock;
 use crate::events::EventLog;
+use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
@@ -26,6 +29,10 @@
 /// How long a group that was found lost is left alone; by then its head has given up and says so.
 const LOST_FOR: Duration = Duration::from_secs(6);
 
+/// How long a report of a loss stands before the controller is told again: by then it has asked the
+/// members, or it never got the report.
+const REPORT_AGAIN: Duration = Duration::from_millis(800);
+
 /// What the threads of one node share.
 #[derive(Debug)]
 pub struct Beliefs {
@@ -39,7 +46,10 @@
     pub connections: Connections,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) directory: ArcSwap<Directory>,
-    pub(crate) nodes: ArcSwap<Vec<NodeId>>,
+    pub(crate) nodes: ArcSwap<Vec<PeerNode>>,
+    pub(crate) feed: Feed,
+    /// Where the node that this one follows takes links; nothing while it reads the store itself.
+    followed: ArcSwapOption<SocketAddr>,
     pub(crate) loads: Mutex<LoadBook>,
     vouched_at: AtomicU64,
     registry_read: AtomicBool,
@@ -47,6 +57,7 @@
     forming: AtomicBool,
     requests: AtomicUsize,
     groups: Mutex<IndexMap<GroupKey, Watched>>,
+    reported: Mutex<IndexMap<GroupKey, Timestamp>>,
     retries: Mutex<IndexMap<ServiceId, RetryAllowance>>,
     cold: Mutex<IndexMap<EndpointId, ColdAllowance>>,
 }
@@ -68,7 +79,9 @@
     #[must_use]
     pub fn new(settings: EntrySettings, events: EventLog, metrics: Metrics) -> Self {
         Self {
-            nodes: ArcSwap::from_pointee(vec![settings.node.clone()]),
+            nodes: ArcSwap::from_pointee(vec![own_entry(&settings)]),
+            feed: Feed::new(),
+            followed: ArcSwapOption::empty(),
             settings,
             events,
             metrics,
@@ -82,6 +95,7 @@
             forming: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             groups: Mutex::default(),
+            reported: Mutex::default(),
             retries: Mutex::default(),
             cold: Mutex::default(),
         }
@@ -140,6 +154,33 @@
         freshness
     }
 
+    /// Returns what this node tells the others of itself.
+    pub(crate) fn own_entry(&self) -> PeerNode {
+        own_entry(&self.settings)
+    }
+
+    /// Notes which node is followed; nothing while the store itself is read.
+    pub(crate) fn follow(&self, links: Option<SocketAddr>) {
+        self.followed.store(links.map(Arc::new));
+    }
+
+    /// Returns where the node that is followed takes links.
+    pub(crate) fn followed(&self) -> Option<SocketAddr> {
+        self.followed.load().as_deref().copied()
+    }
+
+    /// Notes that the controller is told of a loss; returns whether it hasn't been lately.
+    pub(crate) fn note_reported(&self, key: &GroupKey) -> bool {
+        let now = clock::now();
+        let mut reported = lock(&self.reported);
+        reported.retain(|_, at| now.since(*at) < REPORT_AGAIN);
+        if reported.contains_key(key) {
+            return false;
+        }
+        reported.insert(key.clone(), now);
+        true
+    }
+
     pub(crate) fn note_registry_read(&self) {
         self.registry_read.store(true, Ordering::Release);
     }
@@ -276,10 +317,22 @@
 
 /// Returns this node's place among all nodes for one endpoint, the same at every node that knows
 /// the same nodes.
-fn rank(own: &NodeId, nodes: &[NodeId], endpoint: &EndpointId) -> usize {
+fn rank(own: &NodeId, nodes: &[PeerNode], endpoint: &EndpointId) -> usize {
     let weight = |node: &NodeId| rendezvous_weight(endpoint.as_str(), node.as_str());
     let mine = weight(own);
-    nodes.iter().filter(|node| weight(node) > mine).count()
+    nodes
+        .iter()
+        .filter(|peer| weight(&peer.node) > mine)
+        .count()
+}
+
+fn own_entry(settings: &EntrySettings) -> PeerNode {
+    PeerNode {
+        node: settings.node.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        links: settings.links,
+        processor_share: settings.processor_share,
+    }
 }
 
 /// Returns the membership that an endpoint is in.
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -12,15 +12,17 @@
 use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{Fence, Formation, GroupKey, Planner, PlannerInput, Step, Verdict};
-use sesamecart_platform::{Expected, Offset, Order, OrderOutcome, Read, Record, Store, Topic};
+use sesamecart_links::Links;
+use sesamecart_platform::{Offset, Order, OrderOutcome, Read, Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
-use sesamecart_vocabulary::EndpointId;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::controller::engines::Engines;
 use crate::controller::lease::Lease;
 use crate::events::Event;
+use crate::losses;
 use crate::watch::{self, Examined};
 
 /// How often the plan is made anew when nothing has changed.
@@ -35,6 +37,9 @@
 /// How long the store holds a read of observations that finds nothing.
 const OBSERVATIONS_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How often it is logged what the engines are used for.
+const COUNT_EVERY: Duration = Duration::from_secs(2);
+
 /// How long a failed call to the store is followed by a rest.
 const REST: Duration = Duration::from_millis(200);
 
@@ -67,6 +72,7 @@
     pub(crate) beliefs: Arc<Beliefs>,
     pub(crate) store: Store,
     pub(crate) client: HttpClient,
+    pub(crate) links: Links,
     pub(crate) tasks: Tasks,
     /// Told of each change of the registry.
     pub(crate) changed: Receiver<()>,
@@ -83,6 +89,8 @@
     observed: Receiver<GroupKey>,
     /// Groups that are being examined or taken apart: all nodes report a loss at about once.
     handled: IndexSet<GroupKey>,
+    /// When it was last logged what the engines are used for.
+    counted_at: Timestamp,
     tasks: Tasks,
 }
 
@@ -128,6 +136,7 @@
         Term {
             planner: Planner::new(fence, formed),
             handled: IndexSet::new(),
+            counted_at: Timestamp::ZERO,
             engines: Arc::new(Engines::new(
                 Arc::clone(&self.beliefs),
                 self.client.clone(),
@@ -165,37 +174,23 @@
                 self.plan(term);
             }
             (Some(term), Woken::Plan) => self.plan(term),
-            (None, Woken::Found(key)) => self.tell_controller(&key).await,
+            (None, Woken::Found(key)) => {
+                losses::report(&self.beliefs, &self.store, &self.links, &key).await;
+            }
             (None, _) => {}
         }
     }
 
-    /// Tells the node that controls the groups of a loss that this one found.
-    async fn tell_controller(&self, key: &GroupKey) {
-        let record = Record {
-            key: None,
-            value: Some(key.to_string().into_bytes()),
-        };
-        let appended = self
-            .store
-            .append(Topic::Observations, &record, Expected::Anything);
-        if let Err(error) = appended.await {
-            // The controller's own streams, or the lapsed entry, show the loss somewhat later.
-            self.beliefs.metrics.count_store_failure();
-            self.beliefs.events.write(&Event::RecordIgnored {
-                topic: "observations",
-                key: &key.to_string(),
-                cause: &error.to_string(),
-            });
-        }
-    }
-
     fn plan(&self, term: &mut Term) {
         let Some(catalog) = self.beliefs.catalog.load_full() else {
             return;
         };
         let directory = self.beliefs.directory.load_full();
         let now = clock::now();
+        let counts = now.since(term.counted_at) >= COUNT_EVERY;
+        if counts {
+            term.counted_at = now;
+        }
         for (service, known) in &catalog.services {
             let Some(spec) = &known.engine else { continue };
             if spec.models.is_empty() {
@@ -207,6 +202,9 @@
                 directory: &directory,
                 in_traffic: self.beliefs.is_in_traffic(),
             };
+            if counts {
+                log_counts(&self.beliefs, &term.planner, &input);
+            }
             for step in term.planner.plan(now, &input) {
                 term.start(step, self);
             }
@@ -214,6 +212,20 @@
     }
 }
 
+fn log_counts(beliefs: &Beliefs, planner: &Planner, input: &PlannerInput<'_>) {
+    let (models, empty) = planner.summary(input);
+    for counts in models {
+        beliefs.events.write(&Event::FleetCounted {
+            model: &counts.model,
+            open: counts.open,
+            forming: counts.forming,
+            spare: counts.spare,
+            loading: counts.loading,
+            empty,
+        });
+    }
+}
+
 /// Waits for the next message, for ever once nobody can send any more.
 ///
 /// When the node stops, the senders' tasks are cancelled before the controller's. A closed channel
@@ -277,8 +289,13 @@
         let engines = Arc::clone(&self.engines);
         let tell = self.tell.clone();
         let (beliefs, client) = (Arc::clone(&controller.beliefs), controller.client.clone());
+        let announce = {
+            let (beliefs, links) = (Arc::clone(&beliefs), controller.links.clone());
+            let tasks = self.tasks.clone();
+            move |key| tasks.spawn(losses::announce(beliefs, links, key))
+        };
         self.tasks.spawn(async move {
-            let outcome = carry_out(step, &beliefs, &client, &engines).await;
+            let outcome = carry_out(step, &beliefs, &client, &engines, announce).await;
             if let Some(outcome) = outcome {
                 // Nobody listens when the term has ended, and then nothing depends on it.
                 let _told = tell.send(outcome).await;
@@ -292,6 +309,7 @@
     beliefs: &Beliefs,
     client: &HttpClient,
     engines: &Engines,
+    announce: impl FnOnce(GroupKey),
 ) -> Option<Outcome> {
     match step {
         Step::Join(formation) => Some(join(beliefs, engines, formation).await),
@@ -329,6 +347,7 @@
                 return Some(Outcome::Sound { key });
             }
             beliefs.lose_group(&key);
+            announce(key.clone());
             Some(dissolve(beliefs, engines, key, examined).await)
         }
     }
@@ -451,10 +470,5 @@
 }
 
 fn read_observation(record: &Record) -> Option<GroupKey> {
-    let text = std::str::from_utf8(record.value.as_deref()?).ok()?;
-    let (group, epoch) = text.rsplit_once('@')?;
-    Some(GroupKey {
-        group: group.parse().ok()?,
-        epoch: epoch.parse().ok()?,
-    })
+    losses::parse_group(std::str::from_utf8(record.value.as_deref()?).ok()?)
 }
--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -85,6 +85,12 @@
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
         loop {
+            // A node that follows another one leaves control to those that read the store: at 71
+            // nodes the calls of all of them to stay in the group were a tenth of all calls.
+            while self.beliefs.followed().is_some() {
+                self.set(None, "the node doesn't read the store");
+                sleep(RENEW_EVERY).await;
+            }
             let sent = clock::now();
             match self.store.join(&self.member, ttl, generation).await {
                 Ok(joined) => {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -70,6 +70,26 @@
         /// Its routes.
         routes: usize,
     },
+    /// What the engines are used for, every two seconds on the node that controls the groups.
+    FleetCounted {
+        /// The model.
+        model: &'a str,
+        /// Its open groups.
+        open: usize,
+        /// Its groups that are being formed.
+        forming: usize,
+        /// Engines outside of groups that hold it.
+        spare: usize,
+        /// Engines that load it.
+        loading: usize,
+        /// Engines of the service that hold no model and load none.
+        empty: usize,
+    },
+    /// What the store says is heard from elsewhere now.
+    SourceChanged {
+        /// The store, or the node that reads it.
+        source: &'a str,
+    },
     /// A record or an answer couldn't be read or used.
     RecordIgnored {
         /// Where it stands.
@@ -358,8 +378,11 @@
 }
 
 /// Writes lines in batches, which spares a system call for each.
+///
+/// Standard output is locked for a batch at a time: a second node of the process, as in tests, would
+/// wait for it until the first one has ended.
 fn write(queue: &Receiver<String>) {
-    let mut out = std::io::stdout().lock();
+    let mut out = std::io::stdout();
     while let Ok(line) = queue.recv_blocking() {
         let mut batch = line;
         batch.push('\n');
--- /dev/null
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -0,0 +1,99 @@
+//! The side of a feed that takes calls of the nodes that follow.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use sesamecart_links::feed::feed_server::Feed as FeedService;
+use sesamecart_links::feed::{FollowReply, FollowRequest, GroupLoss, Noted};
+use sesamecart_links::{Request, Response, Status, async_trait};
+use sesamecart_platform::Store;
+use sesamecart_runtime::{ByteCount, Tasks, sleep};
+
+use crate::beliefs::Beliefs;
+use crate::clock;
+use crate::feed::has_news;
+use crate::follower::millis;
+use crate::losses::{parse_group, report_to_store};
+
+/// The longest time for which a follower's call is held.
+const WAIT_MOST: Duration = Duration::from_secs(1);
+
+struct Side {
+    beliefs: Arc<Beliefs>,
+    store: Store,
+}
+
+/// Takes calls of followers until the task is cancelled.
+pub(crate) async fn serve(
+    beliefs: Arc<Beliefs>,
+    store: Store,
+    listener: TcpListener,
+    tasks: Tasks,
+) {
+    let side = Side { beliefs, store };
+    let served = sesamecart_links::serve_feed(listener, side, tasks, ByteCount::default());
+    if let Err(error) = served.await {
+        log::error!("feed: followers can't be taken: {error}.");
+    }
+}
+
+impl Side {
+    fn newer(&self, req: &FollowRequest) -> Result<FollowReply, Status> {
+        let unavailable = |reason| Err(Status::unavailable(reason));
+        if self.beliefs.is_leaving() {
+            return unavailable("the node is leaving");
+        }
+        let Some(age) = self.beliefs.configuration_age() else {
+            return unavailable("the node has no configuration");
+        };
+        let Some(mut reply) = self.beliefs.feed.newer(clock::now(), req) else {
+            return unavailable("the node doesn't read the store");
+        };
+        reply.vouched_ms = millis(age).saturating_add(1);
+        Ok(reply)
+    }
+}
+
+#[async_trait]
+impl FeedService for Side {
+    async fn follow(
+        &self,
+        request: Request<FollowRequest>,
+    ) -> Result<Response<FollowReply>, Status> {
+        let req = request.into_inner();
+        let wait = Duration::from_millis(req.wait_ms.into()).min(WAIT_MOST);
+        let until = clock::now() + wait;
+        loop {
+            let changed = self.beliefs.feed.listen();
+            let reply = self.newer(&req)?;
+            let left = until.since(clock::now());
+            if left.is_zero() || has_news(&reply) {
+                return Ok(Response::new(reply));
+            }
+            future::or(changed, sleep(left)).await;
+        }
+    }
+
+    async fn report_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
+        let key = read_group(&request)?;
+        // Many followers find the same loss at once; the controller needs to hear of it once.
+        if self.beliefs.note_reported(&key) {
+            report_to_store(&self.beliefs, &self.store, &key).await;
+        }
+        Ok(Response::new(Noted {}))
+    }
+
+    async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
+        let key = read_group(&request)?;
+        self.beliefs.lose_group(&key);
+        self.beliefs.feed.note_loss(clock::now(), &key);
+        Ok(Response::new(Noted {}))
+    }
+}
+
+fn read_group(req: &Request<GroupLoss>) -> Result<sesamecart_fleet::GroupKey, Status> {
+    parse_group(&req.get_ref().group)
+        .ok_or_else(|| Status::invalid_argument("the group isn't of the form name@epoch"))
+}
--- /dev/null
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -0,0 +1,135 @@
+//! What a node passes on to those that follow it.
+
+use std::time::Duration;
+
+use sesamecart_fleet::GroupKey;
+use sesamecart_links::feed::{FollowReply, FollowRequest};
+use sesamecart_platform::{Offset, Record, Topic};
+use sesamecart_vocabulary::Timestamp;
+
+use super::{DROPPED_KEPT, Feed, LOSS_KEPT};
+
+const NOW: Timestamp = Timestamp(10_000_000);
+
+fn record(key: &str, value: Option<&str>) -> Record {
+    Record {
+        key: Some(key.to_owned()),
+        value: value.map(|value| value.as_bytes().to_vec()),
+    }
+}
+
+/// A feed that has read a registry of two endpoints, which ends at offset 10.
+fn feed() -> Feed {
+    let feed = Feed::new();
+    feed.replace(Topic::Operator, &[record("config", Some("1"))], Offset(3));
+    let endpoints = [record("e1", Some("a")), record("e2", Some("b"))];
+    feed.replace(Topic::Registry, &endpoints, Offset(10));
+    feed.replace(Topic::Nodes, &[], Offset(0));
+    feed
+}
+
+fn ask(feed: &Feed, registry_next: u64) -> FollowReply {
+    let req = FollowRequest {
+        operator_next: 3,
+        registry_next,
+        ..FollowRequest::default()
+    };
+    feed.newer(NOW, &req).expect("it serves")
+}
+
+fn registry(reply: &FollowReply) -> Vec<(&str, Option<&[u8]>)> {
+    let part = reply.registry.as_ref().expect("it is there");
+    let records = part.records.iter();
+    records
+        .map(|record| (record.key.as_str(), record.value.as_deref()))
+        .collect()
+}
+
+#[test]
+fn a_follower_that_has_nothing_gets_all() {
+    let reply = ask(&feed(), 0);
+    assert_eq!(
+        registry(&reply),
+        [("e1", Some(&b"a"[..])), ("e2", Some(&b"b"[..]))]
+    );
+    assert!(reply.registry.expect("it is there").whole);
+}
+
+/// A follower that got all records again and again would spend its link and its processor on them.
+#[test]
+fn a_follower_gets_what_is_new_to_it() {
+    let feed = feed();
+    assert!(registry(&ask(&feed, 10)).is_empty());
+    feed.apply(
+        Topic::Registry,
+        &[record("e2", None), record("e3", Some("c"))],
+        Offset(12),
+    );
+    let reply = ask(&feed, 10);
+    assert_eq!(registry(&reply), [("e2", None), ("e3", Some(&b"c"[..]))]);
+    assert_eq!(reply.registry.as_ref().map(|part| part.next), Some(12));
+    assert_eq!(registry(&ask(&feed, 11)).len(), 1);
+}
+
+/// After an outage the topic is read whole. An endpoint that isn't in it any more has to go at the
+/// followers as well, or they send requests to an address where nobody listens.
+#[test]
+fn what_is_missing_when_a_topic_is_read_anew_is_gone_for_followers() {
+    let feed = feed();
+    feed.replace(Topic::Registry, &[record("e1", Some("a"))], Offset(20));
+    let reply = ask(&feed, 10);
+    assert!(registry(&reply).contains(&("e2", None)));
+}
+
+/// A follower that was away for longer than drops are remembered would keep endpoints that are gone.
+#[test]
+fn a_follower_that_was_away_for_long_gets_all() {
+    let feed = feed();
+    let mut next = 10;
+    for index in 0..=DROPPED_KEPT {
+        next += 2;
+        let key = format!("x{index}");
+        let records = [record(&key, Some("x")), record(&key, None)];
+        feed.apply(Topic::Registry, &records, Offset(next));
+    }
+    let reply = ask(&feed, 10);
+    assert!(reply.registry.as_ref().expect("it is there").whole);
+    assert_eq!(registry(&reply).len(), 2);
+}
+
+/// A node that lost the store follows another one itself. Were it to go on serving, two nodes could
+/// follow each other and vouch for a configuration that nobody reads.
+#[test]
+fn a_node_that_doesnt_read_the_store_serves_nobody() {
+    let feed = feed();
+    feed.stop();
+    assert!(feed.newer(NOW, &FollowRequest::default()).is_none());
+}
+
+/// The controller's finding has to reach each follower once, also one that comes from another node.
+#[test]
+fn losses_are_passed_on_once_to_each_follower() {
+    let feed = feed();
+    let key = GroupKey {
+        group: "g1".parse().expect("a name"),
+        epoch: "7".parse().expect("a number"),
+    };
+    assert!(feed.note_loss(NOW, &key));
+    assert!(!feed.note_loss(NOW, &key), "it is no news");
+    let reply = ask(&feed, 10);
+    assert_eq!(reply.losses, ["g1@7"]);
+    let seen = FollowRequest {
+        feed: reply.feed,
+        losses_next: reply.losses_next,
+        ..FollowRequest::default()
+    };
+    assert!(feed.newer(NOW, &seen).expect("it serves").losses.is_empty());
+    let elsewhere = FollowRequest {
+        feed: reply.feed + 1,
+        ..seen
+    };
+    let again = feed.newer(NOW, &elsewhere).expect("it serves");
+    assert_eq!(again.losses, ["g1@7"]);
+    let later = NOW + LOSS_KEPT + Duration::from_millis(1);
+    assert!(feed.note_loss(later, &key), "the old one is forgotten");
+}
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -1,13 +1,14 @@
 //! Follows what the operator, the endpoints and the other nodes write into the store.
 
+mod following;
 mod nodes;
 mod operator;
+mod peer;
 mod registry;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use sesamecart_fleet::readers;
 use sesamecart_platform::{Offset, Read, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
@@ -15,7 +16,7 @@
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
-pub(crate) use crate::follower::nodes::follow_nodes;
+pub(crate) use crate::follower::following::Following;
 use crate::follower::operator::OperatorPicture;
 use crate::follower::registry::RegistryPicture;
 
@@ -27,13 +28,13 @@
 const OPERATOR_WAIT_PART: f64 = 0.4;
 
 /// The least time for which the store holds a read of the registry that finds nothing, and what each
-/// node adds to it.
+/// node that reads the store adds to it.
 ///
 /// A read that reaches the store while a record is being appended sees nothing and isn't woken for
 /// it, so the last record of a burst would be known on some nodes only with the next one. The end of
 /// the wait finds it. All nodes together may call the store so many times a second.
 const REGISTRY_WAIT: Duration = Duration::from_millis(1_000);
-const REGISTRY_WAIT_PER_NODE: Duration = Duration::from_millis(40);
+const REGISTRY_WAIT_PER_READER: Duration = Duration::from_millis(40);
 const REGISTRY_WAIT_MOST: Duration = Duration::from_millis(3_000);
 
 /// The same on the node that is forming groups, which opens them as soon as all members are ready.
@@ -45,7 +46,7 @@
 /// At 0.04 s a day of 44 s on 7 nodes took 2,900 calls, at 0.15 s 2,000. At 71 nodes 0.15 s would
 /// take 400 calls a second, a third of what the store bears, for endpoints that change every 0.3 s.
 const PACE: Duration = Duration::from_millis(150);
-const PACE_PER_NODE: Duration = Duration::from_millis(16);
+const PACE_PER_READER: Duration = Duration::from_millis(16);
 const PACE_MOST: Duration = Duration::from_millis(1_100);
 
 /// The same on the node that is forming groups.
@@ -100,54 +101,43 @@
 }
 
 /// What is kept of one topic.
-enum Picture {
-    Operator(OperatorPicture),
-    Registry(RegistryPicture),
+enum Picture<'a> {
+    Operator(&'a mut OperatorPicture),
+    Registry(&'a mut RegistryPicture),
 }
 
-/// Follows one topic with a newest record for each key.
-pub(crate) struct Follower {
-    beliefs: Arc<Beliefs>,
-    store: Store,
+/// Follows one topic of the store with a newest record for each key.
+struct Follower<'a> {
+    beliefs: &'a Beliefs,
+    store: &'a Store,
     topic: Topic,
-    dependency: Dependency,
-    picture: Picture,
+    dependency: &'a mut Dependency,
+    picture: Picture<'a>,
 }
 
-impl Follower {
-    pub(crate) fn operator(beliefs: Arc<Beliefs>, store: Store) -> Self {
-        Self {
-            beliefs,
-            store,
-            topic: Topic::Operator,
-            dependency: Dependency::new("store, operator"),
-            picture: Picture::Operator(OperatorPicture::default()),
-        }
-    }
-
-    /// Follows the registry; `changed` is told of each change.
-    pub(crate) fn registry(beliefs: Arc<Beliefs>, store: Store, changed: Sender<()>) -> Self {
-        Self {
-            beliefs,
-            store,
-            topic: Topic::Registry,
-            dependency: Dependency::new("store, registry"),
-            picture: Picture::Registry(RegistryPicture::new(changed)),
-        }
-    }
-
-    pub(crate) async fn run(mut self) {
+impl Follower<'_> {
+    /// Follows the topic; returns once the store has been away for `patience`.
+    async fn run(mut self, patience: Option<Duration>) {
         loop {
             match self.read_newest().await {
-                Ok(from) => self.follow(from).await,
+                Ok(from) => self.follow(from, patience).await,
                 Err(error) => {
-                    self.dependency.failed(&self.beliefs, &error);
+                    self.dependency.failed(self.beliefs, &error);
                     sleep(REST).await;
                 }
             }
+            if self.is_away_for(patience) {
+                return;
+            }
         }
     }
 
+    fn is_away_for(&self, patience: Option<Duration>) -> bool {
+        let lost_at = self.dependency.lost_at;
+        let away = lost_at.map(|at| clock::now().since(at));
+        away.zip(patience).is_some_and(|(away, limit)| away > limit)
+    }
+
     /// Reads the newest record of each key and returns where to go on.
     ///
     /// Pages aren't of one moment; the records from the first page's end on are read again, which
@@ -162,26 +152,31 @@
             records.extend(page.records);
             next = page.next;
         }
-        let was_away = self.dependency.answered(&self.beliefs);
+        let was_away = self.dependency.answered(self.beliefs);
+        if was_away {
+            self.beliefs.feed.note_return(clock::now());
+        }
+        self.beliefs.feed.replace(self.topic, &records, first.end);
         self.replace(records, was_away);
         self.vouch(sent);
         Ok(first.end)
     }
 
     /// Reads what comes after `from` until the topic's history has to be read anew.
-    async fn follow(&mut self, mut from: Offset) {
+    async fn follow(&mut self, mut from: Offset, patience: Option<Duration>) {
         loop {
             let (wait, pace) = self.rhythm();
             let sent = clock::now();
             match self.store.read(self.topic, from, wait).await {
                 Ok(Read::Records { next, end, records }) => {
-                    let was_away = self.dependency.answered(&self.beliefs);
+                    let was_away = self.dependency.answered(self.beliefs);
                     if end < from {
                         return;
                     }
                     if was_away {
                         self.note_return();
                     }
+                    self.beliefs.feed.apply(self.topic, &records, next);
                     self.apply(records);
                     from = next;
                     if next >= end {
@@ -190,8 +185,11 @@
                 }
                 Ok(Read::Trimmed { .. }) => return,
                 Err(error) => {
-                    self.dependency.failed(&self.beliefs, &error);
+                    self.dependency.failed(self.beliefs, &error);
                     sleep(REST).await;
+                    if self.is_away_for(patience) {
+                        return;
+                    }
                 }
             }
             sleep(pace).await;
@@ -200,33 +198,35 @@
 
     /// Returns how long the store may hold a read, and the rest before the next one.
     fn rhythm(&self) -> (Duration, Duration) {
-        let nodes = u32::try_from(self.beliefs.nodes.load().len()).unwrap_or(u32::MAX);
+        let nodes = self.beliefs.nodes.load();
+        let readers = u32::try_from(readers(&nodes).len()).unwrap_or(u32::MAX);
         let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
         match self.picture {
             Picture::Operator(_) => (bound.mul_f64(OPERATOR_WAIT_PART), PACE),
             Picture::Registry(_) if self.beliefs.is_forming() => (FORMING_WAIT, FORMING_PACE),
             Picture::Registry(_) => (
-                (REGISTRY_WAIT_PER_NODE * nodes).clamp(REGISTRY_WAIT, REGISTRY_WAIT_MOST),
-                (PACE_PER_NODE * nodes).clamp(PACE, PACE_MOST),
+                (REGISTRY_WAIT_PER_READER * readers).clamp(REGISTRY_WAIT, REGISTRY_WAIT_MOST),
+                (PACE_PER_READER * readers).clamp(PACE, PACE_MOST),
             ),
         }
     }
 
     fn replace(&mut self, records: Vec<Record>, was_away: bool) {
         match &mut self.picture {
-            Picture::Operator(picture) => picture.replace(&self.beliefs, &records),
-            Picture::Registry(picture) => picture.replace(&self.beliefs, &records, was_away),
+            Picture::Operator(picture) => picture.replace(self.beliefs, &records),
+            Picture::Registry(picture) => picture.replace(self.beliefs, &records, was_away),
         }
     }
 
     fn apply(&mut self, records: Vec<Record>) {
         match &mut self.picture {
-            Picture::Operator(picture) => picture.apply(&self.beliefs, &records),
-            Picture::Registry(picture) => picture.apply(&self.beliefs, &records),
+            Picture::Operator(picture) => picture.apply(self.beliefs, &records),
+            Picture::Registry(picture) => picture.apply(self.beliefs, &records),
         }
     }
 
     fn note_return(&mut self) {
+        self.beliefs.feed.note_return(clock::now());
         if let Picture::Registry(picture) = &mut self.picture {
             picture.returned_at = Some(clock::now());
         }
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -3,60 +3,129 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
-use sesamecart_platform::{Expected, Record, Store, StoreError, Topic};
+use sesamecart_fleet::PeerNode;
+use sesamecart_platform::{Expected, NewestPage, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::NodeId;
 
-use super::{Dependency, REST};
+use super::{Dependency, REST, ignore};
 use crate::beliefs::Beliefs;
 
 /// How often the list of nodes is read.
 const NODES_EVERY: Duration = Duration::from_secs(10);
 
-/// Tells the other nodes of this one, and counts them.
+/// How long a node that starts for the first time waits for the others to tell of themselves: all
+/// nodes of a deployment start within 0.3 s.
 ///
-/// Bounds that hold for all nodes together are kept by shares, for which a node has to know how many
-/// there are. A node that was killed stays in the list, which makes the shares smaller, never larger.
-pub(crate) async fn follow_nodes(beliefs: Arc<Beliefs>, store: Store) {
-    let own = Record {
-        key: Some(beliefs.settings.node.to_string()),
-        value: Some(beliefs.settings.failure_domain.to_string().into_bytes()),
-    };
-    let mut told = false;
-    let mut dependency = Dependency::new("store, nodes");
-    loop {
-        if !told {
-            let appended = store.append(Topic::Nodes, &own, Expected::Anything).await;
-            told = appended.is_ok();
-            if let Err(error) = appended {
-                dependency.failed(&beliefs, &error);
+/// Without the wait each of 71 nodes takes itself for one of the few that read the store, and reads it
+/// for seconds: 2,000 calls of a day's 4,000.
+const OTHERS_START: Duration = Duration::from_millis(800);
+
+/// What a node tells the others of itself, and what it reads of them in the store.
+pub(super) struct NodesTopic {
+    dependency: Dependency,
+}
+
+impl NodesTopic {
+    pub(super) const fn new() -> Self {
+        Self {
+            dependency: Dependency::new("store, nodes"),
+        }
+    }
+
+    /// Tells the other nodes of this one, and learns who there is.
+    pub(super) async fn register(&mut self, beliefs: &Beliefs, store: &Store) {
+        let own = beliefs.own_entry();
+        loop {
+            let known = self.read(beliefs, store).await;
+            match known {
+                // This node was here before, and so were the others.
+                Some(nodes) if nodes.contains(&own) => return,
+                Some(_) if self.tell(beliefs, store, &own).await => break,
+                _ => sleep(REST).await,
             }
         }
-        match read_nodes(&store).await {
-            Ok(nodes) => {
-                let _was_away = dependency.answered(&beliefs);
-                let mut nodes: IndexSet<NodeId> = nodes.into_iter().collect();
-                nodes.insert(beliefs.settings.node.clone());
-                beliefs.nodes.store(Arc::new(nodes.into_iter().collect()));
+        sleep(OTHERS_START).await;
+        let _nodes = self.read(beliefs, store).await;
+    }
+
+    /// Reads again and again who there is.
+    ///
+    /// Bounds that hold for all nodes together are kept by shares, for which a node has to know how
+    /// many there are. A node that was killed stays in the list, which makes the shares smaller, never
+    /// larger.
+    pub(super) async fn run(&mut self, beliefs: &Beliefs, store: &Store) {
+        loop {
+            let rest = match self.read(beliefs, store).await {
+                Some(_) => NODES_EVERY,
+                None => REST,
+            };
+            sleep(rest).await;
+        }
+    }
+
+    async fn read(&mut self, beliefs: &Beliefs, store: &Store) -> Option<Vec<PeerNode>> {
+        match read_nodes(store).await {
+            Ok(page) => {
+                let _was_away = self.dependency.answered(beliefs);
+                beliefs.feed.replace(Topic::Nodes, &page.records, page.end);
+                Some(take_nodes(beliefs, &page.records))
+            }
+            Err(error) => {
+                self.dependency.failed(beliefs, &error);
+                None
             }
-            Err(error) => dependency.failed(&beliefs, &error),
         }
-        let rest = if told { NODES_EVERY } else { REST };
-        sleep(rest).await;
+    }
+
+    async fn tell(&mut self, beliefs: &Beliefs, store: &Store, own: &PeerNode) -> bool {
+        let value = match serde_json::to_vec(own) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!("follower: this node's entry can't be written: {error}.");
+                return false;
+            }
+        };
+        let record = Record {
+            key: Some(own.node.to_string()),
+            value: Some(value),
+        };
+        let appended = store
+            .append(Topic::Nodes, &record, Expected::Anything)
+            .await;
+        if let Err(error) = &appended {
+            self.dependency.failed(beliefs, error);
+        }
+        appended.is_ok()
     }
 }
 
-async fn read_nodes(store: &Store) -> Result<Vec<NodeId>, StoreError> {
-    let mut nodes = Vec::new();
-    let mut after = None;
-    loop {
-        let page = store.newest(Topic::Nodes, after.as_deref()).await?;
-        let names = page.records.iter().filter_map(|record| record.key.as_ref());
-        nodes.extend(names.filter_map(|name| name.parse().ok()));
-        match page.next {
-            Some(next) => after = Some(next),
-            None => return Ok(nodes),
+/// Takes the nodes that some records tell of, besides this one; returns those that were told of.
+pub(super) fn take_nodes(beliefs: &Beliefs, records: &[Record]) -> Vec<PeerNode> {
+    let mut told: Vec<PeerNode> = Vec::with_capacity(records.len());
+    for record in records {
+        let (Some(key), Some(value)) = (&record.key, &record.value) else {
+            continue;
+        };
+        match serde_json::from_slice::<PeerNode>(value) {
+            Ok(peer) => told.push(peer),
+            Err(error) => ignore(beliefs, Topic::Nodes, key, &error.to_string()),
         }
     }
+    let own = beliefs.own_entry();
+    let others = told.iter().filter(|peer| peer.node != own.node);
+    let mut nodes: Vec<PeerNode> = others.cloned().collect();
+    nodes.push(own);
+    nodes.sort_by(|a, b| a.node.cmp(&b.node));
+    beliefs.nodes.store(Arc::new(nodes));
+    told
+}
+
+async fn read_nodes(store: &Store) -> Result<NewestPage, StoreError> {
+    let mut page = store.newest(Topic::Nodes, None).await?;
+    while let Some(after) = page.next.take() {
+        let more = store.newest(Topic::Nodes, Some(&after)).await?;
+        page.records.extend(more.records);
+        page.next = more.next;
+    }
+    Ok(page)
 }
--- /dev/null
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -0,0 +1,147 @@
+//! Follows another node, which reads the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
+use sesamecart_platform::Record;
+use sesamecart_runtime::{sleep, within};
+use sesamecart_vocabulary::Timestamp;
+
+use super::following::Following;
+use super::nodes::take_nodes;
+use crate::clock;
+use crate::losses::parse_group;
+
+/// How long the other node holds a call that finds nothing new.
+///
+/// It bounds how old the configuration gets in quiet times: this, the age that the other node names,
+/// and the rest between two calls stay within the 2 s in which a change has to be in force.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// How much longer than that an answer may take before the other node counts as gone.
+const ANSWER_SLACK: Duration = Duration::from_millis(350);
+
+/// The rest between two calls: a burst of changes is taken at once and not by a call for each.
+const PACE: Duration = Duration::from_millis(60);
+
+/// How old the other node's own configuration may be before another source is tried, as a part of the
+/// time in which a change has to be in force; a node that reads the store is always younger.
+const STALE_PART: f64 = 0.9;
+
+/// How far this node is in each topic, and in the losses of the feed that it followed last.
+#[derive(Debug, Default)]
+pub(super) struct Position {
+    operator: u64,
+    registry: u64,
+    nodes: u64,
+    feed: u64,
+    losses: u64,
+}
+
+impl Following {
+    /// Follows the node at `links` until it fails, is out of date, or this node is to read the store.
+    pub(super) async fn follow_node(&mut self, links: SocketAddr) {
+        let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
+        let stale = bound.mul_f64(STALE_PART);
+        loop {
+            let sent = clock::now();
+            let mut feed = self.links.feed_of(links);
+            let answer = within(WAIT + ANSWER_SLACK, feed.follow(self.position.request())).await;
+            let reply = match answer {
+                Ok(Ok(reply)) => reply.into_inner(),
+                Ok(Err(status)) => return log::debug!("follower: node at {links}: {status}."),
+                Err(elapsed) => return log::debug!("follower: node at {links}: {elapsed}."),
+            };
+            let age = Duration::from_millis(reply.vouched_ms);
+            if !self.take(sent, reply) || age > stale {
+                return log::debug!("follower: node at {links} is out of date: {age:?}.");
+            }
+            if self.plan().is_reader {
+                return;
+            }
+            sleep(PACE).await;
+        }
+    }
+
+    /// Takes a reply in; returns whether it goes on where this node is.
+    fn take(&mut self, sent: Timestamp, reply: FollowReply) -> bool {
+        let (Some(operator), Some(registry), Some(nodes)) =
+            (reply.operator, reply.registry, reply.nodes)
+        else {
+            return false;
+        };
+        let position = &mut self.position;
+        let is_behind = operator.next < position.operator || registry.next < position.registry;
+        if is_behind {
+            return false;
+        }
+        position.operator = operator.next;
+        position.registry = registry.next;
+        position.nodes = nodes.next;
+        position.feed = reply.feed;
+        position.losses = reply.losses_next;
+        if let Some(returned) = reply.returned_ms {
+            let returned = Duration::from_millis(returned);
+            self.registry.returned_at = Some(Timestamp(
+                sent.0
+                    .saturating_sub(u64::try_from(returned.as_micros()).unwrap_or(u64::MAX)),
+            ));
+        }
+        self.take_topics(operator, registry, nodes);
+        // The reply left after the call was sent, so the node's age is counted from there.
+        let age = Duration::from_millis(reply.vouched_ms);
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        self.beliefs.vouch(Timestamp(sent.0.saturating_sub(age)));
+        self.beliefs.note_registry_read();
+        for group in &reply.losses {
+            match parse_group(group) {
+                Some(key) => self.beliefs.lose_group(&key),
+                None => log::warn!("follower: {group} is no group."),
+            }
+        }
+        true
+    }
+
+    fn take_topics(&mut self, operator: TopicPart, registry: TopicPart, nodes: TopicPart) {
+        let beliefs = &self.beliefs;
+        let (whole, records) = (operator.whole, records(operator));
+        if whole {
+            self.operator.replace(beliefs, &records);
+        } else if !records.is_empty() {
+            self.operator.apply(beliefs, &records);
+        }
+        let (whole, records) = (registry.whole, self::records(registry));
+        if whole {
+            self.registry.replace(beliefs, &records, false);
+        } else if !records.is_empty() {
+            self.registry.apply(beliefs, &records);
+        }
+        // The list of nodes is read whole, so any change brings all of it.
+        let records = self::records(nodes);
+        if !records.is_empty() {
+            let _nodes = take_nodes(beliefs, &records);
+        }
+    }
+}
+
+impl Position {
+    const fn request(&self) -> FollowRequest {
+        FollowRequest {
+            operator_next: self.operator,
+            registry_next: self.registry,
+            nodes_next: self.nodes,
+            feed: self.feed,
+            losses_next: self.losses,
+            wait_ms: WAIT.as_millis() as u32,
+        }
+    }
+}
+
+fn records(part: TopicPart) -> Vec<Record> {
+    let records = part.records.into_iter().map(|record| Record {
+        key: Some(record.key),
+        value: record.value,
+    });
+    records.collect()
+}
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -12,14 +12,16 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use sesamecart_edges::{CallerBody, Connections, HttpClient, ServerLimits, whole};
+use sesamecart_links::Links;
 use sesamecart_platform::Store;
-use sesamecart_runtime::{Signal, Trigger, Worker, listen, sleep};
+use sesamecart_runtime::{ByteCount, Signal, Trigger, Worker, listen, sleep};
 use sesamecart_vocabulary::NodeId;
 
 use crate::beliefs::Beliefs;
 use crate::controller::Controller;
 use crate::events::{Event, EventLog};
-use crate::follower::{Follower, follow_nodes};
+use crate::feed;
+use crate::follower::Following;
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 use crate::{traffic, watch};
@@ -65,8 +67,14 @@
 /// The listeners of a node, bound before any thread starts.
 struct Listeners {
     callers: TcpListener,
+    control: ControlListeners,
+}
+
+/// Those of the control thread.
+struct ControlListeners {
     readiness: TcpListener,
     metrics: TcpListener,
+    links: TcpListener,
 }
 
 impl Listeners {
@@ -74,10 +82,14 @@
         let bind = |field: &str, address| {
             listen(address).map_err(|error| anyhow::anyhow!("{field}: {address}: {error}"))
         };
-        Ok(Self {
-            callers: bind("callers", settings.callers)?,
+        let control = ControlListeners {
             readiness: bind("readiness", settings.readiness)?,
             metrics: bind("metrics", settings.metrics)?,
+            links: bind("links", settings.links)?,
+        };
+        Ok(Self {
+            callers: bind("callers", settings.callers)?,
+            control,
         })
     }
 }
@@ -88,7 +100,7 @@
     /// # Errors
     ///
     /// Returns an error that names the node and the step, such as an address that is taken.
-    pub fn start(settings: EntrySettings) -> Result<Self, StartError> {
+    pub fn start(mut settings: EntrySettings) -> Result<Self, StartError> {
         let node = settings.node.clone();
         let error = |step, reason: anyhow::Error| StartError {
             node: node.clone(),
@@ -98,8 +110,11 @@
         let listeners = Listeners::bind(&settings).map_err(|reason| error("listen", reason))?;
         let callers = listeners.callers.local_addr();
         let callers = callers.map_err(|reason| error("listen", reason.into()))?;
-        let readiness = listeners.readiness.local_addr();
+        let readiness = listeners.control.readiness.local_addr();
         let readiness = readiness.map_err(|reason| error("listen", reason.into()))?;
+        // Other nodes are told of the address, which may have been left to the system to choose.
+        let links = listeners.control.links.local_addr();
+        settings.links = links.map_err(|reason| error("listen", reason.into()))?;
         let (events, log_writer) = EventLog::start(node.clone())
             .map_err(|reason| error("start the log", reason.into()))?;
         events.write(&Event::Started {
@@ -108,7 +123,7 @@
         let metrics = Metrics::new().map_err(|reason| error("set up metrics", reason))?;
         let beliefs = Arc::new(Beliefs::new(settings, events, metrics));
         let (leave, leaving) = Signal::new();
-        let control = start_control(&beliefs, listeners.readiness, listeners.metrics)
+        let control = start_control(&beliefs, listeners.control)
             .map_err(|reason| error("start control", reason.into()))?;
         let traffic = traffic::start(&beliefs, listeners.callers, &leaving)
             .map_err(|reason| error("start traffic", reason.into()))?;
@@ -213,20 +228,27 @@
     })
 }
 
-fn start_control(
-    beliefs: &Arc<Beliefs>,
-    readiness: TcpListener,
-    metrics: TcpListener,
-) -> std::io::Result<Worker> {
+fn start_control(beliefs: &Arc<Beliefs>, listeners: ControlListeners) -> std::io::Result<Worker> {
     let worker = Worker::start("control")?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), CONTROL_CONNECT_LIMIT);
     let store = Store::new(client.clone(), beliefs.settings.store, STORE_LIMIT);
     let (tell_change, changed) = async_channel::bounded(1);
     let (tell_found, found) = async_channel::unbounded();
-    tasks.spawn(Follower::operator(Arc::clone(beliefs), store.clone()).run());
-    tasks.spawn(Follower::registry(Arc::clone(beliefs), store.clone(), tell_change).run());
-    tasks.spawn(follow_nodes(Arc::clone(beliefs), store.clone()));
+    let links = Links::new(tasks.clone(), ByteCount::default());
+    let following = Following::new(
+        Arc::clone(beliefs),
+        store.clone(),
+        links.clone(),
+        tell_change,
+    );
+    tasks.spawn(following.run());
+    tasks.spawn(feed::serve(
+        Arc::clone(beliefs),
+        store.clone(),
+        listeners.links,
+        tasks.clone(),
+    ));
     tasks.spawn(watch::watch_heads(
         Arc::clone(beliefs),
         client.clone(),
@@ -237,13 +259,14 @@
         beliefs: Arc::clone(beliefs),
         store,
         client,
+        links,
         tasks: tasks.clone(),
         changed,
         found,
     };
     tasks.spawn(controller.run());
-    serve_pages(beliefs, readiness, &worker, ready);
-    serve_pages(beliefs, metrics, &worker, show_metrics);
+    serve_pages(beliefs, listeners.readiness, &worker, ready);
+    serve_pages(beliefs, listeners.metrics, &worker, show_metrics);
     Ok(worker)
 }
 
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -25,6 +25,10 @@
     pub readiness: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
+    /// Where other nodes connect.
+    pub links: SocketAddr,
+    /// The part of a core that the node may use; those with the most read the store for the others.
+    pub processor_share: f64,
     /// The platform's store.
     pub store: SocketAddr,
     /// Bounds that the operator sets for all nodes.
@@ -170,6 +174,10 @@
             let value = bounds.leave_s.to_string();
             return error("bounds.leave_s", value, "must be more than 0");
         }
+        if !(self.processor_share.is_finite() && self.processor_share > 0.0) {
+            let value = self.processor_share.to_string();
+            return error("processor_share", value, "must be more than 0");
+        }
         for (field, value) in [
             ("bounds.retry_ratio", bounds.retry_ratio),
             ("bounds.retry_burst", bounds.retry_burst),
@@ -182,6 +190,9 @@
             ("readiness", self.readiness, self.callers),
             ("metrics", self.metrics, self.readiness),
             ("metrics", self.metrics, self.callers),
+            ("links", self.links, self.callers),
+            ("links", self.links, self.readiness),
+            ("links", self.links, self.metrics),
         ];
         for (field, address, other) in addresses {
             if address == other && address.port() != 0 {
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -1,13 +1,15 @@
 //! A real node before a stand-in platform: from its settings to whole answers, and what callers get
 //! when endpoints or the store fail.
 
+mod gate;
 mod setup;
 
 use std::time::Duration;
 
 use sesamecart_platform_standins::{Fault, Outage};
 
-use crate::setup::{Answer, Deployment, Path};
+use crate::gate::Gate;
+use crate::setup::{Answer, Deployment, PATIENCE, Path};
 
 /// The events of a whole stream.
 const EVENTS: u64 = 12;
@@ -342,3 +344,29 @@
     assert_eq!(answer.status, 504);
     deployment.kill();
 }
+
+/// The store turns one node away and serves the others. Its callers would be refused as soon as its
+/// configuration is too old, and a key that is taken away meanwhile would work there until then; it
+/// follows a node that the store serves instead.
+#[test]
+fn a_node_that_the_store_turns_away_follows_another_one() {
+    let deployment = Deployment::start(EVENTS);
+    let gate = Gate::start(deployment.store.address());
+    let other = deployment.add_node("n2", gate.address);
+    let ask = |id: &str, key: &str| {
+        let answer = deployment.ask_node(&other, Path::Lookup, id, key, PATIENCE);
+        answer.status
+    };
+    assert_eq!(ask("r1", "key-2"), 200);
+    gate.shut();
+    deployment.publish(2, &["key-1"]);
+    deployment.wait_until("the key that was taken away stops working", || {
+        ask("r2", "key-2") == 401
+    });
+    // Longer than a node may go on with a configuration that nobody vouches for.
+    std::thread::sleep(Duration::from_millis(5_500));
+    assert_eq!(ask("r3", "key-1"), 200);
+    assert_eq!(deployment.readiness_of(&other), 200);
+    other.kill();
+    deployment.leave();
+}
--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -17,7 +17,7 @@
 const LIMIT: Duration = Duration::from_secs(30);
 
 /// How long a caller waits when a test doesn't say.
-const PATIENCE: Duration = Duration::from_secs(8);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(8);
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,7 +92,7 @@
             )
         });
         let plain = plain.collect();
-        let node = Entry::start(settings(&store)).expect("the node starts");
+        let node = Entry::start(settings("n1", store.address())).expect("the node starts");
         let worker = Worker::start("caller").expect("a thread starts");
         let caller = HttpClient::new(worker.tasks().clone(), Duration::from_secs(1));
         let deployment = Self {
@@ -123,6 +123,15 @@
         });
     }
 
+    /// Starts another node, which reaches the store at `store`, and returns once it is ready.
+    pub(crate) fn add_node(&self, node: &str, store: SocketAddr) -> Entry {
+        let entry = Entry::start(settings(node, store)).expect("the node starts");
+        self.wait_until("the other node is ready", || {
+            self.readiness_of(&entry) == 200
+        });
+        entry
+    }
+
     pub(crate) fn publish(&self, version: u64, keys: &[&str]) {
         self.store.publish("config", &configuration(version, keys));
     }
@@ -138,9 +147,13 @@
     }
 
     pub(crate) fn readiness(&self) -> u16 {
+        self.readiness_of(&self.node)
+    }
+
+    pub(crate) fn readiness_of(&self, node: &Entry) -> u16 {
         let req = Request::get("/readiness").header("host", "node");
         let req = req.body(Full::default()).expect("it is valid");
-        self.send(self.node.readiness(), req, PATIENCE).status
+        self.send(node.readiness(), req, PATIENCE).status
     }
 
     pub(crate) fn ask(&self, path: Path, id: &str, key: &str) -> Answer {
@@ -148,6 +161,17 @@
     }
 
     pub(crate) fn ask_within(&self, path: Path, id: &str, key: &str, patience: Duration) -> Answer {
+        self.ask_node(&self.node, path, id, key, patience)
+    }
+
+    pub(crate) fn ask_node(
+        &self,
+        node: &Entry,
+        path: Path,
+        id: &str,
+        key: &str,
+        patience: Duration,
+    ) -> Answer {
         let prefix = match path {
             Path::Stream => "/chat/",
             Path::Booking => "/book/",
@@ -162,7 +186,7 @@
             req = req.header("model-name", "m").header("token-count", "10,80");
         }
         let req = req.body(Full::from("asked")).expect("it is valid");
-        self.send(self.node.callers(), req, LIMIT)
+        self.send(node.callers(), req, LIMIT)
     }
 
     fn send(&self, peer: SocketAddr, req: Request<Full<Bytes>>, limit: Duration) -> Answer {
@@ -218,11 +242,11 @@
     Engine::start(store, setup).expect("an endpoint listens")
 }
 
-fn settings(store: &Store) -> EntrySettings {
+fn settings(node: &str, store: SocketAddr) -> EntrySettings {
     let text = json!({
-        "node": "n1", "failure_domain": "a", "region": "r",
+        "node": node, "failure_domain": "a", "region": "r",
         "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": "127.0.0.1:0",
-        "store": store.address().to_string(),
+        "links": "127.0.0.1:0", "processor_share": 0.25, "store": store.to_string(),
         "bounds": {
             "key_revocation_ms": 5_000, "configuration_ms": 2_000, "group_stall_ms": 5_000,
             "leave_s": 8, "retry_ratio": 0.2, "retry_burst": 132, "heartbeat_ms": 1_200,
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod planner;
 mod repair;
 mod silence;
+mod sources;
 #[cfg(test)]
 mod testkit;
 
@@ -26,6 +27,7 @@
 pub use freshness::Freshness;
 pub use loads::{Candidate, Choice, LoadBook, LoadReport, Unavailable};
 pub use number::{CatalogVersion, Fence, GroupEpoch, Incarnation, OrderCount};
-pub use planner::{Formation, Planner, PlannerInput, Step};
+pub use planner::{Formation, ModelSummary, Planner, PlannerInput, Step};
 pub use repair::{Finding, MemberProbe, Verdict, judge};
 pub use silence::{Silence, SilenceLimits};
+pub use sources::{PeerNode, Source, SourcePlan, plan_sources, readers};
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -18,11 +18,13 @@
 use crate::number::Fence;
 use crate::planner::engine::{engines, group_size, holds, state_in};
 use crate::planner::loading::LOAD_WINDOW;
+pub use crate::planner::summary::ModelSummary;
 
 mod domains;
 mod engine;
 mod forming;
 mod loading;
+mod summary;
 #[cfg(test)]
 mod tests;
 
--- a/crates/sesamecart-links/src/lib.rs
+++ b/crates/sesamecart-links/src/lib.rs
@@ -19,8 +19,20 @@
 #[rustfmt::skip]
 pub mod message;
 
+/// The messages and services generated from `proto/feed.proto`.
+#[expect(
+    clippy::allow_attributes,
+    clippy::allow_attributes_without_reason,
+    clippy::empty_structs_with_brackets,
+    missing_docs,
+    reason = "this file is generated"
+)]
+#[path = "generated/sesamecart.feed.v1.rs"]
+#[rustfmt::skip]
+pub mod feed;
+
 pub use channel::Channel;
 pub use error::{LinkError, LinkStep};
 pub use links::Links;
-pub use server::serve;
+pub use server::{serve, serve_feed};
 pub use tonic::{Request, Response, Status, async_trait};
--- a/crates/sesamecart-links/src/server.rs
+++ b/crates/sesamecart-links/src/server.rs
@@ -1,5 +1,6 @@
 //! The side of a link that takes calls.
 
+use std::convert::Infallible;
 use std::net::TcpListener;
 use std::sync::Arc;
 
@@ -9,8 +10,10 @@
 use hyper::service::service_fn;
 use sesamecart_runtime::{ByteCount, Counted, Tasks, accept};
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use tonic::body::Body;
 use tonic::codegen::Service;
 
+use crate::feed::feed_server::{Feed, FeedServer};
 use crate::message::link_server::{Link, LinkServer};
 
 /// The largest message taken, in bytes; a state hand-over is the largest.
@@ -27,10 +30,41 @@
     tasks: Tasks,
     count: ByteCount,
 ) -> std::io::Result<()> {
-    let listener = Async::new(listener)?;
     let server = LinkServer::new(link)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    serve_calls(listener, server, tasks, count).await
+}
+
+/// Passes on what this node reads of the store until the task is cancelled.
+///
+/// # Errors
+///
+/// Returns the system's error when the listener can't be watched.
+pub async fn serve_feed(
+    listener: TcpListener,
+    feed: impl Feed,
+    tasks: Tasks,
+    count: ByteCount,
+) -> std::io::Result<()> {
+    serve_calls(listener, FeedServer::new(feed), tasks, count).await
+}
+
+async fn serve_calls<S>(
+    listener: TcpListener,
+    server: S,
+    tasks: Tasks,
+    count: ByteCount,
+) -> std::io::Result<()>
+where
+    S: Service<http::Request<Incoming>, Response = http::Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send,
+{
+    let listener = Async::new(listener)?;
     loop {
         let accepted = accept(&listener).await;
         let server = server.clone();
