--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use sesamecart_fleet::GroupKey;
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{FollowReply, FollowRequest, GroupLoss, Noted};
 use sesamecart_links::{Request, Response, Status, async_trait};
@@ -17,7 +18,8 @@
 use crate::follower::millis;
 use crate::losses::{parse_group, report_to_store};
 
-/// The longest time for which a follower's call is held.
+/// The longest time for which a follower's call is held: twice what followers ask for, and half of the
+/// 2 s after which a link gives a call up.
 const WAIT_MOST: Duration = Duration::from_secs(1);
 
 struct Side {
@@ -93,7 +95,7 @@
     }
 }
 
-fn read_group(req: &Request<GroupLoss>) -> Result<sesamecart_fleet::GroupKey, Status> {
+fn read_group(req: &Request<GroupLoss>) -> Result<GroupKey, Status> {
     parse_group(&req.get_ref().group)
         .ok_or_else(|| Status::invalid_argument("the group isn't of the form name@epoch"))
 }
--- a/crates/sesamecart-entry/src/follower/following.rs
+++ b/crates/sesamecart-entry/src/follower/following.rs
@@ -31,7 +31,8 @@
 /// change has to be in force.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
 
-/// How often it is looked whether this node should follow another one.
+/// How often it is looked whether this node should follow another one; a small part of the time for
+/// which it stays with the store.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 /// Everything that a node follows.
@@ -99,7 +100,7 @@
         };
         if links.is_some() {
             self.beliefs.feed.stop();
-            // What was read of the store has its own offsets; a feed is asked for all at first.
+            // Another node may know less than the last source did, so it is asked for all at first.
             self.position = Position::default();
         }
         self.beliefs.follow(links);
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -19,7 +19,8 @@
 /// and the rest between two calls stay within the 2 s in which a change has to be in force.
 const WAIT: Duration = Duration::from_millis(500);
 
-/// How much longer than that an answer may take before the other node counts as gone.
+/// How much longer than that an answer may take before the other node counts as gone; the way there and
+/// back takes a few milliseconds, and a busy node some tens more.
 const ANSWER_SLACK: Duration = Duration::from_millis(350);
 
 /// The rest between two calls: a burst of changes is taken at once and not by a call for each.
--- a/crates/sesamecart-entry/src/losses.rs
+++ b/crates/sesamecart-entry/src/losses.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use sesamecart_fleet::{GroupKey, readers};
@@ -18,7 +19,7 @@
 use crate::events::Event;
 
 /// How long another node has to note a loss; one that lives does within milliseconds.
-const NOTE_LIMIT: std::time::Duration = std::time::Duration::from_millis(300);
+const NOTE_LIMIT: Duration = Duration::from_millis(300);
 
 /// Tells the controller of a loss that this node found: through the node that it follows, which hears
 /// the same from others and passes it on once, or else through the store.
