Keep an engine's count of orders over one that was done at once

Cause: whether a leave that is done at once counts among an engine's orders isn't said, so the count was forgotten after it and asked for anew. Reports are some hundred ms old and show the count from before the leave; the next join named it, was refused three times, the formation was given up and tried again 0.4 s later. Ruled out: the engine still staging (its entry showed none under way), a lower epoch.

Change: the count is kept, and the one other that is possible is tried after a refusal. A stand-in with reports 250 ms old shows it: joined three times before, once now.

--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -26,9 +26,21 @@
 /// The rest between two tries.
 const REST: Duration = Duration::from_millis(30);
 
-/// The count of orders that each engine has begun, as far as this controller knows.
+/// The count of orders that an engine has begun, as far as this controller knows.
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    life: Option<Incarnation>,
+    begun: OrderCount,
+    /// Whether it may be one more: whether an order that was done at once counts isn't said.
+    ///
+    /// The engine's own report is some hundred ms old, so asking right after such an order brings the
+    /// count from before it. Its next order was refused then: each group whose old head joined the
+    /// next one was formed 0.45 s later, and meanwhile its other members went to smaller groups.
+    may_be_one_more: bool,
+}
+
 #[derive(Debug, Default)]
-struct Counts(IndexMap<EndpointId, (Option<Incarnation>, OrderCount)>);
+struct Counts(IndexMap<EndpointId, Count>);
 
 /// Gives orders under the lease.
 #[derive(Debug)]
@@ -153,11 +165,10 @@
                     sleep(REST).await;
                 }
                 OrderOutcome::NotSent(_) => sleep(REST).await,
-                // The count may be what doesn't fit, so it is asked for anew.
-                OrderOutcome::Conflict => self.forget(engine),
+                // The count may be what doesn't fit.
+                OrderOutcome::Conflict => self.correct(engine, known.incarnation, count),
                 OrderOutcome::Already => {
-                    // Whether the engine counted an order that was done at once isn't said.
-                    self.forget(engine);
+                    self.note_done(engine, known.incarnation, count);
                     return (outcome, fence);
                 }
                 OrderOutcome::Fenced | OrderOutcome::Misdirected | OrderOutcome::Unknown => {
@@ -180,13 +191,47 @@
 
     fn count(&self, engine: &EndpointId, life: Option<Incarnation>) -> Option<OrderCount> {
         let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        let (known, count) = counts.0.get(engine)?;
-        (*known == life).then_some(*count)
+        let count = counts.0.get(engine)?;
+        (count.life == life).then_some(count.begun)
+    }
+
+    fn note(&self, engine: &EndpointId, life: Option<Incarnation>, begun: OrderCount) {
+        self.set(engine, life, begun, false);
+    }
+
+    /// Notes an order that was done at once, before which the engine's count was `begun`.
+    fn note_done(&self, engine: &EndpointId, life: Option<Incarnation>, begun: OrderCount) {
+        self.set(engine, life, begun, true);
+    }
+
+    /// Takes the other count that is possible after `begun` was refused, or has it asked for anew.
+    fn correct(&self, engine: &EndpointId, life: Option<Incarnation>, begun: OrderCount) {
+        let may_be_one_more = {
+            let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+            let count = counts.0.get(engine);
+            count.is_some_and(|count| count.may_be_one_more)
+        };
+        if may_be_one_more {
+            self.note(engine, life, OrderCount(begun.0 + 1));
+        } else {
+            self.forget(engine);
+        }
     }
 
-    fn note(&self, engine: &EndpointId, life: Option<Incarnation>, count: OrderCount) {
+    fn set(
+        &self,
+        engine: &EndpointId,
+        life: Option<Incarnation>,
+        begun: OrderCount,
+        may_be_one_more: bool,
+    ) {
+        let count = Count {
+            life,
+            begun,
+            may_be_one_more,
+        };
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        counts.0.insert(engine.clone(), (life, count));
+        counts.0.insert(engine.clone(), count);
     }
 
     fn forget(&self, engine: &EndpointId) {
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use sesamecart_platform_standins::{Fault, Outage};
+use sesamecart_platform_standins::{Engine, Fault, Outage};
 
 use crate::gate::Gate;
 use crate::setup::{Answer, Deployment, PATIENCE, Path};
@@ -267,6 +267,52 @@
     deployment.leave();
 }
 
+/// Each of two groups loses a member. The old heads are told to leave, and whether that counts among
+/// their orders is only seen in reports that are some hundred ms old. Joined by such a report, a head
+/// refuses, the others of the new group have joined in vain, and callers wait half a second longer for it.
+#[test]
+fn an_old_head_joins_the_next_group_at_the_first_attempt() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    for engine in &deployment.engines {
+        engine.set_report_lag(Duration::from_millis(250));
+    }
+    let members = || {
+        let engines = deployment.engines.iter();
+        engines.filter(|engine| !engine.is_open_head())
+    };
+    let first = members().next().expect("a group has members");
+    let last = members().last().expect("the other group has members too");
+    for member in [first, last] {
+        member.set_lasting_silence(true);
+        deployment.store.unregister(member.id());
+    }
+    let joins = |engine: &Engine| {
+        let operations = engine.operations();
+        operations
+            .iter()
+            .filter(|operation| *operation == "join")
+            .count()
+    };
+    let has_left = |engine: &Engine| engine.operations().iter().any(|name| name == "leave");
+    deployment.wait_until("an engine of an old group heads the next one", || {
+        let engines = deployment.engines.iter();
+        engines
+            .into_iter()
+            .any(|engine| engine.is_open_head() && joins(engine) > 1)
+    });
+    assert!(deployment.engines.iter().any(has_left));
+    for engine in &deployment.engines {
+        assert!(
+            joins(engine) <= 2,
+            "{}: {:?}",
+            engine.id(),
+            engine.operations()
+        );
+    }
+    deployment.leave();
+}
+
 /// An engine is dead and still in the registry when a controller plans its first groups. The others
 /// must not be bound to it: callers would find no group until the dead one's order has failed.
 #[test]
