Give a watched node's place to another one when it is gone

Cause: the list of nodes keeps those that were replaced. Each of them held one of seven places for ever, so the node that came for it was never watched, and counted among those that can't be heard, whose load is guessed from the others': at every head a seventh too much, and callers were refused with slots free.

Change: a node that has told nothing for 3 s is taken for gone; it neither holds a place nor counts.

--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -37,6 +37,10 @@
 /// The rest before a node that couldn't be heard is asked again.
 const REST: Duration = Duration::from_millis(700);
 
+/// How long a watched node tells nothing before it is taken for gone, as a process is back within a second
+/// or two of its end.
+const GONE_AFTER: Duration = Duration::from_secs(3);
+
 /// How often it is looked up which nodes there are.
 const NODES_EVERY: Duration = Duration::from_millis(500);
 
@@ -107,15 +111,17 @@
 
 /// Watches the loads of other nodes until the task is cancelled.
 pub(crate) async fn watch_peers(beliefs: Arc<Beliefs>, links: Links, tasks: Tasks) {
-    let mut watched: IndexSet<NodeId> = IndexSet::new();
+    let mut watched = Watched::default();
     loop {
         let nodes = beliefs.nodes.load_full();
-        let others = nodes.len().saturating_sub(1);
+        let gone = watched.gone(&beliefs);
+        let others = nodes.len().saturating_sub(1 + gone.len());
         beliefs.loads().set_others(others);
-        for peer in peers_to_watch(&beliefs.settings.node, &nodes) {
-            // Others may come nearer later on; those that are watched by then stay.
-            let is_free = watched.len() < WATCHED_MOST;
-            if is_free && watched.insert(peer.node.clone()) {
+        for peer in peers_to_watch(&beliefs.settings.node, &nodes, &gone) {
+            // Another one may come nearer later on; those that are watched by then stay.
+            let is_free = watched.0.len() < WATCHED_MOST + gone.len();
+            if is_free && !watched.0.contains_key(&peer.node) {
+                watched.0.insert(peer.node.clone(), clock::now());
                 tasks.spawn(watch(Arc::clone(&beliefs), links.clone(), peer.clone()));
             }
         }
@@ -123,6 +129,29 @@
     }
 }
 
+/// The nodes that are watched, and when each was last known to tell its loads.
+#[derive(Default)]
+struct Watched(IndexMap<NodeId, Timestamp>);
+
+impl Watched {
+    /// Returns the nodes that have told nothing for long.
+    ///
+    /// The list of nodes keeps those that were replaced. Taken for nodes that can't be heard, each would
+    /// add its share to what is guessed at every head, and callers would be refused with slots free.
+    fn gone(&mut self, beliefs: &Beliefs) -> IndexSet<NodeId> {
+        let now = clock::now();
+        let loads = beliefs.loads();
+        for (node, told_at) in &mut self.0 {
+            if loads.is_telling(node) {
+                *told_at = now;
+            }
+        }
+        let gone = self.0.iter();
+        let gone = gone.filter(|(_, told_at)| now.since(**told_at) > GONE_AFTER);
+        gone.map(|(node, _)| node.clone()).collect()
+    }
+}
+
 async fn watch(beliefs: Arc<Beliefs>, links: Links, peer: PeerNode) {
     let mut hearing = Hearing::new(&peer.node);
     loop {
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -242,7 +242,7 @@
         (requests, waiting)
     }
 
-    /// Notes how many other nodes there are.
+    /// Notes how many other nodes there are, without those that are taken for gone.
     pub fn set_others(&mut self, others: usize) {
         self.others = others;
     }
@@ -263,6 +263,12 @@
         self.telling.insert(node.clone());
     }
 
+    /// Returns whether a node tells what it has.
+    #[must_use]
+    pub fn is_telling(&self, node: &NodeId) -> bool {
+        self.telling.contains(node)
+    }
+
     /// Forgets what a node said that can't be heard any more.
     pub fn unheard(&mut self, node: &NodeId) {
         self.telling.swap_remove(node);
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{FailureDomainId, NodeId, rendezvous_weight};
 
@@ -62,13 +62,18 @@
 /// under the 15 KB that a node may spend.
 pub const WATCHED_MOST: usize = 7;
 
-/// Returns the nodes whose loads a node watches: those of its own failure domain first, which choose
-/// among the same near endpoints.
+/// Returns the nodes whose loads a node watches, without those that are `gone`: the ones of its own failure
+/// domain first, which choose among the same near endpoints.
 #[must_use]
-pub fn peers_to_watch<'a>(own: &NodeId, nodes: &'a [PeerNode]) -> Vec<&'a PeerNode> {
+pub fn peers_to_watch<'a>(
+    own: &NodeId,
+    nodes: &'a [PeerNode],
+    gone: &IndexSet<NodeId>,
+) -> Vec<&'a PeerNode> {
     let me = nodes.iter().find(|peer| peer.node == *own);
     let is_near = |peer: &PeerNode| me.is_some_and(|me| me.failure_domain == peer.failure_domain);
-    let mut others: Vec<&PeerNode> = nodes.iter().filter(|peer| peer.node != *own).collect();
+    let others = nodes.iter().filter(|peer| peer.node != *own);
+    let mut others: Vec<&PeerNode> = others.filter(|peer| !gone.contains(&peer.node)).collect();
     others.sort_by_key(|peer| {
         let weight = rendezvous_weight(own.as_str(), peer.node.as_str());
         (!is_near(peer), std::cmp::Reverse(weight))
--- a/crates/sesamecart-fleet/src/sources/tests.rs
+++ b/crates/sesamecart-fleet/src/sources/tests.rs
@@ -1,5 +1,7 @@
 //! Who reads the store, and whom the others follow.
 
+use indexmap::IndexSet;
+
 use super::{
     PeerNode, READERS, SMALL_DOMAIN, Source, WATCHED_MOST, peers_to_watch, plan_sources, readers,
 };
@@ -90,12 +92,26 @@
 #[test]
 fn a_node_watches_so_many_others_at_most_and_near_ones_first() {
     let small = fleet(2, 4);
-    assert_eq!(peers_to_watch(&small[0].node, &small).len(), 7);
+    let nobody = IndexSet::new();
+    assert_eq!(peers_to_watch(&small[0].node, &small, &nobody).len(), 7);
     let large = fleet(5, 76);
     let own = &large[0];
-    let watched = peers_to_watch(&own.node, &large);
+    let watched = peers_to_watch(&own.node, &large, &nobody);
     assert_eq!(watched.len(), WATCHED_MOST);
     let near = |peer: &&PeerNode| peer.failure_domain == own.failure_domain;
     assert!(watched.iter().all(near));
     assert!(watched.iter().all(|peer| peer.node != own.node));
 }
+
+/// A VM is replaced for good, and its entry stays in the list. Were it watched for ever, there would be
+/// no place for the one that came for it, whose prompts nobody would know of.
+#[test]
+fn a_node_that_is_gone_leaves_its_place_to_another_one() {
+    let nodes = fleet(1, 9);
+    let own = &nodes[0].node;
+    let before = peers_to_watch(own, &nodes, &IndexSet::new());
+    let gone = IndexSet::from([before[0].node.clone()]);
+    let after = peers_to_watch(own, &nodes, &gone);
+    assert_eq!(after.len(), WATCHED_MOST);
+    assert!(after.iter().all(|peer| !gone.contains(&peer.node)));
+}
