--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -16,6 +16,7 @@
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::Fence;
+use crate::planner::domains::DomainSizes;
 use crate::planner::engine::{engines, group_size, holds, state_in};
 use crate::planner::loading::LOAD_WINDOW;
 pub use crate::planner::summary::ModelSummary;
@@ -111,6 +112,7 @@
     fence: Fence,
     formed: u64,
     primaries: IndexMap<FabricDomainId, ModelId>,
+    sizes: DomainSizes,
     /// The domains whose engines hold or load anything.
     begun: IndexSet<FabricDomainId>,
     formations: IndexMap<GroupKey, Formation>,
@@ -133,6 +135,7 @@
             fence,
             formed,
             primaries: IndexMap::new(),
+            sizes: DomainSizes::default(),
             begun: IndexSet::new(),
             formations: IndexMap::new(),
             loading: IndexMap::new(),
@@ -204,10 +207,13 @@
     /// Returns what to do now.
     pub fn plan(&mut self, now: Timestamp, input: &PlannerInput<'_>) -> Vec<Step> {
         self.tidy(now, input);
-        self.assign_domains(input);
+        self.assign_domains(now, input);
         let mut steps = Vec::new();
         self.follow_formations(now, input, &mut steps);
         let occupied = self.follow_groups(now, input, &mut steps);
+        if !input.in_traffic && !self.sizes.are_complete(now) {
+            return steps;
+        }
         let mut free = self.free(now, input, &occupied);
         self.form(now, input, &mut free, &mut steps);
         self.stage(now, input, &free, &mut steps);
--- a/crates/sesamecart-fleet/src/planner/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/domains.rs
@@ -1,54 +1,162 @@
 //! Which model each fabric domain is kept to.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{FabricDomainId, FailureDomainId, ModelId};
+use sesamecart_vocabulary::{FabricDomainId, FailureDomainId, ModelId, Timestamp};
 
-use super::engine::engines;
+use super::engine::{engines, find_model};
 use super::{Planner, PlannerInput};
-use crate::catalog::EngineModel;
-use crate::endpoint::Endpoint;
+use crate::catalog::{EngineModel, EngineSpec};
+use crate::endpoint::{Endpoint, EndpointState};
 
 /// Models whose groups for their share differ by less than this count as equally far behind.
 const ABOUT_EQUAL: f64 = 1.05;
 
+/// How long no engine may have come before domains of unequal size count as complete.
+///
+/// At a start engines register one after the other. Domains that were measured by the first of them
+/// would look too small for the model with the larger groups, and be loaded with another one.
+const SETTLED_AFTER: Duration = Duration::from_millis(500);
+
+/// The engines of each fabric domain.
+type Domains<'a> = IndexMap<&'a FabricDomainId, Vec<&'a Arc<Endpoint>>>;
+
+/// The engines that each fabric domain has, which decide what models it can hold.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DomainSizes {
+    sizes: IndexMap<FabricDomainId, usize>,
+    grown_at: Timestamp,
+    /// Since when a domain's engines have been too few for the model that they hold.
+    short_since: IndexMap<FabricDomainId, Timestamp>,
+}
+
+impl DomainSizes {
+    /// Follows what is registered now.
+    fn follow(&mut self, now: Timestamp, domains: &Domains<'_>) {
+        let before = std::mem::take(&mut self.sizes);
+        for (domain, engines) in domains {
+            let ready = engines.iter().filter(|engine| is_ready(engine)).count();
+            if before.get(*domain).is_none_or(|known| ready > *known) {
+                self.grown_at = now;
+            }
+            self.sizes.insert((*domain).clone(), ready);
+        }
+        self.short_since
+            .retain(|domain, _| domains.contains_key(domain));
+    }
+
+    /// Returns whether a domain has been too small for its model for at least `patience`.
+    ///
+    /// Its engines would be loaded with another model otherwise just before they are joined by
+    /// replacements, or by those that were cut off from the store.
+    fn is_short_for(
+        &mut self,
+        now: Timestamp,
+        domain: &FabricDomainId,
+        is_short: bool,
+        patience: Duration,
+    ) -> bool {
+        if !is_short {
+            self.short_since.swap_remove(domain);
+            return false;
+        }
+        let since = self.short_since.entry(domain.clone()).or_insert(now);
+        now.since(*since) >= patience
+    }
+
+    /// Returns whether all engines seem to have come.
+    pub(super) fn are_complete(&self, now: Timestamp) -> bool {
+        self.are_settled(now) || self.sizes.values().all(|size| *size == self.largest())
+    }
+
+    /// Returns whether no engine has come for a while.
+    pub(super) fn are_settled(&self, now: Timestamp) -> bool {
+        now.since(self.grown_at) >= SETTLED_AFTER
+    }
+
+    /// Returns the engines of the largest domain.
+    pub(super) fn largest(&self) -> usize {
+        self.sizes.values().copied().max().unwrap_or(0)
+    }
+
+    fn of(&self, domain: &FabricDomainId) -> usize {
+        self.sizes.get(domain).copied().unwrap_or(0)
+    }
+}
+
 impl Planner {
     /// Gives each fabric domain the model that its groups should serve.
     ///
     /// What engines hold already goes first, so that a controller that takes over doesn't reload. The
-    /// others get the model whose groups, as many as domains of this size hold, are furthest behind
-    /// what its share of the work needs. Counting engines instead of whole groups would give a model
-    /// with large groups too little, as its domains have engines left over.
-    pub(super) fn assign_domains(&mut self, input: &PlannerInput<'_>) {
-        let mut domains: IndexMap<&FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
+    /// others get, of the models that they can hold a group of, the one whose whole groups are furthest
+    /// behind what its share of the work needs. Counting engines instead of whole groups would give a
+    /// model with large groups too little, as its domains have engines left over. A model that no domain
+    /// can hold has no groups for ever: left in the choice it would take every domain, and no engine
+    /// would serve anybody.
+    pub(super) fn assign_domains(&mut self, now: Timestamp, input: &PlannerInput<'_>) {
+        let mut domains: Domains<'_> = IndexMap::new();
         for endpoint in engines(input) {
             if let Some(domain) = &endpoint.fabric_domain {
                 domains.entry(domain).or_default().push(endpoint);
             }
         }
-        let engines_each = domains.values().map(Vec::len).max().unwrap_or(0);
+        self.sizes.follow(now, &domains);
         self.primaries.clear();
         self.begun.clear();
         let mut empty = Vec::new();
         for (domain, engines) in &domains {
-            match self.held_in(engines) {
+            match self.held_in(now, input.spec, domain, engines) {
                 Some(model) => {
                     self.primaries.insert((*domain).clone(), model);
                     self.begun.insert((*domain).clone());
                 }
-                None => empty.push((*domain, &engines[0].failure_domain)),
+                None => empty.push(EmptyDomain {
+                    domain,
+                    failure_domain: &engines[0].failure_domain,
+                    fitting: self.fitting(input.spec, engines),
+                }),
             }
         }
-        for domain in by_turns(empty) {
-            if let Some(model) = self.behind(input, engines_each) {
-                self.primaries.insert(domain.clone(), model);
+        for empty in by_turns(empty) {
+            if let Some(model) = self.behind(&empty.fitting) {
+                self.primaries.insert(empty.domain.clone(), model);
             }
         }
     }
 
-    /// Returns the model that most engines of a domain hold or load.
-    fn held_in(&self, engines: &[&Arc<Endpoint>]) -> Option<ModelId> {
+    /// Returns the models of which a domain's engines can form a group.
+    ///
+    /// A domain that is too small for all of them may still grow, so its engines load what the others
+    /// serve, or the model that needs the fewest more.
+    fn fitting<'a>(
+        &self,
+        spec: &'a EngineSpec,
+        engines: &[&Arc<Endpoint>],
+    ) -> Vec<&'a EngineModel> {
+        let free = engines
+            .iter()
+            .filter(|engine| is_ready(engine) && engine.group.is_none());
+        let mut fitting = models_within(spec, free.count());
+        if fitting.is_empty() {
+            fitting = models_within(spec, self.sizes.largest());
+        }
+        if fitting.is_empty() {
+            let least = spec.models.iter().min_by_key(|model| model.group_size);
+            fitting.extend(least);
+        }
+        fitting
+    }
+
+    /// Returns the model that most engines of a domain hold or load, unless they are too few for it.
+    fn held_in(
+        &mut self,
+        now: Timestamp,
+        spec: &EngineSpec,
+        domain: &FabricDomainId,
+        engines: &[&Arc<Endpoint>],
+    ) -> Option<ModelId> {
         let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
         for engine in engines {
             let loading = self.loading.get(&engine.id).map(|load| &load.model);
@@ -56,40 +164,87 @@
                 *counts.entry(model).or_default() += 1;
             }
         }
-        let most = counts.into_iter().max_by_key(|(_, count)| *count);
-        most.map(|(model, _)| model.clone())
+        counts.sort_by(|_, a, _, b| b.cmp(a));
+        let mut held = counts.keys().filter_map(|id| find_model(spec, id));
+        let most = held.next()?;
+        // Another model costs a load, so its engines are waited for about as long.
+        let loads = spec.models.iter().map(|model| model.load_time);
+        let patience = loads.min().unwrap_or_default();
+        let is_short = !can_form(engines, most);
+        if !self.sizes.is_short_for(now, domain, is_short, patience) {
+            return Some(most.model.clone());
+        }
+        let other = held.find(|model| can_form(engines, model));
+        other.map(|model| model.model.clone())
     }
 
-    /// Returns the model whose domains hold the fewest groups for its share of the work.
-    fn behind(&self, input: &PlannerInput<'_>, engines_each: usize) -> Option<ModelId> {
+    /// Returns which of some models has domains with the fewest groups for its share of the work.
+    fn behind(&self, models: &[&EngineModel]) -> Option<ModelId> {
         let groups_for_share = |model: &EngineModel| {
-            let domains = self.primaries.values().filter(|id| **id == model.model);
-            let groups = domains.count() * (engines_each / model.group_size);
-            groups as f64 * model.group_size as f64 / model.share.max(f64::EPSILON)
+            let domains = self.primaries.iter().filter(|(_, id)| **id == model.model);
+            let groups = domains.map(|(domain, _)| self.sizes.of(domain) / model.group_size.max(1));
+            groups.sum::<usize>() as f64 * model.group_size as f64 / model.share.max(f64::EPSILON)
         };
-        let models = || input.spec.models.iter();
-        let least = models().map(groups_for_share).fold(f64::INFINITY, f64::min);
-        let behind = models().filter(|model| groups_for_share(model) <= least * ABOUT_EQUAL);
+        let all = models.iter().map(|model| groups_for_share(model));
+        let least = all.fold(f64::INFINITY, f64::min);
+        let behind = models
+            .iter()
+            .filter(|model| groups_for_share(model) <= least * ABOUT_EQUAL);
         // Of those about equally far behind the one with the larger groups: it loses one to every
         // engine that is lost, and finds fewer domains with room later.
         let least = behind.max_by_key(|model| model.group_size);
         least.map(|model| model.model.clone())
     }
+
+    /// Returns the models that nothing can serve: no fabric domain holds a group of them.
+    #[must_use]
+    pub fn unservable<'a>(&self, now: Timestamp, spec: &'a EngineSpec) -> Vec<&'a EngineModel> {
+        if !self.sizes.are_settled(now) {
+            return Vec::new();
+        }
+        let largest = self.sizes.largest();
+        let models = spec.models.iter();
+        models.filter(|model| model.group_size > largest).collect()
+    }
+}
+
+fn is_ready(engine: &Endpoint) -> bool {
+    engine.state == EndpointState::Ready
+}
+
+/// Returns whether a domain has enough engines for a group of a model that no other model's group has.
+fn can_form(engines: &[&Arc<Endpoint>], model: &EngineModel) -> bool {
+    let usable = engines.iter().filter(|engine| {
+        let is_own = engine.models.first() == Some(&model.model);
+        is_ready(engine) && (is_own || engine.group.is_none())
+    });
+    usable.count() >= model.group_size
+}
+
+fn models_within(spec: &EngineSpec, engines: usize) -> Vec<&EngineModel> {
+    let models = spec.models.iter();
+    models.filter(|model| model.group_size <= engines).collect()
+}
+
+/// A domain whose engines hold nothing that it has room for.
+struct EmptyDomain<'a> {
+    domain: &'a FabricDomainId,
+    failure_domain: &'a FailureDomainId,
+    fitting: Vec<&'a EngineModel>,
 }
 
-/// Orders domains so that those of one failure domain don't follow each other: each model then lies in
-/// several of them, and the loss of one takes none away.
-fn by_turns<'a>(
-    mut domains: Vec<(&'a FabricDomainId, &'a FailureDomainId)>,
-) -> Vec<&'a FabricDomainId> {
-    domains.sort();
+/// Orders domains so that those that have less choice of models come first, and those of one failure
+/// domain don't follow each other: each model then lies in several of them, and the loss of one takes
+/// none away.
+fn by_turns(mut domains: Vec<EmptyDomain<'_>>) -> Vec<EmptyDomain<'_>> {
+    domains.sort_by_key(|empty| (empty.domain, empty.failure_domain));
     let mut turns: IndexMap<&FailureDomainId, usize> = IndexMap::new();
-    let mut ordered: Vec<(usize, &FabricDomainId)> = Vec::new();
-    for (domain, failure_domain) in domains {
-        let turn = turns.entry(failure_domain).or_default();
-        ordered.push((*turn, domain));
+    let mut ordered: Vec<(usize, usize, EmptyDomain<'_>)> = Vec::new();
+    for empty in domains {
+        let turn = turns.entry(empty.failure_domain).or_default();
+        ordered.push((empty.fitting.len(), *turn, empty));
         *turn += 1;
     }
-    ordered.sort();
-    ordered.into_iter().map(|(_, domain)| domain).collect()
+    ordered.sort_by_key(|(choices, turn, empty)| (*choices, *turn, empty.domain));
+    ordered.into_iter().map(|(_, _, empty)| empty).collect()
 }
--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -50,8 +50,10 @@
         free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
         steps: &mut Vec<Step>,
     ) {
-        if !input.in_traffic && !self.loads_the_rest(input) {
-            // Whole groups come first; what is left over is loaded after them.
+        let comes_after_groups = !input.in_traffic && !self.loads_the_rest(input);
+        if comes_after_groups && (self.is_forming() || !self.sizes.are_settled(now)) {
+            // What is left over is loaded after whole groups, or when none can be formed: the first
+            // requests would find its engines empty, and loads take ten times longer by then.
             return;
         }
         let mut wanted: Vec<(usize, &Arc<Endpoint>, &EngineModel)> = Vec::new();
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -11,6 +11,8 @@
 use crate::number::Fence;
 use crate::testkit::{engine, id, key, member, model, service, spec, spec_of_sixteen};
 
+mod domains;
+
 const START: Timestamp = Timestamp(1_000_000);
 
 fn directory(endpoints: impl IntoIterator<Item = Endpoint>) -> Directory {
--- a/crates/sesamecart-fleet/src/testkit.rs
+++ b/crates/sesamecart-fleet/src/testkit.rs
@@ -66,7 +66,7 @@
     engine
 }
 
-fn engine_model(name: &str, size: usize, share: f64, load_s: u64) -> EngineModel {
+pub(crate) fn engine_model(name: &str, size: usize, share: f64, load_s: u64) -> EngineModel {
     EngineModel {
         model: model(name),
         group_size: size,
