--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -51,6 +51,8 @@
     pub(crate) feed: Feed,
     /// Where the node that this one follows takes links; nothing while it reads the store itself.
     followed: ArcSwapOption<SocketAddr>,
+    reads_store: AtomicBool,
+    controls: AtomicBool,
     pub(crate) loads: Mutex<LoadBook>,
     /// Told of each request that is sent, begins to be answered or ends.
     pub(crate) loads_changed: Changed,
@@ -85,6 +87,8 @@
             nodes: ArcSwap::from_pointee(vec![own_entry(&settings)]),
             feed: Feed::new(),
             followed: ArcSwapOption::empty(),
+            reads_store: AtomicBool::new(false),
+            controls: AtomicBool::new(false),
             settings,
             events,
             metrics,
@@ -171,14 +175,31 @@
 
     /// Notes which node is followed; nothing while the store itself is read.
     pub(crate) fn follow(&self, links: Option<SocketAddr>) {
+        self.reads_store.store(links.is_none(), Ordering::Release);
         self.followed.store(links.map(Arc::new));
     }
 
+    /// Returns whether this node reads the store itself; it doesn't before it has chosen its source.
+    #[must_use]
+    pub fn reads_store(&self) -> bool {
+        self.reads_store.load(Ordering::Acquire)
+    }
+
     /// Returns where the node that is followed takes links.
     pub(crate) fn followed(&self) -> Option<SocketAddr> {
         self.followed.load().as_deref().copied()
     }
 
+    /// Notes whether this node controls the groups.
+    pub(crate) fn note_control(&self, controls: bool) {
+        self.controls.store(controls, Ordering::Release);
+    }
+
+    /// Returns whether this node controls the groups.
+    pub(crate) fn controls(&self) -> bool {
+        self.controls.load(Ordering::Acquire)
+    }
+
     /// Notes that the controller is told of a loss; returns whether it hasn't been lately.
     pub(crate) fn note_reported(&self, key: &GroupKey) -> bool {
         let now = clock::now();
@@ -234,9 +255,12 @@
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns whether callers' requests have come.
+    /// Returns whether callers' requests have come, or may have before this process started.
+    ///
+    /// A process that started again during the day has had no request yet. A controller that took that
+    /// for the time before traffic would begin all loads at once, far more than the weight store admits.
     pub(crate) fn is_in_traffic(&self) -> bool {
-        self.requests.load(Ordering::Relaxed) > 0
+        !self.settings.first_start || self.requests.load(Ordering::Relaxed) > 0
     }
 
     /// Returns the signal that is given when a group is found lost.
--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -85,9 +85,9 @@
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
         loop {
-            // A node that follows another one leaves control to those that read the store: at 71
-            // nodes the calls of all of them to stay in the group were a tenth of all calls.
-            while self.beliefs.followed().is_some() {
+            // Control is left to the nodes that read the store: calls of all nodes to stay in the group
+            // would grow with the nodes.
+            while !self.beliefs.reads_store() {
                 self.set(None, "the node doesn't read the store");
                 sleep(RENEW_EVERY).await;
             }
@@ -131,6 +131,7 @@
             let mut current = self.held.lock().unwrap_or_else(PoisonError::into_inner);
             std::mem::replace(&mut *current, held)
         };
+        self.beliefs.note_control(held.is_some());
         if before.is_some() != held.is_some() {
             let fence = held.or(before).unwrap_or_default().fence;
             self.beliefs.events.write(&Event::ControlChanged {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -85,6 +85,11 @@
         /// Engines of the service that hold no model and load none.
         empty: usize,
     },
+    /// How often this process has called the store, every ten seconds and at its end.
+    StoreCalled {
+        /// The calls of each kind since the start.
+        calls: &'a str,
+    },
     /// What the store says is heard from elsewhere now.
     SourceChanged {
         /// The store, or the node that reads it.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -75,6 +75,11 @@
         // Pages of newest records don't name their offsets. The last one is as late as any of them,
         // so a follower gets a record twice at most.
         let offset = end.0.saturating_sub(1);
+        if self.next == 0 {
+            // What was dropped before isn't known here, so a follower that comes from another node with
+            // less than this needs all to see what is gone.
+            self.forgotten = end.0;
+        }
         let gone = self.newest.iter_mut().filter(|(key, _)| {
             !records
                 .iter()
@@ -168,6 +173,12 @@
         }
     }
 
+    /// Returns whether a topic was read.
+    pub(crate) fn has(&self, topic: Topic) -> bool {
+        let place = TOPICS.iter().position(|known| *known == topic);
+        place.is_some_and(|place| self.state().topics[place].is_some())
+    }
+
     /// Notes that the store came back after it was away.
     pub(crate) fn note_return(&self, now: Timestamp) {
         self.state().returned_at = Some(now);
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -44,16 +44,18 @@
 
 impl Side {
     fn newer(&self, req: &FollowRequest) -> Result<FollowReply, Status> {
-        let unavailable = |reason| Err(Status::unavailable(reason));
         if self.beliefs.is_leaving() {
-            return unavailable("the node is leaving");
+            return Err(Status::unavailable("the node is leaving"));
         }
-        let Some(age) = self.beliefs.configuration_age() else {
-            return unavailable("the node has no configuration");
-        };
-        let Some(mut reply) = self.beliefs.feed.newer(clock::now(), req) else {
-            return unavailable("the node doesn't read the store");
-        };
+        if !self.beliefs.reads_store() {
+            return Err(Status::failed_precondition(
+                "the node doesn't read the store",
+            ));
+        }
+        let not_yet = || Status::not_found("the node has read nothing yet");
+        let age = self.beliefs.configuration_age().ok_or_else(not_yet)?;
+        let reply = self.beliefs.feed.newer(clock::now(), req);
+        let mut reply = reply.ok_or_else(not_yet)?;
         reply.vouched_ms = millis(age).saturating_add(1);
         Ok(reply)
     }
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -71,6 +71,17 @@
     assert_eq!(registry(&ask(&feed, 11)).len(), 1);
 }
 
+/// A reader ends, and the node that stands in for it has just read the topics. It doesn't know what was
+/// dropped before; a follower that got only what is newer would send to endpoints that are gone.
+#[test]
+fn a_follower_that_comes_from_another_node_gets_all_that_may_be_gone() {
+    let feed = feed();
+    let reply = ask(&feed, 8);
+    assert!(reply.registry.as_ref().expect("it is there").whole);
+    let reply = ask(&feed, 10);
+    assert!(!reply.registry.as_ref().expect("it is there").whole);
+}
+
 /// After an outage the topic is read whole. An endpoint that isn't in it any more has to go at the
 /// followers as well, or they send requests to an address where nobody listens.
 #[test]
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -46,8 +46,7 @@
 /// At 0.04 s a day of 44 s on 7 nodes took 2,900 calls, at 0.15 s 2,000. At 71 nodes 0.15 s would
 /// take 400 calls a second, a third of what the store bears, for endpoints that change every 0.3 s.
 const PACE: Duration = Duration::from_millis(150);
-const PACE_PER_READER: Duration = Duration::from_millis(16);
-const PACE_MOST: Duration = Duration::from_millis(1_100);
+const REGISTRY_PACE: Duration = Duration::from_millis(150);
 
 /// The same on the node that is forming groups.
 const FORMING_PACE: Duration = Duration::from_millis(40);
@@ -206,7 +205,7 @@
             Picture::Registry(_) if self.beliefs.is_forming() => (FORMING_WAIT, FORMING_PACE),
             Picture::Registry(_) => (
                 (REGISTRY_WAIT_PER_READER * readers).clamp(REGISTRY_WAIT, REGISTRY_WAIT_MOST),
-                (PACE_PER_READER * readers).clamp(PACE, PACE_MOST),
+                REGISTRY_PACE,
             ),
         }
     }
--- a/crates/sesamecart-entry/src/follower/following.rs
+++ b/crates/sesamecart-entry/src/follower/following.rs
@@ -1,15 +1,17 @@
 //! Follows the store, or a node that reads it, whichever serves this node now.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use futures_lite::future;
 use futures_util::future::join;
-use sesamecart_fleet::{Source, SourcePlan, plan_sources};
+use indexmap::IndexMap;
+use sesamecart_fleet::{Role, Source, SourcePlan, plan_sources};
 use sesamecart_links::Links;
 use sesamecart_platform::{Store, Topic};
-use sesamecart_runtime::sleep;
+use sesamecart_runtime::{sleep, within};
 use sesamecart_vocabulary::Timestamp;
 
 use super::nodes::NodesTopic;
@@ -21,19 +23,28 @@
 use crate::clock;
 use crate::events::Event;
 
-/// How long a node that should follow others reads the store before it looks for one again.
+/// How long a node stays with a source that isn't its own before it looks for that one again; longer,
+/// more nodes than needed call the store, and shorter, they read all of it again and again.
+pub(super) const STAY: Duration = Duration::from_secs(4);
+
+/// How long a source that failed is passed over while there are others.
+const SOURCE_REST: Duration = Duration::from_secs(1);
+
+/// How old the configuration of a node that should follow others may get before it turns to the store,
+/// as a part of the time in which a change has to be in force.
 ///
-/// It comes to that when both readers of its failure domain are gone; longer, more nodes than needed
-/// call the store, and shorter, they read all of it again and again.
-const STORE_STAY: Duration = Duration::from_secs(4);
+/// At a start no reader has anything to give yet, and all followers would read the store at once.
+const STORE_AFTER_PART: f64 = 0.5;
+
+/// How long a source has to answer when it is asked whether it serves again.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
 /// How long the store may be away before another source is tried, well within the time in which a
 /// change has to be in force.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
 
-/// How often it is looked whether this node should follow another one; a small part of the time for
-/// which it stays with the store.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// How often a node that reads the store in another one's place looks whether it has to.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// Everything that a node follows.
 pub(crate) struct Following {
@@ -72,20 +83,30 @@
     /// Follows one source after the other until the task is dropped.
     pub(crate) async fn run(mut self) {
         self.nodes.register(&self.beliefs, &self.store).await;
-        let mut failed = 0;
+        let begun = clock::now();
+        let mut failures = SourceFailures::default();
+        let mut preferred = None;
         loop {
-            let plan = self.plan();
-            let source = plan.order[failed % plan.order.len()];
+            let source = match preferred.take() {
+                Some(source) => source,
+                None => self.choose(begun, &failures),
+            };
             self.note_source(source);
-            let begun = clock::now();
-            match source {
-                Source::Store => self.read_store(begun).await,
+            let ended = match source {
+                Source::Store => self.read_store().await,
                 Source::Node(links) => self.follow_node(links).await,
+            };
+            match ended {
+                Ended::Prefers(other) => preferred = Some(other),
+                Ended::Failed => {
+                    failures.note(clock::now(), source);
+                    sleep(REST).await;
+                }
+                Ended::Unready => {
+                    failures.note_unready(clock::now(), source);
+                    sleep(REST).await;
+                }
             }
-            // A source that served for a while was a good one, and the best is tried first again.
-            let served = clock::now().since(begun);
-            failed = if served >= STORE_STAY { 0 } else { failed + 1 };
-            sleep(REST).await;
         }
     }
 
@@ -93,16 +114,30 @@
         plan_sources(&self.beliefs.settings.node, &self.beliefs.nodes.load())
     }
 
+    /// Chooses the best source that hasn't just failed.
+    fn choose(&self, begun: Timestamp, failures: &SourceFailures) -> Source {
+        let mut plan = self.plan();
+        let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
+        let age = self.beliefs.configuration_age();
+        let age = age.unwrap_or_else(|| clock::now().since(begun));
+        if plan.role == Role::Follower && age < bound.mul_f64(STORE_AFTER_PART) {
+            plan.order.retain(|source| *source != Source::Store);
+        }
+        failures.best(clock::now(), &plan.order)
+    }
+
     fn note_source(&mut self, source: Source) {
         let links = match source {
-            Source::Store => None,
-            Source::Node(links) => Some(links),
+            Source::Store => {
+                // The topics are read here now, so what was heard from nodes doesn't say how far.
+                self.position = Position::default();
+                None
+            }
+            Source::Node(links) => {
+                self.beliefs.feed.stop();
+                Some(links)
+            }
         };
-        if links.is_some() {
-            self.beliefs.feed.stop();
-            // Another node may know less than the last source did, so it is asked for all at first.
-            self.position = Position::default();
-        }
         self.beliefs.follow(links);
         self.beliefs.events.write(&Event::SourceChanged {
             source: &source.to_string(),
@@ -110,7 +145,7 @@
     }
 
     /// Reads the store until it has been away for too long or this node should follow another one.
-    async fn read_store(&mut self, begun: Timestamp) {
+    async fn read_store(&mut self) -> Ended {
         let has_others = self.plan().order.len() > 1;
         let patience = has_others.then_some(STORE_PATIENCE);
         let (beliefs, store) = (&*self.beliefs, &self.store);
@@ -129,22 +164,106 @@
             picture: Picture::Registry(&mut self.registry),
         };
         let reads = join(registry.run(None), self.nodes.run(beliefs, store));
-        let reads = async {
-            reads.await;
+        let fails = async {
+            future::or(operator.run(patience), async {
+                reads.await;
+            })
+            .await;
+            Ended::Failed
         };
-        let ends = future::or(operator.run(patience), time_to_follow(beliefs, begun));
-        future::or(ends, reads).await;
+        let home = async { Ended::Prefers(home_again(beliefs, &self.links).await) };
+        future::or(fails, home).await
+    }
+
+    /// Returns the source that this node should return to from `source`, if that serves again.
+    pub(super) async fn better_than(&self, source: Source) -> Option<Source> {
+        let home = self.plan().home;
+        let better = home.into_iter().take_while(|known| *known != source);
+        for candidate in better {
+            let serves = match candidate {
+                Source::Store => {
+                    let read = self.store.newest(Topic::Nodes, None);
+                    matches!(within(PROBE_LIMIT, read).await, Ok(Ok(_)))
+                }
+                Source::Node(links) => serves(&self.links, links).await,
+            };
+            if serves {
+                return Some(candidate);
+            }
+        }
+        None
+    }
+}
+
+/// Why a node leaves a source.
+pub(super) enum Ended {
+    /// It doesn't answer, or is out of date.
+    Failed,
+    /// It answers that it doesn't read the store.
+    Unready,
+    /// This other one goes before it, and serves.
+    Prefers(Source),
+}
+
+/// When sources failed last.
+#[derive(Default)]
+struct SourceFailures {
+    failed_at: IndexMap<Source, Timestamp>,
+    /// The source that was tried last, if it wasn't ready.
+    unready: Option<Source>,
+}
+
+impl SourceFailures {
+    fn note(&mut self, now: Timestamp, source: Source) {
+        self.failed_at.insert(source, now);
+        self.unready = None;
+    }
+
+    /// Notes that a source doesn't read the store; only the second time in a row it counts as failed.
+    ///
+    /// A reader that the store turns away may have it back at once, and all that follow it would leave.
+    fn note_unready(&mut self, now: Timestamp, source: Source) {
+        if self.unready == Some(source) {
+            self.note(now, source);
+        } else {
+            self.unready = Some(source);
+        }
+    }
+
+    /// Returns the first source that hasn't failed lately, or else the one that failed first.
+    fn best(&self, now: Timestamp, order: &[Source]) -> Source {
+        let failed_at = |source: &Source| self.failed_at.get(source).copied();
+        let is_sound =
+            |source: &&Source| failed_at(source).is_none_or(|at| now.since(at) >= SOURCE_REST);
+        let sound = order.iter().find(is_sound);
+        let oldest = || order.iter().min_by_key(|source| failed_at(source));
+        sound.or_else(oldest).copied().unwrap_or(Source::Store)
     }
 }
 
-/// Returns once this node should follow another one, if it ever should.
-async fn time_to_follow(beliefs: &Beliefs, begun: Timestamp) {
+/// Returns once this node should follow another one instead of reading the store, if it ever should.
+async fn home_again(beliefs: &Beliefs, links: &Links) -> Source {
+    sleep(STAY).await;
     loop {
-        sleep(LOOK_EVERY).await;
-        let nodes = beliefs.nodes.load_full();
-        let has_stayed = clock::now().since(begun) >= STORE_STAY;
-        if has_stayed && !plan_sources(&beliefs.settings.node, &nodes).is_reader {
-            return;
+        let plan = plan_sources(&beliefs.settings.node, &beliefs.nodes.load());
+        for source in plan.home {
+            let Source::Node(address) = source else {
+                continue;
+            };
+            // Control that moves leaves engines without orders for as long as a lease.
+            if !beliefs.controls() && serves(links, address).await {
+                return source;
+            }
         }
+        sleep(LOOK_EVERY).await;
     }
 }
+
+/// Returns whether a node serves those that follow it.
+async fn serves(links: &Links, address: SocketAddr) -> bool {
+    let mut feed = links.feed_of(address);
+    matches!(
+        within(PROBE_LIMIT, feed.follow(Position::nothing_new())).await,
+        Ok(Ok(_))
+    )
+}
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -13,13 +13,17 @@
 /// How often the list of nodes is read.
 const NODES_EVERY: Duration = Duration::from_secs(10);
 
-/// How long a node that starts for the first time waits for the others to tell of themselves: all
-/// nodes of a deployment start within 0.3 s.
+/// How long a node of a deployment that starts waits for the others to tell of themselves: they all
+/// start within 0.3 s, and the store takes a few milliseconds for each.
 ///
-/// Without the wait each of 71 nodes takes itself for one of the few that read the store, and reads it
-/// for seconds: 2,000 calls of a day's 4,000.
+/// Without the wait each node knows nobody but itself, takes itself for the one that reads the store,
+/// and does so for seconds.
 const OTHERS_START: Duration = Duration::from_millis(800);
 
+/// How soon the list is read again by a node that reads the store since a moment ago: nodes that told
+/// of themselves late may read it in its place.
+const NODES_AGAIN: Duration = Duration::from_secs(1);
+
 /// What a node tells the others of itself, and what it reads of them in the store.
 pub(super) struct NodesTopic {
     dependency: Dependency,
@@ -35,17 +39,23 @@
     /// Tells the other nodes of this one, and learns who there is.
     pub(super) async fn register(&mut self, beliefs: &Beliefs, store: &Store) {
         let own = beliefs.own_entry();
+        if beliefs.settings.first_start {
+            // Nobody can have been here before, so there is nothing to read yet.
+            while !self.tell(beliefs, store, &own).await {
+                sleep(REST).await;
+            }
+            sleep(OTHERS_START).await;
+            let _nodes = self.read(beliefs, store).await;
+            return;
+        }
         loop {
-            let known = self.read(beliefs, store).await;
-            match known {
-                // This node was here before, and so were the others.
+            match self.read(beliefs, store).await {
+                // This node was here before its process started again.
                 Some(nodes) if nodes.contains(&own) => return,
-                Some(_) if self.tell(beliefs, store, &own).await => break,
+                Some(_) if self.tell(beliefs, store, &own).await => return,
                 _ => sleep(REST).await,
             }
         }
-        sleep(OTHERS_START).await;
-        let _nodes = self.read(beliefs, store).await;
     }
 
     /// Reads again and again who there is.
@@ -54,12 +64,17 @@
     /// many there are. A node that was killed stays in the list, which makes the shares smaller, never
     /// larger.
     pub(super) async fn run(&mut self, beliefs: &Beliefs, store: &Store) {
+        // Those that follow this node are served once it has all topics.
+        let mut next = match beliefs.feed.has(Topic::Nodes) {
+            true => NODES_AGAIN,
+            false => Duration::ZERO,
+        };
         loop {
-            let rest = match self.read(beliefs, store).await {
+            sleep(next).await;
+            next = match self.read(beliefs, store).await {
                 Some(_) => NODES_EVERY,
                 None => REST,
             };
-            sleep(rest).await;
         }
     }
 
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -1,14 +1,18 @@
 //! Follows another node, which reads the store.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sesamecart_fleet::Source;
+use sesamecart_links::Code;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
 use sesamecart_platform::Record;
 use sesamecart_runtime::{sleep, within};
 use sesamecart_vocabulary::Timestamp;
 
-use super::following::Following;
+use super::REST;
+use super::following::{Ended, Following, STAY};
 use super::nodes::take_nodes;
 use crate::clock;
 use crate::losses::parse_group;
@@ -40,42 +44,91 @@
     losses: u64,
 }
 
+/// How long the other node may take for its first read of the store, as a part of the time in which a
+/// change has to be in force.
+const FIRST_READ_PART: f64 = 0.5;
+
+/// How long the other node may know less than this one before another source is tried: a reader that
+/// is a read behind the last source has caught up by then.
+const BEHIND_MOST: Duration = Duration::from_millis(1_000);
+
+/// What came of a reply.
+enum Taken {
+    /// It is taken in.
+    News,
+    /// The other node knows less than this one does.
+    Behind,
+    /// It lacks a part.
+    Broken,
+}
+
 impl Following {
-    /// Follows the node at `links` until it fails, is out of date, or this node is to read the store.
-    pub(super) async fn follow_node(&mut self, links: SocketAddr) {
+    /// Follows the node at `links` until it fails, is out of date, or another source goes before it.
+    pub(super) async fn follow_node(&mut self, links: SocketAddr) -> Ended {
         let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
         let stale = bound.mul_f64(STALE_PART);
+        let patience = bound.mul_f64(FIRST_READ_PART);
+        let begun = clock::now();
+        let mut looked_at = begun;
+        let mut behind_since = None;
+        // The first answer is asked for at once, which tells a node that is gone soon.
+        let mut wait = Duration::ZERO;
         loop {
             let sent = clock::now();
             let mut feed = self.links.feed_of(links);
-            let answer = within(WAIT + ANSWER_SLACK, feed.follow(self.position.request())).await;
-            let reply = match answer {
+            let request = self.position.request(wait);
+            let reply = match within(wait + ANSWER_SLACK, feed.follow(request)).await {
                 Ok(Ok(reply)) => reply.into_inner(),
-                Ok(Err(status)) => return log::debug!("follower: node at {links}: {status}."),
-                Err(elapsed) => return log::debug!("follower: node at {links}: {elapsed}."),
+                Ok(Err(status)) if status.code() == Code::FailedPrecondition => {
+                    return Ended::Unready;
+                }
+                // A reader that has just started: were it left for the store, a standby would take
+                // control of the groups from it, with loads under way.
+                Ok(Err(status))
+                    if status.code() == Code::NotFound && sent.since(begun) < patience =>
+                {
+                    sleep(REST).await;
+                    continue;
+                }
+                Ok(Err(status)) => return failed(links, status),
+                Err(elapsed) => return failed(links, elapsed),
             };
+            wait = WAIT;
             let age = Duration::from_millis(reply.vouched_ms);
-            if !self.take(sent, reply) || age > stale {
-                return log::debug!("follower: node at {links} is out of date: {age:?}.");
+            if age > stale {
+                return failed(links, format_args!("it is out of date: {age:?}"));
+            }
+            match self.take(sent, reply) {
+                Taken::News => behind_since = None,
+                Taken::Broken => return failed(links, "a topic is missing"),
+                Taken::Behind => {
+                    let since = *behind_since.get_or_insert(sent);
+                    if clock::now().since(since) > BEHIND_MOST {
+                        return failed(links, "it knows less than this node");
+                    }
+                }
             }
-            if self.plan().is_reader {
-                return;
+            if clock::now().since(looked_at) >= STAY {
+                looked_at = clock::now();
+                if let Some(better) = self.better_than(Source::Node(links)).await {
+                    return Ended::Prefers(better);
+                }
             }
             sleep(PACE).await;
         }
     }
 
-    /// Takes a reply in; returns whether it goes on where this node is.
-    fn take(&mut self, sent: Timestamp, reply: FollowReply) -> bool {
+    /// Takes a reply in, if it goes on where this node is.
+    fn take(&mut self, sent: Timestamp, reply: FollowReply) -> Taken {
         let (Some(operator), Some(registry), Some(nodes)) =
             (reply.operator, reply.registry, reply.nodes)
         else {
-            return false;
+            return Taken::Broken;
         };
         let position = &mut self.position;
         let is_behind = operator.next < position.operator || registry.next < position.registry;
         if is_behind {
-            return false;
+            return Taken::Behind;
         }
         position.operator = operator.next;
         position.registry = registry.next;
@@ -101,7 +154,7 @@
                 None => log::warn!("follower: {group} is no group."),
             }
         }
-        true
+        Taken::News
     }
 
     fn take_topics(&mut self, operator: TopicPart, registry: TopicPart, nodes: TopicPart) {
@@ -126,15 +179,32 @@
     }
 }
 
+fn failed(links: SocketAddr, cause: impl Display) -> Ended {
+    log::debug!("follower: node at {links}: {cause}.");
+    Ended::Failed
+}
+
 impl Position {
-    const fn request(&self) -> FollowRequest {
+    /// Asks for nothing that a node may know, only whether it serves.
+    pub(super) const fn nothing_new() -> FollowRequest {
+        FollowRequest {
+            operator_next: u64::MAX,
+            registry_next: u64::MAX,
+            nodes_next: u64::MAX,
+            feed: 0,
+            losses_next: 0,
+            wait_ms: 0,
+        }
+    }
+
+    const fn request(&self, wait: Duration) -> FollowRequest {
         FollowRequest {
             operator_next: self.operator,
             registry_next: self.registry,
             nodes_next: self.nodes,
             feed: self.feed,
             losses_next: self.losses,
-            wait_ms: WAIT.as_millis() as u32,
+            wait_ms: wait.as_millis() as u32,
         }
     }
 }
--- a/crates/sesamecart-entry/src/losses.rs
+++ b/crates/sesamecart-entry/src/losses.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use sesamecart_fleet::{GroupKey, readers};
+use sesamecart_fleet::{GroupKey, readers, standbys};
 use sesamecart_links::Links;
 use sesamecart_links::feed::GroupLoss;
 use sesamecart_platform::{Expected, Record, Store, Topic};
@@ -66,10 +66,9 @@
         return;
     }
     let nodes = beliefs.nodes.load_full();
-    let others = readers(&nodes);
-    let others = others
-        .into_iter()
-        .filter(|reader| reader.node != beliefs.settings.node);
+    // Any standby may be serving others in its reader's place.
+    let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
+    let others = serving.filter(|peer| peer.node != beliefs.settings.node);
     let told = others.map(|reader| tell(&links, reader.links, &key));
     join_all(told).await;
 }
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -1,11 +1,14 @@
 //! What a node counts; docs/metrics.md lists it.
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
+use sesamecart_platform::{StoreStep, Topic};
 
 /// The counters of one node.
 #[derive(Debug)]
@@ -16,6 +19,9 @@
     answers: Counter<u64>,
     attempts_failed: Counter<u64>,
     resumed: Counter<u64>,
+    store_calls: Counter<u64>,
+    /// The same for the log.
+    store_called: Mutex<IndexMap<(StoreStep, Topic), u64>>,
     store_failures: Counter<u64>,
     orders: Counter<u64>,
     groups_lost: Counter<u64>,
@@ -54,6 +60,11 @@
                 "sesamecart.streams.resumed",
                 "Streams that went on at another endpoint.",
             ),
+            store_calls: counter(
+                "sesamecart.store.calls",
+                "Calls to the store, by step and topic.",
+            ),
+            store_called: Mutex::default(),
             store_failures: counter("sesamecart.store.failures", "Failed calls to the store."),
             orders: counter("sesamecart.orders", "Orders to engines, by outcome."),
             groups_lost: counter(
@@ -79,6 +90,7 @@
         self.answers.add(0, &[]);
         self.attempts_failed.add(0, &[]);
         self.resumed.add(0, &[]);
+        self.store_calls.add(0, &[]);
         self.store_failures.add(0, &[]);
         self.orders.add(0, &[]);
         self.groups_lost.add(0, &[]);
@@ -101,6 +113,32 @@
         self.resumed.add(1, &[]);
     }
 
+    pub(crate) fn count_store_call(&self, step: StoreStep, topic: Topic) {
+        let labels = [
+            KeyValue::new("step", step.to_string()),
+            KeyValue::new("topic", topic.to_string()),
+        ];
+        self.store_calls.add(1, &labels);
+        let mut called = self
+            .store_called
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *called.entry((step, topic)).or_default() += 1;
+    }
+
+    /// Returns the calls to the store so far, as a text; nothing before the first.
+    pub(crate) fn store_called(&self) -> Option<String> {
+        let called = self
+            .store_called
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let parts = called
+            .iter()
+            .map(|((step, topic), calls)| format!("{step} {topic} {calls}"));
+        let parts: Vec<String> = parts.collect();
+        (!parts.is_empty()).then(|| parts.join(", "))
+    }
+
     pub(crate) fn count_store_failure(&self) {
         self.store_failures.add(1, &[]);
     }
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -40,6 +40,9 @@
 /// How long a call to the store may take beyond what it asks the store to wait.
 const STORE_LIMIT: Duration = Duration::from_millis(900);
 
+/// How often the calls to the store are logged.
+const STORE_CALLS_EVERY: Duration = Duration::from_secs(10);
+
 /// How long a connection for control may take to open.
 const CONTROL_CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -186,6 +189,7 @@
     fn stop(&mut self, cut_off: usize) {
         self.traffic.stop();
         self.control.stop();
+        write_store_calls(&self.beliefs);
         self.beliefs.events.write(&Event::Stopped { cut_off });
         self.beliefs.events.close();
         if let Some(writer) = self.log_writer.take()
@@ -233,7 +237,12 @@
     let worker = Worker::start("control")?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::new(tasks.clone(), CONTROL_CONNECT_LIMIT);
-    let store = Store::new(client.clone(), beliefs.settings.store, STORE_LIMIT);
+    let store = {
+        let counted = Arc::clone(beliefs);
+        let called = move |step, topic| counted.metrics.count_store_call(step, topic);
+        Store::new(client.clone(), beliefs.settings.store, STORE_LIMIT, called)
+    };
+    tasks.spawn(log_store_calls(Arc::clone(beliefs)));
     let (tell_change, changed) = async_channel::bounded(1);
     let (tell_found, found) = async_channel::unbounded();
     let links = Links::new(tasks.clone(), ByteCount::default());
@@ -276,6 +285,20 @@
     Ok(worker)
 }
 
+/// Logs the calls to the store until the task is cancelled; a process that is killed has said most.
+async fn log_store_calls(beliefs: Arc<Beliefs>) {
+    loop {
+        sleep(STORE_CALLS_EVERY).await;
+        write_store_calls(&beliefs);
+    }
+}
+
+fn write_store_calls(beliefs: &Beliefs) {
+    if let Some(calls) = beliefs.metrics.store_called() {
+        beliefs.events.write(&Event::StoreCalled { calls: &calls });
+    }
+}
+
 /// Serves one page, whatever the path, until the thread stops.
 fn serve_pages(
     beliefs: &Arc<Beliefs>,
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -31,6 +31,8 @@
     pub processor_share: f64,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Whether the whole deployment starts for the first time, and not this process alone.
+    pub first_start: bool,
     /// Bounds that the operator sets for all nodes.
     pub bounds: OperatorBounds,
 }
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use sesamecart_entry::Entry;
 use sesamecart_platform_standins::{Engine, Fault, Outage};
 
 use crate::gate::Gate;
@@ -422,6 +423,33 @@
     deployment.leave();
 }
 
+/// The node that reads the store for its failure domain is killed. Until another one reads it, a key that
+/// is taken away would go on working on all that followed it, and its callers would find no new endpoint.
+#[test]
+fn a_standby_reads_the_store_once_its_reader_is_gone() {
+    let deployment = Deployment::start(EVENTS);
+    let reader = deployment.add_strong_node("n2", 0.5);
+    let standby = deployment.add_strong_node("n3", 0.4);
+    let reads = |node: &Entry| node.beliefs().reads_store();
+    // The first node reads it as well, as it controls the groups.
+    deployment.wait_until("the reader reads the store", || {
+        reads(&reader) && !reads(&standby)
+    });
+    reader.kill();
+    deployment.publish(2, &["key-1"]);
+    deployment.wait_until(
+        "the key that was taken away stops working everywhere",
+        || {
+            let here = deployment.ask(Path::Lookup, "r1", "key-2");
+            let there = deployment.ask_node(&standby, Path::Lookup, "r2", "key-2", PATIENCE);
+            here.status == 401 && there.status == 401
+        },
+    );
+    deployment.wait_until("the standby reads the store", || reads(&standby));
+    standby.kill();
+    deployment.leave();
+}
+
 /// Two nodes choose among the same heads. Neither sees the other's callers; a node that goes by its own
 /// requests sends to the head that the other one has just filled, and both callers wait.
 #[test]
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -31,5 +31,6 @@
 pub use repair::{Finding, MemberProbe, Verdict, judge};
 pub use silence::{Silence, SilenceLimits};
 pub use sources::{
-    PeerNode, Source, SourcePlan, WATCHED_MOST, peers_to_watch, plan_sources, readers,
+    PeerNode, Role, Source, SourcePlan, WATCHED_MOST, peers_to_watch, plan_sources, readers,
+    standbys,
 };
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -211,9 +211,6 @@
         let mut steps = Vec::new();
         self.follow_formations(now, input, &mut steps);
         let occupied = self.follow_groups(now, input, &mut steps);
-        if !input.in_traffic && !self.sizes.are_complete(now) {
-            return steps;
-        }
         let mut free = self.free(now, input, &occupied);
         self.form(now, input, &mut free, &mut steps);
         self.stage(now, input, &free, &mut steps);
@@ -339,7 +336,9 @@
             if held || taken || engine.state != EndpointState::Ready {
                 continue;
             }
-            if let Some(domain) = &engine.fabric_domain {
+            if let Some(domain) = &engine.fabric_domain
+                && self.may_begin(now, input, domain)
+            {
                 free.entry(domain.clone()).or_default().push(engine);
             }
         }
--- a/crates/sesamecart-fleet/src/planner/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/domains.rs
@@ -14,7 +14,7 @@
 /// Models whose groups for their share differ by less than this count as equally far behind.
 const ABOUT_EQUAL: f64 = 1.05;
 
-/// How long no engine may have come before domains of unequal size count as complete.
+/// How long no engine may have come before domains that are smaller than others count as complete.
 ///
 /// At a start engines register one after the other. Domains that were measured by the first of them
 /// would look too small for the model with the larger groups, and be loaded with another one.
@@ -66,9 +66,11 @@
         now.since(*since) >= patience
     }
 
-    /// Returns whether all engines seem to have come.
-    pub(super) fn are_complete(&self, now: Timestamp) -> bool {
-        self.are_settled(now) || self.sizes.values().all(|size| *size == self.largest())
+    /// Returns whether all engines of a domain seem to have come, where one that holds a group of
+    /// `largest_group` engines would have more.
+    fn is_complete(&self, now: Timestamp, domain: &FabricDomainId, largest_group: usize) -> bool {
+        let size = self.of(domain);
+        self.are_settled(now) || (size == self.largest() && size >= largest_group)
     }
 
     /// Returns whether no engine has come for a while.
@@ -196,6 +198,18 @@
         least.map(|model| model.model.clone())
     }
 
+    /// Returns whether groups may be formed in a domain: before traffic, once it is complete.
+    pub(super) fn may_begin(
+        &self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        domain: &FabricDomainId,
+    ) -> bool {
+        let sizes = input.spec.models.iter().map(|model| model.group_size);
+        let largest_group = sizes.max().unwrap_or(0);
+        input.in_traffic || self.sizes.is_complete(now, domain, largest_group)
+    }
+
     /// Returns the models that nothing can serve: no fabric domain holds a group of them.
     #[must_use]
     pub fn unservable<'a>(&self, now: Timestamp, spec: &'a EngineSpec) -> Vec<&'a EngineModel> {
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -1,9 +1,10 @@
 //! From whom a node hears what the platform's store says.
 //!
 //! It answers the size of a deployment: reads that each node makes for itself grow with the nodes, and
-//! all nodes together may call the store so many times a second. At 71 nodes of their own reads a day of
-//! 34 s took 9,000 calls. A few nodes of each failure domain read the store, the others follow them. It
-//! also answers a store that turns some nodes away: they follow a node that still reads it.
+//! all nodes together may call the store so many times a second. One node of each failure domain reads
+//! the store and the others follow it, so calls grow with the failure domains. A second one stands by and
+//! steps in when the reader is gone. It also answers a store that turns some nodes away: they follow a
+//! node that still reads it.
 
 use std::net::SocketAddr;
 
@@ -14,13 +15,6 @@
 #[cfg(test)]
 mod tests;
 
-/// How many nodes of a failure domain read the store: when one ends the other is there at once.
-const READERS: usize = 2;
-
-/// In a failure domain of so many nodes or fewer each reads the store itself: what following would
-/// save there is less than the time that a lost reader costs.
-const SMALL_DOMAIN: usize = 4;
-
 /// What a node tells the others of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerNode {
@@ -35,7 +29,7 @@
 }
 
 /// From whom a node hears what the store says.
-#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Hash, PartialEq)]
 pub enum Source {
     /// The store itself.
     #[display("the store")]
@@ -45,13 +39,29 @@
     Node(SocketAddr),
 }
 
+/// What a node is to the others of its failure domain.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum Role {
+    /// It reads the store for them.
+    #[display("reader")]
+    Reader,
+    /// It reads the store for them while the reader is gone.
+    #[display("standby")]
+    Standby,
+    /// It follows one of these.
+    #[display("follower")]
+    Follower,
+}
+
 /// The sources of one node, best first.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SourcePlan {
-    /// Whether it reads the store itself while it can.
-    pub is_reader: bool,
+    /// What the node is to its failure domain.
+    pub role: Role,
     /// All its sources, to be tried in this order.
     pub order: Vec<Source>,
+    /// Those that it returns to from any other one, once they serve again, best first.
+    pub home: Vec<Source>,
 }
 
 /// The most nodes whose loads a node watches.
@@ -83,63 +93,102 @@
 }
 
 /// Chooses a node's sources; all nodes that know the same nodes choose the same readers.
+///
+/// A follower turns to readers elsewhere before the standby of its own failure domain, which needs a
+/// moment to step in and has nothing but whole topics to give at first. The store comes last: were all
+/// followers of a reader that ends to read it at once, it would turn them away.
 #[must_use]
 pub fn plan_sources(own: &NodeId, nodes: &[PeerNode]) -> SourcePlan {
-    let readers = readers(nodes);
-    let known = nodes.iter().find(|peer| peer.node == *own);
-    let Some(me) = known else {
+    let Some(me) = nodes.iter().find(|peer| peer.node == *own) else {
         // Nothing is known of the others before the first read of the store.
         return SourcePlan {
-            is_reader: true,
+            role: Role::Reader,
             order: vec![Source::Store],
+            home: vec![Source::Store],
         };
     };
-    let is_reader = readers.iter().any(|reader| reader.node == *own);
-    let mut others: Vec<&PeerNode> = readers
-        .into_iter()
-        .filter(|reader| reader.node != *own)
-        .collect();
-    others.sort_by_key(|reader| {
+    let mut far = Vec::new();
+    let mut near = DomainReaders::default();
+    for (domain, readers) in domain_readers(nodes) {
+        if *domain == me.failure_domain {
+            near = readers;
+        } else {
+            far.extend(readers.reader);
+        }
+    }
+    far.sort_by_key(|reader| {
         let weight = rendezvous_weight(own.as_str(), reader.node.as_str());
         std::cmp::Reverse(weight)
     });
-    let (near, far): (Vec<&PeerNode>, Vec<&PeerNode>) = others
-        .into_iter()
-        .partition(|reader| reader.failure_domain == me.failure_domain);
-    let source = |reader: &PeerNode| Source::Node(reader.links);
-    let near = near.into_iter().map(source);
-    let far = far.into_iter().map(source);
-    let order = if is_reader {
-        std::iter::once(Source::Store)
-            .chain(near)
-            .chain(far)
-            .collect()
-    } else {
-        near.chain([Source::Store]).chain(far).collect()
-    };
-    SourcePlan { is_reader, order }
+    let far = far.into_iter().map(node_source);
+    let reader = near.reader.map(node_source);
+    let standby = near.standby.map(node_source);
+    if near.reader == Some(me) {
+        let others = standby.into_iter().chain(far);
+        return SourcePlan {
+            role: Role::Reader,
+            order: std::iter::once(Source::Store).chain(others).collect(),
+            home: vec![Source::Store],
+        };
+    }
+    if near.standby == Some(me) {
+        let others = std::iter::once(Source::Store).chain(far);
+        return SourcePlan {
+            role: Role::Standby,
+            order: reader.into_iter().chain(others).collect(),
+            home: reader.into_iter().collect(),
+        };
+    }
+    let others = far.chain(standby).chain([Source::Store]);
+    SourcePlan {
+        role: Role::Follower,
+        order: reader.into_iter().chain(others).collect(),
+        home: reader.into_iter().chain(standby).collect(),
+    }
 }
 
-/// Returns the nodes that read the store themselves.
+/// Returns the nodes that read the store themselves, one of each failure domain.
 #[must_use]
 pub fn readers(nodes: &[PeerNode]) -> Vec<&PeerNode> {
+    let domains = domain_readers(nodes).into_values();
+    domains.filter_map(|domain| domain.reader).collect()
+}
+
+/// Returns the nodes that read the store while the reader of their failure domain is gone.
+#[must_use]
+pub fn standbys(nodes: &[PeerNode]) -> Vec<&PeerNode> {
+    let domains = domain_readers(nodes).into_values();
+    domains.filter_map(|domain| domain.standby).collect()
+}
+
+/// The nodes of one failure domain that may read the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct DomainReaders<'a> {
+    reader: Option<&'a PeerNode>,
+    standby: Option<&'a PeerNode>,
+}
+
+fn domain_readers(nodes: &[PeerNode]) -> IndexMap<&FailureDomainId, DomainReaders<'_>> {
     let mut domains: IndexMap<&FailureDomainId, Vec<&PeerNode>> = IndexMap::new();
     for peer in nodes {
         domains.entry(&peer.failure_domain).or_default().push(peer);
     }
-    let mut readers = Vec::new();
-    for (domain, mut peers) in domains {
-        if peers.len() > SMALL_DOMAIN {
-            // A reader answers all that follow it, so the nodes with the most of a processor read.
-            peers.sort_by(|a, b| {
-                let weight =
-                    |peer: &PeerNode| rendezvous_weight(domain.as_str(), peer.node.as_str());
-                let by_share = b.processor_share.total_cmp(&a.processor_share);
-                by_share.then_with(|| weight(b).cmp(&weight(a)))
-            });
-            peers.truncate(READERS);
-        }
-        readers.extend(peers);
-    }
-    readers
+    let chosen = domains.into_iter().map(|(domain, mut peers)| {
+        // A reader answers all that follow it, so the nodes with the most of a processor read.
+        peers.sort_by(|a, b| {
+            let weight = |peer: &PeerNode| rendezvous_weight(domain.as_str(), peer.node.as_str());
+            let by_share = b.processor_share.total_cmp(&a.processor_share);
+            by_share.then_with(|| weight(b).cmp(&weight(a)))
+        });
+        let readers = DomainReaders {
+            reader: peers.first().copied(),
+            standby: peers.get(1).copied(),
+        };
+        (domain, readers)
+    });
+    chosen.collect()
+}
+
+fn node_source(peer: &PeerNode) -> Source {
+    Source::Node(peer.links)
 }
--- a/crates/sesamecart-links/src/lib.rs
+++ b/crates/sesamecart-links/src/lib.rs
@@ -35,4 +35,4 @@
 pub use error::{LinkError, LinkStep};
 pub use links::Links;
 pub use server::{serve, serve_feed};
-pub use tonic::{Request, Response, Status, async_trait};
+pub use tonic::{Code, Request, Response, Status, async_trait};
