--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -171,6 +171,11 @@
             }
             (Some(term), Woken::Outcome(outcome)) => {
                 term.take(outcome);
+                // A start brings hundreds of outcomes at about once; a plan for each would take the
+                // thread for a second.
+                while let Ok(outcome) = term.outcomes.try_recv() {
+                    term.take(outcome);
+                }
                 self.plan(term);
             }
             (Some(term), Woken::Plan) => self.plan(term),
@@ -384,11 +389,7 @@
 }
 
 fn head_of(beliefs: &Beliefs, key: &GroupKey) -> Option<EndpointId> {
-    let directory = beliefs.directory.load();
-    let head = directory.members(key).find(|member| {
-        let role = member.group.as_ref();
-        role.is_some_and(|role| role.rank == 0)
-    });
+    let head = watch::head_of(&beliefs.directory.load(), key);
     head.map(|head| head.id.clone())
 }
 
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -5,15 +5,18 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use sesamecart_fleet::GroupKey;
+use sesamecart_fleet::{GroupKey, Verdict};
 use sesamecart_links::feed::feed_server::Feed as FeedService;
-use sesamecart_links::feed::{FollowReply, FollowRequest, GroupLoss, Noted, WatchLoadsRequest};
+use sesamecart_links::feed::{
+    FollowReply, FollowRequest, GroupLoss, GroupVerdict, Noted, WatchLoadsRequest,
+};
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
 use sesamecart_runtime::{ByteCount, Tasks, sleep};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
+use crate::examinations::Examinations;
 use crate::exchange::{self, Changes};
 use crate::feed::has_news;
 use crate::follower::millis;
@@ -26,16 +29,22 @@
 struct Side {
     beliefs: Arc<Beliefs>,
     store: Store,
+    examinations: Examinations,
 }
 
 /// Takes calls of followers until the task is cancelled.
 pub(crate) async fn serve(
     beliefs: Arc<Beliefs>,
     store: Store,
+    examinations: Examinations,
     listener: TcpListener,
     tasks: Tasks,
 ) {
-    let side = Side { beliefs, store };
+    let side = Side {
+        beliefs,
+        store,
+        examinations,
+    };
     let served = sesamecart_links::serve_feed(listener, side, tasks, ByteCount::default());
     if let Err(error) = served.await {
         log::error!("feed: followers can't be taken: {error}.");
@@ -81,6 +90,17 @@
         }
     }
 
+    async fn examine_group(
+        &self,
+        request: Request<GroupLoss>,
+    ) -> Result<Response<GroupVerdict>, Status> {
+        let key = read_group(&request)?;
+        let verdict = self.examinations.verdict(&key).await;
+        Ok(Response::new(GroupVerdict {
+            is_sound: verdict == Verdict::Sound,
+        }))
+    }
+
     async fn report_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
         let key = read_group(&request)?;
         // Many followers find the same loss at once; the controller needs to hear of it once.
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod controller;
 mod events;
+mod examinations;
 mod exchange;
 mod feed;
 mod follower;
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -20,6 +20,7 @@
 use crate::beliefs::Beliefs;
 use crate::controller::Controller;
 use crate::events::{Event, EventLog};
+use crate::examinations::Examinations;
 use crate::exchange;
 use crate::feed;
 use crate::follower::Following;
@@ -253,9 +254,11 @@
         tell_change,
     );
     tasks.spawn(following.run());
+    let examinations = Examinations::new(Arc::clone(beliefs), client.clone(), links.clone());
     tasks.spawn(feed::serve(
         Arc::clone(beliefs),
         store.clone(),
+        examinations.clone(),
         listeners.links,
         tasks.clone(),
     ));
@@ -266,7 +269,7 @@
     ));
     tasks.spawn(watch::watch_heads(
         Arc::clone(beliefs),
-        client.clone(),
+        examinations,
         tasks.clone(),
         tell_found,
     ));
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -16,6 +16,7 @@
 use crate::beliefs::{Beliefs, group_key};
 use crate::clock;
 use crate::events::Event;
+use crate::examinations::Examinations;
 
 /// How often heads are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(40);
@@ -29,7 +30,7 @@
 /// Looks at the heads that this node's requests depend on, until the task is dropped.
 pub(crate) async fn watch_heads(
     beliefs: Arc<Beliefs>,
-    client: HttpClient,
+    examinations: Examinations,
     tasks: Tasks,
     found: Sender<GroupKey>,
 ) {
@@ -49,9 +50,10 @@
             let Some(key) = known.and_then(|head| group_key(head)) else {
                 continue;
             };
-            let (beliefs, client, found) = (Arc::clone(&beliefs), client.clone(), found.clone());
+            let (beliefs, found) = (Arc::clone(&beliefs), found.clone());
+            let examinations = examinations.clone();
             tasks.spawn(async move {
-                if examine(&beliefs, &client, &key).await.verdict != Verdict::Sound {
+                if !examinations.is_sound(&key).await {
                     beliefs.metrics.count_group_lost();
                     beliefs.lose_group(&key);
                     // The controller is told by whoever finds it; a closed channel means that the
@@ -85,6 +87,29 @@
     Examined { verdict, silent }
 }
 
+/// Asks a group's head alone.
+pub(crate) async fn ask_head(
+    beliefs: &Beliefs,
+    client: &HttpClient,
+    key: &GroupKey,
+) -> MemberProbe {
+    let directory = beliefs.directory.load_full();
+    match head_of(&directory, key) {
+        Some(head) => ask(client, &head, key).await,
+        None => MemberProbe::Silent,
+    }
+}
+
+/// Returns the head of a group, also one that has left the registry lately.
+pub(crate) fn head_of(directory: &Directory, key: &GroupKey) -> Option<Arc<Endpoint>> {
+    let mut members = directory.members(key);
+    let head = members.find(|member| {
+        let role = member.group.as_ref();
+        role.is_some_and(|role| role.rank == 0)
+    });
+    head.cloned()
+}
+
 async fn ask_members(
     beliefs: &Beliefs,
     directory: &Directory,
