--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -15,7 +15,7 @@
 use sesamecart_links::Links;
 use sesamecart_platform::{Offset, Order, OrderOutcome, Read, Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
-use sesamecart_vocabulary::{EndpointId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, ModelId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
@@ -91,6 +91,8 @@
     handled: IndexSet<GroupKey>,
     /// When it was last logged what the engines are used for.
     counted_at: Timestamp,
+    /// The models that were said to have no fabric domain that holds them.
+    unservable: IndexSet<ModelId>,
     tasks: Tasks,
 }
 
@@ -116,6 +118,7 @@
                     if let Some(ended) = term.take() {
                         // Names of groups aren't given twice, also when the fence stays the same.
                         formed = ended.planner.formed();
+                        self.beliefs.metrics.record_unservable(0);
                         ended.tasks.cancel().await;
                     }
                 }
@@ -137,6 +140,7 @@
             planner: Planner::new(fence, formed),
             handled: IndexSet::new(),
             counted_at: Timestamp::ZERO,
+            unservable: IndexSet::new(),
             engines: Arc::new(Engines::new(
                 Arc::clone(&self.beliefs),
                 self.client.clone(),
@@ -210,7 +214,9 @@
             if counts {
                 log_counts(&self.beliefs, &term.planner, &input);
             }
-            for step in term.planner.plan(now, &input) {
+            let steps = term.planner.plan(now, &input);
+            term.note_unservable(&self.beliefs, now, &input);
+            for step in steps {
                 term.start(step, self);
             }
         }
@@ -244,6 +250,24 @@
 }
 
 impl Term {
+    /// Says once which models can't be served, so that operators look for engines and not for a fault.
+    fn note_unservable(&mut self, beliefs: &Beliefs, now: Timestamp, input: &PlannerInput<'_>) {
+        let models = self.planner.unservable(now, input.spec);
+        beliefs.metrics.record_unservable(models.len());
+        let engines = input.directory.largest_fabric_domain(input.service);
+        for known in &models {
+            if self.unservable.contains(&known.model) {
+                continue;
+            }
+            beliefs.events.write(&Event::ModelUnservable {
+                model: known.model.as_str(),
+                group_size: known.group_size,
+                engines,
+            });
+        }
+        self.unservable = models.iter().map(|known| known.model.clone()).collect();
+    }
+
     fn take(&mut self, outcome: Outcome) {
         let now = clock::now();
         match outcome {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -85,6 +85,15 @@
         /// Engines of the service that hold no model and load none.
         empty: usize,
     },
+    /// A model has no groups, as no fabric domain has the engines for one; said once while it lasts.
+    ModelUnservable {
+        /// The model.
+        model: &'a str,
+        /// The engines that a group of it needs.
+        group_size: usize,
+        /// The engines of the largest fabric domain.
+        engines: usize,
+    },
     /// How often this process has called the store, every ten seconds and at its end.
     StoreCalled {
         /// The calls of each kind since the start.
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use sesamecart_platform::{StoreStep, Topic};
@@ -25,6 +25,7 @@
     store_failures: Counter<u64>,
     orders: Counter<u64>,
     groups_lost: Counter<u64>,
+    models_unservable: Gauge<u64>,
     first: Histogram<f64>,
 }
 
@@ -71,6 +72,10 @@
                 "sesamecart.groups.lost",
                 "Groups that this node found to have lost a member.",
             ),
+            models_unservable: meter
+                .u64_gauge("sesamecart.models.unservable")
+                .with_description("Models that no fabric domain holds, on the controlling node.")
+                .build(),
             first: meter
                 .f64_histogram("sesamecart.first.seconds")
                 .with_description("Time from a request's arrival to its answer's first sign.")
@@ -94,6 +99,7 @@
         self.store_failures.add(0, &[]);
         self.orders.add(0, &[]);
         self.groups_lost.add(0, &[]);
+        self.models_unservable.record(0, &[]);
     }
 
     pub(crate) fn count_answer(&self, by: &'static str, status: u16) {
@@ -151,6 +157,10 @@
         self.groups_lost.add(1, &[]);
     }
 
+    pub(crate) fn record_unservable(&self, models: usize) {
+        self.models_unservable.record(models as u64, &[]);
+    }
+
     pub(crate) fn record_first(&self, taken: Duration) {
         self.first.record(taken.as_secs_f64(), &[]);
     }
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -226,6 +226,11 @@
             .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
             .filter(|endpoint| !self.beliefs.is_lost(endpoint))
             .collect();
+        if let (true, Some(model), Some(known)) = (endpoints.is_empty(), model, known)
+            && !known.may_hold(model, directory.largest_fabric_domain(service))
+        {
+            return Err(Unavailable::Unservable);
+        }
         let now = clock::now();
         loop {
             let candidates: Vec<Candidate<'_>> = endpoints
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -59,6 +59,9 @@
 const ABSENT_RETRY: (Duration, Duration) =
     (Duration::from_millis(400), Duration::from_millis(1_500));
 
+/// The same where no fabric domain holds the model: engines have to be added first, which takes minutes.
+const UNSERVABLE_RETRY: (Duration, Duration) = (Duration::from_secs(60), Duration::from_secs(120));
+
 impl Refusal {
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
@@ -80,6 +83,7 @@
     pub(crate) fn retry_after(&self, draw: f64) -> Option<Duration> {
         let (least, most) = match self {
             Self::Unavailable(Unavailable::Full) => FULL_RETRY,
+            Self::Unavailable(Unavailable::Unservable) => UNSERVABLE_RETRY,
             Self::NotReady(_) | Self::Unavailable(Unavailable::NoEndpoint) | Self::NotRun(_) => {
                 ABSENT_RETRY
             }
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -2,6 +2,7 @@
 //! when endpoints or the store fail.
 
 mod gate;
+mod many;
 mod setup;
 
 use std::time::Duration;
--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -23,10 +23,22 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Path {
     Stream,
+    /// A stream of a model that no fabric domain holds.
+    HugeStream,
     Booking,
     Lookup,
 }
 
+impl Path {
+    const fn model(self) -> Option<&'static str> {
+        match self {
+            Self::Stream => Some("m"),
+            Self::HugeStream => Some("huge"),
+            Self::Booking | Self::Lookup => None,
+        }
+    }
+}
+
 /// What a caller got.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Answer {
@@ -131,6 +143,25 @@
         self.add(settings(node, store))
     }
 
+    /// Starts other nodes in a failure domain and returns once they are ready.
+    pub(crate) fn add_nodes(&self, failure_domain: &str, count: usize) -> Vec<Entry> {
+        let names = (0..count).map(|index| format!("{failure_domain}-{index}"));
+        let started = names.map(|name| {
+            let settings = settings(&name, self.store.address());
+            let failure_domain = failure_domain.parse().expect("a name");
+            Entry::start(EntrySettings {
+                failure_domain,
+                ..settings
+            })
+            .expect("the node starts")
+        });
+        let started: Vec<Entry> = started.collect();
+        self.wait_until("the other nodes are ready", || {
+            started.iter().all(|node| self.readiness_of(node) == 200)
+        });
+        started
+    }
+
     /// Starts another node with more of a processor than the first one, which reads the store for it.
     pub(crate) fn add_strong_node(&self, node: &str, processor_share: f64) -> Entry {
         let settings = settings(node, self.store.address());
@@ -189,7 +220,7 @@
         patience: Duration,
     ) -> Answer {
         let prefix = match path {
-            Path::Stream => "/chat/",
+            Path::Stream | Path::HugeStream => "/chat/",
             Path::Booking => "/book/",
             Path::Lookup => "/look/",
         };
@@ -198,8 +229,10 @@
             .header("request-id", id)
             .header("credential", key)
             .header("deadline-ms", patience.as_millis().to_string());
-        if path == Path::Stream {
-            req = req.header("model-name", "m").header("token-count", "10,80");
+        if let Some(model) = path.model() {
+            req = req
+                .header("model-name", model)
+                .header("token-count", "10,80");
         }
         let req = req.body(Full::from("asked")).expect("it is valid");
         self.send(node.callers(), req, LIMIT)
@@ -294,7 +327,8 @@
         "services": [
             {"name": "llm", "healthPath": "/health", "maxConnections": 100, "coldPerS": 0.0,
              "engine": {"slots": 8, "loadsPerS": 4.5, "loads_at_once": 6, "models": [
-                {"name": "m", "size": 3, "share": 1.0, "pace": 1.0, "loadS": 1.0, "warmS": 0.1}]}},
+                {"name": "m", "size": 3, "share": 0.5, "pace": 1.0, "loadS": 1.0, "warmS": 0.1},
+                {"name": "huge", "size": 10, "share": 0.5, "pace": 1.0, "loadS": 1.0, "warmS": 0.1}]}},
             {"name": "app", "healthPath": "/health", "maxConnections": 100, "coldPerS": 0.0},
         ],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000, "headerTimeoutMs": 3_000,
--- a/crates/sesamecart-fleet/examples/plan.rs
+++ b/crates/sesamecart-fleet/examples/plan.rs
@@ -97,11 +97,8 @@
             ("small", small)
         };
         let is_member = size > 0 && place < domain / size * size;
-        let (group, rank) = if size > 0 {
-            (place / size, place % size)
-        } else {
-            (0, 0)
-        };
+        let group = place.checked_div(size).unwrap_or(0);
+        let rank = place.checked_rem(size).unwrap_or(0);
         let role = is_member.then(|| GroupRole {
             group: format!("g{number}-{group}")
                 .parse()
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -121,6 +121,17 @@
     pub engine: Option<EngineSpec>,
 }
 
+impl Service {
+    /// Returns whether a fabric domain of so many engines may hold a group of a model; one that isn't
+    /// configured needs none.
+    #[must_use]
+    pub fn may_hold(&self, model: &ModelId, engines: usize) -> bool {
+        let models = self.engine.iter().flat_map(|engine| &engine.models);
+        let mut models = models.filter(|known| known.model == *model);
+        models.all(|known| known.group_size <= engines)
+    }
+}
+
 /// A customer whose callers use the system.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Customer {
--- a/crates/sesamecart-fleet/src/directory.rs
+++ b/crates/sesamecart-fleet/src/directory.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, GroupId, ModelId, ServiceId, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, FabricDomainId, FailureDomainId, GroupId, ModelId, ServiceId, Timestamp,
+};
 
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::GroupEpoch;
@@ -155,6 +157,21 @@
         known.is_some_and(|known| now.since(known.seen_at) < known.endpoint.cold_for)
     }
 
+    /// Returns the engines of the fabric domain that has the most of a service's.
+    #[must_use]
+    pub fn largest_fabric_domain(&self, service: &ServiceId) -> usize {
+        let mut domains: IndexMap<&FabricDomainId, usize> = IndexMap::new();
+        for endpoint in self
+            .listed()
+            .filter(|endpoint| endpoint.service == *service)
+        {
+            if let Some(domain) = &endpoint.fabric_domain {
+                *domains.entry(domain).or_default() += 1;
+            }
+        }
+        domains.into_values().max().unwrap_or(0)
+    }
+
     /// Returns the endpoints of a service that may get new work for a model, or for none.
     pub fn candidates<'a>(
         &'a self,
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -51,6 +51,9 @@
     /// All have as much as they can do in time.
     #[display("all endpoints are full")]
     Full,
+    /// No fabric domain has the engines for a group of the model.
+    #[display("no fabric domain has the engines that a group of the model needs")]
+    Unservable,
 }
 
 /// The endpoint chosen.
