--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -91,12 +91,23 @@
             }
         }
         for record in records {
-            self.put(offset, record);
+            if !self.has(record) {
+                self.put(offset, record);
+            }
         }
         self.next = end.0;
         self.forget();
     }
 
+    /// Returns whether a record is known as it is.
+    ///
+    /// A store that forgets its history has the topic read whole again and again. Told of all of it each
+    /// time, dozens of followers would fill the reader's link, and their configurations grow too old.
+    fn has(&self, record: &Record) -> bool {
+        let known = record.key.as_ref().and_then(|key| self.newest.get(key));
+        known.is_some_and(|(_, value)| *value == record.value)
+    }
+
     fn apply(&mut self, records: &[Record], next: Offset) {
         let first = next.0.saturating_sub(records.len() as u64);
         for (offset, record) in (first..).zip(records) {
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -92,6 +92,18 @@
     assert!(registry(&reply).contains(&("e2", None)));
 }
 
+/// A store forgets its history, and the reader reads all of a topic anew. Were every follower sent all of it
+/// again, the reader's link would be full, and their configurations would grow too old to serve callers.
+#[test]
+fn a_topic_that_is_read_anew_is_not_sent_again() {
+    let feed = feed();
+    let endpoints = [record("e1", Some("a")), record("e2", Some("changed"))];
+    feed.replace(Topic::Registry, &endpoints, Offset(20));
+    let reply = ask(&feed, 10);
+    assert_eq!(registry(&reply), [("e2", Some(&b"changed"[..]))]);
+    assert_eq!(reply.registry.as_ref().map(|part| part.next), Some(20));
+}
+
 /// A follower that was away for longer than drops are remembered would keep endpoints that are gone.
 #[test]
 fn a_follower_that_was_away_for_long_gets_all() {
