--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -2,28 +2,30 @@
 
 mod engines;
 mod lease;
+mod observations;
+mod steps;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
-use futures_util::future::join_all;
 use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{Fence, Formation, GroupKey, Planner, PlannerInput, Step, Verdict};
+use sesamecart_fleet::{Fence, GroupKey, Planner, PlannerInput, Step};
 use sesamecart_links::Links;
-use sesamecart_platform::{Offset, Order, OrderOutcome, Read, Record, Store, Topic};
+use sesamecart_platform::Store;
 use sesamecart_runtime::{Tasks, sleep};
-use sesamecart_vocabulary::{EndpointId, ModelId, Timestamp};
+use sesamecart_vocabulary::{ModelId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::controller::engines::Engines;
 use crate::controller::lease::Lease;
+use crate::controller::observations::follow_observations;
+use crate::controller::steps::{Outcome, carry_out};
 use crate::events::Event;
 use crate::losses;
-use crate::watch::{self, Examined};
 
 /// How often the plan is made anew when nothing has changed.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -34,39 +36,9 @@
 /// How long an engine that didn't answer is left alone; its entry has lapsed by then if it is gone.
 const REST_AFTER_SILENCE: Duration = Duration::from_millis(4_500);
 
-/// How long the store holds a read of observations that finds nothing.
-const OBSERVATIONS_WAIT: Duration = Duration::from_millis(2_000);
-
 /// How often it is logged what the engines are used for.
 const COUNT_EVERY: Duration = Duration::from_secs(2);
 
-/// How long a failed call to the store is followed by a rest.
-const REST: Duration = Duration::from_millis(200);
-
-/// What a step that was carried out brought.
-#[derive(Debug)]
-enum Outcome {
-    /// The members were told to join, or some couldn't be.
-    Joined { key: GroupKey, all: bool },
-    /// Some members don't answer, so none was told to join.
-    Unreachable {
-        key: GroupKey,
-        silent: Vec<EndpointId>,
-    },
-    /// The head was told to open, or couldn't be.
-    Opened { key: GroupKey, opening: bool },
-    /// A load has begun, or hasn't.
-    Staged { endpoint: EndpointId, begun: bool },
-    /// The head of a group is out of it, which ends the group, or members that could be told are.
-    Dissolved {
-        key: GroupKey,
-        head_is_out: bool,
-        untold: Vec<EndpointId>,
-    },
-    /// A group was examined and is sound.
-    Sound { key: GroupKey },
-}
-
 /// Takes the lease when it can, and acts while it holds it.
 pub(crate) struct Controller {
     pub(crate) beliefs: Arc<Beliefs>,
@@ -332,168 +304,3 @@
         });
     }
 }
-
-async fn carry_out(
-    step: Step,
-    beliefs: &Beliefs,
-    client: &HttpClient,
-    engines: &Engines,
-    announce: impl FnOnce(GroupKey),
-) -> Option<Outcome> {
-    match step {
-        Step::Join(formation) => Some(join(beliefs, engines, formation).await),
-        Step::Open(formation) => {
-            let head = formation.members.first()?;
-            let order = Order::Open(formation.key.clone());
-            let outcome = engines.order(head, &order).await;
-            Some(Outcome::Opened {
-                opening: is_done(&outcome),
-                key: formation.key,
-            })
-        }
-        Step::Stage { endpoint, model } => {
-            let outcome = engines.order(&endpoint, &Order::Stage(model)).await;
-            Some(Outcome::Staged {
-                begun: is_done(&outcome),
-                endpoint,
-            })
-        }
-        Step::Close(key) => {
-            let head = head_of(beliefs, &key)?;
-            engines.order(&head, &Order::Close(key)).await;
-            None
-        }
-        Step::Dissolve(key) => {
-            let examined = Examined {
-                verdict: Verdict::Lost,
-                silent: Vec::new(),
-            };
-            Some(dissolve(beliefs, engines, key, examined).await)
-        }
-        Step::Examine(key) => {
-            let examined = watch::examine(beliefs, client, &key).await;
-            if examined.verdict == Verdict::Sound {
-                return Some(Outcome::Sound { key });
-            }
-            beliefs.lose_group(&key);
-            announce(key.clone());
-            Some(dissolve(beliefs, engines, key, examined).await)
-        }
-    }
-}
-
-fn is_done(outcome: &OrderOutcome) -> bool {
-    matches!(outcome, OrderOutcome::Begun | OrderOutcome::Already)
-}
-
-async fn join(beliefs: &Beliefs, engines: &Engines, formation: Formation) -> Outcome {
-    let members: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
-    beliefs.events.write(&Event::GroupPlanned {
-        group: &formation.key.to_string(),
-        model: formation.model.as_str(),
-        members: &members.join(" "),
-        fence: engines.fence().0,
-    });
-    let silent = engines.silent(&formation.members).await;
-    if !silent.is_empty() {
-        let key = formation.key;
-        return Outcome::Unreachable { key, silent };
-    }
-    let order = Order::Join {
-        key: formation.key.clone(),
-        model: formation.model.clone(),
-        members: formation.members.clone(),
-    };
-    let orders = formation.members.iter().map(|id| engines.order(id, &order));
-    let all = join_all(orders).await.iter().all(is_done);
-    Outcome::Joined {
-        key: formation.key,
-        all,
-    }
-}
-
-fn head_of(beliefs: &Beliefs, key: &GroupKey) -> Option<EndpointId> {
-    let head = watch::head_of(&beliefs.directory.load(), key);
-    head.map(|head| head.id.clone())
-}
-
-/// Takes a group apart.
-///
-/// A member that joined elsewhere while the old head might still serve would be in two groups at once.
-/// So the head leaves first, which ends the group; where it doesn't answer, each other member leaves
-/// before it joins anything, without which the head can't serve.
-async fn dissolve(
-    beliefs: &Beliefs,
-    engines: &Engines,
-    key: GroupKey,
-    examined: Examined,
-) -> Outcome {
-    let head = head_of(beliefs, &key);
-    let order = Order::Leave(key.clone());
-    let head_is_out = match (&head, examined.verdict) {
-        (Some(head), Verdict::Lost | Verdict::Sound) => is_done(&engines.order(head, &order).await),
-        _ => false,
-    };
-    let mut untold = examined.silent;
-    if !head_is_out {
-        let others: Vec<EndpointId> = {
-            let directory = beliefs.directory.load();
-            let members = directory.members(&key).map(|member| member.id.clone());
-            members
-                .filter(|id| Some(id) != head.as_ref() && !untold.contains(id))
-                .collect()
-        };
-        let orders = others.iter().map(|id| engines.order(id, &order));
-        let outcomes = join_all(orders).await;
-        let failed = others.into_iter().zip(outcomes);
-        untold.extend(
-            failed
-                .filter(|(_, outcome)| !is_done(outcome))
-                .map(|(id, _)| id),
-        );
-        untold.extend(head);
-    }
-    Outcome::Dissolved {
-        key,
-        head_is_out,
-        untold,
-    }
-}
-
-/// Reads what other nodes tell the controller, from now on.
-async fn follow_observations(store: Store, observe: Sender<GroupKey>) {
-    let mut from: Option<Offset> = None;
-    loop {
-        let Some(at) = from else {
-            // An offset past the end is answered with where the topic ends.
-            match store
-                .read(Topic::Observations, Offset(0), Duration::ZERO)
-                .await
-            {
-                Ok(Read::Records { end, .. }) => from = Some(end),
-                Ok(Read::Trimmed { first }) => from = Some(first),
-                Err(_) => sleep(REST).await,
-            }
-            continue;
-        };
-        match store.read(Topic::Observations, at, OBSERVATIONS_WAIT).await {
-            Ok(Read::Records { records, next, .. }) => {
-                from = Some(next);
-                for record in records {
-                    let Some(key) = read_observation(&record) else {
-                        continue;
-                    };
-                    if observe.send(key).await.is_err() {
-                        return;
-                    }
-                }
-            }
-            Ok(Read::Trimmed { first }) => from = Some(first),
-            Err(_) => sleep(REST).await,
-        }
-    }
-}
-
-fn read_observation(record: &Record) -> Option<GroupKey> {
-    losses::parse_group(std::str::from_utf8(record.value.as_deref()?).ok()?)
-}
--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -35,7 +35,7 @@
     ///
     /// The engine's own report is some hundred ms old, so asking right after such an order brings the
     /// count from before it. Its next order was refused then: each group whose old head joined the
-    /// next one was formed 0.45 s later, and meanwhile its other members went to smaller groups.
+    /// next one was formed later, and meanwhile its other members went to smaller groups.
     may_be_one_more: bool,
 }
 
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -13,14 +13,14 @@
 
 /// Lines that may wait for the writer.
 ///
-/// A reader of the log that stalls must cost memory only up to here (1 MB with lines of 250 bytes);
+/// A reader of the log that stalls must cost memory only up to here (about 1 MB);
 /// beyond it lines are dropped and counted, and requests go on.
 const QUEUE: usize = 4_096;
 
 /// Lines of plain successes that are written in a second; the others are only counted.
 ///
-/// At 3,500 requests a second over 380 nodes a node has about 10 a second, so all are written then;
-/// in a burst on few nodes successes would crowd out the lines that explain failures.
+/// Nodes of a large deployment have fewer, so all are written there; in a burst on few nodes successes would
+/// crowd out the lines that explain failures.
 const SUCCESSES_PER_S: u64 = 40;
 
 /// One decision that touched a request, or one change of what the node believes.
--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -3,7 +3,7 @@
 //! It answers many nodes that choose among the same heads: each sees its own requests, and hears of the
 //! others' only when a head answers it. A prompt that another node has just sent is invisible, and two of
 //! them at one head make the second caller wait while another head reads nothing. What a node has is
-//! told at once, or within 10 ms; docs/decisions-under-faults.md has what that is worth.
+//! told at once, or soon after; docs/decisions-under-faults.md has what that is worth.
 
 use std::pin::Pin;
 use std::sync::Arc;
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -8,7 +8,6 @@
 
 use std::time::Duration;
 
-use sesamecart_fleet::readers;
 use sesamecart_platform::{Offset, Read, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
@@ -24,29 +23,22 @@
 /// of the operator's topic that finds nothing.
 ///
 /// A node's configuration is vouched for from when it sent the last read that came back, so in quiet
-/// times it gets as old as two waits and a rest: 1.75 s of 2 s.
+/// times it gets as old as two waits and a rest.
 const OPERATOR_WAIT_PART: f64 = 0.4;
 
-/// The least time for which the store holds a read of the registry that finds nothing, and what each
-/// node that reads the store adds to it.
+/// How long the store holds a read of the registry that finds nothing.
 ///
 /// A read that reaches the store while a record is being appended sees nothing and isn't woken for
 /// it, so the last record of a burst would be known on some nodes only with the next one. The end of
 /// the wait finds it. All nodes together may call the store so many times a second.
 const REGISTRY_WAIT: Duration = Duration::from_millis(1_000);
-const REGISTRY_WAIT_PER_READER: Duration = Duration::from_millis(40);
-const REGISTRY_WAIT_MOST: Duration = Duration::from_millis(3_000);
 
 /// The same on the node that is forming groups, which opens them as soon as all members are ready.
 const FORMING_WAIT: Duration = Duration::from_millis(150);
 
-/// The least time between two reads of a topic, and what each node adds to it: a burst of records is
-/// read at once and not by a call for each.
-///
-/// At 0.04 s a day of 44 s on 7 nodes took 2,900 calls, at 0.15 s 2,000. At 71 nodes 0.15 s would
-/// take 400 calls a second, a third of what the store bears, for endpoints that change every 0.3 s.
+/// The least time between two reads of a topic: a burst of records is read at once and not by a call for
+/// each.
 const PACE: Duration = Duration::from_millis(150);
-const REGISTRY_PACE: Duration = Duration::from_millis(150);
 
 /// The same on the node that is forming groups.
 const FORMING_PACE: Duration = Duration::from_millis(40);
@@ -197,16 +189,11 @@
 
     /// Returns how long the store may hold a read, and the rest before the next one.
     fn rhythm(&self) -> (Duration, Duration) {
-        let nodes = self.beliefs.nodes.load();
-        let readers = u32::try_from(readers(&nodes).len()).unwrap_or(u32::MAX);
         let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
         match self.picture {
             Picture::Operator(_) => (bound.mul_f64(OPERATOR_WAIT_PART), PACE),
             Picture::Registry(_) if self.beliefs.is_forming() => (FORMING_WAIT, FORMING_PACE),
-            Picture::Registry(_) => (
-                (REGISTRY_WAIT_PER_READER * readers).clamp(REGISTRY_WAIT, REGISTRY_WAIT_MOST),
-                REGISTRY_PACE,
-            ),
+            Picture::Registry(_) => (REGISTRY_WAIT, PACE),
         }
     }
 
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -20,7 +20,7 @@
 /// How long the other node holds a call that finds nothing new.
 ///
 /// It bounds how old the configuration gets in quiet times: this, the age that the other node names,
-/// and the rest between two calls stay within the 2 s in which a change has to be in force.
+/// and the rest between two calls stay within the time in which a change has to be in force.
 const WAIT: Duration = Duration::from_millis(500);
 
 /// How much longer than that an answer may take before the other node counts as gone; the way there and
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -4,6 +4,7 @@
 mod events;
 mod flight;
 mod handler;
+mod placing;
 mod refusal;
 mod relay;
 
@@ -19,8 +20,8 @@
 
 /// How long a connection to an endpoint may take to open.
 ///
-/// An endpoint whose VM is gone answers nothing, and callers are promised 100 ms and more; the
-/// longest way there and back takes a few milliseconds.
+/// An endpoint whose VM is gone answers nothing, and the caller waits meanwhile; the longest way there and
+/// back takes a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(80);
 
 /// Connections of callers at once; 200 of a VM's 4,100 descriptors are kept for files, and each
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -9,17 +9,16 @@
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
 use sesamecart_edges::{ConnectionLease, Exchange, HttpClient, Reuse, Sent, read_whole};
-use sesamecart_fleet::{
-    Candidate, Catalog, Customer, Delivery, Endpoint, PathRoute, Unavailable, WeightedService,
-};
+use sesamecart_fleet::{Catalog, Customer, Delivery, Endpoint, PathRoute, Unavailable};
 use sesamecart_platform::{AnswerHead, Asked, Handover, NotRun, forward};
-use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, ServiceId, Timestamp, stable_hash};
+use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
 
 use crate::beliefs::{Beliefs, group_key};
 use crate::clock;
 use crate::events::Event;
 use crate::follower::millis;
 use crate::traffic::flight::Flight;
+use crate::traffic::placing::Placed;
 use crate::traffic::refusal::Refusal;
 
 /// The largest answer that is held whole before it is passed on.
@@ -33,7 +32,7 @@
 /// another endpoint is tried.
 const PATIENCE_FACTOR: u32 = 2;
 
-/// The least time for which an answer is waited for: work of 15 to 30 ms may take 110 ms.
+/// The least time for which an answer is waited for: short work takes several times its mean at times.
 const LEAST_PATIENCE: Duration = Duration::from_millis(150);
 
 /// The longest wait for a stream's first event at one endpoint; callers leave after two seconds.
@@ -41,8 +40,7 @@
 
 /// Idle connections may take one in so many of an endpoint's; the others are for requests under way.
 ///
-/// With 52 connections and 9 nodes a node keeps 2. Without a bound 22 of 451 bookings of a calm day
-/// were reset by the endpoint.
+/// Without a bound the nodes' idle connections fill an endpoint, which resets the next request's.
 const IDLE_PART: usize = 2;
 
 /// How long an endpoint that rejected a request gets nothing more.
@@ -71,7 +69,7 @@
 pub(crate) struct Attempts {
     pub(crate) made: u32,
     may_have_run: u32,
-    tried: Vec<EndpointId>,
+    pub(crate) tried: Vec<EndpointId>,
 }
 
 /// An endpoint's answer whose head has arrived.
@@ -91,13 +89,6 @@
     may_have_run: bool,
 }
 
-/// An endpoint that was chosen.
-struct Placed {
-    endpoint: Arc<Endpoint>,
-    service: ServiceId,
-    load: f64,
-}
-
 impl Attempts {
     /// Notes that an attempt whose head had come failed later.
     pub(crate) fn note_broken(&mut self, endpoint: EndpointId) {
@@ -213,69 +204,6 @@
         });
     }
 
-    /// Chooses an endpoint that this request hasn't tried.
-    fn place(&self, attempts: &Attempts) -> Result<Placed, Unavailable> {
-        let service = self.service().ok_or(Unavailable::NoEndpoint)?;
-        let known = self.catalog.services.get(service);
-        let is_model = known.is_some_and(|known| known.engine.is_some());
-        let model = self.asked.model.as_ref().filter(|_| is_model);
-        let directory = self.beliefs.directory.load_full();
-        let slots = known.and_then(|known| known.engine.as_ref().map(|engine| engine.slots));
-        let mut endpoints: Vec<&Arc<Endpoint>> = directory
-            .candidates(service, model)
-            .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
-            .filter(|endpoint| !self.beliefs.is_lost(endpoint))
-            .collect();
-        if let (true, Some(model), Some(known)) = (endpoints.is_empty(), model, known)
-            && !known.may_hold(model, directory.largest_fabric_domain(service))
-        {
-            return Err(Unavailable::Unservable);
-        }
-        let now = clock::now();
-        loop {
-            let candidates: Vec<Candidate<'_>> = endpoints
-                .iter()
-                .map(|endpoint| Candidate {
-                    id: &endpoint.id,
-                    slots: slots.unwrap_or(endpoint.slots),
-                    is_local: endpoint.failure_domain == self.beliefs.settings.failure_domain,
-                })
-                .collect();
-            let chosen = self
-                .beliefs
-                .loads()
-                .choose(now, &candidates, fastrand::f64)?;
-            let endpoint = Arc::clone(endpoints[chosen.index]);
-            let cold_per_s = known.and_then(|known| known.cold_per_s);
-            let is_refused = cold_per_s.is_some_and(|per_s| {
-                directory.is_cold(now, &endpoint.id) && !self.beliefs.take_cold(&endpoint, per_s)
-            });
-            if is_refused {
-                endpoints.remove(chosen.index);
-                continue;
-            }
-            return Ok(Placed {
-                endpoint,
-                service: service.clone(),
-                load: chosen.load,
-            });
-        }
-    }
-
-    /// Returns the service that the route's weights give this request, the same at each attempt.
-    fn service(&self) -> Option<&ServiceId> {
-        let services = &self.route.services;
-        let total: u64 = services.iter().map(|part| u64::from(part.weight)).sum();
-        let mut draw = stable_hash(self.asked.id.as_str()) % total.max(1);
-        let drawn = services.iter().find(|part| {
-            let weight = u64::from(part.weight);
-            let found = draw < weight;
-            draw = draw.saturating_sub(weight);
-            found
-        });
-        drawn.map(|part: &WeightedService| &part.service)
-    }
-
     /// Sends the request to an endpoint and waits for the head of its answer.
     async fn send(
         &self,
--- /dev/null
+++ b/crates/sesamecart-entry/src/traffic/placing.rs
@@ -0,0 +1,81 @@
+//! Which endpoint takes a request.
+
+use std::sync::Arc;
+
+use sesamecart_fleet::{Candidate, Endpoint, Unavailable, WeightedService};
+use sesamecart_vocabulary::{ServiceId, stable_hash};
+
+use crate::clock;
+use crate::traffic::call::{Attempts, Call};
+
+/// An endpoint that was chosen.
+pub(super) struct Placed {
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) service: ServiceId,
+    pub(super) load: f64,
+}
+
+impl Call {
+    /// Chooses an endpoint that this request hasn't tried.
+    pub(super) fn place(&self, attempts: &Attempts) -> Result<Placed, Unavailable> {
+        let service = self.service().ok_or(Unavailable::NoEndpoint)?;
+        let known = self.catalog.services.get(service);
+        let is_model = known.is_some_and(|known| known.engine.is_some());
+        let model = self.asked.model.as_ref().filter(|_| is_model);
+        let directory = self.beliefs.directory.load_full();
+        let slots = known.and_then(|known| known.engine.as_ref().map(|engine| engine.slots));
+        let mut endpoints: Vec<&Arc<Endpoint>> = directory
+            .candidates(service, model)
+            .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
+            .filter(|endpoint| !self.beliefs.is_lost(endpoint))
+            .collect();
+        if let (true, Some(model), Some(known)) = (endpoints.is_empty(), model, known)
+            && !known.may_hold(model, directory.largest_fabric_domain(service))
+        {
+            return Err(Unavailable::Unservable);
+        }
+        let now = clock::now();
+        loop {
+            let candidates: Vec<Candidate<'_>> = endpoints
+                .iter()
+                .map(|endpoint| Candidate {
+                    id: &endpoint.id,
+                    slots: slots.unwrap_or(endpoint.slots),
+                    is_local: endpoint.failure_domain == self.beliefs.settings.failure_domain,
+                })
+                .collect();
+            let chosen = self
+                .beliefs
+                .loads()
+                .choose(now, &candidates, fastrand::f64)?;
+            let endpoint = Arc::clone(endpoints[chosen.index]);
+            let cold_per_s = known.and_then(|known| known.cold_per_s);
+            let is_refused = cold_per_s.is_some_and(|per_s| {
+                directory.is_cold(now, &endpoint.id) && !self.beliefs.take_cold(&endpoint, per_s)
+            });
+            if is_refused {
+                endpoints.remove(chosen.index);
+                continue;
+            }
+            return Ok(Placed {
+                endpoint,
+                service: service.clone(),
+                load: chosen.load,
+            });
+        }
+    }
+
+    /// Returns the service that the route's weights give this request, the same at each attempt.
+    pub(super) fn service(&self) -> Option<&ServiceId> {
+        let services = &self.route.services;
+        let total: u64 = services.iter().map(|part| u64::from(part.weight)).sum();
+        let mut draw = stable_hash(self.asked.id.as_str()) % total.max(1);
+        let drawn = services.iter().find(|part| {
+            let weight = u64::from(part.weight);
+            let found = draw < weight;
+            draw = draw.saturating_sub(weight);
+            found
+        });
+        drawn.map(|part: &WeightedService| &part.service)
+    }
+}
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -51,8 +51,8 @@
 
 /// When callers may come back whom a full service turned away: the shortest and the longest time.
 ///
-/// Slots of a group of 26 become free every 40 ms or so; callers who come back spread over half a
-/// second find some, and those who came back all at once would be turned away again.
+/// A group's slots become free one after the other; callers who come back spread over half a second find
+/// some, and those who came back all at once would be turned away again.
 const FULL_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(700));
 
 /// The same where no endpoint is there: a group is mended within about two seconds.
--- a/crates/sesamecart-fleet/src/allowance.rs
+++ b/crates/sesamecart-fleet/src/allowance.rs
@@ -26,11 +26,9 @@
 /// less can be borne. A node may save its share of the burst, and besides that what it has earned
 /// within the last [`EARNED_KEPT`].
 ///
-/// What all nodes send in a window of 10 s is at most 0.8 of the burst and 0.16 for each request of
-/// 12.5 s, and of these the fullest window of 10 s has four fifths, which earn as much at 0.2: the common
-/// bound holds however the nodes spend. The share alone is 3 retries at 71 nodes; a group's loss ends
-/// more of a node's streams than that at once, and 11 of 19 streams that broke in a day found the
-/// allowance spent.
+/// What is earned may be spent for a quarter of the window longer than the common bound counts it, and a
+/// part of the bound is held back for that, so it is kept however the nodes spend. The share alone would
+/// be a few retries on a large deployment; the loss of a group ends more of a node's streams at once.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryAllowance {
     share: RetryShare,
--- a/crates/sesamecart-fleet/src/directory.rs
+++ b/crates/sesamecart-fleet/src/directory.rs
@@ -17,7 +17,7 @@
 /// How long an endpoint that left the registry is remembered.
 ///
 /// A member that fell silent lapses from the registry while its head still stands still; without its
-/// address nobody could ask whether it is really gone. The longest stall of a head is 5 s.
+/// address nobody could ask whether it is really gone. It is longer than a head stalls.
 const REMEMBERED: Duration = Duration::from_secs(12);
 
 /// One membership of a group; a name may be used again under another epoch.
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -15,8 +15,10 @@
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
-use crate::silence::{Silence, SilenceLimits};
+use crate::loads::load::Load;
+use crate::silence::SilenceLimits;
 
+mod load;
 #[cfg(test)]
 mod tests;
 
@@ -67,8 +69,8 @@
 
 /// Requests that may wait at an endpoint beyond its slots.
 ///
-/// Of 26 requests that run about a second each, one ends every 40 ms, so the third waiting one starts
-/// within 120 ms, well inside the 200 to 400 ms that callers are promised for a first event.
+/// A group's slots become free one after the other all the time, so the first few that wait start well
+/// within the time that callers are promised for a first event.
 const WAITING_MOST: f64 = 3.0;
 
 /// How much a crossing of failure domains counts, in requests for each slot; it pays for the bytes
@@ -79,20 +81,6 @@
 /// choose the same endpoint otherwise.
 const SPREAD: f64 = 0.06;
 
-/// How long a report takes to fade to 0.37 of its difference from the mean: about as long as a request
-/// runs, after which most of what was reported has ended.
-///
-/// Without it an endpoint that was once reported full stays full in the eyes of a node that has nothing
-/// there, for ever: with 71 nodes the busiest endpoint got 8 times the mean, and 1,150 of 13,000 streams
-/// of a quiet day began late at their first endpoint.
-const REPORT_FADES: Duration = Duration::from_secs(1);
-
-/// How long a report takes to fade out of the mean to 0.37 of its weight.
-///
-/// A node of 71 hears from one of 27 endpoints every 5 s or so. Reports that never faded would have a
-/// node refuse for ever once all of them said full, since nothing is sent that could bring another.
-const MEAN_FADES: Duration = Duration::from_secs(5);
-
 /// The first rest of an endpoint that failed; each further failure doubles it.
 const REST: Duration = Duration::from_millis(250);
 
@@ -106,9 +94,7 @@
 /// requests for each slot.
 ///
 /// An engine reads prompts one after the other, between the steps of the answers that it writes: a
-/// prompt that waits costs the next one a pass of 60 to 80 ms, an answer that is written costs it next to
-/// nothing. Of streams that found none waiting at their head 1 in 100 began late, of those that found
-/// three 27 in 100, and for 96 of 102 late ones another head had fewer waiting.
+/// prompt that waits costs the next one a whole pass, an answer that is written costs it next to nothing.
 const WAITING_WEIGHT: f64 = 0.25;
 
 /// What one node has at an endpoint.
@@ -120,64 +106,6 @@
     pub waiting: u32,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Load {
-    reported: Option<(LoadReport, Timestamp)>,
-    /// Requests sent less those ended since the report.
-    since: i64,
-    in_flight: u32,
-    failures: u32,
-    rests_until: Timestamp,
-    silence: Silence,
-    /// What other nodes said they have there.
-    others: IndexMap<NodeId, NodeLoad>,
-}
-
-impl Load {
-    /// Guesses the requests that the endpoint has now, where `usual` are to be expected.
-    fn guess(&self, now: Timestamp, usual: f64) -> f64 {
-        let own = f64::from(self.in_flight);
-        let Some((report, at)) = self.reported else {
-            return own.max(usual);
-        };
-        let kept = kept_after(now.since(at), REPORT_FADES);
-        let then = self.requests_then(report);
-        let guess = usual + (then - usual) * kept + own * (1.0 - kept);
-        guess.max(own)
-    }
-
-    /// Returns what other nodes said they have at the endpoint.
-    fn others(&self) -> NodeLoad {
-        let mut sum = NodeLoad::default();
-        for load in self.others.values() {
-            sum.in_flight += load.in_flight;
-            sum.waiting += load.waiting;
-        }
-        sum
-    }
-
-    /// Returns the requests with which the endpoint counts in the mean of all.
-    fn part_of_mean(&self, now: Timestamp) -> f64 {
-        let own = f64::from(self.in_flight);
-        let Some((report, at)) = self.reported else {
-            return own;
-        };
-        let kept = kept_after(now.since(at), MEAN_FADES);
-        own + (self.requests_then(report) - own) * kept
-    }
-
-    /// Returns what a report and the node's own sends and ends since add up to.
-    fn requests_then(&self, report: LoadReport) -> f64 {
-        let reported = i64::from(report.running) + i64::from(report.waiting);
-        (reported + self.since).max(0) as f64
-    }
-}
-
-/// Returns the part of what was reported that is left after `age`.
-fn kept_after(age: Duration, fades: Duration) -> f64 {
-    (-age.as_secs_f64() / fades.as_secs_f64()).exp()
-}
-
 /// What a node knows of the load of all endpoints.
 #[derive(Debug, Default)]
 pub struct LoadBook {
--- /dev/null
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -0,0 +1,81 @@
+//! What a node knows of one endpoint's load.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{NodeId, Timestamp};
+
+use super::{LoadReport, NodeLoad};
+use crate::silence::Silence;
+
+/// How long a report takes to fade to about a third of its difference from the mean: about as long as a
+/// request runs, after which most of what was reported has ended.
+///
+/// Without it an endpoint that was once reported full stays full in the eyes of a node that has nothing
+/// there, for ever; the nodes to which others look full get far more than the mean.
+const REPORT_FADES: Duration = Duration::from_secs(1);
+
+/// How long a report takes to fade out of the mean to about a third of its weight: as long as a node of
+/// many waits for the next one.
+///
+/// Reports that never faded would have a node refuse for ever once all of them said full, since nothing
+/// is sent that could bring another.
+const MEAN_FADES: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Load {
+    pub(super) reported: Option<(LoadReport, Timestamp)>,
+    /// Requests sent less those ended since the report.
+    pub(super) since: i64,
+    pub(super) in_flight: u32,
+    pub(super) failures: u32,
+    pub(super) rests_until: Timestamp,
+    pub(super) silence: Silence,
+    /// What other nodes said they have there.
+    pub(super) others: IndexMap<NodeId, NodeLoad>,
+}
+
+impl Load {
+    /// Guesses the requests that the endpoint has now, where `usual` are to be expected.
+    pub(super) fn guess(&self, now: Timestamp, usual: f64) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((report, at)) = self.reported else {
+            return own.max(usual);
+        };
+        let kept = kept_after(now.since(at), REPORT_FADES);
+        let then = self.requests_then(report);
+        let guess = usual + (then - usual) * kept + own * (1.0 - kept);
+        guess.max(own)
+    }
+
+    /// Returns what other nodes said they have at the endpoint.
+    pub(super) fn others(&self) -> NodeLoad {
+        let mut sum = NodeLoad::default();
+        for load in self.others.values() {
+            sum.in_flight += load.in_flight;
+            sum.waiting += load.waiting;
+        }
+        sum
+    }
+
+    /// Returns the requests with which the endpoint counts in the mean of all.
+    pub(super) fn part_of_mean(&self, now: Timestamp) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((report, at)) = self.reported else {
+            return own;
+        };
+        let kept = kept_after(now.since(at), MEAN_FADES);
+        own + (self.requests_then(report) - own) * kept
+    }
+
+    /// Returns what a report and the node's own sends and ends since add up to.
+    fn requests_then(&self, report: LoadReport) -> f64 {
+        let reported = i64::from(report.running) + i64::from(report.waiting);
+        (reported + self.since).max(0) as f64
+    }
+}
+
+/// Returns the part of what was reported that is left after `age`.
+fn kept_after(age: Duration, fades: Duration) -> f64 {
+    (-age.as_secs_f64() / fades.as_secs_f64()).exp()
+}
--- a/crates/sesamecart-fleet/src/planner/forming.rs
+++ b/crates/sesamecart-fleet/src/planner/forming.rs
@@ -22,10 +22,9 @@
 /// How many times as large as another model's groups a domain's own groups are at least where its spare
 /// engines aren't spent on the other model.
 ///
-/// One spare makes a group of 16 whole again within two seconds of a loss; in a group of 4 it serves a
-/// quarter of one. Of 37 engines 5 are left over by two groups of 16: spent on groups of 4, the
-/// large model fell from 6 groups to 2 within 26 s of two losses every 3 s, while 33 of its engines stood
-/// idle for want of one more.
+/// One spare makes a large group whole again soon after a loss; in a small group it serves a part of one.
+/// Once the spares are spent on small groups, each loss takes a large group away, and its other engines
+/// stand idle for want of one more.
 const SPARES_WORTH: usize = 2;
 
 /// Epochs that one controller may use; its fence gives the next range.
--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -28,8 +28,8 @@
     ///
     /// Before the first request a load takes a tenth of its time, and one that has begun keeps that.
     /// When the first requests come is not known. So once half of the engines hold a model, which
-    /// serves the first requests, the others begin all together: 54 of 54 engines hold a
-    /// model at second 0 of traffic, 37 when they waited for their turn.
+    /// serves the first requests, the others begin all together; those that waited for their turn
+    /// would load for seconds of traffic.
     pub(super) fn loads_the_rest(&self, input: &PlannerInput<'_>) -> bool {
         if input.in_traffic {
             return false;
--- a/crates/sesamecart-fleet/src/silence.rs
+++ b/crates/sesamecart-fleet/src/silence.rs
@@ -9,19 +9,18 @@
 /// A group that lost a member goes on accepting requests while nothing moves, for seconds; callers
 /// see their streams stop. The registry shows the loss only after three heartbeats. Asking is cheap
 /// and harms nothing, so the limits lie close above the longest pause of a sound head: seven steps
-/// with a full piece of a prompt each take 7 x (6 + 40) ms.
+/// with a full piece of a prompt each.
 #[derive(Clone, Copy, Debug)]
 pub struct SilenceLimits {
     /// For a head with many streams that had begun; twice as long for a single one.
     ///
     /// All streams of a head move in one pass, but the fewer a node has there the less their pauses
-    /// say: 71 nodes asked 39,000 times a day about heads at which each had a stream or two.
+    /// say, and the more nodes there are the fewer each has.
     pub flowing: Duration,
     /// For a head at which requests only wait for their first event.
     pub waiting: Duration,
     /// Between the first two questions about the same head; each further one waits twice as long, until
-    /// the head is heard. A head that reads many prompts is silent for a second and sound all the time:
-    /// 71 nodes asked 67,000 times in a day of 34 s.
+    /// the head is heard. A head that reads many prompts is silent for a second and sound all the time.
     pub again: Duration,
 }
 
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -66,10 +66,9 @@
 
 /// The most nodes whose loads a node watches.
 ///
-/// On a deployment of up to 8 nodes each knows all loads, on one of up to 15 most of them. On larger ones a
-/// node knows those of its nearest, and what the heads report of the others. At 9.2 requests a second and
-/// node, 28 changes of about 30 bytes to 7 watchers are 6 KB a second; with the 8.5 KB of control that stays
-/// under the 15 KB that a node may spend.
+/// On a small deployment each knows all loads. On larger ones a node knows those of its nearest, and what
+/// the heads report of the others: the messages of all to all would take more of a node's link than it may
+/// spend on control. docs/CAPACITY.md has the bytes.
 pub const WATCHED_MOST: usize = 7;
 
 /// Returns the nodes whose loads a node watches, without those that are `gone`: the ones of its own failure
