--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 struct State {
     topics: [Option<TopicFeed>; TOPICS.len()],
+    /// The topics that were read since this node reads the store again; it serves once it has all.
+    is_read: [bool; TOPICS.len()],
     losses: VecDeque<Loss>,
     losses_next: u64,
     returned_at: Option<Timestamp>,
@@ -179,7 +181,10 @@
     fn change(&self, topic: Topic, change: impl FnOnce(&mut TopicFeed)) {
         let place = TOPICS.iter().position(|known| *known == topic);
         if let Some(place) = place {
-            change(self.state().topics[place].get_or_insert_default());
+            let mut state = self.state();
+            change(state.topics[place].get_or_insert_default());
+            state.is_read[place] = true;
+            drop(state);
             self.changed.notify(usize::MAX);
         }
     }
@@ -187,7 +192,7 @@
     /// Returns whether a topic was read.
     pub(crate) fn has(&self, topic: Topic) -> bool {
         let place = TOPICS.iter().position(|known| *known == topic);
-        place.is_some_and(|place| self.state().topics[place].is_some())
+        place.is_some_and(|place| self.state().is_read[place])
     }
 
     /// Notes that the store came back after it was away.
@@ -196,8 +201,11 @@
     }
 
     /// Stops serving: this node doesn't read the store any more.
+    ///
+    /// What it read is kept. Once it reads the store again, only what differs is news; a reader that came
+    /// back with nothing would have to send all topics whole to all that follow it, at once.
     pub(crate) fn stop(&self) {
-        self.state().topics = Default::default();
+        self.state().is_read = Default::default();
         self.changed.notify(usize::MAX);
     }
 
@@ -229,6 +237,9 @@
     /// Returns what a follower doesn't have yet, or nothing while this node doesn't read the store.
     fn newer(&self, now: Timestamp, req: &FollowRequest) -> Option<FollowReply> {
         let state = self.state();
+        if !state.is_read.iter().all(|is_read| *is_read) {
+            return None;
+        }
         let [operator, registry, nodes] = &state.topics;
         let losses_from = if req.feed == self.id {
             req.losses_next
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -129,6 +129,25 @@
     assert!(feed.newer(NOW, &FollowRequest::default()).is_none());
 }
 
+/// The store is away for seconds, and the reader follows another node meanwhile. Back at the store it must not
+/// send everything to all that follow it: their answers would take longer than they wait, they would ask
+/// elsewhere and start over, and no node would get a configuration any more.
+#[test]
+fn a_reader_that_comes_back_sends_only_what_differs() {
+    let feed = feed();
+    feed.stop();
+    feed.replace(Topic::Operator, &[record("config", Some("1"))], Offset(3));
+    feed.replace(Topic::Registry, &[record("e2", Some("b"))], Offset(14));
+    assert!(
+        feed.newer(NOW, &FollowRequest::default()).is_none(),
+        "a topic is missing"
+    );
+    feed.replace(Topic::Nodes, &[], Offset(0));
+    let reply = ask(&feed, 10);
+    assert!(!reply.registry.as_ref().expect("it is there").whole);
+    assert_eq!(registry(&reply), [("e1", None)]);
+}
+
 /// The controller's finding has to reach each follower once, also one that comes from another node.
 #[test]
 fn losses_are_passed_on_once_to_each_follower() {
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -27,6 +27,12 @@
 /// back takes a few milliseconds, and a busy node some tens more.
 const ANSWER_SLACK: Duration = Duration::from_millis(350);
 
+/// How long the first answer may take once the other node has shown that it serves.
+///
+/// It may hold all topics, and dozens of followers ask for them at once after a restart of all nodes. Given
+/// up sooner, the answers are sent for nothing, all start over elsewhere, and none ever gets through.
+const FIRST_ANSWER: Duration = Duration::from_secs(3);
+
 /// The rest between two calls: a burst of changes is taken at once and not by a call for each.
 const PACE: Duration = Duration::from_millis(60);
 
@@ -52,6 +58,17 @@
 /// is a read behind the last source has caught up by then.
 const BEHIND_MOST: Duration = Duration::from_millis(1_000);
 
+/// How far a node is with another one that it has just begun to follow.
+#[derive(Clone, Copy)]
+enum FirstSteps {
+    /// It asks whether the other one serves.
+    Probe,
+    /// It asks for all that it doesn't have.
+    CatchUp,
+    /// It waits for what is new.
+    Done,
+}
+
 /// What came of a reply.
 enum Taken {
     /// It is taken in.
@@ -71,13 +88,17 @@
         let begun = clock::now();
         let mut looked_at = begun;
         let mut behind_since = None;
-        // The first answer is asked for at once, which tells a node that is gone soon.
-        let mut wait = Duration::ZERO;
+        // A small answer is asked for at first, which tells a node that is gone soon.
+        let mut step = FirstSteps::Probe;
         loop {
             let sent = clock::now();
             let mut feed = self.links.feed_of(links);
-            let request = self.position.request(wait);
-            let reply = match within(wait + ANSWER_SLACK, feed.follow(request)).await {
+            let (request, limit) = match step {
+                FirstSteps::Probe => (Position::nothing_new(), ANSWER_SLACK),
+                FirstSteps::CatchUp => (self.position.request(Duration::ZERO), FIRST_ANSWER),
+                FirstSteps::Done => (self.position.request(WAIT), WAIT + ANSWER_SLACK),
+            };
+            let reply = match within(limit, feed.follow(request)).await {
                 Ok(Ok(reply)) => reply.into_inner(),
                 Ok(Err(status)) if status.code() == Code::FailedPrecondition => {
                     return Ended::Unready;
@@ -93,7 +114,11 @@
                 Ok(Err(status)) => return failed(links, status),
                 Err(elapsed) => return failed(links, elapsed),
             };
-            wait = WAIT;
+            if matches!(step, FirstSteps::Probe) {
+                step = FirstSteps::CatchUp;
+                continue;
+            }
+            step = FirstSteps::Done;
             let age = Duration::from_millis(reply.vouched_ms);
             if age > stale {
                 return failed(links, format_args!("it is out of date: {age:?}"));
