--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -14,7 +14,7 @@
 const NODES_EVERY: Duration = Duration::from_secs(10);
 
 /// How long a node of a deployment that starts waits for the others to tell of themselves: they all
-/// start within 0.3 s, and the store takes a few milliseconds for each.
+/// start at about once, and the store takes a few milliseconds for each.
 ///
 /// Without the wait each node knows nobody but itself, takes itself for the one that reads the store,
 /// and does so for seconds.
