--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -24,6 +24,9 @@
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
+#[cfg(test)]
+mod tests;
+
 /// What is kept of a key's revocation time for clocks that differ and for requests under way.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(250);
 
