--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -182,6 +182,7 @@
                 spec,
                 directory: &directory,
                 in_traffic: self.beliefs.is_in_traffic(),
+                demand: None,
             };
             if counts {
                 log_counts(&self.beliefs, &term.planner, &input);
--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -78,7 +78,10 @@
                 self.0.insert(id, load);
             }
         }
-        LoadChanges { heads }
+        LoadChanges {
+            heads,
+            demand: Vec::new(),
+        }
     }
 }
 
@@ -88,6 +91,7 @@
         endpoint: endpoint.map(EndpointId::to_string).unwrap_or_default(),
         in_flight: load.in_flight,
         waiting: load.waiting,
+        report: None,
     }
 }
 
--- a/crates/sesamecart-fleet/examples/plan.rs
+++ b/crates/sesamecart-fleet/examples/plan.rs
@@ -48,6 +48,7 @@
         spec,
         directory,
         in_traffic,
+        demand: None,
     };
     let mut taken: Vec<Duration> = (0..ROUNDS)
         .map(|_| {
@@ -77,6 +78,7 @@
         models: vec![model("large", large, 16), model("small", small, 12)],
         loads_per_s: 91.0,
         loads_at_once: 136,
+        steps: None,
     }
 }
 
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -7,6 +7,7 @@
 use sesamecart_vocabulary::{Bytes, CustomerId, ModelId, ServiceId};
 
 use crate::number::CatalogVersion;
+use crate::step_model::{StepModel, TokenCounts};
 
 #[cfg(test)]
 mod tests;
@@ -106,6 +107,105 @@
     pub loads_per_s: f64,
     /// The loads that run at once without slowing each other.
     pub loads_at_once: usize,
+    /// How long work takes; nothing where the configuration gives no times that can be used.
+    pub steps: Option<StepModel>,
+}
+
+/// Something in a service's engines that can't be used as it stands, and what is done instead.
+#[derive(Clone, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum SpecProblem {
+    /// No model has a share of the work that can be used.
+    #[display("no model has a share above 0; all count alike until requests come")]
+    NoShares,
+    /// One model's share can't be used.
+    #[display("model {_0} has no share above 0; it gets engines once requests for it come")]
+    NoShare(ModelId),
+    /// One model's pace can't be used.
+    #[display("the pace of model {_0} isn't above 0; it counts as 1")]
+    Pace(ModelId),
+    /// The times of steps can't be used.
+    #[display("the times of steps can't be used; work is counted in requests")]
+    Steps,
+    /// The mean request isn't given.
+    #[display("the usual tokens of a request are missing; requests that name none count as empty")]
+    MeanTokens,
+}
+
+impl EngineSpec {
+    /// Returns what can't be used as it stands; the planner falls back as each problem says.
+    #[must_use]
+    pub fn problems(&self) -> Vec<SpecProblem> {
+        let mut problems = Vec::new();
+        let lacks_share = |model: &&EngineModel| model.share_or_zero() == 0.0;
+        if self.models.len() > 1 {
+            if self.models.iter().all(|model| lacks_share(&model)) {
+                problems.push(SpecProblem::NoShares);
+            } else {
+                let lacking = self.models.iter().filter(lacks_share);
+                problems.extend(lacking.map(|model| SpecProblem::NoShare(model.model.clone())));
+            }
+        }
+        let slow = self.models.iter().filter(|model| !is_positive(model.pace));
+        problems.extend(slow.map(|model| SpecProblem::Pace(model.model.clone())));
+        match &self.steps {
+            None => problems.push(SpecProblem::Steps),
+            Some(steps) if steps.mean.prompt + steps.mean.answer == 0.0 => {
+                problems.push(SpecProblem::MeanTokens);
+            }
+            Some(_) => {}
+        }
+        problems
+    }
+
+    /// Returns the time that a request takes of one of a model's groups; tokens that it doesn't name are
+    /// those of a mean request.
+    ///
+    /// Without times of steps each request counts alike, so that demand is compared by requests.
+    #[must_use]
+    pub fn group_time(
+        &self,
+        model: &EngineModel,
+        prompt: Option<f64>,
+        answer: Option<f64>,
+    ) -> Duration {
+        let Some(steps) = &self.steps else {
+            return UNKNOWN_GROUP_TIME;
+        };
+        let tokens = TokenCounts {
+            prompt: prompt.unwrap_or(steps.mean.prompt),
+            answer: answer.unwrap_or(steps.mean.answer),
+        };
+        steps.group_time(tokens, self.slots, model.usable_pace())
+    }
+}
+
+impl EngineModel {
+    /// Returns the share of the work, 0 where it can't be used.
+    #[must_use]
+    pub fn share_or_zero(&self) -> f64 {
+        if is_positive(self.share) {
+            self.share
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the factor on the group's times, 1 where it can't be used.
+    #[must_use]
+    pub fn usable_pace(&self) -> f64 {
+        if is_positive(self.pace) {
+            self.pace
+        } else {
+            1.0
+        }
+    }
+}
+
+/// What a request takes of a group whose times aren't known.
+const UNKNOWN_GROUP_TIME: Duration = Duration::from_millis(50);
+
+fn is_positive(value: f64) -> bool {
+    value.is_finite() && value > 0.0
 }
 
 /// A service and the rules of its endpoints.
--- /dev/null
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -0,0 +1,134 @@
+//! What callers ask of each model, in the time of its groups.
+//!
+//! It answers work that is divided among models otherwise than the configuration expects, or shifts
+//! during a day. A request counts when it comes, also one that is refused afterwards: a model whose
+//! callers are turned away needs more groups, and would seem to need fewer by what it serves.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{ModelId, NodeId, Timestamp};
+
+#[cfg(test)]
+mod tests;
+
+/// How long a request counts before its weight has faded to about a third.
+const DEMAND_FADES: Duration = Duration::from_secs(3);
+
+/// How long requests have to come before they say what is asked.
+const OBSERVED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What is asked of each model: how many of its groups have work all the time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demand(IndexMap<ModelId, f64>);
+
+impl Demand {
+    /// Returns the groups of a model that have work all the time.
+    #[must_use]
+    pub fn groups(&self, model: &ModelId) -> f64 {
+        self.0.get(model).copied().unwrap_or(0.0)
+    }
+
+    fn add(&mut self, model: &ModelId, groups: f64) {
+        *self.0.entry(model.clone()).or_default() += groups;
+    }
+}
+
+impl FromIterator<(ModelId, f64)> for Demand {
+    fn from_iter<T: IntoIterator<Item = (ModelId, f64)>>(iter: T) -> Self {
+        Self(iter.into_iter().collect())
+    }
+}
+
+/// A sum that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct FadingSum {
+    sum: f64,
+    at: Timestamp,
+}
+
+impl FadingSum {
+    fn at(self, now: Timestamp) -> f64 {
+        self.sum * faded(now.since(self.at))
+    }
+}
+
+fn faded(age: Duration) -> f64 {
+    (-age.as_secs_f64() / DEMAND_FADES.as_secs_f64()).exp()
+}
+
+/// What a node knows of what callers ask: its own requests, and what a few other nodes say of theirs.
+///
+/// The nodes that are heard are a sample. The balancer spreads callers over nodes whatever model they
+/// ask for, so a sample shows how the work is divided, and by the number of nodes about how much it is.
+#[derive(Clone, Debug, Default)]
+pub struct DemandBook {
+    own: IndexMap<ModelId, FadingSum>,
+    first_at: Option<Timestamp>,
+    peers: IndexMap<NodeId, Demand>,
+}
+
+impl DemandBook {
+    /// Notes a request for a model that takes `group_time` of one of its groups.
+    pub fn note(&mut self, now: Timestamp, model: &ModelId, group_time: Duration) {
+        self.first_at.get_or_insert(now);
+        let known = self.own.entry(model.clone()).or_default();
+        *known = FadingSum {
+            sum: known.at(now) + group_time.as_secs_f64(),
+            at: now,
+        };
+    }
+
+    /// Returns what this node's own callers ask.
+    #[must_use]
+    pub fn own(&self, now: Timestamp) -> Demand {
+        let Some(first_at) = self.first_at else {
+            return Demand::default();
+        };
+        // A sum that has just begun to grow covers less than the time over which it fades.
+        let covered = DEMAND_FADES.as_secs_f64() * (1.0 - faded(now.since(first_at)));
+        let own = self.own.iter();
+        own.map(|(model, sum)| (model.clone(), sum.at(now) / covered.max(f64::EPSILON)))
+            .collect()
+    }
+
+    /// Takes in what another node says of its own callers.
+    pub fn apply_peer_demand(&mut self, node: &NodeId, demand: Demand) {
+        self.peers.insert(node.clone(), demand);
+    }
+
+    /// Forgets what a node said that can't be heard any more.
+    pub fn drop_peer(&mut self, node: &NodeId) {
+        self.peers.swap_remove(node);
+    }
+
+    /// Estimates what the callers of all `nodes` nodes ask; nothing before requests have come for long
+    /// enough.
+    #[must_use]
+    pub fn estimate(&self, now: Timestamp, nodes: usize) -> Option<Demand> {
+        let first_at = self.first_at?;
+        if now.since(first_at) < OBSERVED_FOR {
+            return None;
+        }
+        let mut heard = self.own(now);
+        for peer in self.peers.values() {
+            for (model, groups) in &peer.0 {
+                heard.add(model, *groups);
+            }
+        }
+        let sample = 1 + self.peers.len();
+        let scale = nodes.max(sample) as f64 / sample as f64;
+        let scaled = heard
+            .0
+            .into_iter()
+            .map(|(model, groups)| (model, groups * scale));
+        Some(scaled.collect())
+    }
+}
+
+impl Demand {
+    /// Returns each model that is asked for, and the groups of it that have work all the time.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelId, f64)> {
+        self.0.iter().map(|(model, groups)| (model, *groups))
+    }
+}
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod allowance;
 mod catalog;
+mod demand;
 mod directory;
 mod endpoint;
 mod freshness;
@@ -14,14 +15,16 @@
 mod repair;
 mod silence;
 mod sources;
+mod step_model;
 #[cfg(test)]
 mod testkit;
 
 pub use allowance::{ColdAllowance, RetryAllowance, RetryShare};
 pub use catalog::{
     Catalog, Customer, Delivery, EngineModel, EngineSpec, Limits, PathRoute, RouteMatch, Service,
-    WeightedService,
+    SpecProblem, WeightedService,
 };
+pub use demand::{Demand, DemandBook};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 pub use freshness::Freshness;
@@ -34,3 +37,4 @@
     PeerNode, Role, Source, SourcePlan, WATCHED_MOST, peers_to_watch, plan_sources, readers,
     standbys,
 };
+pub use step_model::{StepModel, TokenCounts};
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -13,18 +13,23 @@
 use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, ServiceId, Timestamp};
 
 use crate::catalog::EngineSpec;
+use crate::demand::Demand;
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::Fence;
+use crate::planner::conversion::Conversions;
 use crate::planner::domains::DomainSizes;
 use crate::planner::engine::{engines, group_size, holds, state_in};
 use crate::planner::loading::LOAD_WINDOW;
 pub use crate::planner::summary::ModelSummary;
 
+mod assignment;
+mod conversion;
 mod domains;
 mod engine;
 mod forming;
 mod loading;
+mod provisioning;
 mod summary;
 #[cfg(test)]
 mod tests;
@@ -96,6 +101,8 @@
     pub directory: &'a Directory,
     /// Whether requests have come: from then on loads take their full time and are limited.
     pub in_traffic: bool,
+    /// What callers ask of each model, once that is known.
+    pub demand: Option<&'a Demand>,
 }
 
 /// A load that was begun.
@@ -124,6 +131,9 @@
     examined: IndexMap<GroupKey, Timestamp>,
     /// Groups that were found lost, whose members' entries may still name them.
     dissolved: IndexSet<GroupKey>,
+    /// Engines that are kept for groups of a model which isn't their fabric domain's.
+    reserved: IndexMap<EndpointId, ModelId>,
+    conversions: Conversions,
 }
 
 impl Planner {
@@ -143,6 +153,8 @@
             held: IndexMap::new(),
             examined: IndexMap::new(),
             dissolved: IndexSet::new(),
+            reserved: IndexMap::new(),
+            conversions: Conversions::default(),
         }
     }
 
@@ -212,6 +224,7 @@
         self.follow_formations(now, input, &mut steps);
         let occupied = self.follow_groups(now, input, &mut steps);
         let mut free = self.free(now, input, &occupied);
+        self.convert(now, input, &free, &mut steps);
         self.form(now, input, &mut free, &mut steps);
         self.stage(now, input, &free, &mut steps);
         steps
@@ -225,6 +238,13 @@
             let is_loading = |engine: &Arc<Endpoint>| !holds(engine, &load.model);
             load.give_up_at > now && engine.is_some_and(is_loading)
         });
+        self.reserved.retain(|id, model| {
+            let engine = directory.find(id).filter(|_| directory.is_listed(id));
+            engine.is_some_and(|engine| {
+                // An engine that serves the model it was kept for is kept no longer.
+                engine.group.is_none() || !engine.models.contains(model)
+            })
+        });
         while let Some(first) = self.starts.front() {
             if now.since(*first) < LOAD_WINDOW {
                 break;
@@ -279,6 +299,7 @@
         let size = |model: &ModelId| group_size(input.spec, model);
         let groups = input.directory.groups(input.service, size);
         self.dissolved.retain(|key| groups.contains_key(key));
+        self.conversions.forget(now, |key| groups.contains_key(key));
         let mut occupied = IndexSet::new();
         for (key, group) in &groups {
             if self.dissolved.contains(key) || self.formations.contains_key(key) {
@@ -287,7 +308,11 @@
             let members = group.members.iter().flatten();
             occupied.extend(members.map(|member| member.id.clone()));
             match group.head_state() {
-                Some(GroupState::Open) if group.is_sound => {}
+                Some(GroupState::Open) if group.is_sound => {
+                    if self.conversions.retires(key) && self.may_examine(now, key) {
+                        steps.push(Step::Close(key.clone()));
+                    }
+                }
                 Some(GroupState::Open) if leaves(input.directory, group) => {
                     if self.may_examine(now, key) {
                         steps.push(Step::Close(key.clone()));
@@ -298,6 +323,8 @@
                         steps.push(Step::Dissolve(key.clone()));
                     }
                 }
+                // It ends the requests that it has.
+                Some(GroupState::Closing) if self.conversions.retires(key) => {}
                 Some(GroupState::Open | GroupState::Closing | GroupState::Broken) | None => {
                     if self.may_examine(now, key) {
                         steps.push(Step::Examine(key.clone()));
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner/assignment.rs
@@ -0,0 +1,161 @@
+//! Which of the models that fabric domains are to serve goes to which domain.
+//!
+//! It answers the loss, the evacuation or the cut of a failure domain. How many domains each model gets is
+//! settled before; here they change places until the model that is left with the least keeps the most
+//! when any one failure domain is gone.
+
+use indexmap::IndexSet;
+use sesamecart_vocabulary::{FabricDomainId, FailureDomainId};
+
+use super::provisioning::expected_share;
+use crate::catalog::{EngineModel, EngineSpec};
+
+/// A fabric domain and the model that it is to serve.
+#[derive(Clone, Debug)]
+pub(super) struct Placement<'a> {
+    pub(super) domain: &'a FabricDomainId,
+    pub(super) failure_domain: &'a FailureDomainId,
+    /// Its engines.
+    pub(super) engines: usize,
+    pub(super) model: &'a EngineModel,
+    /// The models that it may serve instead; none where its engines hold one already.
+    pub(super) choices: Vec<&'a EngineModel>,
+}
+
+impl Placement<'_> {
+    fn allows(&self, model: &EngineModel) -> bool {
+        let mut choices = self.choices.iter();
+        choices.any(|choice| choice.model == model.model)
+    }
+}
+
+/// Exchanges the models of pairs of domains for as long as that leaves more after a loss.
+///
+/// A model that one failure domain takes away altogether gets another domain first, where that takes no
+/// other model away: how many domains each gets doesn't matter to callers who reach none.
+pub(super) fn spread(spec: &EngineSpec, placements: &mut [Placement<'_>]) {
+    save_models(spec, placements);
+    exchange_models(spec, placements);
+    if save_models(spec, placements) {
+        exchange_models(spec, placements);
+    }
+}
+
+/// Gives domains to models that the loss of one failure domain would take away; returns whether it gave any.
+fn save_models(spec: &EngineSpec, placements: &mut [Placement<'_>]) -> bool {
+    let mut gave = false;
+    let mut lost = models_lost(spec, placements);
+    while lost > 0 {
+        let changes: Vec<(usize, &EngineModel)> = placements
+            .iter()
+            .enumerate()
+            .flat_map(|(index, placement)| {
+                let choices = placement.choices.iter();
+                choices.map(move |choice| (index, *choice))
+            })
+            .collect();
+        let better = changes.into_iter().find(|(index, model)| {
+            let before = std::mem::replace(&mut placements[*index].model, model);
+            let is_better = models_lost(spec, placements) < lost
+                && placements
+                    .iter()
+                    .any(|other| other.model.model == before.model);
+            if !is_better {
+                placements[*index].model = before;
+            }
+            is_better
+        });
+        if better.is_none() {
+            return gave;
+        }
+        gave = true;
+        lost = models_lost(spec, placements);
+    }
+    gave
+}
+
+/// Counts the models that the loss of one failure domain would take away.
+fn models_lost(spec: &EngineSpec, placements: &[Placement<'_>]) -> usize {
+    let left = left_after_a_loss(spec, placements);
+    left.iter().filter(|engines| **engines == 0.0).count()
+}
+
+fn exchange_models(spec: &EngineSpec, placements: &mut [Placement<'_>]) {
+    let mut least = left_after_a_loss(spec, placements);
+    loop {
+        let mut improved = false;
+        for first in 0..placements.len() {
+            for second in first + 1..placements.len() {
+                if !may_exchange(&placements[first], &placements[second]) {
+                    continue;
+                }
+                exchange(placements, first, second);
+                let left = left_after_a_loss(spec, placements);
+                if is_more(&left, &least) {
+                    least = left;
+                    improved = true;
+                } else {
+                    exchange(placements, first, second);
+                }
+            }
+        }
+        if !improved {
+            return;
+        }
+    }
+}
+
+fn may_exchange(a: &Placement<'_>, b: &Placement<'_>) -> bool {
+    a.model.model != b.model.model
+        && a.failure_domain != b.failure_domain
+        && a.allows(b.model)
+        && b.allows(a.model)
+}
+
+fn exchange(placements: &mut [Placement<'_>], first: usize, second: usize) {
+    let model = placements[first].model;
+    placements[first].model = placements[second].model;
+    placements[second].model = model;
+}
+
+/// Returns what is left of each model for its share of the work when the failure domain that holds most of
+/// it is gone, the least first.
+fn left_after_a_loss(spec: &EngineSpec, placements: &[Placement<'_>]) -> Vec<f64> {
+    let failure_domains: IndexSet<&FailureDomainId> = placements
+        .iter()
+        .map(|placement| placement.failure_domain)
+        .collect();
+    let mut left: Vec<f64> = spec
+        .models
+        .iter()
+        .map(|model| {
+            let losses = failure_domains.iter();
+            let left = losses.map(|lost| engines_outside(placements, model, lost));
+            let least = left.fold(f64::INFINITY, f64::min);
+            least / expected_share(spec, model).max(f64::EPSILON)
+        })
+        .collect();
+    left.sort_by(f64::total_cmp);
+    left
+}
+
+/// Counts the engines in groups of a model outside of a failure domain.
+fn engines_outside(
+    placements: &[Placement<'_>],
+    model: &EngineModel,
+    lost: &FailureDomainId,
+) -> f64 {
+    let serving = placements.iter().filter(|placement| {
+        placement.model.model == model.model && placement.failure_domain != lost
+    });
+    let engines = serving.map(|placement| {
+        let groups = placement.engines / model.group_size.max(1);
+        groups * model.group_size
+    });
+    engines.sum::<usize>() as f64
+}
+
+fn is_more(left: &[f64], than: &[f64]) -> bool {
+    let differing = left.iter().zip(than).find(|(a, b)| a != b);
+    differing.is_some_and(|(a, b)| a > b)
+}
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -0,0 +1,323 @@
+//! Which engines serve another model than their fabric domain's, because callers ask for it more.
+//!
+//! It answers demand that the configuration doesn't foresee or that shifts for long, and engines of a
+//! fabric domain that are too few for a group of its own model. Each engine that changes its model costs
+//! a load, during which it serves nobody, so
+//!
+//! - loads of empty engines go first: a change begins only while the weight store has room for all of it;
+//! - a group is closed only where its engines serve much more in other groups, and that has been so for a
+//!   while;
+//! - the model that gives a group up keeps groups that callers reach in two failure domains, or in all
+//!   that it has.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
+
+use super::engine::{engines, find_model, holds};
+use super::provisioning::Provisioning;
+use super::{Planner, PlannerInput, Step};
+use crate::catalog::EngineModel;
+use crate::directory::GroupKey;
+use crate::endpoint::Endpoint;
+
+/// How long a change has to be worth it before it begins.
+const SUSTAINED_FOR: Duration = Duration::from_millis(1_500);
+
+/// How long engines have to be left over before they are given to another model: replacements that
+/// make their own group whole come within that time.
+const LEFT_OVER_FOR: Duration = Duration::from_millis(2_500);
+
+/// How many times the loss a gain has to be.
+const GAIN_OVER_LOSS: f64 = 3.0;
+
+/// The least gain for each group that is won, in groups that work needs all the time.
+const MIN_GAIN_PER_GROUP: f64 = 0.2;
+
+/// Engines that a group may lack and still count as about to be whole.
+const NEARLY_WHOLE: usize = 2;
+
+/// Failure domains in which a model that gives up a group keeps others.
+const KEPT_FAILURE_DOMAINS: usize = 2;
+
+/// How long a group may take to end its requests before it counts as kept.
+const CLOSING_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The changes that are under way or considered.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Conversions {
+    /// The groups that are being closed for another model's, and since when.
+    retiring: IndexMap<GroupKey, Timestamp>,
+    /// Since when a change from one model to another has been worth it.
+    worthwhile: Option<(ModelId, ModelId, Timestamp)>,
+    /// Since when a fabric domain has had engines left over.
+    left_over: IndexMap<FabricDomainId, Timestamp>,
+}
+
+impl Conversions {
+    /// Returns whether a group is being closed for another model's.
+    pub(super) fn retires(&self, key: &GroupKey) -> bool {
+        self.retiring.contains_key(key)
+    }
+
+    /// Forgets groups that are gone or that can't be closed.
+    pub(super) fn forget(&mut self, now: Timestamp, is_known: impl Fn(&GroupKey) -> bool) {
+        self.retiring
+            .retain(|key, since| is_known(key) && now.since(*since) < CLOSING_TIMEOUT);
+    }
+
+    /// Returns whether a change has been worth it for long enough, where it is now.
+    fn is_sustained(&mut self, now: Timestamp, from: &ModelId, to: &ModelId) -> bool {
+        let since = match &self.worthwhile {
+            Some((known_from, known_to, since)) if known_from == from && known_to == to => *since,
+            _ => {
+                self.worthwhile = Some((from.clone(), to.clone(), now));
+                now
+            }
+        };
+        now.since(since) >= SUSTAINED_FOR
+    }
+}
+
+/// A group that may be closed, and the engines that it would leave to another model.
+struct Change<'a> {
+    from: &'a EngineModel,
+    to: &'a EngineModel,
+    key: GroupKey,
+    members: Vec<EndpointId>,
+    net: f64,
+}
+
+impl Planner {
+    /// Gives engines to models that need them more.
+    pub(super) fn convert(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        steps: &mut Vec<Step>,
+    ) {
+        if !input.in_traffic || input.demand.is_none() || input.spec.models.len() < 2 {
+            return;
+        }
+        let mut provisioning = self.provisioning(input);
+        self.convert_left_over(now, input, free, &mut provisioning);
+        self.convert_group(now, input, &provisioning, steps);
+    }
+
+    /// Returns whether an engine may join a group of a model.
+    pub(super) fn may_serve(&self, engine: &EndpointId, model: &ModelId) -> bool {
+        self.reserved
+            .get(engine)
+            .is_none_or(|reserved| reserved == model)
+    }
+
+    /// Returns whether the head of a group takes no more requests soon, as its engines change model.
+    pub(super) fn is_retiring(&self, head: &Endpoint) -> bool {
+        let role = head.group.as_ref();
+        role.is_some_and(|role| {
+            self.conversions.retires(&GroupKey {
+                group: role.group.clone(),
+                epoch: role.epoch,
+            })
+        })
+    }
+
+    /// Returns whether the weight store has room for so many loads beside those that run or wait.
+    fn has_room_for(&self, input: &PlannerInput<'_>, loads: usize) -> bool {
+        let waiting = self.reserved.keys();
+        let waiting = waiting.filter(|id| !self.loading.contains_key(*id)).count();
+        self.loading.len() + waiting + loads <= input.spec.loads_at_once
+    }
+
+    /// Gives another model the engines that are too few for a group of their own.
+    fn convert_left_over(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
+        provisioning: &mut Provisioning,
+    ) {
+        let mut left_over = std::mem::take(&mut self.conversions.left_over);
+        left_over.retain(|domain, _| free.contains_key(domain));
+        for (domain, engines) in free {
+            let primary = self.primaries.get(domain);
+            let Some(own) = primary.and_then(|id| find_model(input.spec, id)) else {
+                continue;
+            };
+            let usable: Vec<&Arc<Endpoint>> = engines
+                .iter()
+                .filter(|engine| self.is_left_over(engine))
+                .copied()
+                .collect();
+            let Some(other) = other_model_for(input, own, usable.len(), provisioning) else {
+                left_over.swap_remove(domain);
+                continue;
+            };
+            let since = *left_over.entry(domain.clone()).or_insert(now);
+            let loads = usable.iter().filter(|engine| !holds(engine, &other.model));
+            let loads = loads.count().min(other.group_size);
+            if now.since(since) < LEFT_OVER_FOR || !self.has_room_for(input, loads) {
+                continue;
+            }
+            self.reserve(&usable, other);
+            provisioning.add(&other.model, 1.0);
+            left_over.swap_remove(domain);
+        }
+        self.conversions.left_over = left_over;
+    }
+
+    fn is_left_over(&self, engine: &Endpoint) -> bool {
+        !self.reserved.contains_key(&engine.id) && !self.loading.contains_key(&engine.id)
+    }
+
+    /// Keeps engines for a group of a model: those that hold it, then the empty ones.
+    fn reserve(&mut self, usable: &[&Arc<Endpoint>], model: &EngineModel) {
+        let mut usable = usable.to_vec();
+        usable.sort_by_key(|engine| {
+            let is_other = !holds(engine, &model.model);
+            (is_other, !engine.staged.is_empty(), engine.id.clone())
+        });
+        for engine in usable.iter().take(model.group_size) {
+            self.reserved.insert(engine.id.clone(), model.model.clone());
+        }
+    }
+
+    /// Closes the group whose engines serve the most more in groups of another model.
+    fn convert_group(
+        &mut self,
+        now: Timestamp,
+        input: &PlannerInput<'_>,
+        provisioning: &Provisioning,
+        steps: &mut Vec<Step>,
+    ) {
+        if !self.conversions.retiring.is_empty() {
+            return;
+        }
+        let Some(change) = self.best_change(input, provisioning) else {
+            self.conversions.worthwhile = None;
+            return;
+        };
+        let (from, to) = (&change.from.model, &change.to.model);
+        if !self.conversions.is_sustained(now, from, to) {
+            return;
+        }
+        let engines = change.members.len() / change.to.group_size * change.to.group_size;
+        if !self.has_room_for(input, engines) {
+            return;
+        }
+        for member in change.members.iter().take(engines) {
+            self.reserved.insert(member.clone(), to.clone());
+        }
+        self.conversions.worthwhile = None;
+        self.conversions.retiring.insert(change.key.clone(), now);
+        self.examined.insert(change.key.clone(), now);
+        steps.push(Step::Close(change.key));
+    }
+
+    fn best_change<'a>(
+        &self,
+        input: &PlannerInput<'a>,
+        provisioning: &Provisioning,
+    ) -> Option<Change<'a>> {
+        let mut best: Option<Change<'a>> = None;
+        for from in &input.spec.models {
+            for to in &input.spec.models {
+                let won = from.group_size / to.group_size.max(1);
+                if from.model == to.model || won == 0 {
+                    continue;
+                }
+                let gain = provisioning.worth_of_change(&to.model, won as f64);
+                let loss = -provisioning.worth_of_change(&from.model, -1.0);
+                let is_worth_it =
+                    gain >= MIN_GAIN_PER_GROUP * won as f64 && gain >= GAIN_OVER_LOSS * loss;
+                let net = gain - loss;
+                if !is_worth_it || best.as_ref().is_some_and(|best| best.net >= net) {
+                    continue;
+                }
+                if let Some((key, members)) = self.group_to_close(input, from, to) {
+                    best = Some(Change {
+                        from,
+                        to,
+                        key,
+                        members,
+                        net,
+                    });
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns the group of a model that can be spared, in the failure domain where the other model has
+    /// the fewest groups.
+    fn group_to_close(
+        &self,
+        input: &PlannerInput<'_>,
+        from: &EngineModel,
+        to: &EngineModel,
+    ) -> Option<(GroupKey, Vec<EndpointId>)> {
+        let heads: Vec<&Arc<Endpoint>> = reachable_heads(input, from).collect();
+        let failure_domains: IndexSet<_> = heads.iter().map(|head| &head.failure_domain).collect();
+        let kept = failure_domains.len().min(KEPT_FAILURE_DOMAINS);
+        let candidates = heads.iter().filter(|head| {
+            let others = heads.iter().filter(|other| other.id != head.id);
+            let others: IndexSet<_> = others.map(|other| &other.failure_domain).collect();
+            others.len() >= kept.max(1)
+        });
+        let chosen = candidates.min_by_key(|head| {
+            let near = |other: &&Arc<Endpoint>| other.failure_domain == head.failure_domain;
+            let served = reachable_heads(input, to).filter(near).count();
+            let left = heads.iter().copied().filter(near).count();
+            (served, usize::MAX - left, head.id.clone())
+        })?;
+        let role = chosen.group.as_ref()?;
+        let key = GroupKey {
+            group: role.group.clone(),
+            epoch: role.epoch,
+        };
+        let members = input.directory.members(&key);
+        let members: Vec<EndpointId> = members.map(|member| member.id.clone()).collect();
+        (members.len() == from.group_size).then_some((key, members))
+    }
+}
+
+fn reachable_heads<'a>(
+    input: &PlannerInput<'a>,
+    model: &'a EngineModel,
+) -> impl Iterator<Item = &'a Arc<Endpoint>> {
+    let directory = input.directory;
+    engines(input).filter(move |engine| {
+        engine.is_open_head()
+            && engine.models.contains(&model.model)
+            && directory.takes_work(engine)
+    })
+}
+
+/// Returns the model that engines which are left over should serve instead of their own; none where they
+/// are soon enough for a group of their own, or where nobody needs them.
+fn other_model_for<'a>(
+    input: &PlannerInput<'a>,
+    own: &EngineModel,
+    engines: usize,
+    provisioning: &Provisioning,
+) -> Option<&'a EngineModel> {
+    if engines >= own.group_size {
+        return None;
+    }
+    let loss = if engines + NEARLY_WHOLE >= own.group_size {
+        provisioning.worth_of_change(&own.model, 1.0)
+    } else {
+        0.0
+    };
+    let gain = |model: &EngineModel| provisioning.worth_of_change(&model.model, 1.0);
+    let others = input.spec.models.iter().filter(|model| {
+        model.model != own.model
+            && model.group_size <= engines
+            && gain(model) >= MIN_GAIN_PER_GROUP
+            && gain(model) >= GAIN_OVER_LOSS * loss
+    });
+    others.max_by(|a, b| gain(a).total_cmp(&gain(b)))
+}
--- a/crates/sesamecart-fleet/src/planner/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/domains.rs
@@ -6,13 +6,15 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{FabricDomainId, FailureDomainId, ModelId, Timestamp};
 
+use super::assignment::{Placement, spread};
 use super::engine::{engines, find_model};
+use super::provisioning::expected_share;
 use super::{Planner, PlannerInput};
 use crate::catalog::{EngineModel, EngineSpec};
 use crate::endpoint::{Endpoint, EndpointState};
 
 /// Models whose groups for their share differ by less than this count as equally far behind.
-const ABOUT_EQUAL: f64 = 1.05;
+const SHARE_TOLERANCE: f64 = 1.05;
 
 /// How long no engine may have come before domains that are smaller than others count as complete.
 ///
@@ -47,7 +49,7 @@
             .retain(|domain, _| domains.contains_key(domain));
     }
 
-    /// Returns whether a domain has been too small for its model for at least `patience`.
+    /// Returns whether a domain has been too small for its model for at least `wait`.
     ///
     /// Its engines would be loaded with another model otherwise just before they are joined by
     /// replacements, or by those that were cut off from the store.
@@ -56,14 +58,14 @@
         now: Timestamp,
         domain: &FabricDomainId,
         is_short: bool,
-        patience: Duration,
+        wait: Duration,
     ) -> bool {
         if !is_short {
             self.short_since.swap_remove(domain);
             return false;
         }
         let since = self.short_since.entry(domain.clone()).or_insert(now);
-        now.since(*since) >= patience
+        now.since(*since) >= wait
     }
 
     /// Returns whether all engines of a domain seem to have come, where one that holds a group of
@@ -107,24 +109,48 @@
         self.sizes.follow(now, &domains);
         self.primaries.clear();
         self.begun.clear();
+        let mut placements = Vec::new();
         let mut empty = Vec::new();
         for (domain, engines) in &domains {
-            match self.held_in(now, input.spec, domain, engines) {
+            let failure_domain = &engines[0].failure_domain;
+            match self.resident_model(now, input.spec, domain, engines) {
                 Some(model) => {
-                    self.primaries.insert((*domain).clone(), model);
+                    self.primaries
+                        .insert((*domain).clone(), model.model.clone());
                     self.begun.insert((*domain).clone());
+                    placements.push(Placement {
+                        domain,
+                        failure_domain,
+                        engines: self.sizes.of(domain),
+                        model,
+                        choices: Vec::new(),
+                    });
                 }
                 None => empty.push(EmptyDomain {
                     domain,
-                    failure_domain: &engines[0].failure_domain,
+                    failure_domain,
                     fitting: self.fitting(input.spec, engines),
                 }),
             }
         }
         for empty in by_turns(empty) {
-            if let Some(model) = self.behind(&empty.fitting) {
-                self.primaries.insert(empty.domain.clone(), model);
-            }
+            let Some(model) = self.most_underprovisioned(input.spec, &empty.fitting) else {
+                continue;
+            };
+            self.primaries
+                .insert(empty.domain.clone(), model.model.clone());
+            placements.push(Placement {
+                domain: empty.domain,
+                failure_domain: empty.failure_domain,
+                engines: self.sizes.of(empty.domain),
+                model,
+                choices: empty.fitting,
+            });
+        }
+        spread(input.spec, &mut placements);
+        for placement in placements {
+            let model = placement.model.model.clone();
+            self.primaries.insert(placement.domain.clone(), model);
         }
     }
 
@@ -152,13 +178,13 @@
     }
 
     /// Returns the model that most engines of a domain hold or load, unless they are too few for it.
-    fn held_in(
+    fn resident_model<'a>(
         &mut self,
         now: Timestamp,
-        spec: &EngineSpec,
+        spec: &'a EngineSpec,
         domain: &FabricDomainId,
         engines: &[&Arc<Endpoint>],
-    ) -> Option<ModelId> {
+    ) -> Option<&'a EngineModel> {
         let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
         for engine in engines {
             let loading = self.loading.get(&engine.id).map(|load| &load.model);
@@ -171,31 +197,34 @@
         let most = held.next()?;
         // Another model costs a load, so its engines are waited for about as long.
         let loads = spec.models.iter().map(|model| model.load_time);
-        let patience = loads.min().unwrap_or_default();
+        let wait = loads.min().unwrap_or_default();
         let is_short = !can_form(engines, most);
-        if !self.sizes.is_short_for(now, domain, is_short, patience) {
-            return Some(most.model.clone());
+        if !self.sizes.is_short_for(now, domain, is_short, wait) {
+            return Some(most);
         }
-        let other = held.find(|model| can_form(engines, model));
-        other.map(|model| model.model.clone())
+        held.find(|model| can_form(engines, model))
     }
 
     /// Returns which of some models has domains with the fewest groups for its share of the work.
-    fn behind(&self, models: &[&EngineModel]) -> Option<ModelId> {
+    fn most_underprovisioned<'a>(
+        &self,
+        spec: &EngineSpec,
+        models: &[&'a EngineModel],
+    ) -> Option<&'a EngineModel> {
         let groups_for_share = |model: &EngineModel| {
             let domains = self.primaries.iter().filter(|(_, id)| **id == model.model);
             let groups = domains.map(|(domain, _)| self.sizes.of(domain) / model.group_size.max(1));
-            groups.sum::<usize>() as f64 * model.group_size as f64 / model.share.max(f64::EPSILON)
+            let share = expected_share(spec, model).max(f64::EPSILON);
+            groups.sum::<usize>() as f64 * model.group_size as f64 / share
         };
         let all = models.iter().map(|model| groups_for_share(model));
         let least = all.fold(f64::INFINITY, f64::min);
         let behind = models
             .iter()
-            .filter(|model| groups_for_share(model) <= least * ABOUT_EQUAL);
+            .filter(|model| groups_for_share(model) <= least * SHARE_TOLERANCE);
         // Of those about equally far behind the one with the larger groups: it loses one to every
         // engine that is lost, and finds fewer domains with room later.
-        let least = behind.max_by_key(|model| model.group_size);
-        least.map(|model| model.model.clone())
+        behind.max_by_key(|model| model.group_size).copied()
     }
 
     /// Returns whether groups may be formed in a domain: before traffic, once it is complete.
--- a/crates/sesamecart-fleet/src/planner/forming.rs
+++ b/crates/sesamecart-fleet/src/planner/forming.rs
@@ -58,11 +58,11 @@
         steps: &mut Vec<Step>,
     ) {
         loop {
+            let provisioning = self.provisioning(input);
             let mut models: Vec<&EngineModel> = input.spec.models.iter().collect();
             models.sort_by(|a, b| {
-                let a = self.engines_of(input, a) / a.share.max(f64::EPSILON);
-                let b = self.engines_of(input, b) / b.share.max(f64::EPSILON);
-                a.total_cmp(&b)
+                let ratio = |model: &EngineModel| provisioning.ratio(&model.model);
+                ratio(a).total_cmp(&ratio(b))
             });
             let formed = models
                 .into_iter()
@@ -74,15 +74,6 @@
         }
     }
 
-    /// Returns the engines in groups of a model, those being formed included.
-    fn engines_of(&self, input: &PlannerInput<'_>, model: &EngineModel) -> f64 {
-        let open = engines(input)
-            .filter(|engine| engine.is_open_head() && engine.models.contains(&model.model));
-        let forming = self.formations.values();
-        let forming = forming.filter(|formation| formation.model == model.model);
-        ((open.count() + forming.count()) * model.group_size) as f64
-    }
-
     fn form_one(
         &mut self,
         now: Timestamp,
@@ -124,11 +115,17 @@
             };
         };
         let engines = &mut free[&domain];
-        engines.sort_by_key(|engine| (joining_time(engine, model), engine.id.clone()));
+        engines.sort_by_key(|engine| {
+            let is_kept = !self.may_serve(&engine.id, &model.model);
+            (is_kept, joining_time(engine, model), engine.id.clone())
+        });
         let members: Vec<EndpointId> = engines
             .drain(..model.group_size)
             .map(|engine| engine.id.clone())
             .collect();
+        for id in &members {
+            self.reserved.swap_remove(id);
+        }
         for id in &members {
             let engine = input.directory.find(id);
             if engine.is_some_and(|engine| needs_load(engine, model)) {
@@ -171,13 +168,13 @@
         model: &EngineModel,
         engines: &[&Arc<Endpoint>],
     ) -> Forming {
-        if engines.len() < model.group_size {
+        let usable = engines
+            .iter()
+            .filter(|engine| self.may_serve(&engine.id, &model.model));
+        let mut times: Vec<Duration> = usable.map(|engine| joining_time(engine, model)).collect();
+        if times.len() < model.group_size {
             return Forming::Impossible;
         }
-        let mut times: Vec<Duration> = engines
-            .iter()
-            .map(|engine| joining_time(engine, model))
-            .collect();
         times.sort();
         let members = &times[..model.group_size];
         let time = members[model.group_size - 1];
--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
 
 use super::engine::{engines, find_model, holds, needs_load};
 use super::{Load, Planner, PlannerInput, Step};
@@ -23,6 +23,14 @@
 /// Loads before the first request take this part of their time.
 const EARLY_LOADS_FASTER: u32 = 10;
 
+/// A load that would make an engine useful.
+struct Wanted<'a> {
+    /// The engines that a group of the model still lacks.
+    lacking: usize,
+    engine: &'a Arc<Endpoint>,
+    model: &'a EngineModel,
+}
+
 impl Planner {
     /// Returns whether all engines that are left begin their loads at once.
     ///
@@ -56,19 +64,13 @@
             // requests would find its engines empty, and loads take ten times longer by then.
             return;
         }
-        let mut wanted: Vec<(usize, &Arc<Endpoint>, &EngineModel)> = Vec::new();
+        let mut wanted: Vec<Wanted<'_>> = Vec::new();
         for (domain, engines) in free {
-            let primary = self.primaries.get(domain);
-            let model = primary.and_then(|id| find_model(input.spec, id));
-            let Some(model) = model else { continue };
-            let held = engines.iter().filter(|engine| !needs_load(engine, model));
-            let lacking = model.group_size.saturating_sub(held.count());
-            let empty = engines.iter().filter(|engine| needs_load(engine, model));
-            wanted.extend(empty.map(|engine| (lacking, *engine, model)));
+            wanted.extend(self.wanted_in(input, domain, engines));
         }
         // The group that lacks least is whole soonest.
-        wanted.sort_by_key(|(lacking, engine, _)| (*lacking, engine.id.clone()));
-        for (_, engine, model) in wanted {
+        wanted.sort_by_key(|load| (load.lacking, load.engine.id.clone()));
+        for Wanted { engine, model, .. } in wanted {
             if self.loading.len() >= input.spec.loads_at_once && !self.loads_the_rest(input) {
                 return;
             }
@@ -86,6 +88,100 @@
         }
     }
 
+    /// Returns the loads that make a fabric domain's free engines useful.
+    ///
+    /// An engine that holds a model which the domain serves, if only beside its own, keeps it: it mends the
+    /// next group of it that loses a member.
+    fn wanted_in<'a>(
+        &self,
+        input: &PlannerInput<'a>,
+        domain: &FabricDomainId,
+        engines: &[&'a Arc<Endpoint>],
+    ) -> Vec<Wanted<'a>> {
+        let primary = self.primaries.get(domain);
+        let Some(own) = primary.and_then(|id| find_model(input.spec, id)) else {
+            return Vec::new();
+        };
+        let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
+        let mut empty = Vec::new();
+        let mut wanted = Vec::new();
+        for engine in engines {
+            if let Some(kept_for) = self.reserved.get(&engine.id) {
+                let model = find_model(input.spec, kept_for);
+                wanted.extend(
+                    model
+                        .filter(|model| needs_load(engine, model))
+                        .map(|model| {
+                            let lacking = model.group_size;
+                            Wanted {
+                                lacking,
+                                engine,
+                                model,
+                            }
+                        }),
+                );
+                continue;
+            }
+            let held = self.useful_model(input, own, domain, engine);
+            match held {
+                Some(model) => *counts.entry(&model.model).or_default() += 1,
+                None => empty.push(*engine),
+            }
+        }
+        let served = self.served_in(input, own, domain);
+        for engine in empty {
+            let lacking = |model: &EngineModel| {
+                let held = counts.get(&model.model).copied().unwrap_or(0);
+                model.group_size - held % model.group_size
+            };
+            let Some(model) = served.iter().copied().min_by_key(|model| lacking(model)) else {
+                continue;
+            };
+            let lacking = lacking(model);
+            *counts.entry(&model.model).or_default() += 1;
+            wanted.push(Wanted {
+                lacking,
+                engine,
+                model,
+            });
+        }
+        wanted
+    }
+
+    /// Returns the models that a fabric domain has groups of, its own first.
+    fn served_in<'a>(
+        &self,
+        input: &PlannerInput<'a>,
+        own: &'a EngineModel,
+        domain: &FabricDomainId,
+    ) -> Vec<&'a EngineModel> {
+        let mut served = vec![own];
+        let others = input.spec.models.iter().filter(|model| {
+            let mut within =
+                engines(input).filter(|engine| engine.fabric_domain.as_ref() == Some(domain));
+            model.model != own.model
+                && within
+                    .any(|engine| engine.is_open_head() && engine.models.contains(&model.model))
+        });
+        served.extend(others);
+        served
+    }
+
+    /// Returns the model for which a free engine is of use as it is.
+    fn useful_model<'a>(
+        &self,
+        input: &PlannerInput<'a>,
+        own: &'a EngineModel,
+        domain: &FabricDomainId,
+        engine: &Endpoint,
+    ) -> Option<&'a EngineModel> {
+        let served = self.served_in(input, own, domain);
+        let loading = self.loading.get(&engine.id).map(|load| &load.model);
+        served
+            .into_iter()
+            .find(|model| loading == Some(&model.model) || holds(engine, &model.model))
+    }
+
     pub(super) fn note_load(
         &mut self,
         now: Timestamp,
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -11,7 +11,9 @@
 use crate::number::Fence;
 use crate::testkit::{engine, id, key, member, model, service, spec, spec_of_sixteen};
 
+mod conversion;
 mod domains;
+mod spread;
 
 const START: Timestamp = Timestamp(1_000_000);
 
@@ -35,6 +37,7 @@
         spec: &spec,
         directory,
         in_traffic,
+        demand: None,
     };
     planner.plan(now, &input)
 }
@@ -134,6 +137,7 @@
         spec: &spec,
         directory: &directory,
         in_traffic: false,
+        demand: None,
     };
     let steps = Planner::new(Fence(1), 0).plan(START, &input);
     let formed: Vec<&str> = joins(&steps).iter().map(|(model, _)| *model).collect();
@@ -383,6 +387,7 @@
         spec: &spec,
         directory: &directory,
         in_traffic: true,
+        demand: None,
     };
     let steps = Planner::new(Fence(1), 0).plan(START, &input);
     let begun = steps
--- a/crates/sesamecart-fleet/src/planner/tests/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/domains.rs
@@ -4,10 +4,11 @@
 
 use bolero::{TypeGenerator, check};
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, FailureDomainId, ModelId, Timestamp};
 
 use crate::catalog::EngineSpec;
-use crate::directory::Directory;
+use crate::demand::Demand;
+use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, GroupRole, GroupState};
 use crate::number::Fence;
 use crate::planner::{Planner, PlannerInput, Step};
@@ -19,16 +20,18 @@
 const TICK: Duration = Duration::from_millis(200);
 
 /// A play in which every order is carried out at once and loads end with the next plan.
-struct Fleet {
-    spec: EngineSpec,
+pub(super) struct Fleet {
+    pub(super) spec: EngineSpec,
     engines: IndexMap<EndpointId, Endpoint>,
     planner: Planner,
     now: Timestamp,
-    in_traffic: bool,
+    pub(super) in_traffic: bool,
+    pub(super) demand: Option<Demand>,
+    pub(super) evacuated: IndexSet<FailureDomainId>,
 }
 
 impl Fleet {
-    fn new(models: &[(&str, usize, f64)], domains: &[(&str, usize)]) -> Self {
+    pub(super) fn new(models: &[(&str, usize, f64)], domains: &[(&str, usize)]) -> Self {
         let models = models.iter();
         let mut fleet = Self {
             spec: EngineSpec {
@@ -41,6 +44,8 @@
             planner: Planner::new(Fence(1), 0),
             now: START,
             in_traffic: false,
+            demand: None,
+            evacuated: IndexSet::new(),
         };
         for (domain, engines) in domains {
             fleet.add(domain, "first", *engines);
@@ -48,15 +53,23 @@
         fleet
     }
 
-    fn add(&mut self, domain: &str, wave: &str, engines: usize) {
+    pub(super) fn add(&mut self, domain: &str, wave: &str, engines: usize) {
         for index in 0..engines {
             let engine = engine(&format!("{domain}.{wave}.{index}"), domain);
             self.engines.insert(engine.id.clone(), engine);
         }
     }
 
+    /// Has all hosts of a domain hold a model.
+    pub(super) fn stage(&mut self, domain: &str, model: &str) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| domain_of(engine).as_str() == domain) {
+            engine.staged = vec![model.parse().expect("a name")];
+        }
+    }
+
     /// Loses some engines of a domain; groups that they belonged to end with them.
-    fn lose(&mut self, domain: &str, engines: usize) {
+    pub(super) fn lose(&mut self, domain: &str, engines: usize) {
         let lost: Vec<EndpointId> = self.in_domain(domain).take(engines).cloned().collect();
         let groups: IndexSet<_> = lost
             .iter()
@@ -83,18 +96,20 @@
         within.map(|engine| &engine.id)
     }
 
-    fn play(&mut self, time: Duration) {
+    pub(super) fn play(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             let mut directory = Directory::default();
             for engine in self.engines.values() {
                 directory.put(self.now, engine.clone());
             }
+            directory.set_evacuated(self.evacuated.clone());
             let input = PlannerInput {
                 service: &service(),
                 spec: &self.spec,
                 directory: &directory,
                 in_traffic: self.in_traffic,
+                demand: self.demand.as_ref(),
             };
             for step in self.planner.plan(self.now, &input) {
                 self.carry_out(step);
@@ -125,18 +140,46 @@
                     role.state = GroupState::Open;
                 }
             }
-            Step::Examine(_) | Step::Dissolve(_) | Step::Close(_) => {}
+            Step::Close(key) => self.set_head(&key, GroupState::Ready),
+            Step::Dissolve(key) => {
+                for engine in self.engines.values_mut() {
+                    let role = engine.group.as_ref();
+                    if role.is_some_and(|role| role.group == key.group) {
+                        engine.group = None;
+                    }
+                }
+                self.planner.dissolved(&key);
+            }
+            Step::Examine(_) => {}
         }
     }
 
-    fn open_groups(&self, model: &str) -> usize {
+    fn set_head(&mut self, key: &GroupKey, state: GroupState) {
+        let roles = self
+            .engines
+            .values_mut()
+            .filter_map(|engine| engine.group.as_mut());
+        for role in roles.filter(|role| role.group == key.group && role.rank == 0) {
+            role.state = state;
+        }
+    }
+
+    /// Returns the open groups of a model that callers reach when a failure domain is gone.
+    pub(super) fn groups_without(&self, model: &str, lost: &str) -> usize {
+        let heads = self.engines.values().filter(|engine| engine.is_open_head());
+        heads
+            .filter(|head| head.models[0].as_str() == model && head.failure_domain.as_str() != lost)
+            .count()
+    }
+
+    pub(super) fn open_groups(&self, model: &str) -> usize {
         let heads = self.engines.values().filter(|engine| engine.is_open_head());
         heads
             .filter(|head| head.models[0].as_str() == model)
             .count()
     }
 
-    fn holding(&self, domain: &str, model: &str) -> usize {
+    pub(super) fn holding(&self, domain: &str, model: &str) -> usize {
         let held = self.in_domain(domain).filter(|id| {
             let staged = &self.engines[*id].staged;
             staged.first().is_some_and(|held| held.as_str() == model)
--- /dev/null
+++ b/crates/sesamecart-fleet/src/step_model.rs
@@ -0,0 +1,93 @@
+//! How long a group takes to read prompts and to write answers, as the operator describes its engines.
+//!
+//! Slots say how many requests a group holds, not what it can do in time: docs/design/shifted-work.md
+//! has the figures. Times are for a model whose pace is 1; a group's are that many times longer.
+
+use std::time::Duration;
+
+/// The part of a group's slots that are busy when it does about as much as it can in time.
+///
+/// Beyond it the time of a step is shared by few more requests, and each waits longer.
+const BUSY_SLOTS: f64 = 0.6;
+
+/// The tokens of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TokenCounts {
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Tokens of the answer.
+    pub answer: f64,
+}
+
+/// The times of a group's work, as its service's configuration gives them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StepModel {
+    /// Milliseconds of a step, which writes one token of each answer.
+    pub step_ms: f64,
+    /// Milliseconds that each answer adds to a step.
+    pub step_ms_per_answer: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Prompt tokens that are read between two passes at most.
+    pub chunk_tokens: f64,
+    /// Steps of a pass.
+    pub steps_per_pass: u32,
+    /// The tokens of a mean request.
+    pub mean: TokenCounts,
+}
+
+impl StepModel {
+    /// Returns whether times can be worked out from it: a step or a reading rate of 0 gives none.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        let positive = [self.step_ms, self.read_tokens_per_ms, self.chunk_tokens];
+        let others = [
+            self.step_ms_per_answer,
+            self.mean.prompt,
+            self.mean.answer,
+            f64::from(self.steps_per_pass),
+        ];
+        positive
+            .iter()
+            .all(|value| value.is_finite() && *value > 0.0)
+            && others
+                .iter()
+                .all(|value| value.is_finite() && *value >= 0.0)
+    }
+
+    /// Returns how long a group reads a prompt.
+    #[must_use]
+    pub fn reading_time(&self, prompt_tokens: f64, pace: f64) -> Duration {
+        millis(prompt_tokens / self.read_tokens_per_ms * pace)
+    }
+
+    /// Returns how long one pass takes that writes `answers` answers and reads as much as it may.
+    #[must_use]
+    pub fn full_pass(&self, answers: f64, pace: f64) -> Duration {
+        let steps = f64::from(self.steps_per_pass.max(1));
+        let writing = steps * (self.step_ms + self.step_ms_per_answer * answers);
+        let reading = self.chunk_tokens / self.read_tokens_per_ms;
+        millis((writing + reading) * pace)
+    }
+
+    /// Returns how long a request waits for its first event behind `tokens_ahead` prompt tokens that are
+    /// read before its own, beside `answers` that are being written.
+    #[must_use]
+    pub fn first_event_after(&self, tokens_ahead: f64, answers: f64, pace: f64) -> Duration {
+        let passes = (tokens_ahead / self.chunk_tokens).ceil().max(1.0);
+        // One more pass is under way when the request comes, and its first event ends another.
+        self.full_pass(answers, pace).mul_f64(passes + 1.0)
+    }
+
+    /// Returns the time that a request takes of a group which works on about as many as it can in time.
+    #[must_use]
+    pub fn group_time(&self, tokens: TokenCounts, slots: u32, pace: f64) -> Duration {
+        let answers = (f64::from(slots) * BUSY_SLOTS).max(1.0);
+        let step_ms = self.step_ms / answers + self.step_ms_per_answer;
+        self.reading_time(tokens.prompt, pace) + millis(tokens.answer * step_ms * pace)
+    }
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or(Duration::MAX)
+}
--- a/crates/sesamecart-fleet/src/testkit.rs
+++ b/crates/sesamecart-fleet/src/testkit.rs
@@ -8,6 +8,7 @@
 use crate::directory::GroupKey;
 use crate::endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 use crate::number::GroupEpoch;
+use crate::step_model::{StepModel, TokenCounts};
 
 pub(crate) fn service() -> ServiceId {
     "llm".parse().expect("a name")
@@ -77,6 +78,20 @@
     }
 }
 
+pub(crate) fn steps() -> StepModel {
+    StepModel {
+        step_ms: 6.0,
+        step_ms_per_answer: 0.09,
+        read_tokens_per_ms: 50.0,
+        chunk_tokens: 2_048.0,
+        steps_per_pass: 5,
+        mean: TokenCounts {
+            prompt: 800.0,
+            answer: 150.0,
+        },
+    }
+}
+
 /// A large model in groups of four and a small one in groups of three, of about equal load.
 pub(crate) fn spec() -> EngineSpec {
     EngineSpec {
@@ -87,6 +102,7 @@
         ],
         loads_per_s: 4.5,
         loads_at_once: 6,
+        steps: Some(steps()),
     }
 }
 
