Give engines to models by what callers ask

Cause: engines are divided by the configuration's share, which says how the work is divided at the start.

Change: each node counts what its callers ask in seconds of a group's time, by the configuration's times of steps and the request's own tokens, also for requests that are refused. Nodes tell it to those that watch their loads twice a second; the controller takes the nodes it hears as a sample of all. What can't be used of the operator's configuration is logged once.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
-    Catalog, ColdAllowance, Directory, Endpoint, Freshness, GroupKey, LoadBook, PeerNode,
-    RetryAllowance,
+    Catalog, ColdAllowance, Demand, DemandBook, Directory, Endpoint, Freshness, GroupKey, LoadBook,
+    PeerNode, RetryAllowance,
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{
@@ -57,6 +57,7 @@
     reads_store: AtomicBool,
     controls: AtomicBool,
     pub(crate) loads: Mutex<LoadBook>,
+    demand: Mutex<DemandBook>,
     /// Told of each request that is sent, begins to be answered or ends.
     pub(crate) loads_changed: Changed,
     vouched_at: AtomicU64,
@@ -99,6 +100,7 @@
             catalog: ArcSwapOption::empty(),
             directory: ArcSwap::default(),
             loads: Mutex::default(),
+            demand: Mutex::default(),
             loads_changed: Changed::new(),
             vouched_at: AtomicU64::new(0),
             registry_read: AtomicBool::new(false),
@@ -139,6 +141,17 @@
         lock(&self.loads)
     }
 
+    /// Returns what callers ask of each model, as far as this node knows.
+    pub(crate) fn demand(&self) -> MutexGuard<'_, DemandBook> {
+        lock(&self.demand)
+    }
+
+    /// Estimates what the callers of all nodes ask of each model.
+    pub(crate) fn estimated_demand(&self) -> Option<Demand> {
+        let nodes = 1 + self.loads().others();
+        self.demand().estimate(clock::now(), nodes)
+    }
+
     /// Notes that the configuration was complete at a read that was sent at `sent`.
     pub(crate) fn vouch(&self, sent: Timestamp) {
         self.vouched_at.fetch_max(sent.0, Ordering::AcqRel);
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -172,6 +172,7 @@
         if counts {
             term.counted_at = now;
         }
+        let demand = self.beliefs.estimated_demand();
         for (service, known) in &catalog.services {
             let Some(spec) = &known.engine else { continue };
             if spec.models.is_empty() {
@@ -182,7 +183,7 @@
                 spec,
                 directory: &directory,
                 in_traffic: self.beliefs.is_in_traffic(),
-                demand: None,
+                demand: demand.as_ref(),
             };
             if counts {
                 log_counts(&self.beliefs, &term.planner, &input);
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -70,6 +70,13 @@
         /// Its routes.
         routes: usize,
     },
+    /// A configuration in force holds something that can't be used as it stands.
+    ConfigurationDoubtful {
+        /// The service.
+        service: &'a str,
+        /// What it is, and what is done instead.
+        problem: &'a str,
+    },
     /// What the engines are used for, every two seconds on the node that controls the groups.
     FleetCounted {
         /// The model.
--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -13,8 +13,8 @@
 use futures_util::Stream;
 use futures_util::stream;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{NodeLoad, PeerNode, WATCHED_MOST, peers_to_watch};
-use sesamecart_links::feed::{HeadLoad, LoadChanges, WatchLoadsRequest};
+use sesamecart_fleet::{Demand, NodeLoad, PeerNode, WATCHED_MOST, peers_to_watch};
+use sesamecart_links::feed::{HeadLoad, LoadChanges, ModelDemand, WatchLoadsRequest};
 use sesamecart_links::{Links, Status};
 use sesamecart_runtime::{Tasks, sleep, within};
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
@@ -31,6 +31,11 @@
 /// How often a node that has no changes says so.
 const ALIVE_EVERY: Duration = Duration::from_millis(400);
 
+/// How often a node says what its callers ask of each model, beside its loads.
+const DEMAND_EVERY: Duration = Duration::from_millis(500);
+
+const MILLIS: f64 = 1_000.0;
+
 /// How long a node may say nothing before what it said counts no more: two such messages may be late.
 const SILENT_MOST: Duration = Duration::from_millis(1_200);
 
@@ -49,7 +54,10 @@
 
 /// What has been told on one stream; an endpoint's number is its place.
 #[derive(Debug, Default)]
-struct Told(IndexMap<EndpointId, NodeLoad>);
+struct Told {
+    loads: IndexMap<EndpointId, NodeLoad>,
+    demand_at: Timestamp,
+}
 
 impl Told {
     /// Returns what has changed since the last call.
@@ -65,7 +73,7 @@
             own.map(|(id, load)| (id.clone(), load)).collect()
         };
         let mut heads = Vec::new();
-        for (number, (id, told)) in self.0.iter_mut().enumerate() {
+        for (number, (id, told)) in self.loads.iter_mut().enumerate() {
             let load = now.get(id).copied().unwrap_or_default();
             if *told != load {
                 *told = load;
@@ -73,18 +81,42 @@
             }
         }
         for (id, load) in now {
-            if !self.0.contains_key(&id) {
-                heads.push(head_load(self.0.len(), Some(&id), load));
-                self.0.insert(id, load);
+            if !self.loads.contains_key(&id) {
+                heads.push(head_load(self.loads.len(), Some(&id), load));
+                self.loads.insert(id, load);
             }
         }
         LoadChanges {
             heads,
-            demand: Vec::new(),
+            demand: self.demand(beliefs),
+        }
+    }
+
+    /// Returns what this node's callers ask, when it is time to say so again.
+    fn demand(&mut self, beliefs: &Beliefs) -> Vec<ModelDemand> {
+        let now = clock::now();
+        if now.since(self.demand_at) < DEMAND_EVERY {
+            return Vec::new();
         }
+        self.demand_at = now;
+        let demand = beliefs.demand().own(now);
+        let models = demand.iter().map(|(model, groups)| ModelDemand {
+            model: model.to_string(),
+            milli_groups: (groups * MILLIS).round() as u32,
+        });
+        models.collect()
     }
 }
 
+/// Reads what another node's callers ask; models whose names can't be read aren't served by anybody.
+fn read_demand(demand: &[ModelDemand]) -> Demand {
+    let models = demand.iter().filter_map(|asked| {
+        let model = asked.model.parse().ok()?;
+        Some((model, f64::from(asked.milli_groups) / MILLIS))
+    });
+    models.collect()
+}
+
 fn head_load(number: usize, endpoint: Option<&EndpointId>, load: NodeLoad) -> HeadLoad {
     HeadLoad {
         number: u32::try_from(number).unwrap_or(u32::MAX),
@@ -102,7 +134,7 @@
         sleep(GATHERED).await;
         let changed = beliefs.loads_changed.listen();
         let mut next = told.changes(&beliefs);
-        if next.heads.is_empty() {
+        if next.heads.is_empty() && next.demand.is_empty() {
             future::or(changed, sleep(ALIVE_EVERY)).await;
             next = told.changes(&beliefs);
         }
@@ -159,6 +191,7 @@
     loop {
         let ended = hear(&beliefs, &links, &peer, &mut hearing).await;
         beliefs.loads().unheard(&peer.node);
+        beliefs.demand().drop_peer(&peer.node);
         hearing.ended(&beliefs, &ended);
         sleep(REST).await;
     }
@@ -220,6 +253,10 @@
             Err(elapsed) => return elapsed.to_string(),
         };
         hearing.begun(beliefs);
+        if !next.demand.is_empty() {
+            let demand = read_demand(&next.demand);
+            beliefs.demand().apply_peer_demand(&peer.node, demand);
+        }
         let mut loads = beliefs.loads();
         loads.tells(&peer.node);
         for head in next.heads {
--- a/crates/sesamecart-entry/src/follower/operator.rs
+++ b/crates/sesamecart-entry/src/follower/operator.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexSet;
-use sesamecart_fleet::Directory;
+use sesamecart_fleet::{Catalog, Directory, EngineSpec};
 use sesamecart_platform::{
     Record, Topic, decode_configuration, evacuated_domain, is_configuration,
 };
@@ -87,5 +87,30 @@
         before: before.map_or(0, |version| version.0),
         routes: catalog.route_count(),
     });
+    note_problems(beliefs, &catalog);
     beliefs.catalog.store(Some(Arc::new(catalog)));
 }
+
+/// Says what the operator should mend, where the configuration in force doesn't have the same fault.
+fn note_problems(beliefs: &Beliefs, catalog: &Catalog) {
+    let in_force = beliefs.catalog.load_full();
+    for (id, service) in &catalog.services {
+        let Some(spec) = &service.engine else {
+            continue;
+        };
+        let before = in_force
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(id));
+        let before = before.and_then(|service| service.engine.as_ref());
+        let known = before.map(EngineSpec::problems).unwrap_or_default();
+        for problem in spec.problems() {
+            if known.contains(&problem) {
+                continue;
+            }
+            beliefs.events.write(&Event::ConfigurationDoubtful {
+                service: id.as_str(),
+                problem: &problem.to_string(),
+            });
+        }
+    }
+}
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -7,6 +7,7 @@
 mod placing;
 mod refusal;
 mod relay;
+mod work;
 
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -94,6 +94,7 @@
             body,
             arrived,
         });
+        call.note_demand();
         serve(&call).await.map_err(refused)
     }
 
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -178,6 +178,12 @@
         self.others = others;
     }
 
+    /// Returns how many other nodes there are, without those that are taken for gone.
+    #[must_use]
+    pub const fn others(&self) -> usize {
+        self.others
+    }
+
     /// Notes what another node has at an endpoint.
     pub fn told(&mut self, node: &NodeId, id: &EndpointId, there: NodeLoad) {
         self.telling.insert(node.clone());
