Pass on what heads say of their load to the nodes that watch

Cause: at 62 nodes a node hears from each of 12 heads about every two seconds, and only 7 others are watched, so most heads are chosen, and callers refused, by reports that have faded.

Change: the messages by which a node tells its loads carry what heads told it, with its age; the newest report counts, whoever got it. One way to send, no forwarding. The sending half of the exchange is a file of its own.

--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -5,35 +5,24 @@
 //! them at one head make the second caller wait while another head reads nothing. What a node has is
 //! told at once, or soon after; docs/decisions-under-faults.md has what that is worth.
 
-use std::pin::Pin;
+mod changes;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::future;
-use futures_util::Stream;
-use futures_util::stream;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{Demand, NodeLoad, PeerNode, WATCHED_MOST, peers_to_watch};
-use sesamecart_links::feed::{HeadLoad, LoadChanges, ModelDemand, WatchLoadsRequest};
-use sesamecart_links::{Links, Status};
+use sesamecart_fleet::{Demand, LoadReport, NodeLoad, PeerNode, WATCHED_MOST, peers_to_watch};
+use sesamecart_links::Links;
+use sesamecart_links::feed::{ModelDemand, WatchLoadsRequest};
 use sesamecart_runtime::{Tasks, sleep, within};
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
+pub(crate) use crate::exchange::changes::{Changes, changes};
 use crate::follower::millis;
 
-/// How long after a message changes are gathered for the next one: a tenth of a pass of an engine, so that
-/// what is told is still true, and one message for all that changes meanwhile.
-const GATHERED: Duration = Duration::from_millis(10);
-
-/// How often a node that has no changes says so.
-const ALIVE_EVERY: Duration = Duration::from_millis(400);
-
-/// How often a node says what its callers ask of each model, beside its loads.
-const DEMAND_EVERY: Duration = Duration::from_millis(500);
-
 const MILLIS: f64 = 1_000.0;
 
 /// How long a node may say nothing before what it said counts no more: two such messages may be late.
@@ -49,65 +38,6 @@
 /// How often it is looked up which nodes there are.
 const NODES_EVERY: Duration = Duration::from_millis(500);
 
-/// The changes of this node's loads, for one that watches them.
-pub(crate) type Changes = Pin<Box<dyn Stream<Item = Result<LoadChanges, Status>> + Send>>;
-
-/// What has been told on one stream; an endpoint's number is its place.
-#[derive(Debug, Default)]
-struct Told {
-    loads: IndexMap<EndpointId, NodeLoad>,
-    demand_at: Timestamp,
-}
-
-impl Told {
-    /// Returns what has changed since the last call.
-    fn changes(&mut self, beliefs: &Beliefs) -> LoadChanges {
-        let directory = beliefs.directory.load();
-        let in_group = |id: &EndpointId| {
-            let endpoint = directory.find(id);
-            endpoint.is_some_and(|endpoint| endpoint.group.is_some())
-        };
-        let now: IndexMap<EndpointId, NodeLoad> = {
-            let loads = beliefs.loads();
-            let own = loads.own().filter(|(id, _)| in_group(id));
-            own.map(|(id, load)| (id.clone(), load)).collect()
-        };
-        let mut heads = Vec::new();
-        for (number, (id, told)) in self.loads.iter_mut().enumerate() {
-            let load = now.get(id).copied().unwrap_or_default();
-            if *told != load {
-                *told = load;
-                heads.push(head_load(number, None, load));
-            }
-        }
-        for (id, load) in now {
-            if !self.loads.contains_key(&id) {
-                heads.push(head_load(self.loads.len(), Some(&id), load));
-                self.loads.insert(id, load);
-            }
-        }
-        LoadChanges {
-            heads,
-            demand: self.demand(beliefs),
-        }
-    }
-
-    /// Returns what this node's callers ask, when it is time to say so again.
-    fn demand(&mut self, beliefs: &Beliefs) -> Vec<ModelDemand> {
-        let now = clock::now();
-        if now.since(self.demand_at) < DEMAND_EVERY {
-            return Vec::new();
-        }
-        self.demand_at = now;
-        let demand = beliefs.demand().own(now);
-        let models = demand.iter().map(|(model, groups)| ModelDemand {
-            model: model.to_string(),
-            milli_groups: (groups * MILLIS).round() as u32,
-        });
-        models.collect()
-    }
-}
-
 /// Reads what another node's callers ask; models whose names can't be read aren't served by anybody.
 fn read_demand(demand: &[ModelDemand]) -> Demand {
     let models = demand.iter().filter_map(|asked| {
@@ -117,32 +47,6 @@
     models.collect()
 }
 
-fn head_load(number: usize, endpoint: Option<&EndpointId>, load: NodeLoad) -> HeadLoad {
-    HeadLoad {
-        number: u32::try_from(number).unwrap_or(u32::MAX),
-        endpoint: endpoint.map(EndpointId::to_string).unwrap_or_default(),
-        in_flight: load.in_flight,
-        waiting: load.waiting,
-        report: None,
-    }
-}
-
-/// Returns the changes of this node's loads as they come about.
-pub(crate) fn changes(beliefs: Arc<Beliefs>) -> Changes {
-    let state = (beliefs, Told::default());
-    let changes = stream::unfold(state, |(beliefs, mut told)| async move {
-        sleep(GATHERED).await;
-        let changed = beliefs.loads_changed.listen();
-        let mut next = told.changes(&beliefs);
-        if next.heads.is_empty() && next.demand.is_empty() {
-            future::or(changed, sleep(ALIVE_EVERY)).await;
-            next = told.changes(&beliefs);
-        }
-        Some((Ok(next), (beliefs, told)))
-    });
-    Box::pin(changes)
-}
-
 /// Watches the loads of other nodes until the task is cancelled.
 pub(crate) async fn watch_peers(beliefs: Arc<Beliefs>, links: Links, tasks: Tasks) {
     let mut watched = Watched::default();
@@ -274,6 +178,15 @@
                 waiting: head.waiting,
             };
             loads.told(&peer.node, id, load);
+            if let Some(report) = head.report {
+                let reported_at = clock::now() - Duration::from_millis(report.age_ms.into());
+                let report = LoadReport {
+                    running: report.running,
+                    waiting: report.waiting,
+                    slots: report.slots,
+                };
+                loads.apply_peer_report(id, report, reported_at);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/sesamecart-entry/src/exchange/changes.rs
@@ -0,0 +1,165 @@
+//! What a node tells those that watch its loads.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use futures_util::{Stream, stream};
+use indexmap::IndexMap;
+use sesamecart_fleet::{Directory, LoadReport, NodeLoad};
+use sesamecart_links::Status;
+use sesamecart_links::feed::{HeadLoad, HeadReport, LoadChanges, ModelDemand};
+use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
+
+use super::MILLIS;
+use crate::beliefs::Beliefs;
+use crate::clock;
+use crate::follower::millis;
+
+/// How long after a message changes are gathered for the next one: a tenth of a pass of an engine, so that
+/// what is told is still true, and one message for all that changes meanwhile.
+const GATHERED: Duration = Duration::from_millis(10);
+
+/// How often a node that has no changes says so.
+const ALIVE_EVERY: Duration = Duration::from_millis(400);
+
+/// How often a node says what its callers ask of each model, beside its loads.
+const DEMAND_EVERY: Duration = Duration::from_millis(500);
+
+/// The changes of this node's loads, for one that watches them.
+pub(crate) type Changes = Pin<Box<dyn Stream<Item = Result<LoadChanges, Status>> + Send>>;
+
+/// Returns the changes of this node's loads as they come about.
+pub(crate) fn changes(beliefs: Arc<Beliefs>) -> Changes {
+    let state = (beliefs, Sent::default());
+    let changes = stream::unfold(state, |(beliefs, mut sent)| async move {
+        sleep(GATHERED).await;
+        let changed = beliefs.loads_changed.listen();
+        let mut next = sent.changes(&beliefs);
+        if next.heads.is_empty() && next.demand.is_empty() {
+            future::or(changed, sleep(ALIVE_EVERY)).await;
+            next = sent.changes(&beliefs);
+        }
+        Some((Ok(next), (beliefs, sent)))
+    });
+    Box::pin(changes)
+}
+
+/// What was last sent of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct SentHead {
+    load: NodeLoad,
+    reported_at: Timestamp,
+}
+
+/// What has been sent on one stream; an endpoint's number is its place.
+#[derive(Debug, Default)]
+struct Sent {
+    heads: IndexMap<EndpointId, SentHead>,
+    demand_at: Timestamp,
+}
+
+impl Sent {
+    /// Returns what has changed since the last call.
+    fn changes(&mut self, beliefs: &Beliefs) -> LoadChanges {
+        LoadChanges {
+            heads: self.heads(beliefs),
+            demand: self.demand(beliefs),
+        }
+    }
+
+    fn heads(&mut self, beliefs: &Beliefs) -> Vec<HeadLoad> {
+        let now = clock::now();
+        let current = Current::of(beliefs);
+        let known = self
+            .heads
+            .keys()
+            .filter(|id| !current.loads.contains_key(*id));
+        let idle: Vec<EndpointId> = known.cloned().collect();
+        let mut changed = Vec::new();
+        let idle = idle.iter().map(|id| (id, NodeLoad::default()));
+        let busy = current.loads.iter().map(|(id, load)| (id, *load));
+        for (id, load) in idle.chain(busy) {
+            let (number, is_new) = match self.heads.get_index_of(id) {
+                Some(number) => (number, false),
+                None => (
+                    self.heads.insert_full(id.clone(), SentHead::default()).0,
+                    true,
+                ),
+            };
+            let sent = &mut self.heads[number];
+            let report = current.reports.get(id);
+            let report = report.filter(|(_, at)| *at > sent.reported_at);
+            if !is_new && sent.load == load && report.is_none() {
+                continue;
+            }
+            sent.load = load;
+            sent.reported_at = report.map_or(sent.reported_at, |(_, at)| *at);
+            changed.push(HeadLoad {
+                number: u32::try_from(number).unwrap_or(u32::MAX),
+                endpoint: if is_new {
+                    id.to_string()
+                } else {
+                    String::new()
+                },
+                in_flight: load.in_flight,
+                waiting: load.waiting,
+                report: report.map(|(report, at)| head_report(now, *report, *at)),
+            });
+        }
+        changed
+    }
+
+    /// Returns what this node's callers ask, when it is time to say so again.
+    fn demand(&mut self, beliefs: &Beliefs) -> Vec<ModelDemand> {
+        let now = clock::now();
+        if now.since(self.demand_at) < DEMAND_EVERY {
+            return Vec::new();
+        }
+        self.demand_at = now;
+        let demand = beliefs.demand().own(now);
+        let models = demand.iter().map(|(model, groups)| ModelDemand {
+            model: model.to_string(),
+            milli_groups: (groups * MILLIS).round() as u32,
+        });
+        models.collect()
+    }
+}
+
+/// What this node has at the heads of groups, and what they said of their load.
+struct Current {
+    loads: IndexMap<EndpointId, NodeLoad>,
+    reports: IndexMap<EndpointId, (LoadReport, Timestamp)>,
+}
+
+impl Current {
+    fn of(beliefs: &Beliefs) -> Self {
+        let directory = beliefs.directory.load();
+        let loads = beliefs.loads();
+        let own = loads.own().filter(|(id, _)| is_in_group(&directory, id));
+        let reports = loads.own_reports();
+        let reports = reports.filter(|(id, _, _)| is_in_group(&directory, id));
+        Self {
+            loads: own.map(|(id, load)| (id.clone(), load)).collect(),
+            reports: reports
+                .map(|(id, report, at)| (id.clone(), (report, at)))
+                .collect(),
+        }
+    }
+}
+
+fn is_in_group(directory: &Directory, id: &EndpointId) -> bool {
+    let endpoint = directory.find(id);
+    endpoint.is_some_and(|endpoint| endpoint.group.is_some())
+}
+
+fn head_report(now: Timestamp, report: LoadReport, at: Timestamp) -> HeadReport {
+    HeadReport {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        age_ms: u32::try_from(millis(now.since(at))).unwrap_or(u32::MAX),
+    }
+}
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -260,9 +260,25 @@
     pub fn reported(&mut self, now: Timestamp, id: &EndpointId, report: LoadReport) {
         let load = self.load(id);
         load.reported = Some((report, now));
+        load.own_report = load.reported;
         load.since = 0;
     }
 
+    /// Notes what an endpoint said of its load to another node, which is newer than what it said here.
+    pub fn apply_peer_report(&mut self, id: &EndpointId, report: LoadReport, at: Timestamp) {
+        let load = self.load(id);
+        if load.reported.is_none_or(|(_, known_at)| known_at < at) {
+            load.reported = Some((report, at));
+            load.since = 0;
+        }
+    }
+
+    /// Returns what endpoints said of their load to this node, and when.
+    pub fn own_reports(&self) -> impl Iterator<Item = (&EndpointId, LoadReport, Timestamp)> {
+        let loads = self.loads.iter();
+        loads.filter_map(|(id, load)| load.own_report.map(|(report, at)| (id, report, at)))
+    }
+
     /// Notes the first sign of a request's answer.
     pub fn begun(&mut self, now: Timestamp, id: &EndpointId) {
         self.load(id).silence.begun(now);
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Load {
     pub(super) reported: Option<(LoadReport, Timestamp)>,
+    /// The last report that came to this node itself.
+    pub(super) own_report: Option<(LoadReport, Timestamp)>,
     /// Requests sent less those ended since the report.
     pub(super) since: i64,
     pub(super) in_flight: u32,
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -279,3 +279,30 @@
     let choice = loads.choose(NOW, &[candidate(&head, true)], || 0.5);
     assert_eq!(choice, Err(Unavailable::Full));
 }
+
+/// Among many nodes each hears from a head every few seconds only, and those that go by such old reports send
+/// to heads that others have filled meanwhile.
+#[test]
+fn what_an_endpoint_told_another_node_counts_where_it_is_newer() {
+    let (first, second) = (id("first"), id("second"));
+    let candidates = [candidate(&first, true), candidate(&second, true)];
+    let mut loads = LoadBook::default();
+    loads.reported(NOW, &first, report(0, 0));
+    loads.reported(NOW, &second, report(2, 0));
+    let later = NOW + Duration::from_millis(300);
+    loads.apply_peer_report(&first, report(4, 0), later);
+    loads.apply_peer_report(&second, report(4, 2), NOW - Duration::from_millis(1));
+    let choice = loads.choose(later, &candidates, || 0.5);
+    assert_eq!(choice.expect("one is free").index, 1);
+}
+
+/// A report that went round by other nodes would come back to the one that it came from, again and again.
+#[test]
+fn only_a_nodes_own_reports_are_passed_on() {
+    let (first, second) = (id("first"), id("second"));
+    let mut loads = LoadBook::default();
+    loads.reported(NOW, &first, report(1, 0));
+    loads.apply_peer_report(&second, report(2, 0), NOW);
+    let own: Vec<_> = loads.own_reports().collect();
+    assert_eq!(own, [(&first, report(1, 0), NOW)]);
+}
