Fill groups only as far as they can read prompts in time

Cause: slots stand for what a head can take. By the configuration's times a group of the larger model reads 1.25 of its prompts in a pass and answers one in 20 passes: 25 requests keep it reading all the time, and of 48 that it admits about 23 wait for each other, 1.7 s at the end.

Change: the requests that a head gets are bounded by what can be read while answers are written, by the mean tokens of the model's own callers, or by its slots where those are fewer.

Tests: long prompts, an operator's configuration without times, each problem that the settings' check names.

--- a/crates/sesamecart-entry/src/traffic/placing.rs
+++ b/crates/sesamecart-entry/src/traffic/placing.rs
@@ -23,7 +23,7 @@
         let is_model = known.is_some_and(|known| known.engine.is_some());
         let model = self.asked.model.as_ref().filter(|_| is_model);
         let directory = self.beliefs.directory.load_full();
-        let slots = known.and_then(|known| known.engine.as_ref().map(|engine| engine.slots));
+        let slots = self.usable_slots();
         let mut endpoints: Vec<&Arc<Endpoint>> = directory
             .candidates(service, model)
             .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
--- a/crates/sesamecart-entry/src/traffic/work.rs
+++ b/crates/sesamecart-entry/src/traffic/work.rs
@@ -12,9 +12,21 @@
             return;
         };
         let prompt = self.asked.size.map(|size| size.prompt as f64);
-        let group_time = spec.group_time(model, prompt, self.answer_tokens());
+        let tokens = spec.tokens(prompt, self.answer_tokens());
+        let group_time = spec.group_time(model, tokens);
         let now = clock::now();
-        self.beliefs.demand().note(now, &model.model, group_time);
+        let mut demand = self.beliefs.demand();
+        demand.note(now, &model.model, group_time, tokens);
+    }
+
+    /// Returns how many requests a group of the model holds while each of them begins in time.
+    pub(super) fn usable_slots(&self) -> Option<u32> {
+        let (spec, model) = self.engine_model()?;
+        let mean = self
+            .beliefs
+            .demand()
+            .mean_tokens(clock::now(), &model.model);
+        Some(spec.usable_slots(mean))
     }
 
     /// Returns the model that the request asks for, where its service serves it in groups.
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -157,26 +157,37 @@
         problems
     }
 
-    /// Returns the time that a request takes of one of a model's groups; tokens that it doesn't name are
-    /// those of a mean request.
+    /// Returns the requests that a group works on at once while each begins in time: its slots, or fewer
+    /// where reading the prompts of so many takes longer than writing their answers.
+    #[must_use]
+    pub fn usable_slots(&self, mean: Option<TokenCounts>) -> u32 {
+        let Some(steps) = &self.steps else {
+            return self.slots;
+        };
+        let concurrency = steps.concurrency(mean.unwrap_or(steps.mean));
+        (concurrency.ceil() as u32).clamp(1, self.slots.max(1))
+    }
+
+    /// Returns the time that a request takes of one of a model's groups.
     ///
     /// Without times of steps each request counts alike, so that demand is compared by requests.
     #[must_use]
-    pub fn group_time(
-        &self,
-        model: &EngineModel,
-        prompt: Option<f64>,
-        answer: Option<f64>,
-    ) -> Duration {
+    pub fn group_time(&self, model: &EngineModel, tokens: TokenCounts) -> Duration {
         let Some(steps) = &self.steps else {
             return UNKNOWN_GROUP_TIME;
         };
-        let tokens = TokenCounts {
-            prompt: prompt.unwrap_or(steps.mean.prompt),
-            answer: answer.unwrap_or(steps.mean.answer),
-        };
         steps.group_time(tokens, self.slots, model.usable_pace())
     }
+
+    /// Returns the tokens of a request; those that it doesn't name are those of a mean request.
+    #[must_use]
+    pub fn tokens(&self, prompt: Option<f64>, answer: Option<f64>) -> TokenCounts {
+        let mean = self.steps.map_or(NO_TOKENS, |steps| steps.mean);
+        TokenCounts {
+            prompt: prompt.unwrap_or(mean.prompt),
+            answer: answer.unwrap_or(mean.answer),
+        }
+    }
 }
 
 impl EngineModel {
@@ -201,6 +212,11 @@
     }
 }
 
+const NO_TOKENS: TokenCounts = TokenCounts {
+    prompt: 0.0,
+    answer: 0.0,
+};
+
 /// What a request takes of a group whose times aren't known.
 const UNKNOWN_GROUP_TIME: Duration = Duration::from_millis(50);
 
--- a/crates/sesamecart-fleet/src/catalog/tests.rs
+++ b/crates/sesamecart-fleet/src/catalog/tests.rs
@@ -5,8 +5,9 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::Bytes;
 
-use super::{Catalog, Delivery, Limits, PathRoute, RouteMatch};
+use super::{Catalog, Delivery, EngineSpec, Limits, PathRoute, RouteMatch, SpecProblem};
 use crate::number::CatalogVersion;
+use crate::step_model::TokenCounts;
 
 fn route(name: &str, host: &str, prefix: &str) -> PathRoute {
     PathRoute {
@@ -63,3 +64,73 @@
     a_path_without_route_has_none: "two.example", "/" => None;
     an_unknown_host_has_none: "three.example", "/pay/" => None;
 }
+
+fn shifted_spec() -> EngineSpec {
+    EngineSpec {
+        slots: 48,
+        ..crate::testkit::spec()
+    }
+}
+
+fn tokens(prompt: f64, answer: f64) -> TokenCounts {
+    TokenCounts { prompt, answer }
+}
+
+/// A group that reads long prompts for short answers falls behind long before its slots are taken. Filled up
+/// to them, each prompt waits for twenty others, and all callers get their first event too late.
+#[test]
+fn long_prompts_leave_slots_unused() {
+    let spec = shifted_spec();
+    assert_eq!(spec.usable_slots(Some(tokens(1_640.0, 100.0))), 25);
+    assert_eq!(spec.usable_slots(Some(tokens(714.0, 150.0))), 48);
+}
+
+#[test]
+fn without_times_of_steps_all_slots_are_used() {
+    let spec = EngineSpec {
+        steps: None,
+        ..shifted_spec()
+    };
+    assert_eq!(spec.usable_slots(Some(tokens(1_640.0, 100.0))), 48);
+}
+
+#[test]
+fn a_request_takes_the_longer_the_more_tokens_it_has() {
+    let spec = shifted_spec();
+    let model = &spec.models[0];
+    let long = spec.group_time(model, tokens(2_000.0, 150.0));
+    assert!(long > spec.group_time(model, tokens(1_000.0, 150.0)));
+    assert!(long > spec.group_time(model, tokens(2_000.0, 50.0)));
+}
+
+/// Checks what an operator is told of a service's engines.
+macro_rules! problems {
+    ($($name:ident: $change:expr => $problems:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut spec = shifted_spec();
+                let change: fn(&mut EngineSpec) = $change;
+                change(&mut spec);
+                assert_eq!(spec.problems(), $problems);
+            }
+        )+
+    };
+}
+
+problems! {
+    a_sound_spec_has_none: |_| {} => [];
+    a_share_of_zero_is_named: |spec| spec.models[0].share = 0.0
+        => [SpecProblem::NoShare("large".parse().expect("a name"))];
+    shares_that_are_all_missing_are_named_once: |spec| {
+        for model in &mut spec.models {
+            model.share = 0.0;
+        }
+    } => [SpecProblem::NoShares];
+    a_pace_of_zero_is_named: |spec| spec.models[1].pace = 0.0
+        => [SpecProblem::Pace("small".parse().expect("a name"))];
+    missing_times_of_steps_are_named: |spec| spec.steps = None => [SpecProblem::Steps];
+    a_missing_mean_request_is_named: |spec| {
+        spec.steps.as_mut().expect("it has some").mean = tokens(0.0, 0.0);
+    } => [SpecProblem::MeanTokens];
+}
--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -9,12 +9,17 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{ModelId, NodeId, Timestamp};
 
+use crate::step_model::TokenCounts;
+
 #[cfg(test)]
 mod tests;
 
 /// How long a request counts before its weight has faded to about a third.
 const DEMAND_FADES: Duration = Duration::from_secs(3);
 
+/// The requests for a model, as far as they haven't faded, from which their mean is taken.
+const MIN_REQUESTS: f64 = 3.0;
+
 /// How long requests have to come before they say what is asked.
 const OBSERVED_FOR: Duration = Duration::from_millis(1_500);
 
@@ -53,6 +58,24 @@
     }
 }
 
+impl FadingSum {
+    fn add(&mut self, now: Timestamp, value: f64) {
+        *self = Self {
+            sum: self.at(now) + value,
+            at: now,
+        };
+    }
+}
+
+/// What was asked of one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asked {
+    group_time: FadingSum,
+    requests: FadingSum,
+    prompt_tokens: FadingSum,
+    answer_tokens: FadingSum,
+}
+
 fn faded(age: Duration) -> f64 {
     (-age.as_secs_f64() / DEMAND_FADES.as_secs_f64()).exp()
 }
@@ -63,20 +86,37 @@
 /// ask for, so a sample shows how the work is divided, and by the number of nodes about how much it is.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
-    own: IndexMap<ModelId, FadingSum>,
+    own: IndexMap<ModelId, Asked>,
     first_at: Option<Timestamp>,
     peers: IndexMap<NodeId, Demand>,
 }
 
 impl DemandBook {
     /// Notes a request for a model that takes `group_time` of one of its groups.
-    pub fn note(&mut self, now: Timestamp, model: &ModelId, group_time: Duration) {
+    pub fn note(
+        &mut self,
+        now: Timestamp,
+        model: &ModelId,
+        group_time: Duration,
+        tokens: TokenCounts,
+    ) {
         self.first_at.get_or_insert(now);
-        let known = self.own.entry(model.clone()).or_default();
-        *known = FadingSum {
-            sum: known.at(now) + group_time.as_secs_f64(),
-            at: now,
-        };
+        let asked = self.own.entry(model.clone()).or_default();
+        asked.group_time.add(now, group_time.as_secs_f64());
+        asked.requests.add(now, 1.0);
+        asked.prompt_tokens.add(now, tokens.prompt);
+        asked.answer_tokens.add(now, tokens.answer);
+    }
+
+    /// Returns the tokens of a mean request for a model, once a few have come.
+    #[must_use]
+    pub fn mean_tokens(&self, now: Timestamp, model: &ModelId) -> Option<TokenCounts> {
+        let asked = self.own.get(model)?;
+        let requests = asked.requests.at(now);
+        (requests >= MIN_REQUESTS).then(|| TokenCounts {
+            prompt: asked.prompt_tokens.at(now) / requests,
+            answer: asked.answer_tokens.at(now) / requests,
+        })
     }
 
     /// Returns what this node's own callers ask.
@@ -88,8 +128,11 @@
         // A sum that has just begun to grow covers less than the time over which it fades.
         let covered = DEMAND_FADES.as_secs_f64() * (1.0 - faded(now.since(first_at)));
         let own = self.own.iter();
-        own.map(|(model, sum)| (model.clone(), sum.at(now) / covered.max(f64::EPSILON)))
-            .collect()
+        own.map(|(model, asked)| {
+            let groups = asked.group_time.at(now) / covered.max(f64::EPSILON);
+            (model.clone(), groups)
+        })
+        .collect()
     }
 
     /// Takes in what another node says of its own callers.
--- a/crates/sesamecart-fleet/src/demand/tests.rs
+++ b/crates/sesamecart-fleet/src/demand/tests.rs
@@ -5,9 +5,15 @@
 use sesamecart_vocabulary::{ModelId, NodeId, Timestamp};
 
 use super::{Demand, DemandBook};
+use crate::step_model::TokenCounts;
 
 const START: Timestamp = Timestamp(1_000_000);
 
+const TOKENS: TokenCounts = TokenCounts {
+    prompt: 700.0,
+    answer: 150.0,
+};
+
 fn model(name: &str) -> ModelId {
     name.parse().expect("a name")
 }
@@ -28,7 +34,7 @@
     let every = Duration::from_secs(1) / per_s;
     let mut now = from;
     while now < from + time {
-        book.note(now, &model(name), group_time);
+        book.note(now, &model(name), group_time, TOKENS);
         now = now + every;
     }
 }
@@ -91,7 +97,25 @@
 fn nothing_is_said_before_requests_have_come_for_a_while() {
     let mut book = DemandBook::default();
     assert_eq!(book.estimate(START, 3), None);
-    book.note(START, &model("m"), Duration::from_millis(40));
+    book.note(START, &model("m"), Duration::from_millis(40), TOKENS);
     assert_eq!(book.estimate(START + Duration::from_millis(500), 3), None);
     assert!(book.estimate(START + Duration::from_secs(2), 3).is_some());
 }
+
+#[test]
+fn the_mean_request_of_a_model_is_known_once_a_few_have_come() {
+    let mut book = DemandBook::default();
+    let time = Duration::from_millis(40);
+    book.note(START, &model("m"), time, TOKENS);
+    assert_eq!(book.mean_tokens(START, &model("m")), None);
+    for prompt in [100.0, 400.0, 1_600.0] {
+        let tokens = TokenCounts {
+            prompt,
+            answer: 150.0,
+        };
+        book.note(START, &model("m"), time, tokens);
+    }
+    let mean = book.mean_tokens(START, &model("m")).expect("it is known");
+    assert_close(mean.prompt, 700.0);
+    assert_close(mean.answer, 150.0);
+}
--- a/crates/sesamecart-fleet/src/step_model.rs
+++ b/crates/sesamecart-fleet/src/step_model.rs
@@ -79,6 +79,18 @@
         self.full_pass(answers, pace).mul_f64(passes + 1.0)
     }
 
+    /// Returns how many requests a group holds at once while each of them begins in time.
+    ///
+    /// A pass reads one chunk of prompts, and each request takes as many passes as its answer has. With more
+    /// requests than that the group reads prompts all the time and still falls behind: slots are free, and
+    /// each prompt waits for those before it.
+    #[must_use]
+    pub fn concurrency(&self, tokens: TokenCounts) -> f64 {
+        let prompts_per_pass = self.chunk_tokens / tokens.prompt.max(1.0);
+        let passes = tokens.answer / f64::from(self.steps_per_pass.max(1));
+        prompts_per_pass * passes.max(1.0)
+    }
+
     /// Returns the time that a request takes of a group which works on about as many as it can in time.
     #[must_use]
     pub fn group_time(&self, tokens: TokenCounts, slots: u32, pace: f64) -> Duration {
