Wait for first events as long as busy heads take

Change: the wait follows the first events that the node has seen of the model (mean and deviation, doubled where it ran out at a head that works, 1.2 s at least). When it ends, the request goes elsewhere only if a head that wasn't tried has a free place and the retry budget bears it; else it stays. A head that answered others meanwhile isn't ejected. Silent heads are given up as before.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
-    Catalog, ColdAllowance, Demand, DemandBook, Directory, Endpoint, Freshness, GroupKey, LoadBook,
-    PeerNode, RetryAllowance,
+    Catalog, ColdAllowance, Demand, DemandBook, Directory, Endpoint, FirstEventTimeouts, Freshness,
+    GroupKey, LoadBook, PeerNode, RetryAllowance,
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{
@@ -58,6 +58,7 @@
     controls: AtomicBool,
     pub(crate) loads: Mutex<LoadBook>,
     demand: Mutex<DemandBook>,
+    first_events: Mutex<FirstEventTimeouts>,
     /// Told of each request that is sent, begins to be answered or ends.
     pub(crate) loads_changed: Changed,
     vouched_at: AtomicU64,
@@ -101,6 +102,7 @@
             directory: ArcSwap::default(),
             loads: Mutex::default(),
             demand: Mutex::default(),
+            first_events: Mutex::default(),
             loads_changed: Changed::new(),
             vouched_at: AtomicU64::new(0),
             registry_read: AtomicBool::new(false),
@@ -146,6 +148,11 @@
         lock(&self.demand)
     }
 
+    /// Returns how long the first events of streams take and are waited for.
+    pub(crate) fn first_events(&self) -> MutexGuard<'_, FirstEventTimeouts> {
+        lock(&self.first_events)
+    }
+
     /// Estimates what the callers of all nodes ask of each model.
     pub(crate) fn estimated_demand(&self) -> Option<Demand> {
         let nodes = 1 + self.loads().others();
@@ -332,6 +339,12 @@
         self.with_retries(service, |allowance| allowance.earn(now));
     }
 
+    /// Returns whether this node has a retry left at a service.
+    pub(crate) fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = clock::now();
+        self.with_retries(service, |allowance| allowance.has_left(now))
+    }
+
     /// Takes a retry at a service, if this node has one left.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let now = clock::now();
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -8,9 +8,12 @@
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
-use sesamecart_edges::{ConnectionLease, Exchange, HttpClient, Reuse, Sent, read_whole};
+use sesamecart_edges::{
+    ClientError, ConnectionLease, Exchange, HttpClient, Reuse, Sent, read_whole,
+};
 use sesamecart_fleet::{Catalog, Customer, Delivery, Endpoint, PathRoute, Unavailable};
 use sesamecart_platform::{AnswerHead, Asked, Handover, NotRun, forward};
+use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
 
 use crate::beliefs::{Beliefs, group_key};
@@ -30,13 +33,13 @@
 
 /// How much longer than its promised time an answer that may be repeated is waited for, before
 /// another endpoint is tried.
-const PATIENCE_FACTOR: u32 = 2;
+const TIMEOUT_FACTOR: u32 = 2;
 
 /// The least time for which an answer is waited for: short work takes several times its mean at times.
-const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The longest wait for a stream's first event at one endpoint; callers leave after two seconds.
-const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_200);
+/// How often it is reconsidered whether a stream that hasn't begun would begin sooner at another head.
+const RECONSIDER_EVERY: Duration = Duration::from_millis(200);
 
 /// Idle connections may take one in so many of an endpoint's; the others are for requests under way.
 ///
@@ -65,7 +68,7 @@
 }
 
 /// The attempts of one request so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Attempts {
     pub(crate) made: u32,
     may_have_run: u32,
@@ -89,6 +92,30 @@
     may_have_run: bool,
 }
 
+/// How the wait for an answer's head ended.
+enum Ended {
+    Answer(Result<Exchange, ClientError>),
+    Lost,
+    TimedOut(Waited),
+}
+
+/// A wait for a stream's first event that ended without one.
+struct Waited {
+    time: Duration,
+    /// Whether the head answered other requests meanwhile.
+    is_heard: bool,
+}
+
+impl Waited {
+    fn failed(&self, endpoint: &Endpoint) -> Failed {
+        let ms = millis(self.time);
+        Failed {
+            cause: format!("{}: request: no first event in {ms} ms", endpoint.address),
+            may_have_run: true,
+        }
+    }
+}
+
 impl Attempts {
     /// Notes that an attempt whose head had come failed later.
     pub(crate) fn note_broken(&mut self, endpoint: EndpointId) {
@@ -231,7 +258,10 @@
             self.arrived,
             lost,
         );
-        match self.exchange(endpoint, &mut flight, last_event).await {
+        match self
+            .exchange(endpoint, &mut flight, attempts, last_event)
+            .await
+        {
             Ok(exchange) => self.check(exchange, flight).await,
             Err((failed, is_endpoints_fault)) => {
                 if is_endpoints_fault {
@@ -248,6 +278,7 @@
         &self,
         endpoint: &Endpoint,
         flight: &mut Flight,
+        attempts: &Attempts,
         last_event: Option<&str>,
     ) -> Result<Exchange, (Failed, bool)> {
         let handover = Handover {
@@ -258,7 +289,6 @@
             last_event,
         };
         let req = forward(&self.head, &self.body, &handover);
-        let patience = self.patience();
         let reuse = if self.route.delivery.may_repeat() {
             Reuse::Allowed
         } else {
@@ -266,15 +296,18 @@
             // couldn't be told then.
             Reuse::Never
         };
-        let sent = self.client.send(endpoint.address, req, reuse, patience);
+        let limit = self.answer_timeout();
+        let sent = self.client.send(endpoint.address, req, reuse, limit);
         let lost = flight.lost();
-        let raced = future::or(async { Some(sent.await) }, async {
+        let given_up = self.give_up_waiting(endpoint, attempts);
+        let raced = future::or(async { Ended::Answer(sent.await) }, async {
             lost.await;
-            None
+            Ended::Lost
         });
+        let raced = future::or(raced, async { Ended::TimedOut(given_up.await) });
         match raced.await {
-            Some(Ok(exchange)) => Ok(exchange),
-            Some(Err(error)) => {
+            Ended::Answer(Ok(exchange)) => Ok(exchange),
+            Ended::Answer(Err(error)) => {
                 let failed = Failed {
                     may_have_run: error.sent == Sent::Maybe,
                     cause: error.to_string(),
@@ -283,27 +316,61 @@
                 let ran_out = self.left().is_zero();
                 Err((failed, !ran_out))
             }
-            None => {
+            Ended::Lost => {
                 let failed = Failed {
                     may_have_run: true,
                     cause: "its group has lost a member".to_owned(),
                 };
                 Err((failed, false))
             }
+            Ended::TimedOut(waited) => Err((waited.failed(endpoint), !waited.is_heard)),
         }
     }
 
-    /// Returns how long one attempt's answer is waited for.
-    fn patience(&self) -> Duration {
+    /// Returns how long one attempt's answer is waited for at most.
+    fn answer_timeout(&self) -> Duration {
         let left = self.left();
-        let aim = self.route.latency_aim.unwrap_or(LEAST_PATIENCE);
+        let target = self.route.latency_aim.unwrap_or(MIN_ANSWER_TIMEOUT);
         match self.route.delivery {
-            Delivery::Stream { resumable: true } => left.min(FIRST_EVENT_PATIENCE.max(aim)),
-            Delivery::Idempotent => left.min(LEAST_PATIENCE.max(aim * PATIENCE_FACTOR)),
-            Delivery::Stream { resumable: false } | Delivery::AtMostOnce => left,
+            Delivery::Idempotent => left.min(MIN_ANSWER_TIMEOUT.max(target * TIMEOUT_FACTOR)),
+            Delivery::Stream { .. } | Delivery::AtMostOnce => left,
         }
     }
 
+    /// Waits until a stream's first event is so late that another head should be tried.
+    ///
+    /// While all heads are busy, none is likely to be sooner, and the prompt would be read twice: the request
+    /// stays where it is.
+    async fn give_up_waiting(&self, endpoint: &Endpoint, attempts: &Attempts) -> Waited {
+        let sent_at = clock::now();
+        let model = self.engine_model().map(|(_, model)| &model.model);
+        let is_resumable = matches!(self.route.delivery, Delivery::Stream { resumable: true });
+        let (Some(model), true) = (model, is_resumable) else {
+            return future::pending().await;
+        };
+        let timeout = self.beliefs.first_events().timeout(model);
+        sleep(timeout).await;
+        let mut tried = attempts.clone();
+        tried.tried.push(endpoint.id.clone());
+        loop {
+            let is_heard = self.beliefs.loads().is_heard_since(sent_at, &endpoint.id);
+            if !is_heard || self.may_be_sooner_elsewhere(&tried) {
+                if is_heard {
+                    self.beliefs.first_events().expire(model);
+                }
+                let time = clock::now().since(sent_at);
+                return Waited { time, is_heard };
+            }
+            sleep(RECONSIDER_EVERY).await;
+        }
+    }
+
+    /// Returns whether a head that wasn't tried has a free place, and this request may go there.
+    fn may_be_sooner_elsewhere(&self, tried: &Attempts) -> bool {
+        let placed = self.place(tried);
+        placed.is_ok_and(|placed| placed.load < 1.0 && self.beliefs.has_retry(&placed.service))
+    }
+
     /// Gives a connection back, within this node's share of what the endpoint takes.
     pub(crate) fn give_back(&self, lease: ConnectionLease) {
         let service = self.service().and_then(|id| self.catalog.services.get(id));
@@ -332,7 +399,10 @@
         if let Some(not_run) = said.not_run {
             flight.settle();
             self.note_rejection(&flight.endpoint, not_run, &said);
-            if read_whole(body, MAX_ANSWER, LEAST_PATIENCE).await.is_ok() {
+            if read_whole(body, MAX_ANSWER, MIN_ANSWER_TIMEOUT)
+                .await
+                .is_ok()
+            {
                 self.give_back(exchange.lease);
             }
             return Err(Failed {
@@ -359,6 +429,10 @@
             });
         }
         flight.heard();
+        if let Some((_, model)) = self.engine_model() {
+            let waited = flight.age();
+            self.beliefs.first_events().observe(&model.model, waited);
+        }
         Ok(Answered {
             status: said.status,
             headers: head.headers,
--- a/crates/sesamecart-entry/src/traffic/flight.rs
+++ b/crates/sesamecart-entry/src/traffic/flight.rs
@@ -1,6 +1,7 @@
 //! One attempt's place at an endpoint, given back however the attempt ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_lite::future;
 use sesamecart_runtime::Signal;
@@ -21,6 +22,7 @@
     pub(crate) endpoint: EndpointId,
     request: RequestId,
     arrived: Timestamp,
+    sent_at: Timestamp,
     /// Given when the endpoint's group is found lost.
     lost: Option<Signal>,
     begun: bool,
@@ -36,13 +38,15 @@
         arrived: Timestamp,
         lost: Option<Signal>,
     ) -> Self {
-        beliefs.loads().sent(clock::now(), &endpoint);
+        let sent_at = clock::now();
+        beliefs.loads().sent(sent_at, &endpoint);
         beliefs.loads_changed.notify(usize::MAX);
         Self {
             beliefs,
             endpoint,
             request,
             arrived,
+            sent_at,
             lost,
             begun: false,
             settled: false,
@@ -60,6 +64,11 @@
         }
     }
 
+    /// Returns how long ago the request was sent.
+    pub(crate) fn age(&self) -> Duration {
+        clock::now().since(self.sent_at)
+    }
+
     /// Notes a sign of life of the endpoint on this request.
     pub(crate) fn heard(&mut self) {
         let now = clock::now();
--- a/crates/sesamecart-fleet/src/allowance.rs
+++ b/crates/sesamecart-fleet/src/allowance.rs
@@ -80,10 +80,15 @@
         self.earned[0] += self.share.ratio * SHARED_OUT;
     }
 
+    /// Returns whether there is a retry.
+    pub fn has_left(&mut self, now: Timestamp) -> bool {
+        self.turn(now);
+        self.saved + self.earned.iter().sum::<f64>() >= 1.0
+    }
+
     /// Takes one retry, if there is one.
     pub fn take(&mut self, now: Timestamp) -> bool {
-        self.turn(now);
-        if self.saved + self.earned.iter().sum::<f64>() < 1.0 {
+        if !self.has_left(now) {
             return false;
         }
         let mut due = 1.0;
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod directory;
 mod endpoint;
+mod first_event;
 mod freshness;
 mod loads;
 mod number;
@@ -27,6 +28,7 @@
 pub use demand::{Demand, DemandBook};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
+pub use first_event::FirstEventTimeouts;
 pub use freshness::Freshness;
 pub use loads::{Candidate, Choice, LoadBook, LoadReport, NodeLoad, Unavailable};
 pub use number::{CatalogVersion, Fence, GroupEpoch, Incarnation, OrderCount};
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -284,6 +284,13 @@
         self.load(id).silence.begun(now);
     }
 
+    /// Returns whether an endpoint has shown any sign of life since a time.
+    #[must_use]
+    pub fn is_heard_since(&self, at: Timestamp, id: &EndpointId) -> bool {
+        let load = self.loads.get(id);
+        load.is_some_and(|load| load.silence.heard_at() > at)
+    }
+
     /// Notes any sign of life.
     pub fn heard(&mut self, now: Timestamp, id: &EndpointId) {
         self.load(id).silence.heard(now);
--- a/crates/sesamecart-fleet/src/silence.rs
+++ b/crates/sesamecart-fleet/src/silence.rs
@@ -55,6 +55,12 @@
         self.waiting
     }
 
+    /// Returns when the head was last heard.
+    #[must_use]
+    pub const fn heard_at(&self) -> Timestamp {
+        self.heard_at
+    }
+
     /// Notes a request that was sent.
     pub fn sent(&mut self, now: Timestamp) {
         if self.flowing + self.waiting == 0 {
