Try each source once before any is tried again

A source that failed was passed over for one second; a round of reader, two readers elsewhere and the standby takes 1.4 s, so the first was back in the choice before the store, which comes last, had its turn. The nodes went round for eight seconds and handled requests by a configuration that had been replaced.

Change: a node tries each of its sources once before it tries any again; a source that served for a second begins a new round. The choice is pure and stands with the plan of sources. Engines kept for another model are let go when their group wasn't closed, and a load that is done doesn't count as waiting.

Tests: the_store_has_its_turn_however_many_readers_are_turned_away (never reached before), two on rounds.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -314,7 +314,7 @@
 
     /// Returns whether a group was found lost lately.
     pub(crate) fn is_lost(&self, endpoint: &Endpoint) -> bool {
-        let Some(key) = group_key(endpoint) else {
+        let Some(key) = endpoint.group_key() else {
             return false;
         };
         let groups = lock(&self.groups);
@@ -399,11 +399,3 @@
         processor_share: settings.processor_share,
     }
 }
-
-/// Returns the membership that an endpoint is in.
-pub(crate) fn group_key(endpoint: &Endpoint) -> Option<GroupKey> {
-    endpoint.group.as_ref().map(|role| GroupKey {
-        group: role.group.clone(),
-        epoch: role.epoch,
-    })
-}
--- a/crates/sesamecart-entry/src/follower/following.rs
+++ b/crates/sesamecart-entry/src/follower/following.rs
@@ -7,8 +7,7 @@
 use async_channel::Sender;
 use futures_lite::future;
 use futures_util::future::join;
-use indexmap::IndexMap;
-use sesamecart_fleet::{Role, Source, SourcePlan, plan_sources};
+use sesamecart_fleet::{Role, Source, SourcePlan, SourceRotation, plan_sources};
 use sesamecart_links::Links;
 use sesamecart_platform::{Store, Topic};
 use sesamecart_runtime::{sleep, within};
@@ -27,9 +26,6 @@
 /// more nodes than needed call the store, and shorter, they read all of it again and again.
 pub(super) const STAY: Duration = Duration::from_secs(4);
 
-/// How long a source that failed is passed over while there are others.
-const SOURCE_REST: Duration = Duration::from_secs(1);
-
 /// How old the configuration of a node that should follow others may get before it turns to the store,
 /// as a part of the time in which a change has to be in force.
 ///
@@ -84,13 +80,14 @@
     pub(crate) async fn run(mut self) {
         self.nodes.register(&self.beliefs, &self.store).await;
         let begun = clock::now();
-        let mut failures = SourceFailures::default();
+        let mut rotation = SourceRotation::default();
         let mut preferred = None;
         loop {
             let source = match preferred.take() {
                 Some(source) => source,
-                None => self.choose(begun, &failures),
+                None => self.choose(begun, &rotation),
             };
+            rotation.begin(clock::now());
             self.note_source(source);
             let ended = match source {
                 Source::Store => self.read_store().await,
@@ -99,11 +96,11 @@
             match ended {
                 Ended::Prefers(other) => preferred = Some(other),
                 Ended::Failed => {
-                    failures.note(clock::now(), source);
+                    rotation.fail(clock::now(), source);
                     sleep(REST).await;
                 }
                 Ended::Unready => {
-                    failures.note_unready(clock::now(), source);
+                    rotation.fail_unready(clock::now(), source);
                     sleep(REST).await;
                 }
             }
@@ -114,8 +111,8 @@
         plan_sources(&self.beliefs.settings.node, &self.beliefs.nodes.load())
     }
 
-    /// Chooses the best source that hasn't just failed.
-    fn choose(&self, begun: Timestamp, failures: &SourceFailures) -> Source {
+    /// Chooses the best source that wasn't just tried.
+    fn choose(&self, begun: Timestamp, rotation: &SourceRotation) -> Source {
         let mut plan = self.plan();
         let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
         let age = self.beliefs.configuration_age();
@@ -123,7 +120,7 @@
         if plan.role == Role::Follower && age < bound.mul_f64(STORE_AFTER_PART) {
             plan.order.retain(|source| *source != Source::Store);
         }
-        failures.best(clock::now(), &plan.order)
+        rotation.choose(&plan.order)
     }
 
     fn note_source(&mut self, source: Source) {
@@ -205,42 +202,6 @@
     Prefers(Source),
 }
 
-/// When sources failed last.
-#[derive(Default)]
-struct SourceFailures {
-    failed_at: IndexMap<Source, Timestamp>,
-    /// The source that was tried last, if it wasn't ready.
-    unready: Option<Source>,
-}
-
-impl SourceFailures {
-    fn note(&mut self, now: Timestamp, source: Source) {
-        self.failed_at.insert(source, now);
-        self.unready = None;
-    }
-
-    /// Notes that a source doesn't read the store; only the second time in a row it counts as failed.
-    ///
-    /// A reader that the store turns away may have it back at once, and all that follow it would leave.
-    fn note_unready(&mut self, now: Timestamp, source: Source) {
-        if self.unready == Some(source) {
-            self.note(now, source);
-        } else {
-            self.unready = Some(source);
-        }
-    }
-
-    /// Returns the first source that hasn't failed lately, or else the one that failed first.
-    fn best(&self, now: Timestamp, order: &[Source]) -> Source {
-        let failed_at = |source: &Source| self.failed_at.get(source).copied();
-        let is_sound =
-            |source: &&Source| failed_at(source).is_none_or(|at| now.since(at) >= SOURCE_REST);
-        let sound = order.iter().find(is_sound);
-        let oldest = || order.iter().min_by_key(|source| failed_at(source));
-        sound.or_else(oldest).copied().unwrap_or(Source::Store)
-    }
-}
-
 /// Returns once this node should follow another one instead of reading the store, if it ever should.
 async fn home_again(beliefs: &Beliefs, links: &Links) -> Source {
     sleep(STAY).await;
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -16,7 +16,7 @@
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
 
-use crate::beliefs::{Beliefs, group_key};
+use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
 use crate::follower::millis;
@@ -250,7 +250,9 @@
                 configuration: self.catalog.version.0,
             },
         );
-        let lost = group_key(endpoint).map(|key| self.beliefs.watch_group(&key));
+        let lost = endpoint
+            .group_key()
+            .map(|key| self.beliefs.watch_group(&key));
         let mut flight = Flight::begin(
             Arc::clone(&self.beliefs),
             endpoint.id.clone(),
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -13,7 +13,7 @@
 use sesamecart_runtime::{Tasks, sleep};
 use sesamecart_vocabulary::EndpointId;
 
-use crate::beliefs::{Beliefs, group_key};
+use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
 use crate::examinations::Examinations;
@@ -47,7 +47,7 @@
             let known = directory.find(&head);
             // A group that was found lost stands still until its head gives up; nothing is learnt.
             let known = known.filter(|head| !beliefs.is_lost(head));
-            let Some(key) = known.and_then(|head| group_key(head)) else {
+            let Some(key) = known.and_then(|head| head.group_key()) else {
                 continue;
             };
             let (beliefs, found) = (Arc::clone(&beliefs), found.clone());
--- a/crates/sesamecart-fleet/src/directory.rs
+++ b/crates/sesamecart-fleet/src/directory.rs
@@ -197,13 +197,9 @@
         let known = self.endpoints.values();
         for known in known.filter(|known| known.endpoint.service == *service) {
             let endpoint = &known.endpoint;
-            let Some(role) = &endpoint.group else {
+            let (Some(role), Some(key)) = (&endpoint.group, endpoint.group_key()) else {
                 continue;
             };
-            let key = GroupKey {
-                group: role.group.clone(),
-                epoch: role.epoch,
-            };
             let group = groups.entry(key.clone()).or_insert_with(|| GroupView {
                 key,
                 members: Vec::new(),
--- a/crates/sesamecart-fleet/src/endpoint.rs
+++ b/crates/sesamecart-fleet/src/endpoint.rs
@@ -7,6 +7,7 @@
     EndpointId, FabricDomainId, FailureDomainId, GroupId, ModelId, ServiceId,
 };
 
+use crate::directory::GroupKey;
 use crate::number::{GroupEpoch, Incarnation};
 
 /// Whether an endpoint takes new work.
@@ -83,6 +84,15 @@
 }
 
 impl Endpoint {
+    /// Returns the membership of a group that it is in.
+    #[must_use]
+    pub fn group_key(&self) -> Option<GroupKey> {
+        self.group.as_ref().map(|role| GroupKey {
+            group: role.group.clone(),
+            epoch: role.epoch,
+        })
+    }
+
     /// Returns whether it is the head of an open group.
     #[must_use]
     pub fn is_open_head(&self) -> bool {
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -238,13 +238,7 @@
             let is_loading = |engine: &Arc<Endpoint>| !holds(engine, &load.model);
             load.give_up_at > now && engine.is_some_and(is_loading)
         });
-        self.reserved.retain(|id, model| {
-            let engine = directory.find(id).filter(|_| directory.is_listed(id));
-            engine.is_some_and(|engine| {
-                // An engine that serves the model it was kept for is kept no longer.
-                engine.group.is_none() || !engine.models.contains(model)
-            })
-        });
+        self.tidy_reserved(directory);
         while let Some(first) = self.starts.front() {
             if now.since(*first) < LOAD_WINDOW {
                 break;
--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -20,7 +20,7 @@
 use super::provisioning::Provisioning;
 use super::{Planner, PlannerInput, Step};
 use crate::catalog::EngineModel;
-use crate::directory::GroupKey;
+use crate::directory::{Directory, GroupKey};
 use crate::endpoint::Endpoint;
 
 /// How long a change has to be worth it before it begins.
@@ -116,20 +116,30 @@
 
     /// Returns whether the head of a group takes no more requests soon, as its engines change model.
     pub(super) fn is_retiring(&self, head: &Endpoint) -> bool {
-        let role = head.group.as_ref();
-        role.is_some_and(|role| {
-            self.conversions.retires(&GroupKey {
-                group: role.group.clone(),
-                epoch: role.epoch,
+        head.group_key()
+            .is_some_and(|key| self.conversions.retires(&key))
+    }
+
+    /// Forgets engines that have left, and those whose group serves on or serves the model they were kept for.
+    pub(super) fn tidy_reserved(&mut self, directory: &Directory) {
+        let (conversions, dissolved) = (&self.conversions, &self.dissolved);
+        self.reserved.retain(|id, _| {
+            let engine = directory.find(id).filter(|_| directory.is_listed(id));
+            engine.is_some_and(|engine| {
+                let key = engine.group_key();
+                key.is_none_or(|key| conversions.retires(&key) || dissolved.contains(&key))
             })
-        })
+        });
     }
 
     /// Returns whether the weight store has room for so many loads beside those that run or wait.
     fn has_room_for(&self, input: &PlannerInput<'_>, loads: usize) -> bool {
-        let waiting = self.reserved.keys();
-        let waiting = waiting.filter(|id| !self.loading.contains_key(*id)).count();
-        self.loading.len() + waiting + loads <= input.spec.loads_at_once
+        let waiting = self.reserved.iter().filter(|(id, model)| {
+            let engine = input.directory.find(id);
+            let needs_load = engine.is_some_and(|engine| !holds(engine, model));
+            needs_load && !self.loading.contains_key(*id)
+        });
+        self.loading.len() + waiting.count() + loads <= input.spec.loads_at_once
     }
 
     /// Gives another model the engines that are too few for a group of their own.
@@ -273,11 +283,7 @@
             let left = heads.iter().copied().filter(near).count();
             (served, usize::MAX - left, head.id.clone())
         })?;
-        let role = chosen.group.as_ref()?;
-        let key = GroupKey {
-            group: role.group.clone(),
-            epoch: role.epoch,
-        };
+        let key = chosen.group_key()?;
         let members = input.directory.members(&key);
         let members: Vec<EndpointId> = members.map(|member| member.id.clone()).collect();
         (members.len() == from.group_size).then_some((key, members))
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -12,9 +12,14 @@
 use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{FailureDomainId, NodeId, rendezvous_weight};
 
+mod rotation;
+#[cfg(test)]
+mod rotation_tests;
 #[cfg(test)]
 mod tests;
 
+pub use rotation::SourceRotation;
+
 /// What a node tells the others of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerNode {
--- /dev/null
+++ b/crates/sesamecart-fleet/src/sources/rotation_tests.rs
@@ -0,0 +1,66 @@
+//! Plays sources that fail, and checks which one a node tries next.
+
+use std::time::Duration;
+
+use sesamecart_vocabulary::Timestamp;
+
+use super::{Source, SourceRotation};
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn node(port: u16) -> Source {
+    Source::Node(([127, 0, 0, 1], port).into())
+}
+
+/// Tries sources for `time`, each of which is unready twice and fails with that.
+fn tried(order: &[Source], time: Duration) -> Vec<Source> {
+    let mut rotation = SourceRotation::default();
+    let mut now = START;
+    let mut tried = Vec::new();
+    while now < START + time {
+        let source = rotation.choose(order);
+        rotation.begin(now);
+        if tried.last() != Some(&source) {
+            tried.push(source);
+        }
+        now = now + Duration::from_millis(250);
+        rotation.fail_unready(now, source);
+    }
+    tried
+}
+
+/// The store turns away all nodes that others follow and serves this one. While it goes round among the others
+/// its configuration grows older than a change may take, and it lets in callers whose key was taken away.
+#[test]
+fn the_store_has_its_turn_however_many_readers_are_turned_away() {
+    let order = [
+        node(1),
+        node(2),
+        node(3),
+        node(4),
+        node(5),
+        node(6),
+        Source::Store,
+    ];
+    let tried = tried(&order, Duration::from_millis(3_500));
+    assert_eq!(tried, order);
+}
+
+#[test]
+fn after_a_round_the_source_that_failed_first_is_tried_again() {
+    let order = [node(1), Source::Store];
+    let tried = tried(&order, Duration::from_millis(1_500));
+    assert_eq!(tried, [node(1), Source::Store, node(1)]);
+}
+
+#[test]
+fn the_end_of_a_source_that_served_begins_a_new_round() {
+    let order = [node(1), node(2), Source::Store];
+    let mut rotation = SourceRotation::default();
+    rotation.begin(START);
+    rotation.fail(START, node(1));
+    rotation.begin(START);
+    let later = START + Duration::from_secs(10);
+    rotation.fail(later, node(2));
+    assert_eq!(rotation.choose(&order), node(1));
+}
