Refuse by what all heads of a model have, and keep the larger model its reserve

Change: where few nodes are heard, callers are refused once the heads of their model together have as much as they can do, by their reports and by what the heard nodes sent since, scaled to all nodes. Groups of a model up to twice what it needs count as its reserve for peaks and losses, so they move only to a model that lacks some.

Tests: a_burst_that_no_report_shows_yet_is_refused (let in before).

--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -111,7 +111,7 @@
 pub struct LoadBook {
     loads: IndexMap<EndpointId, Load>,
     /// The nodes that tell what they have at endpoints.
-    telling: IndexSet<NodeId>,
+    reporting: IndexSet<NodeId>,
     /// How many other nodes there are.
     others: usize,
 }
@@ -131,6 +131,9 @@
         let mut best: Option<(f64, Choice)> = None;
         let mut refused = Unavailable::NoEndpoint;
         let usual = self.usual(now, candidates);
+        if self.are_full_together(now, candidates, usual) {
+            return Err(Unavailable::Full);
+        }
         for (index, candidate) in candidates.iter().enumerate() {
             let load = self.loads.get(candidate.id);
             if load.is_some_and(|load| load.rests_until > now) {
@@ -157,17 +160,46 @@
         best.map(|(_, choice)| choice).ok_or(refused)
     }
 
+    /// Returns whether the candidates together have as much as they can do in time, where a node can't know
+    /// each one's load.
+    ///
+    /// A burst reaches all of them between two reports. Of several guesses that are too old, the least is
+    /// the most wrong: nodes that send to whichever head seems to have room fill all of them far beyond
+    /// what they can do, and every caller is served late.
+    fn are_full_together(&self, now: Timestamp, candidates: &[Candidate<'_>], usual: f64) -> bool {
+        if self.hears_most() || self.reporting.is_empty() {
+            return false;
+        }
+        let scale = (self.others + 1) as f64 / (self.reporting.len() + 1) as f64;
+        let mut requests = 0.0;
+        let mut room = 0.0;
+        for candidate in candidates {
+            let Some(load) = self.loads.get(candidate.id) else {
+                return false;
+            };
+            let slots = f64::from(candidate.slots.max(1));
+            requests += load.estimate_of_all(now, usual * slots, scale);
+            room += slots + WAITING_MOST;
+        }
+        !candidates.is_empty() && requests >= room
+    }
+
+    /// Returns whether most other nodes say what they have at the heads of groups.
+    fn hears_most(&self) -> bool {
+        !self.reporting.is_empty() && self.reporting.len() * 2 >= self.others
+    }
+
     /// Guesses the requests at an endpoint, and those that wait there for their first event.
     ///
     /// Where most other nodes say what they have there, that is counted; else the endpoint's report.
     fn at(&self, now: Timestamp, load: &Load, usual: f64) -> (f64, f64) {
         let others = load.others();
         let own_waiting = f64::from(load.silence.waiting());
-        if self.telling.len() * 2 < self.others || self.telling.is_empty() {
+        if !self.hears_most() {
             let waiting = own_waiting + f64::from(others.waiting);
             return (load.guess(now, usual), waiting);
         }
-        let untold = self.others.max(self.telling.len()) as f64 / self.telling.len() as f64;
+        let untold = self.others.max(self.reporting.len()) as f64 / self.reporting.len() as f64;
         let requests = f64::from(load.in_flight) + f64::from(others.in_flight) * untold;
         let waiting = own_waiting + f64::from(others.waiting) * untold;
         (requests, waiting)
@@ -186,7 +218,7 @@
 
     /// Notes what another node has at an endpoint.
     pub fn told(&mut self, node: &NodeId, id: &EndpointId, there: NodeLoad) {
-        self.telling.insert(node.clone());
+        self.reporting.insert(node.clone());
         let load = self.load(id);
         if there == NodeLoad::default() {
             load.others.swap_remove(node);
@@ -197,18 +229,18 @@
 
     /// Notes that a node tells what it has, if only nothing.
     pub fn tells(&mut self, node: &NodeId) {
-        self.telling.insert(node.clone());
+        self.reporting.insert(node.clone());
     }
 
     /// Returns whether a node tells what it has.
     #[must_use]
     pub fn is_telling(&self, node: &NodeId) -> bool {
-        self.telling.contains(node)
+        self.reporting.contains(node)
     }
 
     /// Forgets what a node said that can't be heard any more.
     pub fn unheard(&mut self, node: &NodeId) {
-        self.telling.swap_remove(node);
+        self.reporting.swap_remove(node);
         for load in self.loads.values_mut() {
             load.others.swap_remove(node);
         }
@@ -259,17 +291,15 @@
     /// Notes what an endpoint said of its load; it includes what this node has there.
     pub fn reported(&mut self, now: Timestamp, id: &EndpointId, report: LoadReport) {
         let load = self.load(id);
-        load.reported = Some((report, now));
+        load.apply_report(report, now);
         load.own_report = load.reported;
-        load.since = 0;
     }
 
     /// Notes what an endpoint said of its load to another node, which is newer than what it said here.
     pub fn apply_peer_report(&mut self, id: &EndpointId, report: LoadReport, at: Timestamp) {
         let load = self.load(id);
         if load.reported.is_none_or(|(_, known_at)| known_at < at) {
-            load.reported = Some((report, at));
-            load.since = 0;
+            load.apply_report(report, at);
         }
     }
 
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -29,6 +29,8 @@
     pub(super) own_report: Option<(LoadReport, Timestamp)>,
     /// Requests sent less those ended since the report.
     pub(super) since: i64,
+    /// What this node and those it hears had there when the report came.
+    known_then: u32,
     pub(super) in_flight: u32,
     pub(super) failures: u32,
     pub(super) rests_until: Timestamp,
@@ -38,6 +40,32 @@
 }
 
 impl Load {
+    /// Takes in what the endpoint said of its load.
+    pub(super) fn apply_report(&mut self, report: LoadReport, at: Timestamp) {
+        self.reported = Some((report, at));
+        self.since = 0;
+        self.known_then = self.known();
+    }
+
+    /// Returns what this node and those it hears have there.
+    fn known(&self) -> u32 {
+        self.in_flight + self.others().in_flight
+    }
+
+    /// Estimates the requests of all nodes, of which `scale` times as many as are heard have sent some since
+    /// the report; alone it varies too much to choose an endpoint by, a sum over endpoints doesn't.
+    pub(super) fn estimate_of_all(&self, now: Timestamp, usual: f64, scale: f64) -> f64 {
+        let known = f64::from(self.known());
+        let Some((report, at)) = self.reported else {
+            return known.max(usual);
+        };
+        let kept = kept_after(now.since(at), REPORT_FADES);
+        let sent_since = known - f64::from(self.known_then);
+        let reported = f64::from(report.running + report.waiting);
+        let then = (reported + sent_since * scale).max(0.0);
+        (usual + (then - usual) * kept).max(known)
+    }
+
     /// Guesses the requests that the endpoint has now, where `usual` are to be expected.
     pub(super) fn guess(&self, now: Timestamp, usual: f64) -> f64 {
         let own = f64::from(self.in_flight);
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sesamecart_vocabulary::{EndpointId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
 use super::{Candidate, LoadBook, LoadReport, NodeLoad, Unavailable};
 use crate::silence::SilenceLimits;
@@ -306,3 +306,28 @@
     let own: Vec<_> = loads.own_reports().collect();
     assert_eq!(own, [(&first, report(1, 0), NOW)]);
 }
+
+/// Sixty nodes send a burst to two heads between two reports. A node that goes by the reports alone lets all
+/// its callers in, as do the others, and each of them is served late.
+#[test]
+fn a_burst_that_no_report_shows_yet_is_refused() {
+    let (first, second) = (id("first"), id("second"));
+    let candidates = [candidate(&first, true), candidate(&second, true)];
+    let mut loads = LoadBook::default();
+    loads.set_others(59);
+    let peer: NodeId = "n2".parse().expect("a name");
+    loads.tells(&peer);
+    loads.reported(NOW, &first, report(2, 0));
+    loads.reported(NOW, &second, report(2, 0));
+    assert!(loads.choose(NOW, &candidates, || 0.5).is_ok());
+    let there = NodeLoad {
+        in_flight: 1,
+        waiting: 1,
+    };
+    loads.told(&peer, &first, there);
+    let choice = loads.choose(NOW, &candidates, || 0.5);
+    assert_eq!(choice, Err(Unavailable::Full));
+    let later = NOW + Duration::from_millis(200);
+    loads.reported(later, &first, report(3, 0));
+    assert!(loads.choose(later, &candidates, || 0.5).is_ok());
+}
--- a/crates/sesamecart-fleet/src/planner/provisioning.rs
+++ b/crates/sesamecart-fleet/src/planner/provisioning.rs
@@ -20,7 +20,7 @@
 /// one needed: beyond the first number it takes the peaks, beyond the second it waits for losses.
 const PEAKS_FROM: f64 = 1.0;
 const PEAKS_WORTH: f64 = 0.3;
-const RESERVE_FROM: f64 = 1.5;
+const RESERVE_FROM: f64 = 2.0;
 const RESERVE_WORTH: f64 = 0.05;
 
 /// What one model needs and has, in groups.
