Tell operators what callers need and which groups are closed for it

fleet_counted names the groups that callers of a model keep busy, and group_retired a group that is closed for another model's, with both models. A controller whose own callers ask for nothing now knows the demand as soon as it hears of other nodes' callers: it waited for a request of its own before. A test through two nodes.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -15,7 +15,7 @@
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{
-    EndpointId, FailureDomainId, NodeId, ServiceId, Timestamp, rendezvous_weight,
+    EndpointId, FailureDomainId, ModelId, NodeId, ServiceId, Timestamp, rendezvous_weight,
 };
 
 use crate::clock;
@@ -132,6 +132,12 @@
         self.loads().told_by_others()
     }
 
+    /// Returns the groups of a model that the callers of all nodes keep busy, once that is known.
+    #[must_use]
+    pub fn needed_groups(&self, model: &ModelId) -> Option<f64> {
+        self.estimated_demand().map(|demand| demand.groups(model))
+    }
+
     /// Returns the failure domains that get no new work.
     #[must_use]
     pub fn evacuated(&self) -> Vec<FailureDomainId> {
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -201,12 +201,13 @@
     let (models, empty) = planner.summary(input);
     for counts in models {
         beliefs.events.write(&Event::FleetCounted {
-            model: &counts.model,
+            model: counts.model.as_str(),
             open: counts.open,
             forming: counts.forming,
             spare: counts.spare,
             loading: counts.loading,
             empty,
+            needed: input.demand.map(|demand| demand.groups(&counts.model)),
         });
     }
 }
--- a/crates/sesamecart-entry/src/controller/steps.rs
+++ b/crates/sesamecart-entry/src/controller/steps.rs
@@ -61,8 +61,16 @@
             })
         }
         Step::Close(key) => {
-            let head = head_of(beliefs, &key)?;
-            engines.order(&head, &Order::Close(key)).await;
+            close(beliefs, engines, key).await;
+            None
+        }
+        Step::Retire { key, from, to } => {
+            beliefs.events.write(&Event::GroupRetired {
+                group: &key.to_string(),
+                model: from.as_str(),
+                to: to.as_str(),
+            });
+            close(beliefs, engines, key).await;
             None
         }
         Step::Dissolve(key) => {
@@ -84,6 +92,13 @@
     }
 }
 
+/// Tells a group's head to take no more requests; the planner repeats it while the group stays open.
+async fn close(beliefs: &Beliefs, engines: &Engines, key: GroupKey) {
+    if let Some(head) = head_of(beliefs, &key) {
+        engines.order(&head, &Order::Close(key)).await;
+    }
+}
+
 fn is_done(outcome: &OrderOutcome) -> bool {
     matches!(outcome, OrderOutcome::Begun | OrderOutcome::Already)
 }
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -91,6 +91,17 @@
         loading: usize,
         /// Engines of the service that hold no model and load none.
         empty: usize,
+        /// Its groups that callers keep busy; nothing before that is known.
+        needed: Option<f64>,
+    },
+    /// A group is closed, as its engines serve more in groups of another model.
+    GroupRetired {
+        /// The group and its epoch.
+        group: &'a str,
+        /// Its model.
+        model: &'a str,
+        /// The model that gets its engines.
+        to: &'a str,
     },
     /// A model has no groups, as no fabric domain has the engines for one; said once while it lasts.
     ModelUnservable {
--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -159,7 +159,8 @@
         hearing.begun(beliefs);
         if !next.demand.is_empty() {
             let demand = read_demand(&next.demand);
-            beliefs.demand().apply_peer_demand(&peer.node, demand);
+            let now = clock::now();
+            beliefs.demand().apply_peer_demand(now, &peer.node, demand);
         }
         let mut loads = beliefs.loads();
         loads.tells(&peer.node);
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -5,6 +5,7 @@
 mod many;
 mod setup;
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use sesamecart_entry::Entry;
@@ -467,3 +468,23 @@
     other.kill();
     deployment.leave();
 }
+
+/// The controller's own callers ask for nothing. By them alone a model that all others ask for would lose its
+/// groups.
+#[test]
+fn a_node_knows_what_the_callers_of_another_one_ask_for() {
+    let deployment = Deployment::start(1);
+    deployment.wait_for_groups(2);
+    let other = deployment.add_node("n2", deployment.store.address());
+    let model = "m".parse().expect("a name");
+    let asked = Cell::new(0);
+    deployment.wait_until("the first node knows of the other one's callers", || {
+        asked.set(asked.get() + 1);
+        let request = format!("r{}", asked.get());
+        deployment.ask_node(&other, Path::Stream, &request, "key-1", PATIENCE);
+        let needed = deployment.node.beliefs().needed_groups(&model);
+        needed.is_some_and(|groups| groups > 0.0)
+    });
+    other.kill();
+    deployment.leave();
+}
--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -71,7 +71,7 @@
     pub(crate) store: Store,
     pub(crate) engines: Vec<Engine>,
     pub(crate) plain: Vec<Engine>,
-    node: Entry,
+    pub(crate) node: Entry,
     caller: HttpClient,
     _worker: Worker,
 }
--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -87,7 +87,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
     own: IndexMap<ModelId, Asked>,
+    /// When the first own request came.
     first_at: Option<Timestamp>,
+    /// When the first request was known of, here or at another node.
+    known_since: Option<Timestamp>,
     peers: IndexMap<NodeId, Demand>,
 }
 
@@ -101,6 +104,7 @@
         tokens: TokenCounts,
     ) {
         self.first_at.get_or_insert(now);
+        self.known_since.get_or_insert(now);
         let asked = self.own.entry(model.clone()).or_default();
         asked.group_time.add(now, group_time.as_secs_f64());
         asked.requests.add(now, 1.0);
@@ -136,7 +140,10 @@
     }
 
     /// Takes in what another node says of its own callers.
-    pub fn apply_peer_demand(&mut self, node: &NodeId, demand: Demand) {
+    pub fn apply_peer_demand(&mut self, now: Timestamp, node: &NodeId, demand: Demand) {
+        if demand.iter().any(|(_, groups)| groups > 0.0) {
+            self.known_since.get_or_insert(now);
+        }
         self.peers.insert(node.clone(), demand);
     }
 
@@ -149,8 +156,7 @@
     /// enough.
     #[must_use]
     pub fn estimate(&self, now: Timestamp, nodes: usize) -> Option<Demand> {
-        let first_at = self.first_at?;
-        if now.since(first_at) < OBSERVED_FOR {
+        if now.since(self.known_since?) < OBSERVED_FOR {
             return None;
         }
         let mut heard = self.own(now);
--- a/crates/sesamecart-fleet/src/demand/tests.rs
+++ b/crates/sesamecart-fleet/src/demand/tests.rs
@@ -82,7 +82,7 @@
         let demand: Demand = [(model("m"), 0.5), (model("other"), 0.25)]
             .into_iter()
             .collect();
-        book.apply_peer_demand(&node(peer), demand);
+        book.apply_peer_demand(START, &node(peer), demand);
     }
     let all = book.estimate(START + time, 60).expect("it is known");
     assert_close(all.groups(&model("m")), 30.0);
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -88,6 +88,15 @@
     Dissolve(GroupKey),
     /// Let the head take no more requests and end those it has: a member is about to leave.
     Close(GroupKey),
+    /// The same for a group whose engines serve more in groups of another model.
+    Retire {
+        /// The group.
+        key: GroupKey,
+        /// Its model.
+        from: ModelId,
+        /// The model that gets its engines.
+        to: ModelId,
+    },
 }
 
 /// What a plan is made from.
--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -224,7 +224,11 @@
         self.conversions.worthwhile = None;
         self.conversions.retiring.insert(change.key.clone(), now);
         self.examined.insert(change.key.clone(), now);
-        steps.push(Step::Close(change.key));
+        steps.push(Step::Retire {
+            key: change.key,
+            from: from.clone(),
+            to: to.clone(),
+        });
     }
 
     fn best_change<'a>(
--- a/crates/sesamecart-fleet/src/planner/summary.rs
+++ b/crates/sesamecart-fleet/src/planner/summary.rs
@@ -1,14 +1,16 @@
 //! What the engines of a service are used for, in a few numbers.
 
+use sesamecart_vocabulary::ModelId;
+
 use super::engine::{engines, holds};
 use super::{Planner, PlannerInput};
 use crate::endpoint::EndpointState;
 
 /// What a model has, as its controller sees it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ModelSummary {
-    /// The model's name.
-    pub model: String,
+    /// The model.
+    pub model: ModelId,
     /// Its open groups.
     pub open: usize,
     /// Its groups that are being formed.
@@ -27,7 +29,7 @@
         let models = input.spec.models.iter();
         let mut summaries: Vec<ModelSummary> = models
             .map(|known| ModelSummary {
-                model: known.model.to_string(),
+                model: known.model.clone(),
                 forming: self
                     .formations
                     .values()
@@ -38,7 +40,8 @@
                     .values()
                     .filter(|load| load.model == known.model)
                     .count(),
-                ..ModelSummary::default()
+                open: 0,
+                spare: 0,
             })
             .collect();
         for engine in engines(input).filter(|engine| engine.state == EndpointState::Ready) {
--- a/crates/sesamecart-fleet/src/planner/tests/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/domains.rs
@@ -140,7 +140,7 @@
                     role.state = GroupState::Open;
                 }
             }
-            Step::Close(key) => self.set_head(&key, GroupState::Ready),
+            Step::Close(key) | Step::Retire { key, .. } => self.set_head(&key, GroupState::Ready),
             Step::Dissolve(key) => {
                 for engine in self.engines.values_mut() {
                     let role = engine.group.as_ref();
