--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -129,7 +129,7 @@
     /// Returns how many requests other nodes say they have at the heads of groups.
     #[must_use]
     pub fn requests_elsewhere(&self) -> u32 {
-        self.loads().told_by_others()
+        self.loads().peer_in_flight()
     }
 
     /// Returns the groups of a model that the callers of all nodes keep busy, once that is known.
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -255,12 +255,12 @@
             Outcome::Unreachable { key, silent } => {
                 self.planner.abandon(&key, now);
                 for endpoint in silent {
-                    self.planner.hold(endpoint, now + REST_AFTER_SILENCE);
+                    self.planner.quarantine(endpoint, now + REST_AFTER_SILENCE);
                 }
             }
             Outcome::Staged { endpoint, .. } => {
                 self.planner.not_loading(&endpoint);
-                self.planner.hold(endpoint, now + REST_AFTER_FAILURE);
+                self.planner.quarantine(endpoint, now + REST_AFTER_FAILURE);
             }
             Outcome::Dissolved {
                 key,
@@ -274,7 +274,7 @@
                     self.planner.rest_examination(&key, now);
                 }
                 for endpoint in untold {
-                    self.planner.hold(endpoint, now + REST_AFTER_SILENCE);
+                    self.planner.quarantine(endpoint, now + REST_AFTER_SILENCE);
                 }
             }
             Outcome::Sound { key } => {
--- a/crates/sesamecart-entry/src/exchange.rs
+++ b/crates/sesamecart-entry/src/exchange.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{Demand, LoadReport, NodeLoad, PeerNode, WATCHED_MOST, peers_to_watch};
+use sesamecart_fleet::{Demand, LoadReport, MAX_WATCHED_PEERS, NodeLoad, PeerNode, peers_to_watch};
 use sesamecart_links::Links;
 use sesamecart_links::feed::{ModelDemand, WatchLoadsRequest};
 use sesamecart_runtime::{Tasks, sleep, within};
@@ -57,7 +57,7 @@
         beliefs.loads().set_others(others);
         for peer in peers_to_watch(&beliefs.settings.node, &nodes, &gone) {
             // Another one may come nearer later on; those that are watched by then stay.
-            let is_free = watched.0.len() < WATCHED_MOST + gone.len();
+            let is_free = watched.0.len() < MAX_WATCHED_PEERS + gone.len();
             if is_free && !watched.0.contains_key(&peer.node) {
                 watched.0.insert(peer.node.clone(), clock::now());
                 tasks.spawn(watch(Arc::clone(&beliefs), links.clone(), peer.clone()));
@@ -80,7 +80,7 @@
         let now = clock::now();
         let loads = beliefs.loads();
         for (node, told_at) in &mut self.0 {
-            if loads.is_telling(node) {
+            if loads.is_reporting(node) {
                 *told_at = now;
             }
         }
@@ -94,7 +94,7 @@
     let mut hearing = Hearing::new(&peer.node);
     loop {
         let ended = hear(&beliefs, &links, &peer, &mut hearing).await;
-        beliefs.loads().unheard(&peer.node);
+        beliefs.loads().drop_peer(&peer.node);
         beliefs.demand().drop_peer(&peer.node);
         hearing.ended(&beliefs, &ended);
         sleep(REST).await;
@@ -163,7 +163,7 @@
             beliefs.demand().apply_peer_demand(now, &peer.node, demand);
         }
         let mut loads = beliefs.loads();
-        loads.tells(&peer.node);
+        loads.mark_reporting(&peer.node);
         for head in next.heads {
             if !head.endpoint.is_empty() {
                 match head.endpoint.parse() {
@@ -178,7 +178,7 @@
                 in_flight: head.in_flight,
                 waiting: head.waiting,
             };
-            loads.told(&peer.node, id, load);
+            loads.apply_peer_load(&peer.node, id, load);
             if let Some(report) = head.report {
                 let reported_at = clock::now() - Duration::from_millis(report.age_ms.into());
                 let report = LoadReport {
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -47,11 +47,11 @@
 const IDLE_PART: usize = 2;
 
 /// How long an endpoint that rejected a request gets nothing more.
-const REJECTED_REST: Duration = Duration::from_millis(60);
+const REJECTED_EJECTION_TIME: Duration = Duration::from_millis(60);
 
 /// How long an endpoint whose address answers for another one gets nothing more; the registry shows
 /// the change by then.
-const MISDIRECTED_REST: Duration = Duration::from_millis(500);
+const MISDIRECTED_EJECTION_TIME: Duration = Duration::from_millis(500);
 
 /// A request that has been read whole, and the route that it takes.
 #[derive(Debug)]
@@ -447,10 +447,10 @@
     fn note_rejection(&self, endpoint: &EndpointId, not_run: NotRun, said: &AnswerHead) {
         let now = clock::now();
         let rest = match not_run {
-            NotRun::Misdirected => MISDIRECTED_REST,
-            NotRun::Full | NotRun::Rejected => REJECTED_REST,
+            NotRun::Misdirected => MISDIRECTED_EJECTION_TIME,
+            NotRun::Full | NotRun::Rejected => REJECTED_EJECTION_TIME,
         };
-        self.beliefs.loads().rest(now, endpoint, rest);
+        self.beliefs.loads().eject(now, endpoint, rest);
         if said.at_fault.as_ref().is_some_and(|id| id != endpoint) {
             log::debug!(
                 "traffic: {endpoint} rejects because of {:?}.",
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use repair::{Finding, MemberProbe, Verdict, judge};
 pub use silence::{Silence, SilenceLimits};
 pub use sources::{
-    PeerNode, Role, Source, SourcePlan, SourceRotation, WATCHED_MOST, peers_to_watch, plan_sources,
-    readers, standbys,
+    MAX_WATCHED_PEERS, PeerNode, Role, Source, SourcePlan, SourceRotation, peers_to_watch,
+    plan_sources, readers, standbys,
 };
 pub use step_model::{StepModel, TokenCounts};
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -71,7 +71,7 @@
 ///
 /// A group's slots become free one after the other all the time, so the first few that wait start well
 /// within the time that callers are promised for a first event.
-const WAITING_MOST: f64 = 3.0;
+const MAX_WAITING: f64 = 3.0;
 
 /// How much a crossing of failure domains counts, in requests for each slot; it pays for the bytes
 /// between them only while loads are about equal.
@@ -82,13 +82,13 @@
 const SPREAD: f64 = 0.06;
 
 /// The first rest of an endpoint that failed; each further failure doubles it.
-const REST: Duration = Duration::from_millis(250);
+const BASE_EJECTION_TIME: Duration = Duration::from_millis(250);
 
 /// The longest rest of an endpoint that fails again and again.
-const REST_MOST: Duration = Duration::from_secs(4);
+const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
 
 /// Failures in a row after which an endpoint rests: one lost answer says little.
-const FAILURES_BEFORE_REST: u32 = 2;
+const FAILURES_BEFORE_EJECTION: u32 = 2;
 
 /// How much a request that waits for its first event counts beside one that is being answered, in
 /// requests for each slot.
@@ -130,22 +130,22 @@
     ) -> Result<Choice, Unavailable> {
         let mut best: Option<(f64, Choice)> = None;
         let mut refused = Unavailable::NoEndpoint;
-        let usual = self.usual(now, candidates);
-        if self.are_full_together(now, candidates, usual) {
+        let mean_load = self.mean_load(now, candidates);
+        if self.are_full_together(now, candidates, mean_load) {
             return Err(Unavailable::Full);
         }
         for (index, candidate) in candidates.iter().enumerate() {
             let load = self.loads.get(candidate.id);
-            if load.is_some_and(|load| load.rests_until > now) {
+            if load.is_some_and(|load| load.ejected_until > now) {
                 continue;
             }
             let slots = f64::from(candidate.slots.max(1));
-            let usual = usual * slots;
+            let mean_load = mean_load * slots;
             let (requests, waiting) = match load {
-                Some(load) => self.at(now, load, usual),
-                None => (usual, 0.0),
+                Some(load) => self.estimated_load(now, load, mean_load),
+                None => (mean_load, 0.0),
             };
-            if requests >= slots + WAITING_MOST {
+            if requests >= slots + MAX_WAITING {
                 refused = Unavailable::Full;
                 continue;
             }
@@ -166,7 +166,12 @@
     /// A burst reaches all of them between two reports. Of several guesses that are too old, the least is
     /// the most wrong: nodes that send to whichever head seems to have room fill all of them far beyond
     /// what they can do, and every caller is served late.
-    fn are_full_together(&self, now: Timestamp, candidates: &[Candidate<'_>], usual: f64) -> bool {
+    fn are_full_together(
+        &self,
+        now: Timestamp,
+        candidates: &[Candidate<'_>],
+        mean_load: f64,
+    ) -> bool {
         if self.hears_most() || self.reporting.is_empty() {
             return false;
         }
@@ -178,8 +183,8 @@
                 return false;
             };
             let slots = f64::from(candidate.slots.max(1));
-            requests += load.estimate_of_all(now, usual * slots, scale);
-            room += slots + WAITING_MOST;
+            requests += load.estimate_of_all(now, mean_load * slots, scale);
+            room += slots + MAX_WAITING;
         }
         !candidates.is_empty() && requests >= room
     }
@@ -192,12 +197,12 @@
     /// Guesses the requests at an endpoint, and those that wait there for their first event.
     ///
     /// Where most other nodes say what they have there, that is counted; else the endpoint's report.
-    fn at(&self, now: Timestamp, load: &Load, usual: f64) -> (f64, f64) {
+    fn estimated_load(&self, now: Timestamp, load: &Load, mean_load: f64) -> (f64, f64) {
         let others = load.others();
         let own_waiting = f64::from(load.silence.waiting());
         if !self.hears_most() {
             let waiting = own_waiting + f64::from(others.waiting);
-            return (load.guess(now, usual), waiting);
+            return (load.estimate(now, mean_load), waiting);
         }
         let untold = self.others.max(self.reporting.len()) as f64 / self.reporting.len() as f64;
         let requests = f64::from(load.in_flight) + f64::from(others.in_flight) * untold;
@@ -217,7 +222,7 @@
     }
 
     /// Notes what another node has at an endpoint.
-    pub fn told(&mut self, node: &NodeId, id: &EndpointId, there: NodeLoad) {
+    pub fn apply_peer_load(&mut self, node: &NodeId, id: &EndpointId, there: NodeLoad) {
         self.reporting.insert(node.clone());
         let load = self.load(id);
         if there == NodeLoad::default() {
@@ -228,18 +233,18 @@
     }
 
     /// Notes that a node tells what it has, if only nothing.
-    pub fn tells(&mut self, node: &NodeId) {
+    pub fn mark_reporting(&mut self, node: &NodeId) {
         self.reporting.insert(node.clone());
     }
 
     /// Returns whether a node tells what it has.
     #[must_use]
-    pub fn is_telling(&self, node: &NodeId) -> bool {
+    pub fn is_reporting(&self, node: &NodeId) -> bool {
         self.reporting.contains(node)
     }
 
     /// Forgets what a node said that can't be heard any more.
-    pub fn unheard(&mut self, node: &NodeId) {
+    pub fn drop_peer(&mut self, node: &NodeId) {
         self.reporting.swap_remove(node);
         for load in self.loads.values_mut() {
             load.others.swap_remove(node);
@@ -248,7 +253,7 @@
 
     /// Returns the requests that other nodes said they have, at all endpoints together.
     #[must_use]
-    pub fn told_by_others(&self) -> u32 {
+    pub fn peer_in_flight(&self) -> u32 {
         self.loads
             .values()
             .map(|load| load.others().in_flight)
@@ -271,10 +276,10 @@
     ///
     /// One that was never heard of counts with what this node has there: a group that has just opened
     /// would otherwise look empty to all nodes at once and be filled by all of them.
-    fn usual(&self, now: Timestamp, candidates: &[Candidate<'_>]) -> f64 {
+    fn mean_load(&self, now: Timestamp, candidates: &[Candidate<'_>]) -> f64 {
         let known = candidates.iter().map(|candidate| {
             let load = self.loads.get(candidate.id);
-            let requests = load.map_or(0.0, |load| load.part_of_mean(now));
+            let requests = load.map_or(0.0, |load| load.decayed_report(now));
             requests / f64::from(candidate.slots.max(1))
         });
         known.sum::<f64>() / candidates.len().max(1) as f64
@@ -338,22 +343,24 @@
     pub fn succeeded(&mut self, id: &EndpointId) {
         let load = self.load(id);
         load.failures = 0;
-        load.rests_until = Timestamp::ZERO;
+        load.ejected_until = Timestamp::ZERO;
     }
 
     /// Notes a failure; returns how long the endpoint rests, if it does.
     pub fn failed(&mut self, now: Timestamp, id: &EndpointId) -> Option<Duration> {
         let load = self.load(id);
         load.failures += 1;
-        let over = load.failures.checked_sub(FAILURES_BEFORE_REST)?;
-        let rest = REST.saturating_mul(1 << over.min(10)).min(REST_MOST);
-        load.rests_until = now + rest;
-        Some(rest)
+        let over = load.failures.checked_sub(FAILURES_BEFORE_EJECTION)?;
+        let time = BASE_EJECTION_TIME
+            .saturating_mul(1 << over.min(10))
+            .min(MAX_EJECTION_TIME);
+        load.ejected_until = now + time;
+        Some(time)
     }
 
     /// Takes an endpoint out for a time: it is known to stand still or to be another one.
-    pub fn rest(&mut self, now: Timestamp, id: &EndpointId, rest: Duration) {
-        self.load(id).rests_until = now + rest;
+    pub fn eject(&mut self, now: Timestamp, id: &EndpointId, time: Duration) {
+        self.load(id).ejected_until = now + time;
     }
 
     /// Returns the endpoints whose silence calls for asking their group's members.
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -33,7 +33,7 @@
     known_then: u32,
     pub(super) in_flight: u32,
     pub(super) failures: u32,
-    pub(super) rests_until: Timestamp,
+    pub(super) ejected_until: Timestamp,
     pub(super) silence: Silence,
     /// What other nodes said they have there.
     pub(super) others: IndexMap<NodeId, NodeLoad>,
@@ -54,27 +54,27 @@
 
     /// Estimates the requests of all nodes, of which `scale` times as many as are heard have sent some since
     /// the report; alone it varies too much to choose an endpoint by, a sum over endpoints doesn't.
-    pub(super) fn estimate_of_all(&self, now: Timestamp, usual: f64, scale: f64) -> f64 {
+    pub(super) fn estimate_of_all(&self, now: Timestamp, mean_load: f64, scale: f64) -> f64 {
         let known = f64::from(self.known());
         let Some((report, at)) = self.reported else {
-            return known.max(usual);
+            return known.max(mean_load);
         };
         let kept = kept_after(now.since(at), REPORT_FADES);
         let sent_since = known - f64::from(self.known_then);
         let reported = f64::from(report.running + report.waiting);
         let then = (reported + sent_since * scale).max(0.0);
-        (usual + (then - usual) * kept).max(known)
+        (mean_load + (then - mean_load) * kept).max(known)
     }
 
-    /// Guesses the requests that the endpoint has now, where `usual` are to be expected.
-    pub(super) fn guess(&self, now: Timestamp, usual: f64) -> f64 {
+    /// Guesses the requests that the endpoint has now, where `mean_load` are to be expected.
+    pub(super) fn estimate(&self, now: Timestamp, mean_load: f64) -> f64 {
         let own = f64::from(self.in_flight);
         let Some((report, at)) = self.reported else {
-            return own.max(usual);
+            return own.max(mean_load);
         };
         let kept = kept_after(now.since(at), REPORT_FADES);
         let then = self.requests_then(report);
-        let guess = usual + (then - usual) * kept + own * (1.0 - kept);
+        let guess = mean_load + (then - mean_load) * kept + own * (1.0 - kept);
         guess.max(own)
     }
 
@@ -89,7 +89,7 @@
     }
 
     /// Returns the requests with which the endpoint counts in the mean of all.
-    pub(super) fn part_of_mean(&self, now: Timestamp) -> f64 {
+    pub(super) fn decayed_report(&self, now: Timestamp) -> f64 {
         let own = f64::from(self.in_flight);
         let Some((report, at)) = self.reported else {
             return own;
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -221,7 +221,7 @@
         in_flight: 2,
         waiting: 2,
     };
-    loads.told(&other, &busy, there);
+    loads.apply_peer_load(&other, &busy, there);
     let candidates = [candidate(&busy, true), candidate(&free, false)];
     let choice = loads.choose(NOW, &candidates, || 0.5).expect("one is free");
     assert_eq!(choice.index, 1);
@@ -238,12 +238,12 @@
         in_flight: 7,
         waiting: 7,
     };
-    loads.told(&other, &once_busy, there);
-    loads.told(&other, &free, there);
+    loads.apply_peer_load(&other, &once_busy, there);
+    loads.apply_peer_load(&other, &free, there);
     let candidates = [candidate(&once_busy, true), candidate(&free, true)];
     let refused = loads.choose(NOW, &candidates, || 0.5);
     assert_eq!(refused, Err(Unavailable::Full));
-    loads.unheard(&other);
+    loads.drop_peer(&other);
     assert!(loads.choose(NOW, &candidates, || 0.5).is_ok());
 }
 
@@ -255,7 +255,7 @@
     let other = "other".parse().expect("a name");
     let mut loads = LoadBook::default();
     loads.set_others(7);
-    loads.tells(&other);
+    loads.mark_reporting(&other);
     loads.reported(NOW, &full, report(4, 0));
     loads.reported(NOW, &free, report(0, 0));
     let candidates = [candidate(&full, true), candidate(&free, true)];
@@ -274,7 +274,7 @@
             in_flight: 2,
             waiting: 0,
         };
-        loads.told(&name.parse().expect("a name"), &head, there);
+        loads.apply_peer_load(&name.parse().expect("a name"), &head, there);
     }
     let choice = loads.choose(NOW, &[candidate(&head, true)], || 0.5);
     assert_eq!(choice, Err(Unavailable::Full));
@@ -316,7 +316,7 @@
     let mut loads = LoadBook::default();
     loads.set_others(59);
     let peer: NodeId = "n2".parse().expect("a name");
-    loads.tells(&peer);
+    loads.mark_reporting(&peer);
     loads.reported(NOW, &first, report(2, 0));
     loads.reported(NOW, &second, report(2, 0));
     assert!(loads.choose(NOW, &candidates, || 0.5).is_ok());
@@ -324,7 +324,7 @@
         in_flight: 1,
         waiting: 1,
     };
-    loads.told(&peer, &first, there);
+    loads.apply_peer_load(&peer, &first, there);
     let choice = loads.choose(NOW, &candidates, || 0.5);
     assert_eq!(choice, Err(Unavailable::Full));
     let later = NOW + Duration::from_millis(200);
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -136,7 +136,7 @@
     loading: IndexMap<EndpointId, Load>,
     starts: VecDeque<Timestamp>,
     /// Engines that may not join anything before a time.
-    held: IndexMap<EndpointId, Timestamp>,
+    quarantined: IndexMap<EndpointId, Timestamp>,
     examined: IndexMap<GroupKey, Timestamp>,
     /// Groups that were found lost, whose members' entries may still name them.
     dissolved: IndexSet<GroupKey>,
@@ -159,7 +159,7 @@
             formations: IndexMap::new(),
             loading: IndexMap::new(),
             starts: VecDeque::new(),
-            held: IndexMap::new(),
+            quarantined: IndexMap::new(),
             examined: IndexMap::new(),
             dissolved: IndexSet::new(),
             reserved: IndexMap::new(),
@@ -186,8 +186,8 @@
     }
 
     /// Keeps an engine from joining anything before `until`.
-    pub fn hold(&mut self, endpoint: EndpointId, until: Timestamp) {
-        let held = self.held.entry(endpoint).or_default();
+    pub fn quarantine(&mut self, endpoint: EndpointId, until: Timestamp) {
+        let held = self.quarantined.entry(endpoint).or_default();
         *held = (*held).max(until);
     }
 
@@ -216,7 +216,7 @@
         };
         for member in formation.members {
             self.loading.swap_remove(&member);
-            self.hold(member, now + REST_AFTER_FAILURE);
+            self.quarantine(member, now + REST_AFTER_FAILURE);
         }
     }
 
@@ -241,7 +241,7 @@
 
     fn tidy(&mut self, now: Timestamp, input: &PlannerInput<'_>) {
         let directory = input.directory;
-        self.held.retain(|_, until| *until > now);
+        self.quarantined.retain(|_, until| *until > now);
         self.loading.retain(|id, load| {
             let engine = directory.find(id).filter(|_| directory.is_listed(id));
             let is_loading = |engine: &Arc<Endpoint>| !holds(engine, &load.model);
@@ -361,7 +361,10 @@
             .collect();
         let mut free: IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>> = IndexMap::new();
         for engine in engines(input) {
-            let held = self.held.get(&engine.id).is_some_and(|until| *until > now);
+            let held = self
+                .quarantined
+                .get(&engine.id)
+                .is_some_and(|until| *until > now);
             let taken = forming.contains(&engine.id) || occupied.contains(&engine.id);
             if held || taken || engine.state != EndpointState::Ready {
                 continue;
--- a/crates/sesamecart-fleet/src/planner/forming.rs
+++ b/crates/sesamecart-fleet/src/planner/forming.rs
@@ -17,7 +17,7 @@
 ///
 /// A group's loads begin together. Waiting until all of them fit would leave the store idle in part;
 /// beginning many groups at once would have all of them wait for each other.
-const LOADS_OVER: f64 = 0.5;
+const LOAD_OVERCOMMIT: f64 = 0.5;
 
 /// How many times as large as another model's groups a domain's own groups are at least where its spare
 /// engines aren't spent on the other model.
@@ -25,7 +25,7 @@
 /// One spare makes a large group whole again soon after a loss; in a small group it serves a part of one.
 /// Once the spares are spent on small groups, each loss takes a large group away, and its other engines
 /// stand idle for want of one more.
-const SPARES_WORTH: usize = 2;
+const KEEP_SPARES_RATIO: usize = 2;
 
 /// Epochs that one controller may use; its fence gives the next range.
 const EPOCHS_PER_FENCE: u64 = 1_000_000;
@@ -187,12 +187,13 @@
         // Engines that the domain's own model can still use aren't spent on another one.
         let primary = self.primaries.get(domain);
         let primary_size = primary.and_then(|primary| group_size(input.spec, primary));
-        let fits_primary = primary_size
-            .is_some_and(|size| engines.len() >= size || size >= model.group_size * SPARES_WORTH);
+        let fits_primary = primary_size.is_some_and(|size| {
+            engines.len() >= size || size >= model.group_size * KEEP_SPARES_RATIO
+        });
         if input.in_traffic || (!is_primary && fits_primary) {
             return Forming::Impossible;
         }
-        let over = (model.group_size as f64 * LOADS_OVER) as usize;
+        let over = (model.group_size as f64 * LOAD_OVERCOMMIT) as usize;
         let most = input.spec.loads_at_once + over;
         let has_room = self.loading.is_empty() || self.loading.len() + loads <= most;
         if has_room || self.loads_the_rest(input) {
--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -18,7 +18,7 @@
 pub(super) const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
 /// How much longer than alone a load may take before it counts as failed: loads slow each other.
-const LOAD_PATIENCE: u32 = 3;
+const LOAD_TIMEOUT_FACTOR: u32 = 3;
 
 /// Loads before the first request take this part of their time.
 const EARLY_LOADS_FASTER: u32 = 10;
@@ -194,7 +194,7 @@
         }
         let load = Load {
             model: model.model.clone(),
-            give_up_at: now + loading_time(input, model) * LOAD_PATIENCE,
+            give_up_at: now + loading_time(input, model) * LOAD_TIMEOUT_FACTOR,
         };
         self.loading.insert(endpoint.clone(), load);
     }
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -74,7 +74,7 @@
 /// On a small deployment each knows all loads. On larger ones a node knows those of its nearest, and what
 /// the heads report of the others: the messages of all to all would take more of a node's link than it may
 /// spend on control. docs/CAPACITY.md has the bytes.
-pub const WATCHED_MOST: usize = 7;
+pub const MAX_WATCHED_PEERS: usize = 7;
 
 /// Returns the nodes whose loads a node watches, without those that are `gone`: the ones of its own failure
 /// domain first, which choose among the same near endpoints.
@@ -92,7 +92,7 @@
         let weight = rendezvous_weight(own.as_str(), peer.node.as_str());
         (!is_near(peer), std::cmp::Reverse(weight))
     });
-    others.truncate(WATCHED_MOST);
+    others.truncate(MAX_WATCHED_PEERS);
     others
 }
 
--- a/crates/sesamecart-fleet/src/sources/tests.rs
+++ b/crates/sesamecart-fleet/src/sources/tests.rs
@@ -5,7 +5,7 @@
 use sesamecart_vocabulary::NodeId;
 
 use super::{
-    PeerNode, Role, Source, SourcePlan, WATCHED_MOST, peers_to_watch, plan_sources, readers,
+    MAX_WATCHED_PEERS, PeerNode, Role, Source, SourcePlan, peers_to_watch, plan_sources, readers,
     standbys,
 };
 
@@ -132,7 +132,7 @@
     let large = fleet(5, 76);
     let own = &large[0];
     let watched = peers_to_watch(&own.node, &large, &nobody);
-    assert_eq!(watched.len(), WATCHED_MOST);
+    assert_eq!(watched.len(), MAX_WATCHED_PEERS);
     let near = |peer: &&PeerNode| peer.failure_domain == own.failure_domain;
     assert!(watched.iter().all(near));
     assert!(watched.iter().all(|peer| peer.node != own.node));
@@ -147,6 +147,6 @@
     let before = peers_to_watch(own, &nodes, &IndexSet::new());
     let gone = IndexSet::from([before[0].node.clone()]);
     let after = peers_to_watch(own, &nodes, &gone);
-    assert_eq!(after.len(), WATCHED_MOST);
+    assert_eq!(after.len(), MAX_WATCHED_PEERS);
     assert!(after.iter().all(|peer| !gone.contains(&peer.node)));
 }
