Close a group for another model only once that was worth it for a load's time

Ruled out: the bound on slots alone, as late answers of both kinds rose as well.

Change: the gain has to last as long as the load takes. Leftovers still change after 2.5 s.

--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -5,8 +5,8 @@
 //! a load, during which it serves nobody, so
 //!
 //! - loads of empty engines go first: a change begins only while the weight store has room for all of it;
-//! - a group is closed only where its engines serve much more in other groups, and that has been so for a
-//!   while;
+//! - a group is closed only where its engines serve much more in other groups, and that has been so for as
+//!   long as they take to load: a burst or an evacuation that ends before would cost both models;
 //! - the model that gives a group up keeps groups that callers reach in two failure domains, or in all
 //!   that it has.
 
@@ -23,9 +23,6 @@
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::Endpoint;
 
-/// How long a change has to be worth it before it begins.
-const SUSTAINED_FOR: Duration = Duration::from_millis(1_500);
-
 /// How long engines have to be left over before they are given to another model: replacements that
 /// make their own group whole come within that time.
 const LEFT_OVER_FOR: Duration = Duration::from_millis(2_500);
@@ -68,16 +65,15 @@
             .retain(|key, since| is_known(key) && now.since(*since) < CLOSING_TIMEOUT);
     }
 
-    /// Returns whether a change has been worth it for long enough, where it is now.
-    fn is_sustained(&mut self, now: Timestamp, from: &ModelId, to: &ModelId) -> bool {
-        let since = match &self.worthwhile {
+    /// Returns since when a change has been worth it, which it is now.
+    fn worthwhile_since(&mut self, now: Timestamp, from: &ModelId, to: &ModelId) -> Timestamp {
+        match &self.worthwhile {
             Some((known_from, known_to, since)) if known_from == from && known_to == to => *since,
             _ => {
                 self.worthwhile = Some((from.clone(), to.clone(), now));
                 now
             }
-        };
-        now.since(since) >= SUSTAINED_FOR
+        }
     }
 }
 
@@ -211,7 +207,8 @@
             return;
         };
         let (from, to) = (&change.from.model, &change.to.model);
-        if !self.conversions.is_sustained(now, from, to) {
+        let since = self.conversions.worthwhile_since(now, from, to);
+        if now.since(since) < change.to.load_time {
             return;
         }
         let engines = change.members.len() / change.to.group_size * change.to.group_size;
@@ -221,7 +218,6 @@
         for member in change.members.iter().take(engines) {
             self.reserved.insert(member.clone(), to.clone());
         }
-        self.conversions.worthwhile = None;
         self.conversions.retiring.insert(change.key.clone(), now);
         self.examined.insert(change.key.clone(), now);
         steps.push(Step::Retire {
