--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread: it takes callers' requests, chooses endpoints and passes on answers.
 
+mod answer;
 mod call;
 mod events;
 mod flight;
@@ -7,6 +8,7 @@
 mod placing;
 mod refusal;
 mod relay;
+mod waiting;
 mod work;
 
 use std::net::TcpListener;
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -4,17 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::future;
 use http::request::Parts;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
-use sesamecart_edges::{
-    ClientError, ConnectionLease, Exchange, HttpClient, Reuse, Sent, read_whole,
-};
-use sesamecart_fleet::{Catalog, Customer, Delivery, Endpoint, PathRoute, Unavailable};
-use sesamecart_platform::{AnswerHead, Asked, Handover, NotRun, forward};
-use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
+use sesamecart_edges::{ConnectionLease, HttpClient};
+use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
+use sesamecart_platform::Asked;
+use sesamecart_vocabulary::{EndpointId, Timestamp};
 
 use crate::beliefs::Beliefs;
 use crate::clock;
@@ -24,35 +20,10 @@
 use crate::traffic::placing::Placed;
 use crate::traffic::refusal::Refusal;
 
-/// The largest answer that is held whole before it is passed on.
-const MAX_ANSWER: ByteSize = ByteSize(16 * 1024 * 1024);
-
 /// Attempts that may be rejected or lost before one request is given up, besides those that its
 /// route allows to run.
 const SPARE_ATTEMPTS: u32 = 2;
 
-/// How much longer than its promised time an answer that may be repeated is waited for, before
-/// another endpoint is tried.
-const TIMEOUT_FACTOR: u32 = 2;
-
-/// The least time for which an answer is waited for: short work takes several times its mean at times.
-const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// How often it is reconsidered whether a stream that hasn't begun would begin sooner at another head.
-const RECONSIDER_EVERY: Duration = Duration::from_millis(200);
-
-/// Idle connections may take one in so many of an endpoint's; the others are for requests under way.
-///
-/// Without a bound the nodes' idle connections fill an endpoint, which resets the next request's.
-const IDLE_PART: usize = 2;
-
-/// How long an endpoint that rejected a request gets nothing more.
-const REJECTED_EJECTION_TIME: Duration = Duration::from_millis(60);
-
-/// How long an endpoint whose address answers for another one gets nothing more; the registry shows
-/// the change by then.
-const MISDIRECTED_EJECTION_TIME: Duration = Duration::from_millis(500);
-
 /// A request that has been read whole, and the route that it takes.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -87,33 +58,9 @@
 
 /// Why an attempt failed.
 #[derive(Debug)]
-struct Failed {
-    cause: String,
-    may_have_run: bool,
-}
-
-/// How the wait for an answer's head ended.
-enum Ended {
-    Answer(Result<Exchange, ClientError>),
-    Lost,
-    TimedOut(Waited),
-}
-
-/// A wait for a stream's first event that ended without one.
-struct Waited {
-    time: Duration,
-    /// Whether the head answered other requests meanwhile.
-    is_heard: bool,
-}
-
-impl Waited {
-    fn failed(&self, endpoint: &Endpoint) -> Failed {
-        let ms = millis(self.time);
-        Failed {
-            cause: format!("{}: request: no first event in {ms} ms", endpoint.address),
-            may_have_run: true,
-        }
-    }
+pub(super) struct Failed {
+    pub(super) cause: String,
+    pub(super) may_have_run: bool,
 }
 
 impl Attempts {
@@ -145,7 +92,7 @@
     }
 
     /// Returns what is left of the time that the caller itself named.
-    fn callers_left(&self) -> Duration {
+    pub(super) fn callers_left(&self) -> Duration {
         let patience = self.asked.patience.unwrap_or_else(|| self.left());
         patience.saturating_sub(self.after())
     }
@@ -276,112 +223,7 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        endpoint: &Endpoint,
-        flight: &mut Flight,
-        attempts: &Attempts,
-        last_event: Option<&str>,
-    ) -> Result<Exchange, (Failed, bool)> {
-        let handover = Handover {
-            endpoint: &endpoint.id,
-            customer: self.customer.as_deref(),
-            left: self.callers_left(),
-            priority: self.priority(),
-            last_event,
-        };
-        let req = forward(&self.head, &self.body, &handover);
-        let reuse = if self.route.delivery.may_repeat() {
-            Reuse::Allowed
-        } else {
-            // A connection may be closing while the request is written into it; whether it ran
-            // couldn't be told then.
-            Reuse::Never
-        };
-        let limit = self.answer_timeout();
-        let sent = self.client.send(endpoint.address, req, reuse, limit);
-        let lost = flight.lost();
-        let given_up = self.give_up_waiting(endpoint, attempts);
-        let raced = future::or(async { Ended::Answer(sent.await) }, async {
-            lost.await;
-            Ended::Lost
-        });
-        let raced = future::or(raced, async { Ended::TimedOut(given_up.await) });
-        match raced.await {
-            Ended::Answer(Ok(exchange)) => Ok(exchange),
-            Ended::Answer(Err(error)) => {
-                let failed = Failed {
-                    may_have_run: error.sent == Sent::Maybe,
-                    cause: error.to_string(),
-                };
-                // A caller's own short time is no fault of the endpoint.
-                let ran_out = self.left().is_zero();
-                Err((failed, !ran_out))
-            }
-            Ended::Lost => {
-                let failed = Failed {
-                    may_have_run: true,
-                    cause: "its group has lost a member".to_owned(),
-                };
-                Err((failed, false))
-            }
-            Ended::TimedOut(waited) => Err((waited.failed(endpoint), !waited.is_heard)),
-        }
-    }
-
-    /// Returns how long one attempt's answer is waited for at most.
-    fn answer_timeout(&self) -> Duration {
-        let left = self.left();
-        let target = self.route.latency_aim.unwrap_or(MIN_ANSWER_TIMEOUT);
-        match self.route.delivery {
-            Delivery::Idempotent => left.min(MIN_ANSWER_TIMEOUT.max(target * TIMEOUT_FACTOR)),
-            Delivery::Stream { .. } | Delivery::AtMostOnce => left,
-        }
-    }
-
-    /// Waits until a stream's first event is so late that another head should be tried.
-    ///
-    /// While all heads are busy, none is likely to be sooner, and the prompt would be read twice: the request
-    /// stays where it is.
-    async fn give_up_waiting(&self, endpoint: &Endpoint, attempts: &Attempts) -> Waited {
-        let sent_at = clock::now();
-        let model = self.engine_model().map(|(_, model)| &model.model);
-        let is_resumable = matches!(self.route.delivery, Delivery::Stream { resumable: true });
-        let (Some(model), true) = (model, is_resumable) else {
-            return future::pending().await;
-        };
-        let timeout = self.beliefs.first_events().timeout(model);
-        sleep(timeout).await;
-        let mut tried = attempts.clone();
-        tried.tried.push(endpoint.id.clone());
-        loop {
-            let is_heard = self.beliefs.loads().is_heard_since(sent_at, &endpoint.id);
-            if !is_heard || self.may_be_sooner_elsewhere(&tried) {
-                if is_heard {
-                    self.beliefs.first_events().expire(model);
-                }
-                let time = clock::now().since(sent_at);
-                return Waited { time, is_heard };
-            }
-            sleep(RECONSIDER_EVERY).await;
-        }
-    }
-
-    /// Returns whether a head that wasn't tried has a free place, and this request may go there.
-    fn may_be_sooner_elsewhere(&self, tried: &Attempts) -> bool {
-        let placed = self.place(tried);
-        placed.is_ok_and(|placed| placed.load < 1.0 && self.beliefs.has_retry(&placed.service))
-    }
-
-    /// Gives a connection back, within this node's share of what the endpoint takes.
-    pub(crate) fn give_back(&self, lease: ConnectionLease) {
-        let service = self.service().and_then(|id| self.catalog.services.get(id));
-        let most = service.map_or(0, |service| service.max_connections as usize);
-        let nodes = self.beliefs.nodes.load().len();
-        lease.give_back_up_to(most / (nodes.max(1) * IDLE_PART));
-    }
-
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let customers = self
             .customer
             .as_ref()
@@ -389,118 +231,8 @@
         customers.unwrap_or(self.route.priority)
     }
 
-    /// Tells an answer to this request from one that proves that it wasn't run, and from one that
-    /// belongs to another request.
-    async fn check(&self, exchange: Exchange, mut flight: Flight) -> Result<Answered, Failed> {
-        let (head, body) = exchange.response.into_parts();
-        let said = AnswerHead::read(&head);
-        if let Some(load) = said.load {
-            let now = clock::now();
-            self.beliefs.loads().reported(now, &flight.endpoint, load);
-        }
-        if let Some(not_run) = said.not_run {
-            flight.settle();
-            self.note_rejection(&flight.endpoint, not_run, &said);
-            if read_whole(body, MAX_ANSWER, MIN_ANSWER_TIMEOUT)
-                .await
-                .is_ok()
-            {
-                self.give_back(exchange.lease);
-            }
-            return Err(Failed {
-                cause: format!("{not_run} ({})", said.status),
-                may_have_run: false,
-            });
-        }
-        let fault = if said.request.as_ref() != Some(&self.asked.id) {
-            Some("the answer belongs to another request")
-        } else if said.is_encoded {
-            Some("the answer's body is encoded")
-        } else if promises_not_run(said.status) {
-            Some("the answer's status promises what isn't proved")
-        } else if said.status.is_success() && !said.is_sealed {
-            Some("the answer has no seal")
-        } else {
-            None
-        };
-        if let Some(fault) = fault {
-            flight.fail();
-            return Err(Failed {
-                cause: format!("{fault} ({})", said.status),
-                may_have_run: true,
-            });
-        }
-        flight.heard();
-        if let Some((_, model)) = self.engine_model() {
-            let waited = flight.age();
-            self.beliefs.first_events().observe(&model.model, waited);
-        }
-        Ok(Answered {
-            status: said.status,
-            headers: head.headers,
-            body,
-            lease: exchange.lease,
-            flight,
-        })
-    }
-
-    fn note_rejection(&self, endpoint: &EndpointId, not_run: NotRun, said: &AnswerHead) {
-        let now = clock::now();
-        let rest = match not_run {
-            NotRun::Misdirected => MISDIRECTED_EJECTION_TIME,
-            NotRun::Full | NotRun::Rejected => REJECTED_EJECTION_TIME,
-        };
-        self.beliefs.loads().eject(now, endpoint, rest);
-        if said.at_fault.as_ref().is_some_and(|id| id != endpoint) {
-            log::debug!(
-                "traffic: {endpoint} rejects because of {:?}.",
-                said.at_fault
-            );
-        }
-    }
-
-    /// Reads an answer whole, which is passed on only if all of it came.
-    pub(crate) async fn read(&self, answered: Answered) -> Result<Response<Bytes>, Refusal> {
-        let Answered {
-            status,
-            headers,
-            body,
-            lease,
-            mut flight,
-        } = answered;
-        match read_whole(body, MAX_ANSWER, self.left()).await {
-            Ok(body) => {
-                self.give_back(lease);
-                if status.is_server_error() {
-                    flight.fail();
-                } else {
-                    flight.succeed();
-                }
-                let mut response = Response::new(body);
-                *response.status_mut() = status;
-                *response.headers_mut() = headers;
-                Ok(response)
-            }
-            Err(error) => {
-                flight.fail();
-                Err(Refusal::NoAnswer(error.to_string()))
-            }
-        }
-    }
-
     /// Returns whether another attempt may follow one that may have run.
     pub(crate) fn may_go_on(&self, attempts: &Attempts) -> bool {
         self.route.delivery.may_repeat() && self.has_attempts_left(attempts)
     }
 }
-
-/// Returns whether a status would tell the caller that its request hasn't run.
-fn promises_not_run(status: StatusCode) -> bool {
-    [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ]
-    .contains(&status)
-}
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -18,18 +18,21 @@
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::Fence;
 use crate::planner::conversion::Conversions;
-use crate::planner::domains::DomainSizes;
+use crate::planner::domain_sizes::DomainSizes;
 use crate::planner::engine::{engines, group_size, holds, state_in};
 use crate::planner::loading::LOAD_WINDOW;
 pub use crate::planner::summary::ModelSummary;
 
 mod assignment;
 mod conversion;
+mod domain_sizes;
 mod domains;
 mod engine;
 mod forming;
+mod left_over;
 mod loading;
 mod provisioning;
+mod reservation;
 mod summary;
 #[cfg(test)]
 mod tests;
--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -1,8 +1,7 @@
-//! Which engines serve another model than their fabric domain's, because callers ask for it more.
+//! Which groups are closed so that their engines serve a model that callers ask for more.
 //!
-//! It answers demand that the configuration doesn't foresee or that shifts for long, and engines of a
-//! fabric domain that are too few for a group of its own model. Each engine that changes its model costs
-//! a load, during which it serves nobody, so
+//! It answers demand that the configuration doesn't foresee or that shifts for long. Each engine that
+//! changes its model costs a load, during which it serves nobody, so
 //!
 //! - loads of empty engines go first: a change begins only while the weight store has room for all of it;
 //! - a group is closed only where its engines serve much more in other groups, and that has been so for as
@@ -16,25 +15,18 @@
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
 
-use super::engine::{engines, find_model, holds};
+use super::engine::engines;
 use super::provisioning::Provisioning;
 use super::{Planner, PlannerInput, Step};
 use crate::catalog::EngineModel;
-use crate::directory::{Directory, GroupKey};
+use crate::directory::GroupKey;
 use crate::endpoint::Endpoint;
 
-/// How long engines have to be left over before they are given to another model: replacements that
-/// make their own group whole come within that time.
-const LEFT_OVER_FOR: Duration = Duration::from_millis(2_500);
-
 /// How many times the loss a gain has to be.
-const GAIN_OVER_LOSS: f64 = 3.0;
+pub(super) const GAIN_OVER_LOSS: f64 = 3.0;
 
 /// The least gain for each group that is won, in groups that work needs all the time.
-const MIN_GAIN_PER_GROUP: f64 = 0.2;
-
-/// Engines that a group may lack and still count as about to be whole.
-const NEARLY_WHOLE: usize = 2;
+pub(super) const MIN_GAIN_PER_GROUP: f64 = 0.2;
 
 /// Failure domains in which a model that gives up a group keeps others.
 const KEPT_FAILURE_DOMAINS: usize = 2;
@@ -50,7 +42,7 @@
     /// Since when a change from one model to another has been worth it.
     worthwhile: Option<(ModelId, ModelId, Timestamp)>,
     /// Since when a fabric domain has had engines left over.
-    left_over: IndexMap<FabricDomainId, Timestamp>,
+    pub(super) left_over: IndexMap<FabricDomainId, Timestamp>,
 }
 
 impl Conversions {
@@ -103,94 +95,12 @@
         self.convert_group(now, input, &provisioning, steps);
     }
 
-    /// Returns whether an engine may join a group of a model.
-    pub(super) fn may_serve(&self, engine: &EndpointId, model: &ModelId) -> bool {
-        self.reserved
-            .get(engine)
-            .is_none_or(|reserved| reserved == model)
-    }
-
     /// Returns whether the head of a group takes no more requests soon, as its engines change model.
     pub(super) fn is_retiring(&self, head: &Endpoint) -> bool {
         head.group_key()
             .is_some_and(|key| self.conversions.retires(&key))
     }
 
-    /// Forgets engines that have left, and those whose group serves on or serves the model they were kept for.
-    pub(super) fn tidy_reserved(&mut self, directory: &Directory) {
-        let (conversions, dissolved) = (&self.conversions, &self.dissolved);
-        self.reserved.retain(|id, _| {
-            let engine = directory.find(id).filter(|_| directory.is_listed(id));
-            engine.is_some_and(|engine| {
-                let key = engine.group_key();
-                key.is_none_or(|key| conversions.retires(&key) || dissolved.contains(&key))
-            })
-        });
-    }
-
-    /// Returns whether the weight store has room for so many loads beside those that run or wait.
-    fn has_room_for(&self, input: &PlannerInput<'_>, loads: usize) -> bool {
-        let waiting = self.reserved.iter().filter(|(id, model)| {
-            let engine = input.directory.find(id);
-            let needs_load = engine.is_some_and(|engine| !holds(engine, model));
-            needs_load && !self.loading.contains_key(*id)
-        });
-        self.loading.len() + waiting.count() + loads <= input.spec.loads_at_once
-    }
-
-    /// Gives another model the engines that are too few for a group of their own.
-    fn convert_left_over(
-        &mut self,
-        now: Timestamp,
-        input: &PlannerInput<'_>,
-        free: &IndexMap<FabricDomainId, Vec<&Arc<Endpoint>>>,
-        provisioning: &mut Provisioning,
-    ) {
-        let mut left_over = std::mem::take(&mut self.conversions.left_over);
-        left_over.retain(|domain, _| free.contains_key(domain));
-        for (domain, engines) in free {
-            let primary = self.primaries.get(domain);
-            let Some(own) = primary.and_then(|id| find_model(input.spec, id)) else {
-                continue;
-            };
-            let usable: Vec<&Arc<Endpoint>> = engines
-                .iter()
-                .filter(|engine| self.is_left_over(engine))
-                .copied()
-                .collect();
-            let Some(other) = other_model_for(input, own, usable.len(), provisioning) else {
-                left_over.swap_remove(domain);
-                continue;
-            };
-            let since = *left_over.entry(domain.clone()).or_insert(now);
-            let loads = usable.iter().filter(|engine| !holds(engine, &other.model));
-            let loads = loads.count().min(other.group_size);
-            if now.since(since) < LEFT_OVER_FOR || !self.has_room_for(input, loads) {
-                continue;
-            }
-            self.reserve(&usable, other);
-            provisioning.add(&other.model, 1.0);
-            left_over.swap_remove(domain);
-        }
-        self.conversions.left_over = left_over;
-    }
-
-    fn is_left_over(&self, engine: &Endpoint) -> bool {
-        !self.reserved.contains_key(&engine.id) && !self.loading.contains_key(&engine.id)
-    }
-
-    /// Keeps engines for a group of a model: those that hold it, then the empty ones.
-    fn reserve(&mut self, usable: &[&Arc<Endpoint>], model: &EngineModel) {
-        let mut usable = usable.to_vec();
-        usable.sort_by_key(|engine| {
-            let is_other = !holds(engine, &model.model);
-            (is_other, !engine.staged.is_empty(), engine.id.clone())
-        });
-        for engine in usable.iter().take(model.group_size) {
-            self.reserved.insert(engine.id.clone(), model.model.clone());
-        }
-    }
-
     /// Closes the group whose engines serve the most more in groups of another model.
     fn convert_group(
         &mut self,
@@ -301,29 +211,3 @@
             && directory.takes_work(engine)
     })
 }
-
-/// Returns the model that engines which are left over should serve instead of their own; none where they
-/// are soon enough for a group of their own, or where nobody needs them.
-fn other_model_for<'a>(
-    input: &PlannerInput<'a>,
-    own: &EngineModel,
-    engines: usize,
-    provisioning: &Provisioning,
-) -> Option<&'a EngineModel> {
-    if engines >= own.group_size {
-        return None;
-    }
-    let loss = if engines + NEARLY_WHOLE >= own.group_size {
-        provisioning.worth_of_change(&own.model, 1.0)
-    } else {
-        0.0
-    };
-    let gain = |model: &EngineModel| provisioning.worth_of_change(&model.model, 1.0);
-    let others = input.spec.models.iter().filter(|model| {
-        model.model != own.model
-            && model.group_size <= engines
-            && gain(model) >= MIN_GAIN_PER_GROUP
-            && gain(model) >= GAIN_OVER_LOSS * loss
-    });
-    others.max_by(|a, b| gain(a).total_cmp(&gain(b)))
-}
--- a/crates/sesamecart-fleet/src/planner/engine.rs
+++ b/crates/sesamecart-fleet/src/planner/engine.rs
@@ -8,7 +8,7 @@
 use super::PlannerInput;
 use crate::catalog::{EngineModel, EngineSpec};
 use crate::directory::{Directory, GroupKey};
-use crate::endpoint::{Endpoint, GroupState};
+use crate::endpoint::{Endpoint, EndpointState, GroupState};
 
 /// How long a member that joins again in the same model takes.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
@@ -29,6 +29,10 @@
     find_model(spec, id).map(|model| model.group_size)
 }
 
+pub(super) fn is_ready(engine: &Endpoint) -> bool {
+    engine.state == EndpointState::Ready
+}
+
 pub(super) fn holds(engine: &Endpoint, model: &ModelId) -> bool {
     engine.models.contains(model) || engine.staged.contains(model)
 }
