Count only heads that report as room for callers

The heads that say nothing counted with the mean of all and as room.

Change: heads that have reported nothing for a second, or are ejected, count neither as room nor as load.

Test: dark_heads_are_no_room (let in before).

--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -165,7 +165,8 @@
     ///
     /// A burst reaches all of them between two reports. Of several guesses that are too old, the least is
     /// the most wrong: nodes that send to whichever head seems to have room fill all of them far beyond
-    /// what they can do, and every caller is served late.
+    /// what they can do, and every caller is served late. Heads that have said nothing lately, or are
+    /// ejected, may be dark; counted as room, each would add its share to what the others get.
     fn are_full_together(
         &self,
         now: Timestamp,
@@ -179,14 +180,15 @@
         let mut requests = 0.0;
         let mut room = 0.0;
         for candidate in candidates {
-            let Some(load) = self.loads.get(candidate.id) else {
-                return false;
+            let load = self.loads.get(candidate.id);
+            let Some(load) = load.filter(|load| load.is_fresh(now)) else {
+                continue;
             };
             let slots = f64::from(candidate.slots.max(1));
             requests += load.estimate_of_all(now, mean_load * slots, scale);
             room += slots + MAX_WAITING;
         }
-        !candidates.is_empty() && requests >= room
+        room > 0.0 && requests >= room
     }
 
     /// Returns whether most other nodes say what they have at the heads of groups.
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -47,6 +47,13 @@
         self.known_then = self.known();
     }
 
+    /// Returns whether the endpoint takes requests and said what it has a moment ago.
+    pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
+        let reported = self.reported;
+        let is_recent = reported.is_some_and(|(_, at)| now.since(at) < REPORT_FADES);
+        is_recent && self.ejected_until <= now
+    }
+
     /// Returns what this node and those it hears have there.
     fn known(&self) -> u32 {
         self.in_flight + self.others().in_flight
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -331,3 +331,19 @@
     loads.reported(later, &first, report(3, 0));
     assert!(loads.choose(later, &candidates, || 0.5).is_ok());
 }
+
+/// A failure domain goes dark while its heads still stand in the registry. Counted as room, they have the
+/// nodes fill the heads that are left, and every caller there is served late.
+#[test]
+fn dark_heads_are_no_room() {
+    let (sound, dark) = (id("sound"), id("dark"));
+    let candidates = [candidate(&sound, true), candidate(&dark, true)];
+    let mut loads = LoadBook::default();
+    loads.set_others(59);
+    loads.mark_reporting(&"n2".parse().expect("a name"));
+    loads.reported(NOW, &dark, report(4, 0));
+    let later = NOW + Duration::from_secs(2);
+    loads.reported(later, &sound, report(4, 3));
+    let choice = loads.choose(later, &candidates, || 0.5);
+    assert_eq!(choice, Err(Unavailable::Full));
+}
