--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -14,9 +14,7 @@
     GroupKey, LoadBook, PeerNode, RetryAllowance,
 };
 use sesamecart_runtime::{Signal, Trigger};
-use sesamecart_vocabulary::{
-    EndpointId, FailureDomainId, ModelId, NodeId, ServiceId, Timestamp, rendezvous_weight,
-};
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, ServiceId, Timestamp};
 
 use crate::clock;
 use crate::events::EventLog;
@@ -24,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
+mod budgets;
 #[cfg(test)]
 mod tests;
 
@@ -338,63 +337,6 @@
         self.loads().forget(|id| directory.find(id).is_some());
         lock(&self.cold).retain(|id, _| directory.is_cold(now, id));
     }
-
-    /// Counts a first attempt at a service.
-    pub(crate) fn earn_retry(&self, service: &ServiceId) {
-        let now = clock::now();
-        self.with_retries(service, |allowance| allowance.earn(now));
-    }
-
-    /// Returns whether this node has a retry left at a service.
-    pub(crate) fn has_retry(&self, service: &ServiceId) -> bool {
-        let now = clock::now();
-        self.with_retries(service, |allowance| allowance.has_left(now))
-    }
-
-    /// Takes a retry at a service, if this node has one left.
-    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
-        let now = clock::now();
-        self.with_retries(service, |allowance| allowance.take(now))
-    }
-
-    fn with_retries<T>(
-        &self,
-        service: &ServiceId,
-        act: impl FnOnce(&mut RetryAllowance) -> T,
-    ) -> T {
-        let nodes = self.nodes.load().len();
-        let mut retries = lock(&self.retries);
-        if !retries.contains_key(service) {
-            let allowance = RetryAllowance::new(self.settings.bounds.retries(), nodes);
-            retries.insert(service.clone(), allowance);
-        }
-        let allowance = &mut retries[service];
-        allowance.set_nodes(nodes);
-        act(allowance)
-    }
-
-    /// Takes one request out of this node's share of what a cold endpoint bears.
-    pub(crate) fn take_cold(&self, endpoint: &Endpoint, per_s: f64) -> bool {
-        let now = clock::now();
-        let mut cold = lock(&self.cold);
-        let allowance = cold.entry(endpoint.id.clone()).or_insert_with(|| {
-            let nodes = self.nodes.load();
-            let rank = rank(&self.settings.node, &nodes, &endpoint.id);
-            ColdAllowance::new(now, per_s, rank, nodes.len())
-        });
-        allowance.take(now)
-    }
-}
-
-/// Returns this node's place among all nodes for one endpoint, the same at every node that knows
-/// the same nodes.
-fn rank(own: &NodeId, nodes: &[PeerNode], endpoint: &EndpointId) -> usize {
-    let weight = |node: &NodeId| rendezvous_weight(endpoint.as_str(), node.as_str());
-    let mine = weight(own);
-    nodes
-        .iter()
-        .filter(|peer| weight(&peer.node) > mine)
-        .count()
 }
 
 fn own_entry(settings: &EntrySettings) -> PeerNode {
--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -34,6 +34,11 @@
         self.0.get(model).copied().unwrap_or(0.0)
     }
 
+    /// Returns each model that is asked for, and the groups of it that have work all the time.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelId, f64)> {
+        self.0.iter().map(|(model, groups)| (model, *groups))
+    }
+
     fn add(&mut self, model: &ModelId, groups: f64) {
         *self.0.entry(model.clone()).or_default() += groups;
     }
@@ -174,10 +179,3 @@
         Some(scaled.collect())
     }
 }
-
-impl Demand {
-    /// Returns each model that is asked for, and the groups of it that have work all the time.
-    pub fn iter(&self) -> impl Iterator<Item = (&ModelId, f64)> {
-        self.0.iter().map(|(model, groups)| (model, *groups))
-    }
-}
--- a/crates/sesamecart-fleet/src/planner/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/domains.rs
@@ -39,39 +39,27 @@
         let mut empty = Vec::new();
         for (domain, engines) in &domains {
             let failure_domain = &engines[0].failure_domain;
-            match self.resident_model(now, input.spec, domain, engines) {
-                Some(model) => {
-                    self.primaries
-                        .insert((*domain).clone(), model.model.clone());
-                    self.begun.insert((*domain).clone());
-                    placements.push(Placement {
-                        domain,
-                        failure_domain,
-                        engines: self.sizes.of(domain),
-                        model,
-                        choices: Vec::new(),
-                    });
-                }
-                None => empty.push(EmptyDomain {
+            let Some(model) = self.resident_model(now, input.spec, domain, engines) else {
+                let fitting = self.fitting(input.spec, engines);
+                empty.push(EmptyDomain {
                     domain,
                     failure_domain,
-                    fitting: self.fitting(input.spec, engines),
-                }),
-            }
-        }
-        for empty in by_turns(empty) {
-            let Some(model) = self.most_underprovisioned(input.spec, &empty.fitting) else {
+                    fitting,
+                });
                 continue;
             };
-            self.primaries
-                .insert(empty.domain.clone(), model.model.clone());
-            placements.push(Placement {
-                domain: empty.domain,
-                failure_domain: empty.failure_domain,
-                engines: self.sizes.of(empty.domain),
-                model,
-                choices: empty.fitting,
-            });
+            self.begun.insert((*domain).clone());
+            placements.push(self.place(domain, failure_domain, model, Vec::new()));
+        }
+        for empty in by_turns(empty) {
+            if let Some(model) = self.most_underprovisioned(input.spec, &empty.fitting) {
+                placements.push(self.place(
+                    empty.domain,
+                    empty.failure_domain,
+                    model,
+                    empty.fitting,
+                ));
+            }
         }
         spread(input.spec, &mut placements);
         for placement in placements {
@@ -80,6 +68,24 @@
         }
     }
 
+    /// Gives a domain a model, so that it counts for the domains that come after it.
+    fn place<'a>(
+        &mut self,
+        domain: &'a FabricDomainId,
+        failure_domain: &'a FailureDomainId,
+        model: &'a EngineModel,
+        choices: Vec<&'a EngineModel>,
+    ) -> Placement<'a> {
+        self.primaries.insert(domain.clone(), model.model.clone());
+        Placement {
+            domain,
+            failure_domain,
+            engines: self.sizes.of(domain),
+            model,
+            choices,
+        }
+    }
+
     /// Returns the models of which a domain's engines can form a group.
     ///
     /// A domain that is too small for all of them may still grow, so its engines load what the others
--- a/crates/sesamecart-fleet/src/step_model.rs
+++ b/crates/sesamecart-fleet/src/step_model.rs
@@ -56,29 +56,10 @@
     }
 
     /// Returns how long a group reads a prompt.
-    #[must_use]
-    pub fn reading_time(&self, prompt_tokens: f64, pace: f64) -> Duration {
+    fn reading_time(&self, prompt_tokens: f64, pace: f64) -> Duration {
         millis(prompt_tokens / self.read_tokens_per_ms * pace)
     }
 
-    /// Returns how long one pass takes that writes `answers` answers and reads as much as it may.
-    #[must_use]
-    pub fn full_pass(&self, answers: f64, pace: f64) -> Duration {
-        let steps = f64::from(self.steps_per_pass.max(1));
-        let writing = steps * (self.step_ms + self.step_ms_per_answer * answers);
-        let reading = self.chunk_tokens / self.read_tokens_per_ms;
-        millis((writing + reading) * pace)
-    }
-
-    /// Returns how long a request waits for its first event behind `tokens_ahead` prompt tokens that are
-    /// read before its own, beside `answers` that are being written.
-    #[must_use]
-    pub fn first_event_after(&self, tokens_ahead: f64, answers: f64, pace: f64) -> Duration {
-        let passes = (tokens_ahead / self.chunk_tokens).ceil().max(1.0);
-        // One more pass is under way when the request comes, and its first event ends another.
-        self.full_pass(answers, pace).mul_f64(passes + 1.0)
-    }
-
     /// Returns how many requests a group holds at once while each of them begins in time.
     ///
     /// A pass reads one chunk of prompts, and each request takes as many passes as its answer has. With more
