Don't spend a cold endpoint's allowance on a look

While a first event was waited for, each look whether another head would be sooner took a request out of a cold head's share though nothing was sent there.

--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -17,7 +17,7 @@
 use crate::events::Event;
 use crate::follower::millis;
 use crate::traffic::flight::Flight;
-use crate::traffic::placing::Placed;
+use crate::traffic::placing::{ColdEndpoints, Placed};
 use crate::traffic::refusal::Refusal;
 
 /// Attempts that may be rejected or lost before one request is given up, besides those that its
@@ -110,7 +110,7 @@
             if self.left().is_zero() {
                 return Err(self.give_up(failed, attempts, None));
             }
-            let placed = match self.place(attempts) {
+            let placed = match self.place(attempts, ColdEndpoints::WithinAllowance) {
                 Ok(placed) => placed,
                 Err(unavailable) => return Err(self.give_up(failed, attempts, Some(unavailable))),
             };
--- a/crates/sesamecart-entry/src/traffic/placing.rs
+++ b/crates/sesamecart-entry/src/traffic/placing.rs
@@ -15,9 +15,22 @@
     pub(super) load: f64,
 }
 
+/// What becomes of cold endpoints where one is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ColdEndpoints {
+    /// They are taken as far as this node's share of what they bear goes, and that is spent.
+    WithinAllowance,
+    /// They are passed over: nothing is sent yet.
+    PassedOver,
+}
+
 impl Call {
     /// Chooses an endpoint that this request hasn't tried.
-    pub(super) fn place(&self, attempts: &Attempts) -> Result<Placed, Unavailable> {
+    pub(super) fn place(
+        &self,
+        attempts: &Attempts,
+        cold: ColdEndpoints,
+    ) -> Result<Placed, Unavailable> {
         let service = self.service().ok_or(Unavailable::NoEndpoint)?;
         let known = self.catalog.services.get(service);
         let is_model = known.is_some_and(|known| known.engine.is_some());
@@ -51,7 +64,9 @@
             let endpoint = Arc::clone(endpoints[chosen.index]);
             let cold_per_s = known.and_then(|known| known.cold_per_s);
             let is_refused = cold_per_s.is_some_and(|per_s| {
-                directory.is_cold(now, &endpoint.id) && !self.beliefs.take_cold(&endpoint, per_s)
+                directory.is_cold(now, &endpoint.id)
+                    && (cold == ColdEndpoints::PassedOver
+                        || !self.beliefs.take_cold(&endpoint, per_s))
             });
             if is_refused {
                 endpoints.remove(chosen.index);
--- a/crates/sesamecart-entry/src/traffic/waiting.rs
+++ b/crates/sesamecart-entry/src/traffic/waiting.rs
@@ -12,6 +12,7 @@
 use crate::follower::millis;
 use crate::traffic::call::{Attempts, Call, Failed};
 use crate::traffic::flight::Flight;
+use crate::traffic::placing::ColdEndpoints;
 
 /// How much longer than its promised time an answer that may be repeated is waited for, before
 /// another endpoint is tried.
@@ -142,7 +143,7 @@
 
     /// Returns whether a head that wasn't tried has a free place, and this request may go there.
     fn may_be_sooner_elsewhere(&self, tried: &Attempts) -> bool {
-        let placed = self.place(tried);
+        let placed = self.place(tried, ColdEndpoints::PassedOver);
         placed.is_ok_and(|placed| placed.load < 1.0 && self.beliefs.has_retry(&placed.service))
     }
 }
