Give a group all the loads it lacks before the next group

Cause (read in the diff): the loads of a fabric domain's empty engines were ranked engine by engine since engines may hold a second model there, so groups that each lack a few got a part of their loads each and all of them were whole late.

Change: all empty engines of a domain rank by what its group lacks, as before; engines that load count as held, and a domain with enough for a group ranks like one that has none. Test of the order.

--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -102,49 +102,43 @@
         let Some(own) = primary.and_then(|id| find_model(input.spec, id)) else {
             return Vec::new();
         };
-        let mut counts: IndexMap<&ModelId, usize> = IndexMap::new();
+        let served = self.served_in(input, own, domain);
+        let mut held: IndexMap<&ModelId, usize> = IndexMap::new();
         let mut empty = Vec::new();
         let mut wanted = Vec::new();
         for engine in engines {
-            if let Some(kept_for) = self.reserved.get(&engine.id) {
-                let model = find_model(input.spec, kept_for);
-                wanted.extend(
-                    model
-                        .filter(|model| needs_load(engine, model))
-                        .map(|model| {
-                            let lacking = model.group_size;
-                            Wanted {
-                                lacking,
-                                engine,
-                                model,
-                            }
-                        }),
-                );
+            if let Some(reserved) = self.reserved.get(&engine.id) {
+                let model = find_model(input.spec, reserved);
+                let model = model.filter(|model| needs_load(engine, model));
+                wanted.extend(model.map(|model| Wanted {
+                    lacking: model.group_size,
+                    engine,
+                    model,
+                }));
                 continue;
             }
-            let held = self.useful_model(input, own, domain, engine);
-            match held {
-                Some(model) => *counts.entry(&model.model).or_default() += 1,
+            match self.useful_model(&served, engine) {
+                Some(model) => *held.entry(&model.model).or_default() += 1,
                 None => empty.push(*engine),
             }
         }
-        let served = self.served_in(input, own, domain);
-        for engine in empty {
-            let lacking = |model: &EngineModel| {
-                let held = counts.get(&model.model).copied().unwrap_or(0);
-                model.group_size - held % model.group_size
-            };
-            let Some(model) = served.iter().copied().min_by_key(|model| lacking(model)) else {
-                continue;
-            };
+        let lacking = |model: &EngineModel| {
+            let held = held.get(&model.model).copied().unwrap_or(0);
+            // With as many engines as a group needs held or loading, the next ones are for another group.
+            match model.group_size.saturating_sub(held) {
+                0 => model.group_size,
+                lacking => lacking,
+            }
+        };
+        let model = served.iter().copied().min_by_key(|model| lacking(model));
+        wanted.extend(model.into_iter().flat_map(|model| {
             let lacking = lacking(model);
-            *counts.entry(&model.model).or_default() += 1;
-            wanted.push(Wanted {
+            empty.iter().map(move |engine| Wanted {
                 lacking,
                 engine,
                 model,
-            });
-        }
+            })
+        }));
         wanted
     }
 
@@ -167,19 +161,15 @@
         served
     }
 
-    /// Returns the model for which a free engine is of use as it is.
+    /// Returns the model, of those that its fabric domain serves, that a free engine holds or loads.
     fn useful_model<'a>(
         &self,
-        input: &PlannerInput<'a>,
-        own: &'a EngineModel,
-        domain: &FabricDomainId,
+        served: &[&'a EngineModel],
         engine: &Endpoint,
     ) -> Option<&'a EngineModel> {
-        let served = self.served_in(input, own, domain);
         let loading = self.loading.get(&engine.id).map(|load| &load.model);
-        served
-            .into_iter()
-            .find(|model| loading == Some(&model.model) || holds(engine, &model.model))
+        let mut served = served.iter().copied();
+        served.find(|model| loading == Some(&model.model) || holds(engine, &model.model))
     }
 
     pub(super) fn note_load(
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -395,3 +395,43 @@
         .filter(|step| matches!(step, Step::Stage { .. }));
     assert!((1..=2).contains(&begun.count()), "{steps:?}");
 }
+
+/// Two domains have lost engines, and empty ones have come to both. Loads are few at once; dealt out engine
+/// by engine, each domain gets a part of what it lacks, and neither group is whole before the last load.
+#[test]
+fn the_group_that_lacks_least_gets_all_its_loads_first() {
+    let hold = |mut engine: Endpoint| {
+        engine.staged = vec![model("large")];
+        engine
+    };
+    let held = [("a-0", 3), ("b-0", 1)]
+        .into_iter()
+        .flat_map(|(domain, count)| {
+            (0..count).map(move |index| (format!("{domain}.held.{index}"), domain))
+        });
+    let mut endpoints: Vec<Endpoint> = held
+        .map(|(name, domain)| hold(engine(&name, domain)))
+        .collect();
+    for (domain, count) in [("a-0", 1), ("b-0", 3)] {
+        endpoints.extend((0..count).map(|index| engine(&format!("{domain}.new.{index}"), domain)));
+    }
+    let directory = directory(endpoints);
+    let mut spec = spec();
+    spec.loads_at_once = 3;
+    let input = PlannerInput {
+        service: &service(),
+        spec: &spec,
+        directory: &directory,
+        in_traffic: true,
+        demand: None,
+    };
+    let steps = Planner::new(Fence(1), 0).plan(START, &input);
+    let staged = steps.iter().filter_map(|step| match step {
+        Step::Stage { endpoint, .. } => Some(endpoint.as_str()),
+        _ => None,
+    });
+    assert_eq!(
+        staged.collect::<Vec<_>>(),
+        ["a-0.new.0", "b-0.new.0", "b-0.new.1"]
+    );
+}
