Take reports as they are where callers are refused by the sum over heads

The estimate of each head faded into the mean of all candidates, which dark heads pull down: about six requests a head too few, and half of the callers let in came late. Ruled out: the spread of models itself; which model's domain goes dark is chance.

Change: the sum takes reports younger than a second as they are, and what was sent since.

Test: the_sum_over_heads_takes_reports_as_they_are (let in before).

--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -131,7 +131,7 @@
         let mut best: Option<(f64, Choice)> = None;
         let mut refused = Unavailable::NoEndpoint;
         let mean_load = self.mean_load(now, candidates);
-        if self.are_full_together(now, candidates, mean_load) {
+        if self.are_full_together(now, candidates) {
             return Err(Unavailable::Full);
         }
         for (index, candidate) in candidates.iter().enumerate() {
@@ -167,12 +167,7 @@
     /// the most wrong: nodes that send to whichever head seems to have room fill all of them far beyond
     /// what they can do, and every caller is served late. Heads that have said nothing lately, or are
     /// ejected, may be dark; counted as room, each would add its share to what the others get.
-    fn are_full_together(
-        &self,
-        now: Timestamp,
-        candidates: &[Candidate<'_>],
-        mean_load: f64,
-    ) -> bool {
+    fn are_full_together(&self, now: Timestamp, candidates: &[Candidate<'_>]) -> bool {
         if self.hears_most() || self.reporting.is_empty() {
             return false;
         }
@@ -181,12 +176,11 @@
         let mut room = 0.0;
         for candidate in candidates {
             let load = self.loads.get(candidate.id);
-            let Some(load) = load.filter(|load| load.is_fresh(now)) else {
+            let Some(there) = load.and_then(|load| load.estimate_of_all(now, scale)) else {
                 continue;
             };
-            let slots = f64::from(candidate.slots.max(1));
-            requests += load.estimate_of_all(now, mean_load * slots, scale);
-            room += slots + MAX_WAITING;
+            requests += there;
+            room += f64::from(candidate.slots.max(1)) + MAX_WAITING;
         }
         room > 0.0 && requests >= room
     }
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -47,30 +47,23 @@
         self.known_then = self.known();
     }
 
-    /// Returns whether the endpoint takes requests and said what it has a moment ago.
-    pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
-        let reported = self.reported;
-        let is_recent = reported.is_some_and(|(_, at)| now.since(at) < REPORT_FADES);
-        is_recent && self.ejected_until <= now
-    }
-
     /// Returns what this node and those it hears have there.
     fn known(&self) -> u32 {
         self.in_flight + self.others().in_flight
     }
 
-    /// Estimates the requests of all nodes, of which `scale` times as many as are heard have sent some since
-    /// the report; alone it varies too much to choose an endpoint by, a sum over endpoints doesn't.
-    pub(super) fn estimate_of_all(&self, now: Timestamp, mean_load: f64, scale: f64) -> f64 {
+    /// Estimates the requests of all nodes from a report that is fresh, if it is; those that are heard sent
+    /// one in `scale` of what all have sent since. Alone it varies too much to choose an endpoint by, a sum over
+    /// endpoints doesn't.
+    pub(super) fn estimate_of_all(&self, now: Timestamp, scale: f64) -> Option<f64> {
+        let (report, at) = self.reported?;
+        if now.since(at) >= REPORT_FADES || self.ejected_until > now {
+            return None;
+        }
         let known = f64::from(self.known());
-        let Some((report, at)) = self.reported else {
-            return known.max(mean_load);
-        };
-        let kept = kept_after(now.since(at), REPORT_FADES);
         let sent_since = known - f64::from(self.known_then);
         let reported = f64::from(report.running + report.waiting);
-        let then = (reported + sent_since * scale).max(0.0);
-        (mean_load + (then - mean_load) * kept).max(known)
+        Some((reported + sent_since * scale).max(known))
     }
 
     /// Guesses the requests that the endpoint has now, where `mean_load` are to be expected.
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -347,3 +347,18 @@
     let choice = loads.choose(later, &candidates, || 0.5);
     assert_eq!(choice, Err(Unavailable::Full));
 }
+
+/// Reports fade into the mean of all heads where one is chosen. Faded in the sum as well, idle or dark heads
+/// would make full ones look as if they had room.
+#[test]
+fn the_sum_over_heads_takes_reports_as_they_are() {
+    let (sound, dark) = (id("sound"), id("dark"));
+    let candidates = [candidate(&sound, true), candidate(&dark, true)];
+    let mut loads = LoadBook::default();
+    loads.set_others(59);
+    loads.mark_reporting(&"n2".parse().expect("a name"));
+    loads.reported(NOW, &sound, report(4, 3));
+    let later = NOW + Duration::from_millis(800);
+    let choice = loads.choose(later, &candidates, || 0.5);
+    assert_eq!(choice, Err(Unavailable::Full));
+}
