--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -203,6 +203,7 @@
         beliefs.events.write(&Event::FleetCounted {
             model: counts.model.as_str(),
             open: counts.open,
+            reachable: counts.reachable,
             forming: counts.forming,
             spare: counts.spare,
             loading: counts.loading,
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -83,6 +83,8 @@
         model: &'a str,
         /// Its open groups.
         open: usize,
+        /// Those of them that take requests: none in a failure domain that is evacuated.
+        reachable: usize,
         /// Its groups that are being formed.
         forming: usize,
         /// Engines outside of groups that hold it.
--- a/crates/sesamecart-fleet/src/planner/summary.rs
+++ b/crates/sesamecart-fleet/src/planner/summary.rs
@@ -13,6 +13,8 @@
     pub model: ModelId,
     /// Its open groups.
     pub open: usize,
+    /// Those of them that take requests: none in a failure domain that is evacuated.
+    pub reachable: usize,
     /// Its groups that are being formed.
     pub forming: usize,
     /// Engines outside of groups that hold it.
@@ -41,6 +43,7 @@
                     .filter(|load| load.model == known.model)
                     .count(),
                 open: 0,
+                reachable: 0,
                 spare: 0,
             })
             .collect();
@@ -51,7 +54,10 @@
                 .iter()
                 .position(|known| holds(engine, &known.model));
             match held {
-                Some(place) if engine.is_open_head() => summaries[place].open += 1,
+                Some(place) if engine.is_open_head() => {
+                    summaries[place].open += 1;
+                    summaries[place].reachable += usize::from(input.directory.takes_work(engine));
+                }
                 Some(place) if engine.group.is_none() => summaries[place].spare += 1,
                 None if engine.group.is_none() && !self.loading.contains_key(&engine.id) => {
                     empty += 1
