--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -180,7 +180,8 @@
                 continue;
             };
             requests += there;
-            room += f64::from(candidate.slots.max(1)) + MAX_WAITING;
+            // None may wait beyond the slots: heads differ by more than that where their loads are guessed.
+            room += f64::from(candidate.slots.max(1));
         }
         room > 0.0 && requests >= room
     }
