Save models where no single change of a domain does

Each change of one domain takes a model away to save another one, so the search ended with a model that one loss takes away.

Change: where changes and exchanges end with a model that isn't saved, all ways are tried if there are 4,096 at most, and one is taken that saves more models and leaves none without a domain.

--- a/crates/sesamecart-fleet/src/planner/assignment.rs
+++ b/crates/sesamecart-fleet/src/planner/assignment.rs
@@ -10,6 +10,9 @@
 use super::provisioning::expected_share;
 use crate::catalog::{EngineModel, EngineSpec};
 
+/// The ways to deal domains out that are tried one by one; a plan has to end within some milliseconds.
+const MAX_WAYS: usize = 4_096;
+
 /// A fabric domain and the model that it is to serve.
 #[derive(Clone, Debug)]
 pub(super) struct Placement<'a> {
@@ -36,14 +39,52 @@
 pub(super) fn spread(spec: &EngineSpec, placements: &mut [Placement<'_>]) {
     save_models(spec, placements);
     exchange_models(spec, placements);
-    if save_models(spec, placements) {
+    if models_lost(spec, placements) > 0 {
+        save_models(spec, placements);
+        try_all_ways(spec, placements);
         exchange_models(spec, placements);
     }
 }
 
-/// Gives domains to models that the loss of one failure domain would take away; returns whether it gave any.
-fn save_models(spec: &EngineSpec, placements: &mut [Placement<'_>]) -> bool {
-    let mut gave = false;
+/// Deals the domains out in every way, if there are few, and takes the one that saves the most models.
+///
+/// Single changes and exchanges can end where each would take a model away to save another one, though a few
+/// of them together save both.
+fn try_all_ways(spec: &EngineSpec, placements: &mut [Placement<'_>]) {
+    let choices = placements.iter().map(|placement| placement.choices.len());
+    let ways = choices.fold(1_usize, |ways, choices| ways.saturating_mul(choices.max(1)));
+    let mut fewest_lost = models_lost(spec, placements);
+    if ways > MAX_WAYS || fewest_lost == 0 {
+        return;
+    }
+    let served = models_served(spec, placements);
+    let mut best: Vec<&EngineModel> = placements.iter().map(|placement| placement.model).collect();
+    for way in 0..ways {
+        deal_out(placements, way);
+        let lost = models_lost(spec, placements);
+        if lost < fewest_lost && models_served(spec, placements) >= served {
+            fewest_lost = lost;
+            best = placements.iter().map(|placement| placement.model).collect();
+        }
+    }
+    for (placement, model) in placements.iter_mut().zip(best) {
+        placement.model = model;
+    }
+}
+
+/// Gives each domain the choice that a number stands for, as digits of a mixed base.
+fn deal_out(placements: &mut [Placement<'_>], mut way: usize) {
+    for placement in placements {
+        let choices = placement.choices.len();
+        if choices > 0 {
+            placement.model = placement.choices[way % choices];
+            way /= choices;
+        }
+    }
+}
+
+/// Gives domains to models that the loss of one failure domain would take away.
+fn save_models(spec: &EngineSpec, placements: &mut [Placement<'_>]) {
     let mut lost = models_lost(spec, placements);
     while lost > 0 {
         let changes: Vec<(usize, &EngineModel)> = placements
@@ -66,12 +107,19 @@
             is_better
         });
         if better.is_none() {
-            return gave;
+            return;
         }
-        gave = true;
         lost = models_lost(spec, placements);
     }
-    gave
+}
+
+/// Counts the models that have a domain.
+fn models_served(spec: &EngineSpec, placements: &[Placement<'_>]) -> usize {
+    let served = spec.models.iter().filter(|model| {
+        let mut placements = placements.iter();
+        placements.any(|placement| placement.model.model == model.model)
+    });
+    served.count()
 }
 
 /// Counts the models that the loss of one failure domain would take away.
--- a/crates/sesamecart-fleet/src/planner/tests/spread.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/spread.rs
@@ -158,3 +158,22 @@
         })
     })
 }
+
+/// Three models and six fabric domains in places of which one, two and three lie: each change of one domain or
+/// exchange of two takes a model away to save another one, though all three can be saved.
+#[test]
+fn three_models_survive_where_no_single_change_saves_them() {
+    let models = [("one", 9, 0.1), ("two", 5, 0.4), ("three", 4, 0.1)];
+    let domains = [
+        ("b-0", 10),
+        ("a-1", 12),
+        ("c-2", 14),
+        ("a-3", 11),
+        ("c-4", 10),
+        ("c-5", 9),
+    ];
+    let mut fleet = Fleet::new(&models, &domains);
+    fleet.play(Duration::from_secs(12));
+    let left = left(&fleet, &models);
+    assert!(left.iter().all(|groups| *groups > 0), "{left:?}");
+}
