Use all slots where the answer of a mean request isn't known

Cause (read in the whole change): a configuration that gives the mean prompt and no mean answer passed the settings' check, and the answer counted as no tokens. A group would get 3 of its 48 requests and callers be refused before idle engines. Ruled out: both missing, which fell back to all slots by chance of the prompt's lower bound.

Change: without both tokens a group's slots are used, and the check names it.

Tests, before and after: without_the_answer_of_a_mean_request_all_slots_are_used 3 and 48 requests; a_mean_request_without_an_answer_is_named no problem and one.

--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -127,7 +127,7 @@
     #[display("the times of steps can't be used; work is counted in requests")]
     Steps,
     /// The mean request isn't given.
-    #[display("the usual tokens of a request are missing; requests that name none count as empty")]
+    #[display("the tokens of a mean request are missing; requests that name none count as empty")]
     MeanTokens,
 }
 
@@ -149,7 +149,7 @@
         problems.extend(slow.map(|model| SpecProblem::Pace(model.model.clone())));
         match &self.steps {
             None => problems.push(SpecProblem::Steps),
-            Some(steps) if steps.mean.prompt + steps.mean.answer == 0.0 => {
+            Some(steps) if !(is_positive(steps.mean.prompt) && is_positive(steps.mean.answer)) => {
                 problems.push(SpecProblem::MeanTokens);
             }
             Some(_) => {}
@@ -158,13 +158,18 @@
     }
 
     /// Returns the requests that a group works on at once while each begins in time: its slots, or fewer
-    /// where reading the prompts of so many takes longer than writing their answers.
+    /// where reading the prompts of so many takes longer than writing their answers. Without the tokens of a
+    /// mean request its slots are all that is known.
     #[must_use]
     pub fn usable_slots(&self, mean: Option<TokenCounts>) -> u32 {
         let Some(steps) = &self.steps else {
             return self.slots;
         };
-        let concurrency = steps.concurrency(mean.unwrap_or(steps.mean));
+        let mean = mean.unwrap_or(steps.mean);
+        if !(is_positive(mean.prompt) && is_positive(mean.answer)) {
+            return self.slots;
+        }
+        let concurrency = steps.concurrency(mean);
         (concurrency.ceil() as u32).clamp(1, self.slots.max(1))
     }
 
--- a/crates/sesamecart-fleet/src/catalog/tests.rs
+++ b/crates/sesamecart-fleet/src/catalog/tests.rs
@@ -94,6 +94,14 @@
     assert_eq!(spec.usable_slots(Some(tokens(1_640.0, 100.0))), 48);
 }
 
+/// The configuration names the prompt of a mean request and not its answer. Taken for an answer of no tokens,
+/// groups would get two or three requests each, and callers be refused before idle engines.
+#[test]
+fn without_the_answer_of_a_mean_request_all_slots_are_used() {
+    let spec = shifted_spec();
+    assert_eq!(spec.usable_slots(Some(tokens(839.0, 0.0))), 48);
+}
+
 #[test]
 fn a_request_takes_the_longer_the_more_tokens_it_has() {
     let spec = shifted_spec();
@@ -130,6 +138,9 @@
     a_pace_of_zero_is_named: |spec| spec.models[1].pace = 0.0
         => [SpecProblem::Pace("small".parse().expect("a name"))];
     missing_times_of_steps_are_named: |spec| spec.steps = None => [SpecProblem::Steps];
+    a_mean_request_without_an_answer_is_named: |spec| {
+        spec.steps.as_mut().expect("it has some").mean = tokens(839.0, 0.0);
+    } => [SpecProblem::MeanTokens];
     a_missing_mean_request_is_named: |spec| {
         spec.steps.as_mut().expect("it has some").mean = tokens(0.0, 0.0);
     } => [SpecProblem::MeanTokens];
--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -61,9 +61,7 @@
     fn at(self, now: Timestamp) -> f64 {
         self.sum * faded(now.since(self.at))
     }
-}
 
-impl FadingSum {
     fn add(&mut self, now: Timestamp, value: f64) {
         *self = Self {
             sum: self.at(now) + value,
--- a/crates/sesamecart-fleet/src/loads/tests.rs
+++ b/crates/sesamecart-fleet/src/loads/tests.rs
@@ -283,7 +283,7 @@
 /// Among many nodes each hears from a head every few seconds only, and those that go by such old reports send
 /// to heads that others have filled meanwhile.
 #[test]
-fn what_an_endpoint_told_another_node_counts_where_it_is_newer() {
+fn a_newer_report_to_a_peer_counts() {
     let (first, second) = (id("first"), id("second"));
     let candidates = [candidate(&first, true), candidate(&second, true)];
     let mut loads = LoadBook::default();
--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -15,7 +15,6 @@
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
 
-use super::engine::engines;
 use super::provisioning::Provisioning;
 use super::{Planner, PlannerInput, Step};
 use crate::catalog::EngineModel;
@@ -173,13 +172,18 @@
 
     /// Returns the group of a model that can be spared, in the failure domain where the other model has
     /// the fewest groups.
-    fn group_to_close(
+    fn group_to_close<'a>(
         &self,
-        input: &PlannerInput<'_>,
-        from: &EngineModel,
-        to: &EngineModel,
+        input: &PlannerInput<'a>,
+        from: &'a EngineModel,
+        to: &'a EngineModel,
     ) -> Option<(GroupKey, Vec<EndpointId>)> {
-        let heads: Vec<&Arc<Endpoint>> = reachable_heads(input, from).collect();
+        let reachable = |model: &'a EngineModel| {
+            input
+                .directory
+                .candidates(input.service, Some(&model.model))
+        };
+        let heads: Vec<&Arc<Endpoint>> = reachable(from).collect();
         let failure_domains: IndexSet<_> = heads.iter().map(|head| &head.failure_domain).collect();
         let kept = failure_domains.len().min(KEPT_FAILURE_DOMAINS);
         let candidates = heads.iter().filter(|head| {
@@ -189,7 +193,7 @@
         });
         let chosen = candidates.min_by_key(|head| {
             let near = |other: &&Arc<Endpoint>| other.failure_domain == head.failure_domain;
-            let served = reachable_heads(input, to).filter(near).count();
+            let served = reachable(to).filter(near).count();
             let left = heads.iter().copied().filter(near).count();
             (served, usize::MAX - left, head.id.clone())
         })?;
@@ -199,15 +203,3 @@
         (members.len() == from.group_size).then_some((key, members))
     }
 }
-
-fn reachable_heads<'a>(
-    input: &PlannerInput<'a>,
-    model: &'a EngineModel,
-) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-    let directory = input.directory;
-    engines(input).filter(move |engine| {
-        engine.is_open_head()
-            && engine.models.contains(&model.model)
-            && directory.takes_work(engine)
-    })
-}
--- a/crates/sesamecart-fleet/src/planner/provisioning.rs
+++ b/crates/sesamecart-fleet/src/planner/provisioning.rs
@@ -16,11 +16,16 @@
 /// The least that a model is taken to need, in groups: callers who ask seldom wait as long for a load.
 const MIN_NEED: f64 = 0.25;
 
-/// What a group is worth beside one that work needs all the time, by the groups that there are for each
-/// one needed: beyond the first number it takes the peaks, beyond the second it waits for losses.
+/// Groups for each one needed beyond which a further one only takes peaks.
 const PEAKS_FROM: f64 = 1.0;
+
+/// What a group that takes peaks is worth, in groups that work needs all the time.
 const PEAKS_WORTH: f64 = 0.3;
+
+/// Groups for each one needed beyond which a further one only waits for losses.
 const RESERVE_FROM: f64 = 2.0;
+
+/// What a group that waits for losses is worth, in groups that work needs all the time.
 const RESERVE_WORTH: f64 = 0.05;
 
 /// What one model needs and has, in groups.
@@ -101,12 +106,10 @@
     }
 
     fn reachable_groups(&self, input: &PlannerInput<'_>, model: &EngineModel) -> f64 {
-        let open = engines(input).filter(|engine| {
-            engine.is_open_head()
-                && engine.models.contains(&model.model)
-                && input.directory.takes_work(engine)
-                && !self.is_retiring(engine)
-        });
+        let open = input
+            .directory
+            .candidates(input.service, Some(&model.model));
+        let open = open.filter(|head| !self.is_retiring(head));
         let forming = self.formations.values();
         let forming = forming.filter(|formation| formation.model == model.model);
         let forming = forming.filter(|formation| {
