Draw every case of randomised tests from one seed

Here the same command passed 1,000 cases, and failed at case 576 of the next run.

Ruled out: order of a hash map, a clock or thread timing in the planner: the printed case fails six times of six when replayed alone.

Conclusion: a run's verdict follows from the commit.

--- a/crates/sesamecart-config/src/settings/tests.rs
+++ b/crates/sesamecart-config/src/settings/tests.rs
@@ -1,5 +1,7 @@
 use std::path::Path;
 
+use sesamecart_property::check_property;
+
 use super::Settings;
 
 fn parse(decisions: &str) -> Result<Settings, String> {
@@ -43,9 +45,9 @@
     })
     .to_string();
     let path = std::path::Path::new("node-1.json");
-    bolero::check!()
-        .with_type::<(u16, u16, Vec<u8>)>()
-        .for_each(|(from, length, written)| {
+    check_property(
+        bolero::produce::<(u16, u16, Vec<u8>)>(),
+        |(from, length, written)| {
             let mut bytes = whole.clone().into_bytes();
             let from = usize::from(*from) % bytes.len();
             let to = (from + usize::from(*length) % 24).min(bytes.len());
@@ -54,7 +56,8 @@
             if let Err(error) = super::Settings::parse(path, &text) {
                 assert!(error.to_string().starts_with("node-1.json: "), "{error}");
             }
-        });
+        },
+    );
 }
 
 macro_rules! wrong_settings {
--- a/crates/sesamecart-config/src/sheet/tests.rs
+++ b/crates/sesamecart-config/src/sheet/tests.rs
@@ -1,5 +1,7 @@
 //! Sheets with spreadsheet habits and sheets with mistakes.
 
+use sesamecart_property::check_property;
+
 use super::import_sheet;
 use crate::configuration::{Configuration, EndpointKind};
 use crate::inventory::Inventory;
@@ -199,7 +201,7 @@
 /// Whatever bytes come, the import must end with a verdict and not with a panic.
 #[test]
 fn any_bytes_are_survived() {
-    bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
+    check_property(bolero::produce::<Vec<u8>>(), |bytes| {
         let inventory = inventory();
         let import = import_sheet(bytes, &inventory);
         assert!(!import.problems.is_empty());
--- a/crates/sesamecart-decisions/src/admission/tests.rs
+++ b/crates/sesamecart-decisions/src/admission/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use bolero::check;
 use indexmap::{IndexMap, IndexSet};
+use sesamecart_property::check_property;
 use sesamecart_vocabulary::{Bytes, CustomerId, RequestClass, Timestamp, Tokens, Weight};
 
 use super::*;
@@ -242,7 +242,7 @@
 /// room that appears is never left unused while one waits that fits.
 #[test]
 fn each_request_leaves_exactly_once() {
-    check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|steps| {
+    check_property(bolero::produce::<Vec<(u8, u8, u8)>>(), |steps| {
         let cfg = AdmissionSettings {
             max_waiting: 8,
             ..AdmissionSettings::default()
@@ -291,7 +291,7 @@
 /// of each, whatever the sizes of their requests.
 #[test]
 fn shares_are_fair_in_tokens() {
-    check!().with_type::<Vec<(u8, u8)>>().for_each(|sizes| {
+    check_property(bolero::produce::<Vec<(u8, u8)>>(), |sizes| {
         let mut admission = Admission::new(AdmissionSettings::default());
         let mut backlog: IndexMap<CustomerId, u64> = IndexMap::new();
         for (ticket, (a, b)) in (0_u64..).zip(sizes.iter().take(100)) {
--- a/crates/sesamecart-groups/src/controller/tests.rs
+++ b/crates/sesamecart-groups/src/controller/tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sesamecart_property::check_property;
 use sesamecart_vocabulary::{Bytes, Epoch, GroupId, VmId};
 
 use super::VmState;
@@ -127,18 +128,16 @@
 /// its members work together, epochs never go back and the store's rate is never exceeded.
 #[test]
 fn invariants_hold_under_random_faults() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8, u8)>>()
-        .for_each(|faults| {
-            let mut world = World::running();
-            for (kind, target, seconds) in faults.iter().take(40) {
-                world.random_fault(*kind, *target);
-                for _ in 0..=seconds % 12 {
-                    world.run(Duration::from_secs(1));
-                    check(&world);
-                }
+    check_property(bolero::produce::<Vec<(u8, u8, u8)>>(), |faults| {
+        let mut world = World::running();
+        for (kind, target, seconds) in faults.iter().take(40) {
+            world.random_fault(*kind, *target);
+            for _ in 0..=seconds % 12 {
+                world.run(Duration::from_secs(1));
+                check(&world);
             }
-        });
+        }
+    });
 }
 
 fn check(world: &World) {
--- a/crates/sesamecart-groups/src/repair/tests.rs
+++ b/crates/sesamecart-groups/src/repair/tests.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use sesamecart_property::check_property;
 use sesamecart_vocabulary::VmId;
 
 use super::{GroupHealth, RepairView, plan_repairs, plan_replacements};
@@ -128,9 +129,9 @@
 /// serving group is taken apart only for one that is worth at least twice as much.
 #[test]
 fn plans_complete_groups_without_sharing_vms() {
-    bolero::check!()
-        .with_type::<(Vec<(u8, u8, bool)>, u8)>()
-        .for_each(|(groups, free)| {
+    check_property(
+        bolero::produce::<(Vec<(u8, u8, bool)>, u8)>(),
+        |(groups, free)| {
             let group = |(index, (worth, lost, serves)): (usize, &(u8, u8, bool))| {
                 let lost = if *serves { 0 } else { usize::from(lost % 4) };
                 let names: Vec<String> = (0..3).map(|vm| format!("vm-{index}-{vm}")).collect();
@@ -148,7 +149,8 @@
             let free: Vec<String> = (0..free % 4).map(|vm| format!("free-{vm}")).collect();
             let view = view(groups, &free.join(" "));
             check_plans(&view);
-        });
+        },
+    );
 }
 
 fn check_plans(view: &RepairView) {
--- a/crates/sesamecart-groups/src/weights/tests.rs
+++ b/crates/sesamecart-groups/src/weights/tests.rs
@@ -1,3 +1,4 @@
+use sesamecart_property::check_property;
 use sesamecart_vocabulary::{Bytes, Weight};
 
 use super::{LoadRequest, allot};
@@ -41,9 +42,9 @@
 
 #[test]
 fn grants_never_exceed_the_rate() {
-    bolero::check!()
-        .with_type::<(Vec<(u8, u8, u16, u8, bool)>, u16, u8)>()
-        .for_each(|(loads, total, per_vm)| {
+    check_property(
+        bolero::produce::<(Vec<(u8, u8, u16, u8, bool)>, u16, u8)>(),
+        |(loads, total, per_vm)| {
             let loads: Vec<LoadRequest> = loads
                 .iter()
                 .enumerate()
@@ -70,5 +71,6 @@
                 .count() as u64;
             let used: Bytes = grants.iter().map(|grant| grant.bytes_per_s).sum();
             assert_eq!(used, total.min(Bytes(per_vm.0 * waiting)));
-        });
+        },
+    );
 }
--- a/crates/sesamecart-lease/src/tests.rs
+++ b/crates/sesamecart-lease/src/tests.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::settings::Mutant;
+use sesamecart_property::check_property;
 use world::{Violation, World};
 
 /// Two bytes are one event.
@@ -30,15 +31,13 @@
 #[test]
 fn no_two_nodes_act_at_once() {
     let totals: [AtomicU64; 4] = Default::default();
-    bolero::check!()
-        .with_type::<[u8; BYTES]>()
-        .for_each(|bytes| {
-            let (world, outcome) = run(None, bytes);
-            assert_eq!(outcome, Ok(()));
-            for (total, count) in totals.iter().zip(world.seen.counts()) {
-                total.fetch_add(count, Ordering::Relaxed);
-            }
-        });
+    check_property(bolero::produce::<[u8; BYTES]>(), |bytes| {
+        let (world, outcome) = run(None, bytes);
+        assert_eq!(outcome, Ok(()));
+        for (total, count) in totals.iter().zip(world.seen.counts()) {
+            total.fetch_add(count, Ordering::Relaxed);
+        }
+    });
     let [events, acquired, changes, in_outage] = totals.map(|total| total.load(Ordering::Relaxed));
     println!("{events} events, {acquired} leases, {changes} looks at a changed holder,");
     println!("{in_outage} looks at a holder in an outage");
--- a/crates/sesamecart-node/src/traffic/call/tests.rs
+++ b/crates/sesamecart-node/src/traffic/call/tests.rs
@@ -1,4 +1,5 @@
 use http::Method;
+use sesamecart_property::check_property;
 
 use super::Call;
 use crate::traffic::answer::Refusal;
@@ -32,12 +33,13 @@
 
 #[test]
 fn any_path_is_read_without_panic() {
-    bolero::check!()
-        .with_type::<(String, Option<String>)>()
-        .for_each(|(path, query)| {
+    check_property(
+        bolero::produce::<(String, Option<String>)>(),
+        |(path, query)| {
             let call = Call::read(&Method::GET, path, query.as_deref());
             if let Ok(Call::Service { path, .. }) = call {
                 assert!(path.starts_with('/'));
             }
-        });
+        },
+    );
 }
--- a/crates/sesamecart-node/src/traffic/sse/tests.rs
+++ b/crates/sesamecart-node/src/traffic/sse/tests.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use sesamecart_property::check_property;
 use sesamecart_vocabulary::AttemptId;
 
 use super::{EventSplitter, Events, MAX_EVENT_BYTES, StreamFault};
@@ -127,7 +128,7 @@
 #[test]
 fn events_are_the_same_however_they_are_cut() {
     let text: String = (0..6).map(event).collect();
-    bolero::check!().with_type::<Vec<u8>>().for_each(|cuts| {
+    check_property(bolero::produce::<Vec<u8>>(), |cuts| {
         let mut splitter = splitter();
         let mut rest = text.as_str();
         let mut got = Vec::new();
