Let a spare of one model make a group of another whole

Cause: a domain of 14 engines held a group of 5 of the second model, 8 engines of the first one, whose groups take 9, and one spare that held the second model. wanted_in kept every engine that holds a model which its domain serves, so the spare never loaded the first model and 8 engines stood idle beside it.

Ruled out: a short domain (it has 9 free engines and the first model is its own), the wait of is_short_for (30 s were played), left_over.rs (no demand is known in that test, and a group of the domain's own model fits).

The spare is lost to the smaller group, which would have used it for one engine.

--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FabricDomainId, Timestamp};
 
 use super::engine::{engines, find_model, holds, needs_load};
 use super::{Load, Planner, PlannerInput, Step};
@@ -31,6 +31,43 @@
     model: &'a EngineModel,
 }
 
+/// The free engines of a fabric domain.
+#[derive(Default)]
+struct FreeEngines<'a> {
+    /// Those that hold or load a model which the domain serves.
+    holding: Vec<(&'a Arc<Endpoint>, &'a EngineModel)>,
+    empty: Vec<&'a Arc<Endpoint>>,
+}
+
+impl<'a> FreeEngines<'a> {
+    /// Returns how many engines that hold a model are missing for a group of it.
+    fn missing(&self, model: &EngineModel) -> usize {
+        let holding = self.holding.iter();
+        let held = holding.filter(|(_, held)| held.model == model.model);
+        model.group_size.saturating_sub(held.count())
+    }
+
+    /// Returns how many engines the next group of a model lacks.
+    fn lacking(&self, model: &EngineModel) -> usize {
+        // With as many engines as a group needs held or loading, the next ones are for another group.
+        match self.missing(model) {
+            0 => model.group_size,
+            missing => missing,
+        }
+    }
+
+    /// Returns the engines that hold other models and that a group of this one needs beside the empty ones;
+    /// none where it can't be made whole.
+    fn spares_for(&self, model: &EngineModel) -> impl Iterator<Item = &'a Arc<Endpoint>> {
+        let lacking = self.missing(model).saturating_sub(self.empty.len());
+        let holding = self.holding.iter();
+        let others = holding.filter(|(_, held)| held.model != model.model);
+        let others: Vec<&Arc<Endpoint>> = others.map(|(engine, _)| *engine).collect();
+        let needed = if others.len() >= lacking { lacking } else { 0 };
+        others.into_iter().take(needed)
+    }
+}
+
 impl Planner {
     /// Returns whether all engines that are left begin their loads at once.
     ///
@@ -90,8 +127,8 @@
 
     /// Returns the loads that make a fabric domain's free engines useful.
     ///
-    /// An engine that holds a model which the domain serves, if only beside its own, keeps it: it mends the
-    /// next group of it that loses a member.
+    /// An engine that holds a model which the domain serves, if only beside its own, keeps it, as it mends the
+    /// next group of it that loses a member. Where a whole group waits for it, it loads that group's model.
     fn wanted_in<'a>(
         &self,
         input: &PlannerInput<'a>,
@@ -103,8 +140,7 @@
             return Vec::new();
         };
         let served = self.served_in(input, own, domain);
-        let mut held: IndexMap<&ModelId, usize> = IndexMap::new();
-        let mut empty = Vec::new();
+        let mut free = FreeEngines::default();
         let mut wanted = Vec::new();
         for engine in engines {
             if let Some(reserved) = self.reserved.get(&engine.id) {
@@ -118,26 +154,22 @@
                 continue;
             }
             match self.useful_model(&served, engine) {
-                Some(model) => *held.entry(&model.model).or_default() += 1,
-                None => empty.push(*engine),
+                Some(model) => free.holding.push((engine, model)),
+                None => free.empty.push(engine),
             }
         }
-        let lacking = |model: &EngineModel| {
-            let held = held.get(&model.model).copied().unwrap_or(0);
-            // With as many engines as a group needs held or loading, the next ones are for another group.
-            match model.group_size.saturating_sub(held) {
-                0 => model.group_size,
-                lacking => lacking,
-            }
+        let model = served.iter().copied();
+        let Some(model) = model.min_by_key(|model| free.lacking(model)) else {
+            return wanted;
         };
-        let model = served.iter().copied().min_by_key(|model| lacking(model));
-        wanted.extend(model.into_iter().flat_map(|model| {
-            let lacking = lacking(model);
-            empty.iter().map(move |engine| Wanted {
-                lacking,
-                engine,
-                model,
-            })
+        let spares = free.spares_for(model);
+        let spares = spares.filter(|engine| !self.loading.contains_key(&engine.id));
+        let lacking = free.lacking(model);
+        let empty = free.empty.iter().copied();
+        wanted.extend(empty.chain(spares).map(|engine| Wanted {
+            lacking,
+            engine,
+            model,
         }));
         wanted
     }
