Call the retry budget's ways in and out by their usual names

Cause: earn and take say nothing of a token bucket; terms.md has deposit and withdraw.

Ruled out: renaming what cold endpoints are given, which is a share and no bucket that requests fill.

Change: RetryAllowance::deposit and try_withdraw, and the node's two calls of them. No behaviour.

--- a/crates/sesamecart-entry/src/beliefs/budgets.rs
+++ b/crates/sesamecart-entry/src/beliefs/budgets.rs
@@ -76,9 +76,9 @@
     }
 
     /// Counts a first attempt at a service.
-    pub(crate) fn earn_retry(&self, service: &ServiceId) {
+    pub(crate) fn deposit_retry(&self, service: &ServiceId) {
         let now = clock::now();
-        self.with_retries(service, |allowance| allowance.earn(now));
+        self.with_retries(service, |allowance| allowance.deposit(now));
     }
 
     /// Returns whether this node has a retry left at a service.
@@ -88,9 +88,9 @@
     }
 
     /// Takes a retry at a service, if this node has one left.
-    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+    pub(crate) fn try_withdraw_retry(&self, service: &ServiceId) -> bool {
         let now = clock::now();
-        self.with_retries(service, |allowance| allowance.take(now))
+        self.with_retries(service, |allowance| allowance.try_withdraw(now))
     }
 
     fn with_retries<T>(
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -114,7 +114,7 @@
                 Ok(placed) => placed,
                 Err(unavailable) => return Err(self.give_up(failed, attempts, Some(unavailable))),
             };
-            if attempts.made > 0 && !self.beliefs.take_retry(&placed.service) {
+            if attempts.made > 0 && !self.beliefs.try_withdraw_retry(&placed.service) {
                 let spent = Failed {
                     cause: "the retry budget is spent".to_owned(),
                     may_have_run: attempts.may_have_run > 0,
@@ -125,7 +125,7 @@
                 if self.is_over_share(&placed) {
                     return Err(Refusal::Unavailable(Unavailable::OverShare));
                 }
-                self.beliefs.earn_retry(&placed.service);
+                self.beliefs.deposit_retry(&placed.service);
                 self.note_placed(&placed);
             }
             let endpoint = placed.endpoint.id.clone();
--- a/crates/sesamecart-fleet/src/allowance.rs
+++ b/crates/sesamecart-fleet/src/allowance.rs
@@ -75,7 +75,7 @@
     }
 
     /// Counts a request, which earns a part of a retry.
-    pub fn earn(&mut self, now: Timestamp) {
+    pub fn deposit(&mut self, now: Timestamp) {
         self.turn(now);
         self.earned[0] += self.share.ratio * SHARED_OUT;
     }
@@ -87,7 +87,7 @@
     }
 
     /// Takes one retry, if there is one.
-    pub fn take(&mut self, now: Timestamp) -> bool {
+    pub fn try_withdraw(&mut self, now: Timestamp) -> bool {
         if !self.has_left(now) {
             return false;
         }
--- a/crates/sesamecart-fleet/src/allowance/tests.rs
+++ b/crates/sesamecart-fleet/src/allowance/tests.rs
@@ -23,8 +23,8 @@
             for index in 0..50 {
                 let now = Timestamp::from_millis(index * 200);
                 requests += 1;
-                allowance.earn(now);
-                while allowance.take(now) {
+                allowance.deposit(now);
+                while allowance.try_withdraw(now) {
                     retried += 1;
                 }
             }
@@ -50,11 +50,11 @@
         for node in &mut nodes {
             // The load halves in every other ten seconds, so that what was earned before counts most.
             if ms % 20 == 0 || (ms / WINDOW_MS).is_multiple_of(2) {
-                node.earn(now);
+                node.deposit(now);
                 requests.push(ms);
             }
             let spends = ms % 3_700 < 10;
-            while spends && node.take(now) {
+            while spends && node.try_withdraw(now) {
                 retries.push(ms);
             }
         }
@@ -83,13 +83,13 @@
     let mut allowance = RetryAllowance::new(share, 71);
     let start = Timestamp::from_millis(5_000);
     for index in 0..15 {
-        allowance.earn(start + Duration::from_millis(index * 150));
+        allowance.deposit(start + Duration::from_millis(index * 150));
     }
     let now = start + Duration::from_millis(2_300);
-    let taken = (0..100).filter(|_| allowance.take(now)).count();
+    let taken = (0..100).filter(|_| allowance.try_withdraw(now)).count();
     assert_eq!(taken, 5, "3 of the share and 2 of 2.4 that were earned");
     let later = now + Duration::from_secs(60);
-    assert!(!allowance.take(later), "nothing was earned since");
+    assert!(!allowance.try_withdraw(later), "nothing was earned since");
 }
 
 /// A cold endpoint falls over when all nodes at once send it what it bears when warm.
