Say that a configuration is confirmed fresh, not vouched for

Cause: terms.md names the freshness lease so.

Ruled out: the reply's field vouched_ms, which is on the wire between nodes of different versions.

Change: Beliefs::confirm_freshness, is_confirmed_fresh, Freshness::confirm. No behaviour.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -61,7 +61,7 @@
     first_events: Mutex<FirstEventTimeouts>,
     /// Told of each request that is sent, begins to be answered or ends.
     pub(crate) loads_changed: Changed,
-    vouched_at: AtomicU64,
+    confirmed_at: AtomicU64,
     registry_read: AtomicBool,
     leaving: AtomicBool,
     forming: AtomicBool,
@@ -105,7 +105,7 @@
             demand: Mutex::default(),
             first_events: Mutex::default(),
             loads_changed: Changed::new(),
-            vouched_at: AtomicU64::new(0),
+            confirmed_at: AtomicU64::new(0),
             registry_read: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             forming: AtomicBool::new(false),
@@ -168,8 +168,8 @@
     }
 
     /// Notes that the configuration was complete at a read that was sent at `sent`.
-    pub(crate) fn vouch(&self, sent: Timestamp) {
-        self.vouched_at.fetch_max(sent.0, Ordering::AcqRel);
+    pub(crate) fn confirm_freshness(&self, sent: Timestamp) {
+        self.confirmed_at.fetch_max(sent.0, Ordering::AcqRel);
     }
 
     /// Returns the age of the configuration, by the clock that goes on through a suspension.
@@ -178,23 +178,23 @@
     }
 
     /// Returns whether callers with keys may be let in.
-    pub(crate) fn is_vouched(&self) -> bool {
+    pub(crate) fn is_confirmed_fresh(&self) -> bool {
         let bound = Duration::from_millis(self.settings.bounds.key_revocation_ms);
         let limit = bound.saturating_sub(REVOCATION_MARGIN);
-        self.freshness().is_vouched(clock::now(), limit)
+        self.freshness().is_confirmed_fresh(clock::now(), limit)
     }
 
     /// Returns whether the configuration may miss a change that should be in force by now.
     pub(crate) fn is_outdated(&self) -> bool {
         let bound = Duration::from_millis(self.settings.bounds.configuration_ms);
-        !self.freshness().is_vouched(clock::now(), bound)
+        !self.freshness().is_confirmed_fresh(clock::now(), bound)
     }
 
     fn freshness(&self) -> Freshness {
         let mut freshness = Freshness::default();
-        let vouched = self.vouched_at.load(Ordering::Acquire);
-        if vouched > 0 {
-            freshness.vouch(Timestamp(vouched));
+        let confirmed = self.confirmed_at.load(Ordering::Acquire);
+        if confirmed > 0 {
+            freshness.confirm(Timestamp(confirmed));
         }
         freshness
     }
@@ -276,7 +276,7 @@
         if !self.registry_read.load(Ordering::Acquire) {
             return Some("the node hasn't read the registry yet");
         }
-        if !self.is_vouched() {
+        if !self.is_confirmed_fresh() {
             return Some("the node's configuration is too old");
         }
         None
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -22,7 +22,7 @@
 /// The part of the time in which a configuration has to be in force for which the store holds a read
 /// of the operator's topic that finds nothing.
 ///
-/// A node's configuration is vouched for from when it sent the last read that came back, so in quiet
+/// A node's configuration is confirmed from when it sent the last read that came back, so in quiet
 /// times it gets as old as two waits and a rest.
 const OPERATOR_WAIT_PART: f64 = 0.4;
 
@@ -149,7 +149,7 @@
         }
         self.beliefs.feed.replace(self.topic, &records, first.end);
         self.replace(records, was_away);
-        self.vouch(sent);
+        self.confirm_freshness(sent);
         Ok(first.end)
     }
 
@@ -171,7 +171,7 @@
                     self.apply(records);
                     from = next;
                     if next >= end {
-                        self.vouch(sent);
+                        self.confirm_freshness(sent);
                     }
                 }
                 Ok(Read::Trimmed { .. }) => return,
@@ -218,11 +218,11 @@
         }
     }
 
-    fn vouch(&self, sent: Timestamp) {
+    fn confirm_freshness(&self, sent: Timestamp) {
         match &self.picture {
-            // A picture without a configuration vouches for nothing.
+            // A picture without a configuration confirms nothing.
             Picture::Operator(_) if self.beliefs.catalog.load().is_none() => {}
-            Picture::Operator(_) => self.beliefs.vouch(sent),
+            Picture::Operator(_) => self.beliefs.confirm_freshness(sent),
             Picture::Registry(_) => self.beliefs.note_registry_read(),
         }
     }
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -171,7 +171,8 @@
         // The reply left after the call was sent, so the node's age is counted from there.
         let age = Duration::from_millis(reply.vouched_ms);
         let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.beliefs.vouch(Timestamp(sent.0.saturating_sub(age)));
+        self.beliefs
+            .confirm_freshness(Timestamp(sent.0.saturating_sub(age)));
         self.beliefs.note_registry_read();
         for group in &reply.losses {
             match parse_group(group) {
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -126,7 +126,7 @@
                 customer: None,
             });
         };
-        if !self.beliefs.is_vouched() {
+        if !self.beliefs.is_confirmed_fresh() {
             return Err(not_ready("the node's configuration is too old"));
         }
         let key = asked.key.as_ref();
