--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -9,6 +9,9 @@
 use sesamecart_fleet::Unavailable;
 use sesamecart_platform::retry_after;
 
+#[cfg(test)]
+mod tests;
+
 /// Why a request gets no endpoint's answer.
 ///
 /// The statuses 408, 429 and 503 promise that the request has not run; 502 and 504 promise nothing.
