Keep from a surging customer only the places that others usually take

Cause: a customer that is alone, or nearly, was held to twice its usual as soon as endpoints had 0.6 requests for each slot, though nobody else needs the rest.

Ruled out: no limit where others ask little right now, as they may be about to come back.

Change: a customer is served up to the load that is its usual part of all, and up to 0.6 in any case; the only one is never held back.

--- a/crates/sesamecart-entry/src/beliefs/budgets.rs
+++ b/crates/sesamecart-entry/src/beliefs/budgets.rs
@@ -59,13 +59,11 @@
         }
     }
 
-    /// Returns whether a customer has got what it may where others are likely to need the places.
-    pub(crate) fn is_over_share(&self, pool: &Pool, customer: &CustomerId) -> bool {
+    /// Returns whether a customer has got what it may where others are likely to need the places of a pool.
+    pub(crate) fn is_over_share(&self, pool: &Pool, customer: &CustomerId, load: f64) -> bool {
         let mut contentions = lock(&self.contentions);
-        contentions
-            .of(pool)
-            .shares
-            .is_over_share(clock::now(), customer)
+        let shares = &contentions.of(pool).shares;
+        shares.is_over_share(clock::now(), customer, load)
     }
 
     /// Returns when a caller that found no place may come back.
--- a/crates/sesamecart-entry/src/traffic/placing.rs
+++ b/crates/sesamecart-entry/src/traffic/placing.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_fleet::{Candidate, Endpoint, OPEN_LOAD, Unavailable, WeightedService};
+use sesamecart_fleet::{Candidate, Endpoint, Unavailable, WeightedService};
 use sesamecart_vocabulary::{ServiceId, stable_hash};
 
 use crate::beliefs::budgets::Pool;
@@ -89,13 +89,10 @@
 
     /// Returns whether a first attempt has to leave its place to the callers of other customers.
     pub(super) fn is_over_share(&self, placed: &Placed) -> bool {
-        if placed.load < OPEN_LOAD {
-            return false;
-        }
         let customer = self.customer.as_ref();
         customer.is_some_and(|customer| {
             let pool = self.pool(&placed.service);
-            self.beliefs.is_over_share(&pool, &customer.id)
+            self.beliefs.is_over_share(&pool, &customer.id, placed.load)
         })
     }
 
--- a/crates/sesamecart-fleet/src/fair_share.rs
+++ b/crates/sesamecart-fleet/src/fair_share.rs
@@ -16,8 +16,8 @@
 #[cfg(test)]
 mod tests;
 
-/// The load of the least loaded endpoint, in requests for each slot, up to which all customers are served.
-pub const OPEN_LOAD: f64 = 0.6;
+/// The least load of endpoints, in requests for each slot, up to which all customers are served.
+const OPEN_LOAD: f64 = 0.6;
 
 /// How many times what is usual a customer gets where others may need the places.
 const MAX_SURGE: f64 = 2.0;
@@ -94,14 +94,28 @@
         share.usual.note(now, learnt);
     }
 
-    /// Returns whether a customer has got what it may where others are likely to need the places.
+    /// Returns whether a customer has got what it may where others are likely to need the places; `load` is that of
+    /// the least loaded endpoint, in requests for each slot.
     #[must_use]
-    pub fn is_over_share(&self, now: Timestamp, customer: &CustomerId) -> bool {
+    pub fn is_over_share(&self, now: Timestamp, customer: &CustomerId, load: f64) -> bool {
         let share = self.shares.get(customer);
         let Some(share) = share.filter(|_| self.is_learnt(now)) else {
             return false;
         };
-        share.tokens(now, MAX_SURGE * self.usual_per_s(now, customer)) < 1.0
+        let per_s = MAX_SURGE * self.usual_per_s(now, customer);
+        load >= self.open_load(now, customer) && share.tokens(now, per_s) < 1.0
+    }
+
+    /// Returns the load up to which a customer is served: the places that the others don't usually take are its own.
+    fn open_load(&self, now: Timestamp, customer: &CustomerId) -> f64 {
+        let usual = |(_, share): (&CustomerId, &Share)| share.usual.per_s(now);
+        let all: f64 = self.shares.iter().map(usual).sum();
+        let own = self.shares.get_key_value(customer).map_or(0.0, usual);
+        if own < all {
+            (own / all).max(OPEN_LOAD)
+        } else {
+            f64::INFINITY
+        }
     }
 
     fn is_learnt(&self, now: Timestamp) -> bool {
--- a/crates/sesamecart-fleet/src/fair_share/tests.rs
+++ b/crates/sesamecart-fleet/src/fair_share/tests.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{CustomerId, Timestamp};
 
-use super::{FairShare, OPEN_LOAD};
+use super::FairShare;
 use crate::testkit::Slots;
 
 const NODES: usize = 10;
@@ -83,8 +83,7 @@
         let node = self.rng.usize(..NODES);
         let load = self.service.load(self.now);
         let share = &mut self.nodes[node];
-        let is_refused =
-            self.is_fair && load >= OPEN_LOAD && share.is_over_share(self.now, &customer(index));
+        let is_refused = self.is_fair && share.is_over_share(self.now, &customer(index), load);
         if is_refused || !self.service.take(self.now) {
             return false;
         }
@@ -140,6 +139,39 @@
     assert!(served[&0].part() >= PROMISED_PART, "{served:?}");
 }
 
+/// A customer whose callers are all there are grows: no one else needs the places that it would be refused.
+#[test]
+fn the_only_customer_may_fill_the_service() {
+    let mut play = Play::new(true);
+    play.ask(
+        Duration::from_secs(30),
+        |index| if index == 0 { 3.0 } else { 0.0 },
+    );
+    let served = play.ask(
+        Duration::from_secs(20),
+        |index| if index == 0 { 15.0 } else { 0.0 },
+    );
+    assert!(served[&0].part() >= PROMISED_PART, "{served:?}");
+}
+
+/// A large customer beside a small one grows: only what the small one usually takes is kept from it.
+#[test]
+fn a_large_customer_leaves_a_small_one_no_more_than_its_places() {
+    let mut play = Play::new(true);
+    let usual = |index| match index {
+        0 => 5.0,
+        1 => 0.25,
+        _ => 0.0,
+    };
+    play.ask(Duration::from_secs(30), usual);
+    let served = play.ask(Duration::from_secs(20), |index| match index {
+        0 => 14.0,
+        _ => usual(index),
+    });
+    assert!(served[&0].part() >= 0.9, "{served:?}");
+    assert!(served[&1].part() >= PROMISED_PART, "{served:?}");
+}
+
 /// A burst of all customers at once is nobody's fault: none may be singled out, nor places stand empty.
 #[test]
 fn a_burst_of_all_customers_fills_the_service() {
@@ -160,8 +192,8 @@
     for index in 0..200 {
         share.note_placed(start + Duration::from_millis(10 * index), &customer(0));
     }
-    assert!(!share.is_over_share(start + Duration::from_secs(2), &customer(0)));
-    assert!(!share.is_over_share(start + Duration::from_secs(2), &customer(1)));
+    assert!(!share.is_over_share(start + Duration::from_secs(2), &customer(0), 1.0));
+    assert!(!share.is_over_share(start + Duration::from_secs(2), &customer(1), 1.0));
 }
 
 /// A customer that was last seen long ago isn't kept for ever: names come and go with configurations.
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub use demand::{Demand, DemandBook};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
-pub use fair_share::{FairShare, OPEN_LOAD};
+pub use fair_share::FairShare;
 pub use first_event::FirstEventTimeouts;
 pub use freshness::Freshness;
 pub use loads::{Candidate, Choice, LoadBook, LoadReport, NodeLoad, Unavailable};
