Load no spare in vain beside one that is loading already

Spares of another model were counted before those that load were left out, so with two missing engines and one spare of two loading, the other one was loaded alone: it made no group whole and was lost to its own model. And an engine that loads one model while its host still holds another counted for the one that it holds.

Ruled out: leaving the second alone. With the first mended and not the second, one missing engine has all spares loaded, one with each plan (a test fails there with just the first change).

Change: spares that load are left out before they are counted; an engine that loads counts for what it loads.

Before: a_spare_is_not_loaded_beside_one_that_is_loading fails, one_spare_is_loaded_for_one_engine_that_is_missing passes by the two faults together. After: both pass.

--- a/crates/sesamecart-fleet/src/planner/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/loading.rs
@@ -57,14 +57,21 @@
     }
 
     /// Returns the engines that hold other models and that a group of this one needs beside the empty ones;
-    /// none where it can't be made whole.
-    fn spares_for(&self, model: &EngineModel) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-        let lacking = self.missing(model).saturating_sub(self.empty.len());
+    /// none where it can't be made whole. Those that are loading stay with what they load.
+    fn spares_for(
+        &self,
+        model: &EngineModel,
+        is_loading: impl Fn(&Endpoint) -> bool,
+    ) -> Vec<&'a Arc<Endpoint>> {
+        let needed = self.missing(model).saturating_sub(self.empty.len());
         let holding = self.holding.iter();
         let others = holding.filter(|(_, held)| held.model != model.model);
-        let others: Vec<&Arc<Endpoint>> = others.map(|(engine, _)| *engine).collect();
-        let needed = if others.len() >= lacking { lacking } else { 0 };
-        others.into_iter().take(needed)
+        let others = others.map(|(engine, _)| *engine);
+        let spares: Vec<&Arc<Endpoint>> = others.filter(|engine| !is_loading(engine)).collect();
+        if spares.len() < needed {
+            return Vec::new();
+        }
+        spares.into_iter().take(needed).collect()
     }
 }
 
@@ -162,8 +169,7 @@
         let Some(model) = model.min_by_key(|model| free.lacking(model)) else {
             return wanted;
         };
-        let spares = free.spares_for(model);
-        let spares = spares.filter(|engine| !self.loading.contains_key(&engine.id));
+        let spares = free.spares_for(model, |engine| self.loading.contains_key(&engine.id));
         let lacking = free.lacking(model);
         let empty = free.empty.iter().copied();
         wanted.extend(empty.chain(spares).map(|engine| Wanted {
@@ -201,7 +207,10 @@
     ) -> Option<&'a EngineModel> {
         let loading = self.loading.get(&engine.id).map(|load| &load.model);
         let mut served = served.iter().copied();
-        served.find(|model| loading == Some(&model.model) || holds(engine, &model.model))
+        served.find(|model| match loading {
+            Some(loading) => *loading == model.model,
+            None => holds(engine, &model.model),
+        })
     }
 
     pub(super) fn note_load(
--- /dev/null
+++ b/crates/sesamecart-fleet/src/planner/tests/loading.rs
@@ -0,0 +1,106 @@
+//! Plays a fabric domain with groups of two models whose free engines lack a few for another group.
+
+use super::{START, directory, group};
+use crate::catalog::EngineSpec;
+use crate::endpoint::{Endpoint, GroupState};
+use crate::number::Fence;
+use crate::planner::{Planner, PlannerInput, Step};
+use crate::testkit::{engine, engine_model, id, key, model, service, spec};
+
+/// Open groups of both models, and free engines that hold a model or nothing.
+fn engines(sizes: (usize, usize), free: &[(&str, Option<&str>)]) -> Vec<Endpoint> {
+    let names = |prefix: &str, count| -> Vec<String> {
+        (0..count)
+            .map(|index| format!("{prefix}.{index}"))
+            .collect()
+    };
+    let groups = [("large", sizes.0, 1), ("small", sizes.1, 2)];
+    let mut engines: Vec<Endpoint> = groups
+        .into_iter()
+        .flat_map(|(serves, size, epoch)| {
+            let names = names(serves, size);
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            group(&key(serves, epoch), "a-0", &names, serves, GroupState::Open)
+        })
+        .collect();
+    engines.extend(free.iter().map(|(name, held)| {
+        let staged = held.iter().map(|held| model(held)).collect();
+        Endpoint {
+            staged,
+            ..engine(name, "a-0")
+        }
+    }));
+    engines
+}
+
+fn spec_of(sizes: (usize, usize)) -> EngineSpec {
+    EngineSpec {
+        models: vec![
+            engine_model("large", sizes.0, 0.5, 16),
+            engine_model("small", sizes.1, 0.5, 12),
+        ],
+        ..spec()
+    }
+}
+
+/// Returns the engines that are asked to load a model.
+fn staged(planner: &mut Planner, spec: &EngineSpec, engines: &[Endpoint]) -> Vec<String> {
+    let directory = directory(engines.iter().cloned());
+    let input = PlannerInput {
+        service: &service(),
+        spec,
+        directory: &directory,
+        in_traffic: true,
+        demand: None,
+    };
+    let steps = planner.plan(START, &input);
+    let staged = steps.into_iter().filter_map(|step| match step {
+        Step::Stage { endpoint, .. } => Some(endpoint.to_string()),
+        _ => None,
+    });
+    staged.collect()
+}
+
+/// A group lacks one engine and gets a spare of another model. Counted for what its host still holds, the
+/// spare seems to be missing with each plan, and all others are loaded after it.
+#[test]
+fn one_spare_is_loaded_for_one_engine_that_is_missing() {
+    let free = [
+        ("free.0", Some("large")),
+        ("free.1", Some("large")),
+        ("free.2", Some("large")),
+        ("free.3", Some("large")),
+        ("free.4", Some("small")),
+        ("free.5", Some("small")),
+    ];
+    let spec = spec_of((6, 3));
+    let engines = engines((6, 3), &free);
+    let mut planner = Planner::new(Fence(1), 0);
+    assert_eq!(staged(&mut planner, &spec, &engines), ["free.0"]);
+    assert!(staged(&mut planner, &spec, &engines).is_empty());
+}
+
+/// A group lacks two engines, and one of the two spares is still loading. Loaded alone, the other one makes no
+/// group whole and is lost to its own model.
+#[test]
+fn a_spare_is_not_loaded_beside_one_that_is_loading() {
+    let free = [
+        ("free.0", Some("large")),
+        ("free.1", Some("large")),
+        ("free.2", None),
+        ("free.3", Some("small")),
+    ];
+    let spec = spec_of((4, 6));
+    let engines = engines((4, 6), &free);
+    let known = directory(engines.iter().cloned());
+    let input = PlannerInput {
+        service: &service(),
+        spec: &spec,
+        directory: &known,
+        in_traffic: true,
+        demand: None,
+    };
+    let mut planner = Planner::new(Fence(1), 0);
+    planner.note_load(START, &input, &id("free.2"), &spec.models[1]);
+    assert!(staged(&mut planner, &spec, &engines).is_empty());
+}
