Fail a property that no case was made for

A generator that gives nothing for a seed was passed over, so one that gives nothing at all would have let its property pass.

Ruled out: failing at the first seed without a case, as bolero passes over it as well.

Change: check_property asserts that a case was made; a test with a generator that makes none.

Before: that test fails, as nothing panics.

--- a/crates/sesamecart-property/src/lib.rs
+++ b/crates/sesamecart-property/src/lib.rs
@@ -27,7 +27,8 @@
 ///
 /// # Panics
 ///
-/// Panics with the property's own message, after the case and its seed were printed.
+/// Panics with the property's own message, after the case and its seed were printed, and where the generator
+/// makes no case at all.
 pub fn check_property<G>(generator: G, property: impl Fn(&G::Output))
 where
     G: ValueGenerator,
@@ -35,12 +36,13 @@
 {
     let seed = from_env("BOLERO_RANDOM_SEED").unwrap_or(DEFAULT_SEED);
     let cases = from_env("BOLERO_RANDOM_ITERATIONS").unwrap_or(DEFAULT_CASES);
-    for case_seed in (0..cases).map(|index| seed.wrapping_add(index)) {
-        check_case(&generator, case_seed, &property);
-    }
+    let checked =
+        (0..cases).filter(|index| check_case(&generator, seed.wrapping_add(*index), &property));
+    assert!(checked.count() > 0, "no case was made");
 }
 
-fn check_case<G>(generator: &G, seed: u64, property: &impl Fn(&G::Output))
+/// Checks the case of one seed; returns whether the generator makes one of it.
+fn check_case<G>(generator: &G, seed: u64, property: &impl Fn(&G::Output)) -> bool
 where
     G: ValueGenerator,
     G::Output: Debug,
@@ -48,12 +50,13 @@
     let rng = Xoroshiro128PlusPlus::seed_from_u64(seed);
     let mut driver = Rng::new(rng, &Options::default());
     let Some(case) = generator.generate(&mut driver) else {
-        return;
+        return false;
     };
     if let Err(panic) = catch_unwind(AssertUnwindSafe(|| property(&case))) {
         eprintln!("the case of BOLERO_RANDOM_SEED={seed}: {case:?}");
         resume_unwind(panic);
     }
+    true
 }
 
 fn from_env<T: FromStr>(name: &str) -> Option<T> {
--- a/crates/sesamecart-property/src/tests.rs
+++ b/crates/sesamecart-property/src/tests.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
 
-use bolero::produce;
+use bolero::{ValueGenerator as _, produce};
 
 use super::check_property;
 
@@ -32,3 +32,10 @@
 fn a_property_that_some_case_breaks_fails() {
     check_property(produce::<u64>(), |case| assert!(case % 2 == 0, "odd"));
 }
+
+/// A generator that makes nothing would let every property pass.
+#[test]
+#[should_panic(expected = "no case was made")]
+fn a_property_without_cases_fails() {
+    check_property(produce::<u64>().filter_gen(|_| false), |_| {});
+}
