Keep with a fading sum how fast it fades

Ruled out: a type for each time, which two uses don't warrant.

Change: FadingSum holds its time. Bounds and assertions as they were. No behaviour.

Conclusion: none by itself; the demand's, the schedule's and the shares' tests pass.

--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -52,7 +52,7 @@
 }
 
 /// What was asked of one model.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Asked {
     group_time: FadingSum,
     requests: FadingSum,
@@ -60,6 +60,18 @@
     answer_tokens: FadingSum,
 }
 
+impl Default for Asked {
+    fn default() -> Self {
+        let sum = FadingSum::new(DEMAND_FADES);
+        Self {
+            group_time: sum,
+            requests: sum,
+            prompt_tokens: sum,
+            answer_tokens: sum,
+        }
+    }
+}
+
 /// What a node knows of what callers ask: its own requests, and what a few other nodes say of theirs.
 ///
 /// The nodes that are heard are a sample. The balancer spreads callers over nodes whatever model they
@@ -86,22 +98,20 @@
         self.first_at.get_or_insert(now);
         self.known_since.get_or_insert(now);
         let asked = self.own.entry(model.clone()).or_default();
-        asked
-            .group_time
-            .add(now, group_time.as_secs_f64(), DEMAND_FADES);
-        asked.requests.add(now, 1.0, DEMAND_FADES);
-        asked.prompt_tokens.add(now, tokens.prompt, DEMAND_FADES);
-        asked.answer_tokens.add(now, tokens.answer, DEMAND_FADES);
+        asked.group_time.add(now, group_time.as_secs_f64());
+        asked.requests.add(now, 1.0);
+        asked.prompt_tokens.add(now, tokens.prompt);
+        asked.answer_tokens.add(now, tokens.answer);
     }
 
     /// Returns the tokens of a mean request for a model, once a few have come.
     #[must_use]
     pub fn mean_tokens(&self, now: Timestamp, model: &ModelId) -> Option<TokenCounts> {
         let asked = self.own.get(model)?;
-        let requests = asked.requests.at(now, DEMAND_FADES);
+        let requests = asked.requests.at(now);
         (requests >= MIN_REQUESTS).then(|| TokenCounts {
-            prompt: asked.prompt_tokens.at(now, DEMAND_FADES) / requests,
-            answer: asked.answer_tokens.at(now, DEMAND_FADES) / requests,
+            prompt: asked.prompt_tokens.at(now) / requests,
+            answer: asked.answer_tokens.at(now) / requests,
         })
     }
 
@@ -114,7 +124,7 @@
         let covered = covered(now.since(first_at), DEMAND_FADES).as_secs_f64();
         let own = self.own.iter();
         own.map(|(model, asked)| {
-            let groups = asked.group_time.at(now, DEMAND_FADES) / covered.max(f64::EPSILON);
+            let groups = asked.group_time.at(now) / covered.max(f64::EPSILON);
             (model.clone(), groups)
         })
         .collect()
--- a/crates/sesamecart-fleet/src/fading.rs
+++ b/crates/sesamecart-fleet/src/fading.rs
@@ -8,22 +8,30 @@
 const MIN_COVERED: f64 = 0.2;
 
 /// A sum that fades to about a third within a given time.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct FadingSum {
     sum: f64,
     at: Timestamp,
+    fades: Duration,
 }
 
 impl FadingSum {
-    pub(crate) fn at(self, now: Timestamp, fades: Duration) -> f64 {
-        self.sum * faded(now.since(self.at), fades)
+    /// Makes a sum of nothing that fades within `fades`.
+    pub(crate) const fn new(fades: Duration) -> Self {
+        Self {
+            sum: 0.0,
+            at: Timestamp::ZERO,
+            fades,
+        }
     }
 
-    pub(crate) fn add(&mut self, now: Timestamp, value: f64, fades: Duration) {
-        *self = Self {
-            sum: self.at(now, fades) + value,
-            at: now,
-        };
+    pub(crate) fn at(self, now: Timestamp) -> f64 {
+        self.sum * faded(now.since(self.at), self.fades)
+    }
+
+    pub(crate) fn add(&mut self, now: Timestamp, value: f64) {
+        self.sum = self.at(now) + value;
+        self.at = now;
     }
 }
 
@@ -37,23 +45,21 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FadingRate {
     events: FadingSum,
-    fades: Duration,
     first_at: Option<Timestamp>,
 }
 
 impl FadingRate {
     /// Makes a rate that forgets what is older than a few times `fades`.
-    pub(crate) fn new(fades: Duration) -> Self {
+    pub(crate) const fn new(fades: Duration) -> Self {
         Self {
-            events: FadingSum::default(),
-            fades,
+            events: FadingSum::new(fades),
             first_at: None,
         }
     }
 
     pub(crate) fn note(&mut self, now: Timestamp, events: f64) {
         self.first_at.get_or_insert(now);
-        self.events.add(now, events, self.fades);
+        self.events.add(now, events);
     }
 
     /// Returns the events a second.
@@ -61,9 +67,9 @@
         let Some(first_at) = self.first_at else {
             return 0.0;
         };
-        let covered = covered(now.since(first_at), self.fades);
-        let covered = covered.max(self.fades.mul_f64(MIN_COVERED));
-        self.events.at(now, self.fades) / covered.as_secs_f64()
+        let fades = self.events.fades;
+        let covered = covered(now.since(first_at), fades).max(fades.mul_f64(MIN_COVERED));
+        self.events.at(now) / covered.as_secs_f64()
     }
 }
 
--- a/crates/sesamecart-fleet/src/retry_schedule.rs
+++ b/crates/sesamecart-fleet/src/retry_schedule.rs
@@ -1,9 +1,8 @@
 //! When a caller who was turned away by a full service may come back.
 //!
-//! It answers a load that has turned into repeats: callers who all come back within half a second find the
-//! service as full as before and are turned away again, beside those who come for the first time. Each is
-//! told a time of its own, one after the other at the pace at which places become free, so the more come back
-//! the longer it takes.
+//! It answers a load that has turned into repeats: callers who all come back before places have become free
+//! are turned away again, beside those who come for the first time. Each gets a time of its own, one after
+//! the other at the pace at which places become free, so the more come back the longer it takes.
 
 use std::time::Duration;
 
@@ -49,7 +48,7 @@
         self.served.note(now, 1.0);
     }
 
-    /// Returns when a caller may come back; `draw` from 0 to 1 keeps nodes from telling the same times.
+    /// Returns when a caller may come back; `draw` from 0 to 1 keeps nodes from giving the same times.
     pub fn schedule(&mut self, now: Timestamp, draw: f64) -> Duration {
         let per_s = self.served.per_s(now) * RETRIES_PART;
         let pause = if per_s > 0.0 {
@@ -61,7 +60,7 @@
         let from = self.next_at.max(now + MIN_RETRY_AFTER);
         self.next_at = (from + pause).min(last);
         if from + pause > last {
-            // Nobody can be told a later time, so these are spread over what is left.
+            // There is no later time, so these callers are spread over the last ones.
             return MAX_RETRY_AFTER.mul_f64(f64::midpoint(draw, 1.0));
         }
         from.since(now) + pause.mul_f64(draw)
--- a/crates/sesamecart-fleet/src/retry_schedule/tests.rs
+++ b/crates/sesamecart-fleet/src/retry_schedule/tests.rs
@@ -1,4 +1,4 @@
-//! Plays callers who are turned away by a full service and come back when they are told to.
+//! Plays callers who are turned away by a full service and come back when they may.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -102,9 +102,9 @@
     assert!(scheduled.last_refusal < drained, "{scheduled:?}");
 }
 
-/// Without pacing by what the service bears, callers would be told times that say nothing of it.
+/// Without pacing by what the service bears, times would say nothing of when places are free.
 #[test]
-fn callers_are_told_later_times_the_more_come_back() {
+fn callers_come_back_later_the_more_there_are() {
     let mut schedule = RetrySchedule::default();
     for index in 0..300 {
         schedule.note_placed(START + Duration::from_millis(10 * index));
@@ -116,9 +116,9 @@
     assert!(times[99] > Duration::from_secs(1), "{times:?}");
 }
 
-/// A time beyond what callers wait for is worth as much as none.
+/// A caller that may come back after its deadline has no second chance.
 #[test]
-fn no_caller_is_told_a_time_out_of_bounds() {
+fn every_time_is_within_bounds() {
     let mut schedule = RetrySchedule::default();
     for index in 0..1_000_u32 {
         let after = schedule.schedule(START, f64::from(index % 10) / 10.0);
