Say timeout and retry delay where a caller or the store is waited for

Ruled out: the other REST constants of the controller and the exchange, whose files the change doesn't touch.

Change: Asked::timeout, STORE_TIMEOUT, RETRY_DELAY. No behaviour.

--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -43,8 +43,8 @@
 /// The same on the node that is forming groups.
 const FORMING_PACE: Duration = Duration::from_millis(40);
 
-/// How long a follower rests after a failed read.
-const REST: Duration = Duration::from_millis(150);
+/// How long a follower waits after a failed read.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// A dependency whose loss and return are logged once each.
 #[derive(Debug)]
@@ -107,26 +107,26 @@
 }
 
 impl Follower<'_> {
-    /// Follows the topic; returns once the store has been away for `patience`.
-    async fn run(mut self, patience: Option<Duration>) {
+    /// Follows the topic; returns once the store has been away for `timeout`.
+    async fn run(mut self, timeout: Option<Duration>) {
         loop {
             match self.read_newest().await {
-                Ok(from) => self.follow(from, patience).await,
+                Ok(from) => self.follow(from, timeout).await,
                 Err(error) => {
                     self.dependency.failed(self.beliefs, &error);
-                    sleep(REST).await;
+                    sleep(RETRY_DELAY).await;
                 }
             }
-            if self.is_away_for(patience) {
+            if self.is_away_for(timeout) {
                 return;
             }
         }
     }
 
-    fn is_away_for(&self, patience: Option<Duration>) -> bool {
+    fn is_away_for(&self, timeout: Option<Duration>) -> bool {
         let lost_at = self.dependency.lost_at;
         let away = lost_at.map(|at| clock::now().since(at));
-        away.zip(patience).is_some_and(|(away, limit)| away > limit)
+        away.zip(timeout).is_some_and(|(away, limit)| away > limit)
     }
 
     /// Reads the newest record of each key and returns where to go on.
@@ -154,7 +154,7 @@
     }
 
     /// Reads what comes after `from` until the topic's history has to be read anew.
-    async fn follow(&mut self, mut from: Offset, patience: Option<Duration>) {
+    async fn follow(&mut self, mut from: Offset, timeout: Option<Duration>) {
         loop {
             let (wait, pace) = self.rhythm();
             let sent = clock::now();
@@ -177,8 +177,8 @@
                 Ok(Read::Trimmed { .. }) => return,
                 Err(error) => {
                     self.dependency.failed(self.beliefs, &error);
-                    sleep(REST).await;
-                    if self.is_away_for(patience) {
+                    sleep(RETRY_DELAY).await;
+                    if self.is_away_for(timeout) {
                         return;
                     }
                 }
--- a/crates/sesamecart-entry/src/follower/following.rs
+++ b/crates/sesamecart-entry/src/follower/following.rs
@@ -17,7 +17,7 @@
 use super::operator::OperatorPicture;
 use super::peer::Position;
 use super::registry::RegistryPicture;
-use super::{Dependency, Follower, Picture, REST};
+use super::{Dependency, Follower, Picture, RETRY_DELAY};
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
@@ -37,7 +37,7 @@
 
 /// How long the store may be away before another source is tried, well within the time in which a
 /// change has to be in force.
-const STORE_PATIENCE: Duration = Duration::from_millis(500);
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How often a node that reads the store in another one's place looks whether it has to.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
@@ -97,11 +97,11 @@
                 Ended::Prefers(other) => preferred = Some(other),
                 Ended::Failed => {
                     rotation.fail(clock::now(), source);
-                    sleep(REST).await;
+                    sleep(RETRY_DELAY).await;
                 }
                 Ended::Unready => {
                     rotation.fail_unready(clock::now(), source);
-                    sleep(REST).await;
+                    sleep(RETRY_DELAY).await;
                 }
             }
         }
@@ -144,7 +144,7 @@
     /// Reads the store until it has been away for too long or this node should follow another one.
     async fn read_store(&mut self) -> Ended {
         let has_others = self.plan().order.len() > 1;
-        let patience = has_others.then_some(STORE_PATIENCE);
+        let timeout = has_others.then_some(STORE_TIMEOUT);
         let (beliefs, store) = (&*self.beliefs, &self.store);
         let operator = Follower {
             beliefs,
@@ -162,7 +162,7 @@
         };
         let reads = join(registry.run(None), self.nodes.run(beliefs, store));
         let fails = async {
-            future::or(operator.run(patience), async {
+            future::or(operator.run(timeout), async {
                 reads.await;
             })
             .await;
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -7,7 +7,7 @@
 use sesamecart_platform::{Expected, NewestPage, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
 
-use super::{Dependency, REST, ignore};
+use super::{Dependency, RETRY_DELAY, ignore};
 use crate::beliefs::Beliefs;
 
 /// How often the list of nodes is read.
@@ -42,7 +42,7 @@
         if beliefs.settings.first_start {
             // Nobody can have been here before, so there is nothing to read yet.
             while !self.tell(beliefs, store, &own).await {
-                sleep(REST).await;
+                sleep(RETRY_DELAY).await;
             }
             sleep(OTHERS_START).await;
             let _nodes = self.read(beliefs, store).await;
@@ -53,7 +53,7 @@
                 // This node was here before its process started again.
                 Some(nodes) if nodes.contains(&own) => return,
                 Some(_) if self.tell(beliefs, store, &own).await => return,
-                _ => sleep(REST).await,
+                _ => sleep(RETRY_DELAY).await,
             }
         }
     }
@@ -73,7 +73,7 @@
             sleep(next).await;
             next = match self.read(beliefs, store).await {
                 Some(_) => NODES_EVERY,
-                None => REST,
+                None => RETRY_DELAY,
             };
         }
     }
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -11,7 +11,7 @@
 use sesamecart_runtime::{sleep, within};
 use sesamecart_vocabulary::Timestamp;
 
-use super::REST;
+use super::RETRY_DELAY;
 use super::following::{Ended, Following, STAY};
 use super::nodes::take_nodes;
 use crate::clock;
@@ -84,7 +84,7 @@
     pub(super) async fn follow_node(&mut self, links: SocketAddr) -> Ended {
         let bound = Duration::from_millis(self.beliefs.settings.bounds.configuration_ms);
         let stale = bound.mul_f64(STALE_PART);
-        let patience = bound.mul_f64(FIRST_READ_PART);
+        let timeout = bound.mul_f64(FIRST_READ_PART);
         let begun = clock::now();
         let mut looked_at = begun;
         let mut behind_since = None;
@@ -106,9 +106,9 @@
                 // A reader that has just started: were it left for the store, a standby would take
                 // control of the groups from it, with loads under way.
                 Ok(Err(status))
-                    if status.code() == Code::NotFound && sent.since(begun) < patience =>
+                    if status.code() == Code::NotFound && sent.since(begun) < timeout =>
                 {
-                    sleep(REST).await;
+                    sleep(RETRY_DELAY).await;
                     continue;
                 }
                 Ok(Err(status)) => return failed(links, status),
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -83,8 +83,8 @@
 
     /// Returns what is left of the time that the caller waits or the operator allows.
     pub(crate) fn left(&self) -> Duration {
-        let limit = match (self.asked.patience, self.route.time_limit) {
-            (Some(patience), Some(limit)) => patience.min(limit),
+        let limit = match (self.asked.timeout, self.route.time_limit) {
+            (Some(timeout), Some(limit)) => timeout.min(limit),
             (Some(limit), None) | (None, Some(limit)) => limit,
             (None, None) => Duration::from_secs(60),
         };
@@ -93,8 +93,8 @@
 
     /// Returns what is left of the time that the caller itself named.
     pub(super) fn callers_left(&self) -> Duration {
-        let patience = self.asked.patience.unwrap_or_else(|| self.left());
-        patience.saturating_sub(self.after())
+        let timeout = self.asked.timeout.unwrap_or_else(|| self.left());
+        timeout.saturating_sub(self.after())
     }
 
     /// Tries endpoints until one answers.
