--- a/crates/sesamecart-fleet/src/retry_schedule.rs
+++ b/crates/sesamecart-fleet/src/retry_schedule.rs
@@ -19,8 +19,8 @@
 /// The longest time; who waits longer has little of its deadline left.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_500);
 
-/// Over which time it is taken how fast places become free.
-const SERVED_OVER: Duration = Duration::from_secs(3);
+/// The time over which it is taken how fast places become free.
+const SERVED_WINDOW: Duration = Duration::from_secs(3);
 
 /// The part of the places that become free which those who come back may get; the others are for new callers.
 const RETRIES_PART: f64 = 0.5;
@@ -36,7 +36,7 @@
 impl Default for RetrySchedule {
     fn default() -> Self {
         Self {
-            served: FadingRate::new(SERVED_OVER),
+            served: FadingRate::new(SERVED_WINDOW),
             next_at: Timestamp::ZERO,
         }
     }
