Log what a node takes from another one at first, and what a reread topic changes

Change: caught_up on the follower (once for each change of source) and topic_reread on the reader (once for each whole read). Both are as rare as source_changed and reads of newest records. No logic is changed.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -124,6 +124,42 @@
         /// The store, or the node that reads it.
         source: &'a str,
     },
+    /// All that the node followed now had to offer was taken in.
+    CaughtUp {
+        /// The node.
+        source: &'a str,
+        /// Where the operator's topic was known up to before.
+        operator_from: u64,
+        /// Where it is known up to now.
+        operator_next: u64,
+        /// The operator's records that came.
+        operator_records: usize,
+        /// Whether these were all of the operator's records.
+        operator_whole: bool,
+        /// Where the registry was known up to before.
+        registry_from: u64,
+        /// Where it is known up to now.
+        registry_next: u64,
+        /// The registry's records that came.
+        registry_records: usize,
+        /// Whether these were all of the registry's records.
+        registry_whole: bool,
+    },
+    /// A topic of the store was read whole.
+    TopicReread {
+        /// The topic.
+        topic: &'a str,
+        /// Where it was known up to before.
+        known_to: u64,
+        /// Where it ends.
+        end: u64,
+        /// Its records.
+        records: usize,
+        /// Those that are new to the nodes that follow this one.
+        changed: usize,
+        /// Keys that aren't there any more.
+        gone: usize,
+    },
     /// A record or an answer couldn't be read or used.
     RecordIgnored {
         /// Where it stands.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -56,6 +56,17 @@
     group: String,
 }
 
+/// What a topic that was read whole differs in from what was known of it.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) struct Reread {
+    /// Where the topic was known up to before.
+    pub(crate) known_to: Offset,
+    /// The records that are new to followers.
+    pub(crate) changed: usize,
+    /// The keys that aren't there any more.
+    pub(crate) gone: usize,
+}
+
 /// One topic: the newest record of each key and the offset at which it stands.
 #[derive(Debug, Default)]
 struct TopicFeed {
@@ -73,7 +84,7 @@
     }
 
     /// Notes that the topic holds these records and no others.
-    fn replace(&mut self, records: &[Record], end: Offset) {
+    fn replace(&mut self, records: &[Record], end: Offset) -> Reread {
         // Pages of newest records don't name their offsets. The last one is as late as any of them,
         // so a follower gets a record twice at most.
         let offset = end.0.saturating_sub(1);
@@ -82,6 +93,11 @@
             // less than this needs all to see what is gone.
             self.forgotten = end.0;
         }
+        let mut reread = Reread {
+            known_to: Offset(self.next),
+            changed: 0,
+            gone: 0,
+        };
         let gone = self.newest.iter_mut().filter(|(key, _)| {
             !records
                 .iter()
@@ -90,15 +106,18 @@
         for (_, dropped) in gone {
             if dropped.1.is_some() {
                 *dropped = (offset, None);
+                reread.gone += 1;
             }
         }
         for record in records {
             if !self.has(record) {
                 self.put(offset, record);
+                reread.changed += 1;
             }
         }
         self.next = end.0;
         self.forget();
+        reread
     }
 
     /// Returns whether a record is known as it is.
@@ -166,27 +185,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes a topic that was read whole.
-    pub(crate) fn replace(&self, topic: Topic, records: &[Record], end: Offset) {
-        self.change(topic, |feed| feed.replace(records, end));
+    /// Notes a topic that was read whole; returns what differs, if the topic is passed on.
+    pub(crate) fn replace(&self, topic: Topic, records: &[Record], end: Offset) -> Option<Reread> {
+        self.change(topic, |feed| feed.replace(records, end))
     }
 
     /// Notes records that were read, of which the last stands before `next`.
     pub(crate) fn apply(&self, topic: Topic, records: &[Record], next: Offset) {
         if !records.is_empty() {
-            self.change(topic, |feed| feed.apply(records, next));
+            let _passed_on = self.change(topic, |feed| feed.apply(records, next));
         }
     }
 
-    fn change(&self, topic: Topic, change: impl FnOnce(&mut TopicFeed)) {
-        let place = TOPICS.iter().position(|known| *known == topic);
-        if let Some(place) = place {
-            let mut state = self.state();
-            change(state.topics[place].get_or_insert_default());
-            state.is_read[place] = true;
-            drop(state);
-            self.changed.notify(usize::MAX);
-        }
+    fn change<T>(&self, topic: Topic, change: impl FnOnce(&mut TopicFeed) -> T) -> Option<T> {
+        let place = TOPICS.iter().position(|known| *known == topic)?;
+        let mut state = self.state();
+        let changed = change(state.topics[place].get_or_insert_default());
+        state.is_read[place] = true;
+        drop(state);
+        self.changed.notify(usize::MAX);
+        Some(changed)
     }
 
     /// Returns whether a topic was read.
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -147,7 +147,7 @@
         if was_away {
             self.beliefs.feed.note_return(clock::now());
         }
-        self.beliefs.feed.replace(self.topic, &records, first.end);
+        self.pass_on_whole(&records, first.end);
         self.replace(records, was_away);
         self.confirm_freshness(sent);
         Ok(first.end)
@@ -197,6 +197,20 @@
         }
     }
 
+    fn pass_on_whole(&self, records: &[Record], end: Offset) {
+        let Some(reread) = self.beliefs.feed.replace(self.topic, records, end) else {
+            return;
+        };
+        self.beliefs.events.write(&Event::TopicReread {
+            topic: &self.topic.to_string(),
+            known_to: reread.known_to.0,
+            end: end.0,
+            records: records.len(),
+            changed: reread.changed,
+            gone: reread.gone,
+        });
+    }
+
     fn replace(&mut self, records: Vec<Record>, was_away: bool) {
         match &mut self.picture {
             Picture::Operator(picture) => picture.replace(self.beliefs, &records),
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -82,7 +82,7 @@
         match read_nodes(store).await {
             Ok(page) => {
                 let _was_away = self.dependency.answered(beliefs);
-                beliefs.feed.replace(Topic::Nodes, &page.records, page.end);
+                let _reread = beliefs.feed.replace(Topic::Nodes, &page.records, page.end);
                 Some(take_nodes(beliefs, &page.records))
             }
             Err(error) => {
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -15,6 +15,7 @@
 use super::following::{Ended, Following, STAY};
 use super::nodes::take_nodes;
 use crate::clock;
+use crate::events::Event;
 use crate::losses::parse_group;
 
 /// How long the other node holds a call that finds nothing new.
@@ -118,11 +119,15 @@
                 step = FirstSteps::CatchUp;
                 continue;
             }
+            let is_first = matches!(step, FirstSteps::CatchUp);
             step = FirstSteps::Done;
             let age = Duration::from_millis(reply.vouched_ms);
             if age > stale {
                 return failed(links, format_args!("it is out of date: {age:?}"));
             }
+            if is_first {
+                self.log_caught_up(links, &reply);
+            }
             match self.take(sent, reply) {
                 Taken::News => behind_since = None,
                 Taken::Broken => return failed(links, "a topic is missing"),
@@ -143,6 +148,24 @@
         }
     }
 
+    /// Logs where this node is and what another one's first reply brings.
+    fn log_caught_up(&self, links: SocketAddr, reply: &FollowReply) {
+        let (Some(operator), Some(registry)) = (&reply.operator, &reply.registry) else {
+            return;
+        };
+        self.beliefs.events.write(&Event::CaughtUp {
+            source: &Source::Node(links).to_string(),
+            operator_from: self.position.operator,
+            operator_next: operator.next,
+            operator_records: operator.records.len(),
+            operator_whole: operator.whole,
+            registry_from: self.position.registry,
+            registry_next: registry.next,
+            registry_records: registry.records.len(),
+            registry_whole: registry.whole,
+        });
+    }
+
     /// Takes a reply in, if it goes on where this node is.
     fn take(&mut self, sent: Timestamp, reply: FollowReply) -> Taken {
         let (Some(operator), Some(registry), Some(nodes)) =
