Add failing tests of followers that change their source

What callers saw: an evacuated failure domain got requests 5.1 s and 5.3 s after the evacuation was acknowledged (bound 5 s), from two nodes that had changed their source.

Five tests play a topic, nodes that read it at times, and a follower that goes from one to the other. A sixth was found by looking for the same cause elsewhere: a follower that is sent what differs of the list of nodes takes it for the whole list (n1 and n4 instead of n1 to n4).

--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -253,7 +253,7 @@
     }
 
     /// Returns what a follower doesn't have yet, or nothing while this node doesn't read the store.
-    fn newer(&self, now: Timestamp, req: &FollowRequest) -> Option<FollowReply> {
+    pub(crate) fn newer(&self, now: Timestamp, req: &FollowRequest) -> Option<FollowReply> {
         let state = self.state();
         if !state.is_read.iter().all(|is_read| *is_read) {
             return None;
@@ -289,5 +289,7 @@
     parts.iter().any(is_new) || !reply.losses.is_empty()
 }
 
+#[cfg(test)]
+mod source_change_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -10,6 +10,9 @@
 use super::{Dependency, RETRY_DELAY, ignore};
 use crate::beliefs::Beliefs;
 
+#[cfg(test)]
+mod tests;
+
 /// How often the list of nodes is read.
 const NODES_EVERY: Duration = Duration::from_secs(10);
 
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -258,7 +258,7 @@
     }
 }
 
-fn records(part: TopicPart) -> Vec<Record> {
+pub(super) fn records(part: TopicPart) -> Vec<Record> {
     let records = part.records.into_iter().map(|record| Record {
         key: Some(record.key),
         value: record.value,
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -16,6 +16,8 @@
 mod metrics;
 mod node;
 mod settings;
+#[cfg(test)]
+mod testkit;
 mod traffic;
 mod watch;
 
