Pass on what a reader missed while it read nothing, by offsets

What callers saw: an evacuated failure domain got requests 5.1 s and 5.3 s after the evacuation was acknowledged (bound 5 s), from two nodes that had changed their source.

Cause: a node that reads the store for others keeps what it read while it follows another node itself. Back at the store it compared the topic with that by value, and a record of the same value kept its old offset. An evacuation that had been taken back and set again meanwhile has the same key and value, so a follower that stood after the old offset, having seen the drop elsewhere, was never sent it. It learnt of it only when it changed its source again, 4 s later, as a standby returns to its reader. The same held for an endpoint that came and went (kept by the follower for ever), a drop after a return, and a value that changed and changed back while the store forgot its history. Class: a change is told by comparing values over a gap (ABA).

Ruled out: the reader had the evacuation 0.5 s after it was acknowledged (its own log), so it wasn't its read of the store; the follower had no evacuation_changed, so it wasn't a write of the directory or a request placed before.

Change: the store names the offset of each newest record, so a record counts as known by its offset. Spans that were read whole are kept as gaps; a follower that stands inside of one gets, besides what changed, the keys that are still there (names only, not the records), and drops the others. A follower that stands before the gap gets what differs, as before, so the load that answered stays away: its test passes with offsets in its input.

--- a/crates/sesamecart-entry/src/feed/source_change_tests.rs
+++ b/crates/sesamecart-entry/src/feed/source_change_tests.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use sesamecart_links::feed::{FollowRequest, TopicPart};
-use sesamecart_platform::{Offset, Record, Topic};
+use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
 use sesamecart_property::check_property;
 use sesamecart_vocabulary::Timestamp;
 
@@ -59,13 +59,20 @@
         values
     }
 
-    fn newest(&self) -> Vec<Record> {
-        let values = self.values_at(self.end().0).into_iter();
-        let records = values.map(|(key, value)| Record {
-            key: Some(key),
-            value: Some(value),
-        });
-        records.collect()
+    fn newest(&self) -> Vec<StoredRecord> {
+        let mut newest: IndexMap<&str, StoredRecord> = IndexMap::new();
+        for (record, offset) in self.records.iter().zip(0..) {
+            let Some(key) = record.key.as_deref() else {
+                continue;
+            };
+            let stored = StoredRecord {
+                offset: Offset(offset),
+                record: record.clone(),
+            };
+            newest.insert(key, stored);
+        }
+        newest.retain(|_, stored| stored.record.value.is_some());
+        newest.into_values().collect()
     }
 }
 
@@ -142,8 +149,10 @@
     }
 
     fn take(&mut self, part: TopicPart) {
-        if part.whole {
-            self.values.clear();
+        let unchanged = part.unchanged.map(|unchanged| unchanged.keys);
+        let unchanged = unchanged.or_else(|| part.whole.then(Vec::new));
+        if let Some(unchanged) = unchanged {
+            self.values.retain(|key, _| unchanged.contains(key));
         }
         for record in part.records {
             apply(&mut self.values, Some(&record.key), record.value);
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -4,10 +4,11 @@
 
 use sesamecart_fleet::GroupKey;
 use sesamecart_links::feed::{FollowReply, FollowRequest};
-use sesamecart_platform::{Offset, Record, Topic};
+use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
-use super::{DROPPED_KEPT, Feed, LOSS_KEPT};
+use super::topic::DROPPED_KEPT;
+use super::{Feed, LOSS_KEPT};
 
 const NOW: Timestamp = Timestamp(10_000_000);
 
@@ -18,11 +19,18 @@
     }
 }
 
+fn stored(offset: u64, key: &str, value: &str) -> StoredRecord {
+    StoredRecord {
+        offset: Offset(offset),
+        record: record(key, Some(value)),
+    }
+}
+
 /// A feed that has read a registry of two endpoints, which ends at offset 10.
 fn feed() -> Feed {
     let feed = Feed::new();
-    feed.replace(Topic::Operator, &[record("config", Some("1"))], Offset(3));
-    let endpoints = [record("e1", Some("a")), record("e2", Some("b"))];
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
+    let endpoints = [stored(8, "e1", "a"), stored(9, "e2", "b")];
     feed.replace(Topic::Registry, &endpoints, Offset(10));
     feed.replace(Topic::Nodes, &[], Offset(0));
     feed
@@ -87,7 +95,7 @@
 #[test]
 fn what_is_missing_when_a_topic_is_read_anew_is_gone_for_followers() {
     let feed = feed();
-    feed.replace(Topic::Registry, &[record("e1", Some("a"))], Offset(20));
+    feed.replace(Topic::Registry, &[stored(8, "e1", "a")], Offset(20));
     let reply = ask(&feed, 10);
     assert!(registry(&reply).contains(&("e2", None)));
 }
@@ -97,7 +105,7 @@
 #[test]
 fn a_topic_that_is_read_anew_is_not_sent_again() {
     let feed = feed();
-    let endpoints = [record("e1", Some("a")), record("e2", Some("changed"))];
+    let endpoints = [stored(8, "e1", "a"), stored(15, "e2", "changed")];
     feed.replace(Topic::Registry, &endpoints, Offset(20));
     let reply = ask(&feed, 10);
     assert_eq!(registry(&reply), [("e2", Some(&b"changed"[..]))]);
@@ -136,8 +144,8 @@
 fn a_reader_that_comes_back_sends_only_what_differs() {
     let feed = feed();
     feed.stop();
-    feed.replace(Topic::Operator, &[record("config", Some("1"))], Offset(3));
-    feed.replace(Topic::Registry, &[record("e2", Some("b"))], Offset(14));
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
+    feed.replace(Topic::Registry, &[stored(9, "e2", "b")], Offset(14));
     assert!(
         feed.newer(NOW, &FollowRequest::default()).is_none(),
         "a topic is missing"
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -8,7 +8,8 @@
 
 use std::time::Duration;
 
-use sesamecart_platform::{Offset, Read, Record, Store, StoreError, Topic};
+use indexmap::IndexSet;
+use sesamecart_platform::{Offset, Read, Record, Store, StoreError, StoredRecord, Topic};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
 
@@ -148,7 +149,8 @@
             self.beliefs.feed.note_return(clock::now());
         }
         self.pass_on_whole(&records, first.end);
-        self.replace(records, was_away);
+        let records = records.into_iter().map(|stored| stored.record);
+        self.replace(records.collect(), was_away);
         self.confirm_freshness(sent);
         Ok(first.end)
     }
@@ -197,7 +199,7 @@
         }
     }
 
-    fn pass_on_whole(&self, records: &[Record], end: Offset) {
+    fn pass_on_whole(&self, records: &[StoredRecord], end: Offset) {
         let Some(reread) = self.beliefs.feed.replace(self.topic, records, end) else {
             return;
         };
@@ -213,8 +215,15 @@
 
     fn replace(&mut self, records: Vec<Record>, was_away: bool) {
         match &mut self.picture {
-            Picture::Operator(picture) => picture.replace(self.beliefs, &records),
-            Picture::Registry(picture) => picture.replace(self.beliefs, &records, was_away),
+            Picture::Operator(picture) => {
+                picture.replace(self.beliefs, &records, &IndexSet::new());
+            }
+            Picture::Registry(picture) => {
+                if was_away {
+                    picture.returned_at = Some(clock::now());
+                }
+                picture.replace(self.beliefs, &records, &IndexSet::new());
+            }
         }
     }
 
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::{IndexMap, IndexSet};
 use sesamecart_fleet::PeerNode;
 use sesamecart_platform::{Expected, NewestPage, Record, Store, StoreError, Topic};
 use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::NodeId;
 
 use super::{Dependency, RETRY_DELAY, ignore};
 use crate::beliefs::Beliefs;
@@ -86,7 +88,9 @@
             Ok(page) => {
                 let _was_away = self.dependency.answered(beliefs);
                 let _reread = beliefs.feed.replace(Topic::Nodes, &page.records, page.end);
-                Some(take_nodes(beliefs, &page.records))
+                let records = page.records.into_iter().map(|stored| stored.record);
+                let records: Vec<Record> = records.collect();
+                Some(replace_nodes(beliefs, &records, &IndexSet::new()))
             }
             Err(error) => {
                 self.dependency.failed(beliefs, &error);
@@ -117,25 +121,45 @@
     }
 }
 
-/// Takes the nodes that some records tell of, besides this one; returns those that were told of.
-pub(super) fn take_nodes(beliefs: &Beliefs, records: &[Record]) -> Vec<PeerNode> {
-    let mut told: Vec<PeerNode> = Vec::with_capacity(records.len());
+/// Takes all of the list in: the records, and the nodes besides whose records haven't changed. Returns the nodes
+/// that the records tell of.
+pub(super) fn replace_nodes(
+    beliefs: &Beliefs,
+    records: &[Record],
+    unchanged: &IndexSet<String>,
+) -> Vec<PeerNode> {
+    merge(beliefs, records, |node| unchanged.contains(node.as_str()))
+}
+
+fn merge(
+    beliefs: &Beliefs,
+    records: &[Record],
+    is_kept: impl Fn(&NodeId) -> bool,
+) -> Vec<PeerNode> {
+    let told = decode_nodes(beliefs, records);
+    let known = beliefs.nodes.load();
+    let kept = known.iter().filter(|peer| is_kept(&peer.node));
+    let own = beliefs.own_entry();
+    let all = kept.chain(&told).chain([&own]);
+    let mut nodes: IndexMap<&NodeId, &PeerNode> = all.map(|peer| (&peer.node, peer)).collect();
+    nodes.sort_unstable_keys();
+    let nodes = nodes.into_values().cloned().collect();
+    beliefs.nodes.store(Arc::new(nodes));
+    told
+}
+
+fn decode_nodes(beliefs: &Beliefs, records: &[Record]) -> Vec<PeerNode> {
+    let mut nodes = Vec::with_capacity(records.len());
     for record in records {
         let (Some(key), Some(value)) = (&record.key, &record.value) else {
             continue;
         };
         match serde_json::from_slice::<PeerNode>(value) {
-            Ok(peer) => told.push(peer),
+            Ok(peer) => nodes.push(peer),
             Err(error) => ignore(beliefs, Topic::Nodes, key, &error.to_string()),
         }
     }
-    let own = beliefs.own_entry();
-    let others = told.iter().filter(|peer| peer.node != own.node);
-    let mut nodes: Vec<PeerNode> = others.cloned().collect();
-    nodes.push(own);
-    nodes.sort_by(|a, b| a.node.cmp(&b.node));
-    beliefs.nodes.store(Arc::new(nodes));
-    told
+    nodes
 }
 
 async fn read_nodes(store: &Store) -> Result<NewestPage, StoreError> {
--- a/crates/sesamecart-entry/src/follower/nodes/tests.rs
+++ b/crates/sesamecart-entry/src/follower/nodes/tests.rs
@@ -1,13 +1,12 @@
 //! Which nodes a follower knows.
 
 use sesamecart_links::feed::FollowRequest;
-use sesamecart_platform::{Offset, Record, Topic};
+use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
-use super::take_nodes;
 use crate::beliefs::Beliefs;
 use crate::feed::Feed;
-use crate::follower::peer::records;
+use crate::follower::peer::take_nodes;
 use crate::testkit::beliefs;
 
 const NOW: Timestamp = Timestamp(10_000_000);
@@ -24,7 +23,12 @@
 
 /// Reads the list of nodes whole, as a node does that others follow.
 fn read_whole(feed: &Feed, nodes: &[&str]) {
-    let entries: Vec<Record> = nodes.iter().copied().map(entry).collect();
+    let entries = nodes.iter().copied().map(entry);
+    let entries = entries.zip(0..).map(|(record, offset)| StoredRecord {
+        offset: Offset(offset),
+        record,
+    });
+    let entries: Vec<StoredRecord> = entries.collect();
     let end = Offset(entries.len() as u64);
     let _reread = feed.replace(Topic::Nodes, &entries, end);
 }
@@ -38,7 +42,7 @@
     let reply = feed.newer(NOW, &req).expect("it serves");
     let part = reply.nodes.expect("it has the list of nodes");
     let next = part.next;
-    let _nodes = take_nodes(beliefs, &records(part));
+    take_nodes(beliefs, part);
     next
 }
 
--- a/crates/sesamecart-entry/src/follower/operator.rs
+++ b/crates/sesamecart-entry/src/follower/operator.rs
@@ -19,10 +19,17 @@
 }
 
 impl OperatorPicture {
-    pub(super) fn replace(&mut self, beliefs: &Beliefs, records: &[Record]) {
-        let evacuated = records.iter().filter(|record| record.value.is_some());
-        let evacuated = evacuated.filter_map(|record| evacuated_domain(record.key.as_deref()?));
-        let evacuated: IndexSet<_> = evacuated.collect();
+    /// Takes all of the topic in: the records, and the keys besides whose records haven't changed.
+    pub(super) fn replace(
+        &mut self,
+        beliefs: &Beliefs,
+        records: &[Record],
+        unchanged: &IndexSet<String>,
+    ) {
+        let changed = records.iter().filter(|record| record.value.is_some());
+        let changed = changed.filter_map(|record| record.key.as_deref());
+        let there = unchanged.iter().map(String::as_str).chain(changed);
+        let evacuated: IndexSet<_> = there.filter_map(evacuated_domain).collect();
         if evacuated != self.evacuated {
             self.evacuated = evacuated;
             publish_evacuated(beliefs, &self.evacuated);
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use sesamecart_fleet::Source;
 use sesamecart_links::Code;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
@@ -13,7 +14,8 @@
 
 use super::RETRY_DELAY;
 use super::following::{Ended, Following, STAY};
-use super::nodes::take_nodes;
+use super::nodes::replace_nodes;
+use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
 use crate::losses::parse_group;
@@ -208,22 +210,66 @@
 
     fn take_topics(&mut self, operator: TopicPart, registry: TopicPart, nodes: TopicPart) {
         let beliefs = &self.beliefs;
-        let (whole, records) = (operator.whole, records(operator));
-        if whole {
-            self.operator.replace(beliefs, &records);
-        } else if !records.is_empty() {
-            self.operator.apply(beliefs, &records);
+        match TopicUpdate::from(operator) {
+            TopicUpdate::All { records, unchanged } => {
+                self.operator.replace(beliefs, &records, &unchanged);
+            }
+            TopicUpdate::Changed(records) if records.is_empty() => {}
+            TopicUpdate::Changed(records) => self.operator.apply(beliefs, &records),
+        }
+        match TopicUpdate::from(registry) {
+            TopicUpdate::All { records, unchanged } => {
+                self.registry.replace(beliefs, &records, &unchanged);
+            }
+            TopicUpdate::Changed(records) if records.is_empty() => {}
+            TopicUpdate::Changed(records) => self.registry.apply(beliefs, &records),
         }
-        let (whole, records) = (registry.whole, self::records(registry));
-        if whole {
-            self.registry.replace(beliefs, &records, false);
-        } else if !records.is_empty() {
-            self.registry.apply(beliefs, &records);
+        take_nodes(beliefs, nodes);
+    }
+}
+
+/// Takes in what another node sent of the list of nodes.
+pub(super) fn take_nodes(beliefs: &Beliefs, nodes: TopicPart) {
+    match TopicUpdate::from(nodes) {
+        TopicUpdate::All { records, unchanged } => {
+            let _nodes = replace_nodes(beliefs, &records, &unchanged);
         }
-        // The list of nodes is read whole, so any change brings all of it.
-        let records = self::records(nodes);
-        if !records.is_empty() {
-            let _nodes = take_nodes(beliefs, &records);
+        TopicUpdate::Changed(records) if records.is_empty() => {}
+        TopicUpdate::Changed(records) => {
+            let _nodes = replace_nodes(beliefs, &records, &IndexSet::new());
+        }
+    }
+}
+
+/// What another node sent of a topic.
+enum TopicUpdate {
+    /// All that there is.
+    All {
+        records: Vec<Record>,
+        /// The other keys, whose records this node has.
+        unchanged: IndexSet<String>,
+    },
+    /// What has changed.
+    Changed(Vec<Record>),
+}
+
+impl From<TopicPart> for TopicUpdate {
+    fn from(part: TopicPart) -> Self {
+        let records = part.records.into_iter().map(|record| Record {
+            key: Some(record.key),
+            value: record.value,
+        });
+        let records = records.collect();
+        match part.unchanged {
+            Some(unchanged) => Self::All {
+                records,
+                unchanged: unchanged.keys.into_iter().collect(),
+            },
+            None if part.whole => Self::All {
+                records,
+                unchanged: IndexSet::new(),
+            },
+            None => Self::Changed(records),
         }
     }
 }
@@ -257,11 +303,3 @@
         }
     }
 }
-
-pub(super) fn records(part: TopicPart) -> Vec<Record> {
-    let records = part.records.into_iter().map(|record| Record {
-        key: Some(record.key),
-        value: record.value,
-    });
-    records.collect()
-}
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -34,14 +34,19 @@
         }
     }
 
-    pub(super) fn replace(&mut self, beliefs: &Beliefs, records: &[Record], was_away: bool) {
-        if was_away {
-            self.returned_at = Some(clock::now());
-        }
+    /// Takes all of the topic in: the records, and the keys besides whose records haven't changed.
+    pub(super) fn replace(
+        &mut self,
+        beliefs: &Beliefs,
+        records: &[Record],
+        unchanged: &IndexSet<String>,
+    ) {
         let current = beliefs.directory.load();
-        let there: IndexSet<&str> = records
+        let changed = records.iter().filter_map(|record| record.key.as_deref());
+        let there: IndexSet<&str> = unchanged
             .iter()
-            .filter_map(|record| record.key.as_deref())
+            .map(String::as_str)
+            .chain(changed)
             .collect();
         let gone = current
             .listed_ids()
