Keep the nodes that a follower knows when one is added

What an operator would see: after a node is added or replaced, followers count shares of bounds that all nodes keep together (cold endpoints, readers of the store) over two nodes.

Cause: a follower took whatever came of the list of nodes for all of it, while its reader sends what differs since.

Change: a part that is whole, or names the unchanged keys, replaces the list; any other one is merged into it.

--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -131,6 +131,15 @@
     merge(beliefs, records, |node| unchanged.contains(node.as_str()))
 }
 
+/// Takes in what has changed of the list.
+pub(super) fn apply_nodes(beliefs: &Beliefs, records: &[Record]) {
+    let changed: IndexSet<&str> = records
+        .iter()
+        .filter_map(|record| record.key.as_deref())
+        .collect();
+    merge(beliefs, records, |node| !changed.contains(node.as_str()));
+}
+
 fn merge(
     beliefs: &Beliefs,
     records: &[Record],
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -14,7 +14,7 @@
 
 use super::RETRY_DELAY;
 use super::following::{Ended, Following, STAY};
-use super::nodes::replace_nodes;
+use super::nodes::{apply_nodes, replace_nodes};
 use crate::beliefs::Beliefs;
 use crate::clock;
 use crate::events::Event;
@@ -235,9 +235,7 @@
             let _nodes = replace_nodes(beliefs, &records, &unchanged);
         }
         TopicUpdate::Changed(records) if records.is_empty() => {}
-        TopicUpdate::Changed(records) => {
-            let _nodes = replace_nodes(beliefs, &records, &IndexSet::new());
-        }
+        TopicUpdate::Changed(records) => apply_nodes(beliefs, &records),
     }
 }
 
