Show how many failure domains each node takes for evacuated

Cause: nothing showed that one node learnt of an evacuation seconds after the others; the near misses of EVAC stayed unseen until a bound was broken.

Change: a gauge beside evacuation_changed, one value a node, so that nodes can be compared on a chart. The page of metrics and its test know it (9 instruments from the start instead of 8).

--- a/crates/sesamecart-entry/src/follower/operator.rs
+++ b/crates/sesamecart-entry/src/follower/operator.rs
@@ -65,6 +65,7 @@
         directory.set_evacuated(evacuated.clone());
         directory
     });
+    beliefs.metrics.record_evacuated(evacuated.len());
     let names: Vec<String> = evacuated.iter().map(ToString::to_string).collect();
     beliefs.events.write(&Event::EvacuationChanged {
         failure_domains: &names,
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -26,6 +26,7 @@
     orders: Counter<u64>,
     groups_lost: Counter<u64>,
     models_unservable: Gauge<u64>,
+    domains_evacuated: Gauge<u64>,
     first: Histogram<f64>,
 }
 
@@ -76,6 +77,12 @@
                 .u64_gauge("sesamecart.models.unservable")
                 .with_description("Models that no fabric domain holds, on the controlling node.")
                 .build(),
+            domains_evacuated: meter
+                .u64_gauge("sesamecart.failure_domains.evacuated")
+                .with_description(
+                    "Failure domains that get no new work, as far as this node knows.",
+                )
+                .build(),
             first: meter
                 .f64_histogram("sesamecart.first.seconds")
                 .with_description("Time from a request's arrival to its answer's first sign.")
@@ -100,6 +107,7 @@
         self.orders.add(0, &[]);
         self.groups_lost.add(0, &[]);
         self.models_unservable.record(0, &[]);
+        self.domains_evacuated.record(0, &[]);
     }
 
     pub(crate) fn count_answer(&self, by: &'static str, status: u16) {
@@ -161,6 +169,10 @@
         self.models_unservable.record(models as u64, &[]);
     }
 
+    pub(crate) fn record_evacuated(&self, domains: usize) {
+        self.domains_evacuated.record(domains as u64, &[]);
+    }
+
     pub(crate) fn record_first(&self, taken: Duration) {
         self.first.record(taken.as_secs_f64(), &[]);
     }
--- a/crates/sesamecart-entry/tests/pages.rs
+++ b/crates/sesamecart-entry/tests/pages.rs
@@ -68,7 +68,7 @@
     let own = names.iter().filter(|name| name.starts_with("sesamecart_"));
     assert_eq!(
         own.clone().count(),
-        8,
+        9,
         "all counters are there from the start: {names:?}"
     );
     for name in own {
