Test that a follower loses what went in one of many gaps

Gaps beyond the kept number are joined, so that a follower inside of any of them still hears which keys are there. The test fails where the oldest gap is forgotten instead (tried by hand). No logic is changed.

--- a/crates/sesamecart-entry/src/feed/source_change_tests.rs
+++ b/crates/sesamecart-entry/src/feed/source_change_tests.rs
@@ -7,6 +7,7 @@
 use sesamecart_vocabulary::Timestamp;
 
 use super::Feed;
+use super::topic::GAPS_KEPT;
 
 const NOW: Timestamp = Timestamp(10_000_000);
 
@@ -220,6 +221,25 @@
     ];
 }
 
+/// Guards against an endpoint that is gone, where its reader stopped reading more often than it tells apart.
+#[test]
+fn endpoint_went_in_one_of_many_gaps() {
+    let begin = [
+        Put("other", "a"),
+        Read(0),
+        Stop(0),
+        Put("endpoint", "a"),
+        Read(1),
+        Follow(1),
+        Drop("endpoint"),
+    ];
+    let gap = [Read(0), Stop(0), Put("other", "a")];
+    let gaps = std::iter::repeat_n(gap, 2 * GAPS_KEPT).flatten();
+    let end = [Read(0), Follow(0)];
+    let steps: Vec<Step> = begin.into_iter().chain(gaps).chain(end).collect();
+    play(&steps);
+}
+
 fn step((kind, key, reader): (u8, u8, u8)) -> Step {
     let key = ["k1", "k2", "k3"][usize::from(key % 3)];
     let value = ["a", "b"][usize::from(reader % 2)];
--- a/crates/sesamecart-entry/src/feed/topic.rs
+++ b/crates/sesamecart-entry/src/feed/topic.rs
@@ -13,7 +13,7 @@
 pub(super) const DROPPED_KEPT: usize = 1_000;
 
 /// How many gaps are told apart; beyond that, the oldest ones count as one.
-const GAPS_KEPT: usize = 16;
+pub(super) const GAPS_KEPT: usize = 16;
 
 /// What a topic that was read whole differs in from what was known of it.
 #[derive(Debug, Eq, PartialEq)]
@@ -56,18 +56,16 @@
         let known_to = Offset(self.next);
         self.note_gap(end.0);
         let gone = self.drop_missing(records, end.0);
-        let changed = records
-            .iter()
-            .filter(|stored| !self.has(stored))
-            .collect::<Vec<_>>();
-        for stored in &changed {
+        let new = records.iter().filter(|stored| !self.has(stored));
+        let new: Vec<&StoredRecord> = new.collect();
+        for stored in &new {
             self.put(stored.offset.0, &stored.record);
         }
         self.next = end.0;
         self.forget();
         Reread {
             known_to,
-            changed: changed.len(),
+            changed: new.len(),
             gone,
         }
     }
