Test a second evacuation with real nodes and a standby that read the first

A reader, its standby and a follower before the stand-in store: the standby reads the first evacuation in its reader's place and returns; the evacuation is taken back and set again while the reader's way to the store is silent; the follower changes to the standby.

--- a/crates/sesamecart-entry/src/beliefs.rs
+++ b/crates/sesamecart-entry/src/beliefs.rs
@@ -217,7 +217,8 @@
     }
 
     /// Returns where the node that is followed takes links.
-    pub(crate) fn followed(&self) -> Option<SocketAddr> {
+    #[must_use]
+    pub fn followed(&self) -> Option<SocketAddr> {
         self.followed.load().as_deref().copied()
     }
 
--- a/crates/sesamecart-entry/tests/whole_path/main.rs
+++ b/crates/sesamecart-entry/tests/whole_path/main.rs
@@ -5,6 +5,7 @@
 mod many;
 mod overload;
 mod setup;
+mod sources;
 
 use std::cell::Cell;
 use std::time::Duration;
--- a/crates/sesamecart-entry/tests/whole_path/setup.rs
+++ b/crates/sesamecart-entry/tests/whole_path/setup.rs
@@ -143,6 +143,13 @@
         self.add(settings(node, store))
     }
 
+    /// Starts another node that is slow to find its source out of date.
+    pub(crate) fn add_trusting_node(&self, node: &str, store: SocketAddr) -> Entry {
+        let mut settings = settings(node, store);
+        settings.bounds.configuration_ms *= 3;
+        self.add(settings)
+    }
+
     /// Starts other nodes in a failure domain and returns once they are ready.
     pub(crate) fn add_nodes(&self, failure_domain: &str, count: usize) -> Vec<Entry> {
         let names = (0..count).map(|index| format!("{failure_domain}-{index}"));
@@ -164,7 +171,17 @@
 
     /// Starts another node with more of a processor than the first one, which reads the store for it.
     pub(crate) fn add_strong_node(&self, node: &str, processor_share: f64) -> Entry {
-        let settings = settings(node, self.store.address());
+        self.add_strong_node_at(node, processor_share, self.store.address())
+    }
+
+    /// The same for a node that reaches the store at `store`.
+    pub(crate) fn add_strong_node_at(
+        &self,
+        node: &str,
+        processor_share: f64,
+        store: SocketAddr,
+    ) -> Entry {
+        let settings = settings(node, store);
         self.add(EntrySettings {
             processor_share,
             ..settings
@@ -184,8 +201,7 @@
     }
 
     pub(crate) fn knows_evacuation(&self, failure_domain: &str) -> bool {
-        let known = self.node.beliefs().evacuated();
-        known.iter().any(|known| known.as_str() == failure_domain)
+        knows_evacuation(&self.node, failure_domain)
     }
 
     /// Returns how often a booking or look-up was begun, over all endpoints.
@@ -280,6 +296,11 @@
     }
 }
 
+pub(crate) fn knows_evacuation(node: &Entry, failure_domain: &str) -> bool {
+    let known = node.beliefs().evacuated();
+    known.iter().any(|known| known.as_str() == failure_domain)
+}
+
 fn endpoint(store: &Store, id: &str, service: &str, kind: EngineKind, events: u64) -> Engine {
     let setup = EngineSetup {
         id: id.to_owned(),
