Call on a new connection after a caller gave up on a silent link

What callers would see: after open connections between nodes fall silent for good, a node finds each of its sources silent again and again, until another caller has waited out the link's own limit; its configuration and evacuations get old meanwhile, and all followers turn to the store.

Cause: a link forgets its connection when a call runs into the link's limit of 2 s. Followers and probes wait for 250 to 850 ms and drop the call, which forgot nothing, so the next call went into the same silent connection.

Change: a call that is dropped without an answer makes the next one open a new connection, unless one was opened since. The new test fails on the code before: the second call went into the silent connection.

--- a/crates/sesamecart-links/src/channel.rs
+++ b/crates/sesamecart-links/src/channel.rs
@@ -1,7 +1,8 @@
 //! One HTTP/2 connection to another node, opened when first needed and again after a loss.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 
 use crate::error::{LinkError, LinkStep};
 
+#[cfg(test)]
+mod tests;
+
 /// How long opening a connection may take before the other node counts as out of reach.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -32,7 +36,17 @@
     peer: SocketAddr,
     tasks: Tasks,
     count: ByteCount,
-    open: Arc<Mutex<Option<SendRequest<Body>>>>,
+    open: Arc<Mutex<Option<Connection>>>,
+    /// How many connections were opened.
+    opened: Arc<AtomicU64>,
+}
+
+/// An open connection.
+#[derive(Clone)]
+struct Connection {
+    /// Tells it from those before it.
+    number: u64,
+    sender: SendRequest<Body>,
 }
 
 impl std::fmt::Debug for Channel {
@@ -50,6 +64,7 @@
             tasks,
             count,
             open: Arc::default(),
+            opened: Arc::default(),
         }
     }
 
@@ -57,18 +72,27 @@
         LinkError::new(step, self.peer, source.into())
     }
 
-    fn usable(&self) -> Option<SendRequest<Body>> {
-        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.as_ref().filter(|sender| !sender.is_closed()).cloned()
+    fn open(&self) -> MutexGuard<'_, Option<Connection>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn usable(&self) -> Option<Connection> {
+        let open = self.open();
+        let usable = open.as_ref();
+        usable.filter(|open| !open.sender.is_closed()).cloned()
     }
 
-    fn forget(&self) {
-        *self.open.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    /// Makes the next call open a new connection, unless one was opened since.
+    fn forget(&self, number: u64) {
+        let mut open = self.open();
+        if open.as_ref().is_some_and(|open| open.number == number) {
+            *open = None;
+        }
     }
 
-    async fn sender(&self) -> Result<SendRequest<Body>, LinkError> {
-        if let Some(sender) = self.usable() {
-            return Ok(sender);
+    async fn connection(&self) -> Result<Connection, LinkError> {
+        if let Some(connection) = self.usable() {
+            return Ok(connection);
         }
         let stream = connect(self.peer, CONNECT_LIMIT)
             .await
@@ -85,27 +109,32 @@
                 log::debug!("link: connection to {peer} ended: {error}.");
             }
         });
-        *self.open.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender.clone());
-        Ok(sender)
+        let connection = Connection {
+            number: self.opened.fetch_add(1, Ordering::Relaxed),
+            sender,
+        };
+        *self.open() = Some(connection.clone());
+        Ok(connection)
     }
 
     async fn send(self, req: Request<Body>) -> Result<Response<Incoming>, LinkError> {
-        let mut sender = self.sender().await?;
+        let Connection { number, mut sender } = self.connection().await?;
         let req = self.with_authority(req)?;
+        let unanswered = Unanswered {
+            channel: &self,
+            number,
+        };
         let answer = async {
             sender.ready().await?;
             sender.send_request(req).await
         };
         match within(CALL_LIMIT, answer).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) => {
-                self.forget();
-                Err(self.error(LinkStep::Call, error))
-            }
-            Err(elapsed) => {
-                self.forget();
-                Err(self.error(LinkStep::Call, elapsed))
+            Ok(Ok(response)) => {
+                unanswered.answered();
+                Ok(response)
             }
+            Ok(Err(error)) => Err(self.error(LinkStep::Call, error)),
+            Err(elapsed) => Err(self.error(LinkStep::Call, elapsed)),
         }
     }
 
@@ -121,6 +150,28 @@
     }
 }
 
+/// A call without an answer; dropped as one, it makes the next call open a new connection.
+///
+/// Most callers wait for less than [`CALL_LIMIT`] and drop the call. An open connection may have fallen silent for
+/// good while new ones work, and nothing else would show it.
+struct Unanswered<'a> {
+    channel: &'a Channel,
+    /// The connection that it was sent on.
+    number: u64,
+}
+
+impl Unanswered<'_> {
+    fn answered(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        self.channel.forget(self.number);
+    }
+}
+
 impl Service<Request<Body>> for Channel {
     type Response = Response<Incoming>;
     type Error = LinkError;
