Test that unchanged keys are news, and that a follower drops the others

Thirteen mutants of what readers pass on and followers take in, by hand; two lived: a reply with unchanged keys alone counted as no news, and a follower passed over the unchanged keys. One test for each. No logic is changed.

--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -8,7 +8,7 @@
 use sesamecart_vocabulary::Timestamp;
 
 use super::topic::DROPPED_KEPT;
-use super::{Feed, LOSS_KEPT};
+use super::{Feed, LOSS_KEPT, has_news};
 
 const NOW: Timestamp = Timestamp(10_000_000);
 
@@ -156,6 +156,21 @@
     assert_eq!(registry(&reply), [("e1", None)]);
 }
 
+/// Guards against an endpoint that went in a gap and is kept while nothing else changes.
+#[test]
+fn keys_that_are_still_there_are_news_to_a_follower_in_a_gap() {
+    let feed = feed();
+    feed.stop();
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
+    let endpoints = [stored(8, "e1", "a"), stored(9, "e2", "b")];
+    feed.replace(Topic::Registry, &endpoints, Offset(12));
+    feed.replace(Topic::Nodes, &[], Offset(0));
+    let reply = ask(&feed, 11);
+    assert!(registry(&reply).is_empty());
+    assert!(has_news(&reply));
+    assert!(!has_news(&ask(&feed, 12)));
+}
+
 /// The controller's finding has to reach each follower once, also one that comes from another node.
 #[test]
 fn losses_are_passed_on_once_to_each_follower() {
--- a/crates/sesamecart-entry/src/follower/nodes/tests.rs
+++ b/crates/sesamecart-entry/src/follower/nodes/tests.rs
@@ -1,6 +1,6 @@
 //! Which nodes a follower knows.
 
-use sesamecart_links::feed::FollowRequest;
+use sesamecart_links::feed::{FollowRequest, KeyedRecord, TopicPart, UnchangedKeys};
 use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
@@ -66,3 +66,32 @@
     follow(&beliefs, &feed, next);
     assert_eq!(known(&beliefs), ["n1", "n2", "n3", "n4"]);
 }
+
+/// Guards against a node that is kept for ever though its entry was dropped.
+#[test]
+fn nodes_that_are_neither_changed_nor_unchanged_are_gone() {
+    let beliefs = beliefs(true);
+    let records = |nodes: &[&str]| {
+        let entries = nodes.iter().copied().map(entry);
+        let records = entries.map(|record| KeyedRecord {
+            key: record.key.expect("it has one"),
+            value: record.value,
+        });
+        records.collect()
+    };
+    let whole = TopicPart {
+        records: records(&["n2", "n3"]),
+        whole: true,
+        ..TopicPart::default()
+    };
+    take_nodes(&beliefs, whole);
+    let changed = TopicPart {
+        records: records(&["n4"]),
+        unchanged: Some(UnchangedKeys {
+            keys: vec!["n3".to_owned()],
+        }),
+        ..TopicPart::default()
+    };
+    take_nodes(&beliefs, changed);
+    assert_eq!(known(&beliefs), ["n1", "n3", "n4"]);
+}
