--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -158,7 +158,7 @@
 
 /// Guards against an endpoint that went in a gap and is kept while nothing else changes.
 #[test]
-fn keys_that_are_still_there_are_news_to_a_follower_in_a_gap() {
+fn unchanged_keys_alone_are_an_update_for_a_follower_in_a_gap() {
     let feed = feed();
     feed.stop();
     feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
