Log the fingerprint of requests whose attempts fail

A caller that repeats a request sends it under a new id and to any node, so the logs could not tell whether the requests that ended with twenty engines were the same one. attempt_failed, resumed and broken now carry a hash of the customer, host, method, path and body. It is computed only when an attempt fails.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -9,7 +9,7 @@
 
 use async_channel::{Receiver, Sender, TrySendError};
 use serde::Serialize;
-use sesamecart_vocabulary::{NodeId, Timestamp};
+use sesamecart_vocabulary::{NodeId, RequestFingerprint, Timestamp};
 
 /// Maximum number of lines that wait for the writer.
 ///
@@ -259,6 +259,8 @@
     AttemptFailed {
         /// The request.
         request: &'a str,
+        /// The fingerprint, which is the same whenever the caller sends the request again.
+        fingerprint: RequestFingerprint,
         /// The endpoint.
         endpoint: &'a str,
         /// The failure.
@@ -308,6 +310,8 @@
     Resumed {
         /// The request.
         request: &'a str,
+        /// The fingerprint, which is the same whenever the caller sends the request again.
+        fingerprint: RequestFingerprint,
         /// The endpoint that sent the first part.
         from: &'a str,
         /// The endpoint that continues the stream.
@@ -321,6 +325,8 @@
     Broken {
         /// The request.
         request: &'a str,
+        /// The fingerprint, which is the same whenever the caller sends the request again.
+        fingerprint: RequestFingerprint,
         /// The endpoint.
         endpoint: &'a str,
         /// The reason.
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -1,6 +1,6 @@
 //! One caller's request, with the state needed to retry it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use sesamecart_edges::{HttpClient, PooledConnection};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
 use sesamecart_platform::RequestMetadata;
-use sesamecart_vocabulary::{EndpointId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, RequestFingerprint, RequestIdentity, Timestamp};
 
 use crate::clock;
 use crate::events::Event;
@@ -39,6 +39,8 @@
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) arrived_at: Timestamp,
+    /// Computed when it is first needed.
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 /// The attempts made so far for one request.
@@ -81,6 +83,21 @@
 }
 
 impl Call {
+    /// Returns the fingerprint, which is the same for all attempts of the caller.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let customer = self.customer.as_ref();
+            let target = self.head.uri.path_and_query();
+            RequestFingerprint::of(&RequestIdentity {
+                customer: customer.map(|customer| customer.id.as_str()),
+                host: &self.metadata.host,
+                method: self.head.method.as_str(),
+                target: target.map_or("/", |target| target.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn elapsed(&self) -> Duration {
         clock::now().since(self.arrived_at)
@@ -182,6 +199,7 @@
         self.state.metrics.count_failed_attempt(error.may_have_run);
         self.state.events.write(&Event::AttemptFailed {
             request: self.metadata.id.as_str(),
+            fingerprint: self.fingerprint(),
             endpoint: endpoint.as_str(),
             cause: &error.cause,
             may_have_run: error.may_have_run,
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -1,6 +1,6 @@
 //! Handles one request of a caller, from its head to the last byte of the response.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -98,6 +98,7 @@
             head,
             body,
             arrived_at,
+            fingerprint: OnceLock::new(),
         });
         call.record_demand();
         serve(&call).await.map_err(|refusal| Refused {
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -182,6 +182,7 @@
         self.call.state.metrics.count_resumed_stream();
         self.call.state.events.write(&Event::Resumed {
             request: self.call.metadata.id.as_str(),
+            fingerprint: self.call.fingerprint(),
             from: from.as_str(),
             endpoint: received.in_flight.endpoint.as_str(),
             last_event: last_event.as_deref().unwrap_or_default(),
@@ -231,6 +232,7 @@
             .count_response("broken", self.status);
         self.call.state.events.write(&Event::Broken {
             request: self.call.metadata.id.as_str(),
+            fingerprint: self.call.fingerprint(),
             endpoint: endpoint.as_ref().map_or("", |id| id.as_str()),
             cause: reason,
             after_ms: millis(self.call.elapsed()),
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -4,6 +4,7 @@
 //! names, which follow the users' specification, to the standard terms of the field.
 
 mod class;
+mod fingerprint;
 mod hash;
 mod id;
 mod key;
@@ -11,6 +12,7 @@
 mod time;
 
 pub use class::{Priority, RequestClass};
+pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use hash::{SHARD_COUNT, rendezvous_weight, rendezvous_weight_of, stable_hash};
 pub use id::{
     AdapterId, AttemptId, CustomerId, EndpointId, FabricDomainId, FailureDomainId, GroupId,
