--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -39,6 +39,15 @@
     }
 }
 
+/// A request of a caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerRequest<'a> {
+    pub(crate) kind: RequestKind,
+    pub(crate) id: &'a str,
+    pub(crate) key: &'a str,
+    pub(crate) body: &'a str,
+}
+
 /// The response that a caller received.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Response {
@@ -76,6 +85,12 @@
     _worker: Worker,
 }
 
+/// The number of plain endpoints of a deployment for which a test specifies none.
+const PLAIN_ENDPOINTS: usize = 2;
+
+/// The body of a request for which a test specifies none.
+const DEFAULT_BODY: &str = "asked";
+
 /// The node with which a deployment starts for the first time; other nodes join later.
 const FIRST_NODE: &str = "n1";
 
@@ -87,6 +102,15 @@
 
     /// Like [`Self::start`], but calls `prepare` with the engines before the node starts.
     pub(crate) fn start_with(events: u64, prepare: impl FnOnce(&[Engine])) -> Self {
+        Self::start_sized(events, PLAIN_ENDPOINTS, prepare)
+    }
+
+    /// Like [`Self::start`], with `plain_endpoints` instead of two plain endpoints.
+    pub(crate) fn start_with_plain_endpoints(plain_endpoints: usize) -> Self {
+        Self::start_sized(1, plain_endpoints, |_| {})
+    }
+
+    fn start_sized(events: u64, plain_endpoints: usize, prepare: impl FnOnce(&[Engine])) -> Self {
         let store = Store::start().expect("the store listens");
         store.publish("config", &configuration(1, &["key-1", "key-2"]));
         let engines = (0..6).map(|index| {
@@ -97,7 +121,7 @@
         });
         let engines: Vec<Engine> = engines.collect();
         prepare(&engines);
-        let plain = (0..2).map(|index| {
+        let plain = (0..plain_endpoints).map(|index| {
             endpoint(
                 &store,
                 &format!("p{index}"),
@@ -249,6 +273,27 @@
         key: &str,
         deadline: Duration,
     ) -> Response {
+        let call = CallerRequest {
+            kind,
+            id,
+            key,
+            body: DEFAULT_BODY,
+        };
+        self.send_call_to(node, &call, deadline)
+    }
+
+    pub(crate) fn send_call_to(
+        &self,
+        node: &Entry,
+        call: &CallerRequest<'_>,
+        deadline: Duration,
+    ) -> Response {
+        let CallerRequest {
+            kind,
+            id,
+            key,
+            body,
+        } = *call;
         let prefix = match kind {
             RequestKind::Stream | RequestKind::HugeStream => "/chat/",
             RequestKind::Booking => "/book/",
@@ -264,7 +309,7 @@
                 .header("model-name", model)
                 .header("token-count", "10,80");
         }
-        let req = req.body(Full::from("asked")).expect("it is valid");
+        let req = req.body(Full::from(body.to_owned())).expect("it is valid");
         self.send(node.caller_address(), req, WAIT_TIMEOUT)
     }
 
