--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -118,7 +118,7 @@
         if !run.context.is_last_chance() {
             return false;
         }
-        let neighbors = self.check_neighbors(&run.crash).await;
+        let neighbors = self.check_neighbors(run).await;
         if neighbors.is_mass_loss() {
             self.state.events.write(&Event::CrashExcused {
                 fingerprint: run.request,
@@ -229,8 +229,8 @@
     }
 
     /// Checks whether endpoints near a crashed one have stopped at the same time.
-    async fn check_neighbors(&self, crash: &EndpointCrash) -> NeighborCheck {
-        let neighbors = self.neighbors(crash);
+    async fn check_neighbors(&self, run: &InterruptedRun) -> NeighborCheck {
+        let neighbors = self.neighbors(run);
         let probes = neighbors
             .iter()
             .map(|endpoint| probe(&self.client, endpoint.address, endpoint.incarnation));
@@ -245,10 +245,10 @@
     }
 
     /// Returns the endpoints that a loss of the crashed one's fabric domain or failure domain would include.
-    /// Members of its own group, and endpoints that crashed earlier, say nothing about that.
-    fn neighbors(&self, crash: &EndpointCrash) -> Vec<Arc<Endpoint>> {
+    /// Members of its own group, and endpoints that crashed separately, say nothing about that.
+    fn neighbors(&self, run: &InterruptedRun) -> Vec<Arc<Endpoint>> {
         let directory = self.state.directory.load_full();
-        let Some(crashed) = directory.find(&crash.endpoint) else {
+        let Some(crashed) = directory.find(&run.crash.endpoint) else {
             return Vec::new();
         };
         let now = clock::now();
@@ -259,7 +259,7 @@
                 && other.failure_domain == crashed.failure_domain
                 && other.id != crashed.id
                 && (group.is_none() || other.group_key() != group)
-                && !tracker.is_old_crash(now, &crash_of(other))
+                && !tracker.is_separate_crash(now, &run.request, &EndpointCrash::of(other))
         });
         let mut others: Vec<Arc<Endpoint>> = others.cloned().collect();
         fastrand::shuffle(&mut others);
@@ -346,10 +346,3 @@
         }
     }
 }
-
-fn crash_of(endpoint: &Endpoint) -> EndpointCrash {
-    EndpointCrash {
-        endpoint: endpoint.id.clone(),
-        incarnation: endpoint.incarnation,
-    }
-}
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -65,6 +65,7 @@
     state: Arc<EntryState>,
     callers: SocketAddr,
     readiness: SocketAddr,
+    metrics: SocketAddr,
     leave: Trigger,
     traffic: Worker,
     control: Worker,
@@ -119,6 +120,8 @@
         let callers = callers.map_err(|reason| error("listen", reason.into()))?;
         let readiness = listeners.control.readiness.local_addr();
         let readiness = readiness.map_err(|reason| error("listen", reason.into()))?;
+        let metrics_address = listeners.control.metrics.local_addr();
+        let metrics_address = metrics_address.map_err(|reason| error("listen", reason.into()))?;
         // Other nodes get this address. With port 0 in the settings, the system has chosen the port.
         let links = listeners.control.links.local_addr();
         settings.links = links.map_err(|reason| error("listen", reason.into()))?;
@@ -138,6 +141,7 @@
             state,
             callers,
             readiness,
+            metrics: metrics_address,
             leave,
             traffic,
             control,
@@ -157,6 +161,12 @@
         self.readiness
     }
 
+    /// Returns the address of the metrics and of the operators' page of blocked requests.
+    #[must_use]
+    pub const fn metrics_address(&self) -> SocketAddr {
+        self.metrics
+    }
+
     /// Returns the state that the node's threads share.
     #[must_use]
     pub const fn state(&self) -> &Arc<EntryState> {
--- a/crates/sesamecart-entry/src/traffic/suspicion.rs
+++ b/crates/sesamecart-entry/src/traffic/suspicion.rs
@@ -64,8 +64,8 @@
 
     /// Reduces the endpoints to the one of all `candidates` that a suspected request may be sent to.
     ///
-    /// If that one can't be reached, a copy of the request from another node may just have crashed it. The
-    /// request isn't sent to another endpoint then.
+    /// Endpoints that are known to have crashed are left out. If the remaining one can't be reached, a copy of the
+    /// request from another node may just have crashed it, and the request isn't sent to another endpoint.
     pub(super) fn restrict(
         &self,
         attempts: &Attempts,
@@ -75,14 +75,14 @@
         if self.crash_admission() != CrashAdmission::Restricted {
             return;
         }
-        // An endpoint that has run the request and is still there can't have crashed.
-        let has_run = |endpoint: &&&Arc<Endpoint>| {
-            attempts.may_have_run() && attempts.tried.contains(&endpoint.id)
-        };
-        let candidates: Vec<_> = candidates
-            .iter()
-            .filter(|endpoint| !has_run(endpoint))
-            .collect();
+        let has_run =
+            |endpoint: &Endpoint| attempts.may_have_run() && attempts.tried.contains(&endpoint.id);
+        let tracker = self.state.crashes.tracker();
+        let candidates = candidates.iter().filter(|endpoint| {
+            !has_run(endpoint) && !tracker.has_crashed(&EndpointCrash::of(endpoint))
+        });
+        let candidates: Vec<_> = candidates.collect();
+        drop(tracker);
         let ids = candidates.iter().map(|endpoint| &endpoint.id);
         let chosen = suspect_endpoint(&self.fingerprint(), ids).map(|index| &candidates[index].id);
         endpoints.retain(|endpoint| Some(&endpoint.id) == chosen);
@@ -96,10 +96,7 @@
         let customer = self.customer.as_ref();
         self.state.crashes.check(InterruptedRun {
             request: self.fingerprint(),
-            crash: EndpointCrash {
-                endpoint: endpoint.id.clone(),
-                incarnation: endpoint.incarnation,
-            },
+            crash: EndpointCrash::of(endpoint),
             context: interrupted.context.clone(),
             ran: interrupted.ran(),
             origin: RequestOrigin::new(
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -251,6 +251,14 @@
             .status
     }
 
+    /// Sends a request of an operator to the metrics address of a node.
+    pub(crate) fn send_operator_request(&self, node: &Entry, method: &str, path: &str) -> Response {
+        let req = Request::builder().method(method).uri(path);
+        let req = req.header("host", "node").body(Full::default());
+        let req = req.expect("it is valid");
+        self.send(node.metrics_address(), req, DEFAULT_DEADLINE)
+    }
+
     pub(crate) fn send_request(&self, kind: RequestKind, id: &str, key: &str) -> Response {
         self.send_request_within(kind, id, key, DEFAULT_DEADLINE)
     }
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -428,12 +428,25 @@
         true
     }
 
-    /// Returns whether it was known for some time that an endpoint has crashed, so that its state says
-    /// nothing about a new crash nearby.
+    /// Returns whether an incarnation of an endpoint is known to have crashed.
     #[must_use]
-    pub fn is_old_crash(&self, now: Timestamp, crash: &EndpointCrash) -> bool {
+    pub fn has_crashed(&self, crash: &EndpointCrash) -> bool {
+        self.known_crashes.contains_key(crash)
+    }
+
+    /// Returns whether a crash has another cause than a crash of an endpoint nearby that has just happened:
+    /// it was known before, or the same request was running there.
+    #[must_use]
+    pub fn is_separate_crash(
+        &self,
+        now: Timestamp,
+        request: &RequestFingerprint,
+        crash: &EndpointCrash,
+    ) -> bool {
         let known = self.known_crashes.get(crash);
-        known.is_some_and(|since| now.since(*since) >= SIMULTANEITY)
+        let is_old = known.is_some_and(|since| now.since(*since) >= SIMULTANEITY);
+        let mut runs = self.all_runs();
+        is_old || runs.any(|run| run.request == *request && run.crash == *crash)
     }
 
     fn crashed_endpoints(&self, request: &RequestFingerprint) -> Vec<EndpointId> {
--- a/crates/sesamecart-fleet/src/crash_tracker/report.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/report.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sesamecart_vocabulary::{CustomerId, EndpointId, RequestFingerprint};
 
+use crate::endpoint::Endpoint;
 use crate::number::Incarnation;
 
 /// The maximum number of blocked requests and of clearances in one report.
@@ -34,6 +35,17 @@
     pub incarnation: Option<Incarnation>,
 }
 
+impl EndpointCrash {
+    /// Returns the end of the current incarnation of an endpoint.
+    #[must_use]
+    pub fn of(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+        }
+    }
+}
+
 /// A request that was in flight at an endpoint when the endpoint crashed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashedRun {
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -484,13 +484,14 @@
         let tracker = &self.nodes[run.arrival.node].tracker;
         let domain = run.endpoint / DOMAIN_SIZE;
         let domain = &self.endpoints[domain * DOMAIN_SIZE..][..DOMAIN_SIZE];
+        let request = &self.requests[run.arrival.request].fingerprint;
         let neighbors = domain.iter().filter(|endpoint| {
             let crash = EndpointCrash {
                 endpoint: endpoint.id.clone(),
                 incarnation: Some(Incarnation(endpoint.incarnation)),
             };
             endpoint.id != self.endpoints[run.endpoint].id
-                && !tracker.is_old_crash(self.now, &crash)
+                && !tracker.is_separate_crash(self.now, request, &crash)
         });
         NeighborCheck {
             checked: neighbors.clone().count(),
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -294,12 +294,15 @@
 
 /// Guards against taking endpoints that are known to be down for a mass loss.
 #[test]
-fn a_crash_is_old_once_others_cannot_have_the_same_cause() {
+fn a_crash_is_separate_if_it_was_known_before_or_had_the_same_cause() {
     let mut tracker = CrashTracker::default();
-    record(&mut tracker, START, run(request("other"), 0, 0));
-    assert!(!tracker.is_old_crash(START, &crash(0)));
-    assert!(tracker.is_old_crash(START + SIMULTANEITY, &crash(0)));
-    assert!(!tracker.is_old_crash(START + SIMULTANEITY, &crash(1)));
+    let (culprit, other) = (request("crash"), request("other"));
+    record(&mut tracker, START, run(other, 0, 0));
+    assert!(!tracker.is_separate_crash(START, &culprit, &crash(0)));
+    assert!(tracker.is_separate_crash(START + SIMULTANEITY, &culprit, &crash(0)));
+    assert!(!tracker.is_separate_crash(START + SIMULTANEITY, &culprit, &crash(1)));
+    record(&mut tracker, START, run(culprit, 2, 0));
+    assert!(tracker.is_separate_crash(START, &culprit, &crash(2)));
 }
 
 macro_rules! neighbor_cases {
