--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -346,3 +346,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -0,0 +1,204 @@
+//! Tests of which interrupted runs are evidence against a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use sesamecart_edges::HttpClient;
+use sesamecart_fleet::{
+    Directory, Endpoint, EndpointCrash, EndpointState, Incarnation, RequestOrigin, Suspicion,
+};
+use sesamecart_platform::Store as StoreClient;
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_runtime::Worker;
+use sesamecart_vocabulary::{RequestFingerprint, RequestIdentity};
+
+use super::CrashMonitor;
+use crate::clock;
+use crate::crashes::{InterruptedRun, SendContext};
+use crate::state::EntryState;
+use crate::testkit::new_state;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The incarnation that the stand-in endpoints report.
+const INCARNATION: Incarnation = Incarnation(1_700_000_000_000);
+
+/// A node's monitor, a service with running endpoints, and an address at which nothing listens.
+struct Setup {
+    state: Arc<EntryState>,
+    monitor: CrashMonitor,
+    engines: Vec<Engine>,
+    stopped: SocketAddr,
+    _store: Store,
+    _worker: Worker,
+}
+
+impl Setup {
+    fn new() -> Self {
+        let store = Store::start().expect("the store listens");
+        let engines = (0..6).map(|index| {
+            let setup = EngineSetup {
+                id: format!("e{index}"),
+                service: "app".to_owned(),
+                zone: "a".to_owned(),
+                kind: EngineKind::Plain,
+                events: 1,
+            };
+            Engine::start(&store, setup).expect("the endpoint listens")
+        });
+        let engines: Vec<Engine> = engines.collect();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let stopped = listener.local_addr().expect("the listener has an address");
+        drop(listener);
+        let state = Arc::new(new_state(false));
+        let worker = Worker::start("monitor").expect("a thread starts");
+        let client = HttpClient::new(worker.tasks().clone(), CONNECT_TIMEOUT);
+        let store_client =
+            StoreClient::new(client.clone(), store.address(), CONNECT_TIMEOUT, |_, _| {});
+        let tasks = worker.tasks().clone();
+        let monitor = CrashMonitor::new(Arc::clone(&state), store_client, client, tasks);
+        Self {
+            state,
+            monitor,
+            engines,
+            stopped,
+            _store: store,
+            _worker: worker,
+        }
+    }
+
+    /// Lists endpoints, of which the first is the one whose run is interrupted.
+    fn list(&self, endpoints: &[Endpoint]) {
+        let mut directory = Directory::default();
+        for endpoint in endpoints {
+            directory.put(clock::now(), endpoint.clone());
+        }
+        self.state.directory.store(Arc::new(directory));
+    }
+
+    /// Returns the number of crashes that are attributed to a request after its run at the endpoint was
+    /// interrupted.
+    fn crashes_after_run_at(&self, endpoint: &Endpoint, crashes_before: u32) -> u32 {
+        let request = request();
+        let (checked, _closed) = async_channel::bounded(1);
+        let run = InterruptedRun {
+            request,
+            crash: EndpointCrash::of(endpoint),
+            context: SendContext {
+                suspicion: Suspicion {
+                    crashes: crashes_before,
+                    clearances: 0,
+                },
+                unchecked: None,
+            },
+            ran: Duration::ZERO,
+            origin: RequestOrigin::default(),
+            address: endpoint.address,
+            has_failed: Arc::default(),
+            checked,
+        };
+        async_io::block_on(self.monitor.check_run(run, &async_lock::OnceCell::new()));
+        self.state.crashes.tracker().suspicion(&request).crashes
+    }
+
+    fn running(&self, index: usize) -> Endpoint {
+        let address = self.engines[index].address();
+        endpoint(&format!("e{index}"), address)
+    }
+
+    fn stopped(&self, index: usize) -> Endpoint {
+        endpoint(&format!("s{index}"), self.stopped)
+    }
+}
+
+fn request() -> RequestFingerprint {
+    RequestFingerprint::of(&RequestIdentity {
+        customer: None,
+        host: "h",
+        method: "GET",
+        target: "/",
+        body: b"",
+    })
+}
+
+fn endpoint(id: &str, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: id.parse().expect("a valid endpoint name"),
+        address,
+        service: "app".parse().expect("a valid service name"),
+        failure_domain: "a".parse().expect("a valid failure domain name"),
+        slots: 8,
+        state: EndpointState::Ready,
+        cold_for: Duration::ZERO,
+        incarnation: Some(INCARNATION),
+        fabric_domain: None,
+        models: Vec::new(),
+        staged: Vec::new(),
+        group: None,
+    }
+}
+
+macro_rules! run_cases {
+    ($($(#[doc = $doc:literal])* $name:ident: $endpoint:expr => $crashes:literal;)*) => {
+        $(
+            $(#[doc = $doc])*
+            #[test]
+            fn $name() {
+                let setup = Setup::new();
+                let endpoint: fn(&Setup) -> Endpoint = $endpoint;
+                let endpoint = endpoint(&setup);
+                setup.list(std::slice::from_ref(&endpoint));
+                assert_eq!(setup.crashes_after_run_at(&endpoint, 0), $crashes);
+            }
+        )*
+    };
+}
+
+run_cases! {
+    an_endpoint_at_which_nothing_listens_has_crashed: |setup| setup.stopped(0) => 1;
+    an_endpoint_with_a_new_incarnation_has_crashed: |setup| Endpoint {
+        incarnation: Some(Incarnation(1)),
+        ..setup.running(0)
+    } => 1;
+    /// Guards against blaming a request for a connection that was reset.
+    an_endpoint_that_still_runs_has_not_crashed: |setup| setup.running(0) => 0;
+    /// Guards against blaming a request for the planned end of its endpoint.
+    an_endpoint_that_was_draining_has_not_crashed: |setup| Endpoint {
+        state: EndpointState::Draining,
+        ..setup.stopped(0)
+    } => 0;
+}
+
+/// Guards against blaming requests in a failure domain that operators take out of service.
+#[test]
+fn an_endpoint_of_an_evacuated_failure_domain_has_not_crashed() {
+    let setup = Setup::new();
+    let endpoint = setup.stopped(0);
+    setup.list(std::slice::from_ref(&endpoint));
+    setup.state.directory.rcu(|directory| {
+        let mut directory = Directory::clone(directory);
+        directory.set_evacuated(IndexSet::from([endpoint.failure_domain.clone()]));
+        directory
+    });
+    assert_eq!(setup.crashes_after_run_at(&endpoint, 0), 0);
+}
+
+/// Guards against blaming a request that was unlucky before for the loss of a failure domain.
+#[test]
+fn a_crash_among_others_nearby_is_not_the_last_one_before_a_block() {
+    let setup = Setup::new();
+    let stopped: Vec<Endpoint> = (0..4).map(|index| setup.stopped(index)).collect();
+    setup.list(&stopped);
+    assert_eq!(setup.crashes_after_run_at(&stopped[0], 2), 0);
+}
+
+#[test]
+fn a_crash_among_running_endpoints_may_be_the_last_one_before_a_block() {
+    let setup = Setup::new();
+    let mut listed = vec![setup.stopped(0)];
+    listed.extend((0..6).map(|index| setup.running(index)));
+    setup.list(&listed);
+    assert_eq!(setup.crashes_after_run_at(&listed[0], 2), 3);
+}
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -521,13 +521,13 @@
 
     /// Removes evidence that is too old. Returns the nodes that have stopped without withdrawing theirs.
     pub fn expire(&mut self, now: Timestamp) -> Vec<NodeId> {
+        let before = (self.runs.len(), self.blocks.len(), self.clearances.len());
         self.runs
             .retain(|own| now.since(own.observed_at) < BLOCK_TTL);
         let expired = self.blocks.extract_if(.., |_, own| own.expires_at <= now);
         let expired: Vec<OwnBlock> = expired.map(|(_, own)| own).collect();
-        for own in expired {
-            self.runs
-                .extend(probation(now, &own.block, &own.block.origin));
+        for own in &expired {
+            self.runs.extend(probation(now, &own.block));
         }
         let peers = &self.peers;
         self.clearances.retain(|request, own| {
@@ -538,8 +538,11 @@
         let stopped = self
             .peers
             .extract_if(.., |_, peer| now.since(peer.received_at) >= PEER_REPORT_TTL);
-        let stopped = stopped.map(|(node, _)| node).collect();
-        self.reassess(now);
+        let stopped: Vec<NodeId> = stopped.map(|(node, _)| node).collect();
+        let after = (self.runs.len(), self.blocks.len(), self.clearances.len());
+        if before != after || !stopped.is_empty() {
+            self.reassess(now);
+        }
         stopped
     }
 
@@ -701,7 +704,7 @@
 }
 
 /// Returns the evidence that remains after a block has expired: one more crash blocks the request again.
-fn probation(now: Timestamp, block: &BlockedRequest, origin: &RequestOrigin) -> Vec<OwnRun> {
+fn probation(now: Timestamp, block: &BlockedRequest) -> Vec<OwnRun> {
     let endpoints = block.endpoints.iter().cycle();
     let runs = (0..CRASH_LIMIT - 1).zip(endpoints);
     let runs = runs.map(|(crashes, endpoint)| CrashedRun {
@@ -718,7 +721,7 @@
     });
     let own = runs.map(|run| OwnRun {
         run,
-        origin: origin.clone(),
+        origin: block.origin.clone(),
         observed_at: now,
         share_at: now,
     });
