Record that the own interface sends crashing requests on for ever

A task that panics ends alone, as a new test shows: a request that makes a node's own code panic doesn't end the node.

--- a/crates/sesamecart-runtime/src/tasks.rs
+++ b/crates/sesamecart-runtime/src/tasks.rs
@@ -78,3 +78,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
