Decide while the store is slow, and check running endpoints again

Found on reading: one loop published reports and decided, so a store that didn't answer delayed decisions by 0.9 s a call and got a call every 0.1 s from each node; the two loops are apart now, and a refused report is repeated after 0.5 s. The result of a check was kept for 8 s also when the endpoint was still running, so that a crash a moment after a reset connection was overlooked (an_endpoint_that_was_running_is_checked_again). The tracker's module is split by job.

--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -5,7 +5,7 @@
 
 use async_lock::OnceCell;
 use futures_lite::future;
-use futures_util::future::join_all;
+use futures_util::future::{join_all, join3};
 use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{BlockChange, CrashReport, Endpoint, EndpointCrash, NeighborCheck};
@@ -17,6 +17,7 @@
 use crate::crashes::InterruptedRun;
 use crate::crashes::probe::{Liveness, probe};
 use crate::events::{Event, unix_millis};
+use crate::follower::millis;
 use crate::state::EntryState;
 
 /// Interval of the checks for due reports and decisions.
@@ -28,8 +29,14 @@
 /// How long changes are collected, because a crash interrupts many runs at once.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
-/// How long the result of a check is kept for further runs on the same endpoint.
-const CHECK_TTL: Duration = Duration::from_secs(8);
+/// The delay before a report that the store didn't accept is published again.
+const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// How long it is remembered that an endpoint has crashed, for further runs that were interrupted there.
+const CRASHED_TTL: Duration = Duration::from_secs(8);
+
+/// How long it is remembered that an endpoint hasn't crashed. It may crash a moment later.
+const NOT_CRASHED_TTL: Duration = Duration::from_millis(200);
 
 /// How long the registry may take to show that an endpoint that this node can't reach has started again.
 const RESTART_WAIT: Duration = Duration::from_secs(6);
@@ -61,8 +68,14 @@
 impl Checks {
     fn of(&mut self, crash: &EndpointCrash) -> Arc<OnceCell<bool>> {
         let now = clock::now();
-        self.0
-            .retain(|_, check| now.since(check.started_at) < CHECK_TTL);
+        self.0.retain(|_, check| {
+            let age = now.since(check.started_at);
+            match check.has_crashed.get() {
+                None => true,
+                Some(true) => age < CRASHED_TTL,
+                Some(false) => age < NOT_CRASHED_TTL,
+            }
+        });
         let check = self.0.entry(crash.clone());
         let check = check.or_insert_with(|| SharedCheck {
             started_at: now,
@@ -88,7 +101,8 @@
     }
 
     pub(crate) async fn run(self) {
-        futures_util::future::join(self.check_interrupted_runs(), self.share_and_decide()).await;
+        let checks = self.check_interrupted_runs();
+        join3(checks, self.decide_when_due(), self.share()).await;
     }
 
     async fn check_interrupted_runs(&self) {
@@ -182,21 +196,34 @@
         false
     }
 
-    async fn share_and_decide(&self) {
+    async fn decide_when_due(&self) {
         loop {
-            let changed = self.state.crashes.listen();
-            match self.tick_interval() {
-                Some(interval) => future::or(changed, sleep(interval)).await,
-                None => changed.await,
-            }
-            sleep(BATCH_DELAY).await;
-            self.expire().await;
+            self.wait_for_work().await;
             self.decide();
-            self.publish().await;
             self.log_changes();
         }
     }
 
+    async fn share(&self) {
+        loop {
+            self.wait_for_work().await;
+            self.expire().await;
+            if !self.publish().await {
+                sleep(PUBLISH_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Waits until the evidence changes or, if there is any, until the next check.
+    async fn wait_for_work(&self) {
+        let changed = self.state.crashes.listen();
+        match self.tick_interval() {
+            Some(interval) => future::or(changed, sleep(interval)).await,
+            None => changed.await,
+        }
+        sleep(BATCH_DELAY).await;
+    }
+
     /// Returns the time until the next check, or `None` if there is no evidence at all.
     fn tick_interval(&self) -> Option<Duration> {
         let tracker = self.state.crashes.tracker();
@@ -268,16 +295,19 @@
         others
     }
 
-    async fn publish(&self) {
+    /// Publishes this node's report if it is due. Returns whether the store accepted it.
+    async fn publish(&self) -> bool {
         let nodes = self.state.nodes.load().len();
         let now = clock::now();
         let Some(report) = self.state.crashes.tracker().due_report(now, nodes) else {
-            return;
+            return true;
         };
-        if self.append(&self.state.settings.node, Some(&report)).await {
+        let is_accepted = self.append(&self.state.settings.node, Some(&report)).await;
+        if is_accepted {
             let mut tracker = self.state.crashes.tracker();
             tracker.record_published(now, report);
         }
+        is_accepted
     }
 
     /// Appends a node's report, or its withdrawal, to the topic that all nodes follow. Returns whether the
@@ -340,7 +370,7 @@
                 } => self.state.events.write(&Event::RequestUnblocked {
                     fingerprint: request,
                     cause: &cause.to_string(),
-                    blocked_ms: crate::follower::millis(duration),
+                    blocked_ms: millis(duration),
                 }),
             }
         }
--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -14,7 +14,7 @@
 use sesamecart_runtime::Worker;
 use sesamecart_vocabulary::{RequestFingerprint, RequestIdentity};
 
-use super::CrashMonitor;
+use super::{Checks, CrashMonitor, NOT_CRASHED_TTL};
 use crate::clock;
 use crate::crashes::{InterruptedRun, SendContext};
 use crate::state::EntryState;
@@ -171,6 +171,23 @@
     } => 0;
 }
 
+/// Guards against overlooking a crash because the endpoint was still running when a connection to it was
+/// reset a moment before.
+#[test]
+fn an_endpoint_that_was_running_is_checked_again() {
+    let setup = Setup::new();
+    let (running, crashed) = (setup.running(0), setup.stopped(0));
+    let mut checks = Checks::default();
+    for (endpoint, has_crashed) in [(&running, false), (&crashed, true)] {
+        let check = checks.of(&EndpointCrash::of(endpoint));
+        let result = async_io::block_on(check.get_or_init(|| async { has_crashed }));
+        assert_eq!(*result, has_crashed);
+    }
+    std::thread::sleep(NOT_CRASHED_TTL);
+    assert_eq!(checks.of(&EndpointCrash::of(&running)).get(), None);
+    assert_eq!(checks.of(&EndpointCrash::of(&crashed)).get(), Some(&true));
+}
+
 /// Guards against blaming requests in a failure domain that operators take out of service.
 #[test]
 fn an_endpoint_of_an_evacuated_failure_domain_has_not_crashed() {
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -8,24 +8,27 @@
 
 use std::time::Duration;
 
-use derive_more::Display;
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, NodeId, RequestFingerprint, Timestamp, rendezvous_weight};
-
-use crate::number::Incarnation;
+use sesamecart_vocabulary::{EndpointId, NodeId, RequestFingerprint, Timestamp};
 
+mod admission;
 mod assessment;
+mod own_evidence;
 mod report;
+mod sharing;
 #[cfg(test)]
 mod simulation_tests;
 #[cfg(test)]
 mod tests;
 
+pub use admission::{BlockChange, BlockEnd, CrashAdmission, NeighborCheck, suspect_endpoint};
 use assessment::Assessment;
+use own_evidence::{OwnBlock, OwnClearance, OwnRun, probation};
 pub use report::{
     BlockedRequest, Clearance, ClearanceCause, CrashReport, CrashedRun, EndpointCrash,
     RequestOrigin, Suspicion,
 };
+use sharing::Published;
 
 /// The number of successive crashes after which a request is blocked.
 pub const CRASH_LIMIT: u32 = 3;
@@ -52,15 +55,6 @@
 /// requests complete in that time, and no other node has to hear of them.
 const SHARE_DELAY: Duration = Duration::from_secs(1);
 
-/// The minimum interval between two reports of a node.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
-
-/// The interval of reports by all nodes together; with many nodes, each reports less often.
-const REPORT_INTERVAL_PER_NODE: Duration = Duration::from_millis(5);
-
-/// The interval of reports that only withdraw evidence. Until then, the evidence does little harm.
-const WITHDRAWAL_INTERVAL: Duration = Duration::from_secs(5);
-
 /// How long a clearance is kept at least, because requests that were sent before it may still be running.
 const CLEARANCE_TTL: Duration = Duration::from_secs(30);
 
@@ -70,87 +64,9 @@
 /// The maximum number of requests in flight at crashes that a node keeps.
 const MAX_OWN_RUNS: usize = 128;
 
-/// The number of requests in flight at crashes that all nodes together report.
-const MAX_REPORTED_RUNS: usize = 2_048;
-
-/// The minimum number of them that each node may report.
-const MIN_REPORTED_RUNS_PER_NODE: usize = 4;
-
 /// The maximum number of requests that a node blocks.
 const MAX_OWN_BLOCKS: usize = 64;
 
-/// Whether a request may be sent to an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CrashAdmission {
-    /// It may be sent to any endpoint.
-    Allowed,
-    /// It may be sent to one endpoint, see [`suspect_endpoint`].
-    Restricted,
-    /// Whether to block it is decided within the given time.
-    Undecided(Duration),
-    /// It is blocked for the given time.
-    Blocked(Duration),
-}
-
-/// Returns the index of the endpoint that a suspected request may be sent to, by rendezvous hashing.
-///
-/// Nodes that know the same endpoints choose the same one. Copies of a request that several nodes send at
-/// once crash only that one, and other suspected requests mostly run on other endpoints.
-pub fn suspect_endpoint<'a>(
-    request: &RequestFingerprint,
-    candidates: impl Iterator<Item = &'a EndpointId>,
-) -> Option<usize> {
-    let key = request.to_string();
-    let weights = candidates.map(|candidate| rendezvous_weight(&key, candidate.as_str()));
-    let best = weights.enumerate().max_by_key(|(_, weight)| *weight);
-    best.map(|(index, _)| index)
-}
-
-/// Why a request isn't blocked any more.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum BlockEnd {
-    /// The request was cleared.
-    #[display("{_0}")]
-    Cleared(ClearanceCause),
-    /// The block expired.
-    #[display("expired")]
-    Expired,
-}
-
-/// A change of the set of blocked requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BlockChange {
-    /// A request is blocked now.
-    Started(BlockedRequest),
-    /// A request isn't blocked any more.
-    Ended {
-        /// The request.
-        request: RequestFingerprint,
-        /// The cause.
-        cause: BlockEnd,
-        /// How long this node had known of the block.
-        duration: Duration,
-    },
-}
-
-/// The result of checking whether an endpoint crashed alone.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NeighborCheck {
-    /// The number of other endpoints near the crashed one that were checked.
-    pub checked: usize,
-    /// The number of those that have stopped, too.
-    pub stopped: usize,
-}
-
-impl NeighborCheck {
-    /// Returns whether the endpoint was lost together with others, as in the loss of a failure domain, so
-    /// that no request is the cause.
-    #[must_use]
-    pub const fn is_mass_loss(self) -> bool {
-        self.stopped >= 2 && 3 * self.stopped >= self.checked
-    }
-}
-
 /// A crash that is enough to block a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DueDecision {
@@ -160,44 +76,12 @@
     pub crash: EndpointCrash,
 }
 
-/// A run that this node observed.
-#[derive(Clone, Debug)]
-struct OwnRun {
-    run: CrashedRun,
-    origin: RequestOrigin,
-    observed_at: Timestamp,
-    share_at: Timestamp,
-}
-
-/// A block by this node.
-#[derive(Clone, Debug)]
-struct OwnBlock {
-    block: BlockedRequest,
-    expires_at: Timestamp,
-}
-
-/// A clearance by this node.
-#[derive(Clone, Debug)]
-struct OwnClearance {
-    clearance: Clearance,
-    cleared_at: Timestamp,
-    /// Whether other nodes have evidence that it voids.
-    is_shared: bool,
-}
-
 #[derive(Clone, Debug)]
 struct PeerReport {
     report: CrashReport,
     received_at: Timestamp,
 }
 
-/// The last report that this node published.
-#[derive(Clone, Debug, Default)]
-struct Published {
-    report: CrashReport,
-    at: Timestamp,
-}
-
 /// A request whose last crash is being examined.
 #[derive(Clone, Copy, Debug)]
 struct Undecided {
@@ -363,11 +247,6 @@
     }
 
     fn clear(&mut self, now: Timestamp, request: &RequestFingerprint, cause: ClearanceCause) {
-        let is_shared = self.published.report.concerns(request)
-            || self
-                .peers
-                .values()
-                .any(|peer| peer.report.concerns(request));
         let clearance = Clearance {
             request: *request,
             number: self.suspicion(request).clearances + 1,
@@ -376,7 +255,7 @@
         let own = OwnClearance {
             clearance,
             cleared_at: now,
-            is_shared,
+            is_shared: self.published.report.concerns(request),
         };
         self.clearances.insert(*request, own);
         self.reassess(now);
@@ -546,59 +425,6 @@
         stopped
     }
 
-    /// Returns the report to publish, if it is time for one.
-    #[must_use]
-    pub fn due_report(&self, now: Timestamp, nodes: usize) -> Option<CrashReport> {
-        let max_runs =
-            (MAX_REPORTED_RUNS / nodes.max(1)).clamp(MIN_REPORTED_RUNS_PER_NODE, MAX_OWN_RUNS);
-        let report = self.report(max_runs, now);
-        if report == self.published.report {
-            return None;
-        }
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        let interval = match self.is_urgent(&report) {
-            true => REPORT_INTERVAL.max(REPORT_INTERVAL_PER_NODE * nodes),
-            false => WITHDRAWAL_INTERVAL,
-        };
-        let is_due =
-            self.published.at == Timestamp::ZERO || now.since(self.published.at) >= interval;
-        is_due.then_some(report)
-    }
-
-    /// Records that a report was published.
-    pub fn record_published(&mut self, now: Timestamp, report: CrashReport) {
-        self.published = Published { report, at: now };
-    }
-
-    fn report(&self, max_runs: usize, now: Timestamp) -> CrashReport {
-        let runs = self.runs.iter().filter(|own| own.share_at <= now);
-        let blocks = self.blocks.values();
-        let clearances = self.clearances.values().filter(|own| own.is_shared);
-        let mut report = CrashReport {
-            runs: runs.map(|own| own.run.clone()).collect(),
-            blocks: blocks.map(|own| own.block.clone()).collect(),
-            clearances: clearances.map(|own| own.clearance.clone()).collect(),
-        };
-        report.runs.sort_by_key(|run| run.suspicion.crashes);
-        report.truncate(max_runs);
-        report
-    }
-
-    /// Returns whether a report says something that other nodes have to know soon.
-    fn is_urgent(&self, report: &CrashReport) -> bool {
-        let published = &self.published.report;
-        let is_peers_suspect = |clearance: &Clearance| {
-            let mut peers = self.peers.values();
-            peers.any(|peer| peer.report.concerns(&clearance.request))
-        };
-        let clearances = report.clearances.iter();
-        let mut new_clearances =
-            clearances.filter(|clearance| !published.clearances.contains(clearance));
-        report.blocks != published.blocks
-            || report.runs.iter().any(|run| !published.runs.contains(run))
-            || new_clearances.any(is_peers_suspect)
-    }
-
     /// Returns the changes of the set of blocked requests since the last call.
     pub fn take_changes(&mut self) -> Vec<BlockChange> {
         std::mem::take(&mut self.changes)
@@ -696,34 +522,3 @@
         self.undecided = undecided.collect();
     }
 }
-
-impl OwnRun {
-    fn is_of(&self, due: &DueDecision) -> bool {
-        self.run.request == due.request && self.run.crash == due.crash
-    }
-}
-
-/// Returns the evidence that remains after a block has expired: one more crash blocks the request again.
-fn probation(now: Timestamp, block: &BlockedRequest) -> Vec<OwnRun> {
-    let endpoints = block.endpoints.iter().cycle();
-    let runs = (0..CRASH_LIMIT - 1).zip(endpoints);
-    let runs = runs.map(|(crashes, endpoint)| CrashedRun {
-        request: block.request,
-        crash: EndpointCrash {
-            endpoint: endpoint.clone(),
-            incarnation: Some(Incarnation(u64::from(crashes))),
-        },
-        suspicion: Suspicion {
-            crashes,
-            clearances: block.clearances,
-        },
-        ran_ms: block.ran_ms,
-    });
-    let own = runs.map(|run| OwnRun {
-        run,
-        origin: block.origin.clone(),
-        observed_at: now,
-        share_at: now,
-    });
-    own.collect()
-}
