--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -374,10 +374,11 @@
         self.reassess(now);
     }
 
-    /// Continues with the evidence that this node had published before it was restarted.
+    /// Continues with the evidence that this node had published before it was restarted. A node that has
+    /// published something since knows better.
     pub fn restore(&mut self, now: Timestamp, report: CrashReport) {
         let is_fresh = self.runs.is_empty() && self.blocks.is_empty();
-        if !is_fresh || !self.published.report.is_empty() {
+        if !is_fresh || self.published.at != Timestamp::ZERO {
             return;
         }
         let runs = report.runs.iter().cloned();
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -511,9 +511,14 @@
     let now = block(&mut before, START, culprit);
     let report = before.due_report(now, 7).expect("the block is urgent");
     let mut restarted = CrashTracker::default();
-    restarted.restore(START, report);
+    restarted.restore(START, report.clone());
     assert!(is_blocked(&restarted, START, &culprit));
     assert_eq!(restarted.due_report(START, 7), None);
+    // Its own earlier record may still arrive after it has withdrawn everything.
+    let mut running = CrashTracker::default();
+    running.record_published(START, CrashReport::default());
+    running.restore(START, report);
+    assert!(running.is_empty());
 }
 
 /// Guards against the evidence of nodes that were stopped for good.
