Test that an endpoint that doesn't answer accuses nobody

A node that can't reach an endpoint can't tell a crash from a broken link. The run isn't evidence unless the registry shows another incarnation of the endpoint within 6 s.

--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -164,6 +164,11 @@
     } => 1;
     /// Guards against blaming a request for a connection that was reset.
     an_endpoint_that_still_runs_has_not_crashed: |setup| setup.running(0) => 0;
+    /// Guards against blaming a request for a node's own links.
+    an_endpoint_that_does_not_answer_has_not_crashed: |setup| {
+        setup.engines[0].set_unresponsive(true);
+        setup.running(0)
+    } => 0;
     /// Guards against blaming a request for the planned end of its endpoint.
     an_endpoint_that_was_draining_has_not_crashed: |setup| Endpoint {
         state: EndpointState::Draining,
