Keep the simulated case that fails as it was first written

The scenario of copies in quick succession first had one every 60 ms over seven nodes. Cause: nodes hear of each other's crashes after 0.3 s, and copies that arrive in that time at different nodes each reach the same endpoint.

--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -23,8 +23,6 @@
 /// The number of endpoints in each failure domain.
 const DOMAIN_SIZE: usize = 4;
 
-const RUN_TIME: Duration = Duration::from_secs(30);
-
 /// The number of seeds of each scenario.
 const SEEDS: u64 = 8;
 
@@ -67,6 +65,7 @@
     culprit_interval: Duration,
     /// How often a whole failure domain is lost.
     domain_losses: usize,
+    run_time: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -124,6 +123,7 @@
 
 struct Simulation {
     rng: Rng,
+    run_time: Duration,
     now: Timestamp,
     queue: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
     queued: u64,
@@ -156,6 +156,7 @@
         });
         let mut simulation = Self {
             rng: Rng::with_seed(seed),
+            run_time: scenario.run_time,
             now: START,
             queue: BinaryHeap::new(),
             queued: 0,
@@ -186,7 +187,7 @@
             simulation.repeat(&format!("repeated {repeated}"), false, interval);
         }
         let mut at = Duration::ZERO;
-        while at < RUN_TIME {
+        while at < scenario.run_time {
             at += Duration::from_secs_f64(0.015 * simulation.rng.f64());
             let request = simulation.add_request(&format!("request at {at:?}"), false);
             simulation.schedule_arrival(at, request);
@@ -198,7 +199,7 @@
     fn repeat(&mut self, body: &str, is_culprit: bool, interval: Duration) {
         let request = self.add_request(body, is_culprit);
         let mut at = Duration::from_secs(3);
-        while at < RUN_TIME {
+        while at < self.run_time {
             at += interval.mul_f64(2.0 * self.rng.f64());
             self.schedule_arrival(at, request);
         }
@@ -232,7 +233,7 @@
     }
 
     fn run(mut self) -> Self {
-        let end = START + RUN_TIME;
+        let end = START + self.run_time;
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
             if at > end {
                 break;
@@ -536,6 +537,7 @@
     repeated: 5,
     culprit_interval: Duration::from_millis(800),
     domain_losses: 0,
+    run_time: Duration::from_secs(30),
 };
 
 scenarios! {
@@ -554,3 +556,17 @@
     /// Guards against a culprit that hides behind losses of failure domains.
     a_culprit_among_lost_failure_domains_is_blocked: Scenario { domain_losses: 4, ..CALM };
 }
+
+/// Guards against a culprit whose copies arrive at many nodes before these hear of each other's crashes.
+#[test]
+fn copies_faster_than_reports_crash_few_endpoints() {
+    let seeds = (0..20).map(|seed| (60, seed)).chain([(150, 58)]);
+    for (interval_ms, seed) in seeds {
+        let scenario = Scenario {
+            culprit_interval: Duration::from_millis(interval_ms),
+            run_time: Duration::from_secs(60),
+            ..CALM
+        };
+        Simulation::new(seed, scenario).run().assert_contained(seed);
+    }
+}
