Open connections through a dialer that tests can replace

A test couldn't cut one node off from endpoints that the other nodes reach: all of them use the endpoints' addresses. HTTP clients now open connections with a Dialer; nodes use TcpDialer. In the end-to-end tests FaultyLinks makes the links of one node silent, reset or refused, on open and new connections. The check whether an endpoint has crashed uses the same dialer.

--- a/crates/sesamecart-edges/src/client.rs
+++ b/crates/sesamecart-edges/src/client.rs
@@ -1,5 +1,6 @@
 //! The HTTP client for endpoints and the platform, which reports whether a request may have reached the peer.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,11 +13,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use indexmap::IndexMap;
-use sesamecart_runtime::{Elapsed, Tasks, connect, with_timeout};
+use sesamecart_runtime::{Elapsed, Tasks, with_timeout};
 use sesamecart_vocabulary::Bytes as ByteSize;
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::{BoxError, read_body};
+use crate::dialer::{Dialer, TcpDialer};
 
 /// The maximum number of idle connections that are kept for one peer.
 const MAX_IDLE_PER_PEER: usize = 64;
@@ -106,6 +108,7 @@
     tasks: Tasks,
     idle: Pool,
     connect_timeout: Duration,
+    dialer: Arc<dyn Dialer>,
 }
 
 /// A response whose head has arrived.
@@ -155,13 +158,29 @@
     /// Creates a client whose connections run on `tasks`.
     #[must_use]
     pub fn new(tasks: Tasks, connect_timeout: Duration) -> Self {
+        Self::with_dialer(tasks, connect_timeout, Arc::new(TcpDialer))
+    }
+
+    /// Creates a client that opens its connections with `dialer`.
+    #[must_use]
+    pub fn with_dialer(tasks: Tasks, connect_timeout: Duration, dialer: Arc<dyn Dialer>) -> Self {
         Self {
             tasks,
             idle: Arc::default(),
             connect_timeout,
+            dialer,
         }
     }
 
+    /// Opens a connection to `peer` and closes it again, to check whether the peer accepts connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection attempt; `TimedOut` after `limit`.
+    pub async fn check_connection(&self, peer: SocketAddr, limit: Duration) -> io::Result<()> {
+        self.dialer.dial(peer, limit).await.map(drop)
+    }
+
     /// Sends a request and waits up to `timeout` for the response head.
     ///
     /// # Errors
@@ -239,9 +258,9 @@
             source,
         };
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let stream = connect(peer, self.connect_timeout.min(remaining))
-            .await
-            .map_err(|cause| error(cause.into()))?;
+        let limit = self.connect_timeout.min(remaining);
+        let stream = self.dialer.dial(peer, limit).await;
+        let stream = stream.map_err(|cause| error(cause.into()))?;
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
--- a/crates/sesamecart-edges/src/lib.rs
+++ b/crates/sesamecart-edges/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod dialer;
 mod header;
 mod log_service;
 mod server;
@@ -14,6 +15,7 @@
 
 pub use body::{BoxError, CallerBody, ReadBodyError, empty, read_body, whole};
 pub use client::{ClientError, Exchange, HttpClient, PooledConnection, Reuse, SendStatus, Step};
+pub use dialer::{Connection, Dialer, TcpDialer};
 pub use header::{
     ACTION, ATTEMPT, CLASS, DEADLINE_MS, EPOCH, GENERATION, IDEMPOTENCY_KEY, NOT_RUN, OUTCOME,
     PRIORITY, REPLAYED, REQUEST, RESUME_AT,
--- a/crates/sesamecart-entry/src/crashes/probe.rs
+++ b/crates/sesamecart-entry/src/crashes/probe.rs
@@ -7,7 +7,7 @@
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::Incarnation;
 use sesamecart_platform::fetch_report;
-use sesamecart_runtime::{connect, sleep};
+use sesamecart_runtime::sleep;
 
 /// The delays before the probes of an endpoint. A process may close its listener a moment after its
 /// connections.
@@ -51,8 +51,8 @@
     address: SocketAddr,
     incarnation: Option<Incarnation>,
 ) -> Liveness {
-    match connect(address, PROBE_TIMEOUT).await {
-        Ok(_stream) => {}
+    match client.check_connection(address, PROBE_TIMEOUT).await {
+        Ok(()) => {}
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Stopped,
         Err(_) => return Liveness::Unreachable,
     }
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -11,7 +11,9 @@
 use futures_lite::{StreamExt as _, future};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use sesamecart_edges::{CallerBody, Connections, HttpClient, ServerLimits, whole};
+use sesamecart_edges::{
+    CallerBody, Connections, Dialer, HttpClient, ServerLimits, TcpDialer, whole,
+};
 use sesamecart_links::Links;
 use sesamecart_platform::Store;
 use sesamecart_runtime::{ByteCounters, Signal, Trigger, Worker, listen, sleep};
@@ -108,7 +110,19 @@
     /// # Errors
     ///
     /// Returns an error that names the node and the step that failed, for example when an address is in use.
-    pub fn start(mut settings: EntrySettings) -> Result<Self, StartError> {
+    pub fn start(settings: EntrySettings) -> Result<Self, StartError> {
+        Self::start_with_dialer(settings, Arc::new(TcpDialer))
+    }
+
+    /// Starts the node's threads, which open connections to endpoints and to the store with `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the node and the step that failed, for example when an address is in use.
+    pub fn start_with_dialer(
+        mut settings: EntrySettings,
+        dialer: Arc<dyn Dialer>,
+    ) -> Result<Self, StartError> {
         let node = settings.node.clone();
         let error = |step, reason: anyhow::Error| StartError {
             node: node.clone(),
@@ -133,9 +147,9 @@
         let metrics = Metrics::new().map_err(|reason| error("set up metrics", reason))?;
         let state = Arc::new(EntryState::new(settings, events, metrics));
         let (leave, leaving) = Signal::new();
-        let control = start_control(&state, listeners.control)
+        let control = start_control(&state, listeners.control, Arc::clone(&dialer))
             .map_err(|reason| error("start control", reason.into()))?;
-        let traffic = traffic::start(&state, listeners.callers, &leaving)
+        let traffic = traffic::start(&state, listeners.callers, &leaving, dialer)
             .map_err(|reason| error("start traffic", reason.into()))?;
         Ok(Self {
             state,
@@ -247,10 +261,14 @@
     })
 }
 
-fn start_control(state: &Arc<EntryState>, listeners: ControlListeners) -> std::io::Result<Worker> {
+fn start_control(
+    state: &Arc<EntryState>,
+    listeners: ControlListeners,
+    dialer: Arc<dyn Dialer>,
+) -> std::io::Result<Worker> {
     let worker = Worker::start("control")?;
     let tasks = worker.tasks().clone();
-    let client = HttpClient::new(tasks.clone(), CONTROL_CONNECT_TIMEOUT);
+    let client = HttpClient::with_dialer(tasks.clone(), CONTROL_CONNECT_TIMEOUT, dialer);
     let store = {
         let on_call_state = Arc::clone(state);
         let on_call =
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_edges::{HttpClient, ServerLimits};
+use sesamecart_edges::{Dialer, HttpClient, ServerLimits};
 use sesamecart_runtime::{Signal, Worker};
 
 use crate::state::EntryState;
@@ -45,10 +45,11 @@
     state: &Arc<EntryState>,
     listener: TcpListener,
     leaving: &Signal,
+    dialer: Arc<dyn Dialer>,
 ) -> std::io::Result<Worker> {
     let worker = Worker::start("traffic")?;
     let tasks = worker.tasks().clone();
-    let client = HttpClient::new(tasks.clone(), CONNECT_TIMEOUT);
+    let client = HttpClient::with_dialer(tasks.clone(), CONNECT_TIMEOUT, dialer);
     let handler = Handler::new(Arc::clone(state), client);
     let connections = state.connections.clone();
     let leaving = leaving.clone();
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -2,6 +2,7 @@
 //! including the failures of endpoints and of the store.
 
 mod crashing_requests;
+mod faulty_links;
 mod many_nodes;
 mod overload;
 mod setup;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
 use sesamecart_runtime::Worker;
 
+use crate::faulty_links::FaultyLinks;
+
 /// The timeout for every awaited condition. It ends a test that hangs and doesn't check performance.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -81,6 +84,8 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) plain: Vec<Engine>,
     pub(crate) node: Entry,
+    /// The links of `node`.
+    pub(crate) links: FaultyLinks,
     caller: HttpClient,
     _worker: Worker,
 }
@@ -131,7 +136,10 @@
             )
         });
         let plain = plain.collect();
-        let node = Entry::start(settings(FIRST_NODE, store.address())).expect("the node starts");
+        let links = FaultyLinks::default();
+        let node = settings(FIRST_NODE, store.address());
+        let node = Entry::start_with_dialer(node, Arc::new(links.clone()));
+        let node = node.expect("the node starts");
         let worker = Worker::start("caller").expect("a thread starts");
         let caller = HttpClient::new(worker.tasks().clone(), Duration::from_secs(1));
         let deployment = Self {
@@ -139,6 +147,7 @@
             engines,
             plain,
             node,
+            links,
             caller,
             _worker: worker,
         };
@@ -170,6 +179,24 @@
         self.add(settings(node, store))
     }
 
+    /// Starts another node whose links can fail, and returns once it is ready.
+    pub(crate) fn add_node_with_links(&self, node: &str) -> (Entry, FaultyLinks) {
+        let links = FaultyLinks::default();
+        let settings = settings(node, self.store.address());
+        let entry = Entry::start_with_dialer(settings, Arc::new(links.clone()));
+        let entry = entry.expect("the node starts");
+        self.wait_until("the other node is ready", || {
+            self.readiness_of(&entry) == 200
+        });
+        (entry, links)
+    }
+
+    /// Returns the addresses of all endpoints.
+    pub(crate) fn endpoint_addresses(&self) -> Vec<SocketAddr> {
+        let endpoints = self.engines.iter().chain(&self.plain);
+        endpoints.map(Engine::address).collect()
+    }
+
     /// Starts another node with a longer `configuration_ms`, so that it considers its source stale later.
     pub(crate) fn add_node_with_long_bound(&self, node: &str, store: SocketAddr) -> Entry {
         let mut settings = settings(node, store);
