--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -253,6 +253,15 @@
         /// The results of the probes.
         finding: &'a str,
     },
+    /// A group isn't healthy as seen from this node, which therefore opened connections to other endpoints.
+    LinksChecked {
+        /// The group and its epoch.
+        group: &'a str,
+        /// The number of endpoints outside of the group that were tried.
+        checked: usize,
+        /// The number of those that accepted a connection; 0 if this node has lost its own links.
+        reached: usize,
+    },
     /// A group is being formed.
     GroupPlanned {
         /// The group and its epoch.
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::events::Event;
 use crate::group_prober::GroupProber;
+use crate::link_check::check_links;
 use crate::state::EntryState;
 
 /// Interval between two checks for silent heads.
@@ -91,6 +92,9 @@
         verdict: &verdict.to_string(),
         finding: &format!("head {}; members {}", probes.head, others.join(", ")),
     });
+    if verdict != GroupHealth::Healthy {
+        let _check = check_links(state, client, key).await;
+    }
     GroupProbe { verdict, silent }
 }
 
