--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -8,6 +8,7 @@
 mod setup;
 mod sources;
 mod store_proxy;
+mod unreachable_endpoints;
 
 use std::cell::Cell;
 use std::time::Duration;
