Don't judge groups and endpoints by links that this node has lost

Cause: a probe without an answer says the same of an engine that is gone and of one that the probing node has no path to, and the verdict was shared. A controller that reached heads on open connections only ordered them to leave, since it couldn't open connections to their members; one with silent links announced the loss of sound groups to all nodes, which sent nothing there for 6 s. Readers did the same to their followers.

Change: if only silence speaks against a group, the node opens connections to other endpoints of the service. If none accepts, the verdict is unknown: no order, no announcement, no report, and the node's followers probe themselves. If some do, the controller asks another node before it dissolves the group. A head that only this node can't reach isn't reported as lost. The same cause in the crash monitor: with refused links each reset connection looked like a crash; it now checks other endpoints first.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -293,6 +293,10 @@
             StepOutcome::Sound { key } => {
                 self.in_progress.swap_remove(&key);
             }
+            StepOutcome::Undecided { key } => {
+                self.in_progress.swap_remove(&key);
+                self.planner.defer_examination(&key, now);
+            }
         }
     }
 
@@ -306,13 +310,14 @@
         let engines = Arc::clone(&self.engines);
         let outcome_tx = self.outcome_tx.clone();
         let (state, client) = (Arc::clone(&controller.state), controller.client.clone());
+        let links = controller.links.clone();
         let announce = {
             let (state, links) = (Arc::clone(&state), controller.links.clone());
             let tasks = self.tasks.clone();
             move |key| tasks.spawn(loss_reports::announce(state, links, key))
         };
         self.tasks.spawn(async move {
-            let outcome = execute(step, &state, &client, &engines, announce).await;
+            let outcome = execute(step, &state, &client, &links, &engines, announce).await;
             if let Some(outcome) = outcome {
                 // The receiver is gone if the term has ended, and then the outcome isn't needed.
                 let _sent = outcome_tx.send(outcome).await;
--- a/crates/sesamecart-entry/src/controller/steps.rs
+++ b/crates/sesamecart-entry/src/controller/steps.rs
@@ -2,12 +2,14 @@
 
 use futures_util::future::join_all;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{Formation, GroupHealth, GroupKey, Step};
+use sesamecart_fleet::{Formation, GroupHealth, GroupKey, PeerNode, Step};
+use sesamecart_links::Links;
 use sesamecart_platform::{Order, OrderOutcome};
 use sesamecart_vocabulary::EndpointId;
 
 use crate::controller::engines::EngineClient;
 use crate::events::Event;
+use crate::group_prober::probe_via;
 use crate::state::EntryState;
 use crate::watch::{self, GroupProbe};
 
@@ -39,12 +41,15 @@
     },
     /// A group was probed and is healthy.
     Sound { key: GroupKey },
+    /// This node can't tell whether a group is healthy.
+    Undecided { key: GroupKey },
 }
 
 pub(super) async fn execute(
     step: Step,
     state: &EntryState,
     client: &HttpClient,
+    links: &Links,
     engines: &EngineClient,
     announce: impl FnOnce(GroupKey),
 ) -> Option<StepOutcome> {
@@ -88,16 +93,55 @@
         }
         Step::Examine(key) => {
             let probe = watch::probe_group(state, client, &key).await;
-            if probe.verdict == GroupHealth::Healthy {
-                return Some(StepOutcome::Sound { key });
+            let verdict = match probe.verdict {
+                GroupHealth::Healthy | GroupHealth::Unknown => probe.verdict,
+                GroupHealth::Lost | GroupHealth::HeadUnreachable => {
+                    confirm_loss(state, links, &key, &probe).await
+                }
+            };
+            match verdict {
+                GroupHealth::Healthy => Some(StepOutcome::Sound { key }),
+                GroupHealth::Unknown => Some(StepOutcome::Undecided { key }),
+                GroupHealth::Lost | GroupHealth::HeadUnreachable => {
+                    state.mark_group_lost(&key);
+                    announce(key.clone());
+                    Some(dissolve(state, engines, key, probe).await)
+                }
             }
-            state.mark_group_lost(&key);
-            announce(key.clone());
-            Some(dissolve(state, engines, key, probe).await)
         }
     }
 }
 
+/// Asks another node to probe a group that is lost as seen from this node, if only silent members say so.
+///
+/// This node may have no path to some of the members, while the group serves the callers of all other nodes.
+async fn confirm_loss(
+    state: &EntryState,
+    links: &Links,
+    key: &GroupKey,
+    probe: &GroupProbe,
+) -> GroupHealth {
+    if probe.silent.is_empty() {
+        return probe.verdict;
+    }
+    let Some(peer) = reporting_peer(state) else {
+        return probe.verdict;
+    };
+    match probe_via(links, peer.links, key).await {
+        Some(GroupHealth::Healthy) => GroupHealth::Unknown,
+        _ => probe.verdict,
+    }
+}
+
+/// Returns a random node whose loads this node receives, so that it is likely to answer.
+fn reporting_peer(state: &EntryState) -> Option<PeerNode> {
+    let nodes = state.nodes.load();
+    let loads = state.loads();
+    let reporting = nodes.iter().filter(|peer| loads.is_reporting(&peer.node));
+    let reporting: Vec<&PeerNode> = reporting.collect();
+    fastrand::choice(reporting).cloned()
+}
+
 /// Orders a group's head to accept no more requests. The planner repeats the step while the group is open.
 async fn close(state: &EntryState, engines: &EngineClient, key: GroupKey) {
     if let Some(head) = head_of(state, &key) {
--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -8,7 +8,9 @@
 use futures_util::future::{join_all, join3};
 use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{BlockChange, CrashReport, Endpoint, EndpointCrash, NeighborCheck};
+use sesamecart_fleet::{
+    BlockChange, CrashReport, Directory, Endpoint, EndpointCrash, NeighborCheck,
+};
 use sesamecart_platform::{AppendCondition, Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
 use sesamecart_vocabulary::{NodeId, Timestamp};
@@ -18,6 +20,7 @@
 use crate::crashes::probe::{Liveness, probe};
 use crate::events::{Event, unix_millis};
 use crate::follower::millis;
+use crate::link_check::check_links;
 use crate::state::EntryState;
 
 /// Interval of the checks for due reports and decisions.
@@ -170,7 +173,20 @@
             return false;
         }
         let liveness = probe(&self.client, run.address, crash.incarnation).await;
-        liveness == Liveness::Stopped
+        liveness == Liveness::Stopped && !self.are_links_lost(&directory, crash).await
+    }
+
+    /// Returns whether this node reaches no other endpoint either. Its connections are then refused by the
+    /// network, which says nothing about the endpoint.
+    async fn are_links_lost(&self, directory: &Directory, crash: &EndpointCrash) -> bool {
+        let Some(endpoint) = directory.find(&crash.endpoint) else {
+            return false;
+        };
+        let subject = crash.endpoint.as_str();
+        let service = &endpoint.service;
+        let is_suspect = |other: &Endpoint| other.id == crash.endpoint;
+        let check = check_links(&self.state, &self.client, subject, service, is_suspect).await;
+        check.are_links_lost()
     }
 
     async fn decide_when_due(&self) {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -253,11 +253,11 @@
         /// The results of the probes.
         finding: &'a str,
     },
-    /// A group isn't healthy as seen from this node, which therefore opened connections to other endpoints.
+    /// Endpoints seem to have failed, so this node opened connections to other ones.
     LinksChecked {
-        /// The group and its epoch.
-        group: &'a str,
-        /// The number of endpoints outside of the group that were tried.
+        /// The group or endpoint that seems to have failed.
+        subject: &'a str,
+        /// The number of other endpoints that were tried.
         checked: usize,
         /// The number of those that accepted a connection; 0 if this node has lost its own links.
         reached: usize,
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -98,6 +98,7 @@
         let verdict = self.group_prober.verdict(&key).await;
         Ok(Response::new(GroupVerdict {
             is_sound: verdict == GroupHealth::Healthy,
+            is_unknown: verdict == GroupHealth::Unknown,
         }))
     }
 
--- a/crates/sesamecart-entry/src/group_prober.rs
+++ b/crates/sesamecart-entry/src/group_prober.rs
@@ -14,7 +14,7 @@
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{GroupHealth, GroupKey, MemberProbe};
 use sesamecart_links::Links;
-use sesamecart_links::feed::GroupLoss;
+use sesamecart_links::feed::{GroupLoss, GroupVerdict};
 use sesamecart_runtime::with_timeout;
 use sesamecart_vocabulary::Timestamp;
 
@@ -56,16 +56,18 @@
         }
     }
 
-    /// Returns whether a group is healthy as seen from this node. If this node follows another one, that node
-    /// probes the members and this node only the head.
-    pub(crate) async fn is_sound(&self, key: &GroupKey) -> bool {
-        if let Some(address) = self.state.upstream()
-            && let Some(is_sound) = self.probe_via_upstream(address, key).await
-        {
+    /// Returns the health of a group. If this node follows another one, that node probes the members and this
+    /// node only the head.
+    pub(crate) async fn examine(&self, key: &GroupKey) -> GroupHealth {
+        let Some(address) = self.state.upstream() else {
+            return self.verdict(key).await;
+        };
+        match self.probe_via(address, key).await {
             // The other node may reach engines that this node can't reach.
-            return is_sound && self.can_reach_head(address, key).await;
+            Some(GroupHealth::Healthy) => self.probe_head(address, key).await,
+            Some(GroupHealth::Lost | GroupHealth::HeadUnreachable) => GroupHealth::Lost,
+            Some(GroupHealth::Unknown) | None => self.verdict(key).await,
         }
-        self.verdict(key).await == GroupHealth::Healthy
     }
 
     /// Probes the members of a group, unless a probe is in flight or its verdict is still cached.
@@ -89,38 +91,57 @@
         Arc::clone(&probe.verdict)
     }
 
-    async fn probe_via_upstream(&self, address: SocketAddr, key: &GroupKey) -> Option<bool> {
-        let group = GroupLoss {
-            group: key.to_string(),
-        };
-        let mut feed = self.links.feed_client(address);
-        match with_timeout(REMOTE_PROBE_TIMEOUT, feed.examine_group(group)).await {
-            Ok(Ok(reply)) => Some(reply.into_inner().is_sound),
-            Ok(Err(status)) => {
-                log::debug!("watch: node at {address}: probe of {key} failed: {status}.");
-                None
-            }
-            Err(elapsed) => {
-                log::debug!("watch: node at {address}: probe of {key} failed: {elapsed}.");
-                None
-            }
-        }
+    async fn probe_via(&self, address: SocketAddr, key: &GroupKey) -> Option<GroupHealth> {
+        probe_via(&self.links, address, key).await
     }
 
-    /// Probes the head of a group from this node, after the node at `address` has found the group healthy.
-    async fn can_reach_head(&self, address: SocketAddr, key: &GroupKey) -> bool {
+    /// Probes the head of a group from this node, after the node at `address` has found the group healthy. A
+    /// head that only this node can't reach isn't lost.
+    async fn probe_head(&self, address: SocketAddr, key: &GroupKey) -> GroupHealth {
         let probe = watch::probe_head(&self.state, &self.client, key).await;
-        let is_sound = matches!(probe, MemberProbe::Member(_));
-        let verdict = if is_sound {
-            GroupHealth::Healthy
-        } else {
-            GroupHealth::HeadUnreachable
+        let verdict = match probe {
+            MemberProbe::Member(_) => GroupHealth::Healthy,
+            MemberProbe::OtherMembership => GroupHealth::Lost,
+            MemberProbe::Unreachable => GroupHealth::Unknown,
         };
         self.state.events.write(&Event::GroupExamined {
             group: &key.to_string(),
             verdict: &verdict.to_string(),
             finding: &format!("sound for the node at {address}; head {probe}"),
         });
-        is_sound
+        verdict
+    }
+}
+
+/// Asks the node at `address` to probe a group. Returns nothing if it doesn't answer.
+pub(crate) async fn probe_via(
+    links: &Links,
+    address: SocketAddr,
+    key: &GroupKey,
+) -> Option<GroupHealth> {
+    let group = GroupLoss {
+        group: key.to_string(),
+    };
+    let mut feed = links.feed_client(address);
+    match with_timeout(REMOTE_PROBE_TIMEOUT, feed.examine_group(group)).await {
+        Ok(Ok(reply)) => Some(verdict_of(reply.into_inner())),
+        Ok(Err(status)) => {
+            log::debug!("watch: node at {address}: probe of {key} failed: {status}.");
+            None
+        }
+        Err(elapsed) => {
+            log::debug!("watch: node at {address}: probe of {key} failed: {elapsed}.");
+            None
+        }
+    }
+}
+
+const fn verdict_of(reply: GroupVerdict) -> GroupHealth {
+    match reply {
+        GroupVerdict { is_sound: true, .. } => GroupHealth::Healthy,
+        GroupVerdict {
+            is_unknown: true, ..
+        } => GroupHealth::Unknown,
+        GroupVerdict { .. } => GroupHealth::Lost,
     }
 }
--- a/crates/sesamecart-entry/src/link_check.rs
+++ b/crates/sesamecart-entry/src/link_check.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{Directory, Endpoint, GroupKey};
+use sesamecart_fleet::{Directory, Endpoint};
+use sesamecart_vocabulary::{FailureDomainId, ServiceId};
 
 use crate::events::Event;
 use crate::state::EntryState;
@@ -18,7 +20,7 @@
 const SAMPLE_SIZE: usize = 3;
 
 /// Timeout for opening a connection. The longest network round trip takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// The result of a check.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,17 +29,26 @@
     pub(crate) reached: usize,
 }
 
-/// Opens connections to some endpoints outside of a group that isn't healthy as seen from this node, and writes
+impl LinkCheck {
+    /// Returns whether this node has lost its own links: there are other endpoints, and it reaches none.
+    pub(crate) const fn are_links_lost(self) -> bool {
+        self.checked > 0 && self.reached == 0
+    }
+}
+
+/// Opens connections to some other endpoints of the service of `suspects`, which seem to have failed, and writes
 /// the result to the decision log.
 pub(crate) async fn check_links(
     state: &EntryState,
     client: &HttpClient,
-    group: &GroupKey,
+    subject: &str,
+    service: &ServiceId,
+    is_suspect: impl Fn(&Endpoint) -> bool,
 ) -> LinkCheck {
-    let sample = sample_outside(&state.directory.load(), group);
+    let sample = sample(&state.directory.load(), service, is_suspect);
     let check = open_connections(client, &sample).await;
     state.events.write(&Event::LinksChecked {
-        group: &group.to_string(),
+        subject,
         checked: check.checked,
         reached: check.reached,
     });
@@ -55,13 +66,28 @@
     }
 }
 
-/// Returns the addresses of some listed endpoints that aren't members of `group`.
-fn sample_outside(directory: &Directory, group: &GroupKey) -> Vec<SocketAddr> {
-    let others = directory
-        .listed()
-        .filter(|endpoint| endpoint.group_key().as_ref() != Some(group));
+/// Returns the addresses of some endpoints of a service that aren't suspected, in different failure domains if
+/// possible: all endpoints of one may be lost together. If the service has no others, those of other services
+/// are used.
+fn sample(
+    directory: &Directory,
+    service: &ServiceId,
+    is_suspect: impl Fn(&Endpoint) -> bool,
+) -> Vec<SocketAddr> {
+    let others = directory.listed().filter(|endpoint| !is_suspect(endpoint));
     let mut others: Vec<&Arc<Endpoint>> = others.collect();
+    if others.iter().any(|endpoint| endpoint.service == *service) {
+        others.retain(|endpoint| endpoint.service == *service);
+    }
     fastrand::shuffle(&mut others);
-    others.truncate(SAMPLE_SIZE);
-    others.iter().map(|endpoint| endpoint.address).collect()
+    let mut ranks: IndexMap<&FailureDomainId, usize> = IndexMap::new();
+    let mut ranked: Vec<(usize, SocketAddr)> = Vec::new();
+    for endpoint in others {
+        let rank = ranks.entry(&endpoint.failure_domain).or_default();
+        ranked.push((*rank, endpoint.address));
+        *rank += 1;
+    }
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.truncate(SAMPLE_SIZE);
+    ranked.into_iter().map(|(_, address)| address).collect()
 }
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -57,12 +57,17 @@
             let (state, lost_groups) = (Arc::clone(&state), lost_groups.clone());
             let group_prober = group_prober.clone();
             tasks.spawn(async move {
-                if !group_prober.is_sound(&key).await {
-                    state.metrics.count_group_lost();
-                    state.mark_group_lost(&key);
-                    // The node that detects the loss reports it to the controller. A closed channel means
-                    // that the process is shutting down.
-                    let _sent = lost_groups.send(key).await;
+                match group_prober.examine(&key).await {
+                    GroupHealth::Healthy => {}
+                    // What this node can't see says nothing to other nodes.
+                    GroupHealth::Unknown => {}
+                    GroupHealth::Lost | GroupHealth::HeadUnreachable => {
+                        state.metrics.count_group_lost();
+                        state.mark_group_lost(&key);
+                        // The node that detects the loss reports it to the controller. A closed channel
+                        // means that the process is shutting down.
+                        let _sent = lost_groups.send(key).await;
+                    }
                 }
             });
         }
@@ -85,19 +90,37 @@
 ) -> GroupProbe {
     let directory = state.directory.load_full();
     let (probes, silent) = probe_members(state, &directory, client, key).await;
-    let verdict = evaluate_group(&probes);
+    let verdict = if probes.is_silence_the_only_evidence()
+        && has_lost_links(state, &directory, client, key).await
+    {
+        GroupHealth::Unknown
+    } else {
+        evaluate_group(&probes)
+    };
     let others: Vec<String> = probes.others.iter().map(ToString::to_string).collect();
     state.events.write(&Event::GroupExamined {
         group: &key.to_string(),
         verdict: &verdict.to_string(),
         finding: &format!("head {}; members {}", probes.head, others.join(", ")),
     });
-    if verdict != GroupHealth::Healthy {
-        let _check = check_links(state, client, key).await;
-    }
     GroupProbe { verdict, silent }
 }
 
+/// Returns whether this node reaches no endpoint outside of a group whose members it can't reach.
+async fn has_lost_links(
+    state: &EntryState,
+    directory: &Directory,
+    client: &HttpClient,
+    key: &GroupKey,
+) -> bool {
+    let Some(service) = directory.members(key).next().map(|member| &member.service) else {
+        return false;
+    };
+    let is_member = |endpoint: &Endpoint| endpoint.group_key().as_ref() == Some(key);
+    let check = check_links(state, client, &key.to_string(), service, is_member).await;
+    check.are_links_lost()
+}
+
 /// Probes only the head of a group.
 pub(crate) async fn probe_head(
     state: &EntryState,
--- a/crates/sesamecart-fleet/src/repair.rs
+++ b/crates/sesamecart-fleet/src/repair.rs
@@ -46,6 +46,27 @@
     /// its requests.
     #[display("lost, its head is silent")]
     HeadUnreachable,
+    /// The node that probed the group reaches no other endpoint either, so it can't tell.
+    #[display("unknown, this node reaches no endpoint")]
+    Unknown,
+}
+
+impl GroupProbes {
+    /// Returns whether only silent members speak against the group.
+    ///
+    /// A silent member may be unreachable for the probing node alone. A member that answers with another
+    /// membership, or that its group is broken, is proof.
+    #[must_use]
+    pub fn is_silence_the_only_evidence(&self) -> bool {
+        let is_proof = |probe: &MemberProbe| {
+            matches!(
+                probe,
+                MemberProbe::OtherMembership | MemberProbe::Member(GroupState::Broken)
+            )
+        };
+        let mut members = std::iter::once(&self.head).chain(&self.others);
+        evaluate_group(self) != GroupHealth::Healthy && !members.any(is_proof)
+    }
 }
 
 /// Determines the state of a group.
--- a/crates/sesamecart-fleet/src/repair/tests.rs
+++ b/crates/sesamecart-fleet/src/repair/tests.rs
@@ -29,6 +29,26 @@
     a_group_whose_head_is_in_another_group_is_lost: MemberProbe::OtherMembership, [READY] => GroupHealth::Lost;
 }
 
+macro_rules! evidence {
+    ($($name:ident: $head:expr, $others:expr => $is_only_silence:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let probes = GroupProbes { head: $head, others: $others.to_vec() };
+                assert_eq!(probes.is_silence_the_only_evidence(), $is_only_silence);
+            }
+        )*
+    };
+}
+
+evidence! {
+    a_healthy_group_has_no_evidence_against_it: OPEN, [READY] => false;
+    a_silent_member_is_only_silence: OPEN, [READY, MemberProbe::Unreachable] => true;
+    a_silent_head_is_only_silence: MemberProbe::Unreachable, [READY] => true;
+    a_broken_head_is_proof: BROKEN, [MemberProbe::Unreachable] => false;
+    a_member_of_another_group_is_proof: MemberProbe::Unreachable, [MemberProbe::OtherMembership] => false;
+}
+
 /// An engine that shuts down without notice stops listening while it still finishes its requests. When its
 /// members were considered free and joined another group meanwhile, a caller's stream could come from
 /// engines of two groups.
