--- a/crates/sesamecart-edges/src/client.rs
+++ b/crates/sesamecart-edges/src/client.rs
@@ -118,6 +118,8 @@
     pub response: Response<Incoming>,
     /// The connection, which can be returned to the pool once the body has been read to its end.
     pub lease: PooledConnection,
+    /// Whether the connection was opened for this exchange.
+    pub is_new_connection: bool,
 }
 
 /// Exclusive use of a connection while a response body is read.
@@ -207,9 +209,13 @@
             }
         }
         let sender = self.open(peer, deadline).await?;
-        self.exchange(peer, sender, req, deadline)
-            .await
-            .map_err(|failed| failed.error)
+        match self.exchange(peer, sender, req, deadline).await {
+            Ok(exchange) => Ok(Exchange {
+                is_new_connection: true,
+                ..exchange
+            }),
+            Err(failed) => Err(failed.error),
+        }
     }
 
     /// Sends a GET request and reads the whole response, whatever its status.
@@ -312,7 +318,11 @@
                     peer,
                     idle: Arc::clone(&self.idle),
                 };
-                Ok(Exchange { response, lease })
+                Ok(Exchange {
+                    response,
+                    lease,
+                    is_new_connection: false,
+                })
             }
             Ok(Err(mut failed)) => {
                 // hyper returns the request only if no part of it was written.
--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -180,7 +180,8 @@
             let Some(spec) = &service_spec.engine else {
                 continue;
             };
-            if spec.models.is_empty() {
+            // What this node can't reach isn't gone.
+            if spec.models.is_empty() || self.state.reach.is_blind(service) {
                 continue;
             }
             let input = PlannerInput {
--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -1,6 +1,6 @@
 //! The lease that lets one node at a time control the groups.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
     held: Mutex<Option<HeldLease>>,
     /// The highest fence that an engine refused.
     highest_refused: AtomicU64,
+    /// Whether this node competes for control because another one asked it to.
+    is_requested: AtomicBool,
 }
 
 impl Lease {
@@ -62,6 +64,7 @@
             member,
             held: Mutex::new(None),
             highest_refused: AtomicU64::new(0),
+            is_requested: AtomicBool::new(false),
         }
     }
 
@@ -85,11 +88,13 @@
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
         loop {
-            // Only nodes that read the store compete for control. If all nodes renewed a membership, the
-            // calls to the store would grow with the number of nodes.
-            while !self.state.reads_store() {
-                self.set_held(None, "the node doesn't read the store");
+            if let Some(reason) = self.reason_not_to_compete() {
+                if self.fence().is_some() {
+                    self.release(reason).await;
+                }
+                self.set_held(None, reason);
                 sleep(RENEW_INTERVAL).await;
+                continue;
             }
             let sent = clock::now();
             match self.store.join(&self.member, ttl, generation).await {
@@ -118,6 +123,26 @@
         }
     }
 
+    /// Returns why this node doesn't compete for control now, or `None` if it does.
+    ///
+    /// Only nodes that read the store compete: if all nodes renewed a membership, the calls to the store would
+    /// grow with the number of nodes. A node that reaches no engine leaves control to nodes that do and that it
+    /// has asked to compete. The one of them that gets control keeps it.
+    fn reason_not_to_compete(&self) -> Option<&'static str> {
+        let state = &self.state;
+        if state.reach.should_hand_over_control() {
+            return Some("the node reaches no engine");
+        }
+        if state.reads_store() {
+            return None;
+        }
+        let is_requested = state.reach.is_control_requested();
+        let keeps_control = self.is_requested.load(Ordering::Acquire) && self.fence().is_some();
+        self.is_requested
+            .store(is_requested || keeps_control, Ordering::Release);
+        (!is_requested && !keeps_control).then_some("the node doesn't read the store")
+    }
+
     async fn release(&self, reason: &str) {
         self.set_held(None, reason);
         if let Err(error) = self.store.leave(&self.member).await {
--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -186,6 +186,9 @@
         let service = &endpoint.service;
         let is_suspect = |other: &Endpoint| other.id == crash.endpoint;
         let check = check_links(&self.state, &self.client, subject, service, is_suspect).await;
+        if check.are_links_lost() {
+            self.state.reach.suspect(service);
+        }
         check.are_links_lost()
     }
 
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -262,6 +262,43 @@
         /// The number of those that accepted a connection; 0 if this node has lost its own links.
         reached: usize,
     },
+    /// This node can't open connections to any endpoint of a pool.
+    ReachLost {
+        /// The service, and the model if there is one.
+        pool: &'a str,
+        /// Milliseconds since the first connection failed.
+        since_ms: u64,
+    },
+    /// Endpoints of a pool accept connections of this node again.
+    ReachRegained {
+        /// The service, and the model if there is one.
+        pool: &'a str,
+        /// How long they couldn't be reached, in milliseconds.
+        lost_ms: u64,
+    },
+    /// Other nodes than before forward this node's requests to a pool that it doesn't reach.
+    HelpersChanged {
+        /// The service, and the model if there is one.
+        pool: &'a str,
+        /// The nodes.
+        helpers: &'a [&'a str],
+    },
+    /// A request was sent to another node, which forwards it to an endpoint.
+    Forwarded {
+        /// The request.
+        request: &'a str,
+        /// The other node.
+        helper: &'a str,
+        /// The number of the attempt, starting at 1.
+        attempt: u32,
+    },
+    /// Another node sent a request that this node forwards to an endpoint.
+    ForwardingAccepted {
+        /// The request.
+        request: &'a str,
+        /// The address of the other node.
+        from: &'a str,
+    },
     /// A group is being formed.
     GroupPlanned {
         /// The group and its epoch.
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use sesamecart_fleet::{GroupHealth, GroupKey};
+use sesamecart_fleet::{GroupHealth, GroupKey, Pool};
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{
-    FollowReply, FollowRequest, GroupLoss, GroupVerdict, Noted, WatchLoadsRequest,
+    FollowReply, FollowRequest, GroupLoss, GroupVerdict, Noted, ReachReply, ReachRequest,
+    WatchLoadsRequest,
 };
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
@@ -20,6 +21,7 @@
 use crate::group_prober::GroupProber;
 use crate::loss_reports::{parse_group_key, report_to_store};
 use crate::peer_loads::{self, LoadChangesStream};
+use crate::reach::ReachChecker;
 use crate::state::EntryState;
 
 /// The longest time for which a follower's call is held: twice what followers request, and half of the 2 s
@@ -30,6 +32,7 @@
     state: Arc<EntryState>,
     store: Store,
     group_prober: GroupProber,
+    reach_checker: ReachChecker,
 }
 
 /// Serves the calls of followers until the task is cancelled.
@@ -37,6 +40,7 @@
     state: Arc<EntryState>,
     store: Store,
     group_prober: GroupProber,
+    reach_checker: ReachChecker,
     listener: TcpListener,
     tasks: Tasks,
 ) {
@@ -44,6 +48,7 @@
         state,
         store,
         group_prober,
+        reach_checker,
     };
     let served = sesamecart_links::serve_feed(listener, handler, tasks, ByteCounters::default());
     if let Err(error) = served.await {
@@ -122,6 +127,18 @@
         ))))
     }
 
+    async fn check_reach(
+        &self,
+        request: Request<ReachRequest>,
+    ) -> Result<Response<ReachReply>, Status> {
+        let req = request.into_inner();
+        let pool = decode_pool(&req)?;
+        let answer = self.reach_checker.answer(&pool, req.seeks_controller);
+        Ok(Response::new(ReachReply {
+            is_reachable: answer.await,
+        }))
+    }
+
     async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
         let key = decode_group_key(&request)?;
         self.state.mark_group_lost(&key);
@@ -130,6 +147,18 @@
     }
 }
 
+fn decode_pool(req: &ReachRequest) -> Result<Pool, Status> {
+    let invalid = || Status::invalid_argument("the pool isn't a service and a model");
+    let model = match req.model.as_str() {
+        "" => None,
+        model => Some(model.parse().map_err(|_| invalid())?),
+    };
+    Ok(Pool {
+        service: req.service.parse().map_err(|_| invalid())?,
+        model,
+    })
+}
+
 fn decode_group_key(req: &Request<GroupLoss>) -> Result<GroupKey, Status> {
     parse_group_key(&req.get_ref().group)
         .ok_or_else(|| Status::invalid_argument("the group isn't of the form name@epoch"))
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod operator_page;
 mod peer_loads;
+mod reach;
 mod settings;
 mod state;
 #[cfg(test)]
@@ -28,5 +29,6 @@
 pub use events::{Event, EventLog};
 pub use metrics::Metrics;
 pub use node::{Entry, StartError, run};
+pub use reach::UnreachablePool;
 pub use settings::{EntrySettings, SettingsError};
 pub use state::EntryState;
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -29,10 +29,35 @@
     requests_suspected: Gauge<u64>,
     requests_blocked: Gauge<u64>,
     models_unservable: Gauge<u64>,
+    pools_unreachable: Gauge<u64>,
+    forwarded: Counter<u64>,
     domains_evacuated: Gauge<u64>,
     first_response: Histogram<f64>,
 }
 
+/// A node's part in the forwarding of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ForwardingPart {
+    /// It got the request from a caller and sent it to a helper.
+    Sent,
+    /// It accepted the request of another node.
+    Accepted,
+    /// It rejected the request of another node.
+    Rejected,
+}
+
+impl ForwardingPart {
+    const ALL: [Self; 3] = [Self::Sent, Self::Accepted, Self::Rejected];
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Accepted => "accepted",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
 /// Histogram buckets of the time to the first response, in seconds. Callers are promised 0.1 to 0.4.
 const FIRST_RESPONSE_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 5.0];
 
@@ -88,6 +113,14 @@
                 .u64_gauge("sesamecart.requests.blocked")
                 .with_description("Requests that are refused because they crash endpoints.")
                 .build(),
+            pools_unreachable: meter
+                .u64_gauge("sesamecart.pools.unreachable")
+                .with_description("Pools of endpoints that this node can't open connections to.")
+                .build(),
+            forwarded: counter(
+                "sesamecart.requests.forwarded",
+                "Requests that nodes forward for each other, by this node's part in it.",
+            ),
             models_unservable: meter
                 .u64_gauge("sesamecart.models.unservable")
                 .with_description("Models that no fabric domain holds, on the controlling node.")
@@ -125,6 +158,11 @@
         self.requests_suspected.record(0, &[]);
         self.requests_blocked.record(0, &[]);
         self.models_unservable.record(0, &[]);
+        self.pools_unreachable.record(0, &[]);
+        for part in ForwardingPart::ALL {
+            self.forwarded
+                .add(0, &[KeyValue::new("part", part.label())]);
+        }
         self.domains_evacuated.record(0, &[]);
     }
 
@@ -195,6 +233,15 @@
         self.requests_blocked.record(requests as u64, &[]);
     }
 
+    pub(crate) fn record_unreachable_pools(&self, pools: usize) {
+        self.pools_unreachable.record(pools as u64, &[]);
+    }
+
+    pub(crate) fn count_forwarded(&self, part: ForwardingPart) {
+        self.forwarded
+            .add(1, &[KeyValue::new("part", part.label())]);
+    }
+
     pub(crate) fn record_unservable(&self, models: usize) {
         self.models_unservable.record(models as u64, &[]);
     }
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::operator_page::operator_page;
 use crate::peer_loads;
+use crate::reach::{ReachChecker, ReachMonitor};
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
 use crate::{traffic, watch};
@@ -77,6 +78,7 @@
 /// The listeners of a node. They are bound before any thread starts.
 struct Listeners {
     callers: TcpListener,
+    forwarding: Option<TcpListener>,
     control: ControlListeners,
 }
 
@@ -99,6 +101,10 @@
         };
         Ok(Self {
             callers: bind("callers", settings.callers)?,
+            forwarding: settings
+                .forwarding
+                .map(|address| bind("forwarding", address))
+                .transpose()?,
             control,
         })
     }
@@ -139,6 +145,10 @@
         // Other nodes get this address. With port 0 in the settings, the system has chosen the port.
         let links = listeners.control.links.local_addr();
         settings.links = links.map_err(|reason| error("listen", reason.into()))?;
+        if let Some(forwarding) = &listeners.forwarding {
+            let address = forwarding.local_addr();
+            settings.forwarding = Some(address.map_err(|reason| error("listen", reason.into()))?);
+        }
         let (events, log_writer) = EventLog::start(node.clone())
             .map_err(|reason| error("start the log", reason.into()))?;
         events.write(&Event::Started {
@@ -149,8 +159,14 @@
         let (leave, leaving) = Signal::new();
         let control = start_control(&state, listeners.control, Arc::clone(&dialer))
             .map_err(|reason| error("start control", reason.into()))?;
-        let traffic = traffic::start(&state, listeners.callers, &leaving, dialer)
-            .map_err(|reason| error("start traffic", reason.into()))?;
+        let traffic = traffic::start(
+            &state,
+            listeners.callers,
+            listeners.forwarding,
+            &leaving,
+            dialer,
+        )
+        .map_err(|reason| error("start traffic", reason.into()))?;
         Ok(Self {
             state,
             callers,
@@ -169,6 +185,12 @@
         self.callers
     }
 
+    /// Returns the address for requests that other nodes forward, if this node accepts them.
+    #[must_use]
+    pub fn forwarding_address(&self) -> Option<SocketAddr> {
+        self.state.settings.forwarding
+    }
+
     /// Returns the address of the readiness check.
     #[must_use]
     pub const fn readiness_address(&self) -> SocketAddr {
@@ -288,10 +310,14 @@
         SourceFollower::new(Arc::clone(state), store.clone(), links.clone(), change_tx);
     tasks.spawn(source_follower.run());
     let group_prober = GroupProber::new(Arc::clone(state), client.clone(), links.clone());
+    let reach_checker = ReachChecker::new(Arc::clone(state), client.clone());
+    let reach_monitor = ReachMonitor::new(Arc::clone(state), reach_checker.clone(), links.clone());
+    tasks.spawn(reach_monitor.run());
     tasks.spawn(feed::serve(
         Arc::clone(state),
         store.clone(),
         group_prober.clone(),
+        reach_checker,
         listeners.links,
         tasks.clone(),
     ));
--- a/crates/sesamecart-entry/src/operator_page.rs
+++ b/crates/sesamecart-entry/src/operator_page.rs
@@ -1,10 +1,11 @@
-//! The pages at the metrics address: the metrics, and the blocked requests, which operators may lift.
+//! The pages at the metrics address: the metrics, the blocked requests, which operators may lift, and the pools
+//! of endpoints that this node doesn't reach.
 
 use http::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use serde::Serialize;
 use sesamecart_edges::{CallerBody, empty, whole};
-use sesamecart_fleet::BlockedRequest;
 use sesamecart_vocabulary::RequestFingerprint;
 
 use crate::clock;
@@ -13,14 +14,23 @@
 /// The path that lists the blocked requests. With a fingerprint appended, it is the path of one of them.
 const BLOCKED_REQUESTS: &str = "/blocked-requests";
 
+/// The path that lists the pools of endpoints that this node doesn't reach.
+const UNREACHABLE_POOLS: &str = "/unreachable-pools";
+
 /// Responds to a request at the metrics address.
 pub(crate) fn operator_page(state: &EntryState, req: &Request<Incoming>) -> Response<CallerBody> {
     let path = req.uri().path();
+    if path == UNREACHABLE_POOLS {
+        return match *req.method() {
+            Method::GET => json_page(&state.unreachable_pools()),
+            _ => not_allowed("GET"),
+        };
+    }
     let Some(request) = path.strip_prefix(BLOCKED_REQUESTS) else {
         return metrics_page(state);
     };
     match (req.method(), request.strip_prefix('/')) {
-        (&Method::GET, None) if request.is_empty() => blocked_page(state),
+        (&Method::GET, None) if request.is_empty() => json_page(&state.blocked_requests()),
         (&Method::DELETE, Some(fingerprint)) => lift(state, fingerprint),
         (_, None) if request.is_empty() => not_allowed("GET"),
         (_, Some(_)) => not_allowed("DELETE"),
@@ -28,9 +38,8 @@
     }
 }
 
-fn blocked_page(state: &EntryState) -> Response<CallerBody> {
-    let blocked: Vec<BlockedRequest> = state.blocked_requests();
-    match serde_json::to_vec(&blocked) {
+fn json_page(entries: &impl Serialize) -> Response<CallerBody> {
+    match serde_json::to_vec(entries) {
         Ok(body) => {
             let mut response = Response::new(whole(body));
             let json = HeaderValue::from_static("application/json");
@@ -38,9 +47,9 @@
             response
         }
         Err(error) => {
-            log::error!("node: the blocked requests can't be serialized: {error}.");
+            log::error!("node: a page can't be serialized: {error}.");
             let status = StatusCode::INTERNAL_SERVER_ERROR;
-            text(status, "the blocked requests can't be written\n")
+            text(status, "the page can't be written\n")
         }
     }
 }
--- /dev/null
+++ b/crates/sesamecart-entry/src/reach/checker.rs
@@ -0,0 +1,89 @@
+//! Opens connections to endpoints to learn whether this node reaches them, for itself and for other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use indexmap::IndexSet;
+use sesamecart_edges::HttpClient;
+use sesamecart_fleet::{Endpoint, Pool};
+use sesamecart_vocabulary::EndpointId;
+
+use super::sample;
+use crate::clock;
+use crate::link_check::CONNECT_TIMEOUT;
+use crate::state::EntryState;
+
+/// The number of endpoints to which connections are opened at once.
+const SAMPLE_SIZE: usize = 3;
+
+/// How long a connection to an endpoint shows that the pool is reachable.
+const CONNECTION_TTL: Duration = Duration::from_millis(300);
+
+/// Checks whether this node reaches pools of endpoints.
+#[derive(Clone, Debug)]
+pub(crate) struct ReachChecker {
+    state: Arc<EntryState>,
+    client: HttpClient,
+}
+
+impl ReachChecker {
+    pub(crate) const fn new(state: Arc<EntryState>, client: HttpClient) -> Self {
+        Self { state, client }
+    }
+
+    /// Returns whether this node reaches a pool and forwards requests of the asking node to it.
+    pub(crate) async fn answer(&self, pool: &Pool, seeks_controller: bool) -> bool {
+        if self.state.is_leaving() || self.state.settings.forwarding.is_none() {
+            return false;
+        }
+        let is_reachable = self.is_reachable(pool).await;
+        if is_reachable && seeks_controller {
+            self.state.reach.request_control();
+        }
+        is_reachable
+    }
+
+    async fn is_reachable(&self, pool: &Pool) -> bool {
+        {
+            let reach = self.state.reach.lock();
+            if reach.tracker.lost_since(pool).is_some() {
+                return false;
+            }
+            let recently = clock::now() - CONNECTION_TTL;
+            if reach.tracker.has_connected_since(recently, pool) {
+                return true;
+            }
+        }
+        self.check(pool, SAMPLE_SIZE, &IndexSet::new()).await
+    }
+
+    /// Opens connections to up to `count` endpoints of a pool, without those in `except`, and records the
+    /// results. Returns whether any endpoint accepted.
+    pub(super) async fn check(
+        &self,
+        pool: &Pool,
+        count: usize,
+        except: &IndexSet<EndpointId>,
+    ) -> bool {
+        let endpoints = sample(&self.state, pool, count, except);
+        let connections = endpoints.iter().map(|endpoint| {
+            self.client
+                .check_connection(endpoint.address, CONNECT_TIMEOUT)
+        });
+        let results = join_all(connections).await;
+        let failed = endpoints.iter().zip(&results);
+        let failed: Vec<&Arc<Endpoint>> = failed
+            .filter(|(_, result)| result.is_err())
+            .map(|(endpoint, _)| endpoint)
+            .collect();
+        if failed.len() < endpoints.len() {
+            self.state.record_reachable(pool);
+            return true;
+        }
+        for endpoint in failed {
+            self.state.record_unreachable(pool, &endpoint.id);
+        }
+        false
+    }
+}
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -27,6 +27,9 @@
     pub metrics: SocketAddr,
     /// The address for links from other nodes.
     pub links: SocketAddr,
+    /// The address for requests that other nodes forward. Without it, this node forwards none for them.
+    #[serde(default)]
+    pub forwarding: Option<SocketAddr>,
     /// The share of a core that the node may use. The nodes with the largest shares read the store for the
     /// others.
     pub processor_share: f64,
@@ -213,7 +216,11 @@
             ("links", self.links, self.readiness),
             ("links", self.links, self.metrics),
         ];
-        for (field, address, other) in addresses {
+        let forwarding = self.forwarding.into_iter().flat_map(|forwarding| {
+            let others = [self.callers, self.readiness, self.metrics, self.links];
+            others.map(|other| ("forwarding", forwarding, other))
+        });
+        for (field, address, other) in addresses.into_iter().chain(forwarding) {
             if address == other && address.port() != 0 {
                 let value = address.to_string();
                 return error(field, value, "stands twice among the node's addresses");
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -21,6 +21,7 @@
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::metrics::Metrics;
+use crate::reach::Reach;
 use crate::settings::EntrySettings;
 use crate::state::budgets::Contentions;
 
@@ -74,6 +75,8 @@
     contentions: Mutex<Contentions>,
     /// The evidence about requests that crash endpoints.
     pub(crate) crashes: Arc<Crashes>,
+    /// The paths to endpoints.
+    pub(crate) reach: Reach,
 }
 
 /// Notifies the requests that depend on a group when the group is found lost.
@@ -119,6 +122,7 @@
             cold: Mutex::default(),
             contentions: Mutex::default(),
             crashes: Arc::new(Crashes::new()),
+            reach: Reach::default(),
         }
     }
 
@@ -239,7 +243,8 @@
     }
 
     /// Returns whether this node controls the groups.
-    pub(crate) fn is_controller(&self) -> bool {
+    #[must_use]
+    pub fn is_controller(&self) -> bool {
         self.is_controller.load(Ordering::Acquire)
     }
 
@@ -334,6 +339,16 @@
         }
     }
 
+    /// Interrupts the requests at a group that this node can't reach, so that they are moved. The group isn't
+    /// marked as lost.
+    pub(crate) fn interrupt_group(&self, key: &GroupKey) {
+        let mut signals = lock(&self.loss_signals);
+        let is_interruptible = signals.get(key).is_some_and(|loss| loss.lost_at.is_none());
+        if is_interruptible && let Some(loss) = signals.swap_remove(key) {
+            loss.trigger.set();
+        }
+    }
+
     /// Returns whether the group of an endpoint was recently found lost.
     pub(crate) fn is_group_lost(&self, endpoint: &Endpoint) -> bool {
         let Some(key) = endpoint.group_key() else {
@@ -362,6 +377,7 @@
         node: settings.node.clone(),
         failure_domain: settings.failure_domain.clone(),
         links: settings.links,
+        forwarding: settings.forwarding,
         processor_share: settings.processor_share,
     }
 }
--- a/crates/sesamecart-entry/src/state/budgets.rs
+++ b/crates/sesamecart-entry/src/state/budgets.rs
@@ -4,21 +4,16 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_fleet::{ColdRateLimit, Endpoint, FairShare, PeerNode, RetryBudget, RetrySchedule};
+use sesamecart_fleet::{
+    ColdRateLimit, Endpoint, FairShare, PeerNode, Pool, RetryBudget, RetrySchedule,
+};
 use sesamecart_vocabulary::{
-    CustomerId, EndpointId, ModelId, NodeId, ServiceId, Timestamp, rendezvous_weight,
+    CustomerId, EndpointId, NodeId, ServiceId, Timestamp, rendezvous_weight,
 };
 
 use super::{EntryState, lock};
 use crate::clock;
 
-/// The set of endpoints that requests compete for: all of a service, or the groups of one of its models.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub(crate) struct Pool {
-    pub(crate) service: ServiceId,
-    pub(crate) model: Option<ModelId>,
-}
-
 /// Fair shares and retry schedule of the requests that compete for the same endpoints.
 #[derive(Debug, Default)]
 struct Contention {
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -3,7 +3,11 @@
 mod call;
 mod demand;
 mod event_splitter;
+mod flight;
+mod forward;
+mod forwarded;
 mod handler;
+mod hop;
 mod in_flight;
 mod placement;
 mod refusal;
@@ -17,9 +21,10 @@
 use std::time::Duration;
 
 use sesamecart_edges::{Dialer, HttpClient, ServerLimits};
-use sesamecart_runtime::{Signal, Worker};
+use sesamecart_runtime::{Signal, Tasks, Worker};
 
 use crate::state::EntryState;
+use crate::traffic::forwarded::ForwardedHandler;
 use crate::traffic::handler::Handler;
 
 /// How long opening a connection to an endpoint may take.
@@ -44,6 +49,7 @@
 pub(crate) fn start(
     state: &Arc<EntryState>,
     listener: TcpListener,
+    forwarding: Option<TcpListener>,
     leaving: &Signal,
     dialer: Arc<dyn Dialer>,
 ) -> std::io::Result<Worker> {
@@ -51,12 +57,12 @@
     let tasks = worker.tasks().clone();
     let client = HttpClient::with_dialer(tasks.clone(), CONNECT_TIMEOUT, dialer);
     let handler = Handler::new(Arc::clone(state), client);
+    if let Some(forwarding) = forwarding {
+        serve_nodes(state, &handler, forwarding, &tasks, leaving);
+    }
     let connections = state.connections.clone();
     let leaving = leaving.clone();
-    let limits = {
-        let state = Arc::clone(state);
-        move || server_limits(&state)
-    };
+    let limits = limits_of(state);
     tasks.spawn({
         let tasks = tasks.clone();
         async move {
@@ -81,6 +87,43 @@
     Ok(worker)
 }
 
+/// Serves the requests that other nodes send because they don't reach the endpoints.
+fn serve_nodes(
+    state: &Arc<EntryState>,
+    handler: &Handler,
+    listener: TcpListener,
+    tasks: &Tasks,
+    leaving: &Signal,
+) {
+    let handler = ForwardedHandler::new(Arc::clone(state), handler.clone(), tasks.clone());
+    let handle = move |req, peer| {
+        let handler = handler.clone();
+        async move { handler.handle(req, peer).await }
+    };
+    let limits = limits_of(state);
+    let connections = state.connections.clone();
+    let (server_tasks, leaving) = (tasks.clone(), leaving.clone());
+    tasks.spawn(async move {
+        let server = sesamecart_edges::serve(
+            listener,
+            None,
+            limits,
+            server_tasks,
+            connections,
+            leaving,
+            handle,
+        );
+        if let Err(error) = server.await {
+            log::error!("traffic: can't accept connections from nodes: {error}.");
+        }
+    });
+}
+
+fn limits_of(state: &Arc<EntryState>) -> impl Fn() -> ServerLimits + Send + use<> {
+    let state = Arc::clone(state);
+    move || server_limits(&state)
+}
+
 /// Returns the limits for a connection that is accepted now.
 fn server_limits(state: &EntryState) -> ServerLimits {
     let idle_timeout = match &*state.catalog.load() {
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -19,6 +19,9 @@
 use crate::events::Event;
 use crate::follower::millis;
 use crate::state::EntryState;
+use crate::traffic::flight::Flight;
+use crate::traffic::forward::Forwarding;
+use crate::traffic::forwarded::Hop;
 use crate::traffic::in_flight::InFlightRequest;
 use crate::traffic::placement::{ColdEndpointPolicy, Placement};
 use crate::traffic::refusal::Refusal;
@@ -42,6 +45,8 @@
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) arrived_at: Timestamp,
+    /// Set if another node has sent the request.
+    pub(crate) hop: Option<Hop>,
     /// Computed when it is first needed.
     pub(crate) fingerprint: OnceLock<RequestFingerprint>,
     /// Whether the request has ended without a complete response.
@@ -54,6 +59,8 @@
     pub(crate) made: u32,
     may_have_run: u32,
     pub(crate) tried: Vec<EndpointId>,
+    /// The tried endpoints that may have run the request.
+    pub(super) ran_at: Vec<EndpointId>,
 }
 
 /// An endpoint's response after its head has arrived.
@@ -63,7 +70,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
     pub(crate) lease: PooledConnection,
-    pub(crate) in_flight: InFlightRequest,
+    pub(crate) in_flight: Flight,
 }
 
 /// Why an attempt failed.
@@ -93,14 +100,23 @@
 
     /// Records an attempt that failed after the head of its response had arrived.
     pub(crate) fn record_incomplete(&mut self, endpoint: EndpointId) {
+        self.record_failed_run(Some(endpoint));
+    }
+
+    /// Records an attempt through another node that may have run at `endpoint`, if that is known.
+    pub(super) fn record_failed_run(&mut self, endpoint: Option<EndpointId>) {
         self.may_have_run += 1;
-        self.tried.push(endpoint);
+        self.tried.extend(endpoint.clone());
+        self.ran_at.extend(endpoint);
     }
 
     /// Records an attempt that failed before the head of its response arrived.
     fn record_error(&mut self, endpoint: EndpointId, error: &AttemptError) {
-        self.may_have_run += u32::from(error.may_have_run);
-        self.tried.push(endpoint);
+        if error.may_have_run {
+            self.record_failed_run(Some(endpoint));
+        } else {
+            self.tried.push(endpoint);
+        }
     }
 }
 
@@ -157,26 +173,49 @@
             if self.time_left().is_zero() {
                 return Err(self.final_refusal(last_error, attempts, None));
             }
-            let suspect_run = self.admit_to_endpoint().map_err(|refusal| {
+            let mut suspect_run = self.admit_to_endpoint().map_err(|refusal| {
                 if attempts.may_have_run() {
                     Refusal::IncompleteResponse(refusal.to_string())
                 } else {
                     refusal
                 }
             })?;
+            match self.forward(attempts, &mut suspect_run, last_event).await {
+                Forwarding::NotNeeded => {}
+                Forwarding::Answered(response) => return Ok(*response),
+                Forwarding::Refused(refusal) if attempts.may_have_run() => {
+                    return Err(Refusal::IncompleteResponse(refusal.to_string()));
+                }
+                Forwarding::Refused(refusal) => return Err(refusal),
+                Forwarding::Failed(error, endpoint) => {
+                    self.report_failure(endpoint.as_ref(), &error);
+                    attempts.record_failed_run(endpoint);
+                    if !self.may_retry(attempts) {
+                        return Err(self.final_refusal(Some(error), attempts, None));
+                    }
+                    last_error = Some(error);
+                    continue;
+                }
+            }
             let placement = match self.place(attempts, ColdEndpointPolicy::WithinBudget) {
                 Ok(placement) => placement,
                 Err(unavailable) => {
+                    if self.wait_for_path_check(unavailable).await {
+                        continue;
+                    }
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
                 }
             };
-            if attempts.made > 0 && !self.state.try_withdraw_retry(&placement.service) {
+            let is_first = attempts.made == self.prior_attempts();
+            if !is_first && !self.state.try_withdraw_retry(&placement.service) {
                 let cause = "the retry budget is spent".to_owned();
                 let error = AttemptError::new(cause, attempts.may_have_run > 0);
                 return Err(self.final_refusal(Some(error), attempts, None));
             }
-            if attempts.made == 0 {
+            if is_first && self.hop.is_none() {
                 self.state.deposit_retry(&placement.service);
+            }
+            if attempts.made == 0 {
                 self.record_placement(&placement);
             }
             let endpoint = placement.endpoint.id.clone();
@@ -193,11 +232,12 @@
             {
                 Ok(response) => return Ok(response),
                 Err(mut error) => {
-                    self.report_failure(&endpoint, &error);
+                    self.report_failure(Some(&endpoint), &error);
                     attempts.record_error(endpoint, &error);
                     let is_repeatable =
                         attempts.may_have_run == 0 || self.route.delivery.may_repeat();
-                    if !is_repeatable || !self.has_attempts_left(attempts) {
+                    let is_allowed = self.has_attempts_left(attempts) || self.may_forward(attempts);
+                    if !is_repeatable || !is_allowed {
                         return Err(self.final_refusal(Some(error), attempts, None));
                     }
                     if let Some(check) = error.crash_check.take() {
@@ -209,9 +249,53 @@
         }
     }
 
+    /// Returns the attempts before the first one that this node makes.
+    pub(crate) fn first_attempts(&self) -> Attempts {
+        let hop = self.hop.as_ref().map(|hop| &hop.req);
+        Attempts {
+            made: self.prior_attempts(),
+            may_have_run: 0,
+            ran_at: Vec::new(),
+            tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
+        }
+    }
+
+    /// Returns the number of attempts that the node made that has sent the request to this one.
+    fn prior_attempts(&self) -> u32 {
+        self.hop.as_ref().map_or(0, |hop| hop.req.attempts)
+    }
+
+    /// Returns the number of endpoints that may run the request. A request that another node has sent runs once
+    /// at most, and that node decides about the next run.
+    fn max_runs(&self) -> u32 {
+        match &self.hop {
+            Some(_) => 1,
+            None => self.route.max_attempts,
+        }
+    }
+
+    /// Returns whether another endpoint may run the request.
+    pub(super) fn has_runs_left(&self, attempts: &Attempts) -> bool {
+        attempts.may_have_run < self.max_runs()
+    }
+
     fn has_attempts_left(&self, attempts: &Attempts) -> bool {
-        attempts.may_have_run < self.route.max_attempts
-            && attempts.made < self.route.max_attempts + MAX_EXTRA_ATTEMPTS
+        let max_attempts = self.prior_attempts() + self.max_runs() + MAX_EXTRA_ATTEMPTS;
+        self.has_runs_left(attempts) && attempts.made < max_attempts
+    }
+
+    /// Counts the final response to a caller. Of a request that another node has sent, that node counts it.
+    pub(crate) fn count_response(&self, by: &'static str, status: u16) {
+        if self.hop.is_none() {
+            self.state.metrics.count_response(by, status);
+        }
+    }
+
+    /// Records the time to the first sign of the response, at the node that the caller has called.
+    pub(crate) fn record_first_response(&self) {
+        if self.hop.is_none() {
+            self.state.metrics.record_first_response(self.elapsed());
+        }
     }
 
     /// Returns the refusal for a request that isn't attempted again.
@@ -235,12 +319,12 @@
     }
 
     /// Counts a failed attempt in the metrics and writes it to the decision log.
-    fn report_failure(&self, endpoint: &EndpointId, error: &AttemptError) {
+    fn report_failure(&self, endpoint: Option<&EndpointId>, error: &AttemptError) {
         self.state.metrics.count_failed_attempt(error.may_have_run);
         self.state.events.write(&Event::AttemptFailed {
             request: self.metadata.id.as_str(),
             fingerprint: self.fingerprint(),
-            endpoint: endpoint.as_str(),
+            endpoint: endpoint.map_or("", |id| id.as_str()),
             cause: &error.cause,
             may_have_run: error.may_have_run,
             after_ms: millis(self.elapsed()),
--- /dev/null
+++ b/crates/sesamecart-entry/src/traffic/forwarded.rs
@@ -0,0 +1,157 @@
+//! Handles requests that other nodes send because they don't reach the endpoints.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use hyper::body::{Body as _, Incoming};
+use sesamecart_edges::{CallerBody, whole};
+use sesamecart_fleet::Unavailable;
+use sesamecart_runtime::{Tasks, sleep};
+use sesamecart_vocabulary::EndpointId;
+
+use crate::clock;
+use crate::metrics::ForwardingPart;
+use crate::reach::ForwardingPermit;
+use crate::state::EntryState;
+use crate::traffic::handler::{Handler, Refused};
+use crate::traffic::hop::{HopRequest, HopResult, write_result};
+use crate::traffic::refusal::Refusal;
+
+/// Interval at which the delay of the traffic thread is measured while it forwards requests of other nodes.
+const DELAY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The endpoint that responded, as an extension of the response.
+#[derive(Clone, Debug)]
+pub(super) struct RespondingEndpoint(pub(super) EndpointId);
+
+/// Handles the requests of other nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardedHandler {
+    state: Arc<EntryState>,
+    handler: Handler,
+    tasks: Tasks,
+}
+
+/// What makes a request one that another node has sent.
+#[derive(Debug)]
+pub(crate) struct Hop {
+    pub(super) req: HopRequest,
+    /// The other node's address.
+    pub(super) from: IpAddr,
+    pub(super) _permit: ForwardingPermit,
+}
+
+impl ForwardedHandler {
+    pub(crate) const fn new(state: Arc<EntryState>, handler: Handler, tasks: Tasks) -> Self {
+        Self {
+            state,
+            handler,
+            tasks,
+        }
+    }
+
+    /// Handles a request of another node. The response says whether the request may have run, and whether yet
+    /// another node may be tried.
+    pub(crate) async fn handle(
+        &self,
+        req: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Response<CallerBody> {
+        if !self.is_node(peer.ip()) {
+            return self.reject(StatusCode::FORBIDDEN, "only nodes may forward requests\n");
+        }
+        let (mut head, body) = req.into_parts();
+        let Some(hop) = HopRequest::take(&mut head.headers) else {
+            return self.reject(StatusCode::BAD_REQUEST, "a header for nodes is missing\n");
+        };
+        let catalog = self.state.catalog.load();
+        let version = catalog.as_ref().map(|catalog| catalog.version);
+        if version.is_none_or(|version| version < hop.configuration) {
+            let reason = "this node's configuration is older\n";
+            return self.reject(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
+        let body_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        let Some(permit) = self.state.try_forward(body_bytes) else {
+            let reason = "this node has no room for requests of others\n";
+            return self.reject(StatusCode::SERVICE_UNAVAILABLE, reason);
+        };
+        self.measure_delay();
+        self.state.metrics.count_forwarded(ForwardingPart::Accepted);
+        let hop = Hop {
+            req: hop,
+            from: peer.ip(),
+            _permit: permit,
+        };
+        self.respond(head, body, hop).await
+    }
+
+    /// Returns whether an address is that of a known node.
+    fn is_node(&self, address: IpAddr) -> bool {
+        let nodes = self.state.nodes.load();
+        nodes.iter().any(|node| node.links.ip() == address)
+    }
+
+    async fn respond(&self, head: Parts, body: Incoming, hop: Hop) -> Response<CallerBody> {
+        let arrived_at = clock::now() - hop.req.elapsed;
+        match self
+            .handler
+            .try_handle(arrived_at, head, body, Some(hop))
+            .await
+        {
+            Ok(mut response) => {
+                let endpoint = response.extensions_mut().remove::<RespondingEndpoint>();
+                let endpoint = endpoint.map(|RespondingEndpoint(endpoint)| endpoint);
+                let headers = response.headers_mut();
+                write_result(headers, HopResult::Answered, endpoint.as_ref());
+                response
+            }
+            Err(refused) => {
+                let result = result_of(&refused);
+                let mut response = self.handler.refuse(arrived_at, &refused);
+                write_result(response.headers_mut(), result, None);
+                response
+            }
+        }
+    }
+
+    /// Responds that the request wasn't run here and that another node may be tried.
+    fn reject(&self, status: StatusCode, reason: &'static str) -> Response<CallerBody> {
+        self.state.metrics.count_forwarded(ForwardingPart::Rejected);
+        let mut response = Response::new(whole(reason));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        write_result(headers, HopResult::Elsewhere, None);
+        response
+    }
+
+    /// Measures the delay of this thread until it has forwarded all requests of other nodes.
+    fn measure_delay(&self) {
+        if self.state.forwarded_in_flight() > 1 {
+            return;
+        }
+        let state = Arc::clone(&self.state);
+        self.tasks.spawn(async move {
+            while state.forwarded_in_flight() > 0 {
+                let started_at = Instant::now();
+                sleep(DELAY_CHECK_INTERVAL).await;
+                let delay = started_at.elapsed().saturating_sub(DELAY_CHECK_INTERVAL);
+                state.reach.gate().record_delay(delay);
+            }
+        });
+    }
+}
+
+fn result_of(refused: &Refused) -> HopResult {
+    match &refused.refusal {
+        Refusal::IncompleteResponse(_) | Refusal::TimedOut => HopResult::Unknown,
+        Refusal::NotReady(_)
+        | Refusal::NotRun(_)
+        | Refusal::Unavailable(Unavailable::NoEndpoint) => HopResult::Elsewhere,
+        _ => HopResult::Refused,
+    }
+}
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -18,6 +18,7 @@
 use crate::follower::millis;
 use crate::state::EntryState;
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
+use crate::traffic::forwarded::{Hop, RespondingEndpoint};
 use crate::traffic::refusal::Refusal;
 use crate::traffic::relay::Relay;
 
@@ -38,9 +39,13 @@
     pub(crate) async fn handle(&self, req: Request<Incoming>) -> Response<CallerBody> {
         let arrived_at = clock::now();
         let (head, body) = req.into_parts();
-        let mut response = match self.try_handle(arrived_at, head, body).await {
+        let mut response = match self.try_handle(arrived_at, head, body, None).await {
             Ok(response) => response,
-            Err(refused) => self.refuse(arrived_at, &refused),
+            Err(refused) => {
+                let status = refused.refusal.status().as_u16();
+                self.state.metrics.count_response("node", status);
+                self.refuse(arrived_at, &refused)
+            }
         };
         if self.state.is_leaving() {
             let headers = response.headers_mut();
@@ -49,8 +54,8 @@
         response
     }
 
-    /// Creates the response for a refused request, and counts and logs the refusal.
-    fn refuse(&self, arrived_at: Timestamp, refused: &Refused) -> Response<CallerBody> {
+    /// Creates the response for a refused request, and logs the refusal.
+    pub(super) fn refuse(&self, arrived_at: Timestamp, refused: &Refused) -> Response<CallerBody> {
         let Refused {
             id,
             refusal,
@@ -58,7 +63,6 @@
         } = refused;
         let status = refusal.status().as_u16();
         let catalog = self.state.catalog.load();
-        self.state.metrics.count_response("node", status);
         self.state.events.write(&Event::Refused {
             request: id,
             status,
@@ -71,13 +75,15 @@
         refusal.to_response(*retry_after)
     }
 
-    async fn try_handle(
+    /// Handles a request of a caller, or with `hop` of another node.
+    pub(super) async fn try_handle(
         &self,
         arrived_at: Timestamp,
         head: Parts,
         body: Incoming,
+        hop: Option<Hop>,
     ) -> Result<Response<CallerBody>, Refused> {
-        let metadata = RequestMetadata::read(&head).map_err(|error| {
+        let mut metadata = RequestMetadata::read(&head).map_err(|error| {
             let refusal = Refusal::BadRequest(error.to_string());
             Refused::new(String::new(), refusal)
         })?;
@@ -85,6 +91,10 @@
         let refused = |refusal| Refused::new(id.clone(), refusal);
         let admitted = self.admit(&head, &metadata).map_err(refused)?;
         self.state.record_request();
+        if let Some(hop) = &hop {
+            metadata.last_event.clone_from(&hop.req.resume_after);
+            self.log_accepted(&metadata, hop);
+        }
         let body = read_request_body(&admitted.catalog, body)
             .await
             .map_err(refused)?;
@@ -98,10 +108,14 @@
             head,
             body,
             arrived_at,
+            hop,
             fingerprint: OnceLock::new(),
             has_failed: Arc::default(),
         });
-        call.record_demand();
+        // The demand of a caller counts at the node that it called.
+        if call.hop.is_none() {
+            call.record_demand();
+        }
         serve(&call).await.map_err(|refusal| {
             call.record_failure();
             Refused {
@@ -112,6 +126,14 @@
         })
     }
 
+    fn log_accepted(&self, metadata: &RequestMetadata, hop: &Hop) {
+        let event = Event::ForwardingAccepted {
+            request: metadata.id.as_str(),
+            from: &hop.from.to_string(),
+        };
+        self.state.events.write_success(clock::now(), &event);
+    }
+
     /// Looks up the route and the customer of a request in the current configuration.
     ///
     /// # Errors
@@ -168,9 +190,9 @@
 }
 
 /// A request that the node refuses.
-struct Refused {
+pub(super) struct Refused {
     id: String,
-    refusal: Refusal,
+    pub(super) refusal: Refusal,
     /// The time after which the caller may retry.
     retry_after: Option<Duration>,
 }
@@ -218,14 +240,14 @@
 
 /// Sends the request to endpoints and returns the response for the caller.
 async fn serve(call: &Arc<Call>) -> Result<Response<CallerBody>, Refusal> {
-    let mut attempts = Attempts::default();
+    let mut attempts = call.first_attempts();
     let last_event = call.metadata.last_event.as_deref();
     loop {
         let received = call.send_with_retries(&mut attempts, last_event).await?;
         if call.route.delivery.is_stream() && received.status.is_success() {
             return Ok(stream_response(call, attempts, received));
         }
-        let endpoint = received.in_flight.endpoint.id.clone();
+        let endpoint = received.in_flight.endpoint().clone();
         let response = match call.buffer_response(received).await {
             Ok(response) => response,
             Err(refusal) => {
@@ -259,7 +281,7 @@
     let Ok(received) = call.send_with_retries(&mut attempts, last_event).await else {
         return forward_response(call, &attempts, &endpoint, first);
     };
-    let second_endpoint = received.in_flight.endpoint.id.clone();
+    let second_endpoint = received.in_flight.endpoint().clone();
     match call.buffer_response(received).await {
         Ok(response) => forward_response(call, &attempts, &second_endpoint, response),
         Err(_) => forward_response(call, &attempts, &endpoint, first),
@@ -273,8 +295,10 @@
     received: EndpointResponse,
 ) -> Response<CallerBody> {
     let (status, headers) = (received.status, forwarded_headers(&received.headers));
+    let endpoint = RespondingEndpoint(received.in_flight.endpoint().clone());
     let relay = Relay::new(Arc::clone(call), attempts, received);
     let mut response = Response::new(relay.into_body());
+    response.extensions_mut().insert(endpoint);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
@@ -291,8 +315,8 @@
     let (head, body) = response.into_parts();
     let status = head.status.as_u16();
     let elapsed = call.elapsed();
-    call.state.metrics.count_response("endpoint", status);
-    call.state.metrics.record_first_response(elapsed);
+    call.count_response("endpoint", status);
+    call.record_first_response();
     call.state.events.write_success(
         clock::now(),
         &Event::Answered {
@@ -308,6 +332,8 @@
     );
     let len = body.len();
     let mut forwarded = Response::new(whole(body));
+    let responding = RespondingEndpoint(endpoint.clone());
+    forwarded.extensions_mut().insert(responding);
     *forwarded.status_mut() = head.status;
     *forwarded.headers_mut() = forwarded_headers(&head.headers);
     forwarded
--- a/crates/sesamecart-entry/src/traffic/in_flight.rs
+++ b/crates/sesamecart-entry/src/traffic/in_flight.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Returns why the request was interrupted.
+    pub(crate) fn interruption(&self) -> &'static str {
+        if self.state.is_group_lost(&self.endpoint) {
+            "its group has lost a member"
+        } else {
+            "this node has lost its path to the endpoint"
+        }
+    }
+
     /// Returns the time since the request was sent.
     pub(crate) fn age(&self) -> Duration {
         clock::now().since(self.sent_at)
--- a/crates/sesamecart-entry/src/traffic/placement.rs
+++ b/crates/sesamecart-entry/src/traffic/placement.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_fleet::{Candidate, Endpoint, Unavailable, WeightedService};
+use sesamecart_fleet::{Candidate, Endpoint, Pool, Unavailable, WeightedService};
 use sesamecart_vocabulary::{ServiceId, stable_hash};
 
 use crate::clock;
-use crate::state::budgets::Pool;
 use crate::traffic::call::{Attempts, Call};
 use crate::traffic::refusal::Refusal;
 
@@ -113,7 +112,7 @@
     }
 
     /// Returns the pool of endpoints for which the request competes with others.
-    fn pool(&self, service: &ServiceId) -> Pool {
+    pub(super) fn pool(&self, service: &ServiceId) -> Pool {
         let model = self.engine_model().map(|(_, model)| model.model.clone());
         Pool {
             service: service.clone(),
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -22,6 +22,15 @@
     pub(crate) retry_after: Duration,
 }
 
+/// The refusal of a node to which this one sent a request.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{message}")]
+pub(crate) struct RelayedRefusal {
+    pub(crate) status: StatusCode,
+    pub(crate) message: String,
+    pub(crate) retry_after: Option<Duration>,
+}
+
 impl std::fmt::Display for CrashRefusal {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let fingerprint = self.fingerprint;
@@ -71,6 +80,9 @@
     /// The request may crash its endpoint.
     #[display("{_0}")]
     Crashing(CrashRefusal),
+    /// Another node refused the request in this node's place.
+    #[display("{_0}")]
+    Relayed(RelayedRefusal),
     /// All attempts failed before the request ran, and no further attempt is allowed.
     #[display("no attempt got through: {_0}")]
     NotRun(String),
@@ -101,6 +113,7 @@
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::Relayed(refusal) => refusal.status,
             Self::Unavailable(Unavailable::OverShare) => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady(_) | Self::Unavailable(_) | Self::NotRun(_) | Self::Crashing(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -125,6 +138,7 @@
     pub(crate) fn retry_after(&self, jitter: f64) -> Option<Duration> {
         let (min, max) = match self {
             Self::Crashing(refusal) => return Some(refusal.retry_after),
+            Self::Relayed(refusal) => return refusal.retry_after,
             Self::Unavailable(Unavailable::Unservable) => UNSERVABLE_RETRY_AFTER,
             Self::NotReady(_) | Self::Unavailable(Unavailable::NoEndpoint) | Self::NotRun(_) => {
                 NO_ENDPOINT_RETRY_AFTER
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -21,14 +21,14 @@
 use crate::follower::millis;
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::event_splitter::{EventSplitter, PushOutcome};
-use crate::traffic::in_flight::InFlightRequest;
+use crate::traffic::flight::Flight;
 
 /// The response stream of one attempt, from its endpoint.
 #[derive(Debug)]
 struct EndpointStream {
     body: Incoming,
     lease: PooledConnection,
-    in_flight: InFlightRequest,
+    in_flight: Flight,
 }
 
 /// A streamed response that is being forwarded to the caller.
@@ -51,7 +51,8 @@
     Data(Bytes),
     End,
     Broken(String),
-    GroupLost,
+    /// The endpoint's group was lost, or the path to it.
+    Interrupted(&'static str),
     DeadlinePassed,
 }
 
@@ -60,8 +61,8 @@
 enum BreakCause {
     /// The endpoint closed the connection before the end of the stream.
     ConnectionClosed,
-    /// The endpoint's group was found lost.
-    GroupLost,
+    /// The endpoint's group was found lost, or the path to it.
+    Interrupted,
     /// The endpoint sent something that isn't part of the stream.
     Invalid,
 }
@@ -70,7 +71,7 @@
     const fn of(outcome: &ReadOutcome) -> Self {
         match outcome {
             ReadOutcome::End | ReadOutcome::Broken(_) => Self::ConnectionClosed,
-            ReadOutcome::GroupLost => Self::GroupLost,
+            ReadOutcome::Interrupted(_) => Self::Interrupted,
             ReadOutcome::Data(_) | ReadOutcome::DeadlinePassed => Self::Invalid,
         }
     }
@@ -80,7 +81,7 @@
     pub(crate) fn new(call: Arc<Call>, attempts: Attempts, received: EndpointResponse) -> Self {
         let last_event = call.metadata.last_event.clone();
         let elapsed = call.elapsed();
-        call.state.metrics.record_first_response(elapsed);
+        call.record_first_response();
         Self {
             deadline: Timer::after(call.time_left()),
             status: received.status.as_u16(),
@@ -126,19 +127,19 @@
                 }
                 ReadOutcome::End => "it ended within an event".to_owned(),
                 ReadOutcome::Broken(cause) => cause,
-                ReadOutcome::GroupLost => "its group has lost a member".to_owned(),
+                ReadOutcome::Interrupted(cause) => cause.to_owned(),
                 ReadOutcome::DeadlinePassed => return Err(self.fail("the deadline passed")),
             };
             self.resume(&reason, cause).await?;
         }
     }
 
-    /// Reads the next data from the endpoint, until its group is lost or the deadline passes.
+    /// Reads the next data from the endpoint, until it is interrupted or the deadline passes.
     async fn read(&mut self) -> ReadOutcome {
         let Some(endpoint_stream) = &mut self.endpoint_stream else {
             return ReadOutcome::Broken("it has no source".to_owned());
         };
-        let group_lost = endpoint_stream.in_flight.group_lost();
+        let interrupted = endpoint_stream.in_flight.interrupted();
         let frame = async {
             match endpoint_stream.body.frame().await {
                 None => ReadOutcome::End,
@@ -147,15 +148,16 @@
                 Some(Ok(frame)) => ReadOutcome::Data(frame.into_data().unwrap_or_default()),
             }
         };
-        let group_lost = async {
-            group_lost.await;
-            ReadOutcome::GroupLost
+        let in_flight = &endpoint_stream.in_flight;
+        let interrupted = async {
+            interrupted.await;
+            ReadOutcome::Interrupted(in_flight.interruption())
         };
         let deadline = async {
             (&mut self.deadline).await;
             ReadOutcome::DeadlinePassed
         };
-        let outcome = future::or(frame, future::or(group_lost, deadline)).await;
+        let outcome = future::or(frame, future::or(interrupted, deadline)).await;
         if matches!(outcome, ReadOutcome::Data(_)) {
             endpoint_stream.in_flight.record_activity();
             let now = clock::now();
@@ -174,24 +176,24 @@
         let Some(mut broken) = self.endpoint_stream.take() else {
             return Err(self.fail(reason));
         };
-        let from = Arc::clone(&broken.in_flight.endpoint);
-        let context = broken.in_flight.context.clone();
-        if cause == BreakCause::GroupLost {
+        let from = broken.in_flight.endpoint().clone();
+        if cause == BreakCause::Interrupted {
             // The whole group is removed, so the endpoint isn't counted as failed: it may soon be the head of
             // another group.
             broken.in_flight.mark_ended();
         } else {
             broken.in_flight.mark_failed();
         }
-        let check = (cause == BreakCause::ConnectionClosed)
-            .then(|| self.call.check_for_crash(&broken.in_flight));
+        let direct = broken.in_flight.direct();
+        let direct = direct.filter(|_| cause == BreakCause::ConnectionClosed);
+        let check = direct.map(|run| (run.context.clone(), self.call.check_for_crash(run)));
         // Closes the connection first, which frees the endpoint's slot.
         drop(broken);
-        self.attempts.record_incomplete(from.id.clone());
+        self.attempts.record_incomplete(from.clone());
         if !self.call.may_retry(&self.attempts) {
             return Err(self.fail(reason));
         }
-        if let Some(check) = check {
+        if let Some((context, check)) = check {
             self.call.wait_for_check(&context, check).await;
         }
         let last_event = self.splitter.last_id().map(str::to_owned);
@@ -210,8 +212,8 @@
         self.call.state.events.write(&Event::Resumed {
             request: self.call.metadata.id.as_str(),
             fingerprint: self.call.fingerprint(),
-            from: from.id.as_str(),
-            endpoint: received.in_flight.endpoint.id.as_str(),
+            from: from.as_str(),
+            endpoint: received.in_flight.endpoint().as_str(),
             last_event: last_event.as_deref().unwrap_or_default(),
             pause_ms: millis(clock::now().since(self.last_data_at)),
         });
@@ -229,15 +231,12 @@
         self.call.record_completion();
         self.call.return_connection(endpoint_stream.lease);
         let now = clock::now();
-        self.call
-            .state
-            .metrics
-            .count_response("endpoint", self.status);
+        self.call.count_response("endpoint", self.status);
         self.call.state.events.write_success(
             now,
             &Event::Answered {
                 request: self.call.metadata.id.as_str(),
-                endpoint: endpoint_stream.in_flight.endpoint.id.as_str(),
+                endpoint: endpoint_stream.in_flight.endpoint().as_str(),
                 status: self.status,
                 attempts: self.attempts.made,
                 route: &self.call.route.name,
@@ -252,19 +251,14 @@
     fn fail(&mut self, reason: &str) -> BoxError {
         let endpoint = self.endpoint_stream.take().map(|mut endpoint_stream| {
             endpoint_stream.in_flight.mark_ended();
-            Arc::clone(&endpoint_stream.in_flight.endpoint)
+            endpoint_stream.in_flight.endpoint().clone()
         });
         self.call.record_failure();
-        self.call
-            .state
-            .metrics
-            .count_response("broken", self.status);
+        self.call.count_response("broken", self.status);
         self.call.state.events.write(&Event::Broken {
             request: self.call.metadata.id.as_str(),
             fingerprint: self.call.fingerprint(),
-            endpoint: endpoint
-                .as_ref()
-                .map_or("", |endpoint| endpoint.id.as_str()),
+            endpoint: endpoint.as_ref().map_or("", |id| id.as_str()),
             cause: reason,
             after_ms: millis(self.call.elapsed()),
         });
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -6,10 +6,11 @@
 use http::{Response, StatusCode};
 use sesamecart_edges::{Exchange, PooledConnection, ReadBodyError, read_body};
 use sesamecart_platform::{NotRunReason, ResponseHead};
-use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId};
+use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, RequestId};
 
 use crate::clock;
 use crate::traffic::call::{AttemptError, Call, EndpointResponse};
+use crate::traffic::flight::Flight;
 use crate::traffic::in_flight::InFlightRequest;
 use crate::traffic::refusal::Refusal;
 use crate::traffic::timeout::MIN_RESPONSE_TIMEOUT;
@@ -64,18 +65,7 @@
             let cause = format!("{not_run} ({})", response_head.status);
             return Err(AttemptError::new(cause, false));
         }
-        let fault = if response_head.request.as_ref() != Some(&self.metadata.id) {
-            Some("the answer belongs to another request")
-        } else if response_head.is_encoded {
-            Some("the answer's body is encoded")
-        } else if implies_not_run(response_head.status) {
-            Some("the answer's status promises what isn't proved")
-        } else if response_head.status.is_success() && !response_head.is_sealed {
-            Some("the answer has no seal")
-        } else {
-            None
-        };
-        if let Some(fault) = fault {
+        if let Some(fault) = response_fault(&response_head, &self.metadata.id) {
             in_flight.mark_failed();
             let cause = format!("{fault} ({})", response_head.status);
             return Err(AttemptError::new(cause, true));
@@ -92,7 +82,7 @@
             headers: head.headers,
             body,
             lease: exchange.lease,
-            in_flight,
+            in_flight: Flight::Endpoint(Box::new(in_flight)),
         })
     }
 
@@ -152,9 +142,11 @@
             }
             Err(error) => {
                 in_flight.mark_failed();
-                if matches!(error, ReadBodyError::Broken(_)) {
-                    let check = self.check_for_crash(&in_flight);
-                    self.wait_for_check(&in_flight.context, check).await;
+                let direct = in_flight.direct();
+                let is_broken = matches!(error, ReadBodyError::Broken(_));
+                if let Some(run) = direct.filter(|_| is_broken) {
+                    let check = self.check_for_crash(run);
+                    self.wait_for_check(&run.context, check).await;
                 }
                 Err(Refusal::IncompleteResponse(error.to_string()))
             }
@@ -170,6 +162,21 @@
     }
 }
 
+/// Returns why a response isn't a valid one to a request, or `None` if it is.
+pub(super) fn response_fault(head: &ResponseHead, request: &RequestId) -> Option<&'static str> {
+    if head.request.as_ref() != Some(request) {
+        Some("the answer belongs to another request")
+    } else if head.is_encoded {
+        Some("the answer's body is encoded")
+    } else if implies_not_run(head.status) {
+        Some("the answer's status promises what isn't proved")
+    } else if head.status.is_success() && !head.is_sealed {
+        Some("the answer has no seal")
+    } else {
+        None
+    }
+}
+
 /// Returns whether a status implies that the request hasn't run.
 fn implies_not_run(status: StatusCode) -> bool {
     [
--- a/crates/sesamecart-entry/src/traffic/timeout.rs
+++ b/crates/sesamecart-entry/src/traffic/timeout.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use sesamecart_edges::{ClientError, Exchange, Reuse, SendStatus};
+use sesamecart_edges::{ClientError, Exchange, Reuse, SendStatus, Step};
 use sesamecart_fleet::{Delivery, Endpoint};
 use sesamecart_platform::{ForwardContext, build_forwarded_request};
 use sesamecart_runtime::sleep;
+use sesamecart_vocabulary::EndpointId;
 
 use crate::clock;
 use crate::follower::millis;
@@ -89,8 +90,16 @@
             WaitOutcome::TimedOut(first_event_timeout.await)
         });
         match raced.await {
-            WaitOutcome::Response(Ok(exchange)) => Ok(exchange),
+            WaitOutcome::Response(Ok(exchange)) => {
+                if exchange.is_new_connection {
+                    self.record_reachable();
+                }
+                Ok(exchange)
+            }
             WaitOutcome::Response(Err(client_error)) => {
+                if client_error.step == Step::Connect && !self.time_left().is_zero() {
+                    self.record_unreachable(&endpoint.id);
+                }
                 let may_have_run = client_error.sent == SendStatus::PossiblySent;
                 let mut error = AttemptError::new(client_error.to_string(), may_have_run);
                 if may_have_run && client_error.is_connection_failure() {
@@ -101,7 +110,7 @@
                 Err((error, !is_past_deadline))
             }
             WaitOutcome::GroupLost => {
-                let cause = "its group has lost a member".to_owned();
+                let cause = in_flight.interruption().to_owned();
                 Err((AttemptError::new(cause, true), false))
             }
             WaitOutcome::TimedOut(timeout) => {
@@ -110,8 +119,22 @@
         }
     }
 
+    /// Records that an endpoint of the request's pool accepted a connection.
+    fn record_reachable(&self) {
+        if let Some(service) = self.service() {
+            self.state.record_reachable(&self.pool(service));
+        }
+    }
+
+    /// Records that a connection to an endpoint of the request's pool couldn't be opened.
+    fn record_unreachable(&self, endpoint: &EndpointId) {
+        if let Some(service) = self.service() {
+            self.state.record_unreachable(&self.pool(service), endpoint);
+        }
+    }
+
     /// Returns the timeout for one attempt's response.
-    fn response_timeout(&self) -> Duration {
+    pub(super) fn response_timeout(&self) -> Duration {
         let time_left = self.time_left();
         let target = self.route.latency_target.unwrap_or(MIN_RESPONSE_TIMEOUT);
         match self.route.delivery {
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Sender;
 use futures_util::future::join_all;
+use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{
     Directory, Endpoint, GroupHealth, GroupKey, GroupProbes, MemberProbe, StallLimits,
@@ -12,7 +13,7 @@
 };
 use sesamecart_platform::fetch_report;
 use sesamecart_runtime::{Tasks, sleep};
-use sesamecart_vocabulary::EndpointId;
+use sesamecart_vocabulary::{EndpointId, ServiceId};
 
 use crate::clock;
 use crate::events::Event;
@@ -46,6 +47,7 @@
             continue;
         }
         let directory = state.directory.load_full();
+        suspect_silent_services(&state, &directory, &silent);
         for head in silent {
             let endpoint = directory.find(&head);
             // A group that was found lost stays stalled until its head gives up, so a probe yields nothing
@@ -60,7 +62,7 @@
                 match group_prober.examine(&key).await {
                     GroupHealth::Healthy => {}
                     // What this node can't see says nothing to other nodes.
-                    GroupHealth::Unknown => {}
+                    GroupHealth::Unknown => state.interrupt_group(&key),
                     GroupHealth::Lost | GroupHealth::HeadUnreachable => {
                         state.metrics.count_group_lost();
                         state.mark_group_lost(&key);
@@ -74,6 +76,25 @@
     }
 }
 
+/// Requests a check of the paths to the services of which all open heads are silent.
+fn suspect_silent_services(state: &EntryState, directory: &Directory, silent: &[EndpointId]) {
+    let since = clock::now() - StallLimits::default().streaming;
+    let services = silent.iter().filter_map(|head| directory.find(head));
+    let services: IndexSet<&ServiceId> = services.map(|head| &head.service).collect();
+    for service in services {
+        let mut heads = directory
+            .listed()
+            .filter(|endpoint| endpoint.service == *service && endpoint.is_open_head());
+        let is_active = {
+            let loads = state.loads();
+            heads.any(|head| loads.has_event_since(since, &head.id))
+        };
+        if !is_active {
+            state.reach.suspect(service);
+        }
+    }
+}
+
 /// The result of probing the members of a group.
 #[derive(Debug)]
 pub(crate) struct GroupProbe {
@@ -118,6 +139,9 @@
     };
     let is_member = |endpoint: &Endpoint| endpoint.group_key().as_ref() == Some(key);
     let check = check_links(state, client, &key.to_string(), service, is_member).await;
+    if check.are_links_lost() {
+        state.reach.suspect(service);
+    }
     check.are_links_lost()
 }
 
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -3,6 +3,7 @@
 
 mod crashing_requests;
 mod faulty_links;
+mod forwarding;
 mod many_nodes;
 mod overload;
 mod setup;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -181,8 +181,11 @@
 
     /// Starts another node whose links can fail, and returns once it is ready.
     pub(crate) fn add_node_with_links(&self, node: &str) -> (Entry, FaultyLinks) {
+        self.add_with_links(settings(node, self.store.address()))
+    }
+
+    fn add_with_links(&self, settings: EntrySettings) -> (Entry, FaultyLinks) {
         let links = FaultyLinks::default();
-        let settings = settings(node, self.store.address());
         let entry = Entry::start_with_dialer(settings, Arc::new(links.clone()));
         let entry = entry.expect("the node starts");
         self.wait_until("the other node is ready", || {
@@ -191,6 +194,14 @@
         (entry, links)
     }
 
+    /// Starts another node without a retry budget, whose links can fail.
+    pub(crate) fn add_node_without_retries(&self, node: &str) -> (Entry, FaultyLinks) {
+        let mut settings = settings(node, self.store.address());
+        settings.bounds.retry_ratio = 0.0;
+        settings.bounds.retry_burst = 0.0;
+        self.add_with_links(settings)
+    }
+
     /// Returns the addresses of all endpoints.
     pub(crate) fn endpoint_addresses(&self) -> Vec<SocketAddr> {
         let endpoints = self.engines.iter().chain(&self.plain);
@@ -286,6 +297,16 @@
         self.send(node.metrics_address(), req, DEFAULT_DEADLINE)
     }
 
+    /// Returns the value of a node's metric whose labels contain `label`.
+    pub(crate) fn metric(&self, node: &Entry, name: &str, label: &str) -> u64 {
+        let page = self.send_operator_request(node, "GET", "/metrics").body;
+        let mut lines = page.lines();
+        let line = lines.find(|line| line.starts_with(name) && line.contains(label));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        let value = value.and_then(|value| value.parse().ok());
+        value.unwrap_or_else(|| panic!("{name} with {label} isn't exported"))
+    }
+
     pub(crate) fn send_request(&self, kind: RequestKind, id: &str, key: &str) -> Response {
         self.send_request_within(kind, id, key, DEFAULT_DEADLINE)
     }
@@ -323,6 +344,38 @@
         call: &CallerRequest<'_>,
         deadline: Duration,
     ) -> Response {
+        let req = Self::request(call, deadline, &[]);
+        self.send(node.caller_address(), req, WAIT_TIMEOUT)
+    }
+
+    /// Sends a request to the address at which a node accepts requests of other nodes.
+    pub(crate) fn send_as_node(
+        &self,
+        node: &Entry,
+        call: &CallerRequest<'_>,
+        headers: &[(&str, &str)],
+    ) -> Response {
+        let address = node.forwarding_address().expect("it accepts requests");
+        let req = Self::request(call, DEFAULT_DEADLINE, headers);
+        self.send(address, req, WAIT_TIMEOUT)
+    }
+
+    /// Sends a request with additional headers to the address for callers.
+    pub(crate) fn send_call_with_headers(
+        &self,
+        node: &Entry,
+        call: &CallerRequest<'_>,
+        headers: &[(&str, &str)],
+    ) -> Response {
+        let req = Self::request(call, DEFAULT_DEADLINE, headers);
+        self.send(node.caller_address(), req, WAIT_TIMEOUT)
+    }
+
+    fn request(
+        call: &CallerRequest<'_>,
+        deadline: Duration,
+        headers: &[(&str, &str)],
+    ) -> Request<Full<Bytes>> {
         let CallerRequest {
             kind,
             id,
@@ -344,8 +397,10 @@
                 .header("model-name", model)
                 .header("token-count", "10,80");
         }
-        let req = req.body(Full::from(body.to_owned())).expect("it is valid");
-        self.send(node.caller_address(), req, WAIT_TIMEOUT)
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        req.body(Full::from(body.to_owned())).expect("it is valid")
     }
 
     fn send(&self, peer: SocketAddr, req: Request<Full<Bytes>>, timeout: Duration) -> Response {
@@ -412,7 +467,7 @@
     let text = json!({
         "node": node, "failure_domain": "a", "region": "r",
         "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": "127.0.0.1:0",
-        "links": "127.0.0.1:0", "processor_share": 0.25, "store": store.to_string(),
+        "links": "127.0.0.1:0", "forwarding": "127.0.0.1:0", "processor_share": 0.25, "store": store.to_string(),
         "first_start": node == FIRST_NODE,
         "bounds": {
             "key_revocation_ms": 5_000, "configuration_ms": 2_000, "group_stall_ms": 5_000,
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -29,6 +29,9 @@
     pub failure_domain: FailureDomainId,
     /// The address at which it accepts links from other nodes.
     pub links: SocketAddr,
+    /// The address at which it accepts requests that other nodes forward; missing on a node that accepts none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarding: Option<SocketAddr>,
     /// The fraction of a processor core that is available to it.
     pub processor_share: f64,
 }
--- a/crates/sesamecart-fleet/src/sources/tests.rs
+++ b/crates/sesamecart-fleet/src/sources/tests.rs
@@ -16,6 +16,7 @@
             .expect("valid name"),
         failure_domain: format!("domain-{domain}").parse().expect("valid name"),
         links: ([127, 0, domain, number], 7_000).into(),
+        forwarding: None,
         processor_share,
     }
 }
