--- a/crates/sesamecart-entry/src/reach/checker.rs
+++ b/crates/sesamecart-entry/src/reach/checker.rs
@@ -20,6 +20,25 @@
 /// How long a connection to an endpoint shows that the pool is reachable.
 const CONNECTION_TTL: Duration = Duration::from_millis(300);
 
+/// The connections that show that a pool is reachable.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Evidence {
+    /// Any connection refutes the suspicion that the pool is lost.
+    AnyConnection,
+    /// Connections to most endpoints show that a lost pool is reachable again. If a few of its endpoints remained
+    /// reachable, any connection would end the loss again and again.
+    MostConnections,
+}
+
+impl Evidence {
+    const fn is_sufficient(self, reached: usize, checked: usize) -> bool {
+        match self {
+            Self::AnyConnection => reached > 0,
+            Self::MostConnections => reached * 2 > checked,
+        }
+    }
+}
+
 /// Checks whether this node reaches pools of endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct ReachChecker {
@@ -55,18 +74,19 @@
                 return true;
             }
         }
-        self.check(pool, SAMPLE_SIZE, &IndexSet::new()).await
+        self.check(pool, &IndexSet::new(), Evidence::AnyConnection)
+            .await
     }
 
-    /// Opens connections to up to `count` endpoints of a pool, without those in `except`, and records the
-    /// results. Returns whether any endpoint accepted.
+    /// Opens connections to some endpoints of a pool, without those in `except`, and records the result. Returns
+    /// whether the pool is reachable.
     pub(super) async fn check(
         &self,
         pool: &Pool,
-        count: usize,
         except: &IndexSet<EndpointId>,
+        evidence: Evidence,
     ) -> bool {
-        let endpoints = sample(&self.state, pool, count, except);
+        let endpoints = sample(&self.state, pool, SAMPLE_SIZE, except);
         let connections = endpoints.iter().map(|endpoint| {
             self.client
                 .check_connection(endpoint.address, CONNECT_TIMEOUT)
@@ -77,7 +97,8 @@
             .filter(|(_, result)| result.is_err())
             .map(|(endpoint, _)| endpoint)
             .collect();
-        if failed.len() < endpoints.len() {
+        let reached = endpoints.len() - failed.len();
+        if evidence.is_sufficient(reached, endpoints.len()) {
             self.state.record_reachable(pool);
             return true;
         }
--- a/crates/sesamecart-entry/src/reach/monitor.rs
+++ b/crates/sesamecart-entry/src/reach/monitor.rs
@@ -11,6 +11,7 @@
 use sesamecart_runtime::{sleep, with_timeout};
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
+use super::checker::Evidence;
 use super::{Reach, ReachChecker, ReachState};
 use crate::clock;
 use crate::events::Event;
@@ -22,12 +23,6 @@
 /// The same interval while a pool is lost for all nodes, so that their checks cost its endpoints little.
 const HELPLESS_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// The number of endpoints to which connections are opened to confirm a suspicion.
-const SUSPICION_SAMPLE_SIZE: usize = 3;
-
-/// The number of endpoints to which connections are opened to notice the end of a loss.
-const LOSS_SAMPLE_SIZE: usize = 2;
-
 /// How long changes are collected, because many connections fail at once.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 
@@ -119,7 +114,7 @@
         let suspects = self.state.suspected_pools();
         let checks = suspects
             .iter()
-            .map(|(pool, failed)| self.checker.check(pool, SUSPICION_SAMPLE_SIZE, failed));
+            .map(|(pool, failed)| self.checker.check(pool, failed, Evidence::AnyConnection));
         let _reached = join_all(checks).await;
     }
 
@@ -129,7 +124,7 @@
         let none = IndexSet::new();
         let checks = lost
             .iter()
-            .map(|(pool, _)| self.checker.check(pool, LOSS_SAMPLE_SIZE, &none));
+            .map(|(pool, _)| self.checker.check(pool, &none, Evidence::MostConnections));
         let _reached = join_all(checks).await;
     }
 
@@ -199,6 +194,11 @@
         }
     }
 
+    /// Returns whether this node would have control, or compete for it, if it reached the engines.
+    fn competes_for_control(&self) -> bool {
+        self.state.reads_store() || self.state.is_controller()
+    }
+
     async fn ask(&self, peer: &PeerNode, pool: &Pool) {
         let request = ReachRequest {
             service: pool.service.to_string(),
@@ -207,8 +207,8 @@
                 .as_ref()
                 .map(ToString::to_string)
                 .unwrap_or_default(),
-            seeks_controller: pool.model.is_some()
-                && (self.state.reads_store() || self.state.is_controller()),
+            seeks_controller: self.competes_for_control()
+                && self.state.reach.should_ask_for_control(peer, pool),
         };
         let mut feed = self.links.feed_client(peer.links);
         let is_reachable = match with_timeout(ASK_TIMEOUT, feed.check_reach(request)).await {
@@ -256,6 +256,18 @@
         reach.tracker.lost().next().is_some() || uses.any(|helper| helper.in_flight > 0)
     }
 
+    /// Returns whether a helper should compete for control in this node's place. Only one of them is asked: each
+    /// node that begins to compete may take control from another one.
+    fn should_ask_for_control(&self, peer: &PeerNode, pool: &Pool) -> bool {
+        if !self.should_hand_over_control() {
+            return false;
+        }
+        let reach = self.lock();
+        let helpers = reach.helpers.get(pool);
+        let confirmed = helpers.into_iter().flat_map(Helpers::confirmed);
+        confirmed.map(|helper| &helper.node).min() == Some(&peer.node)
+    }
+
     fn used_helpers(&self) -> Vec<(PeerNode, Pool)> {
         let reach = self.lock();
         let used = reach.uses.values().filter(|helper| helper.in_flight > 0);
--- a/crates/sesamecart-entry/src/traffic/flight.rs
+++ b/crates/sesamecart-entry/src/traffic/flight.rs
@@ -1,9 +1,10 @@
 //! One attempt in flight, at an endpoint or at a node that forwards it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use futures_lite::future::Boxed;
-use sesamecart_runtime::Signal;
+use futures_lite::future::{self, Boxed};
+use sesamecart_runtime::{Signal, sleep};
 use sesamecart_vocabulary::{EndpointId, RequestId, Timestamp};
 
 use crate::clock;
@@ -14,6 +15,9 @@
 use crate::state::EntryState;
 use crate::traffic::in_flight::InFlightRequest;
 
+/// How long another node may send nothing of a response that has begun.
+const HELPER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_600);
+
 /// An attempt in flight.
 #[derive(Debug)]
 pub(crate) enum Flight {
@@ -61,7 +65,11 @@
             Self::Endpoint(in_flight) => Box::pin(in_flight.group_lost()),
             Self::Helper(forwarded) => {
                 let lost: Signal = forwarded.helper.lost.clone();
-                Box::pin(async move { lost.wait().await })
+                Box::pin(future::or(
+                    async move { lost.wait().await },
+                    // An open connection may go silent while new ones to the same node work.
+                    sleep(HELPER_SILENCE_TIMEOUT),
+                ))
             }
         }
     }
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -39,6 +39,10 @@
 /// How much later than this node's own timeout a response may arrive through another node.
 const FORWARDING_ALLOWANCE: Duration = Duration::from_millis(100);
 
+/// The timeout for the first event through another node, as a multiple of the timeout at an endpoint. The other
+/// node waits longer than that while all heads are busy.
+const HELPER_TIMEOUT_FACTOR: u32 = 2;
+
 /// The maximum size of another node's explanation why a request isn't served.
 const MAX_EXPLANATION: ByteSize = ByteSize(16 * 1024);
 
@@ -191,7 +195,7 @@
         let lost = helper.lost.clone();
         let response = async { Some(response.await) };
         let lost = async {
-            lost.wait().await;
+            future::or(lost.wait(), self.first_event_of_helper_is_late()).await;
             None
         };
         match future::or(response, lost).await {
@@ -212,6 +216,18 @@
         }
     }
 
+    /// Waits until the first event of a stream that can be resumed is so late that the other node, which has a
+    /// timeout of its own, must have failed.
+    async fn first_event_of_helper_is_late(&self) {
+        let is_resumable = matches!(self.route.delivery, Delivery::Stream { resumable: true });
+        let model = self.metadata.model.as_ref().filter(|_| is_resumable);
+        let Some(model) = model else {
+            return future::pending().await;
+        };
+        let timeout = self.state.first_event_timeouts().timeout(model);
+        sleep(timeout * HELPER_TIMEOUT_FACTOR + FORWARDING_ALLOWANCE).await;
+    }
+
     fn log_next(&self, error: &ClientError) -> HelperReply {
         log::debug!("traffic: {}: {error}.", self.metadata.id);
         HelperReply::TryNext
