Count only retries that may arrive in the retry budget

Cause: each attempt after the first drew on the budget, also if no earlier one had left the node. The budget limits what arrives at endpoints.

Change: an attempt draws on the budget if an earlier one may have arrived. a_connection_that_fails_is_no_retry failed before (503 for the first booking whose connection was refused, with an empty budget) and passes now.

--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Attempts {
     pub(crate) made: u32,
     may_have_run: u32,
+    /// The attempts of this node that may have arrived at an endpoint. Only these count in the retry budget.
+    arrivals: u32,
     pub(crate) tried: Vec<EndpointId>,
     /// The tried endpoints that may have run the request.
     pub(super) ran_at: Vec<EndpointId>,
@@ -78,6 +80,8 @@
 pub(super) struct AttemptError {
     pub(super) cause: String,
     pub(super) may_have_run: bool,
+    /// Whether the request may have arrived at an endpoint.
+    pub(super) may_have_arrived: bool,
     /// Closed once it is known whether the endpoint has crashed, if it closed the connection.
     pub(super) crash_check: Option<Receiver<()>>,
 }
@@ -87,6 +91,7 @@
         Self {
             cause,
             may_have_run,
+            may_have_arrived: true,
             crash_check: None,
         }
     }
@@ -106,6 +111,7 @@
     /// Records an attempt through another node that may have run at `endpoint`, if that is known.
     pub(super) fn record_failed_run(&mut self, endpoint: Option<EndpointId>) {
         self.may_have_run += 1;
+        self.arrivals += 1;
         self.tried.extend(endpoint.clone());
         self.ran_at.extend(endpoint);
     }
@@ -115,9 +121,15 @@
         if error.may_have_run {
             self.record_failed_run(Some(endpoint));
         } else {
+            self.arrivals += u32::from(error.may_have_arrived);
             self.tried.push(endpoint);
         }
     }
+
+    /// Returns whether the next attempt is a retry, which draws on the retry budget.
+    pub(super) const fn is_retry_next(&self) -> bool {
+        self.arrivals > 0
+    }
 }
 
 impl Call {
@@ -206,13 +218,12 @@
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
                 }
             };
-            let is_first = attempts.made == self.prior_attempts();
-            if !is_first && !self.state.try_withdraw_retry(&placement.service) {
+            if attempts.is_retry_next() && !self.state.try_withdraw_retry(&placement.service) {
                 let cause = "the retry budget is spent".to_owned();
                 let error = AttemptError::new(cause, attempts.may_have_run > 0);
                 return Err(self.final_refusal(Some(error), attempts, None));
             }
-            if is_first && self.hop.is_none() {
+            if attempts.made == 0 && self.hop.is_none() {
                 self.state.deposit_retry(&placement.service);
             }
             if attempts.made == 0 {
@@ -255,6 +266,7 @@
         Attempts {
             made: self.prior_attempts(),
             may_have_run: 0,
+            arrivals: 0,
             ran_at: Vec::new(),
             tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
         }
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -162,7 +162,7 @@
     fn charge_budget(&self, pool: &Pool, attempts: &Attempts) -> Option<Forwarding> {
         if attempts.made == 0 {
             self.state.deposit_retry(&pool.service);
-        } else if attempts.may_have_run() && !self.state.try_withdraw_retry(&pool.service) {
+        } else if attempts.is_retry_next() && !self.state.try_withdraw_retry(&pool.service) {
             let cause = "the retry budget is spent".to_owned();
             return Some(Forwarding::Refused(Refusal::NotRun(cause)));
         }
--- a/crates/sesamecart-entry/src/traffic/timeout.rs
+++ b/crates/sesamecart-entry/src/traffic/timeout.rs
@@ -45,6 +45,7 @@
         AttemptError {
             cause: format!("{}: request: no first event in {ms} ms", endpoint.address),
             may_have_run: true,
+            may_have_arrived: true,
             crash_check: None,
         }
     }
@@ -102,6 +103,7 @@
                 }
                 let may_have_run = client_error.sent == SendStatus::PossiblySent;
                 let mut error = AttemptError::new(client_error.to_string(), may_have_run);
+                error.may_have_arrived = may_have_run;
                 if may_have_run && client_error.is_connection_failure() {
                     error.crash_check = Some(self.check_for_crash(in_flight));
                 }
--- a/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
@@ -213,6 +213,23 @@
     deployment.shut_down();
 }
 
+/// Guards against spending the retry budget on connections that couldn't be opened, at which nothing arrives.
+#[test]
+fn a_connection_that_fails_is_no_retry() {
+    let mut deployment = Deployment::start(EVENTS);
+    let (node, _links) = deployment.add_node_without_retries("n2");
+    deployment.plain[0].kill();
+    for request in 0..8 {
+        let id = format!("b{request}");
+        assert_eq!(
+            send(&deployment, &node, RequestKind::Booking, &id).status,
+            200
+        );
+    }
+    node.kill();
+    deployment.shut_down();
+}
+
 /// Guards against a request that crashes endpoints through another node's memory of it.
 #[test]
 fn a_forwarded_request_that_crashes_endpoints_is_blocked_as_any_other() {
