Test cold endpoints, drains, shares and open connections through a second node

Also a controller that has no path to one member of a healthy group: it asks another node and dissolves nothing.

--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -142,6 +142,12 @@
         self.loads().peer_in_flight()
     }
 
+    /// Returns the number of other nodes that report their loads to this one.
+    #[must_use]
+    pub fn reporting_nodes(&self) -> usize {
+        self.loads().reporting_nodes()
+    }
+
     /// Returns the number of groups of a model that the callers of all nodes keep busy, or `None` while
     /// there is no estimate yet.
     #[must_use]
--- a/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rustix::net::{AddressFamily, SocketType};
@@ -331,6 +332,136 @@
     deployment.shut_down();
 }
 
+/// Guards against forwarding requests to an endpoint that is leaving.
+#[test]
+fn drains_hold_at_the_second_node() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, _links) = add_cut_node(&deployment, "n2");
+    deployment.register_plain(0, "draining", 0);
+    std::thread::sleep(Duration::from_secs(1));
+    let before = deployment.plain[0].customers().len();
+    for request in 0..10 {
+        let id = format!("b{request}");
+        assert_eq!(
+            send(&deployment, &node, RequestKind::Booking, &id).status,
+            200
+        );
+    }
+    assert_eq!(deployment.plain[0].customers().len(), before);
+    node.kill();
+    deployment.shut_down();
+}
+
+/// Guards against sending cold endpoints more than they can handle, once from each of two nodes.
+#[test]
+fn cold_endpoints_get_no_more_through_a_second_node() {
+    const COLD_PER_S: f64 = 2.0;
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, _links) = add_cut_node(&deployment, "n2");
+    deployment.publish_cold_rate(2, COLD_PER_S);
+    for index in 0..deployment.plain.len() {
+        deployment.register_plain(index, "ready", 60_000);
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let runs = || -> usize {
+        let plain = deployment.plain.iter();
+        plain.map(|plain| plain.customers().len()).sum()
+    };
+    let before = runs();
+    let started_at = std::time::Instant::now();
+    for request in 0..40 {
+        let _response = send(
+            &deployment,
+            &node,
+            RequestKind::Booking,
+            &format!("c{request}"),
+        );
+    }
+    let seconds = started_at.elapsed().as_secs_f64().max(1.0);
+    let allowed = COLD_PER_S * 1.5 + 5.0;
+    let limit = allowed * deployment.plain.len() as f64 * seconds;
+    let cold_runs = runs() - before;
+    assert!(cold_runs as f64 <= limit, "{cold_runs} in {seconds} s");
+    node.kill();
+    deployment.shut_down();
+}
+
+/// Guards against a customer that gets more than its share by way of a node that doesn't reach the endpoints.
+#[test]
+fn a_surge_through_a_second_node_leaves_capacity_for_others() {
+    const SURGE_STREAMS: usize = 16;
+    let deployment = Deployment::start(LONG_STREAM_EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, _links) = add_cut_node(&deployment, "n2");
+    let stream = |node: &Entry, id: &str, key: &str| {
+        deployment.send_request_to(node, RequestKind::Stream, id, key, DEFAULT_DEADLINE)
+    };
+    std::thread::scope(|scope| {
+        for key in ["key-1", "key-2"] {
+            let (stream, node) = (&stream, &node);
+            scope.spawn(move || {
+                for index in 0..6 {
+                    let id = format!("usual-{key}-{index}");
+                    assert_eq!(stream(node, &id, key).status, 200);
+                }
+            });
+        }
+    });
+    let rejected = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for index in 0..SURGE_STREAMS {
+            let (stream, node, rejected) = (&stream, &node, &rejected);
+            scope.spawn(move || {
+                let response = stream(node, &format!("surge-{index}"), "key-1");
+                if response.status == 429 {
+                    assert!(response.retry_after.is_some());
+                    rejected.fetch_add(1, Ordering::AcqRel);
+                }
+            });
+        }
+        deployment.wait_until("a request of the surge is rejected", || {
+            rejected.load(Ordering::Acquire) > 0
+        });
+        assert_eq!(stream(&deployment.node, "own", "key-2").status, 200);
+        assert_eq!(stream(&node, "other", "key-2").status, 200);
+    });
+    node.kill();
+    deployment.shut_down();
+}
+
+/// Guards against forgetting callers whose connections were open before the cut.
+#[test]
+fn callers_on_open_connections_are_served() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, links) = deployment.add_node_with_links("n2");
+    let mut caller = TcpStream::connect(node.caller_address()).expect("it connects");
+    let mut ask = |id: String| {
+        let head = format!(
+            "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: {id}\r\ncredential: key-1\r\n\
+            deadline-ms: 8000\r\ncontent-length: 5\r\n\r\nasked"
+        );
+        caller.write_all(head.as_bytes()).expect("it writes");
+        let mut response = Vec::new();
+        while !response.ends_with(b"done") {
+            let mut buf = [0; 1_024];
+            let read = caller.read(&mut buf).expect("it responds");
+            assert!(read > 0, "the connection stays open");
+            response.extend_from_slice(&buf[..read]);
+        }
+        String::from_utf8_lossy(&response).starts_with("HTTP/1.1 200")
+    };
+    assert!(ask("before".to_owned()));
+    links.fail(LinkFault::Silent, deployment.endpoint_addresses());
+    for request in 0..5 {
+        assert!(ask(format!("during-{request}")));
+    }
+    node.kill();
+    deployment.shut_down();
+}
+
 /// Opens a connection from `source`, sends a booking as a node would, and returns the response's first line.
 fn send_from(source: Ipv4Addr, peer: SocketAddr) -> String {
     let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -266,6 +266,24 @@
         self.store.publish("config", &configuration(version, keys));
     }
 
+    /// Publishes a configuration by which cold plain endpoints can handle `per_s` requests per second.
+    pub(crate) fn publish_cold_rate(&self, version: u64, per_s: f64) {
+        let mut configuration = configuration(version, &["key-1", "key-2"]);
+        configuration["services"][1]["coldPerS"] = json!(per_s);
+        self.store.publish("config", &configuration);
+    }
+
+    /// Replaces the registry entry of a plain endpoint.
+    pub(crate) fn register_plain(&self, index: usize, state: &str, cold_ms: u64) {
+        let endpoint = &self.plain[index];
+        let entry = json!({
+            "service": "app", "address": endpoint.address().to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "coldRemainingMs": cold_ms, "sequence": 2,
+        });
+        self.store
+            .register(endpoint.id(), entry.to_string().into_bytes());
+    }
+
     pub(crate) fn knows_evacuation(&self, failure_domain: &str) -> bool {
         knows_evacuation(&self.node, failure_domain)
     }
--- a/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
@@ -328,6 +328,36 @@
     deployment.shut_down();
 }
 
+/// Guards against a controller that dissolves a group because it has no path to one of its members.
+#[test]
+fn a_controller_without_a_path_to_one_member_asks_another_node() {
+    let deployment = Deployment::start(EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, _links) = deployment.add_node_with_links("n2");
+    deployment.wait_until("the controller knows the other node", || {
+        deployment.node.state().reporting_nodes() == 1
+    });
+    send_streams(&deployment, &deployment.node, "open");
+    let orders_before = orders(&deployment);
+    let mut engines = deployment.engines.iter();
+    let member = engines.find(|engine| !engine.is_open_head());
+    let member = member.expect("groups have members").address();
+    deployment.links.fail(LinkFault::Silent, [member]);
+    for engine in &deployment.engines {
+        engine.set_first_event_delay(Duration::from_millis(900));
+    }
+    // Requests that wait for their first event make the controller examine the groups.
+    send_streams(&deployment, &deployment.node, "waiting");
+    assert_eq!(open_heads(&deployment), 2, "no healthy group is dissolved");
+    assert_eq!(
+        orders(&deployment),
+        orders_before,
+        "no engine gets an order"
+    );
+    node.kill();
+    deployment.shut_down();
+}
+
 /// Guards against a deployment that repairs no group while its controller is cut off.
 #[test]
 fn a_controller_that_reaches_no_engine_leaves_control_to_a_node_that_does() {
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -249,6 +249,12 @@
         self.reporting_nodes.contains(node)
     }
 
+    /// Returns the number of nodes that report their loads.
+    #[must_use]
+    pub fn reporting_nodes(&self) -> usize {
+        self.reporting_nodes.len()
+    }
+
     /// Removes the loads reported by a node that is no longer reachable.
     pub fn drop_peer(&mut self, node: &NodeId) {
         self.reporting_nodes.swap_remove(node);
