--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -60,6 +60,8 @@
     may_have_run: u32,
     /// The attempts of this node that may have arrived at an endpoint. Only these count in the retry budget.
     arrivals: u32,
+    /// Whether no other node took the request. It then goes only to endpoints that this node may reach after all.
+    pub(super) is_helpless: bool,
     pub(crate) tried: Vec<EndpointId>,
     /// The tried endpoints that may have run the request.
     pub(super) ran_at: Vec<EndpointId>,
@@ -193,7 +195,7 @@
                 }
             })?;
             match self.forward(attempts, &mut suspect_run, last_event).await {
-                Forwarding::NotNeeded => {}
+                Forwarding::NotDone => {}
                 Forwarding::Answered(response) => return Ok(*response),
                 Forwarding::Refused(refusal) if attempts.may_have_run() => {
                     return Err(Refusal::IncompleteResponse(refusal.to_string()));
@@ -212,7 +214,7 @@
             let placement = match self.place(attempts, ColdEndpointPolicy::WithinBudget) {
                 Ok(placement) => placement,
                 Err(unavailable) => {
-                    if self.wait_for_path_check(unavailable).await {
+                    if self.wait_for_path_check(attempts, unavailable).await {
                         continue;
                     }
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
@@ -267,6 +269,7 @@
             made: self.prior_attempts(),
             may_have_run: 0,
             arrivals: 0,
+            is_helpless: false,
             ran_at: Vec::new(),
             tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
         }
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -48,8 +48,8 @@
 
 /// What became of a request that was to be sent to another node.
 pub(super) enum Forwarding {
-    /// This node reaches the endpoints itself.
-    NotNeeded,
+    /// This node reaches the endpoints itself, or no other node takes the request.
+    NotDone,
     /// An endpoint responded.
     Answered(Box<EndpointResponse>),
     /// The request wasn't run, and no other node is tried.
@@ -79,12 +79,17 @@
 
     /// Returns whether another attempt may be made through another node.
     pub(super) fn may_forward(&self, attempts: &Attempts) -> bool {
-        self.has_runs_left(attempts) && self.unreachable_pool().is_some()
+        !attempts.is_helpless && self.has_runs_left(attempts) && self.unreachable_pool().is_some()
     }
 
-    /// Waits for a check of the path to the endpoints, if one is due.
-    pub(super) async fn wait_for_path_check(&self, unavailable: Unavailable) -> bool {
-        let is_due = unavailable == Unavailable::NoEndpoint && self.hop.is_none();
+    /// Waits for a check of the path to the endpoints, if one is due. Returns whether the path is lost.
+    pub(super) async fn wait_for_path_check(
+        &self,
+        attempts: &Attempts,
+        unavailable: Unavailable,
+    ) -> bool {
+        let is_due =
+            unavailable == Unavailable::NoEndpoint && self.hop.is_none() && !attempts.is_helpless;
         let Some(service) = self.service().filter(|_| is_due) else {
             return false;
         };
@@ -109,9 +114,9 @@
         last_event: Option<&str>,
     ) -> Forwarding {
         let mut tried: IndexSet<NodeId> = IndexSet::new();
-        while tried.len() < MAX_HELPERS {
+        while !attempts.is_helpless && tried.len() < MAX_HELPERS {
             let Some((pool, since)) = self.unreachable_pool() else {
-                return Forwarding::NotNeeded;
+                return Forwarding::NotDone;
             };
             let Some(helper) = self.find_helper(&pool, since, &tried).await else {
                 break;
@@ -129,11 +134,8 @@
                 }
             }
         }
-        if self.unreachable_pool().is_none() {
-            return Forwarding::NotNeeded;
-        }
-        let cause = "neither this node nor one that it asked reaches an endpoint";
-        Forwarding::Refused(Refusal::NotRun(cause.to_owned()))
+        attempts.is_helpless = true;
+        Forwarding::NotDone
     }
 
     /// Chooses a node. Shortly after the loss of the pool, waits until one is found.
