Ask for the second opinion on a lost group at the same time, and end link checks early

Cause: the controller asked another node only after its own probe, whose timeouts the other node then waited for again; and a link check waited for each sampled endpoint, also for those that were gone as well.

Change: both nodes probe at the same time, and the controller waits 80 ms longer at most; a link check ends with the first connection.

--- a/crates/sesamecart-entry/src/controller/steps.rs
+++ b/crates/sesamecart-entry/src/controller/steps.rs
@@ -1,10 +1,14 @@
 //! Executes the steps of the planner.
 
+use std::time::Duration;
+
+use futures_lite::future;
 use futures_util::future::join_all;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{Formation, GroupHealth, GroupKey, PeerNode, Step};
 use sesamecart_links::Links;
 use sesamecart_platform::{Order, OrderOutcome};
+use sesamecart_runtime::with_timeout;
 use sesamecart_vocabulary::EndpointId;
 
 use crate::controller::engines::EngineClient;
@@ -13,6 +17,9 @@
 use crate::state::EntryState;
 use crate::watch::{self, GroupProbe};
 
+/// How much longer than this node's own probe another node's probe may take. Callers wait for the repair.
+const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(80);
+
 /// The outcome of an executed step.
 #[derive(Debug)]
 pub(super) enum StepOutcome {
@@ -92,13 +99,7 @@
             Some(dissolve(state, engines, key, probe).await)
         }
         Step::Examine(key) => {
-            let probe = watch::probe_group(state, client, &key).await;
-            let verdict = match probe.verdict {
-                GroupHealth::Healthy | GroupHealth::Unknown => probe.verdict,
-                GroupHealth::Lost | GroupHealth::HeadUnreachable => {
-                    confirm_loss(state, links, &key, &probe).await
-                }
-            };
+            let (probe, verdict) = examine(state, client, links, &key).await;
             match verdict {
                 GroupHealth::Healthy => Some(StepOutcome::Sound { key }),
                 GroupHealth::Unknown => Some(StepOutcome::Undecided { key }),
@@ -112,25 +113,46 @@
     }
 }
 
-/// Asks another node to probe a group that is lost as seen from this node, if only silent members say so.
+/// Probes a group, and asks another node to probe it at the same time.
 ///
-/// This node may have no path to some of the members, while the group serves the callers of all other nodes.
-async fn confirm_loss(
+/// This node may have no path to some of the members, while the group serves the callers of all other nodes. If
+/// only silent members speak against a group that is healthy for the other node, the verdict is unknown.
+async fn examine(
     state: &EntryState,
+    client: &HttpClient,
     links: &Links,
     key: &GroupKey,
-    probe: &GroupProbe,
-) -> GroupHealth {
-    if probe.silent.is_empty() {
-        return probe.verdict;
-    }
+) -> (GroupProbe, GroupHealth) {
+    let probe_here = watch::probe_group(state, client, key);
     let Some(peer) = reporting_peer(state) else {
-        return probe.verdict;
+        let probe = probe_here.await;
+        let verdict = probe.verdict;
+        return (probe, verdict);
     };
-    match probe_via(links, peer.links, key).await {
-        Some(GroupHealth::Healthy) => GroupHealth::Unknown,
-        _ => probe.verdict,
-    }
+    let (answered, answer) = async_channel::bounded(1);
+    let probe_there = async {
+        let verdict = probe_via(links, peer.links, key).await;
+        // Nobody receives the answer if it came too late.
+        let _sent = answered.send(verdict).await;
+        future::pending().await
+    };
+    let decide = async {
+        let probe = probe_here.await;
+        let is_loss = matches!(
+            probe.verdict,
+            GroupHealth::Lost | GroupHealth::HeadUnreachable
+        );
+        if !is_loss || probe.silent.is_empty() {
+            let verdict = probe.verdict;
+            return (probe, verdict);
+        }
+        let verdict = match with_timeout(SECOND_OPINION_TIMEOUT, answer.recv()).await {
+            Ok(Ok(Some(GroupHealth::Healthy))) => GroupHealth::Unknown,
+            _ => probe.verdict,
+        };
+        (probe, verdict)
+    };
+    future::or(decide, probe_there).await
 }
 
 /// Returns a random node whose loads this node receives, so that it is likely to answer.
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -259,7 +259,8 @@
         subject: &'a str,
         /// The number of other endpoints that were tried.
         checked: usize,
-        /// The number of those that accepted a connection; 0 if this node has lost its own links.
+        /// The number of those that accepted a connection before the check ended, at the first one; 0 if this node
+        /// has lost its own links.
         reached: usize,
     },
     /// This node can't open connections to any endpoint of a pool.
--- a/crates/sesamecart-entry/src/link_check.rs
+++ b/crates/sesamecart-entry/src/link_check.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use indexmap::IndexMap;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{Directory, Endpoint};
@@ -26,6 +26,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct LinkCheck {
     pub(crate) checked: usize,
+    /// The number of endpoints that had accepted a connection when the check ended, at the first one.
     pub(crate) reached: usize,
 }
 
@@ -55,14 +56,23 @@
     check
 }
 
+/// Opens connections to all `peers` at once, and returns as soon as one of them accepts: others may be gone, and
+/// the repair of a lost group waits for the result.
 async fn open_connections(client: &HttpClient, peers: &[SocketAddr]) -> LinkCheck {
     let attempts = peers
         .iter()
         .map(|peer| client.check_connection(*peer, CONNECT_TIMEOUT));
-    let reached = join_all(attempts).await;
+    let mut attempts: FuturesUnordered<_> = attempts.collect();
+    let mut reached = 0;
+    while let Some(result) = attempts.next().await {
+        if result.is_ok() {
+            reached = 1;
+            break;
+        }
+    }
     LinkCheck {
         checked: peers.len(),
-        reached: reached.iter().filter(|result| result.is_ok()).count(),
+        reached,
     }
 }
 
