Default the address for forwarded requests to the port after that of metrics

Without the setting, the address is now at the next free port after metrics, so that existing settings files enable forwarding too.

--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -9,6 +9,9 @@
 use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
+#[cfg(test)]
+mod tests;
+
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -27,7 +30,8 @@
     pub metrics: SocketAddr,
     /// The address for links from other nodes.
     pub links: SocketAddr,
-    /// The address for requests that other nodes forward. Without it, this node forwards none for them.
+    /// The address for requests that other nodes forward. If it is missing, it is at the next port after that of
+    /// `metrics` that none of the other addresses uses.
     #[serde(default)]
     pub forwarding: Option<SocketAddr>,
     /// The share of a core that the node may use. The nodes with the largest shares read the store for the
@@ -166,7 +170,24 @@
             }
         })?;
         settings.validate(path)?;
-        Ok(settings)
+        Ok(Self {
+            forwarding: Some(settings.forwarding_address()),
+            ..settings
+        })
+    }
+
+    /// Returns the address for requests that other nodes forward.
+    fn forwarding_address(&self) -> SocketAddr {
+        let addresses = [self.callers, self.readiness, self.metrics, self.links];
+        let is_free = |port: &u16| addresses.iter().all(|address| address.port() != *port);
+        let metrics = self.metrics.port();
+        // With port 0, the system chooses one.
+        let default_port = match metrics {
+            0 => Some(0),
+            _ => (metrics..).skip(1).find(is_free),
+        };
+        self.forwarding
+            .unwrap_or_else(|| SocketAddr::new(self.links.ip(), default_port.unwrap_or_default()))
     }
 
     fn validate(&self, path: &Path) -> Result<(), SettingsError> {
