--- a/crates/sesamecart-entry/src/reach/monitor.rs
+++ b/crates/sesamecart-entry/src/reach/monitor.rs
@@ -128,12 +128,14 @@
         let _reached = join_all(checks).await;
     }
 
-    /// Interrupts the requests at heads that have sent nothing since their pool was lost.
+    /// Interrupts the requests at heads that have sent nothing since their pool was lost, if another node can take
+    /// them.
     fn interrupt_silent_heads(&self) {
         let now = clock::now();
         let directory = self.state.directory.load_full();
         for (pool, since) in self.state.reach.lost_pools() {
-            if now.since(since) < SILENCE_TIMEOUT {
+            let has_helper = self.state.reach.has_helper(&pool);
+            if !has_helper || now.since(since) < SILENCE_TIMEOUT {
                 continue;
             }
             let heads = directory.candidates(&pool.service, pool.model.as_ref());
@@ -275,6 +277,12 @@
             .collect()
     }
 
+    fn has_helper(&self, pool: &Pool) -> bool {
+        let reach = self.lock();
+        let helpers = reach.helpers.get(pool);
+        helpers.is_some_and(|helpers| helpers.confirmed().next().is_some())
+    }
+
     /// Returns whether no other node reaches any of the lost pools.
     fn is_helpless(&self) -> bool {
         let reach = self.lock();
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -12,7 +12,9 @@
 use sesamecart_edges::{HttpClient, PooledConnection};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
 use sesamecart_platform::RequestMetadata;
-use sesamecart_vocabulary::{EndpointId, RequestFingerprint, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, RequestFingerprint, RequestIdentity, ServiceId, Timestamp,
+};
 
 use crate::clock;
 use crate::crashes::{SendContext, SuspectRun};
@@ -33,6 +35,9 @@
 /// or fail before they run it.
 const MAX_EXTRA_ATTEMPTS: u32 = 2;
 
+/// Why a request isn't sent again although its route allows it.
+pub(super) const BUDGET_SPENT: &str = "the retry budget is spent";
+
 /// A request whose body has been read completely, with its route.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -60,6 +65,10 @@
     may_have_run: u32,
     /// The attempts of this node that may have arrived at an endpoint. Only these count in the retry budget.
     arrivals: u32,
+    /// The arrivals for which the next attempt has already drawn on the retry budget.
+    paid_arrivals: u32,
+    /// Whether the request was counted as a first attempt in the retry budget.
+    is_deposited: bool,
     /// Whether no other node took the request. It then goes only to endpoints that this node may reach after all.
     pub(super) is_helpless: bool,
     pub(crate) tried: Vec<EndpointId>,
@@ -128,9 +137,13 @@
         }
     }
 
-    /// Returns whether the next attempt is a retry, which draws on the retry budget.
-    pub(super) const fn is_retry_next(&self) -> bool {
-        self.arrivals > 0
+    /// Returns whether the next attempt is a retry that hasn't drawn on the retry budget yet.
+    const fn owes_retry(&self) -> bool {
+        self.arrivals > self.paid_arrivals
+    }
+
+    const fn record_paid(&mut self) {
+        self.paid_arrivals = self.arrivals;
     }
 }
 
@@ -220,14 +233,11 @@
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
                 }
             };
-            if attempts.is_retry_next() && !self.state.try_withdraw_retry(&placement.service) {
-                let cause = "the retry budget is spent".to_owned();
+            if !self.charge_budget(attempts, &placement.service) {
+                let cause = BUDGET_SPENT.to_owned();
                 let error = AttemptError::new(cause, attempts.may_have_run > 0);
                 return Err(self.final_refusal(Some(error), attempts, None));
             }
-            if attempts.made == 0 && self.hop.is_none() {
-                self.state.deposit_retry(&placement.service);
-            }
             if attempts.made == 0 {
                 self.record_placement(&placement);
             }
@@ -262,6 +272,22 @@
         }
     }
 
+    /// Charges the next attempt to the retry budget: a first attempt adds to it, and a retry draws on it. Returns
+    /// whether the budget allows the attempt.
+    pub(super) fn charge_budget(&self, attempts: &mut Attempts, service: &ServiceId) -> bool {
+        if !attempts.is_deposited {
+            self.state.deposit_retry(service);
+            attempts.is_deposited = true;
+        }
+        if attempts.owes_retry() {
+            if !self.state.try_withdraw_retry(service) {
+                return false;
+            }
+            attempts.record_paid();
+        }
+        true
+    }
+
     /// Returns the attempts before the first one that this node makes.
     pub(crate) fn first_attempts(&self) -> Attempts {
         let hop = self.hop.as_ref().map(|hop| &hop.req);
@@ -269,6 +295,9 @@
             made: self.prior_attempts(),
             may_have_run: 0,
             arrivals: 0,
+            paid_arrivals: 0,
+            // The node that has sent the request has counted it.
+            is_deposited: hop.is_some(),
             is_helpless: false,
             ran_at: Vec::new(),
             tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
--- a/crates/sesamecart-entry/src/traffic/call/tests.rs
+++ b/crates/sesamecart-entry/src/traffic/call/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::remaining_caller_time;
+use super::{AttemptError, Attempts, remaining_caller_time};
 
 const ELAPSED: Duration = Duration::from_secs(4);
 
@@ -29,3 +29,25 @@
         Duration::ZERO
     );
 }
+
+/// Guards against charging an attempt twice when several nodes or endpoints are tried for it, and against charging
+/// attempts at which nothing arrives.
+#[test]
+fn each_arrival_is_paid_for_once() {
+    let endpoint = |id: &str| id.parse().expect("a valid ID");
+    let mut attempts = Attempts::default();
+    let unsent = AttemptError {
+        may_have_arrived: false,
+        ..AttemptError::new("refused".to_owned(), false)
+    };
+    attempts.record_error(endpoint("e1"), &unsent);
+    assert!(!attempts.owes_retry(), "nothing has arrived");
+    let rejected = AttemptError::new("full".to_owned(), false);
+    attempts.record_error(endpoint("e2"), &rejected);
+    assert!(attempts.owes_retry());
+    attempts.record_paid();
+    attempts.record_error(endpoint("e3"), &unsent);
+    assert!(!attempts.owes_retry(), "the retry has not arrived");
+    attempts.record_failed_run(Some(endpoint("e4")));
+    assert!(attempts.owes_retry());
+}
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -1,5 +1,6 @@
 //! Sends requests to another node while this one doesn't reach the endpoints.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use crate::events::Event;
 use crate::metrics::ForwardingPart;
 use crate::reach::HelperUse;
-use crate::traffic::call::{AttemptError, Attempts, Call, EndpointResponse};
+use crate::traffic::call::{AttemptError, Attempts, BUDGET_SPENT, Call, EndpointResponse};
 use crate::traffic::flight::{Flight, ForwardedRequest};
 use crate::traffic::hop::{HopRequest, HopResult, take_result};
 use crate::traffic::refusal::{Refusal, RelayedRefusal};
@@ -121,8 +122,8 @@
             let Some(helper) = self.find_helper(&pool, since, &tried).await else {
                 break;
             };
-            if let Some(refused) = self.charge_budget(&pool, attempts) {
-                return refused;
+            if !self.charge_budget(attempts, &pool.service) {
+                return Forwarding::Refused(Refusal::NotRun(BUDGET_SPENT.to_owned()));
             }
             let node = helper.peer.node.clone();
             let reply = self.send_to_helper(helper, attempts, suspect_run, last_event);
@@ -160,17 +161,6 @@
         }
     }
 
-    /// Counts the attempt in the retry budget of this node. The other node doesn't count it again.
-    fn charge_budget(&self, pool: &Pool, attempts: &Attempts) -> Option<Forwarding> {
-        if attempts.made == 0 {
-            self.state.deposit_retry(&pool.service);
-        } else if attempts.is_retry_next() && !self.state.try_withdraw_retry(&pool.service) {
-            let cause = "the retry budget is spent".to_owned();
-            return Some(Forwarding::Refused(Refusal::NotRun(cause)));
-        }
-        None
-    }
-
     async fn send_to_helper(
         &self,
         helper: HelperUse,
@@ -297,7 +287,7 @@
                     return failed(cause, None);
                 };
                 let flight = ForwardedRequest {
-                    state: std::sync::Arc::clone(&self.state),
+                    state: Arc::clone(&self.state),
                     helper,
                     endpoint,
                     request: self.metadata.id.clone(),
