Accept requests of other nodes again after an overload

Cause: found in review. The thread's delay was measured only while requests of other nodes were in flight. With none left and the last estimate above the limit, no request was admitted, so nothing measured it again. Besides, each change from no request to one started a further measuring task while an earlier one was still running, and a stated body size near the largest number overflowed the sum of sizes.

Change: the delay is measured by one task while requests are in flight or the estimate is too high, also after a rejection. Sizes are added with saturation.

--- a/crates/sesamecart-entry/src/traffic/forwarded.rs
+++ b/crates/sesamecart-entry/src/traffic/forwarded.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -34,6 +35,8 @@
     state: Arc<EntryState>,
     handler: Handler,
     tasks: Tasks,
+    /// Whether a task measures the delay of the traffic thread.
+    is_measuring: Arc<AtomicBool>,
 }
 
 /// What makes a request one that another node has sent.
@@ -46,11 +49,12 @@
 }
 
 impl ForwardedHandler {
-    pub(crate) const fn new(state: Arc<EntryState>, handler: Handler, tasks: Tasks) -> Self {
+    pub(crate) fn new(state: Arc<EntryState>, handler: Handler, tasks: Tasks) -> Self {
         Self {
             state,
             handler,
             tasks,
+            is_measuring: Arc::default(),
         }
     }
 
@@ -75,11 +79,12 @@
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, reason);
         }
         let body_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        let Some(permit) = self.state.try_forward(body_bytes) else {
+        let permit = self.state.try_forward(body_bytes);
+        self.measure_delay();
+        let Some(permit) = permit else {
             let reason = "this node has no room for requests of others\n";
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, reason);
         };
-        self.measure_delay();
         self.state.metrics.count_forwarded(ForwardingPart::Accepted);
         let hop = Hop {
             req: hop,
@@ -129,23 +134,29 @@
         response
     }
 
-    /// Measures the delay of this thread until it has forwarded all requests of other nodes.
+    /// Starts to measure the delay of this thread, unless it is being measured.
     fn measure_delay(&self) {
-        if self.state.forwarded_in_flight() > 1 {
+        if self.is_measuring.swap(true, Ordering::AcqRel) {
             return;
         }
-        let state = Arc::clone(&self.state);
+        let (state, is_measuring) = (Arc::clone(&self.state), Arc::clone(&self.is_measuring));
         self.tasks.spawn(async move {
-            while state.forwarded_in_flight() > 0 {
-                let started_at = Instant::now();
-                sleep(DELAY_CHECK_INTERVAL).await;
-                let delay = started_at.elapsed().saturating_sub(DELAY_CHECK_INTERVAL);
-                state.reach.gate().record_delay(delay);
-            }
+            measure_thread_delay(&state).await;
+            is_measuring.store(false, Ordering::Release);
         });
     }
 }
 
+/// Measures the delay of the thread as long as the limits on forwarding need it.
+async fn measure_thread_delay(state: &EntryState) {
+    while state.reach.gate().needs_measurement() {
+        let started_at = Instant::now();
+        sleep(DELAY_CHECK_INTERVAL).await;
+        let delay = started_at.elapsed().saturating_sub(DELAY_CHECK_INTERVAL);
+        state.reach.gate().record_delay(delay);
+    }
+}
+
 fn result_of(refused: &Refused) -> HopResult {
     match &refused.refusal {
         Refusal::IncompleteResponse(_) | Refusal::TimedOut => HopResult::Unknown,
@@ -155,3 +166,6 @@
         _ => HopResult::Refused,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sesamecart-fleet/src/forwarding_gate.rs
+++ b/crates/sesamecart-fleet/src/forwarding_gate.rs
@@ -30,8 +30,8 @@
     /// Admits a request with a body of up to `body_bytes`, unless this node has no room for it.
     pub fn try_enter(&mut self, body_bytes: usize) -> bool {
         let has_room = self.requests < MAX_REQUESTS
-            && self.body_bytes + body_bytes <= MAX_BODY_BYTES
-            && self.thread_delay_s < MAX_THREAD_DELAY.as_secs_f64();
+            && self.body_bytes.saturating_add(body_bytes) <= MAX_BODY_BYTES
+            && !self.is_overloaded();
         if has_room {
             self.requests += 1;
             self.body_bytes += body_bytes;
@@ -50,6 +50,17 @@
         self.thread_delay_s += (delay.as_secs_f64() - self.thread_delay_s) * DELAY_GAIN;
     }
 
+    fn is_overloaded(&self) -> bool {
+        self.thread_delay_s >= MAX_THREAD_DELAY.as_secs_f64()
+    }
+
+    /// Returns whether the delay of the traffic thread has to be measured: while it forwards requests of other
+    /// nodes, and until it is low enough for the next one.
+    #[must_use]
+    pub fn needs_measurement(&self) -> bool {
+        self.requests > 0 || self.is_overloaded()
+    }
+
     /// Returns the number of requests in flight for other nodes.
     #[must_use]
     pub const fn requests(&self) -> usize {
--- a/crates/sesamecart-fleet/src/forwarding_gate/tests.rs
+++ b/crates/sesamecart-fleet/src/forwarding_gate/tests.rs
@@ -23,6 +23,13 @@
     assert!(gate.try_enter(10));
 }
 
+#[test]
+fn a_body_of_any_stated_size_is_compared_with_the_limit() {
+    let mut gate = ForwardingGate::default();
+    assert!(gate.try_enter(1));
+    assert!(!gate.try_enter(usize::MAX));
+}
+
 #[test]
 fn a_busy_node_takes_nothing_until_it_has_caught_up() {
     let mut gate = ForwardingGate::default();
