--- a/crates/sesamecart-entry/src/reach.rs
+++ b/crates/sesamecart-entry/src/reach.rs
@@ -90,6 +90,10 @@
 
 impl Drop for HelperUse {
     fn drop(&mut self) {
+        // The count that includes a lost use was removed with the loss.
+        if self.lost.is_set() {
+            return;
+        }
         let mut reach = self.state.reach.lock();
         if let Some(helper) = reach.uses.get_mut(&self.peer.node) {
             helper.in_flight = helper.in_flight.saturating_sub(1);
--- a/crates/sesamecart-entry/src/reach/monitor.rs
+++ b/crates/sesamecart-entry/src/reach/monitor.rs
@@ -343,3 +343,6 @@
         pools
     }
 }
+
+#[cfg(test)]
+mod tests;
