--- a/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
@@ -306,6 +306,44 @@
     deployment.shut_down();
 }
 
+/// Guards against interrupting streams on connections that outlive the path for new ones.
+#[test]
+fn streams_on_open_connections_go_on_while_new_connections_are_refused() {
+    let deployment = Deployment::start(LONG_STREAM_EVENTS);
+    deployment.wait_for_groups(2);
+    let (node, links) = deployment.add_node_with_links("n2");
+    deployment.wait_until("it knows the groups", || {
+        node.state().open_group_count() == 2
+    });
+    let runs = |id: &str| -> u32 {
+        let engines = deployment.engines.iter();
+        engines.map(|engine| engine.run_count(id)).sum()
+    };
+    std::thread::scope(|scope| {
+        let stream = |id: &'static str| {
+            let (deployment, node) = (&deployment, &node);
+            deployment.send_request_to(node, RequestKind::Stream, id, "key-1", DEFAULT_DEADLINE)
+        };
+        let open: Vec<_> = ["s0", "s1", "s2", "s3"]
+            .map(|id| scope.spawn(move || stream(id)))
+            .into();
+        deployment.wait_until("all of them run", || {
+            ["s0", "s1", "s2", "s3"].iter().all(|id| runs(id) == 1)
+        });
+        links.fail(LinkFault::Refused, deployment.endpoint_addresses());
+        assert_eq!(stream("new").status, 200);
+        assert_eq!(node.state().unreachable_pools().len(), 1);
+        for stream in open {
+            assert_eq!(stream.join().expect("it doesn't panic").status, 200);
+        }
+    });
+    for id in ["s0", "s1", "s2", "s3"] {
+        assert_eq!(runs(id), 1, "{id} isn't moved");
+    }
+    node.kill();
+    deployment.shut_down();
+}
+
 /// Guards against accusing endpoints and requests when the network resets connections and refuses new ones.
 #[test]
 fn a_node_with_reset_links_accuses_no_endpoint_and_no_request() {
