Name and place the reachability code like the rest, and drop what stood twice

Cause: the review of the whole change. Names such as is_blind, is_helpless, lose and owes_retry, and some comments of tests, weren't the field's terms.

No behaviour, assertion or bound changes.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -181,7 +181,7 @@
                 continue;
             };
             // What this node can't reach isn't gone.
-            if spec.models.is_empty() || self.state.reach.is_blind(service) {
+            if spec.models.is_empty() || self.state.reach.is_partitioned_from(service) {
                 continue;
             }
             let input = PlannerInput {
--- a/crates/sesamecart-entry/src/controller/steps.rs
+++ b/crates/sesamecart-entry/src/controller/steps.rs
@@ -18,7 +18,7 @@
 use crate::watch::{self, GroupProbe};
 
 /// How much longer than this node's own probe another node's probe may take. Callers wait for the repair.
-const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(80);
+const PEER_PROBE_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// The outcome of an executed step.
 #[derive(Debug)]
@@ -146,7 +146,7 @@
             let verdict = probe.verdict;
             return (probe, verdict);
         }
-        let verdict = match with_timeout(SECOND_OPINION_TIMEOUT, answer.recv()).await {
+        let verdict = match with_timeout(PEER_PROBE_TIMEOUT, answer.recv()).await {
             Ok(Ok(Some(GroupHealth::Healthy))) => GroupHealth::Unknown,
             _ => probe.verdict,
         };
--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -20,7 +20,7 @@
 use crate::crashes::probe::{Liveness, probe};
 use crate::events::{Event, unix_millis};
 use crate::follower::millis;
-use crate::link_check::check_links;
+use crate::reach::check_links;
 use crate::state::EntryState;
 
 /// Interval of the checks for due reports and decisions.
--- a/crates/sesamecart-entry/src/group_prober.rs
+++ b/crates/sesamecart-entry/src/group_prober.rs
@@ -62,7 +62,7 @@
         let Some(address) = self.state.upstream() else {
             return self.verdict(key).await;
         };
-        match self.probe_via(address, key).await {
+        match probe_via(&self.links, address, key).await {
             // The other node may reach engines that this node can't reach.
             Some(GroupHealth::Healthy) => self.probe_head(address, key).await,
             Some(GroupHealth::Lost | GroupHealth::HeadUnreachable) => GroupHealth::Lost,
@@ -91,10 +91,6 @@
         Arc::clone(&probe.verdict)
     }
 
-    async fn probe_via(&self, address: SocketAddr, key: &GroupKey) -> Option<GroupHealth> {
-        probe_via(&self.links, address, key).await
-    }
-
     /// Probes the head of a group from this node, after the node at `address` has found the group healthy. A
     /// head that only this node can't reach isn't lost.
     async fn probe_head(&self, address: SocketAddr, key: &GroupKey) -> GroupHealth {
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -12,7 +12,6 @@
 mod feed;
 mod follower;
 mod group_prober;
-mod link_check;
 mod loss_reports;
 mod metrics;
 mod node;
--- a/crates/sesamecart-entry/src/reach.rs
+++ b/crates/sesamecart-entry/src/reach.rs
@@ -4,6 +4,7 @@
 //! docs/design/forwarding.md describes them.
 
 mod checker;
+mod link_check;
 mod monitor;
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,6 +24,7 @@
 use crate::events::Event;
 use crate::follower::millis;
 pub(crate) use crate::reach::checker::ReachChecker;
+pub(crate) use crate::reach::link_check::check_links;
 pub(crate) use crate::reach::monitor::ReachMonitor;
 use crate::state::EntryState;
 
@@ -62,19 +64,19 @@
     /// When it last answered.
     answered_at: Timestamp,
     lost: Signal,
-    lose: Trigger,
+    loss_trigger: Trigger,
 }
 
 impl HelperState {
     fn new(peer: PeerNode, pool: Pool) -> Self {
-        let (lose, lost) = Signal::new();
+        let (loss_trigger, lost) = Signal::new();
         Self {
             peer,
             pool,
             in_flight: 0,
             answered_at: clock::now(),
             lost,
-            lose,
+            loss_trigger,
         }
     }
 }
@@ -157,23 +159,23 @@
 
     /// Returns whether other nodes reach endpoints of a service that this node doesn't reach, so that this node
     /// must not act on what it sees of them.
-    pub(crate) fn is_blind(&self, service: &ServiceId) -> bool {
-        self.blind_since(Some(service)).is_some()
+    pub(crate) fn is_partitioned_from(&self, service: &ServiceId) -> bool {
+        self.partitioned_since(Some(service)).is_some()
     }
 
     /// Returns whether this node should leave control of the groups to another one.
     pub(crate) fn should_hand_over_control(&self) -> bool {
-        let since = self.blind_since(None);
+        let since = self.partitioned_since(None);
         since.is_some_and(|since| clock::now().since(since) >= CONTROL_HANDOVER_DELAY)
     }
 
-    fn blind_since(&self, service: Option<&ServiceId>) -> Option<Timestamp> {
+    fn partitioned_since(&self, service: Option<&ServiceId>) -> Option<Timestamp> {
         let reach = self.lock();
         let lost = reach.tracker.lost();
         let lost = lost.filter(|(pool, _)| {
             let is_meant = service.map_or(pool.model.is_some(), |service| pool.service == *service);
             let helpers = reach.helpers.get(*pool);
-            is_meant && helpers.is_some_and(|helpers| helpers.confirmed().next().is_some())
+            is_meant && helpers.is_some_and(Helpers::has_confirmed)
         });
         lost.map(|(_, since)| since).min()
     }
--- a/crates/sesamecart-entry/src/reach/checker.rs
+++ b/crates/sesamecart-entry/src/reach/checker.rs
@@ -11,8 +11,8 @@
 
 use super::sample;
 use crate::clock;
-use crate::link_check::CONNECT_TIMEOUT;
 use crate::state::EntryState;
+use crate::traffic::CONNECT_TIMEOUT;
 
 /// The number of endpoints to which connections are opened at once.
 const SAMPLE_SIZE: usize = 3;
@@ -53,7 +53,7 @@
 
     /// Returns whether this node reaches a pool and forwards requests of the asking node to it.
     pub(crate) async fn answer(&self, pool: &Pool, seeks_controller: bool) -> bool {
-        if self.state.is_leaving() || self.state.settings.forwarding.is_none() {
+        if self.state.is_leaving() {
             return false;
         }
         let is_reachable = self.is_reachable(pool).await;
--- a/crates/sesamecart-entry/src/link_check.rs
+++ b/crates/sesamecart-entry/src/reach/link_check.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use indexmap::IndexMap;
@@ -15,13 +14,11 @@
 
 use crate::events::Event;
 use crate::state::EntryState;
+use crate::traffic::CONNECT_TIMEOUT;
 
 /// The number of endpoints to which connections are opened in one check.
 const SAMPLE_SIZE: usize = 3;
 
-/// Timeout for opening a connection. The longest network round trip takes a few milliseconds.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// The result of a check.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct LinkCheck {
--- a/crates/sesamecart-entry/src/reach/monitor.rs
+++ b/crates/sesamecart-entry/src/reach/monitor.rs
@@ -21,7 +21,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The same interval while a pool is lost for all nodes, so that their checks cost its endpoints little.
-const HELPLESS_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+const NO_HELPER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long changes are collected, because many connections fail at once.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
@@ -83,8 +83,8 @@
     }
 
     fn check_interval(&self) -> Duration {
-        if self.state.reach.is_helpless() {
-            HELPLESS_CHECK_INTERVAL
+        if self.state.reach.has_no_helper() {
+            NO_HELPER_CHECK_INTERVAL
         } else {
             CHECK_INTERVAL
         }
@@ -280,14 +280,13 @@
     fn has_helper(&self, pool: &Pool) -> bool {
         let reach = self.lock();
         let helpers = reach.helpers.get(pool);
-        helpers.is_some_and(|helpers| helpers.confirmed().next().is_some())
+        helpers.is_some_and(Helpers::has_confirmed)
     }
 
     /// Returns whether no other node reaches any of the lost pools.
-    fn is_helpless(&self) -> bool {
+    fn has_no_helper(&self) -> bool {
         let reach = self.lock();
-        let mut confirmed = reach.helpers.values().flat_map(Helpers::confirmed);
-        confirmed.next().is_none()
+        !reach.helpers.values().any(Helpers::has_confirmed)
     }
 
     fn lost_pools(&self) -> Vec<(Pool, Timestamp)> {
@@ -306,7 +305,7 @@
         uses.retain(|_, helper| {
             let is_silent = now.since(helper.answered_at) > HELPER_SILENCE_TIMEOUT;
             if is_silent {
-                helper.lose.set();
+                helper.loss_trigger.set();
             }
             !is_silent && helper.in_flight > 0
         });
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -31,7 +31,7 @@
 ///
 /// An endpoint whose VM is gone doesn't respond at all, and the caller waits meanwhile. The longest network
 /// round trip takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// The maximum number of open connections from callers.
 ///
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -65,12 +65,12 @@
     may_have_run: u32,
     /// The attempts of this node that may have arrived at an endpoint. Only these count in the retry budget.
     arrivals: u32,
-    /// The arrivals for which the next attempt has already drawn on the retry budget.
-    paid_arrivals: u32,
+    /// The arrivals whose next attempt is already charged to the retry budget.
+    charged_arrivals: u32,
     /// Whether the request was counted as a first attempt in the retry budget.
     is_deposited: bool,
     /// Whether no other node took the request. It then goes only to endpoints that this node may reach after all.
-    pub(super) is_helpless: bool,
+    pub(super) has_no_helper: bool,
     pub(crate) tried: Vec<EndpointId>,
     /// The tried endpoints that may have run the request.
     pub(super) ran_at: Vec<EndpointId>,
@@ -137,13 +137,13 @@
         }
     }
 
-    /// Returns whether the next attempt is a retry that hasn't drawn on the retry budget yet.
-    const fn owes_retry(&self) -> bool {
-        self.arrivals > self.paid_arrivals
+    /// Returns whether the next attempt is a retry that isn't charged to the retry budget yet.
+    const fn is_uncharged_retry(&self) -> bool {
+        self.arrivals > self.charged_arrivals
     }
 
-    const fn record_paid(&mut self) {
-        self.paid_arrivals = self.arrivals;
+    const fn record_charged(&mut self) {
+        self.charged_arrivals = self.arrivals;
     }
 }
 
@@ -279,11 +279,11 @@
             self.state.deposit_retry(service);
             attempts.is_deposited = true;
         }
-        if attempts.owes_retry() {
+        if attempts.is_uncharged_retry() {
             if !self.state.try_withdraw_retry(service) {
                 return false;
             }
-            attempts.record_paid();
+            attempts.record_charged();
         }
         true
     }
@@ -295,10 +295,10 @@
             made: self.prior_attempts(),
             may_have_run: 0,
             arrivals: 0,
-            paid_arrivals: 0,
+            charged_arrivals: 0,
             // The node that has sent the request has counted it.
             is_deposited: hop.is_some(),
-            is_helpless: false,
+            has_no_helper: false,
             ran_at: Vec::new(),
             tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
         }
--- a/crates/sesamecart-entry/src/traffic/call/tests.rs
+++ b/crates/sesamecart-entry/src/traffic/call/tests.rs
@@ -33,7 +33,7 @@
 /// Guards against charging an attempt twice when several nodes or endpoints are tried for it, and against charging
 /// attempts at which nothing arrives.
 #[test]
-fn each_arrival_is_paid_for_once() {
+fn each_arrival_is_charged_once() {
     let endpoint = |id: &str| id.parse().expect("a valid ID");
     let mut attempts = Attempts::default();
     let unsent = AttemptError {
@@ -41,13 +41,13 @@
         ..AttemptError::new("refused".to_owned(), false)
     };
     attempts.record_error(endpoint("e1"), &unsent);
-    assert!(!attempts.owes_retry(), "nothing has arrived");
+    assert!(!attempts.is_uncharged_retry(), "nothing has arrived");
     let rejected = AttemptError::new("full".to_owned(), false);
     attempts.record_error(endpoint("e2"), &rejected);
-    assert!(attempts.owes_retry());
-    attempts.record_paid();
+    assert!(attempts.is_uncharged_retry());
+    attempts.record_charged();
     attempts.record_error(endpoint("e3"), &unsent);
-    assert!(!attempts.owes_retry(), "the retry has not arrived");
+    assert!(!attempts.is_uncharged_retry(), "the retry has not arrived");
     attempts.record_failed_run(Some(endpoint("e4")));
-    assert!(attempts.owes_retry());
+    assert!(attempts.is_uncharged_retry());
 }
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -80,7 +80,7 @@
 
     /// Returns whether another attempt may be made through another node.
     pub(super) fn may_forward(&self, attempts: &Attempts) -> bool {
-        !attempts.is_helpless && self.has_runs_left(attempts) && self.unreachable_pool().is_some()
+        !attempts.has_no_helper && self.has_runs_left(attempts) && self.unreachable_pool().is_some()
     }
 
     /// Waits for a check of the path to the endpoints, if one is due. Returns whether the path is lost.
@@ -90,7 +90,7 @@
         unavailable: Unavailable,
     ) -> bool {
         let is_due =
-            unavailable == Unavailable::NoEndpoint && self.hop.is_none() && !attempts.is_helpless;
+            unavailable == Unavailable::NoEndpoint && self.hop.is_none() && !attempts.has_no_helper;
         let Some(service) = self.service().filter(|_| is_due) else {
             return false;
         };
@@ -115,7 +115,7 @@
         last_event: Option<&str>,
     ) -> Forwarding {
         let mut tried: IndexSet<NodeId> = IndexSet::new();
-        while !attempts.is_helpless && tried.len() < MAX_HELPERS {
+        while !attempts.has_no_helper && tried.len() < MAX_HELPERS {
             let Some((pool, since)) = self.unreachable_pool() else {
                 return Forwarding::NotDone;
             };
@@ -135,7 +135,7 @@
                 }
             }
         }
-        attempts.is_helpless = true;
+        attempts.has_no_helper = true;
         Forwarding::NotDone
     }
 
--- a/crates/sesamecart-entry/src/watch.rs
+++ b/crates/sesamecart-entry/src/watch.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::events::Event;
 use crate::group_prober::GroupProber;
-use crate::link_check::check_links;
+use crate::reach::check_links;
 use crate::state::EntryState;
 
 /// Interval between two checks for silent heads.
--- a/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
@@ -95,7 +95,7 @@
     deployment.shut_down();
 }
 
-/// Guards against starting the deadline anew at the second node.
+/// Guards against a forwarded stream that outlasts the caller's deadline.
 #[test]
 fn a_forwarded_stream_ends_at_the_callers_deadline() {
     let deployment = Deployment::start(LONG_STREAM_EVENTS);
@@ -112,7 +112,7 @@
     deployment.shut_down();
 }
 
-/// Guards against using time at the second node that the first one has already used.
+/// Guards against a deadline that starts anew at the second node.
 #[test]
 fn time_that_has_passed_at_the_first_node_counts_at_the_second() {
     let deployment = Deployment::start(EVENTS);
@@ -180,7 +180,7 @@
     deployment.shut_down();
 }
 
-/// Guards against requests that wander from node to node.
+/// Guards against forwarding a request from node to node.
 #[test]
 fn a_node_that_reaches_no_endpoint_sends_no_request_of_another_node_on() {
     let deployment = Deployment::start(EVENTS);
@@ -231,7 +231,7 @@
     deployment.shut_down();
 }
 
-/// Guards against a request that crashes endpoints through another node's memory of it.
+/// Guards against a request that goes on crashing endpoints because another node sends it to them.
 #[test]
 fn a_forwarded_request_that_crashes_endpoints_is_blocked_as_any_other() {
     let deployment = Deployment::start_with_plain_endpoints(12);
@@ -485,7 +485,7 @@
     text.lines().next().unwrap_or_default().to_owned()
 }
 
-/// Guards against callers that use the nodes' own way in.
+/// Guards against callers that connect to the address for nodes.
 #[test]
 fn only_nodes_may_forward_requests() {
     let deployment = Deployment::start(EVENTS);
@@ -501,7 +501,7 @@
     deployment.shut_down();
 }
 
-/// Guards against callers that act as nodes at the callers' address.
+/// Guards against callers that send the headers of nodes to the callers' address.
 #[test]
 fn headers_of_nodes_have_no_effect_on_callers_requests() {
     let deployment = Deployment::start(EVENTS);
--- a/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unreachable_endpoints.rs
@@ -265,7 +265,7 @@
     deployment.shut_down();
 }
 
-/// Guards against forwarding for ever, and against a burden on helpers when the path works again.
+/// Guards against forwarding requests after the path works again.
 #[test]
 fn the_end_of_a_cut_is_noticed_and_requests_take_the_direct_path_again() {
     let deployment = Deployment::start(EVENTS);
--- a/crates/sesamecart-fleet/src/helpers.rs
+++ b/crates/sesamecart-fleet/src/helpers.rs
@@ -120,6 +120,12 @@
         self.confirmed.values().map(|entry| &entry.peer)
     }
 
+    /// Returns whether any node reaches the pool.
+    #[must_use]
+    pub fn has_confirmed(&self) -> bool {
+        !self.confirmed.is_empty()
+    }
+
     /// Chooses the node for the next request, without those in `tried`. `in_flight` is the number of requests
     /// that a node is already forwarding for this one.
     ///
