Log which endpoints name a limit, and when it ends

A node now reads Server-Limit and logs the first, each changed and each ended limit of an endpoint (endpoint_limited, endpoint_unlimited), with the request whose response said so. Invalid values are logged once for each endpoint. A gauge counts the limited endpoints. Observations are ordered by the times at which the requests were sent, so a response that is late doesn't bring an ended limit back. A rejection or failure without the header doesn't end a limit.

Nothing uses the limits yet: where requests go is unchanged.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -202,6 +202,33 @@
         /// The duration of the ejection, in milliseconds.
         rest_ms: u64,
     },
+    /// An endpoint has named a limit on the requests of all nodes together, or another limit than before.
+    EndpointLimited {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The request whose response named it; empty if another node said so.
+        request: &'a str,
+        /// The limit, in requests per second.
+        per_s: f64,
+    },
+    /// An endpoint names no limit any more.
+    EndpointUnlimited {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The request whose response named none; empty if another node said so.
+        request: &'a str,
+        /// How long this node had known of a limit, in milliseconds.
+        limited_ms: u64,
+    },
+    /// An endpoint has named a limit that isn't a rate. Only its first one is logged.
+    LimitIgnored {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The request whose response named it.
+        request: &'a str,
+        /// The value.
+        value: &'a str,
+    },
     /// An endpoint crashed while it was running a request of this node.
     CrashSuspected {
         /// The fingerprint of the request.
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod follower;
 mod group_prober;
+mod limits;
 mod loss_reports;
 mod metrics;
 mod node;
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -28,6 +28,7 @@
     crashed_runs: Counter<u64>,
     requests_suspected: Gauge<u64>,
     requests_blocked: Gauge<u64>,
+    endpoints_limited: Gauge<u64>,
     models_unservable: Gauge<u64>,
     pools_unreachable: Gauge<u64>,
     forwarded: Counter<u64>,
@@ -113,6 +114,10 @@
                 .u64_gauge("sesamecart.requests.blocked")
                 .with_description("Requests that are refused because they crash endpoints.")
                 .build(),
+            endpoints_limited: meter
+                .u64_gauge("sesamecart.endpoints.limited")
+                .with_description("Endpoints that limit the requests of all nodes together.")
+                .build(),
             pools_unreachable: meter
                 .u64_gauge("sesamecart.pools.unreachable")
                 .with_description("Pools of endpoints that this node can't open connections to.")
@@ -157,6 +162,7 @@
         self.crashed_runs.add(0, &[]);
         self.requests_suspected.record(0, &[]);
         self.requests_blocked.record(0, &[]);
+        self.endpoints_limited.record(0, &[]);
         self.models_unservable.record(0, &[]);
         self.pools_unreachable.record(0, &[]);
         for part in ForwardingPart::ALL {
@@ -233,6 +239,10 @@
         self.requests_blocked.record(requests as u64, &[]);
     }
 
+    pub(crate) fn record_limited(&self, endpoints: usize) {
+        self.endpoints_limited.record(endpoints as u64, &[]);
+    }
+
     pub(crate) fn record_unreachable_pools(&self, pools: usize) {
         self.pools_unreachable.record(pools as u64, &[]);
     }
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::crashes::Crashes;
 use crate::events::EventLog;
 use crate::feed::Feed;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::reach::Reach;
 use crate::settings::EntrySettings;
@@ -75,6 +76,8 @@
     contentions: Mutex<Contentions>,
     /// The evidence about requests that crash endpoints.
     pub(crate) crashes: Arc<Crashes>,
+    /// The limits that endpoints name.
+    pub(crate) limits: Limits,
     /// The paths to endpoints.
     pub(crate) reach: Reach,
 }
@@ -122,6 +125,7 @@
             cold: Mutex::default(),
             contentions: Mutex::default(),
             crashes: Arc::new(Crashes::new()),
+            limits: Limits::default(),
             reach: Reach::default(),
         }
     }
@@ -373,6 +377,7 @@
             !is_expired && directory.members(key).next().is_some()
         });
         self.loads().prune(|id| directory.find(id).is_some());
+        self.limits.prune(now, |id| directory.find(id).is_some());
         lock(&self.cold).retain(|id, _| directory.is_cold(now, id));
         lock(&self.contentions).prune(now);
     }
--- a/crates/sesamecart-entry/src/traffic/in_flight.rs
+++ b/crates/sesamecart-entry/src/traffic/in_flight.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns when the request was sent.
+    pub(crate) const fn sent_at(&self) -> Timestamp {
+        self.sent_at
+    }
+
     /// Returns the time since the request was sent.
     pub(crate) fn age(&self) -> Duration {
         clock::now().since(self.sent_at)
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -52,6 +52,12 @@
                 .loads()
                 .record_report(now, &in_flight.endpoint.id, load);
         }
+        self.state.observe_limit(
+            &in_flight.endpoint,
+            &self.metadata.id,
+            in_flight.sent_at(),
+            &response_head,
+        );
         if let Some(not_run) = response_head.not_run {
             in_flight.mark_ended();
             self.eject_rejecting(&in_flight.endpoint.id, not_run, &response_head);
--- /dev/null
+++ b/crates/sesamecart-fleet/src/endpoint_limit/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the limits that endpoints name.
+
+mod known;
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod directory;
 mod endpoint;
+mod endpoint_limit;
 mod fair_share;
 mod first_event;
 mod forwarding_gate;
@@ -40,6 +41,7 @@
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
+pub use endpoint_limit::{KnownLimit, KnownLimits, LimitChange, LimitObservation};
 pub use fair_share::FairShare;
 pub use first_event::FirstEventTimeouts;
 pub use forwarding_gate::ForwardingGate;
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod key;
 mod number;
+mod rate;
 mod time;
 
 pub use class::{Priority, RequestClass};
@@ -23,4 +24,5 @@
     Bytes, Concurrency, Epoch, Generation, Incarnation, Offset, ParseNumberError, Permits,
     Revision, ShardId, Tokens, Weight,
 };
+pub use rate::{ParseRateError, RequestRate};
 pub use time::{ParseTimestampError, Timestamp};
