Reproduce endpoints that get more than the limit they name

Five tests with 4 and 12 nodes, six plain endpoints and 60 requests a second. The tests also check that at least 0.6 of the limit is used, that other endpoints take what is turned away, and that each request is served or refused.

--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -2,6 +2,7 @@
 //! including the failures of endpoints and of the store.
 
 mod crashing_requests;
+mod endpoint_limits;
 mod faulty_links;
 mod forwarding;
 mod many_nodes;
