Let one node admit the requests to an endpoint that limits them

Callers saw nothing at first: endpoints in need, which name how many requests a second they take from all nodes together, got as many as before (40 to 50 in 4 s where 8 to 23 are allowed).

Cause: nodes choose endpoints by load alone. The response header was read by nobody, and even a node that kept it would have let the sum grow with the number of nodes. The class is a bound on a sum that each node keeps alone.

Evidence: the new log lines show that each node hears of the limit with its first response; arrivals don't change; all of them are first attempts.

Change: one node by hashing, the authority of an endpoint's limit, admits each request to it, from one token bucket at 0.72 of the limit, so that two parts of a partition stay below one and a half times it. Nodes report what they observe to the authority, which announces it through the nodes that others follow; no store is needed. A node without an answer sends nothing to limited endpoints. Requests that are denied go to endpoints without a limit, or are refused at once with the pool's retry schedule. More urgent callers, and customers that got less, get the next token.

The simulation plays 1 to 380 nodes with callers spread, at one node and moving, stopped authorities, restarts in series, partitions, an isolated node, different lists of nodes, and limits that end: in each window of 4 s at most 1.5 times the limit and 5 requests, and 0.6 of the limit used. It found that a partition of 380 nodes leaves the nodes of one part without an announcement if observations are reported to two nodes only: 133 requests in 4 s (27 allowed); they are now reported until one of eight answers.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -220,6 +220,17 @@
         /// How long this node had known of a limit, in milliseconds.
         limited_ms: u64,
     },
+    /// A request is refused because the endpoints that have room limit the requests of all nodes together.
+    RequestLimited {
+        /// The request.
+        request: &'a str,
+        /// Some of the limited endpoints.
+        endpoints: &'a [&'a str],
+        /// The number of limited endpoints.
+        limited: usize,
+        /// How often it was denied a permit.
+        denials: u32,
+    },
     /// An endpoint has named a limit that isn't a rate. Only its first one is logged.
     LimitIgnored {
         /// The endpoint.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -141,6 +141,11 @@
         true
     }
 
+    /// Wakes the followers that wait, because a limit has changed.
+    pub(crate) fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
     /// Returns a listener for the next change. Create it before reading the state, or a change in between is
     /// missed.
     fn listen(&self) -> EventListener {
@@ -170,6 +175,8 @@
             registry: Some(registry.as_ref()?.part_from(req.registry_next)),
             nodes: Some(nodes.as_ref()?.part_from(req.nodes_next)),
             crashes: Some(crashes.as_ref()?.part_from(req.crashes_next)),
+            limits: Vec::new(),
+            limits_next: 0,
             losses: losses.map(|loss| loss.group.clone()).collect(),
             losses_next: state.losses_next,
             vouched_ms: 0,
@@ -189,7 +196,7 @@
         let part = part.as_ref();
         part.is_some_and(|part| !part.records.is_empty() || part.unchanged.is_some())
     };
-    parts.iter().any(is_new) || !reply.losses.is_empty()
+    parts.iter().any(is_new) || !reply.losses.is_empty() || !reply.limits.is_empty()
 }
 
 #[cfg(test)]
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -8,8 +8,8 @@
 use sesamecart_fleet::{GroupHealth, GroupKey, Pool};
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{
-    FollowReply, FollowRequest, GroupLoss, GroupVerdict, Noted, ReachReply, ReachRequest,
-    WatchLoadsRequest,
+    FollowReply, FollowRequest, GroupLoss, GroupVerdict, LimitAnnouncement, LimitReport, Noted,
+    PermitReply, PermitRequest, ReachReply, ReachRequest, WatchLoadsRequest,
 };
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
@@ -19,6 +19,7 @@
 use crate::feed::has_updates;
 use crate::follower::millis;
 use crate::group_prober::GroupProber;
+use crate::limits::{LimitClient, decode_report, decode_request, encode_permit};
 use crate::loss_reports::{parse_group_key, report_to_store};
 use crate::peer_loads::{self, LoadChangesStream};
 use crate::reach::ReachChecker;
@@ -33,6 +34,7 @@
     store: Store,
     group_prober: GroupProber,
     reach_checker: ReachChecker,
+    limits: LimitClient,
 }
 
 /// Serves the calls of followers until the task is cancelled.
@@ -41,6 +43,7 @@
     store: Store,
     group_prober: GroupProber,
     reach_checker: ReachChecker,
+    limits: LimitClient,
     listener: TcpListener,
     tasks: Tasks,
 ) {
@@ -49,6 +52,7 @@
         store,
         group_prober,
         reach_checker,
+        limits,
     };
     let served = sesamecart_links::serve_feed(listener, handler, tasks, ByteCounters::default());
     if let Err(error) = served.await {
@@ -70,6 +74,12 @@
         let age = self.state.configuration_age().ok_or_else(not_read_yet)?;
         let reply = self.state.feed.reply_to(clock::now(), req);
         let mut reply = reply.ok_or_else(not_read_yet)?;
+        let limits_from = if req.feed == reply.feed {
+            req.limits_next
+        } else {
+            0
+        };
+        (reply.limits, reply.limits_next) = self.state.limits.updates(limits_from);
         reply.vouched_ms = millis(age).saturating_add(1);
         Ok(reply)
     }
@@ -139,6 +149,32 @@
         }))
     }
 
+    async fn request_permit(
+        &self,
+        request: Request<PermitRequest>,
+    ) -> Result<Response<PermitReply>, Status> {
+        let message = request.get_ref();
+        let req = decode_request(message)?;
+        let is_relayed = message.limit.as_ref().is_some_and(|limit| limit.is_relayed);
+        let permit = self.limits.decide_for(&req, is_relayed).await;
+        Ok(Response::new(encode_permit(permit)))
+    }
+
+    async fn report_limit(&self, request: Request<LimitReport>) -> Result<Response<Noted>, Status> {
+        let observation = decode_report(request.get_ref())?;
+        let is_relayed = request.get_ref().is_relayed;
+        self.limits.observe_for(&observation, is_relayed).await;
+        Ok(Response::new(Noted {}))
+    }
+
+    async fn announce_limits(
+        &self,
+        request: Request<LimitAnnouncement>,
+    ) -> Result<Response<Noted>, Status> {
+        self.state.learn_limits(&request.get_ref().limits);
+        Ok(Response::new(Noted {}))
+    }
+
     async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
         let key = decode_group_key(&request)?;
         self.state.mark_group_lost(&key);
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -55,6 +55,7 @@
     crashes: u64,
     feed: u64,
     losses: u64,
+    limits: u64,
 }
 
 /// How long the other node may take for its first read of the store, as a fraction of
@@ -205,6 +206,7 @@
         }
         position.feed = reply.feed;
         position.losses = reply.losses_next;
+        position.limits = reply.limits_next;
         if let Some(since_recovery) = reply.returned_ms {
             let since_recovery = Duration::from_millis(since_recovery);
             self.registry.recovered_at = Some(Timestamp(
@@ -223,6 +225,7 @@
         self.state
             .confirm_configuration(Timestamp(sent.0.saturating_sub(age)));
         self.state.set_registry_read();
+        self.state.learn_limits(&reply.limits);
         for group in &reply.losses {
             match parse_group_key(group) {
                 Some(key) => self.state.mark_group_lost(&key),
@@ -322,6 +325,7 @@
             crashes_next: u64::MAX,
             feed: 0,
             losses_next: 0,
+            limits_next: 0,
             wait_ms: 0,
         }
     }
@@ -334,6 +338,7 @@
             crashes_next: self.crashes,
             feed: self.feed,
             losses_next: self.losses,
+            limits_next: self.limits,
             wait_ms: wait.as_millis() as u32,
         }
     }
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod watch;
 
 pub use events::{Event, EventLog};
+pub use limits::LimitedEndpoint;
 pub use metrics::Metrics;
 pub use node::{Entry, StartError, run};
 pub use reach::UnreachablePool;
--- a/crates/sesamecart-entry/src/limits.rs
+++ b/crates/sesamecart-entry/src/limits.rs
@@ -1,17 +1,29 @@
-//! Rate limits that endpoints name: what this node learns from responses, and what it asks of other nodes.
+//! Rate limits that endpoints name: what this node learns from responses and from other nodes.
 //!
-//! The rules are in [`sesamecart_fleet::KnownLimits`]; docs/design/endpoint-limits.md describes them.
+//! The rules are in [`sesamecart_fleet::KnownLimits`] and [`sesamecart_fleet::LimitAuthority`];
+//! docs/design/endpoint-limits.md describes them.
+
+mod client;
+mod message;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexSet;
-use sesamecart_fleet::{Endpoint, KnownLimits, LimitChange, LimitObservation};
+use serde::Serialize;
+use sesamecart_fleet::{
+    AuthorityRanking, Endpoint, KnownLimits, LimitAuthority, LimitChange, LimitObservation,
+    LimitStatus,
+};
+use sesamecart_links::feed::EndpointLimit;
 use sesamecart_platform::{NamedLimit, NotRunReason, ResponseHead};
 use sesamecart_vocabulary::{EndpointId, RequestId, RequestRate, Timestamp};
 
 use crate::clock;
 use crate::events::Event;
 use crate::follower::millis;
+pub(crate) use crate::limits::client::LimitClient;
+use crate::limits::message::{decode_limit, encode_limit};
+pub(crate) use crate::limits::message::{decode_report, decode_request, encode_permit};
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -21,72 +33,168 @@
 #[derive(Debug, Default)]
 pub(crate) struct Limits {
     known: Mutex<KnownLimits>,
+    /// Decides for all nodes about the endpoints that this node is the authority for.
+    authority: Mutex<LimitAuthority>,
+    ranking: Mutex<AuthorityRanking>,
     /// The endpoints whose invalid limits were logged.
     invalid: Mutex<IndexSet<EndpointId>>,
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Limits {
     pub(crate) fn known(&self) -> MutexGuard<'_, KnownLimits> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.known)
     }
 
-    fn invalid(&self) -> MutexGuard<'_, IndexSet<EndpointId>> {
-        self.invalid.lock().unwrap_or_else(PoisonError::into_inner)
+    fn authority(&self) -> MutexGuard<'_, LimitAuthority> {
+        lock(&self.authority)
+    }
+
+    fn ranking(&self) -> MutexGuard<'_, AuthorityRanking> {
+        lock(&self.ranking)
     }
 
     pub(crate) fn prune(&self, now: Timestamp, is_known: impl Fn(&EndpointId) -> bool) {
         self.known().prune(now, &is_known);
-        self.invalid().retain(|id| is_known(id));
+        self.authority().prune(now, &is_known);
+        lock(&self.invalid).retain(|id| is_known(id));
+    }
+
+    /// Returns what a node that follows this one doesn't know yet: the changes after the first `after` ones.
+    pub(crate) fn updates(&self, after: u64) -> (Vec<EndpointLimit>, u64) {
+        let known = self.known();
+        let changed = known.changes_after(after);
+        (
+            changed.map(|limit| encode_limit(&limit)).collect(),
+            known.changes(),
+        )
     }
 }
 
+/// A limited endpoint, as operators see it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LimitedEndpoint {
+    /// The endpoint.
+    pub endpoint: String,
+    /// The limit, in requests per second.
+    pub per_s: f64,
+    /// How long this node has known that the endpoint is limited, in milliseconds.
+    pub limited_ms: u64,
+    /// The node that admits the requests of all nodes, as far as this node knows.
+    pub authority: String,
+    /// The requests of all nodes that this node has admitted as the authority, if it is or was that.
+    pub admitted_by_authority: Option<u64>,
+    /// The requests of all nodes that this node has denied as the authority, if it is or was that.
+    pub denied_by_authority: Option<u64>,
+    /// The requests that this node has sent within the limit.
+    pub sent: u64,
+    /// The callers' requests that this node has refused because of the limit.
+    pub refused: u64,
+}
+
 impl EntryState {
-    /// Learns from a response to `request`, which was sent to `endpoint` at `sent_at`.
-    pub(crate) fn observe_limit(
+    /// Returns whether a request may be sent to an endpoint, as far as this node knows.
+    pub(crate) fn limit_status(&self, now: Timestamp, endpoint: &Endpoint) -> LimitStatus {
+        let known = self.limits.known();
+        known.status(now, &endpoint.id, endpoint.incarnation)
+    }
+
+    /// Returns the endpoints that are limited, as operators see them.
+    #[must_use]
+    pub fn limited_endpoints(&self) -> Vec<LimitedEndpoint> {
+        let now = clock::now();
+        let known = self.limits.known();
+        let limited = known.limited().filter_map(|(id, known)| {
+            let authority = self.limit_authority(now, id);
+            let counts = self.limits.authority().counts(id);
+            Some(LimitedEndpoint {
+                endpoint: id.to_string(),
+                per_s: known.limit()?.per_s(),
+                limited_ms: millis(now.since(known.since())),
+                authority: authority.map_or_else(String::new, |peer| peer.node.to_string()),
+                admitted_by_authority: counts.map(|counts| counts.admitted),
+                denied_by_authority: counts.map(|counts| counts.denied),
+                sent: known.admitted(),
+                refused: known.refused(),
+            })
+        });
+        limited.collect()
+    }
+
+    /// Learns from a response to `request`, which was sent to `endpoint` at `sent_at`. Returns what the response
+    /// says if that is new to this node.
+    fn observe_limit(
         &self,
         endpoint: &Endpoint,
         request: &RequestId,
         sent_at: Timestamp,
         head: &ResponseHead,
-    ) {
+    ) -> Option<LimitObservation> {
         if let NamedLimit::Invalid(value) = &head.limit {
             self.log_invalid_limit(&endpoint.id, request, value);
         }
-        let Some(limit) = stated_limit(head, request) else {
-            return;
-        };
         let observation = LimitObservation {
             endpoint: endpoint.id.clone(),
             incarnation: endpoint.incarnation,
-            limit,
+            limit: stated_limit(head, request)?,
             sent_at,
         };
-        let change = self.limits.known().observe(clock::now(), &observation);
+        let change = self.limits.known().observe(clock::now(), &observation)?;
+        self.record_limit_change(&endpoint.id, request.as_str(), change);
+        Some(observation)
+    }
+
+    /// Learns what another node says about limits.
+    pub(crate) fn learn_limits(&self, limits: &[EndpointLimit]) {
+        for limit in limits {
+            match decode_limit(limit) {
+                Some(hint) => self.learn_limit(&hint),
+                None => log::warn!(
+                    "limits: another node's limit of {} is invalid.",
+                    limit.endpoint
+                ),
+            }
+        }
+    }
+
+    fn learn_limit(&self, hint: &LimitObservation) {
+        let change = self.limits.known().apply_hint(clock::now(), hint);
         if let Some(change) = change {
-            self.log_limit_change(&endpoint.id, request, change);
+            self.record_limit_change(&hint.endpoint, "", change);
         }
     }
 
-    fn log_limit_change(&self, endpoint: &EndpointId, request: &RequestId, change: LimitChange) {
+    pub(crate) fn record_limit_change(
+        &self,
+        endpoint: &EndpointId,
+        request: &str,
+        change: LimitChange,
+    ) {
+        let endpoint = endpoint.as_str();
         match change {
             LimitChange::Limited(limit) => self.events.write(&Event::EndpointLimited {
-                endpoint: endpoint.as_str(),
-                request: request.as_str(),
+                endpoint,
+                request,
                 per_s: limit.per_s(),
             }),
             LimitChange::Ended(duration) => self.events.write(&Event::EndpointUnlimited {
-                endpoint: endpoint.as_str(),
-                request: request.as_str(),
+                endpoint,
+                request,
                 limited_ms: millis(duration),
             }),
         }
         let limited = self.limits.known().limited().count();
         self.metrics.record_limited(limited);
+        // The nodes that follow this one learn of the change.
+        self.feed.notify();
     }
 
     /// Logs the first invalid limit of an endpoint.
     fn log_invalid_limit(&self, endpoint: &EndpointId, request: &RequestId, value: &str) {
-        if self.limits.invalid().insert(endpoint.clone()) {
+        if lock(&self.limits.invalid).insert(endpoint.clone()) {
             self.events.write(&Event::LimitIgnored {
                 endpoint: endpoint.as_str(),
                 request: request.as_str(),
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -29,6 +29,8 @@
     requests_suspected: Gauge<u64>,
     requests_blocked: Gauge<u64>,
     endpoints_limited: Gauge<u64>,
+    permits: Counter<u64>,
+    requests_limited: Counter<u64>,
     models_unservable: Gauge<u64>,
     pools_unreachable: Gauge<u64>,
     forwarded: Counter<u64>,
@@ -59,6 +61,35 @@
     }
 }
 
+/// The answer to a request for a permit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PermitOutcome {
+    Granted,
+    Denied,
+    /// The limit has ended.
+    Unlimited,
+    /// No node answered.
+    Unanswered,
+}
+
+impl PermitOutcome {
+    const ALL: [Self; 4] = [
+        Self::Granted,
+        Self::Denied,
+        Self::Unlimited,
+        Self::Unanswered,
+    ];
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Denied => "denied",
+            Self::Unlimited => "unlimited",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Histogram buckets of the time to the first response, in seconds. Callers are promised 0.1 to 0.4.
 const FIRST_RESPONSE_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 5.0];
 
@@ -114,6 +145,14 @@
                 .u64_gauge("sesamecart.requests.blocked")
                 .with_description("Requests that are refused because they crash endpoints.")
                 .build(),
+            permits: counter(
+                "sesamecart.permits",
+                "Permits that this node asked for to use limited endpoints, by outcome.",
+            ),
+            requests_limited: counter(
+                "sesamecart.requests.limited",
+                "Requests that were refused because the endpoints with room are limited.",
+            ),
             endpoints_limited: meter
                 .u64_gauge("sesamecart.endpoints.limited")
                 .with_description("Endpoints that limit the requests of all nodes together.")
@@ -163,6 +202,11 @@
         self.requests_suspected.record(0, &[]);
         self.requests_blocked.record(0, &[]);
         self.endpoints_limited.record(0, &[]);
+        self.requests_limited.add(0, &[]);
+        for outcome in PermitOutcome::ALL {
+            self.permits
+                .add(0, &[KeyValue::new("outcome", outcome.label())]);
+        }
         self.models_unservable.record(0, &[]);
         self.pools_unreachable.record(0, &[]);
         for part in ForwardingPart::ALL {
@@ -239,6 +283,15 @@
         self.requests_blocked.record(requests as u64, &[]);
     }
 
+    pub(crate) fn count_permit(&self, outcome: PermitOutcome) {
+        self.permits
+            .add(1, &[KeyValue::new("outcome", outcome.label())]);
+    }
+
+    pub(crate) fn count_limited_request(&self) {
+        self.requests_limited.add(1, &[]);
+    }
+
     pub(crate) fn record_limited(&self, endpoints: usize) {
         self.endpoints_limited.record(endpoints as u64, &[]);
     }
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -25,6 +25,7 @@
 use crate::feed;
 use crate::follower::SourceFollower;
 use crate::group_prober::GroupProber;
+use crate::limits::LimitClient;
 use crate::metrics::Metrics;
 use crate::operator_page::operator_page;
 use crate::peer_loads;
@@ -313,11 +314,13 @@
     let reach_checker = ReachChecker::new(Arc::clone(state), client.clone());
     let reach_monitor = ReachMonitor::new(Arc::clone(state), reach_checker.clone(), links.clone());
     tasks.spawn(reach_monitor.run());
+    let limits = LimitClient::new(Arc::clone(state), links.clone(), tasks.clone());
     tasks.spawn(feed::serve(
         Arc::clone(state),
         store.clone(),
         group_prober.clone(),
         reach_checker,
+        limits,
         listeners.links,
         tasks.clone(),
     ));
--- a/crates/sesamecart-entry/src/operator_page.rs
+++ b/crates/sesamecart-entry/src/operator_page.rs
@@ -1,5 +1,5 @@
-//! The pages at the metrics address: the metrics, the blocked requests, which operators may lift, and the pools
-//! of endpoints that this node doesn't reach.
+//! The pages at the metrics address: the metrics, the blocked requests, which operators may lift, the pools of
+//! endpoints that this node doesn't reach, and the endpoints that limit their requests.
 
 use http::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
@@ -17,14 +17,17 @@
 /// The path that lists the pools of endpoints that this node doesn't reach.
 const UNREACHABLE_POOLS: &str = "/unreachable-pools";
 
+/// The path that lists the endpoints that limit the requests of all nodes together.
+const LIMITED_ENDPOINTS: &str = "/limited-endpoints";
+
 /// Responds to a request at the metrics address.
 pub(crate) fn operator_page(state: &EntryState, req: &Request<Incoming>) -> Response<CallerBody> {
     let path = req.uri().path();
-    if path == UNREACHABLE_POOLS {
-        return match *req.method() {
-            Method::GET => json_page(&state.unreachable_pools()),
-            _ => not_allowed("GET"),
-        };
+    match (req.method(), path) {
+        (&Method::GET, UNREACHABLE_POOLS) => return json_page(&state.unreachable_pools()),
+        (&Method::GET, LIMITED_ENDPOINTS) => return json_page(&state.limited_endpoints()),
+        (_, UNREACHABLE_POOLS | LIMITED_ENDPOINTS) => return not_allowed("GET"),
+        _ => {}
     }
     let Some(request) = path.strip_prefix(BLOCKED_REQUESTS) else {
         return metrics_page(state);
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod hop;
 mod in_flight;
+mod permit;
 mod placement;
 mod refusal;
 mod relay;
@@ -21,8 +22,10 @@
 use std::time::Duration;
 
 use sesamecart_edges::{Dialer, HttpClient, ServerLimits};
-use sesamecart_runtime::{Signal, Tasks, Worker};
+use sesamecart_links::Links;
+use sesamecart_runtime::{ByteCounters, Signal, Tasks, Worker};
 
+use crate::limits::LimitClient;
 use crate::state::EntryState;
 use crate::traffic::forwarded::ForwardedHandler;
 use crate::traffic::handler::Handler;
@@ -56,7 +59,9 @@
     let worker = Worker::start("traffic")?;
     let tasks = worker.tasks().clone();
     let client = HttpClient::with_dialer(tasks.clone(), CONNECT_TIMEOUT, dialer);
-    let handler = Handler::new(Arc::clone(state), client);
+    let links = Links::new(tasks.clone(), ByteCounters::default());
+    let limits = LimitClient::new(Arc::clone(state), links, tasks.clone());
+    let handler = Handler::new(Arc::clone(state), client, limits);
     if let Some(forwarding) = forwarding {
         serve_nodes(state, &handler, forwarding, &tasks, leaving);
     }
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -20,12 +20,13 @@
 use crate::crashes::{SendContext, SuspectRun};
 use crate::events::Event;
 use crate::follower::millis;
+use crate::limits::LimitClient;
 use crate::state::EntryState;
 use crate::traffic::flight::Flight;
 use crate::traffic::forward::Forwarding;
 use crate::traffic::forwarded::Hop;
 use crate::traffic::in_flight::InFlightRequest;
-use crate::traffic::placement::{ColdEndpointPolicy, Placement};
+use crate::traffic::placement::{Placement, RestrictedEndpointPolicy};
 use crate::traffic::refusal::Refusal;
 
 #[cfg(test)]
@@ -43,6 +44,7 @@
 pub(crate) struct Call {
     pub(crate) state: Arc<EntryState>,
     pub(crate) client: HttpClient,
+    pub(crate) limits: LimitClient,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Arc<PathRoute>,
     pub(crate) customer: Option<Arc<Customer>>,
@@ -71,6 +73,8 @@
     is_deposited: bool,
     /// Whether no other node took the request. It then goes only to endpoints that this node may reach after all.
     pub(super) has_no_helper: bool,
+    /// How often a limited endpoint had no room for the request.
+    pub(super) denials: u32,
     pub(crate) tried: Vec<EndpointId>,
     /// The tried endpoints that may have run the request.
     pub(super) ran_at: Vec<EndpointId>,
@@ -224,15 +228,21 @@
                     continue;
                 }
             }
-            let placement = match self.place(attempts, ColdEndpointPolicy::WithinBudget) {
+            let placement = match self.place(attempts, RestrictedEndpointPolicy::WithinLimits) {
                 Ok(placement) => placement,
                 Err(unavailable) => {
                     if self.wait_for_path_check(attempts, unavailable).await {
                         continue;
                     }
+                    if unavailable == Unavailable::Limited {
+                        self.record_limited(attempts);
+                    }
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
                 }
             };
+            if !self.acquire_permit(attempts, &placement).await {
+                continue;
+            }
             if !self.charge_budget(attempts, &placement.service) {
                 let cause = BUDGET_SPENT.to_owned();
                 let error = AttemptError::new(cause, attempts.may_have_run > 0);
@@ -299,6 +309,7 @@
             // The node that has sent the request has counted it.
             is_deposited: hop.is_some(),
             has_no_helper: false,
+            denials: 0,
             ran_at: Vec::new(),
             tried: hop.map_or_else(Vec::new, |hop| hop.ran_at.clone()),
         }
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::events::Event;
 use crate::follower::millis;
+use crate::limits::LimitClient;
 use crate::state::EntryState;
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::forwarded::{Hop, RespondingEndpoint};
@@ -27,11 +28,20 @@
 pub(crate) struct Handler {
     state: Arc<EntryState>,
     client: HttpClient,
+    limits: LimitClient,
 }
 
 impl Handler {
-    pub(crate) const fn new(state: Arc<EntryState>, client: HttpClient) -> Self {
-        Self { state, client }
+    pub(crate) const fn new(
+        state: Arc<EntryState>,
+        client: HttpClient,
+        limits: LimitClient,
+    ) -> Self {
+        Self {
+            state,
+            client,
+            limits,
+        }
     }
 
     /// Handles a request. Each failure is turned into a response whose status shows whether the request may
@@ -101,6 +111,7 @@
         let call = Arc::new(Call {
             state: Arc::clone(&self.state),
             client: self.client.clone(),
+            limits: self.limits.clone(),
             catalog: admitted.catalog,
             route: admitted.route,
             customer: admitted.customer,
--- a/crates/sesamecart-entry/src/traffic/placement.rs
+++ b/crates/sesamecart-entry/src/traffic/placement.rs
@@ -21,13 +21,13 @@
     pub(super) load: f64,
 }
 
-/// How endpoint selection handles cold endpoints.
+/// How endpoint selection handles cold endpoints and those that limit the requests of all nodes together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ColdEndpointPolicy {
+pub(super) enum RestrictedEndpointPolicy {
     /// Cold endpoints are used within this node's share of the request rate that they can handle, and each
-    /// use is charged to that share.
-    WithinBudget,
-    /// Cold endpoints are skipped, because the selection only probes for a placement and sends no request.
+    /// use is charged to that share. Limited endpoints are selected, but the request then needs a permit.
+    WithinLimits,
+    /// They are skipped, because the selection only probes for a placement and sends no request.
     Skip,
 }
 
@@ -40,7 +40,7 @@
     pub(super) fn place(
         &self,
         attempts: &Attempts,
-        cold_policy: ColdEndpointPolicy,
+        policy: RestrictedEndpointPolicy,
     ) -> Result<Placement, Unavailable> {
         let service = self.service().ok_or(Unavailable::NoEndpoint)?;
         let service_config = self.catalog.services.get(service);
@@ -61,6 +61,7 @@
             return Err(Unavailable::Unservable);
         }
         self.restrict(attempts, &candidates, &mut endpoints);
+        let is_limited = self.remove_limited(attempts, policy, &mut endpoints);
         let now = clock::now();
         loop {
             let candidates: Vec<Candidate<'_>> = endpoints
@@ -71,7 +72,11 @@
                     is_local: endpoint.failure_domain == self.state.settings.failure_domain,
                 })
                 .collect();
-            let chosen = self.state.loads().choose(now, &candidates, fastrand::f64)?;
+            let chosen = self.state.loads().choose(now, &candidates, fastrand::f64);
+            let chosen = chosen.map_err(|unavailable| match unavailable {
+                Unavailable::NoEndpoint if is_limited => Unavailable::Limited,
+                unavailable => unavailable,
+            })?;
             if self.is_over_share(attempts, service, chosen.load) {
                 return Err(Unavailable::OverShare);
             }
@@ -79,7 +84,7 @@
             let cold_per_s = service_config.and_then(|config| config.cold_per_s);
             let is_skipped = cold_per_s.is_some_and(|per_s| {
                 directory.is_cold(now, &endpoint.id)
-                    && (cold_policy == ColdEndpointPolicy::Skip
+                    && (policy == RestrictedEndpointPolicy::Skip
                         || !self.state.try_take_cold_request(&endpoint, per_s))
             });
             if is_skipped {
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -123,12 +123,12 @@
         }
     }
 
-    /// Returns whether the request was refused for lack of free slots, so that a retry can succeed as soon as
+    /// Returns whether the request was refused for lack of free slots or of permits, so that a retry can succeed as soon as
     /// other requests finish.
     pub(crate) const fn is_capacity_shortage(&self) -> bool {
         matches!(
             self,
-            Self::Unavailable(Unavailable::Full | Unavailable::OverShare)
+            Self::Unavailable(Unavailable::Full | Unavailable::Limited | Unavailable::OverShare)
         )
     }
 
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -52,7 +52,7 @@
                 .loads()
                 .record_report(now, &in_flight.endpoint.id, load);
         }
-        self.state.observe_limit(
+        self.limits.observe(
             &in_flight.endpoint,
             &self.metadata.id,
             in_flight.sent_at(),
--- a/crates/sesamecart-entry/src/traffic/timeout.rs
+++ b/crates/sesamecart-entry/src/traffic/timeout.rs
@@ -13,7 +13,7 @@
 use crate::follower::millis;
 use crate::traffic::call::{AttemptError, Attempts, Call};
 use crate::traffic::in_flight::InFlightRequest;
-use crate::traffic::placement::ColdEndpointPolicy;
+use crate::traffic::placement::RestrictedEndpointPolicy;
 
 /// The response timeout of an idempotent request as a multiple of its route's latency target. After this
 /// time, another endpoint is tried.
@@ -185,7 +185,7 @@
     /// Returns whether an untried head has a free slot and the retry budget allows sending this request
     /// there.
     fn has_free_head(&self, tried: &Attempts) -> bool {
-        let placement = self.place(tried, ColdEndpointPolicy::Skip);
+        let placement = self.place(tried, RestrictedEndpointPolicy::Skip);
         placement
             .is_ok_and(|placement| placement.load < 1.0 && self.state.has_retry(&placement.service))
     }
--- a/crates/sesamecart-fleet/src/endpoint_limit.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit.rs
@@ -11,12 +11,18 @@
 
 use crate::number::Incarnation;
 
+mod authority;
+mod contention;
 mod known;
 mod observed;
+mod ranking;
 #[cfg(test)]
 mod tests;
+mod token_bucket;
 
-pub use known::{KnownLimit, KnownLimits, LimitChange};
+pub use authority::{AdmissionCounts, LimitAuthority, Permit, PermitRequest};
+pub use known::{KnownLimit, KnownLimits, LimitChange, LimitStatus};
+pub use ranking::AuthorityRanking;
 
 /// What one response of an endpoint says about its limit.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/sesamecart-fleet/src/endpoint_limit/observed.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/observed.rs
@@ -1,6 +1,6 @@
 //! The newest known limit of one endpoint.
 
-use sesamecart_vocabulary::{RequestRate, Timestamp};
+use sesamecart_vocabulary::{EndpointId, RequestRate, Timestamp};
 
 use super::LimitObservation;
 use crate::number::Incarnation;
@@ -68,4 +68,20 @@
         self.limit = observation.limit;
         Applied::Changed
     }
+
+    /// Returns whether this is about an earlier incarnation than `incarnation`.
+    pub(super) fn is_before(&self, incarnation: Option<Incarnation>) -> bool {
+        let known = self.incarnation.zip(incarnation);
+        known.is_some_and(|(known, current)| known < current)
+    }
+
+    /// Returns what other nodes are told.
+    pub(super) fn as_hint(&self, endpoint: &EndpointId) -> LimitObservation {
+        LimitObservation {
+            endpoint: endpoint.clone(),
+            incarnation: self.incarnation,
+            limit: self.limit,
+            sent_at: Timestamp::ZERO,
+        }
+    }
 }
--- /dev/null
+++ b/crates/sesamecart-fleet/src/endpoint_limit/ranking.rs
@@ -0,0 +1,73 @@
+//! Which node is the authority for an endpoint's limit.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Timestamp, rendezvous_weight};
+
+use crate::sources::PeerNode;
+
+/// How long a node that didn't answer isn't asked again; each further failure doubles it.
+const BASE_UNRESPONSIVE_TIME: Duration = Duration::from_secs(2);
+
+/// The longest time for which a node isn't asked again. A node that was replaced never answers.
+const MAX_UNRESPONSIVE_TIME: Duration = Duration::from_secs(16);
+
+/// A node that didn't answer.
+#[derive(Clone, Copy, Debug)]
+struct Unresponsive {
+    until: Timestamp,
+    time: Duration,
+}
+
+/// The order of the nodes in which they are the authority for endpoints' limits.
+///
+/// All nodes that know the same nodes compute the same order. The first node that answers is the authority.
+#[derive(Debug, Default)]
+pub struct AuthorityRanking {
+    unresponsive: IndexMap<NodeId, Unresponsive>,
+}
+
+impl AuthorityRanking {
+    /// Returns the authority for an endpoint's limit among `nodes`, without those that didn't answer lately.
+    ///
+    /// Nodes in the endpoint's failure domain come first, because most of its requests come from there.
+    #[must_use]
+    pub fn authority<'a>(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        failure_domain: &FailureDomainId,
+        nodes: &'a [PeerNode],
+    ) -> Option<&'a PeerNode> {
+        let responsive = nodes.iter().filter(|peer| {
+            let unresponsive = self.unresponsive.get(&peer.node);
+            unresponsive.is_none_or(|unresponsive| unresponsive.until <= now)
+        });
+        responsive.min_by_key(|peer| {
+            let weight = rendezvous_weight(endpoint.as_str(), peer.node.as_str());
+            (peer.failure_domain != *failure_domain, Reverse(weight))
+        })
+    }
+
+    /// Records that a node didn't answer.
+    pub fn mark_unresponsive(&mut self, now: Timestamp, node: &NodeId) {
+        self.unresponsive
+            .retain(|_, failed| failed.until + MAX_UNRESPONSIVE_TIME > now);
+        let time = match self.unresponsive.get(node) {
+            // Requests that were sent at the same time fail together.
+            Some(failed) if failed.until > now => return,
+            Some(failed) => (failed.time * 2).min(MAX_UNRESPONSIVE_TIME),
+            None => BASE_UNRESPONSIVE_TIME,
+        };
+        let until = now + time;
+        self.unresponsive
+            .insert(node.clone(), Unresponsive { until, time });
+    }
+
+    /// Records that a node answered.
+    pub fn mark_responsive(&mut self, node: &NodeId) {
+        self.unresponsive.swap_remove(node);
+    }
+}
--- a/crates/sesamecart-fleet/src/endpoint_limit/tests.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/tests.rs
@@ -1,3 +1,4 @@
 //! Tests of the limits that endpoints name.
 
 mod known;
+mod simulation;
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -41,7 +41,10 @@
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
-pub use endpoint_limit::{KnownLimit, KnownLimits, LimitChange, LimitObservation};
+pub use endpoint_limit::{
+    AdmissionCounts, AuthorityRanking, KnownLimit, KnownLimits, LimitAuthority, LimitChange,
+    LimitObservation, LimitStatus, Permit, PermitRequest,
+};
 pub use fair_share::FairShare;
 pub use first_event::FirstEventTimeouts;
 pub use forwarding_gate::ForwardingGate;
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -52,6 +52,9 @@
     /// All endpoints are at the load that they can serve in time.
     #[display("all endpoints are full")]
     Full,
+    /// The endpoints that have room limit the requests of all nodes together, and the limits are used up.
+    #[display("the endpoints that have room are limited")]
+    Limited,
     /// The customer has used its fair share of the endpoints; the remaining capacity is reserved for
     /// others.
     #[display("the customer has its share of the endpoints")]
