Count groups whose heads are limited by what they can serve

A limited head takes a part of what a group serves, but the planner counted its group in full: callers of its model were refused while groups of another model were idle.

The controller now gives the planner the capacity of each limited head: its limit times the time for which a request occupies a group. In the simulated fleet, demand of 6 groups of the small model whose heads take a quarter leads to more groups of it than without limits (test groups_are_converted_to_a_model_whose_heads_are_limited, which fails without the change).

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -184,11 +184,13 @@
             if spec.models.is_empty() || self.state.reach.is_partitioned_from(service) {
                 continue;
             }
+            let capacities = self.state.group_capacities(now, &directory);
             let input = PlannerInput {
                 service,
                 spec,
                 directory: &directory,
                 has_traffic: self.state.is_in_traffic(),
+                capacities: &capacities,
                 demand: demand.as_ref(),
             };
             if is_log_due {
--- a/crates/sesamecart-entry/src/limits.rs
+++ b/crates/sesamecart-entry/src/limits.rs
@@ -11,8 +11,8 @@
 use indexmap::IndexSet;
 use serde::Serialize;
 use sesamecart_fleet::{
-    AuthorityRanking, Endpoint, KnownLimits, LimitAuthority, LimitChange, LimitObservation,
-    LimitStatus,
+    AuthorityRanking, Directory, Endpoint, GroupCapacities, KnownLimits, LimitAuthority,
+    LimitChange, LimitObservation, LimitStatus,
 };
 use sesamecart_links::feed::EndpointLimit;
 use sesamecart_platform::{NamedLimit, NotRunReason, ResponseHead};
@@ -102,6 +102,26 @@
         known.status(now, &endpoint.id, endpoint.incarnation)
     }
 
+    /// Returns the capacity of the groups whose heads are limited.
+    pub(crate) fn group_capacities(
+        &self,
+        now: Timestamp,
+        directory: &Directory,
+    ) -> GroupCapacities {
+        let mut capacities = GroupCapacities::default();
+        let known = self.limits.known();
+        let demand = self.demand();
+        for (id, known) in known.limited() {
+            let head = directory.find(id).filter(|head| head.is_open_head());
+            let model = head.and_then(|head| head.models.first());
+            let group_time = model.and_then(|model| demand.mean_group_time(now, model));
+            if let (Some(limit), Some(group_time)) = (known.limit(), group_time) {
+                capacities.limit(id.clone(), limit, group_time);
+            }
+        }
+        capacities
+    }
+
     /// Returns the endpoints that are limited, as operators see them.
     #[must_use]
     pub fn limited_endpoints(&self) -> Vec<LimitedEndpoint> {
--- a/crates/sesamecart-fleet/examples/plan.rs
+++ b/crates/sesamecart-fleet/examples/plan.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use sesamecart_fleet::{
-    Directory, Endpoint, EndpointState, EngineModel, EngineSpec, FencingToken, GroupEpoch,
-    GroupRole, GroupState, Planner, PlannerInput,
+    Directory, Endpoint, EndpointState, EngineModel, EngineSpec, FencingToken, GroupCapacities,
+    GroupEpoch, GroupRole, GroupState, Planner, PlannerInput,
 };
 use sesamecart_vocabulary::{ServiceId, Timestamp};
 
@@ -50,6 +50,7 @@
         spec,
         directory,
         has_traffic,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let mut durations: Vec<Duration> = (0..ROUNDS)
--- a/crates/sesamecart-fleet/src/demand.rs
+++ b/crates/sesamecart-fleet/src/demand.rs
@@ -117,6 +117,16 @@
         })
     }
 
+    /// Returns the time for which a request for a model occupies a group in the mean, once enough requests have
+    /// arrived.
+    #[must_use]
+    pub fn mean_group_time(&self, now: Timestamp, model: &ModelId) -> Option<Duration> {
+        let sums = self.own.get(model)?;
+        let requests = sums.requests.at(now);
+        let group_time_s = sums.group_time.at(now) / requests;
+        (requests >= MIN_REQUESTS).then(|| Duration::from_secs_f64(group_time_s.max(0.0)))
+    }
+
     /// Returns the demand of this node's own callers.
     #[must_use]
     pub fn own(&self, now: Timestamp) -> Demand {
--- a/crates/sesamecart-fleet/src/endpoint_limit/authority.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/authority.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{CustomerId, EndpointId, RequestRate, Timestamp};
+use sesamecart_vocabulary::{CustomerId, EndpointId, Timestamp};
 
 use super::LimitObservation;
 use super::contention::{Claimant, Contention};
@@ -160,10 +160,12 @@
         })
     }
 
-    /// Returns the limit of an endpoint, if this node knows one.
-    #[must_use]
-    pub fn limit(&self, endpoint: &EndpointId) -> Option<RequestRate> {
-        self.allocations.get(endpoint)?.observed.limit
+    /// Returns the largest number of claimants that are remembered for one endpoint.
+    #[cfg(test)]
+    pub(super) fn claimants(&self) -> usize {
+        let allocations = self.allocations.values();
+        let claimants = allocations.map(|allocation| allocation.contention.len());
+        claimants.max().unwrap_or(0)
     }
 
     /// Removes endpoints that are no longer known, and limits that ended long ago.
--- a/crates/sesamecart-fleet/src/endpoint_limit/contention.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/contention.rs
@@ -69,6 +69,11 @@
             .map_or(0.0, |claim| claim.admitted.at(now))
     }
 
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub(super) fn record_admitted(&mut self, now: Timestamp, claimant: Claimant) {
         let claim = self.claim(now, claimant);
         claim.admitted.add(now, 1.0);
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -52,7 +52,7 @@
 pub use helpers::Helpers;
 pub use loads::{Candidate, Choice, LoadReport, LoadTracker, NodeLoad, Unavailable};
 pub use number::{CatalogVersion, FencingToken, GroupEpoch, Incarnation, OrderCount};
-pub use planner::{Formation, ModelSummary, Planner, PlannerInput, Step};
+pub use planner::{Formation, GroupCapacities, ModelSummary, Planner, PlannerInput, Step};
 pub use reach::{Pool, ReachChange, ReachTracker};
 pub use repair::{GroupHealth, GroupProbes, MemberProbe, evaluate_group};
 pub use retry_schedule::RetrySchedule;
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, ModelId, ServiceId, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, FabricDomainId, ModelId, RequestRate, ServiceId, Timestamp,
+};
 
 use crate::catalog::EngineSpec;
 use crate::demand::Demand;
@@ -106,6 +108,25 @@
     },
 }
 
+/// The capacity of groups whose heads limit their requests, as a fraction of what a group can serve.
+///
+/// A group that counted in full would leave its model short of groups, although engines are idle.
+#[derive(Clone, Debug, Default)]
+pub struct GroupCapacities(IndexMap<EndpointId, f64>);
+
+impl GroupCapacities {
+    /// Sets the capacity of the group of `head`, which takes `limit` requests that occupy a group for
+    /// `group_time` each.
+    pub fn limit(&mut self, head: EndpointId, limit: RequestRate, group_time: Duration) {
+        let capacity = (limit.per_s() * group_time.as_secs_f64()).min(1.0);
+        self.0.insert(head, capacity);
+    }
+
+    fn of(&self, head: &EndpointId) -> f64 {
+        self.0.get(head).copied().unwrap_or(1.0)
+    }
+}
+
 /// The input of one planning pass.
 #[derive(Debug)]
 pub struct PlannerInput<'a> {
@@ -117,6 +138,8 @@
     pub directory: &'a Directory,
     /// Whether the first request has arrived. From then on, loads take their full time and are rate-limited.
     pub has_traffic: bool,
+    /// The capacity of groups that can serve less than others.
+    pub capacities: &'a GroupCapacities,
     /// The observed demand for each model, once it is known.
     pub demand: Option<&'a Demand>,
 }
--- a/crates/sesamecart-fleet/src/planner/provisioning.rs
+++ b/crates/sesamecart-fleet/src/planner/provisioning.rs
@@ -127,6 +127,7 @@
         });
         let reserved = self.reserved.values();
         let reserved = reserved.filter(|reserved| **reserved == model.model);
-        (open.count() + forming.count() + reserved.count() / model.group_size) as f64
+        let open: f64 = open.map(|head| input.capacities.of(&head.id)).sum();
+        open + (forming.count() + reserved.count() / model.group_size) as f64
     }
 }
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 use sesamecart_vocabulary::{EndpointId, Timestamp};
 
-use super::{Planner, PlannerInput, Step};
+use super::{GroupCapacities, Planner, PlannerInput, Step};
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
 use crate::number::FencingToken;
@@ -38,6 +38,7 @@
         spec: &spec,
         directory,
         has_traffic,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     planner.plan(now, &input)
@@ -142,6 +143,7 @@
         spec: &spec,
         directory: &directory,
         has_traffic: false,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let steps = Planner::new(FencingToken(1), 0).plan(START, &input);
@@ -392,6 +394,7 @@
         spec: &spec,
         directory: &directory,
         has_traffic: true,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let steps = Planner::new(FencingToken(1), 0).plan(START, &input);
@@ -429,6 +432,7 @@
         spec: &spec,
         directory: &directory,
         has_traffic: true,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let steps = Planner::new(FencingToken(1), 0).plan(START, &input);
--- a/crates/sesamecart-fleet/src/planner/tests/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/conversion.rs
@@ -141,3 +141,22 @@
     fleet.advance(Duration::from_secs(30));
     assert!(fleet.groups_without("small", "a") > 8);
 }
+
+/// The heads of a model limit their requests. If their groups counted in full, callers of the model would be
+/// refused while the groups of the other model are almost idle.
+#[test]
+fn groups_are_converted_to_a_model_whose_heads_are_limited() {
+    let open_small_groups = |limited_model| {
+        let mut fleet = started_fleet();
+        fleet.demand = demand(1.0, 6.0);
+        fleet.limited_model = limited_model;
+        fleet.advance(Duration::from_secs(60));
+        fleet.open_groups("small")
+    };
+    let without_limits = open_small_groups(None);
+    let with_limits = open_small_groups(Some("small".parse().expect("valid name")));
+    assert!(
+        with_limits > without_limits,
+        "{with_limits} groups with limits, {without_limits} without"
+    );
+}
--- a/crates/sesamecart-fleet/src/planner/tests/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/domains.rs
@@ -5,14 +5,16 @@
 use bolero::TypeGenerator;
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_property::check_property;
-use sesamecart_vocabulary::{EndpointId, FabricDomainId, FailureDomainId, ModelId, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, FabricDomainId, FailureDomainId, ModelId, RequestRate, Timestamp,
+};
 
 use crate::catalog::EngineSpec;
 use crate::demand::Demand;
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, GroupRole, GroupState};
 use crate::number::FencingToken;
-use crate::planner::{Planner, PlannerInput, Step};
+use crate::planner::{GroupCapacities, Planner, PlannerInput, Step};
 use crate::testkit::{engine, engine_model, service, spec};
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -28,6 +30,8 @@
     now: Timestamp,
     pub(super) has_traffic: bool,
     pub(super) demand: Option<Demand>,
+    /// The model whose heads limit their requests.
+    pub(super) limited_model: Option<ModelId>,
     pub(super) evacuated: IndexSet<FailureDomainId>,
 }
 
@@ -46,6 +50,7 @@
             now: START,
             has_traffic: false,
             demand: None,
+            limited_model: None,
             evacuated: IndexSet::new(),
         };
         for (domain, engines) in domains {
@@ -110,6 +115,7 @@
                 spec: &self.spec,
                 directory: &directory,
                 has_traffic: self.has_traffic,
+                capacities: &self.capacities(),
                 demand: self.demand.as_ref(),
             };
             for step in self.planner.plan(self.now, &input) {
@@ -119,6 +125,18 @@
         }
     }
 
+    /// Returns the capacities of the groups, where those of the limited model serve a quarter of the others.
+    fn capacities(&self) -> GroupCapacities {
+        let mut capacities = GroupCapacities::default();
+        let heads = self.engines.values().filter(|engine| engine.is_open_head());
+        let limited = heads.filter(|head| head.models.first() == self.limited_model.as_ref());
+        for head in limited {
+            let limit = RequestRate::new(2.5).expect("a valid rate");
+            capacities.limit(head.id.clone(), limit, Duration::from_millis(100));
+        }
+        capacities
+    }
+
     fn execute(&mut self, step: Step) {
         match step {
             Step::Stage { endpoint, model } => self.engines[&endpoint].staged = vec![model],
--- a/crates/sesamecart-fleet/src/planner/tests/loading.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/loading.rs
@@ -4,7 +4,7 @@
 use crate::catalog::EngineSpec;
 use crate::endpoint::{Endpoint, GroupState};
 use crate::number::FencingToken;
-use crate::planner::{Planner, PlannerInput, Step};
+use crate::planner::{GroupCapacities, Planner, PlannerInput, Step};
 use crate::testkit::{engine, engine_model, id, key, model, service, spec};
 
 /// Returns the members of one open group of each model, and free engines that hold a model or nothing.
@@ -55,6 +55,7 @@
         spec,
         directory: &directory,
         has_traffic: true,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let steps = planner.plan(START, &input);
@@ -106,6 +107,7 @@
         spec: &spec,
         directory: &known,
         has_traffic: true,
+        capacities: &GroupCapacities::default(),
         demand: None,
     };
     let mut planner = Planner::new(FencingToken(1), 0);
