Charge the retry budget before a permit is taken

A request to a limited endpoint took its permit and was then refused because the retry budget was spent.

The budget is charged first now. A charge holds for all endpoints that are tried for one attempt, so a denied permit costs no second one.

Also tests that sums which nodes keep by shares hold at 1, 7, 62 and 380 nodes, with callers spread and at one node: retries, requests to cold endpoints (both also with nodes that count half of the nodes), idle connections and reports of crashes.

--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -240,14 +240,15 @@
                     return Err(self.final_refusal(last_error, attempts, Some(unavailable)));
                 }
             };
-            if !self.acquire_permit(attempts, &placement).await {
-                continue;
-            }
             if !self.charge_budget(attempts, &placement.service) {
                 let cause = BUDGET_SPENT.to_owned();
                 let error = AttemptError::new(cause, attempts.may_have_run > 0);
                 return Err(self.final_refusal(Some(error), attempts, None));
             }
+            // After the budget, because a permit that isn't used is lost to other callers.
+            if !self.acquire_permit(attempts, &placement).await {
+                continue;
+            }
             if attempts.made == 0 {
                 self.record_placement(&placement);
             }
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -164,10 +164,16 @@
         let service = self.service().and_then(|id| self.catalog.services.get(id));
         let max_connections = service.map_or(0, |service| service.max_connections as usize);
         let nodes = self.state.nodes.load().len();
-        lease.return_to_pool_up_to(max_connections / (nodes.max(1) * IDLE_CONNECTIONS_DIVISOR));
+        lease.return_to_pool_up_to(max_idle_connections(max_connections, nodes));
     }
 }
 
+/// Returns the number of idle connections that each of `nodes` nodes may keep to one endpoint.
+pub(super) const fn max_idle_connections(max_connections: usize, nodes: usize) -> usize {
+    let nodes = if nodes == 0 { 1 } else { nodes };
+    max_connections / (nodes * IDLE_CONNECTIONS_DIVISOR)
+}
+
 /// Returns why a response isn't a valid one to a request, or `None` if it is.
 pub(super) fn response_fault(head: &ResponseHead, request: &RequestId) -> Option<&'static str> {
     if head.request.as_ref() != Some(request) {
@@ -193,3 +199,6 @@
     ]
     .contains(&status)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sesamecart-entry/tests/end_to_end/endpoint_limits.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/endpoint_limits.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sesamecart_entry::Entry;
-use sesamecart_platform_standins::{Engine, Outage};
+use sesamecart_platform_standins::{Engine, Fault, Outage};
 
 use crate::EVENTS;
 use crate::faulty_links::LinkFault;
@@ -158,6 +158,18 @@
     (1.5 * per_s * WINDOW.as_secs_f64()).ceil() as usize + 5
 }
 
+/// Checks that callers get at least 0.6 of the limit, in a run of `TEST_DURATION`.
+fn assert_limit_is_used(endpoint: &Engine, per_s: f64, named_at: Instant, outcomes: &Outcomes) {
+    let arrivals = endpoint.arrivals().into_iter();
+    let used = arrivals.filter(|at| *at >= named_at + CONTACT_TIME).count() as f64;
+    let seconds = (TEST_DURATION - CONTACT_TIME).as_secs_f64();
+    let id = endpoint.id();
+    assert!(
+        used >= 0.6 * per_s * seconds - 1.0,
+        "{id} got only {used}: {outcomes:?}"
+    );
+}
+
 fn start(nodes: usize) -> (Deployment, Vec<Entry>) {
     let deployment = Deployment::start_with_plain_endpoints(ENDPOINTS);
     let others = deployment.add_nodes("a", nodes - 1);
@@ -186,14 +198,7 @@
     let outcomes = send_load(&deployment, &nodes, Load { spread, ..LOOKUPS });
     for endpoint in &deployment.plain[..limited] {
         assert_limit_holds(endpoint, per_s, named_at, &outcomes);
-        let id = endpoint.id();
-        let used = endpoint.arrivals().into_iter();
-        let used = used.filter(|at| *at >= named_at + CONTACT_TIME).count() as f64;
-        let seconds = (TEST_DURATION - CONTACT_TIME).as_secs_f64();
-        assert!(
-            used >= 0.6 * per_s * seconds - 1.0,
-            "{id} got only {used}: {outcomes:?}"
-        );
+        assert_limit_is_used(endpoint, per_s, named_at, &outcomes);
     }
     assert_eq!(
         outcomes.other.into_inner(),
@@ -445,3 +450,50 @@
     }
     deployment.kill();
 }
+
+/// Guards against an endpoint that gets all that its full siblings turn away, although it is limited.
+#[test]
+fn a_limited_endpoint_with_full_siblings_keeps_its_limit() {
+    let (deployment, others) = start(4);
+    let nodes: Vec<&Entry> = std::iter::once(&deployment.node).chain(&others).collect();
+    let (limited, siblings) = deployment.plain.split_first().expect("there are endpoints");
+    limited.name_limits(&["3"]);
+    for sibling in siblings {
+        sibling.set_fault(Fault::Full);
+    }
+    let named_at = Instant::now();
+    let outcomes = send_load(&deployment, &nodes, LOOKUPS);
+    assert_limit_holds(limited, 3.0, named_at, &outcomes);
+    assert_limit_is_used(limited, 3.0, named_at, &outcomes);
+    assert_eq!(outcomes.other.into_inner(), 0);
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
+
+/// Guards against bookings beyond the limit, and against a booking that runs twice because it was denied first.
+#[test]
+fn bookings_keep_the_limits_and_run_once() {
+    let (deployment, others) = start(4);
+    let nodes: Vec<&Entry> = std::iter::once(&deployment.node).chain(&others).collect();
+    for endpoint in &deployment.plain {
+        endpoint.name_limits(&["3"]);
+    }
+    let named_at = Instant::now();
+    let load = Load {
+        kind: RequestKind::Booking,
+        ..LOOKUPS
+    };
+    let outcomes = send_load(&deployment, &nodes, load);
+    for endpoint in &deployment.plain {
+        assert_limit_holds(endpoint, 3.0, named_at, &outcomes);
+    }
+    let arrivals = deployment.plain.iter().map(|plain| plain.arrivals().len());
+    let served = outcomes.served.into_inner() as usize;
+    assert_eq!(arrivals.sum::<usize>(), served, "each one ran once");
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
--- a/crates/sesamecart-fleet/src/allowance/tests.rs
+++ b/crates/sesamecart-fleet/src/allowance/tests.rs
@@ -139,3 +139,93 @@
     assert!(limit.try_take(later));
     assert!(!limit.try_take(later));
 }
+
+/// The number of nodes that a node counts: all, or half of them for every other node.
+fn counted(node: usize, nodes: usize, knows_all: bool) -> usize {
+    if knows_all || node.is_multiple_of(2) {
+        nodes
+    } else {
+        nodes.div_ceil(2)
+    }
+}
+
+/// Returns the retries that all nodes send within one window in which every attempt fails, and the limit. All
+/// requests come from the callers of the first `callers` nodes.
+fn retries_and_limit(nodes: usize, callers: usize, knows_all: bool) -> (f64, f64) {
+    const REQUESTS: u64 = 400;
+    let mut budgets: Vec<RetryBudget> = (0..nodes)
+        .map(|node| RetryBudget::new(LIMIT, counted(node, nodes, knows_all)))
+        .collect();
+    let mut retried = 0;
+    for index in 0..REQUESTS {
+        let now = Timestamp::from_millis(index * 25);
+        let budget = &mut budgets[index as usize % callers];
+        budget.deposit(now);
+        while budget.try_withdraw(now) {
+            retried += 1;
+        }
+    }
+    let limit = LIMIT.ratio * REQUESTS as f64 + LIMIT.burst;
+    (f64::from(retried), limit)
+}
+
+/// Returns the largest number of requests that all nodes send to a cold endpoint in one second, and the limit.
+/// Nodes without callers send nothing.
+fn cold_requests_and_limit(nodes: usize, callers: usize, knows_all: bool) -> (f64, f64) {
+    const PER_S: f64 = 38.0;
+    let mut limits: Vec<ColdRateLimit> = (0..nodes)
+        .map(|node| {
+            let counted = counted(node, nodes, knows_all);
+            // The node's rank among those that it knows.
+            let rank = node * counted / nodes;
+            ColdRateLimit::new(Timestamp::ZERO, PER_S, rank, counted)
+        })
+        .collect();
+    let mut taken = Vec::new();
+    // All callers come at once after an idle second, in which each node saves what it may.
+    for ms in 1_000..4_000_u64 {
+        let now = Timestamp::from_millis(ms);
+        let sent = limits[..callers]
+            .iter_mut()
+            .filter_map(|limit| limit.try_take(now).then_some(ms));
+        taken.extend(sent);
+    }
+    let in_second = |from: u64| {
+        let window = from..from + 1_000;
+        taken.iter().filter(|ms| window.contains(ms)).count()
+    };
+    let most = (1_000..3_000).map(in_second).max().unwrap_or(0);
+    (most as f64, PER_S * 1.5 + 5.0)
+}
+
+/// What all nodes send stays within the limit for all of them, wherever the callers are.
+macro_rules! sums_hold {
+    ($($name:ident: $sum:ident, $nodes:literal nodes, callers at $callers:literal, $knows_all:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (sum, limit) = $sum($nodes, $callers, $knows_all);
+                assert!(sum <= limit, "{sum} of {limit}");
+            }
+        )*
+    };
+}
+
+sums_hold! {
+    retries_of_one_node: retries_and_limit, 1 nodes, callers at 1, true;
+    retries_of_seven_nodes: retries_and_limit, 7 nodes, callers at 7, true;
+    retries_of_seven_nodes_with_callers_at_one: retries_and_limit, 7 nodes, callers at 1, true;
+    retries_of_62_nodes: retries_and_limit, 62 nodes, callers at 62, true;
+    retries_of_380_nodes: retries_and_limit, 380 nodes, callers at 380, true;
+    retries_of_380_nodes_with_callers_at_one: retries_and_limit, 380 nodes, callers at 1, true;
+    retries_of_seven_nodes_that_count_differently: retries_and_limit, 7 nodes, callers at 7, false;
+    retries_of_380_nodes_that_count_differently: retries_and_limit, 380 nodes, callers at 380, false;
+    cold_requests_of_one_node: cold_requests_and_limit, 1 nodes, callers at 1, true;
+    cold_requests_of_seven_nodes: cold_requests_and_limit, 7 nodes, callers at 7, true;
+    cold_requests_of_seven_nodes_with_callers_at_one: cold_requests_and_limit, 7 nodes, callers at 1, true;
+    cold_requests_of_62_nodes: cold_requests_and_limit, 62 nodes, callers at 62, true;
+    cold_requests_of_380_nodes: cold_requests_and_limit, 380 nodes, callers at 380, true;
+    cold_requests_of_380_nodes_with_callers_at_one: cold_requests_and_limit, 380 nodes, callers at 1, true;
+    cold_requests_of_seven_nodes_that_count_differently: cold_requests_and_limit, 7 nodes, callers at 7, false;
+    cold_requests_of_380_nodes_that_count_differently: cold_requests_and_limit, 380 nodes, callers at 380, false;
+}
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -559,6 +559,44 @@
     assert!(tracker.suspected_count() <= 2 * MAX_OWN_RUNS);
 }
 
+/// Returns the reports that one of `nodes` nodes sends within ten seconds in which it learns something urgent all
+/// the time.
+fn reports_in_ten_seconds(nodes: usize) -> usize {
+    let mut tracker = CrashTracker::default();
+    let mut reports = 0;
+    for ms in 0..10_000 {
+        let now = START + Duration::from_millis(ms);
+        if ms % 20 == 0 {
+            let body = format!("request {ms}");
+            record(&mut tracker, now, run(request(&body), ms as usize, 0));
+        }
+        if let Some(report) = tracker.due_report(now, nodes) {
+            tracker.record_published(now, report);
+            reports += 1;
+        }
+    }
+    reports
+}
+
+/// Guards against reports that take the writing calls of all nodes to the store.
+macro_rules! report_rates {
+    ($($name:ident: $nodes:literal nodes;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let reports = reports_in_ten_seconds($nodes) * $nodes;
+                assert!(reports <= 200 * 10 + $nodes, "{reports} in ten seconds");
+            }
+        )*
+    };
+}
+
+report_rates! {
+    reports_of_seven_nodes_are_few: 7 nodes;
+    reports_of_62_nodes_are_few: 62 nodes;
+    reports_of_380_nodes_are_few: 380 nodes;
+}
+
 /// Guards against a peer whose report exceeds the limits.
 #[test]
 fn a_report_of_any_size_is_cut_to_the_limits() {
