--- a/crates/sesamecart-links/src/lib.rs
+++ b/crates/sesamecart-links/src/lib.rs
@@ -36,3 +36,6 @@
 pub use links::Links;
 pub use server::{serve, serve_feed};
 pub use tonic::{Code, Request, Response, Status, async_trait};
+
+#[cfg(test)]
+mod tests;
