Run a suspected request at one node at a time, and tell all nodes of an added one

Callers whose request crashes endpoints send copies faster than nodes hear of each other's crashes (0.3 s).

Now the authority for a request's fingerprint lets it start once in 1.5 s for all nodes (StartSuspect).

The end-to-end test found that nodes which have just started don't know each other, so each took itself for the authority: the list of nodes is read every 10 s. An added node now tells the nodes that read the store, which read the list again (AnnounceNode). Also mends that an added node gets no help for up to 10 s.

The choice of an authority and the calls to it are shared with limits (authority.rs).

--- a/crates/sesamecart-entry/src/crashes.rs
+++ b/crates/sesamecart-entry/src/crashes.rs
@@ -3,6 +3,7 @@
 //!
 //! The rules are in [`sesamecart_fleet::CrashTracker`]; docs/design/crashing-requests.md describes them.
 
+mod lease;
 mod monitor;
 mod probe;
 
@@ -15,10 +16,11 @@
 use event_listener::{Event as Notifier, EventListener};
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_fleet::{
-    CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, Suspicion,
+    CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectLeases, Suspicion,
 };
 use sesamecart_vocabulary::RequestFingerprint;
 
+pub(crate) use crate::crashes::lease::{SuspectClient, encode_decision};
 pub(crate) use crate::crashes::monitor::CrashMonitor;
 
 /// The maximum number of interrupted runs that wait for a check. Further ones leave no evidence.
@@ -76,6 +78,8 @@
     unchecked: Mutex<IndexMap<RequestFingerprint, EndpointCrash>>,
     /// The suspected requests that this node is running.
     running_suspects: Mutex<IndexSet<RequestFingerprint>>,
+    /// Of all nodes, for the suspected requests that this node decides about.
+    leases: Mutex<SuspectLeases>,
     changed: Notifier,
     interrupted: Sender<InterruptedRun>,
     to_check: Receiver<InterruptedRun>,
@@ -88,6 +92,7 @@
             tracker: Mutex::default(),
             unchecked: Mutex::default(),
             running_suspects: Mutex::default(),
+            leases: Mutex::default(),
             changed: Notifier::new(),
             interrupted,
             to_check,
@@ -98,6 +103,10 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn leases(&self) -> MutexGuard<'_, SuspectLeases> {
+        self.leases.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn unchecked(&self) -> MutexGuard<'_, IndexMap<RequestFingerprint, EndpointCrash>> {
         self.unchecked
             .lock()
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -13,7 +13,7 @@
 use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
-pub(crate) use crate::feed::server::serve;
+pub(crate) use crate::feed::server::{FeedHandler, serve};
 use crate::feed::topic::{ReplaceSummary, TopicFeed};
 use crate::follower::millis;
 
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -8,14 +8,16 @@
 use sesamecart_fleet::{GroupHealth, GroupKey, Pool};
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{
-    FollowReply, FollowRequest, GroupLoss, GroupVerdict, LimitAnnouncement, LimitReport, Noted,
-    PermitReply, PermitRequest, ReachReply, ReachRequest, WatchLoadsRequest,
+    FollowReply, FollowRequest, GroupLoss, GroupVerdict, LimitAnnouncement, LimitReport,
+    NodeAnnouncement, Noted, PermitReply, PermitRequest, ReachReply, ReachRequest, SuspectReply,
+    SuspectRequest, WatchLoadsRequest,
 };
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
 use sesamecart_runtime::{ByteCounters, Tasks, sleep};
 
 use crate::clock;
+use crate::crashes::{SuspectClient, encode_decision};
 use crate::feed::has_updates;
 use crate::follower::millis;
 use crate::group_prober::GroupProber;
@@ -29,31 +31,18 @@
 /// after which a link cancels a call.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
-struct FeedHandler {
-    state: Arc<EntryState>,
-    store: Store,
-    group_prober: GroupProber,
-    reach_checker: ReachChecker,
-    limits: LimitClient,
+/// Answers the calls of other nodes.
+pub(crate) struct FeedHandler {
+    pub(crate) state: Arc<EntryState>,
+    pub(crate) store: Store,
+    pub(crate) group_prober: GroupProber,
+    pub(crate) reach_checker: ReachChecker,
+    pub(crate) limits: LimitClient,
+    pub(crate) suspects: SuspectClient,
 }
 
-/// Serves the calls of followers until the task is cancelled.
-pub(crate) async fn serve(
-    state: Arc<EntryState>,
-    store: Store,
-    group_prober: GroupProber,
-    reach_checker: ReachChecker,
-    limits: LimitClient,
-    listener: TcpListener,
-    tasks: Tasks,
-) {
-    let handler = FeedHandler {
-        state,
-        store,
-        group_prober,
-        reach_checker,
-        limits,
-    };
+/// Serves the calls of other nodes until the task is cancelled.
+pub(crate) async fn serve(handler: FeedHandler, listener: TcpListener, tasks: Tasks) {
     let served = sesamecart_links::serve_feed(listener, handler, tasks, ByteCounters::default());
     if let Err(error) = served.await {
         log::error!("feed: cannot serve followers: {error}.");
@@ -149,6 +138,23 @@
         }))
     }
 
+    async fn start_suspect(
+        &self,
+        request: Request<SuspectRequest>,
+    ) -> Result<Response<SuspectReply>, Status> {
+        let req = request.get_ref();
+        let fingerprint = req.fingerprint.parse();
+        let fingerprint =
+            fingerprint.map_err(|_| Status::invalid_argument("the fingerprint is invalid"))?;
+        let decision = self
+            .suspects
+            .try_start_for(fingerprint, req.is_relayed)
+            .await;
+        Ok(Response::new(SuspectReply {
+            retry_after_ms: encode_decision(decision),
+        }))
+    }
+
     async fn request_permit(
         &self,
         request: Request<PermitRequest>,
@@ -167,6 +173,14 @@
         Ok(Response::new(Noted {}))
     }
 
+    async fn announce_node(
+        &self,
+        _request: Request<NodeAnnouncement>,
+    ) -> Result<Response<Noted>, Status> {
+        self.state.node_added.notify(usize::MAX);
+        Ok(Response::new(Noted {}))
+    }
+
     async fn announce_limits(
         &self,
         request: Request<LimitAnnouncement>,
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future;
+use futures_util::future::join_all;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::PeerNode;
+use sesamecart_fleet::{PeerNode, readers, standbys};
+use sesamecart_links::Links;
+use sesamecart_links::feed::NodeAnnouncement;
 use sesamecart_platform::{AppendCondition, NewestPage, Record, Store, StoreError, Topic};
-use sesamecart_runtime::sleep;
+use sesamecart_runtime::{sleep, with_timeout};
 use sesamecart_vocabulary::NodeId;
 
 use super::{Dependency, RETRY_DELAY, log_ignored_record};
@@ -18,6 +22,12 @@
 /// The interval between two reads of the list of nodes.
 const NODES_READ_INTERVAL: Duration = Duration::from_secs(10);
 
+/// The time from the notice that a node was added to the read of the list.
+const ADDED_NODE_READ_DELAY: Duration = Duration::from_millis(100);
+
+/// The timeout of the notice to a node that others follow. If it gets lost, that node reads the list later.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long a node waits for the other nodes to register when a deployment starts for the first time. All
 /// nodes start at about the same time, and the store takes a few milliseconds for each registration.
 ///
@@ -41,8 +51,8 @@
         }
     }
 
-    /// Registers this node and reads the list of nodes.
-    pub(super) async fn register(&mut self, state: &EntryState, store: &Store) {
+    /// Registers this node and reads the list of nodes. Returns whether the other nodes don't know it yet.
+    pub(super) async fn register(&mut self, state: &EntryState, store: &Store) -> bool {
         let own = state.local_peer();
         if state.settings.first_start {
             // No node can have registered before the first start, so there is nothing to read yet.
@@ -51,19 +61,19 @@
             }
             sleep(PEER_REGISTRATION_WAIT).await;
             let _nodes = self.read(state, store).await;
-            return;
+            return false;
         }
         loop {
             match self.read(state, store).await {
                 // The entry from before this process restarted is still valid.
-                Some(nodes) if nodes.contains(&own) => return,
-                Some(_) if self.publish_entry(state, store, &own).await => return,
+                Some(nodes) if nodes.contains(&own) => return false,
+                Some(_) if self.publish_entry(state, store, &own).await => return true,
                 _ => sleep(RETRY_DELAY).await,
             }
         }
     }
 
-    /// Reads the list of nodes periodically.
+    /// Reads the list of nodes periodically, and soon after a node was added.
     ///
     /// Limits that apply to all nodes together are divided among the nodes, so each node has to know their
     /// number. A node that was killed stays in the list, which can make the shares only smaller, never
@@ -74,8 +84,16 @@
             true => FIRST_REREAD_DELAY,
             false => Duration::ZERO,
         };
+        let mut added = state.node_added.listen();
         loop {
-            sleep(next).await;
+            let notice = async {
+                added.await;
+                // Nodes that are added together are read together.
+                sleep(ADDED_NODE_READ_DELAY).await;
+            };
+            future::or(notice, sleep(next)).await;
+            // Before the read, which may miss a node that is added meanwhile.
+            added = state.node_added.listen();
             next = match self.read(state, store).await {
                 Some(_) => NODES_READ_INTERVAL,
                 None => RETRY_DELAY,
@@ -121,6 +139,26 @@
     }
 }
 
+/// Tells the nodes that read the store that this node was added.
+///
+/// What all nodes keep together depends on their number and on the choice of a node that decides for all. Until
+/// the others know of this node, they choose without it.
+pub(super) async fn announce(state: &EntryState, links: &Links) {
+    let nodes = state.nodes.load_full();
+    let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
+    let others = serving.filter(|peer| peer.node != state.settings.node);
+    let announcements = others.map(|peer| async move {
+        let mut feed = links.feed_client(peer.links);
+        let announced = feed.announce_node(NodeAnnouncement {});
+        match with_timeout(ANNOUNCEMENT_TIMEOUT, announced).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(status)) => log::debug!("follower: {}: announce: {status}.", peer.node),
+            Err(elapsed) => log::debug!("follower: {}: announce: {elapsed}.", peer.node),
+        }
+    });
+    join_all(announcements).await;
+}
+
 /// Replaces the list with `records` and with the known nodes whose keys are in `unchanged`. Returns the nodes
 /// decoded from `records`.
 pub(super) fn replace_nodes(
--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -14,7 +14,7 @@
 use sesamecart_vocabulary::Timestamp;
 
 use super::crashes::CrashesState;
-use super::nodes::NodesTopic;
+use super::nodes::{self, NodesTopic};
 use super::operator::OperatorState;
 use super::peer::Position;
 use super::registry::RegistryState;
@@ -84,7 +84,9 @@
 
     /// Follows one source after another until the task is dropped.
     pub(crate) async fn run(mut self) {
-        self.nodes.register(&self.state, &self.store).await;
+        if self.nodes.register(&self.state, &self.store).await {
+            nodes::announce(&self.state, &self.links).await;
+        }
         let started_at = clock::now();
         let mut rotation = SourceRotation::default();
         let mut preferred = None;
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! of its configuration.
 //! docs/design/platform-run.md explains the design.
 
+mod authority;
 mod clock;
 mod controller;
 mod crashes;
--- a/crates/sesamecart-entry/src/limits.rs
+++ b/crates/sesamecart-entry/src/limits.rs
@@ -11,8 +11,8 @@
 use indexmap::IndexSet;
 use serde::Serialize;
 use sesamecart_fleet::{
-    AuthorityRanking, Directory, Endpoint, GroupCapacities, KnownLimits, LimitAuthority,
-    LimitChange, LimitObservation, LimitStatus,
+    Directory, Endpoint, GroupCapacities, KnownLimits, LimitAuthority, LimitChange,
+    LimitObservation, LimitStatus,
 };
 use sesamecart_links::feed::EndpointLimit;
 use sesamecart_platform::{NamedLimit, NotRunReason, ResponseHead};
@@ -35,7 +35,6 @@
     known: Mutex<KnownLimits>,
     /// Decides for all nodes about the endpoints that this node is the authority for.
     authority: Mutex<LimitAuthority>,
-    ranking: Mutex<AuthorityRanking>,
     /// The endpoints whose invalid limits were logged.
     invalid: Mutex<IndexSet<EndpointId>>,
 }
@@ -53,10 +52,6 @@
         lock(&self.authority)
     }
 
-    fn ranking(&self) -> MutexGuard<'_, AuthorityRanking> {
-        lock(&self.ranking)
-    }
-
     pub(crate) fn prune(&self, now: Timestamp, is_known: impl Fn(&EndpointId) -> bool) {
         self.known().prune(now, &is_known);
         self.authority().prune(now, &is_known);
@@ -128,7 +123,7 @@
         let now = clock::now();
         let known = self.limits.known();
         let limited = known.limited().filter_map(|(id, known)| {
-            let authority = self.limit_authority(now, id);
+            let authority = self.limit_authority(id);
             let counts = self.limits.authority().counts(id);
             Some(LimitedEndpoint {
                 endpoint: id.to_string(),
--- a/crates/sesamecart-entry/src/limits/client.rs
+++ b/crates/sesamecart-entry/src/limits/client.rs
@@ -8,23 +8,19 @@
 use sesamecart_fleet::{
     Endpoint, LimitObservation, PeerNode, Permit, PermitRequest, readers, standbys,
 };
-use sesamecart_links::Links;
 use sesamecart_links::feed::LimitAnnouncement;
+use sesamecart_links::feed::feed_client::FeedClient;
+use sesamecart_links::{Channel, Links};
 use sesamecart_platform::ResponseHead;
 use sesamecart_runtime::{Tasks, with_timeout};
-use sesamecart_vocabulary::{EndpointId, RequestId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, FailureDomainId, RequestId, Timestamp};
 
 use super::message::{decode_permit, encode_limit, encode_report, encode_request};
+use crate::authority::{AuthorityClient, Matter};
 use crate::clock;
 use crate::metrics::PermitOutcome;
 use crate::state::EntryState;
 
-/// The timeout of a call to the authority. A caller waits meanwhile.
-const CALL_TIMEOUT: Duration = Duration::from_millis(160);
-
-/// The timeout of a call that is made for another node, which itself waits for `CALL_TIMEOUT`.
-const RELAYED_CALL_TIMEOUT: Duration = Duration::from_millis(70);
-
 /// The timeout of an announcement to a node that others follow.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -35,33 +31,41 @@
 /// observe the limit itself.
 const REPORT_ATTEMPTS: usize = 8;
 
+type Feed = FeedClient<Channel>;
+
 /// Calls other nodes about the limits of endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct LimitClient {
     state: Arc<EntryState>,
+    authorities: AuthorityClient,
     links: Links,
     tasks: Tasks,
 }
 
 impl EntryState {
     /// Returns the node that decides about the requests to an endpoint.
-    pub(super) fn limit_authority(
-        &self,
-        now: Timestamp,
-        endpoint: &EndpointId,
-    ) -> Option<PeerNode> {
+    ///
+    /// Nodes in the endpoint's failure domain come first, because most of its requests come from there.
+    pub(super) fn limit_authority(&self, endpoint: &EndpointId) -> Option<PeerNode> {
+        let failure_domain = self.failure_domain_of(endpoint);
+        self.authority(Matter {
+            key: endpoint.as_str(),
+            failure_domain: failure_domain.as_ref(),
+        })
+    }
+
+    fn failure_domain_of(&self, endpoint: &EndpointId) -> Option<FailureDomainId> {
         let directory = self.directory.load();
-        let failure_domain = directory.find(endpoint)?.failure_domain.clone();
-        let nodes = self.nodes.load();
-        let ranking = self.limits.ranking();
-        let authority = ranking.authority(now, endpoint, &failure_domain, &nodes);
-        authority.cloned()
+        directory
+            .find(endpoint)
+            .map(|endpoint| endpoint.failure_domain.clone())
     }
 }
 
 impl LimitClient {
-    pub(crate) const fn new(state: Arc<EntryState>, links: Links, tasks: Tasks) -> Self {
+    pub(crate) fn new(state: Arc<EntryState>, links: Links, tasks: Tasks) -> Self {
         Self {
+            authorities: AuthorityClient::new(Arc::clone(&state), links.clone()),
             state,
             links,
             tasks,
@@ -135,7 +139,7 @@
 
     /// Returns the authority for an endpoint, or `None` if that is this node.
     fn other_authority(&self, endpoint: &EndpointId) -> Option<PeerNode> {
-        let authority = self.state.limit_authority(clock::now(), endpoint);
+        let authority = self.state.limit_authority(endpoint);
         authority.filter(|peer| peer.node != self.state.settings.node)
     }
 
@@ -153,14 +157,9 @@
 
     async fn ask(&self, peer: &PeerNode, req: &PermitRequest, is_relayed: bool) -> Option<Permit> {
         let message = encode_request(req, is_relayed);
-        let mut feed = self.links.feed_client(peer.links);
-        let reply = with_timeout(call_timeout(is_relayed), feed.request_permit(message)).await;
-        let permit = match reply {
-            Ok(Ok(reply)) => decode_permit(reply.get_ref()),
-            Ok(Err(_)) | Err(_) => None,
-        };
-        self.record_response(peer, permit.is_some());
-        permit
+        let call = |mut feed: Feed| async move { feed.request_permit(message).await };
+        let reply = self.authorities.call(peer, is_relayed, call).await?;
+        decode_permit(&reply)
     }
 
     /// Tells the authority what this node has observed. Returns whether the authority answered.
@@ -171,21 +170,9 @@
         is_relayed: bool,
     ) -> bool {
         let message = encode_report(observation, is_relayed);
-        let mut feed = self.links.feed_client(peer.links);
-        let reply = with_timeout(call_timeout(is_relayed), feed.report_limit(message)).await;
-        let has_answered = matches!(reply, Ok(Ok(_)));
-        self.record_response(peer, has_answered);
-        has_answered
-    }
-
-    fn record_response(&self, peer: &PeerNode, has_answered: bool) {
-        let mut ranking = self.state.limits.ranking();
-        if has_answered {
-            ranking.mark_responsive(&peer.node);
-        } else {
-            log::debug!("limits: {} doesn't answer.", peer.node);
-            ranking.mark_unresponsive(clock::now(), &peer.node);
-        }
+        let call = |mut feed: Feed| async move { feed.report_limit(message).await };
+        let reply = self.authorities.call(peer, is_relayed, call).await;
+        reply.is_some()
     }
 
     /// Tells the nodes that others follow about the limit of an endpoint that this node is the authority for.
@@ -227,14 +214,6 @@
     }
 }
 
-const fn call_timeout(is_relayed: bool) -> Duration {
-    if is_relayed {
-        RELAYED_CALL_TIMEOUT
-    } else {
-        CALL_TIMEOUT
-    }
-}
-
 async fn announce_to(links: &Links, address: SocketAddr, announcement: LimitAnnouncement) {
     let mut feed = links.feed_client(address);
     // A node that misses the announcement hears the next one, or observes the limit itself.
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -20,9 +20,9 @@
 use sesamecart_vocabulary::NodeId;
 
 use crate::controller::Controller;
-use crate::crashes::CrashMonitor;
+use crate::crashes::{CrashMonitor, SuspectClient};
 use crate::events::{Event, EventLog};
-use crate::feed;
+use crate::feed::{self, FeedHandler};
 use crate::follower::SourceFollower;
 use crate::group_prober::GroupProber;
 use crate::limits::LimitClient;
@@ -314,16 +314,15 @@
     let reach_checker = ReachChecker::new(Arc::clone(state), client.clone());
     let reach_monitor = ReachMonitor::new(Arc::clone(state), reach_checker.clone(), links.clone());
     tasks.spawn(reach_monitor.run());
-    let limits = LimitClient::new(Arc::clone(state), links.clone(), tasks.clone());
-    tasks.spawn(feed::serve(
-        Arc::clone(state),
-        store.clone(),
-        group_prober.clone(),
+    let handler = FeedHandler {
+        state: Arc::clone(state),
+        store: store.clone(),
+        group_prober: group_prober.clone(),
         reach_checker,
-        limits,
-        listeners.links,
-        tasks.clone(),
-    ));
+        limits: LimitClient::new(Arc::clone(state), links.clone(), tasks.clone()),
+        suspects: SuspectClient::new(Arc::clone(state), links.clone()),
+    };
+    tasks.spawn(feed::serve(handler, listeners.links, tasks.clone()));
     tasks.spawn(peer_loads::watch_peers(
         Arc::clone(state),
         links.clone(),
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
-    BlockedRequest, Catalog, ColdRateLimit, Demand, DemandTracker, Directory, Endpoint,
-    FirstEventTimeouts, Freshness, GroupKey, LoadTracker, PeerNode, RetryBudget,
+    AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Demand, DemandTracker, Directory,
+    Endpoint, FirstEventTimeouts, Freshness, GroupKey, LoadTracker, PeerNode, RetryBudget,
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, ServiceId, Timestamp};
@@ -54,6 +54,8 @@
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) directory: ArcSwap<Directory>,
     pub(crate) nodes: ArcSwap<Vec<PeerNode>>,
+    /// Notified when a node was added that this node may not know.
+    pub(crate) node_added: Notifier,
     pub(crate) feed: Feed,
     /// The address for links of the node that this node follows; `None` while it reads the store itself.
     upstream: ArcSwapOption<SocketAddr>,
@@ -76,6 +78,8 @@
     contentions: Mutex<Contentions>,
     /// The evidence about requests that crash endpoints.
     pub(crate) crashes: Arc<Crashes>,
+    /// The nodes that decide for all nodes.
+    authorities: Mutex<AuthorityRanking>,
     /// The limits that endpoints name.
     pub(crate) limits: Limits,
     /// The paths to endpoints.
@@ -100,6 +104,7 @@
     pub fn new(settings: EntrySettings, events: EventLog, metrics: Metrics) -> Self {
         Self {
             nodes: ArcSwap::from_pointee(vec![local_peer(&settings)]),
+            node_added: Notifier::new(),
             feed: Feed::new(),
             upstream: ArcSwapOption::empty(),
             reads_store: AtomicBool::new(false),
@@ -125,6 +130,7 @@
             cold: Mutex::default(),
             contentions: Mutex::default(),
             crashes: Arc::new(Crashes::new()),
+            authorities: Mutex::default(),
             limits: Limits::default(),
             reach: Reach::default(),
         }
@@ -146,6 +152,12 @@
         self.loads().peer_in_flight()
     }
 
+    /// Returns the number of nodes that this node knows, itself included.
+    #[must_use]
+    pub fn known_nodes(&self) -> usize {
+        self.nodes.load().len()
+    }
+
     /// Returns the number of other nodes that report their loads to this one.
     #[must_use]
     pub fn reporting_nodes(&self) -> usize {
@@ -165,6 +177,12 @@
         self.crashes.tracker().blocked().cloned().collect()
     }
 
+    /// Returns the largest number of crashes that this node attributes to one request.
+    #[must_use]
+    pub fn most_crashes_of_a_request(&self) -> u32 {
+        self.crashes.tracker().most_crashes()
+    }
+
     /// Returns the failure domains that are evacuated and get no new work.
     #[must_use]
     pub fn evacuated_domains(&self) -> Vec<FailureDomainId> {
@@ -172,6 +190,10 @@
         directory.evacuated().iter().cloned().collect()
     }
 
+    pub(crate) fn authorities(&self) -> MutexGuard<'_, AuthorityRanking> {
+        lock(&self.authorities)
+    }
+
     pub(crate) fn loads(&self) -> MutexGuard<'_, LoadTracker> {
         lock(&self.loads)
     }
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -25,6 +25,7 @@
 use sesamecart_links::Links;
 use sesamecart_runtime::{ByteCounters, Signal, Tasks, Worker};
 
+use crate::crashes::SuspectClient;
 use crate::limits::LimitClient;
 use crate::state::EntryState;
 use crate::traffic::forwarded::ForwardedHandler;
@@ -60,8 +61,9 @@
     let tasks = worker.tasks().clone();
     let client = HttpClient::with_dialer(tasks.clone(), CONNECT_TIMEOUT, dialer);
     let links = Links::new(tasks.clone(), ByteCounters::default());
-    let limits = LimitClient::new(Arc::clone(state), links, tasks.clone());
-    let handler = Handler::new(Arc::clone(state), client, limits);
+    let limits = LimitClient::new(Arc::clone(state), links.clone(), tasks.clone());
+    let suspects = SuspectClient::new(Arc::clone(state), links);
+    let handler = Handler::new(Arc::clone(state), client, limits, suspects);
     if let Some(forwarding) = forwarding {
         serve_nodes(state, &handler, forwarding, &tasks, leaving);
     }
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::clock;
-use crate::crashes::{SendContext, SuspectRun};
+use crate::crashes::{SendContext, SuspectClient, SuspectRun};
 use crate::events::Event;
 use crate::follower::millis;
 use crate::limits::LimitClient;
@@ -45,6 +45,7 @@
     pub(crate) state: Arc<EntryState>,
     pub(crate) client: HttpClient,
     pub(crate) limits: LimitClient,
+    pub(crate) suspects: SuspectClient,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Arc<PathRoute>,
     pub(crate) customer: Option<Arc<Customer>>,
@@ -204,7 +205,7 @@
             if self.time_left().is_zero() {
                 return Err(self.final_refusal(last_error, attempts, None));
             }
-            let mut suspect_run = self.admit_to_endpoint().map_err(|refusal| {
+            let mut suspect_run = self.admit_to_endpoint().await.map_err(|refusal| {
                 if attempts.may_have_run() {
                     Refusal::IncompleteResponse(refusal.to_string())
                 } else {
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -14,6 +14,7 @@
 use sesamecart_vocabulary::{EndpointId, Timestamp};
 
 use crate::clock;
+use crate::crashes::SuspectClient;
 use crate::events::Event;
 use crate::follower::millis;
 use crate::limits::LimitClient;
@@ -29,6 +30,7 @@
     state: Arc<EntryState>,
     client: HttpClient,
     limits: LimitClient,
+    suspects: SuspectClient,
 }
 
 impl Handler {
@@ -36,11 +38,13 @@
         state: Arc<EntryState>,
         client: HttpClient,
         limits: LimitClient,
+        suspects: SuspectClient,
     ) -> Self {
         Self {
             state,
             client,
             limits,
+            suspects,
         }
     }
 
@@ -112,6 +116,7 @@
             state: Arc::clone(&self.state),
             client: self.client.clone(),
             limits: self.limits.clone(),
+            suspects: self.suspects.clone(),
             catalog: admitted.catalog,
             route: admitted.route,
             customer: admitted.customer,
--- a/crates/sesamecart-entry/src/traffic/suspicion.rs
+++ b/crates/sesamecart-entry/src/traffic/suspicion.rs
@@ -39,8 +39,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses a request that may crash its endpoint, or of which this node is already running a copy.
-    pub(super) fn admit_to_endpoint(&self) -> Result<Option<SuspectRun>, Refusal> {
+    /// Refuses a request that may crash its endpoint, or of which a node is already running a copy.
+    pub(super) async fn admit_to_endpoint(&self) -> Result<Option<SuspectRun>, Refusal> {
         let refused = |is_blocked, retry_after| {
             Err(Refusal::Crashing(CrashRefusal {
                 fingerprint: self.fingerprint(),
@@ -54,10 +54,16 @@
             CrashAdmission::Blocked(remaining) => refused(true, remaining),
             CrashAdmission::Restricted => {
                 let run = self.state.crashes.start_suspect(self.fingerprint());
-                run.map_or_else(
-                    || refused(false, OTHER_COPY_RETRY_AFTER),
-                    |run| Ok(Some(run)),
-                )
+                let Some(run) = run else {
+                    return refused(false, OTHER_COPY_RETRY_AFTER);
+                };
+                // The node that has sent the request to this one has asked.
+                if self.hop.is_none()
+                    && let Err(retry_after) = self.suspects.try_start(self.fingerprint()).await
+                {
+                    return refused(false, retry_after);
+                }
+                Ok(Some(run))
             }
         }
     }
--- a/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
@@ -225,3 +225,45 @@
     other.kill();
     deployment.shut_down();
 }
+
+/// Guards against copies that several nodes send at once, before they hear of each other's crashes.
+#[test]
+fn a_suspected_request_runs_at_one_node_at_a_time() {
+    let deployment = start();
+    let others = deployment.add_nodes("a", 3);
+    let nodes: Vec<&Entry> = std::iter::once(&deployment.node).chain(&others).collect();
+    deployment.wait_until("the nodes know each other", || {
+        nodes.iter().all(|node| node.state().known_nodes() == 4)
+    });
+    lookup(&deployment, nodes[0], "key-1", CRASHING);
+    assert_eq!(crashes(&deployment), 2, "the route allows two endpoints");
+    deployment.wait_until("all nodes know of both crashes", || {
+        let mut nodes = nodes.iter();
+        nodes.all(|node| node.state().most_crashes_of_a_request() == 2)
+    });
+    for endpoint in &deployment.plain {
+        endpoint.crash_on("another", None);
+        endpoint.set_first_event_delay(Duration::from_millis(600));
+    }
+    let arrivals = || -> usize {
+        let endpoints = deployment.plain.iter();
+        endpoints.map(|endpoint| endpoint.arrivals().len()).sum()
+    };
+    let before = arrivals();
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let sent = nodes.iter().map(|node| {
+            let deployment = &deployment;
+            scope.spawn(move || lookup(deployment, node, "key-1", CRASHING).status)
+        });
+        let sent: Vec<_> = sent.collect();
+        let sent = sent.into_iter();
+        sent.map(|sent| sent.join().expect("it doesn't panic"))
+            .collect()
+    });
+    assert_eq!(arrivals() - before, 1, "{statuses:?}");
+    assert_eq!(statuses.iter().filter(|status| **status == 503).count(), 3);
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
--- a/crates/sesamecart-entry/tests/end_to_end/sources.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/sources.rs
@@ -64,3 +64,22 @@
     }
     deployment.shut_down();
 }
+
+/// Guards against a new node that the others don't count for ten seconds, so that what all of them keep together
+/// is exceeded.
+#[test]
+fn nodes_that_are_added_are_known_to_all_at_once() {
+    let deployment = Deployment::start(1);
+    let others = deployment.add_nodes("a", 4);
+    let started_at = std::time::Instant::now();
+    deployment.wait_until("all nodes know each other", || {
+        let mut nodes = std::iter::once(&deployment.node).chain(&others);
+        nodes.all(|node| node.state().known_nodes() == 5)
+    });
+    let taken = started_at.elapsed();
+    assert!(taken < std::time::Duration::from_secs(5), "{taken:?}");
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
--- a/crates/sesamecart-fleet/examples/limits.rs
+++ b/crates/sesamecart-fleet/examples/limits.rs
@@ -34,7 +34,8 @@
     let started_at = Instant::now();
     let mut found = 0;
     for endpoint in &endpoints {
-        let authority = ranking.authority(Timestamp::ZERO, endpoint, &domain, &nodes);
+        let authority =
+            ranking.authority(Timestamp::ZERO, endpoint.as_str(), Some(&domain), &nodes);
         found += usize::from(authority.is_some());
     }
     let ranked = started_at.elapsed() / ENDPOINTS as u32;
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -18,6 +18,7 @@
 mod sharing;
 #[cfg(test)]
 mod simulation_tests;
+mod suspect_leases;
 #[cfg(test)]
 mod tests;
 
@@ -29,6 +30,7 @@
     RequestOrigin, Suspicion,
 };
 use sharing::Published;
+pub use suspect_leases::SuspectLeases;
 
 /// The number of successive crashes after which a request is blocked.
 pub const CRASH_LIMIT: u32 = 3;
@@ -143,6 +145,14 @@
             .count()
     }
 
+    /// Returns the largest number of crashes that are attributed to one request.
+    #[must_use]
+    pub fn most_crashes(&self) -> u32 {
+        let assessments = self.assessments.values();
+        let crashes = assessments.map(|assessment| assessment.suspicion.crashes);
+        crashes.max().unwrap_or(0)
+    }
+
     /// Returns the blocked requests.
     pub fn blocked(&self) -> impl Iterator<Item = &BlockedRequest> {
         self.blocked.values().map(|known| &known.block)
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BlockChange, CrashAdmission, CrashReport, CrashTracker, CrashedRun, EndpointCrash,
-    NeighborCheck, RequestOrigin, Suspicion, suspect_endpoint,
+    NeighborCheck, RequestOrigin, SuspectLeases, Suspicion, suspect_endpoint,
 };
 use crate::number::Incarnation;
 
@@ -132,6 +132,8 @@
     requests: Vec<Request>,
     runs: Vec<Run>,
     reports: Vec<(usize, CrashReport)>,
+    /// Of the node that decides about suspected requests; messages to it take no time.
+    leases: SuspectLeases,
     blocked: Vec<RequestFingerprint>,
     refused_innocents: usize,
 }
@@ -165,6 +167,7 @@
             requests: Vec::new(),
             runs: Vec::new(),
             reports: Vec::new(),
+            leases: SuspectLeases::default(),
             blocked: Vec::new(),
             refused_innocents: 0,
         };
@@ -275,9 +278,10 @@
             admission,
             CrashAdmission::Allowed | CrashAdmission::Restricted
         );
-        let is_running = admission == CrashAdmission::Restricted
-            && self.is_running(arrival.node, arrival.request);
-        if !is_allowed || is_running {
+        let is_denied = admission == CrashAdmission::Restricted
+            && (self.is_running(arrival.node, arrival.request)
+                || self.leases.try_start(now, fingerprint).is_err());
+        if !is_allowed || is_denied {
             self.refused_innocents += usize::from(!is_culprit);
             return;
         }
@@ -570,3 +574,17 @@
         Simulation::new(seed, scenario).run().assert_contained(seed);
     }
 }
+
+/// Guards against several culprits at once whose copies arrive faster than nodes hear of each other's crashes.
+#[test]
+fn three_culprits_faster_than_reports_crash_few_endpoints() {
+    for seed in [16, 38, 49, 67, 70, 92] {
+        let scenario = Scenario {
+            culprits: 3,
+            culprit_interval: Duration::from_millis(60),
+            run_time: Duration::from_secs(60),
+            ..CALM
+        };
+        Simulation::new(seed, scenario).run().assert_contained(seed);
+    }
+}
--- a/crates/sesamecart-fleet/src/endpoint_limit/ranking.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/ranking.rs
@@ -1,10 +1,10 @@
-//! Which node is the authority for an endpoint's limit.
+//! Which node decides about something for all nodes.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Timestamp, rendezvous_weight};
+use sesamecart_vocabulary::{FailureDomainId, NodeId, Timestamp, rendezvous_weight};
 
 use crate::sources::PeerNode;
 
@@ -21,7 +21,7 @@
     time: Duration,
 }
 
-/// The order of the nodes in which they are the authority for endpoints' limits.
+/// The order of the nodes in which they are the authority for the limit of an endpoint or another matter.
 ///
 /// All nodes that know the same nodes compute the same order. The first node that answers is the authority.
 #[derive(Debug, Default)]
@@ -30,15 +30,14 @@
 }
 
 impl AuthorityRanking {
-    /// Returns the authority for an endpoint's limit among `nodes`, without those that didn't answer lately.
-    ///
-    /// Nodes in the endpoint's failure domain come first, because most of its requests come from there.
+    /// Returns the authority for `key` among `nodes`, without those that didn't answer lately. Nodes in
+    /// `failure_domain` come first.
     #[must_use]
     pub fn authority<'a>(
         &self,
         now: Timestamp,
-        endpoint: &EndpointId,
-        failure_domain: &FailureDomainId,
+        key: &str,
+        failure_domain: Option<&FailureDomainId>,
         nodes: &'a [PeerNode],
     ) -> Option<&'a PeerNode> {
         let responsive = nodes.iter().filter(|peer| {
@@ -46,8 +45,9 @@
             unresponsive.is_none_or(|unresponsive| unresponsive.until <= now)
         });
         responsive.min_by_key(|peer| {
-            let weight = rendezvous_weight(endpoint.as_str(), peer.node.as_str());
-            (peer.failure_domain != *failure_domain, Reverse(weight))
+            let weight = rendezvous_weight(key, peer.node.as_str());
+            let is_preferred = Some(&peer.failure_domain) == failure_domain;
+            (!is_preferred, Reverse(weight))
         })
     }
 
--- a/crates/sesamecart-fleet/src/endpoint_limit/tests/ranking.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/tests/ranking.rs
@@ -24,9 +24,9 @@
     endpoint: usize,
     nodes: &'a [PeerNode],
 ) -> &'a PeerNode {
-    let endpoint = format!("e{endpoint}").parse().expect("a valid id");
+    let endpoint = format!("e{endpoint}");
     let domain = "d1".parse().expect("a valid id");
-    let authority = ranking.authority(now, &endpoint, &domain, nodes);
+    let authority = ranking.authority(now, &endpoint, Some(&domain), nodes);
     authority.expect("there are nodes")
 }
 
--- a/crates/sesamecart-fleet/src/endpoint_limit/tests/simulation.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/tests/simulation.rs
@@ -178,9 +178,9 @@
         for _ in 0..attempts {
             let chosen = {
                 let asking = &self.nodes[node];
-                let endpoint = &self.endpoints[endpoint];
+                let key = self.endpoints[endpoint].as_str();
                 let ranking = &asking.ranking;
-                let authority = ranking.authority(self.now, endpoint, &domain, &asking.view);
+                let authority = ranking.authority(self.now, key, Some(&domain), &asking.view);
                 authority.expect("a node knows itself").node.clone()
             };
             let index = self.index_of(&chosen);
@@ -200,7 +200,12 @@
         let node = &self.nodes[asked];
         let better = node
             .ranking
-            .authority(self.now, &self.endpoints[endpoint], &domain, &node.view)
+            .authority(
+                self.now,
+                self.endpoints[endpoint].as_str(),
+                Some(&domain),
+                &node.view,
+            )
             .expect("a node knows itself")
             .node
             .clone();
