Name the nodes that others follow in one place, and log limited endpoints without parsing

Three announcements (losses, limits, added nodes) chose the readers and standbys each by itself, and a refused request parsed endpoint IDs that it had just formatted. No behaviour changes.

--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -6,7 +6,7 @@
 use futures_lite::future;
 use futures_util::future::join_all;
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{PeerNode, readers, standbys};
+use sesamecart_fleet::PeerNode;
 use sesamecart_links::Links;
 use sesamecart_links::feed::NodeAnnouncement;
 use sesamecart_platform::{AppendCondition, NewestPage, Record, Store, StoreError, Topic};
@@ -144,16 +144,14 @@
 /// What all nodes keep together depends on their number and on the choice of a node that decides for all. Until
 /// the others know of this node, they choose without it.
 pub(super) async fn announce(state: &EntryState, links: &Links) {
-    let nodes = state.nodes.load_full();
-    let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
-    let others = serving.filter(|peer| peer.node != state.settings.node);
-    let announcements = others.map(|peer| async move {
-        let mut feed = links.feed_client(peer.links);
+    let addresses = state.nodes_with_followers();
+    let announcements = addresses.into_iter().map(|address| async move {
+        let mut feed = links.feed_client(address);
         let announced = feed.announce_node(NodeAnnouncement {});
         match with_timeout(ANNOUNCEMENT_TIMEOUT, announced).await {
             Ok(Ok(_)) => {}
-            Ok(Err(status)) => log::debug!("follower: {}: announce: {status}.", peer.node),
-            Err(elapsed) => log::debug!("follower: {}: announce: {elapsed}.", peer.node),
+            Ok(Err(status)) => log::debug!("follower: node at {address}: announce: {status}."),
+            Err(elapsed) => log::debug!("follower: node at {address}: announce: {elapsed}."),
         }
     });
     join_all(announcements).await;
--- a/crates/sesamecart-entry/src/limits/client.rs
+++ b/crates/sesamecart-entry/src/limits/client.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use sesamecart_fleet::{
-    Endpoint, LimitObservation, PeerNode, Permit, PermitRequest, readers, standbys,
-};
+use sesamecart_fleet::{Endpoint, LimitObservation, PeerNode, Permit, PermitRequest};
 use sesamecart_links::feed::LimitAnnouncement;
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links};
@@ -188,11 +186,7 @@
         let announcement = LimitAnnouncement {
             limits: vec![encode_limit(&limit)],
         };
-        let nodes = self.state.nodes.load_full();
-        // A standby may be serving followers in place of its reader.
-        let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
-        let others = serving.filter(|peer| peer.node != self.state.settings.node);
-        let addresses: Vec<SocketAddr> = others.map(|peer| peer.links).collect();
+        let addresses = self.state.nodes_with_followers();
         let links = self.links.clone();
         self.tasks.spawn(async move {
             let announcements = addresses
--- a/crates/sesamecart-entry/src/loss_reports.rs
+++ b/crates/sesamecart-entry/src/loss_reports.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use sesamecart_fleet::{GroupKey, readers, standbys};
+use sesamecart_fleet::GroupKey;
 use sesamecart_links::Links;
 use sesamecart_links::feed::GroupLoss;
 use sesamecart_platform::{AppendCondition, Record, Store, Topic};
@@ -66,11 +66,10 @@
     if !state.feed.record_loss(clock::now(), &key) {
         return;
     }
-    let nodes = state.nodes.load_full();
-    // A standby may be serving followers in place of its reader.
-    let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
-    let others = serving.filter(|peer| peer.node != state.settings.node);
-    let announcements = others.map(|reader| announce_to(&links, reader.links, &key));
+    let addresses = state.nodes_with_followers();
+    let announcements = addresses
+        .into_iter()
+        .map(|address| announce_to(&links, address, &key));
     join_all(announcements).await;
 }
 
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -11,7 +11,8 @@
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
     AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Demand, DemandTracker, Directory,
-    Endpoint, FirstEventTimeouts, Freshness, GroupKey, LoadTracker, PeerNode, RetryBudget,
+    Endpoint, FirstEventTimeouts, Freshness, GroupKey, LoadTracker, PeerNode, RetryBudget, readers,
+    standbys,
 };
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, ServiceId, Timestamp};
@@ -246,6 +247,15 @@
         freshness
     }
 
+    /// Returns the addresses for links of the other nodes that may be followed: the readers of the store, and the
+    /// standbys, which may serve in their place.
+    pub(crate) fn nodes_with_followers(&self) -> Vec<SocketAddr> {
+        let nodes = self.nodes.load();
+        let serving = readers(&nodes).into_iter().chain(standbys(&nodes));
+        let others = serving.filter(|peer| peer.node != self.settings.node);
+        others.map(|peer| peer.links).collect()
+    }
+
     /// Returns the record of this node that is published to the other nodes.
     pub(crate) fn local_peer(&self) -> PeerNode {
         local_peer(&self.settings)
--- a/crates/sesamecart-entry/src/traffic/permit.rs
+++ b/crates/sesamecart-entry/src/traffic/permit.rs
@@ -103,18 +103,18 @@
         let now = clock::now();
         let limited = candidates
             .filter(|endpoint| self.state.limit_status(now, endpoint) != LimitStatus::Unlimited);
-        let limited: Vec<&str> = limited.map(|endpoint| endpoint.id.as_str()).collect();
+        let limited: Vec<&Arc<Endpoint>> = limited.collect();
         let mut known = self.state.limits.known();
         for endpoint in &limited {
-            if let Ok(endpoint) = endpoint.parse() {
-                known.record_refused(&endpoint);
-            }
+            known.record_refused(&endpoint.id);
         }
         drop(known);
+        let logged = limited.iter().take(MAX_LOGGED_ENDPOINTS);
+        let logged: Vec<&str> = logged.map(|endpoint| endpoint.id.as_str()).collect();
         self.state.metrics.count_limited_request();
         self.state.events.write(&Event::RequestLimited {
             request: self.metadata.id.as_str(),
-            endpoints: &limited[..limited.len().min(MAX_LOGGED_ENDPOINTS)],
+            endpoints: &logged,
             limited: limited.len(),
             denials: attempts.denials,
         });
