--- a/crates/sesamecart-entry/src/authority.rs
+++ b/crates/sesamecart-entry/src/authority.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_fleet::{AuthorityRanking, PeerNode};
+use sesamecart_fleet::PeerNode;
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links, Response, Status};
 use sesamecart_runtime::with_timeout;
@@ -81,18 +81,16 @@
         let called = with_timeout(timeout, call(self.links.feed_client(peer.links)));
         let cause = match called.await {
             Ok(Ok(response)) => {
-                self.ranking().mark_responsive(&peer.node);
+                self.state.authorities().mark_responsive(&peer.node);
                 return Some(response.into_inner());
             }
             Ok(Err(status)) => status.to_string(),
             Err(elapsed) => elapsed.to_string(),
         };
         log::debug!("authority: {}: {cause}.", peer.node);
-        self.ranking().mark_unresponsive(clock::now(), &peer.node);
+        self.state
+            .authorities()
+            .mark_unresponsive(clock::now(), &peer.node);
         None
     }
-
-    fn ranking(&self) -> std::sync::MutexGuard<'_, AuthorityRanking> {
-        self.state.authorities()
-    }
 }
--- a/crates/sesamecart-entry/src/crashes.rs
+++ b/crates/sesamecart-entry/src/crashes.rs
@@ -3,9 +3,9 @@
 //!
 //! The rules are in [`sesamecart_fleet::CrashTracker`]; docs/design/crashing-requests.md describes them.
 
-mod lease;
 mod monitor;
 mod probe;
+mod suspect_client;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,12 +16,12 @@
 use event_listener::{Event as Notifier, EventListener};
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_fleet::{
-    CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectLeases, Suspicion,
+    CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts, Suspicion,
 };
 use sesamecart_vocabulary::RequestFingerprint;
 
-pub(crate) use crate::crashes::lease::{SuspectClient, encode_decision};
 pub(crate) use crate::crashes::monitor::CrashMonitor;
+pub(crate) use crate::crashes::suspect_client::{SuspectClient, encode_decision};
 
 /// The maximum number of interrupted runs that wait for a check. Further ones leave no evidence.
 const MAX_WAITING_RUNS: usize = 1_024;
@@ -79,7 +79,7 @@
     /// The suspected requests that this node is running.
     running_suspects: Mutex<IndexSet<RequestFingerprint>>,
     /// Of all nodes, for the suspected requests that this node decides about.
-    leases: Mutex<SuspectLeases>,
+    suspect_starts: Mutex<SuspectStarts>,
     changed: Notifier,
     interrupted: Sender<InterruptedRun>,
     to_check: Receiver<InterruptedRun>,
@@ -92,7 +92,7 @@
             tracker: Mutex::default(),
             unchecked: Mutex::default(),
             running_suspects: Mutex::default(),
-            leases: Mutex::default(),
+            suspect_starts: Mutex::default(),
             changed: Notifier::new(),
             interrupted,
             to_check,
@@ -103,8 +103,10 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn leases(&self) -> MutexGuard<'_, SuspectLeases> {
-        self.leases.lock().unwrap_or_else(PoisonError::into_inner)
+    fn suspect_starts(&self) -> MutexGuard<'_, SuspectStarts> {
+        self.suspect_starts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn unchecked(&self) -> MutexGuard<'_, IndexMap<RequestFingerprint, EndpointCrash>> {
--- a/crates/sesamecart-entry/src/crashes/lease.rs
+++ b/crates/sesamecart-entry/src/crashes/suspect_client.rs
@@ -1,4 +1,4 @@
-//! Leases that let a suspected request run once at a time on all nodes.
+//! Asks when a suspected request may be started, once at a time on all nodes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::follower::millis;
 use crate::state::EntryState;
 
-/// The number of nodes that are asked for a lease until one answers.
+/// The number of nodes that are asked until one answers.
 const ATTEMPTS: usize = 2;
 
 /// When the caller of a suspected request may try again if no node decides about it.
@@ -92,7 +92,10 @@
     }
 
     fn decide(&self, request: RequestFingerprint) -> Result<(), Duration> {
-        self.state.crashes.leases().try_start(clock::now(), request)
+        self.state
+            .crashes
+            .suspect_starts()
+            .try_start(clock::now(), request)
     }
 }
 
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -18,7 +18,7 @@
 mod sharing;
 #[cfg(test)]
 mod simulation_tests;
-mod suspect_leases;
+mod suspect_starts;
 #[cfg(test)]
 mod tests;
 
@@ -30,7 +30,7 @@
     RequestOrigin, Suspicion,
 };
 use sharing::Published;
-pub use suspect_leases::SuspectLeases;
+pub use suspect_starts::SuspectStarts;
 
 /// The number of successive crashes after which a request is blocked.
 pub const CRASH_LIMIT: u32 = 3;
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BlockChange, CrashAdmission, CrashReport, CrashTracker, CrashedRun, EndpointCrash,
-    NeighborCheck, RequestOrigin, SuspectLeases, Suspicion, suspect_endpoint,
+    NeighborCheck, RequestOrigin, SuspectStarts, Suspicion, suspect_endpoint,
 };
 use crate::number::Incarnation;
 
@@ -133,7 +133,7 @@
     runs: Vec<Run>,
     reports: Vec<(usize, CrashReport)>,
     /// Of the node that decides about suspected requests; messages to it take no time.
-    leases: SuspectLeases,
+    starts: SuspectStarts,
     blocked: Vec<RequestFingerprint>,
     refused_innocents: usize,
 }
@@ -167,7 +167,7 @@
             requests: Vec::new(),
             runs: Vec::new(),
             reports: Vec::new(),
-            leases: SuspectLeases::default(),
+            starts: SuspectStarts::default(),
             blocked: Vec::new(),
             refused_innocents: 0,
         };
@@ -280,7 +280,7 @@
         );
         let is_denied = admission == CrashAdmission::Restricted
             && (self.is_running(arrival.node, arrival.request)
-                || self.leases.try_start(now, fingerprint).is_err());
+                || self.starts.try_start(now, fingerprint).is_err());
         if !is_allowed || is_denied {
             self.refused_innocents += usize::from(!is_culprit);
             return;
--- a/crates/sesamecart-fleet/src/crash_tracker/suspect_leases.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/suspect_starts.rs
@@ -12,15 +12,15 @@
 const MIN_START_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// The maximum number of remembered requests. The one that was started first is forgotten first.
-const MAX_LEASES: usize = 1_024;
+const MAX_REQUESTS: usize = 1_024;
 
 /// Decides for all nodes when a suspected request may be started.
 #[derive(Debug, Default)]
-pub struct SuspectLeases {
+pub struct SuspectStarts {
     started_at: IndexMap<RequestFingerprint, Timestamp>,
 }
 
-impl SuspectLeases {
+impl SuspectStarts {
     /// Starts a run of a suspected request.
     ///
     /// # Errors
@@ -36,7 +36,7 @@
         if let Some(started_at) = self.started_at.get(&request) {
             return Err(MIN_START_INTERVAL.saturating_sub(now.since(*started_at)));
         }
-        if self.started_at.len() >= MAX_LEASES {
+        if self.started_at.len() >= MAX_REQUESTS {
             self.started_at.shift_remove_index(0);
         }
         self.started_at.insert(request, now);
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use crash_tracker::{
     BLOCK_TTL, BlockChange, BlockEnd, BlockedRequest, CRASH_LIMIT, Clearance, ClearanceCause,
     CrashAdmission, CrashReport, CrashTracker, CrashedRun, DueDecision, EndpointCrash,
-    NeighborCheck, RequestOrigin, SuspectLeases, Suspicion, suspect_endpoint,
+    NeighborCheck, RequestOrigin, SuspectStarts, Suspicion, suspect_endpoint,
 };
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
