--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -388,6 +388,8 @@
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
         fingerprint: RequestFingerprint,
+        /// The parts of its prompt that other requests may share, comma-separated.
+        parts: &'a str,
         /// The endpoint.
         endpoint: &'a str,
         /// The failure.
@@ -439,6 +441,8 @@
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
         fingerprint: RequestFingerprint,
+        /// The parts of its prompt that other requests may share, comma-separated.
+        parts: &'a str,
         /// The endpoint that sent the first part.
         from: &'a str,
         /// The endpoint that continues the stream.
@@ -454,6 +458,8 @@
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
         fingerprint: RequestFingerprint,
+        /// The parts of its prompt that other requests may share, comma-separated.
+        parts: &'a str,
         /// The endpoint.
         endpoint: &'a str,
         /// The reason.
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use sesamecart_edges::{HttpClient, PooledConnection};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
-use sesamecart_platform::RequestMetadata;
+use sesamecart_platform::{RequestMetadata, shared_prompt_parts};
 use sesamecart_vocabulary::{
     EndpointId, RequestFingerprint, RequestIdentity, ServiceId, Timestamp,
 };
@@ -168,6 +168,13 @@
         })
     }
 
+    /// Returns the parts of the prompt that other requests may share, for the log.
+    pub(crate) fn prompt_parts_text(&self) -> String {
+        let parts = shared_prompt_parts(&self.head.headers);
+        let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+        parts.join(",")
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn elapsed(&self) -> Duration {
         clock::now().since(self.arrived_at)
@@ -381,6 +388,7 @@
         self.state.events.write(&Event::AttemptFailed {
             request: self.metadata.id.as_str(),
             fingerprint: self.fingerprint(),
+            parts: &self.prompt_parts_text(),
             endpoint: endpoint.map_or("", |id| id.as_str()),
             cause: &error.cause,
             may_have_run: error.may_have_run,
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -212,6 +212,7 @@
         self.call.state.events.write(&Event::Resumed {
             request: self.call.metadata.id.as_str(),
             fingerprint: self.call.fingerprint(),
+            parts: &self.call.prompt_parts_text(),
             from: from.as_str(),
             endpoint: received.in_flight.endpoint().as_str(),
             last_event: last_event.as_deref().unwrap_or_default(),
@@ -258,6 +259,7 @@
         self.call.state.events.write(&Event::Broken {
             request: self.call.metadata.id.as_str(),
             fingerprint: self.call.fingerprint(),
+            parts: &self.call.prompt_parts_text(),
             endpoint: endpoint.as_ref().map_or("", |id| id.as_str()),
             cause: reason,
             after_ms: millis(self.call.elapsed()),
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod key;
 mod number;
+mod prompt;
 mod rate;
 mod time;
 
@@ -24,5 +25,6 @@
     Bytes, Concurrency, Epoch, Generation, Incarnation, Offset, ParseNumberError, Permits,
     Revision, ShardId, Tokens, Weight,
 };
+pub use prompt::{ParsePromptPartError, PromptPartId};
 pub use rate::{ParseRateError, RequestRate};
 pub use time::{ParseTimestampError, Timestamp};
