Add a failing test of a prompt part that crashes endpoints

Four nodes, 24 endpoints, ten requests a second that share one part of their prompts and nothing else, each of which crashes its endpoint for 2 s.

--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of a real node with a stand-in platform: from its settings to complete responses,
 //! including the failures of endpoints and of the store.
 
+mod crashing_prompt_parts;
 mod crashing_requests;
 mod endpoint_limits;
 mod faulty_links;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -385,7 +385,18 @@
         call: &CallerRequest<'_>,
         headers: &[(&str, &str)],
     ) -> Response {
-        let req = Self::request(call, DEFAULT_DEADLINE, headers);
+        self.send_call_within(node, call, DEFAULT_DEADLINE, headers)
+    }
+
+    /// Like [`Self::send_call_with_headers`], with a deadline.
+    pub(crate) fn send_call_within(
+        &self,
+        node: &Entry,
+        call: &CallerRequest<'_>,
+        deadline: Duration,
+        headers: &[(&str, &str)],
+    ) -> Response {
+        let req = Self::request(call, deadline, headers);
         self.send(node.caller_address(), req, WAIT_TIMEOUT)
     }
 
