Give parts of prompts fingerprints like requests

A part of a prompt can be the cause of crashes as a whole request can, so both are told apart by one type. RequestFingerprint becomes Fingerprint; no behaviour changes.

--- a/crates/sesamecart-entry/src/crashes.rs
+++ b/crates/sesamecart-entry/src/crashes.rs
@@ -18,7 +18,7 @@
 use sesamecart_fleet::{
     CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts, Suspicion,
 };
-use sesamecart_vocabulary::RequestFingerprint;
+use sesamecart_vocabulary::Fingerprint;
 
 pub(crate) use crate::crashes::monitor::CrashMonitor;
 pub(crate) use crate::crashes::suspect_client::{SuspectClient, encode_decision};
@@ -29,7 +29,7 @@
 /// A run that ended because its endpoint closed the connection.
 #[derive(Debug)]
 pub(crate) struct InterruptedRun {
-    pub(crate) request: RequestFingerprint,
+    pub(crate) request: Fingerprint,
     pub(crate) crash: EndpointCrash,
     pub(crate) context: SendContext,
     /// The time since the first sign of the response.
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct SuspectRun {
     crashes: Arc<Crashes>,
-    request: RequestFingerprint,
+    request: Fingerprint,
 }
 
 impl Drop for SuspectRun {
@@ -75,9 +75,9 @@
 pub(crate) struct Crashes {
     tracker: Mutex<CrashTracker>,
     /// The last interrupted run of each request, while it is being checked whether it was a crash.
-    unchecked: Mutex<IndexMap<RequestFingerprint, EndpointCrash>>,
+    unchecked: Mutex<IndexMap<Fingerprint, EndpointCrash>>,
     /// The suspected requests that this node is running.
-    running_suspects: Mutex<IndexSet<RequestFingerprint>>,
+    running_suspects: Mutex<IndexSet<Fingerprint>>,
     /// Of all nodes, for the suspected requests that this node decides about.
     suspect_starts: Mutex<SuspectStarts>,
     changed: Notifier,
@@ -109,7 +109,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn unchecked(&self) -> MutexGuard<'_, IndexMap<RequestFingerprint, EndpointCrash>> {
+    fn unchecked(&self) -> MutexGuard<'_, IndexMap<Fingerprint, EndpointCrash>> {
         self.unchecked
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -117,10 +117,7 @@
 
     /// Returns what is known about a request, whose fingerprint is computed only if anything is known about
     /// any request.
-    pub(crate) fn send_context(
-        &self,
-        fingerprint: impl FnOnce() -> RequestFingerprint,
-    ) -> SendContext {
+    pub(crate) fn send_context(&self, fingerprint: impl FnOnce() -> Fingerprint) -> SendContext {
         let unchecked = self.unchecked();
         let tracker = self.tracker();
         if tracker.is_empty() && unchecked.is_empty() {
@@ -134,17 +131,14 @@
     }
 
     /// Starts a run of a suspected request, unless this node is already running one.
-    pub(crate) fn start_suspect(
-        self: &Arc<Self>,
-        request: RequestFingerprint,
-    ) -> Option<SuspectRun> {
+    pub(crate) fn start_suspect(self: &Arc<Self>, request: Fingerprint) -> Option<SuspectRun> {
         self.running_suspects().insert(request).then(|| SuspectRun {
             crashes: Arc::clone(self),
             request,
         })
     }
 
-    fn running_suspects(&self) -> MutexGuard<'_, IndexSet<RequestFingerprint>> {
+    fn running_suspects(&self) -> MutexGuard<'_, IndexSet<Fingerprint>> {
         self.running_suspects
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -161,7 +155,7 @@
     }
 
     /// Records that the check of an interrupted run has ended.
-    fn end_check(&self, request: &RequestFingerprint, crash: &EndpointCrash) {
+    fn end_check(&self, request: &Fingerprint, crash: &EndpointCrash) {
         let mut unchecked = self.unchecked();
         if unchecked.get(request) == Some(crash) {
             unchecked.swap_remove(request);
--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -12,7 +12,7 @@
 use sesamecart_platform::Store as StoreClient;
 use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
 use sesamecart_runtime::Worker;
-use sesamecart_vocabulary::{RequestFingerprint, RequestIdentity};
+use sesamecart_vocabulary::{Fingerprint, RequestIdentity};
 
 use super::{Checks, CrashMonitor, NOT_CRASHED_TTL};
 use crate::clock;
@@ -113,8 +113,8 @@
     }
 }
 
-fn request() -> RequestFingerprint {
-    RequestFingerprint::of(&RequestIdentity {
+fn request() -> Fingerprint {
+    Fingerprint::of(&RequestIdentity {
         customer: None,
         host: "h",
         method: "GET",
--- a/crates/sesamecart-entry/src/crashes/suspect_client.rs
+++ b/crates/sesamecart-entry/src/crashes/suspect_client.rs
@@ -6,7 +6,7 @@
 use sesamecart_links::feed::SuspectRequest;
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links};
-use sesamecart_vocabulary::RequestFingerprint;
+use sesamecart_vocabulary::Fingerprint;
 
 use crate::authority::{AuthorityClient, Matter};
 use crate::clock;
@@ -40,7 +40,7 @@
     ///
     /// Returns the time after which the request may be tried again, if it was started a short time ago, or if no
     /// node decides about it.
-    pub(crate) async fn try_start(&self, request: RequestFingerprint) -> Result<(), Duration> {
+    pub(crate) async fn try_start(&self, request: Fingerprint) -> Result<(), Duration> {
         for _ in 0..ATTEMPTS {
             if let Some(decision) = self.ask(request, false).await {
                 return decision;
@@ -56,7 +56,7 @@
     /// Returns the time after which the request may be started.
     pub(crate) async fn try_start_for(
         &self,
-        request: RequestFingerprint,
+        request: Fingerprint,
         is_relayed: bool,
     ) -> Result<(), Duration> {
         if !is_relayed && let Some(decision) = self.ask(request, true).await {
@@ -66,11 +66,7 @@
     }
 
     /// Asks the authority. Returns `None` if it doesn't answer.
-    async fn ask(
-        &self,
-        request: RequestFingerprint,
-        is_relayed: bool,
-    ) -> Option<Result<(), Duration>> {
+    async fn ask(&self, request: Fingerprint, is_relayed: bool) -> Option<Result<(), Duration>> {
         let fingerprint = request.to_string();
         let matter = Matter {
             key: &fingerprint,
@@ -91,7 +87,7 @@
         })
     }
 
-    fn decide(&self, request: RequestFingerprint) -> Result<(), Duration> {
+    fn decide(&self, request: Fingerprint) -> Result<(), Duration> {
         self.state
             .crashes
             .suspect_starts()
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -9,7 +9,7 @@
 
 use async_channel::{Receiver, Sender, TrySendError};
 use serde::Serialize;
-use sesamecart_vocabulary::{NodeId, RequestFingerprint, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, NodeId, Timestamp};
 
 /// Maximum number of lines that wait for the writer.
 ///
@@ -243,7 +243,7 @@
     /// An endpoint crashed while it was running a request of this node.
     CrashSuspected {
         /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The endpoint.
         endpoint: &'a str,
         /// The number of successive crashes that are attributed to the request now.
@@ -252,7 +252,7 @@
     /// A request isn't blocked, because its last endpoint was lost together with others.
     CrashExcused {
         /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The endpoint.
         endpoint: &'a str,
         /// The number of other endpoints nearby that were checked.
@@ -263,7 +263,7 @@
     /// A request is refused from now on, because it has crashed several endpoints in succession.
     RequestBlocked {
         /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// Its route.
         route: &'a str,
         /// The customer that sends it; empty if the route needs no key.
@@ -276,7 +276,7 @@
     /// A request isn't refused any more.
     RequestUnblocked {
         /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// Why the block has ended.
         cause: &'a str,
         /// How long this node had known of the block, in milliseconds.
@@ -387,7 +387,7 @@
         /// The request.
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The parts of its prompt that other requests may share, comma-separated.
         parts: &'a str,
         /// The endpoint.
@@ -440,7 +440,7 @@
         /// The request.
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The parts of its prompt that other requests may share, comma-separated.
         parts: &'a str,
         /// The endpoint that sent the first part.
@@ -457,7 +457,7 @@
         /// The request.
         request: &'a str,
         /// The fingerprint, which is the same whenever the caller sends the request again.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The parts of its prompt that other requests may share, comma-separated.
         parts: &'a str,
         /// The endpoint.
--- a/crates/sesamecart-entry/src/operator_page.rs
+++ b/crates/sesamecart-entry/src/operator_page.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use sesamecart_edges::{CallerBody, empty, whole};
-use sesamecart_vocabulary::RequestFingerprint;
+use sesamecart_vocabulary::Fingerprint;
 
 use crate::clock;
 use crate::state::EntryState;
@@ -59,7 +59,7 @@
 
 /// Lifts a block at all nodes.
 fn lift(state: &EntryState, fingerprint: &str) -> Response<CallerBody> {
-    let Ok(fingerprint) = fingerprint.parse::<RequestFingerprint>() else {
+    let Ok(fingerprint) = fingerprint.parse::<Fingerprint>() else {
         let reason = "the fingerprint must be 32 hexadecimal digits\n";
         return text(StatusCode::BAD_REQUEST, reason);
     };
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -12,9 +12,7 @@
 use sesamecart_edges::{HttpClient, PooledConnection};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
 use sesamecart_platform::{RequestMetadata, shared_prompt_parts};
-use sesamecart_vocabulary::{
-    EndpointId, RequestFingerprint, RequestIdentity, ServiceId, Timestamp,
-};
+use sesamecart_vocabulary::{EndpointId, Fingerprint, RequestIdentity, ServiceId, Timestamp};
 
 use crate::clock;
 use crate::crashes::{SendContext, SuspectClient, SuspectRun};
@@ -56,7 +54,7 @@
     /// Set if another node has sent the request.
     pub(crate) hop: Option<Hop>,
     /// Computed when it is first needed.
-    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
     /// Whether the request has ended without a complete response.
     pub(crate) has_failed: Arc<AtomicBool>,
 }
@@ -154,11 +152,11 @@
 
 impl Call {
     /// Returns the fingerprint, which is the same for all attempts of the caller.
-    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let customer = self.customer.as_ref();
             let target = self.head.uri.path_and_query();
-            RequestFingerprint::of(&RequestIdentity {
+            Fingerprint::of(&RequestIdentity {
                 customer: customer.map(|customer| customer.id.as_str()),
                 host: &self.metadata.host,
                 method: self.head.method.as_str(),
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -8,7 +8,7 @@
 use sesamecart_edges::{CallerBody, whole};
 use sesamecart_fleet::Unavailable;
 use sesamecart_platform::retry_after;
-use sesamecart_vocabulary::RequestFingerprint;
+use sesamecart_vocabulary::Fingerprint;
 
 #[cfg(test)]
 mod tests;
@@ -16,7 +16,7 @@
 /// A request that isn't sent to any endpoint because it may crash it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct CrashRefusal {
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) fingerprint: Fingerprint,
     /// Whether the request is blocked, rather than still being checked.
     pub(crate) is_blocked: bool,
     pub(crate) retry_after: Duration,
--- a/crates/sesamecart-fleet/examples/crashes.rs
+++ b/crates/sesamecart-fleet/examples/crashes.rs
@@ -7,7 +7,7 @@
 use sesamecart_fleet::{
     CrashReport, CrashTracker, CrashedRun, EndpointCrash, Incarnation, Suspicion,
 };
-use sesamecart_vocabulary::{NodeId, RequestFingerprint, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, NodeId, RequestIdentity, Timestamp};
 
 /// The number of repetitions, of which the median is printed.
 const REPETITIONS: usize = 50;
@@ -17,7 +17,7 @@
 
 fn report(node: usize, runs: usize) -> CrashReport {
     let runs = (0..runs).map(|index| CrashedRun {
-        request: RequestFingerprint::of(&RequestIdentity {
+        request: Fingerprint::of(&RequestIdentity {
             customer: Some("customer"),
             host: "host.example",
             method: "POST",
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, NodeId, RequestFingerprint, Timestamp};
+use sesamecart_vocabulary::{EndpointId, Fingerprint, NodeId, Timestamp};
 
 mod admission;
 mod assessment;
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DueDecision {
     /// The request.
-    pub request: RequestFingerprint,
+    pub request: Fingerprint,
     /// The crash.
     pub crash: EndpointCrash,
 }
@@ -101,14 +101,14 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     runs: Vec<OwnRun>,
-    blocks: IndexMap<RequestFingerprint, OwnBlock>,
-    clearances: IndexMap<RequestFingerprint, OwnClearance>,
+    blocks: IndexMap<Fingerprint, OwnBlock>,
+    clearances: IndexMap<Fingerprint, OwnClearance>,
     peers: IndexMap<NodeId, PeerReport>,
     published: Published,
-    assessments: IndexMap<RequestFingerprint, Assessment>,
-    blocked: IndexMap<RequestFingerprint, KnownBlock>,
+    assessments: IndexMap<Fingerprint, Assessment>,
+    blocked: IndexMap<Fingerprint, KnownBlock>,
     /// The requests that have crashed enough endpoints to be blocked, but may not be the cause.
-    undecided: IndexMap<RequestFingerprint, Undecided>,
+    undecided: IndexMap<Fingerprint, Undecided>,
     /// Since when each crash has been known.
     known_crashes: IndexMap<EndpointCrash, Timestamp>,
     changes: Vec<BlockChange>,
@@ -131,7 +131,7 @@
 
     /// Returns what is known about a request.
     #[must_use]
-    pub fn suspicion(&self, request: &RequestFingerprint) -> Suspicion {
+    pub fn suspicion(&self, request: &Fingerprint) -> Suspicion {
         let assessment = self.assessments.get(request);
         assessment.map_or_else(Suspicion::default, |assessment| assessment.suspicion)
     }
@@ -160,7 +160,7 @@
 
     /// Returns whether a request may be sent to an endpoint.
     #[must_use]
-    pub fn admission(&self, now: Timestamp, request: &RequestFingerprint) -> CrashAdmission {
+    pub fn admission(&self, now: Timestamp, request: &Fingerprint) -> CrashAdmission {
         if let Some(known) = self.blocked.get(request) {
             return CrashAdmission::Blocked(BLOCK_TTL.saturating_sub(now.since(known.since)));
         }
@@ -227,7 +227,7 @@
 
     /// Records that a request ended without a complete response. Its evidence is shared at once, because its
     /// caller may send it again to another node.
-    pub fn record_failure(&mut self, now: Timestamp, request: &RequestFingerprint) {
+    pub fn record_failure(&mut self, now: Timestamp, request: &Fingerprint) {
         for own in self
             .runs
             .iter_mut()
@@ -238,7 +238,7 @@
     }
 
     /// Records that an endpoint ran a request to the end. Returns whether this cleared the request.
-    pub fn record_completion(&mut self, now: Timestamp, request: &RequestFingerprint) -> bool {
+    pub fn record_completion(&mut self, now: Timestamp, request: &Fingerprint) -> bool {
         let is_suspected =
             self.suspicion(request).crashes > 0 || self.blocked.contains_key(request);
         if is_suspected {
@@ -248,7 +248,7 @@
     }
 
     /// Lifts the block of a request. Returns whether it was blocked.
-    pub fn lift(&mut self, now: Timestamp, request: &RequestFingerprint) -> bool {
+    pub fn lift(&mut self, now: Timestamp, request: &Fingerprint) -> bool {
         let is_blocked = self.blocked.contains_key(request);
         if is_blocked {
             self.clear(now, request, ClearanceCause::Lifted);
@@ -256,7 +256,7 @@
         is_blocked
     }
 
-    fn clear(&mut self, now: Timestamp, request: &RequestFingerprint, cause: ClearanceCause) {
+    fn clear(&mut self, now: Timestamp, request: &Fingerprint, cause: ClearanceCause) {
         let clearance = Clearance {
             request: *request,
             number: self.suspicion(request).clearances + 1,
@@ -329,7 +329,7 @@
     pub fn is_separate_crash(
         &self,
         now: Timestamp,
-        request: &RequestFingerprint,
+        request: &Fingerprint,
         crash: &EndpointCrash,
     ) -> bool {
         let known = self.known_crashes.get(crash);
@@ -338,7 +338,7 @@
         is_old || runs.any(|run| run.request == *request && run.crash == *crash)
     }
 
-    fn crashed_endpoints(&self, request: &RequestFingerprint) -> Vec<EndpointId> {
+    fn crashed_endpoints(&self, request: &Fingerprint) -> Vec<EndpointId> {
         let mut endpoints: Vec<EndpointId> = self
             .all_runs()
             .filter(|run| run.request == *request)
@@ -455,7 +455,7 @@
         let is_valid =
             |block: &&BlockedRequest| block.clearances >= self.suspicion(&block.request).clearances;
         let blocks = reports.flat_map(|report| &report.blocks).filter(is_valid);
-        let blocks: IndexMap<RequestFingerprint, BlockedRequest> =
+        let blocks: IndexMap<Fingerprint, BlockedRequest> =
             blocks.map(|block| (block.request, block.clone())).collect();
         self.update_blocked(now, blocks);
         self.remove_void_evidence();
@@ -466,7 +466,7 @@
     fn update_blocked(
         &mut self,
         now: Timestamp,
-        mut blocks: IndexMap<RequestFingerprint, BlockedRequest>,
+        mut blocks: IndexMap<Fingerprint, BlockedRequest>,
     ) {
         let ended = self
             .blocked
@@ -489,7 +489,7 @@
     }
 
     /// Returns why a request isn't blocked any more.
-    fn block_end(&self, request: &RequestFingerprint) -> BlockEnd {
+    fn block_end(&self, request: &Fingerprint) -> BlockEnd {
         let own = self.clearances.values().map(|own| &own.clearance);
         let peers = self.peers.values().flat_map(|peer| &peer.report.clearances);
         let clearances = own.chain(peers);
@@ -501,7 +501,7 @@
     /// Removes this node's evidence from before the last clearance of each request.
     fn remove_void_evidence(&mut self) {
         let assessments = &self.assessments;
-        let is_void = |request: &RequestFingerprint, number: u32| {
+        let is_void = |request: &Fingerprint, number: u32| {
             let assessment = assessments.get(request);
             assessment.is_some_and(|assessment| number < assessment.suspicion.clearances)
         };
--- a/crates/sesamecart-fleet/src/crash_tracker/admission.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use sesamecart_vocabulary::{EndpointId, RequestFingerprint, rendezvous_weight};
+use sesamecart_vocabulary::{EndpointId, Fingerprint, rendezvous_weight};
 
 use super::report::{BlockedRequest, ClearanceCause};
 
@@ -25,7 +25,7 @@
 /// Nodes that know the same endpoints choose the same one. Copies of a request that several nodes send at
 /// once crash only that one, and other suspected requests mostly run on other endpoints.
 pub fn suspect_endpoint<'a>(
-    request: &RequestFingerprint,
+    request: &Fingerprint,
     candidates: impl Iterator<Item = &'a EndpointId>,
 ) -> Option<usize> {
     let key = request.to_string();
@@ -53,7 +53,7 @@
     /// A request isn't blocked any more.
     Ended {
         /// The request.
-        request: RequestFingerprint,
+        request: Fingerprint,
         /// The cause.
         cause: BlockEnd,
         /// How long this node had known of the block.
--- a/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_vocabulary::RequestFingerprint;
+use sesamecart_vocabulary::Fingerprint;
 
 use super::CRASH_LIMIT;
 use super::report::{CrashReport, CrashedRun, EndpointCrash, Suspicion};
@@ -25,21 +25,21 @@
 }
 
 /// The runs that one crash interrupted, by request.
-type Interrupted<'a> = IndexMap<&'a RequestFingerprint, &'a CrashedRun>;
+type Interrupted<'a> = IndexMap<&'a Fingerprint, &'a CrashedRun>;
 
 /// The evidence of all nodes, ordered by crash.
 struct Evidence<'a> {
-    clearances: IndexMap<&'a RequestFingerprint, u32>,
-    blocked: IndexSet<&'a RequestFingerprint>,
+    clearances: IndexMap<&'a Fingerprint, u32>,
+    blocked: IndexSet<&'a Fingerprint>,
     crashes: IndexMap<&'a EndpointCrash, Interrupted<'a>>,
-    runs_of: IndexMap<&'a RequestFingerprint, Vec<&'a CrashedRun>>,
+    runs_of: IndexMap<&'a Fingerprint, Vec<&'a CrashedRun>>,
 }
 
 /// Assesses each request for which there is evidence. The result depends only on the set of reports, not on
 /// the order in which they arrived, so that all nodes reach the same one.
 pub(super) fn assess<'a>(
     reports: impl Iterator<Item = &'a CrashReport> + Clone,
-) -> IndexMap<RequestFingerprint, Assessment> {
+) -> IndexMap<Fingerprint, Assessment> {
     let evidence = Evidence::collect(reports);
     let requests = evidence.clearances.iter();
     requests
@@ -50,7 +50,7 @@
 impl<'a> Evidence<'a> {
     fn collect(reports: impl Iterator<Item = &'a CrashReport> + Clone) -> Self {
         let clearances = clearances(reports.clone());
-        let is_valid = |request: &RequestFingerprint, number: u32| {
+        let is_valid = |request: &Fingerprint, number: u32| {
             clearances.get(request).is_none_or(|last| number >= *last)
         };
         let blocks = reports.clone().flat_map(|report| &report.blocks);
@@ -61,7 +61,7 @@
         let runs = reports.flat_map(|report| &report.runs);
         let runs = runs.filter(|run| is_valid(&run.request, run.suspicion.clearances));
         let crashes = interrupted_by_crash(runs);
-        let mut runs_of: IndexMap<&RequestFingerprint, Vec<&CrashedRun>> = IndexMap::new();
+        let mut runs_of: IndexMap<&Fingerprint, Vec<&CrashedRun>> = IndexMap::new();
         for interrupted in crashes.values() {
             for (request, run) in interrupted {
                 runs_of.entry(request).or_default().push(run);
@@ -75,7 +75,7 @@
         }
     }
 
-    fn assess(&self, request: &RequestFingerprint, clearances: u32) -> Assessment {
+    fn assess(&self, request: &Fingerprint, clearances: u32) -> Assessment {
         let runs = self.runs_of.get(request);
         let runs = runs.map(Vec::as_slice).unwrap_or_default();
         let crashes = runs.iter().map(|run| run.suspicion.crashes + 1).max();
@@ -141,9 +141,9 @@
 /// Returns the number of clearances of each request that is mentioned in a report.
 fn clearances<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
-) -> IndexMap<&'a RequestFingerprint, u32> {
-    let mut clearances: IndexMap<&RequestFingerprint, u32> = IndexMap::new();
-    let mut raise = |request: &'a RequestFingerprint, number: u32| {
+) -> IndexMap<&'a Fingerprint, u32> {
+    let mut clearances: IndexMap<&Fingerprint, u32> = IndexMap::new();
+    let mut raise = |request: &'a Fingerprint, number: u32| {
         let last = clearances.entry(request).or_default();
         *last = (*last).max(number);
     };
--- a/crates/sesamecart-fleet/src/crash_tracker/report.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/report.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use sesamecart_vocabulary::{CustomerId, EndpointId, RequestFingerprint};
+use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint};
 
 use crate::endpoint::Endpoint;
 use crate::number::Incarnation;
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashedRun {
     /// The request.
-    pub request: RequestFingerprint,
+    pub request: Fingerprint,
     /// The crash.
     #[serde(flatten)]
     pub crash: EndpointCrash,
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BlockedRequest {
     /// The request.
-    pub request: RequestFingerprint,
+    pub request: Fingerprint,
     /// How often the request had been cleared before.
     pub clearances: u32,
     /// Who sends it.
@@ -116,7 +116,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Clearance {
     /// The request.
-    pub request: RequestFingerprint,
+    pub request: Fingerprint,
     /// The number of clearances of the request, including this one.
     pub number: u32,
     /// The cause.
@@ -150,7 +150,7 @@
     }
 
     /// Returns whether the report contains evidence about a request from after its clearance `number - 1`.
-    pub(super) fn concerns(&self, request: &RequestFingerprint) -> bool {
+    pub(super) fn concerns(&self, request: &Fingerprint) -> bool {
         self.runs.iter().any(|run| run.request == *request)
             || self.blocks.iter().any(|block| block.request == *request)
     }
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -6,7 +6,7 @@
 
 use fastrand::Rng;
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, NodeId, RequestFingerprint, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{EndpointId, Fingerprint, NodeId, RequestIdentity, Timestamp};
 
 use super::{
     BlockChange, CrashAdmission, CrashReport, CrashTracker, CrashedRun, EndpointCrash,
@@ -89,7 +89,7 @@
 }
 
 struct Request {
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     duration: Duration,
     is_culprit: bool,
     crashes: usize,
@@ -118,7 +118,7 @@
 #[derive(Default)]
 struct Node {
     tracker: CrashTracker,
-    unchecked: IndexMap<RequestFingerprint, EndpointCrash>,
+    unchecked: IndexMap<Fingerprint, EndpointCrash>,
 }
 
 struct Simulation {
@@ -134,12 +134,12 @@
     reports: Vec<(usize, CrashReport)>,
     /// Of the node that decides about suspected requests; messages to it take no time.
     starts: SuspectStarts,
-    blocked: Vec<RequestFingerprint>,
+    blocked: Vec<Fingerprint>,
     refused_innocents: usize,
 }
 
-fn fingerprint(body: &str) -> RequestFingerprint {
-    RequestFingerprint::of(&RequestIdentity {
+fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::of(&RequestIdentity {
         customer: None,
         host: "h",
         method: "POST",
@@ -323,11 +323,7 @@
     }
 
     /// Returns a running endpoint, or `None` if the request may be sent only to one that has stopped.
-    fn place(
-        &mut self,
-        fingerprint: &RequestFingerprint,
-        admission: CrashAdmission,
-    ) -> Option<usize> {
+    fn place(&mut self, fingerprint: &Fingerprint, admission: CrashAdmission) -> Option<usize> {
         let running: Vec<usize> = (0..ENDPOINTS)
             .filter(|index| self.endpoints[*index].is_up)
             .collect();
--- a/crates/sesamecart-fleet/src/crash_tracker/suspect_starts.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/suspect_starts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{RequestFingerprint, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, Timestamp};
 
 /// The minimum time between the starts of two runs of a suspected request.
 ///
@@ -17,7 +17,7 @@
 /// Decides for all nodes when a suspected request may be started.
 #[derive(Debug, Default)]
 pub struct SuspectStarts {
-    started_at: IndexMap<RequestFingerprint, Timestamp>,
+    started_at: IndexMap<Fingerprint, Timestamp>,
 }
 
 impl SuspectStarts {
@@ -26,11 +26,7 @@
     /// # Errors
     ///
     /// Returns the time after which it may be started, if it has been started too recently.
-    pub fn try_start(
-        &mut self,
-        now: Timestamp,
-        request: RequestFingerprint,
-    ) -> Result<(), Duration> {
+    pub fn try_start(&mut self, now: Timestamp, request: Fingerprint) -> Result<(), Duration> {
         self.started_at
             .retain(|_, started_at| now.since(*started_at) < MIN_START_INTERVAL);
         if let Some(started_at) = self.started_at.get(&request) {
--- a/crates/sesamecart-fleet/src/crash_tracker/suspect_starts/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/suspect_starts/tests.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use sesamecart_vocabulary::{RequestFingerprint, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, RequestIdentity, Timestamp};
 
 use super::{MAX_REQUESTS, MIN_START_INTERVAL, SuspectStarts};
 
-fn fingerprint(body: usize) -> RequestFingerprint {
-    RequestFingerprint::of(&RequestIdentity {
+fn fingerprint(body: usize) -> Fingerprint {
+    Fingerprint::of(&RequestIdentity {
         customer: None,
         host: "h",
         method: "POST",
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use sesamecart_vocabulary::{EndpointId, NodeId, RequestFingerprint, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{EndpointId, Fingerprint, NodeId, RequestIdentity, Timestamp};
 
 use super::{
     BLOCK_TTL, BlockChange, BlockEnd, CRASH_LIMIT, Clearance, ClearanceCause, CrashAdmission,
@@ -18,8 +18,8 @@
 /// The Unix time that is recorded in blocks.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
-fn request(body: &str) -> RequestFingerprint {
-    RequestFingerprint::of(&RequestIdentity {
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of(&RequestIdentity {
         customer: Some("customer-1"),
         host: "shop.example",
         method: "POST",
@@ -43,7 +43,7 @@
     }
 }
 
-fn run(request: RequestFingerprint, index: usize, crashes: u32) -> CrashedRun {
+fn run(request: Fingerprint, index: usize, crashes: u32) -> CrashedRun {
     CrashedRun {
         request,
         crash: crash(index),
@@ -56,7 +56,7 @@
 }
 
 /// Returns a run that was interrupted at another point each time.
-fn unlucky_run(request: RequestFingerprint, index: usize, crashes: u32) -> CrashedRun {
+fn unlucky_run(request: Fingerprint, index: usize, crashes: u32) -> CrashedRun {
     CrashedRun {
         ran_ms: 700 * u32::try_from(index).unwrap_or(u32::MAX),
         ..run(request, index, crashes)
@@ -72,7 +72,7 @@
 fn crash_endpoints(
     tracker: &mut CrashTracker,
     now: Timestamp,
-    request: RequestFingerprint,
+    request: Fingerprint,
 ) -> DueDecision {
     for index in 0..CRASH_LIMIT {
         let suspicion = tracker.suspicion(&request);
@@ -90,14 +90,14 @@
 }
 
 /// Blocks a request and returns the time of the decision.
-fn block(tracker: &mut CrashTracker, now: Timestamp, request: RequestFingerprint) -> Timestamp {
+fn block(tracker: &mut CrashTracker, now: Timestamp, request: Fingerprint) -> Timestamp {
     let due = crash_endpoints(tracker, now, request);
     let decided_at = now + SETTLE_TIME;
     assert!(tracker.block(decided_at, UNIX_MS, &due));
     decided_at
 }
 
-fn is_blocked(tracker: &CrashTracker, now: Timestamp, request: &RequestFingerprint) -> bool {
+fn is_blocked(tracker: &CrashTracker, now: Timestamp, request: &Fingerprint) -> bool {
     matches!(tracker.admission(now, request), CrashAdmission::Blocked(_))
 }
 
@@ -466,7 +466,7 @@
                 let culprit = request("crash");
                 let now = block(&mut tracker, START, culprit);
                 tracker.take_changes();
-                let clear: fn(&mut CrashTracker, Timestamp, &RequestFingerprint) = $clear;
+                let clear: fn(&mut CrashTracker, Timestamp, &Fingerprint) = $clear;
                 clear(&mut tracker, now, &culprit);
                 assert_eq!(tracker.admission(now, &culprit), CrashAdmission::Allowed);
                 assert_eq!(
@@ -614,7 +614,7 @@
 #[test]
 fn nodes_send_a_suspected_request_to_the_same_endpoint() {
     let endpoints: Vec<EndpointId> = (0..10).map(endpoint).collect();
-    let chosen = |request: RequestFingerprint| {
+    let chosen = |request: Fingerprint| {
         let here = suspect_endpoint(&request, endpoints.iter()).map(|index| &endpoints[index]);
         let reversed = suspect_endpoint(&request, endpoints.iter().rev());
         let there = reversed.map(|index| &endpoints[endpoints.len() - 1 - index]);
--- a/crates/sesamecart-vocabulary/src/fingerprint.rs
+++ b/crates/sesamecart-vocabulary/src/fingerprint.rs
@@ -6,9 +6,14 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::prompt::PromptPartId;
+
 /// The size of a fingerprint in bytes.
 const FINGERPRINT_BYTES: usize = 16;
 
+/// The first hashed byte of a part of a prompt. That of a request is 0 or 1.
+const PROMPT_PART_TAG: u8 = 2;
+
 /// The error of parsing a fingerprint.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 #[display("a fingerprint must be {} hexadecimal digits", 2 * FINGERPRINT_BYTES)]
@@ -31,19 +36,19 @@
     pub body: &'a [u8],
 }
 
-/// The fingerprint of a request: the same whenever a customer sends the same request, to any node.
+/// The fingerprint of a request, or of a part that the prompts of several requests share.
 ///
-/// It is a truncated SHA-256 hash, so that nobody can construct a request with the fingerprint of another
-/// one.
+/// That of a request is the same whenever a customer sends the same request, to any node. It is a truncated
+/// SHA-256 hash, so that nobody can construct a request with the fingerprint of another one.
 #[derive(
     Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
 )]
 #[debug("{self}")]
 #[display("{:032x}", u128::from_be_bytes(*_0))]
 #[serde(try_from = "String", into = "String")]
-pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
+pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
 
-impl RequestFingerprint {
+impl Fingerprint {
     /// Computes the fingerprint of a request.
     #[must_use]
     pub fn of(identity: &RequestIdentity<'_>) -> Self {
@@ -57,6 +62,19 @@
             hasher.update(part);
         }
         hasher.update(identity.body);
+        Self::truncated(hasher)
+    }
+
+    /// Computes the fingerprint of a part of a prompt, which is the same for all customers.
+    #[must_use]
+    pub fn of_prompt_part(part: PromptPartId) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update([PROMPT_PART_TAG]);
+        hasher.update(part.0.to_be_bytes());
+        Self::truncated(hasher)
+    }
+
+    fn truncated(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
@@ -64,7 +82,7 @@
     }
 }
 
-impl FromStr for RequestFingerprint {
+impl FromStr for Fingerprint {
     type Err = ParseFingerprintError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -77,7 +95,7 @@
     }
 }
 
-impl TryFrom<String> for RequestFingerprint {
+impl TryFrom<String> for Fingerprint {
     type Error = ParseFingerprintError;
 
     fn try_from(text: String) -> Result<Self, Self::Error> {
@@ -85,8 +103,8 @@
     }
 }
 
-impl From<RequestFingerprint> for String {
-    fn from(fingerprint: RequestFingerprint) -> Self {
+impl From<Fingerprint> for String {
+    fn from(fingerprint: Fingerprint) -> Self {
         fingerprint.to_string()
     }
 }
--- a/crates/sesamecart-vocabulary/src/fingerprint/tests.rs
+++ b/crates/sesamecart-vocabulary/src/fingerprint/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of which requests have the same fingerprint.
 
-use super::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
+use super::{Fingerprint, ParseFingerprintError, RequestIdentity};
 
 const REQUEST: RequestIdentity<'_> = RequestIdentity {
     customer: Some("customer-1"),
@@ -15,8 +15,8 @@
         $(
             #[test]
             fn $name() {
-                let other = RequestFingerprint::of(&$identity);
-                assert_ne!(other, RequestFingerprint::of(&REQUEST));
+                let other = Fingerprint::of(&$identity);
+                assert_ne!(other, Fingerprint::of(&REQUEST));
             }
         )*
     };
@@ -38,15 +38,12 @@
 #[test]
 fn the_same_request_has_the_same_fingerprint() {
     let again = RequestIdentity { ..REQUEST };
-    assert_eq!(
-        RequestFingerprint::of(&again),
-        RequestFingerprint::of(&REQUEST)
-    );
+    assert_eq!(Fingerprint::of(&again), Fingerprint::of(&REQUEST));
 }
 
 #[test]
 fn a_fingerprint_is_parsed_from_its_text() {
-    let fingerprint = RequestFingerprint::of(&REQUEST);
+    let fingerprint = Fingerprint::of(&REQUEST);
     assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
     for invalid in [
         "",
@@ -54,7 +51,14 @@
         "+2345678901234567890123456789012",
         "xy345678901234567890123456789012",
     ] {
-        let parsed: Result<RequestFingerprint, _> = invalid.parse();
+        let parsed: Result<Fingerprint, _> = invalid.parse();
         assert_eq!(parsed, Err(ParseFingerprintError));
     }
 }
+
+#[test]
+fn each_part_of_a_prompt_has_a_fingerprint() {
+    let of = |text: &str| Fingerprint::of_prompt_part(text.parse().expect("a valid ID"));
+    assert_eq!(of("a1"), of("A1"));
+    assert_ne!(of("a1"), of("a2"));
+}
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -14,7 +14,7 @@
 mod time;
 
 pub use class::{Priority, RequestClass};
-pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
+pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use hash::{SHARD_COUNT, rendezvous_weight, rendezvous_weight_of, stable_hash};
 pub use id::{
     AdapterId, AttemptId, CustomerId, EndpointId, FabricDomainId, FailureDomainId, GroupId,
