Accuse parts of prompts of crashes, not only whole requests

Cause: nodes attributed crashes to whole requests only. Each such request was new to all nodes, crashed two endpoints and was forgotten: 16 crashes interrupted 237 different requests, of which one was at three crashes in succession.

A suspect is now a whole request or a part of its prompt, in one tracker. Crashed runs name the parts of their prompts. A part is blocked after four successive crashes that nothing else explains; a part with which a request has completed, or run for half a second, needs eight, and doesn't explain the crashes of one that never has. A whole request explains no crash of a part in its own prompt. Parts are the same for all customers, but a customer's requests are blocked only if one of them was interrupted itself; else one at a time is run.

--- a/crates/sesamecart-entry/src/crashes.rs
+++ b/crates/sesamecart-entry/src/crashes.rs
@@ -16,7 +16,8 @@
 use event_listener::{Event as Notifier, EventListener};
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_fleet::{
-    CRASH_LIMIT, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts, Suspicion,
+    CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts, SuspectedPart, Suspects,
+    Suspicion, UncheckedCrash,
 };
 use sesamecart_vocabulary::Fingerprint;
 
@@ -29,7 +30,7 @@
 /// A run that ended because its endpoint closed the connection.
 #[derive(Debug)]
 pub(crate) struct InterruptedRun {
-    pub(crate) request: Fingerprint,
+    pub(crate) suspects: Arc<Suspects>,
     pub(crate) crash: EndpointCrash,
     pub(crate) context: SendContext,
     /// The time since the first sign of the response.
@@ -45,15 +46,34 @@
 /// What a node knows about a request when it sends it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SendContext {
-    pub(crate) suspicion: Suspicion,
-    /// The end of the last run of the request, if it is still being checked whether it was a crash.
-    pub(crate) unchecked: Option<EndpointCrash>,
+    /// What is known about the request and the parts of its prompt, unless nothing is.
+    pub(crate) suspicions: IndexMap<Fingerprint, Suspicion>,
+    /// The ends of their last runs, if it is still being checked whether these were crashes.
+    pub(crate) unchecked: Vec<UncheckedCrash>,
+    /// Whether the next crash may be the last one before the request, or one with a part of its prompt, is blocked.
+    pub(crate) is_last_chance: bool,
 }
 
 impl SendContext {
-    /// Returns whether the next crash may be the last one before the request is blocked.
-    pub(crate) const fn is_last_chance(&self) -> bool {
-        self.suspicion.crashes + self.unchecked.is_some() as u32 + 1 >= CRASH_LIMIT
+    fn new(
+        suspects: &Suspects,
+        suspicions: IndexMap<Fingerprint, Suspicion>,
+        unchecked: Vec<UncheckedCrash>,
+    ) -> Self {
+        let is_last_chance = suspicions.iter().any(|(suspect, suspicion)| {
+            let is_unchecked = unchecked.iter().any(|end| end.suspect == *suspect);
+            let crashes = suspicion.crashes + u32::from(is_unchecked);
+            crashes + 1 >= suspects.kind_of(suspect).crash_limit(suspicion.clearances)
+        });
+        Self {
+            suspicions,
+            unchecked,
+            is_last_chance,
+        }
+    }
+
+    fn suspicion(&self, suspect: &Fingerprint) -> Suspicion {
+        self.suspicions.get(suspect).copied().unwrap_or_default()
     }
 }
 
@@ -74,7 +94,7 @@
 #[derive(Debug)]
 pub(crate) struct Crashes {
     tracker: Mutex<CrashTracker>,
-    /// The last interrupted run of each request, while it is being checked whether it was a crash.
+    /// The end of the last interrupted run of each suspect, while it is being checked whether it was a crash.
     unchecked: Mutex<IndexMap<Fingerprint, EndpointCrash>>,
     /// The suspected requests that this node is running.
     running_suspects: Mutex<IndexSet<Fingerprint>>,
@@ -115,19 +135,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns what is known about a request, whose fingerprint is computed only if anything is known about
+    /// Returns what is known about a request, whose fingerprints are computed only if anything is known about
     /// any request.
-    pub(crate) fn send_context(&self, fingerprint: impl FnOnce() -> Fingerprint) -> SendContext {
+    pub(crate) fn send_context(&self, suspects: impl FnOnce() -> Arc<Suspects>) -> SendContext {
         let unchecked = self.unchecked();
         let tracker = self.tracker();
         if tracker.is_empty() && unchecked.is_empty() {
             return SendContext::default();
         }
-        let fingerprint = fingerprint();
-        SendContext {
-            suspicion: tracker.suspicion(&fingerprint),
-            unchecked: unchecked.get(&fingerprint).cloned(),
-        }
+        let suspects = suspects();
+        let suspicions = suspects.fingerprints();
+        let suspicions = suspicions.map(|suspect| (suspect, tracker.suspicion(&suspect)));
+        let ends = suspects.fingerprints().filter_map(|suspect| {
+            let crash = unchecked.get(&suspect).cloned()?;
+            Some(UncheckedCrash { suspect, crash })
+        });
+        SendContext::new(&suspects, suspicions.collect(), ends.collect())
     }
 
     /// Starts a run of a suspected request, unless this node is already running one.
@@ -146,19 +169,24 @@
 
     /// Queues the check whether the endpoint of an interrupted run has crashed.
     pub(crate) fn check(&self, run: InterruptedRun) {
-        let (request, crash) = (run.request, run.crash.clone());
-        self.unchecked().insert(request, crash.clone());
+        let (suspects, crash) = (Arc::clone(&run.suspects), run.crash.clone());
+        let ends = suspects
+            .fingerprints()
+            .map(|suspect| (suspect, crash.clone()));
+        self.unchecked().extend(ends);
         if self.interrupted.try_send(run).is_err() {
-            self.end_check(&request, &crash);
+            self.end_check(&suspects, &crash);
             log::debug!("crashes: too many interrupted runs wait for a check.");
         }
     }
 
     /// Records that the check of an interrupted run has ended.
-    fn end_check(&self, request: &Fingerprint, crash: &EndpointCrash) {
+    fn end_check(&self, suspects: &Suspects, crash: &EndpointCrash) {
         let mut unchecked = self.unchecked();
-        if unchecked.get(request) == Some(crash) {
-            unchecked.swap_remove(request);
+        for suspect in suspects.fingerprints() {
+            if unchecked.get(&suspect) == Some(crash) {
+                unchecked.swap_remove(&suspect);
+            }
         }
     }
 
@@ -174,11 +202,19 @@
 
 impl InterruptedRun {
     fn crashed_run(&self) -> CrashedRun {
+        let request = self.suspects.request;
+        let parts = self.suspects.parts.iter().map(|part| SuspectedPart {
+            part: part.fingerprint,
+            suspicion: self.context.suspicion(&part.fingerprint),
+        });
+        let parts: Vec<SuspectedPart> = parts.collect();
         CrashedRun {
-            request: self.request,
+            request,
             crash: self.crash.clone(),
-            suspicion: self.context.suspicion,
+            suspicion: self.context.suspicion(&request),
             ran_ms: u32::try_from(self.ran.as_millis()).unwrap_or(u32::MAX),
+            customer: self.suspects.customer.clone().filter(|_| !parts.is_empty()),
+            parts,
         }
     }
 
--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -13,7 +13,7 @@
 };
 use sesamecart_platform::{AppendCondition, Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
-use sesamecart_vocabulary::{NodeId, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, NodeId, Timestamp};
 
 use crate::clock;
 use crate::crashes::InterruptedRun;
@@ -119,20 +119,20 @@
         if *has_crashed.get_or_init(|| check).await && !self.is_mass_loss(&run).await {
             self.record_crash(&run);
         }
-        self.state.crashes.end_check(&run.request, &run.crash);
+        self.state.crashes.end_check(&run.suspects, &run.crash);
         run.checked.close();
     }
 
     /// Returns whether a crash that may lead to a block is part of a larger loss, so that no request is its
     /// cause.
     async fn is_mass_loss(&self, run: &InterruptedRun) -> bool {
-        if !run.context.is_last_chance() {
+        if !run.context.is_last_chance {
             return false;
         }
         let neighbors = self.check_neighbors(run).await;
         if neighbors.is_mass_loss() {
             self.state.events.write(&Event::CrashExcused {
-                fingerprint: run.request,
+                fingerprint: run.suspects.request,
                 endpoint: run.crash.endpoint.as_str(),
                 checked: neighbors.checked,
                 stopped: neighbors.stopped,
@@ -144,11 +144,11 @@
     fn record_crash(&self, run: &InterruptedRun) {
         let now = clock::now();
         let has_failed = run.has_failed();
-        let request = run.request;
+        let request = run.suspects.request;
         let suspicion = {
             let mut tracker = self.state.crashes.tracker();
-            let earlier = run.context.unchecked.as_ref();
-            tracker.record_crash(now, run.crashed_run(), earlier, run.origin.clone());
+            let unchecked = &run.context.unchecked;
+            tracker.record_crash(now, run.crashed_run(), unchecked, run.origin.clone());
             if has_failed {
                 tracker.record_failure(now, &request);
             }
@@ -275,6 +275,7 @@
             return Vec::new();
         };
         let now = clock::now();
+        let suspects: Vec<Fingerprint> = run.suspects.fingerprints().collect();
         let tracker = self.state.crashes.tracker();
         let group = crashed.group_key();
         let others = directory.listed().filter(|other| {
@@ -282,7 +283,7 @@
                 && other.failure_domain == crashed.failure_domain
                 && other.id != crashed.id
                 && (group.is_none() || other.group_key() != group)
-                && !tracker.is_separate_crash(now, &run.request, &EndpointCrash::of(other))
+                && !tracker.is_separate_crash(now, &suspects, &EndpointCrash::of(other))
         });
         let mut others: Vec<Arc<Endpoint>> = others.cloned().collect();
         fastrand::shuffle(&mut others);
@@ -353,6 +354,7 @@
                     let customer = block.origin.customer.as_ref();
                     self.state.events.write(&Event::RequestBlocked {
                         fingerprint: block.request,
+                        part: block.part.as_deref().unwrap_or_default(),
                         route: &block.origin.route,
                         customer: customer.map_or("", |customer| customer.as_str()),
                         endpoints: &endpoints,
--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -7,7 +7,8 @@
 use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::{
-    Directory, Endpoint, EndpointCrash, EndpointState, Incarnation, RequestOrigin, Suspicion,
+    Directory, Endpoint, EndpointCrash, EndpointState, Incarnation, RequestOrigin, Suspects,
+    Suspicion,
 };
 use sesamecart_platform::Store as StoreClient;
 use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
@@ -82,17 +83,21 @@
     /// interrupted.
     fn crashes_after_run_at(&self, endpoint: &Endpoint, crashes_before: u32) -> u32 {
         let request = request();
+        let suspects = Suspects {
+            request,
+            parts: Vec::new(),
+            customer: None,
+        };
+        let suspicion = Suspicion {
+            crashes: crashes_before,
+            clearances: 0,
+        };
+        let suspicions = [(request, suspicion)].into_iter().collect();
         let (checked, _closed) = async_channel::bounded(1);
         let run = InterruptedRun {
-            request,
             crash: EndpointCrash::of(endpoint),
-            context: SendContext {
-                suspicion: Suspicion {
-                    crashes: crashes_before,
-                    clearances: 0,
-                },
-                unchecked: None,
-            },
+            context: SendContext::new(&suspects, suspicions, Vec::new()),
+            suspects: Arc::new(suspects),
             ran: Duration::ZERO,
             origin: RequestOrigin::default(),
             address: endpoint.address,
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -260,10 +260,13 @@
         /// The number of those that have stopped or can't be reached.
         stopped: usize,
     },
-    /// A request is refused from now on, because it has crashed several endpoints in succession.
+    /// A request, or requests with one part in their prompts, are refused from now on, because they have crashed
+    /// several endpoints in succession.
     RequestBlocked {
-        /// The fingerprint of the request.
+        /// The fingerprint of the request or of the part.
         fingerprint: Fingerprint,
+        /// The part; empty if one request is blocked.
+        part: &'a str,
         /// Its route.
         route: &'a str,
         /// The customer that sends it; empty if the route needs no key.
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
 use sesamecart_edges::{HttpClient, PooledConnection};
-use sesamecart_fleet::{Catalog, Customer, PathRoute, Unavailable};
+use sesamecart_fleet::{Catalog, Customer, PathRoute, SharedPart, Suspects, Unavailable};
 use sesamecart_platform::{RequestMetadata, shared_prompt_parts};
 use sesamecart_vocabulary::{EndpointId, Fingerprint, RequestIdentity, ServiceId, Timestamp};
 
@@ -43,7 +43,7 @@
     pub(crate) state: Arc<EntryState>,
     pub(crate) client: HttpClient,
     pub(crate) limits: LimitClient,
-    pub(crate) suspects: SuspectClient,
+    pub(crate) suspect_starts: SuspectClient,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Arc<PathRoute>,
     pub(crate) customer: Option<Arc<Customer>>,
@@ -53,8 +53,8 @@
     pub(crate) arrived_at: Timestamp,
     /// Set if another node has sent the request.
     pub(crate) hop: Option<Hop>,
-    /// Computed when it is first needed.
-    pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// Computed when they are first needed.
+    pub(crate) suspects: OnceLock<Arc<Suspects>>,
     /// Whether the request has ended without a complete response.
     pub(crate) has_failed: Arc<AtomicBool>,
 }
@@ -153,23 +153,39 @@
 impl Call {
     /// Returns the fingerprint, which is the same for all attempts of the caller.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let customer = self.customer.as_ref();
+        self.suspects().request
+    }
+
+    /// Returns what a crash under the request may be attributed to.
+    pub(crate) fn suspects(&self) -> Arc<Suspects> {
+        let suspects = self.suspects.get_or_init(|| {
+            let customer = self.customer.as_ref().map(|customer| &customer.id);
             let target = self.head.uri.path_and_query();
-            Fingerprint::of(&RequestIdentity {
-                customer: customer.map(|customer| customer.id.as_str()),
+            let request = Fingerprint::of(&RequestIdentity {
+                customer: customer.map(|customer| customer.as_str()),
                 host: &self.metadata.host,
                 method: self.head.method.as_str(),
                 target: target.map_or("/", |target| target.as_str()),
                 body: &self.body,
+            });
+            let parts = shared_prompt_parts(&self.head.headers);
+            Arc::new(Suspects {
+                request,
+                parts: parts.into_iter().map(SharedPart::from).collect(),
+                customer: customer.cloned(),
             })
-        })
+        });
+        Arc::clone(suspects)
     }
 
     /// Returns the parts of the prompt that other requests may share, for the log.
     pub(crate) fn prompt_parts_text(&self) -> String {
-        let parts = shared_prompt_parts(&self.head.headers);
-        let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+        let suspects = self.suspects();
+        let parts: Vec<String> = suspects
+            .parts
+            .iter()
+            .map(|part| part.id.to_string())
+            .collect();
         parts.join(",")
     }
 
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -30,7 +30,7 @@
     state: Arc<EntryState>,
     client: HttpClient,
     limits: LimitClient,
-    suspects: SuspectClient,
+    suspect_starts: SuspectClient,
 }
 
 impl Handler {
@@ -38,13 +38,13 @@
         state: Arc<EntryState>,
         client: HttpClient,
         limits: LimitClient,
-        suspects: SuspectClient,
+        suspect_starts: SuspectClient,
     ) -> Self {
         Self {
             state,
             client,
             limits,
-            suspects,
+            suspect_starts,
         }
     }
 
@@ -116,7 +116,7 @@
             state: Arc::clone(&self.state),
             client: self.client.clone(),
             limits: self.limits.clone(),
-            suspects: self.suspects.clone(),
+            suspect_starts: self.suspect_starts.clone(),
             catalog: admitted.catalog,
             route: admitted.route,
             customer: admitted.customer,
@@ -125,7 +125,7 @@
             body,
             arrived_at,
             hop,
-            fingerprint: OnceLock::new(),
+            suspects: OnceLock::new(),
             has_failed: Arc::default(),
         });
         // The demand of a caller counts at the node that it called.
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -6,7 +6,7 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
 use sesamecart_edges::{CallerBody, whole};
-use sesamecart_fleet::Unavailable;
+use sesamecart_fleet::{SuspectKind, Unavailable};
 use sesamecart_platform::retry_after;
 use sesamecart_vocabulary::Fingerprint;
 
@@ -17,7 +17,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct CrashRefusal {
     pub(crate) fingerprint: Fingerprint,
-    /// Whether the request is blocked, rather than still being checked.
+    /// Whether that is of the request or of a part of its prompt.
+    pub(crate) kind: SuspectKind,
+    /// Whether it is blocked, rather than still being checked.
     pub(crate) is_blocked: bool,
     pub(crate) retry_after: Duration,
 }
@@ -33,16 +35,18 @@
 
 impl std::fmt::Display for CrashRefusal {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let fingerprint = self.fingerprint;
+        let Self {
+            fingerprint, kind, ..
+        } = self;
         if self.is_blocked {
             write!(
                 f,
-                "request {fingerprint} is blocked because it crashed endpoints that ran it"
+                "{kind} {fingerprint} is blocked because it crashed endpoints that ran it"
             )
         } else {
             write!(
                 f,
-                "it is being checked whether request {fingerprint} crashed its endpoints"
+                "it is being checked whether {kind} {fingerprint} crashed its endpoints"
             )
         }
     }
--- a/crates/sesamecart-entry/src/traffic/suspicion.rs
+++ b/crates/sesamecart-entry/src/traffic/suspicion.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use sesamecart_fleet::{CrashAdmission, Endpoint, EndpointCrash, RequestOrigin, suspect_endpoint};
+use sesamecart_fleet::{
+    AdmittedSuspect, CrashAdmission, Endpoint, EndpointCrash, RequestOrigin, suspect_endpoint,
+};
 use sesamecart_runtime::with_timeout;
 
 use crate::clock;
@@ -23,16 +25,19 @@
 impl Call {
     /// Returns what is known about the request now.
     pub(super) fn send_context(&self) -> SendContext {
-        self.state.crashes.send_context(|| self.fingerprint())
+        self.state.crashes.send_context(|| self.suspects())
     }
 
     /// Returns whether the request may be sent to an endpoint.
-    fn crash_admission(&self) -> CrashAdmission {
+    ///
+    /// Returns `None` if it isn't suspected, like all others.
+    fn crash_admission(&self) -> Option<AdmittedSuspect> {
         let tracker = self.state.crashes.tracker();
         if tracker.is_empty() {
-            return CrashAdmission::Allowed;
+            return None;
         }
-        tracker.admission(clock::now(), &self.fingerprint())
+        let admitted = tracker.admission_of(clock::now(), &self.suspects());
+        (admitted.admission != CrashAdmission::Allowed).then_some(admitted)
     }
 
     /// Allows the request to be sent to an endpoint, with a guard if it is suspected.
@@ -41,25 +46,29 @@
     ///
     /// Refuses a request that may crash its endpoint, or of which a node is already running a copy.
     pub(super) async fn admit_to_endpoint(&self) -> Result<Option<SuspectRun>, Refusal> {
+        let Some(AdmittedSuspect { suspect, admission }) = self.crash_admission() else {
+            return Ok(None);
+        };
         let refused = |is_blocked, retry_after| {
             Err(Refusal::Crashing(CrashRefusal {
-                fingerprint: self.fingerprint(),
+                fingerprint: suspect,
+                kind: self.suspects().kind_of(&suspect),
                 is_blocked,
                 retry_after,
             }))
         };
-        match self.crash_admission() {
+        match admission {
             CrashAdmission::Allowed => Ok(None),
             CrashAdmission::Undecided(remaining) => refused(false, remaining),
             CrashAdmission::Blocked(remaining) => refused(true, remaining),
             CrashAdmission::Restricted => {
-                let run = self.state.crashes.start_suspect(self.fingerprint());
+                let run = self.state.crashes.start_suspect(suspect);
                 let Some(run) = run else {
                     return refused(false, OTHER_COPY_RETRY_AFTER);
                 };
                 // The node that has sent the request to this one has asked.
                 if self.hop.is_none()
-                    && let Err(retry_after) = self.suspects.try_start(self.fingerprint()).await
+                    && let Err(retry_after) = self.suspect_starts.try_start(suspect).await
                 {
                     return refused(false, retry_after);
                 }
@@ -78,9 +87,12 @@
         candidates: &[&Arc<Endpoint>],
         endpoints: &mut Vec<&Arc<Endpoint>>,
     ) {
-        if self.crash_admission() != CrashAdmission::Restricted {
+        let admitted = self.crash_admission();
+        let restricted =
+            admitted.filter(|admitted| admitted.admission == CrashAdmission::Restricted);
+        let Some(AdmittedSuspect { suspect, .. }) = restricted else {
             return;
-        }
+        };
         let has_run =
             |endpoint: &Endpoint| attempts.may_have_run() && attempts.tried.contains(&endpoint.id);
         let tracker = self.state.crashes.tracker();
@@ -90,7 +102,7 @@
         let candidates: Vec<_> = candidates.collect();
         drop(tracker);
         let ids = candidates.iter().map(|endpoint| &endpoint.id);
-        let chosen = suspect_endpoint(&self.fingerprint(), ids).map(|index| &candidates[index].id);
+        let chosen = suspect_endpoint(&suspect, ids).map(|index| &candidates[index].id);
         endpoints.retain(|endpoint| Some(&endpoint.id) == chosen);
     }
 
@@ -99,16 +111,13 @@
     pub(super) fn check_for_crash(&self, interrupted: &InFlightRequest) -> Receiver<()> {
         let (checked, closed) = async_channel::bounded(1);
         let endpoint = &interrupted.endpoint;
-        let customer = self.customer.as_ref();
+        let suspects = self.suspects();
         self.state.crashes.check(InterruptedRun {
-            request: self.fingerprint(),
             crash: EndpointCrash::of(endpoint),
             context: interrupted.context.clone(),
             ran: interrupted.ran(),
-            origin: RequestOrigin::new(
-                &self.route.name,
-                customer.map(|customer| customer.id.clone()),
-            ),
+            origin: RequestOrigin::new(&self.route.name, &suspects),
+            suspects,
             address: endpoint.address,
             has_failed: Arc::clone(&self.has_failed),
             checked,
@@ -118,7 +127,7 @@
 
     /// Waits for the check of an interrupted run if the run may decide whether the request is blocked.
     pub(super) async fn wait_for_check(&self, context: &SendContext, closed: Receiver<()>) {
-        if !context.is_last_chance() {
+        if !context.is_last_chance {
             return;
         }
         if with_timeout(CHECK_TIMEOUT, closed.recv()).await.is_err() {
@@ -141,9 +150,13 @@
         if tracker.is_empty() {
             return;
         }
-        let is_cleared = tracker.record_completion(clock::now(), &self.fingerprint());
+        let now = clock::now();
+        let suspects = self.suspects();
+        let is_cleared = tracker.record_completion(now, &suspects.request);
+        let parts = suspects.parts.iter().map(|part| part.fingerprint);
+        let has_cleared_parts = tracker.record_harmless_parts(now, parts);
         drop(tracker);
-        if is_cleared {
+        if is_cleared || has_cleared_parts {
             self.state.crashes.notify();
         }
     }
--- a/crates/sesamecart-fleet/examples/crashes.rs
+++ b/crates/sesamecart-fleet/examples/crashes.rs
@@ -32,6 +32,8 @@
         },
         suspicion: Suspicion::default(),
         ran_ms: 80,
+        parts: Vec::new(),
+        customer: None,
     });
     CrashReport {
         runs: runs.collect(),
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -1,39 +1,49 @@
-//! Finds requests that crash the endpoints that run them, and blocks them.
+//! Finds requests that crash the endpoints that run them, and parts of prompts that do, and blocks them.
 //!
 //! A caller that gets no response sends its request again, to any node. Each node would treat it as a new
 //! request and send it to one endpoint after another, and each of them would crash, with all other requests
-//! that it is running. Nodes therefore tell each other which requests were in flight at a crash. Most of
-//! these only shared the endpoint; they are cleared as soon as they complete elsewhere.
+//! that it is running. The same happens if different requests share a part of their prompts that crashes
+//! endpoints. Nodes therefore tell each other which requests were in flight at a crash. Most of these only
+//! shared the endpoint; they are cleared as soon as they complete elsewhere.
+//!
+//! A suspect is whatever a crash may be attributed to: a whole request, or a part of its prompt.
 //! docs/design/crashing-requests.md describes the rules.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_vocabulary::{EndpointId, Fingerprint, NodeId, Timestamp};
+use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint, NodeId, Timestamp};
 
 mod admission;
 mod assessment;
+mod harmless_parts;
 mod own_evidence;
 mod report;
 mod sharing;
 #[cfg(test)]
 mod simulation_tests;
 mod suspect_starts;
+mod suspects;
 #[cfg(test)]
 mod tests;
 
-pub use admission::{BlockChange, BlockEnd, CrashAdmission, NeighborCheck, suspect_endpoint};
+pub use admission::{
+    AdmittedSuspect, BlockChange, BlockEnd, CrashAdmission, NeighborCheck, suspect_endpoint,
+};
 use assessment::Assessment;
+use harmless_parts::HarmlessParts;
 use own_evidence::{OwnBlock, OwnClearance, OwnRun, probation};
 pub use report::{
     BlockedRequest, Clearance, ClearanceCause, CrashReport, CrashedRun, EndpointCrash,
-    RequestOrigin, Suspicion,
+    RequestOrigin, SuspectedPart, Suspicion,
 };
 use sharing::Published;
 pub use suspect_starts::SuspectStarts;
+pub use suspects::{SharedPart, SuspectKind, Suspects};
 
-/// The number of successive crashes after which a request is blocked.
-pub const CRASH_LIMIT: u32 = 3;
+/// How long a run has to last to show that the parts of its prompt are harmless, though it was interrupted then. A
+/// part that crashes endpoints does so when the response begins.
+const HARMLESS_RUN_TIME: Duration = Duration::from_millis(500);
 
 /// How long a request stays blocked, and how long evidence about it is kept.
 ///
@@ -66,18 +76,30 @@
 /// The maximum number of requests in flight at crashes that a node keeps.
 const MAX_OWN_RUNS: usize = 128;
 
+/// The maximum number of clearances that a node keeps. The oldest one is forgotten first.
+const MAX_OWN_CLEARANCES: usize = 1_024;
+
 /// The maximum number of requests that a node blocks.
 const MAX_OWN_BLOCKS: usize = 64;
 
 /// A crash that is enough to block a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DueDecision {
-    /// The request.
+    /// The request, or the part of its prompt.
     pub request: Fingerprint,
     /// The crash.
     pub crash: EndpointCrash,
 }
 
+/// The end of the last run of a suspect when a request with it was sent, before it was known whether that was a crash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UncheckedCrash {
+    /// The suspect.
+    pub suspect: Fingerprint,
+    /// The end of its endpoint.
+    pub crash: EndpointCrash,
+}
+
 #[derive(Clone, Debug)]
 struct PeerReport {
     report: CrashReport,
@@ -111,6 +133,8 @@
     undecided: IndexMap<Fingerprint, Undecided>,
     /// Since when each crash has been known.
     known_crashes: IndexMap<EndpointCrash, Timestamp>,
+    /// The parts of prompts with which requests of this node have completed.
+    harmless: HarmlessParts,
     changes: Vec<BlockChange>,
 }
 
@@ -171,36 +195,71 @@
             }
         }
         let assessment = self.assessments.get(request);
-        if assessment.is_some_and(|assessment| assessment.strikes + 1 >= CRASH_LIMIT) {
+        if assessment.is_some_and(Assessment::is_one_strike_away) {
             return CrashAdmission::Restricted;
         }
         CrashAdmission::Allowed
     }
 
+    /// Returns whether a request may be sent to an endpoint, and the suspect that decides about it.
+    ///
+    /// Requests of customers without a crash of their own aren't blocked for a part of their prompts. One at a time is
+    /// run, which shows whether the part is harmless for them.
+    #[must_use]
+    pub fn admission_of(&self, now: Timestamp, suspects: &Suspects) -> AdmittedSuspect {
+        let verdicts = suspects.fingerprints().map(|suspect| {
+            let mut admission = self.admission(now, &suspect);
+            let is_part = suspect != suspects.request;
+            if is_part && !self.is_accused(&suspect, &suspects.customer) {
+                admission = admission.without_evidence();
+            }
+            AdmittedSuspect { suspect, admission }
+        });
+        let strikes =
+            |suspect: &Fingerprint| self.assessments.get(suspect).map_or(0, |a| a.strikes);
+        let verdict = verdicts
+            .max_by_key(|verdict| (verdict.admission.severity(), strikes(&verdict.suspect)));
+        verdict.unwrap_or(AdmittedSuspect {
+            suspect: suspects.request,
+            admission: CrashAdmission::Allowed,
+        })
+    }
+
+    /// Returns whether requests of a customer were interrupted with a part in their prompts.
+    fn is_accused(&self, part: &Fingerprint, customer: &Option<CustomerId>) -> bool {
+        let assessment = self.assessments.get(part);
+        let blocked = self.blocked.get(part);
+        assessment.is_some_and(|assessment| assessment.customers.contains(customer))
+            || blocked.is_some_and(|known| known.block.origin.customer == *customer)
+    }
+
     /// Records that a request of this node was in flight at a crash.
     ///
-    /// If it was sent after `earlier`, but before it was known that this was a crash, it counts as the next
-    /// crash after that one.
+    /// If it was sent after one of the `unchecked` ends of endpoints, but before it was known that this was a crash,
+    /// it counts as the next crash after that one.
     pub fn record_crash(
         &mut self,
         now: Timestamp,
         mut run: CrashedRun,
-        earlier: Option<&EndpointCrash>,
+        unchecked: &[UncheckedCrash],
         origin: RequestOrigin,
     ) {
-        let earlier = self.runs.iter().find(|own| {
-            own.run.request == run.request && earlier.is_some_and(|crash| own.run.crash == *crash)
-        });
-        if let Some(own) = earlier {
-            let crashes = own.run.suspicion.crashes + 1;
-            run.suspicion.crashes = run.suspicion.crashes.max(crashes);
+        let ran = Duration::from_millis(u64::from(run.ran_ms));
+        if ran >= HARMLESS_RUN_TIME {
+            let parts = run.parts.iter().map(|part| part.part);
+            self.record_harmless_parts(now, parts);
         }
+        self.count_unchecked(&mut run, unchecked);
+        run.parts.retain(|part| {
+            part.suspicion.clearances >= self.suspicion(&part.part).clearances
+                && !self.harmless.contains(now, &part.part)
+        });
         let is_known = self.runs.iter().any(|own| own.run == run);
         if is_known || run.suspicion.clearances < self.suspicion(&run.request).clearances {
             return;
         }
         let request = run.request;
-        let is_repeated = run.suspicion.crashes > 0;
+        let is_repeated = run.most_crashes() > 0;
         self.runs.push(OwnRun {
             run,
             origin,
@@ -216,10 +275,30 @@
         self.reassess(now);
     }
 
+    /// Counts the crashes that were being checked when a run was sent.
+    fn count_unchecked(&self, run: &mut CrashedRun, unchecked: &[UncheckedCrash]) {
+        let crashes_of = |suspect: &Fingerprint| {
+            let earlier = unchecked
+                .iter()
+                .find(|earlier| earlier.suspect == *suspect)?;
+            let mut runs = self.runs.iter().map(|own| &own.run);
+            let earlier = runs.find(|own| own.crash == earlier.crash && own.concerns(suspect))?;
+            Some(earlier.suspicion_of(suspect)?.crashes + 1)
+        };
+        if let Some(crashes) = crashes_of(&run.request) {
+            run.suspicion.crashes = run.suspicion.crashes.max(crashes);
+        }
+        for part in &mut run.parts {
+            if let Some(crashes) = crashes_of(&part.part) {
+                part.suspicion.crashes = part.suspicion.crashes.max(crashes);
+            }
+        }
+    }
+
     /// Removes the run that says least: the oldest one of those to which fewest crashes were attributed.
     fn remove_weakest_run(&mut self) {
         let runs = self.runs.iter().enumerate();
-        let weakest = runs.min_by_key(|(index, own)| (own.run.suspicion.crashes, *index));
+        let weakest = runs.min_by_key(|(index, own)| (own.run.most_crashes(), *index));
         if let Some((index, _)) = weakest {
             self.runs.remove(index);
         }
@@ -247,6 +326,21 @@
         is_suspected
     }
 
+    /// Records that parts of prompts are harmless, as a request with them has run for some time. Returns whether this
+    /// cleared one of them.
+    pub fn record_harmless_parts(
+        &mut self,
+        now: Timestamp,
+        parts: impl IntoIterator<Item = Fingerprint>,
+    ) -> bool {
+        let mut has_cleared = false;
+        for part in parts {
+            self.harmless.insert(now, part);
+            has_cleared |= self.record_completion(now, &part);
+        }
+        has_cleared
+    }
+
     /// Lifts the block of a request. Returns whether it was blocked.
     pub fn lift(&mut self, now: Timestamp, request: &Fingerprint) -> bool {
         let is_blocked = self.blocked.contains_key(request);
@@ -268,27 +362,36 @@
             is_shared: self.published.report.concerns(request),
         };
         self.clearances.insert(*request, own);
+        if self.clearances.len() > MAX_OWN_CLEARANCES {
+            self.clearances.shift_remove_index(0);
+        }
         self.reassess(now);
     }
 
     /// Returns the crashes observed by this node whose cause has to be decided now.
     #[must_use]
     pub fn due_decisions(&self, now: Timestamp) -> Vec<DueDecision> {
-        let runs = self.runs.iter().filter(|own| {
-            (SETTLE_TIME..DECISION_TIMEOUT).contains(&now.since(own.observed_at))
-                && self.is_decisive(&own.run)
-                && !self.blocked.contains_key(&own.run.request)
+        let runs = self
+            .runs
+            .iter()
+            .filter(|own| (SETTLE_TIME..DECISION_TIMEOUT).contains(&now.since(own.observed_at)));
+        let suspected = runs.flat_map(|own| {
+            let suspects = own.run.suspects();
+            suspects.map(|suspect| (suspect, &own.run.crash))
+        });
+        let due = suspected.filter(|(suspect, crash)| {
+            self.is_decisive(suspect, crash) && !self.blocked.contains_key(suspect)
         });
-        let due = runs.map(|own| DueDecision {
-            request: own.run.request,
-            crash: own.run.crash.clone(),
+        let due = due.map(|(request, crash)| DueDecision {
+            request,
+            crash: crash.clone(),
         });
         due.collect()
     }
 
-    fn is_decisive(&self, run: &CrashedRun) -> bool {
-        let assessment = self.assessments.get(&run.request);
-        assessment.is_some_and(|assessment| assessment.decisive.contains(&run.crash))
+    fn is_decisive(&self, suspect: &Fingerprint, crash: &EndpointCrash) -> bool {
+        let assessment = self.assessments.get(suspect);
+        assessment.is_some_and(|assessment| assessment.decisive.contains(crash))
     }
 
     /// Blocks a request, unless it has been cleared or has come into less question since its decision was
@@ -299,8 +402,11 @@
         let Some(own) = own.filter(|_| is_due) else {
             return false;
         };
+        let parts = own.origin.parts.iter().copied().map(SharedPart::from);
+        let mut parts = parts.filter(|part| part.fingerprint == due.request);
         let block = BlockedRequest {
             request: due.request,
+            part: parts.next().map(|part| part.id.to_string()),
             clearances: self.suspicion(&due.request).clearances,
             origin: own.origin.clone(),
             endpoints: self.crashed_endpoints(&due.request),
@@ -324,24 +430,28 @@
     }
 
     /// Returns whether a crash has another cause than a crash of an endpoint nearby that has just happened:
-    /// it was known before, or the same request was running there.
+    /// it was known before, or the same request or one with the same part in its prompt was running there.
     #[must_use]
     pub fn is_separate_crash(
         &self,
         now: Timestamp,
-        request: &Fingerprint,
+        suspects: &[Fingerprint],
         crash: &EndpointCrash,
     ) -> bool {
         let known = self.known_crashes.get(crash);
         let is_old = known.is_some_and(|since| now.since(*since) >= SIMULTANEITY);
         let mut runs = self.all_runs();
-        is_old || runs.any(|run| run.request == *request && run.crash == *crash)
+        let is_same = |run: &CrashedRun| {
+            let mut suspects = suspects.iter();
+            run.crash == *crash && suspects.any(|suspect| run.concerns(suspect))
+        };
+        is_old || runs.any(is_same)
     }
 
     fn crashed_endpoints(&self, request: &Fingerprint) -> Vec<EndpointId> {
         let mut endpoints: Vec<EndpointId> = self
             .all_runs()
-            .filter(|run| run.request == *request)
+            .filter(|run| run.concerns(request))
             .map(|run| run.crash.endpoint.clone())
             .collect();
         endpoints.sort_unstable();
@@ -507,6 +617,11 @@
         };
         self.runs
             .retain(|own| !is_void(&own.run.request, own.run.suspicion.clearances));
+        for own in &mut self.runs {
+            own.run
+                .parts
+                .retain(|part| !is_void(&part.part, part.suspicion.clearances));
+        }
         self.blocks
             .retain(|request, own| !is_void(request, own.block.clearances));
     }
@@ -521,7 +636,9 @@
 
     fn update_undecided(&mut self, now: Timestamp) {
         let undecided = self.assessments.iter().filter(|(request, assessment)| {
-            assessment.strikes >= CRASH_LIMIT && !self.blocked.contains_key(*request)
+            assessment.limit > 0
+                && assessment.strikes >= assessment.limit
+                && !self.blocked.contains_key(*request)
         });
         let undecided = undecided.map(|(request, assessment)| {
             let strikes = assessment.strikes;
--- a/crates/sesamecart-fleet/src/crash_tracker/admission.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/admission.rs
@@ -20,6 +20,35 @@
     Blocked(Duration),
 }
 
+/// Whether a request may be sent to an endpoint, and the suspect that decides about it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmittedSuspect {
+    /// The request, or a part of its prompt.
+    pub suspect: Fingerprint,
+    /// What follows for the request.
+    pub admission: CrashAdmission,
+}
+
+impl CrashAdmission {
+    /// Returns what follows for a customer whose requests weren't interrupted with the suspect.
+    pub(super) const fn without_evidence(self) -> Self {
+        match self {
+            Self::Allowed => Self::Allowed,
+            Self::Restricted | Self::Undecided(_) | Self::Blocked(_) => Self::Restricted,
+        }
+    }
+
+    /// Returns the rank of the treatment, the strictest one last.
+    pub(super) const fn severity(self) -> u8 {
+        match self {
+            Self::Allowed => 0,
+            Self::Restricted => 1,
+            Self::Undecided(_) => 2,
+            Self::Blocked(_) => 3,
+        }
+    }
+}
+
 /// Returns the index of the endpoint that a suspected request may be sent to, by rendezvous hashing.
 ///
 /// Nodes that know the same endpoints choose the same one. Copies of a request that several nodes send at
--- a/crates/sesamecart-fleet/src/crash_tracker/own_evidence.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/own_evidence.rs
@@ -2,10 +2,11 @@
 
 use sesamecart_vocabulary::Timestamp;
 
+use super::DueDecision;
 use super::report::{
-    BlockedRequest, Clearance, CrashedRun, EndpointCrash, RequestOrigin, Suspicion,
+    BlockedRequest, Clearance, CrashedRun, EndpointCrash, RequestOrigin, SuspectedPart, Suspicion,
 };
-use super::{CRASH_LIMIT, DueDecision};
+use super::suspects::SuspectKind;
 use crate::number::Incarnation;
 
 /// A run that this node observed.
@@ -35,25 +36,38 @@
 
 impl OwnRun {
     pub(super) fn is_of(&self, due: &DueDecision) -> bool {
-        self.run.request == due.request && self.run.crash == due.crash
+        self.run.concerns(&due.request) && self.run.crash == due.crash
     }
 }
 
 /// Returns the evidence that remains after a block has expired: one more crash blocks the request again.
 pub(super) fn probation(now: Timestamp, block: &BlockedRequest) -> Vec<OwnRun> {
     let endpoints = block.endpoints.iter().cycle();
-    let runs = (0..CRASH_LIMIT - 1).zip(endpoints);
-    let runs = runs.map(|(crashes, endpoint)| CrashedRun {
-        request: block.request,
-        crash: EndpointCrash {
-            endpoint: endpoint.clone(),
-            incarnation: Some(Incarnation(u64::from(crashes))),
-        },
-        suspicion: Suspicion {
+    let kind = match block.part {
+        Some(_) => SuspectKind::Part,
+        None => SuspectKind::Request,
+    };
+    let runs = (0..kind.crash_limit(block.clearances) - 1).zip(endpoints);
+    let runs = runs.map(|(crashes, endpoint)| {
+        let suspicion = Suspicion {
             crashes,
             clearances: block.clearances,
-        },
-        ran_ms: block.ran_ms,
+        };
+        let part = block.part.is_some().then_some(SuspectedPart {
+            part: block.request,
+            suspicion,
+        });
+        CrashedRun {
+            request: block.request,
+            crash: EndpointCrash {
+                endpoint: endpoint.clone(),
+                incarnation: Some(Incarnation(u64::from(crashes))),
+            },
+            suspicion,
+            ran_ms: block.ran_ms,
+            parts: part.into_iter().collect(),
+            customer: block.origin.customer.clone(),
+        }
     });
     let own = runs.map(|run| OwnRun {
         run,
--- a/crates/sesamecart-fleet/src/crash_tracker/report.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/report.rs
@@ -2,7 +2,9 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint};
+use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint, PromptPartId};
+
+use super::suspects::Suspects;
 
 use crate::endpoint::Endpoint;
 use crate::number::Incarnation;
@@ -59,6 +61,54 @@
     pub suspicion: Suspicion,
     /// Milliseconds from the first sign of the response to the crash; 0 if there was none.
     pub ran_ms: u32,
+    /// The parts of the request's prompt that aren't known to be harmless.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<SuspectedPart>,
+    /// The customer that sent the request, if its prompt has such parts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerId>,
+}
+
+/// A part of the prompt of a request that was in flight at a crash.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectedPart {
+    /// The part.
+    pub part: Fingerprint,
+    /// What the node knew about the part when it sent the request.
+    #[serde(flatten)]
+    pub suspicion: Suspicion,
+}
+
+impl CrashedRun {
+    /// Returns whether the run stands for runs of several requests with one part in their prompts.
+    pub(super) fn is_of_part_only(&self) -> bool {
+        self.parts.iter().any(|part| part.part == self.request)
+    }
+
+    /// Returns the largest number of crashes that are attributed to the request or to a part of its prompt.
+    pub(super) fn most_crashes(&self) -> u32 {
+        let parts = self.parts.iter().map(|part| part.suspicion.crashes);
+        parts.fold(self.suspicion.crashes, u32::max)
+    }
+
+    /// Returns the request and the suspected parts of its prompt.
+    pub(super) fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.parts.iter().map(|part| part.part);
+        std::iter::once(self.request).chain(parts)
+    }
+
+    /// Returns what was known about one of the suspects when the request was sent.
+    pub(super) fn suspicion_of(&self, suspect: &Fingerprint) -> Option<Suspicion> {
+        let mut parts = self.parts.iter();
+        let part = parts.find(|part| part.part == *suspect);
+        let of_part = part.map(|part| part.suspicion);
+        of_part.or_else(|| (self.request == *suspect).then_some(self.suspicion))
+    }
+
+    /// Returns whether the crash may be attributed to a suspect.
+    pub(super) fn concerns(&self, suspect: &Fingerprint) -> bool {
+        self.request == *suspect || self.parts.iter().any(|part| part.part == *suspect)
+    }
 }
 
 /// What operators need to find the sender of a request.
@@ -68,25 +118,33 @@
     pub route: String,
     /// The customer that sent the request, or nothing if the route needs no key.
     pub customer: Option<CustomerId>,
+    /// The parts of its prompt, to name the one that is blocked.
+    #[serde(skip)]
+    pub parts: Vec<PromptPartId>,
 }
 
 impl RequestOrigin {
     /// Creates the origin of a request. The name of the route is cut off if it is very long.
     #[must_use]
-    pub fn new(route: &str, customer: Option<CustomerId>) -> Self {
+    pub fn new(route: &str, suspects: &Suspects) -> Self {
         let end = route.floor_char_boundary(MAX_ROUTE_BYTES);
         Self {
             route: route[..end].to_owned(),
-            customer,
+            customer: suspects.customer.clone(),
+            parts: suspects.parts.iter().map(|part| part.id).collect(),
         }
     }
 }
 
-/// A request that no node sends to an endpoint, because it has crashed several endpoints in succession.
+/// A request, or requests with one part in their prompts, that no node sends to an endpoint, because they have
+/// crashed several endpoints in succession.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BlockedRequest {
-    /// The request.
+    /// The request or the part.
     pub request: Fingerprint,
+    /// The part as callers name it, or nothing if the block is of one request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<String>,
     /// How often the request had been cleared before.
     pub clearances: u32,
     /// Who sends it.
@@ -151,7 +209,7 @@
 
     /// Returns whether the report contains evidence about a request from after its clearance `number - 1`.
     pub(super) fn concerns(&self, request: &Fingerprint) -> bool {
-        self.runs.iter().any(|run| run.request == *request)
+        self.runs.iter().any(|run| run.concerns(request))
             || self.blocks.iter().any(|block| block.request == *request)
     }
 }
--- a/crates/sesamecart-fleet/src/crash_tracker/sharing.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/sharing.rs
@@ -4,7 +4,7 @@
 
 use sesamecart_vocabulary::Timestamp;
 
-use super::report::{Clearance, CrashReport};
+use super::report::{Clearance, CrashReport, CrashedRun};
 use super::{CrashTracker, MAX_OWN_RUNS};
 
 /// The minimum interval between two reports of a node.
@@ -65,7 +65,7 @@
             blocks: blocks.map(|own| own.block.clone()).collect(),
             clearances: clearances.map(|own| own.clearance.clone()).collect(),
         };
-        report.runs.sort_by_key(|run| run.suspicion.crashes);
+        report.runs.sort_by_key(CrashedRun::most_crashes);
         report.truncate(max_runs);
         report
     }
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BlockChange, CrashAdmission, CrashReport, CrashTracker, CrashedRun, EndpointCrash,
-    NeighborCheck, RequestOrigin, SuspectStarts, Suspicion, suspect_endpoint,
+    NeighborCheck, RequestOrigin, SuspectStarts, Suspicion, UncheckedCrash, suspect_endpoint,
 };
 use crate::number::Incarnation;
 
@@ -410,13 +410,19 @@
             crash,
             suspicion: run.suspicion,
             ran_ms: u32::try_from(ran.as_millis()).unwrap_or(u32::MAX),
+            parts: Vec::new(),
+            customer: None,
         };
         let is_mass_loss = self.waits_for_check(index) && self.check_neighbors(&run).is_mass_loss();
         let node = &mut self.nodes[run.arrival.node];
         if !is_mass_loss {
-            let earlier = run.unchecked.as_ref();
+            let unchecked = run.unchecked.map(|crash| UncheckedCrash {
+                suspect: request,
+                crash,
+            });
+            let unchecked = unchecked.as_slice();
             node.tracker
-                .record_crash(self.now, crashed, earlier, RequestOrigin::default());
+                .record_crash(self.now, crashed, unchecked, RequestOrigin::default());
         }
         if run.attempts >= MAX_ATTEMPTS {
             node.tracker.record_failure(self.now, &request);
@@ -492,7 +498,7 @@
                 incarnation: Some(Incarnation(endpoint.incarnation)),
             };
             endpoint.id != self.endpoints[run.endpoint].id
-                && !tracker.is_separate_crash(self.now, request, &crash)
+                && !tracker.is_separate_crash(self.now, &[*request], &crash)
         });
         NeighborCheck {
             checked: neighbors.clone().count(),
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -6,13 +6,16 @@
 use sesamecart_vocabulary::{EndpointId, Fingerprint, NodeId, RequestIdentity, Timestamp};
 
 use super::{
-    BLOCK_TTL, BlockChange, BlockEnd, CRASH_LIMIT, Clearance, ClearanceCause, CrashAdmission,
-    CrashReport, CrashTracker, CrashedRun, DECISION_TIMEOUT, DueDecision, EndpointCrash,
-    MAX_OWN_RUNS, NeighborCheck, RequestOrigin, SETTLE_TIME, SHARE_DELAY, SIMULTANEITY, Suspicion,
-    suspect_endpoint,
+    BLOCK_TTL, BlockChange, BlockEnd, Clearance, ClearanceCause, CrashAdmission, CrashReport,
+    CrashTracker, CrashedRun, DECISION_TIMEOUT, DueDecision, EndpointCrash, MAX_OWN_RUNS,
+    NeighborCheck, RequestOrigin, SETTLE_TIME, SHARE_DELAY, SIMULTANEITY, Suspicion,
+    UncheckedCrash, suspect_endpoint,
 };
 use crate::number::Incarnation;
 
+/// The number of successive crashes after which a request is blocked.
+const CRASH_LIMIT: u32 = 3;
+
 const START: Timestamp = Timestamp(1_000_000);
 
 /// The Unix time that is recorded in blocks.
@@ -52,6 +55,8 @@
             clearances: 0,
         },
         ran_ms: 80,
+        parts: Vec::new(),
+        customer: None,
     }
 }
 
@@ -64,7 +69,7 @@
 }
 
 fn record(tracker: &mut CrashTracker, now: Timestamp, run: CrashedRun) {
-    tracker.record_crash(now, run, None, RequestOrigin::default());
+    tracker.record_crash(now, run, &[], RequestOrigin::default());
 }
 
 /// Records that a request crashed endpoint after endpoint, as one node sends it again and again. Returns the
@@ -234,12 +239,16 @@
 fn a_retry_that_was_sent_before_the_check_counts_as_the_next_crash() {
     let mut tracker = CrashTracker::default();
     let culprit = request("crash");
+    let unchecked = |index| UncheckedCrash {
+        suspect: culprit,
+        crash: crash(index),
+    };
     record(&mut tracker, START, run(culprit, 0, 0));
     let retry = run(culprit, 1, 0);
-    tracker.record_crash(START, retry, Some(&crash(0)), RequestOrigin::default());
+    tracker.record_crash(START, retry, &[unchecked(0)], RequestOrigin::default());
     assert_eq!(tracker.suspicion(&culprit).crashes, 2);
     let unrelated = run(culprit, 2, 0);
-    tracker.record_crash(START, unrelated, Some(&crash(9)), RequestOrigin::default());
+    tracker.record_crash(START, unrelated, &[unchecked(9)], RequestOrigin::default());
     assert_eq!(tracker.suspicion(&culprit).crashes, 2);
 }
 
@@ -298,11 +307,11 @@
     let mut tracker = CrashTracker::default();
     let (culprit, other) = (request("crash"), request("other"));
     record(&mut tracker, START, run(other, 0, 0));
-    assert!(!tracker.is_separate_crash(START, &culprit, &crash(0)));
-    assert!(tracker.is_separate_crash(START + SIMULTANEITY, &culprit, &crash(0)));
-    assert!(!tracker.is_separate_crash(START + SIMULTANEITY, &culprit, &crash(1)));
+    assert!(!tracker.is_separate_crash(START, &[culprit], &crash(0)));
+    assert!(tracker.is_separate_crash(START + SIMULTANEITY, &[culprit], &crash(0)));
+    assert!(!tracker.is_separate_crash(START + SIMULTANEITY, &[culprit], &crash(1)));
     record(&mut tracker, START, run(culprit, 2, 0));
-    assert!(tracker.is_separate_crash(START, &culprit, &crash(2)));
+    assert!(tracker.is_separate_crash(START, &[culprit], &crash(2)));
 }
 
 macro_rules! neighbor_cases {
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -34,9 +34,10 @@
     SpecProblem, WeightedService,
 };
 pub use crash_tracker::{
-    BLOCK_TTL, BlockChange, BlockEnd, BlockedRequest, CRASH_LIMIT, Clearance, ClearanceCause,
+    AdmittedSuspect, BLOCK_TTL, BlockChange, BlockEnd, BlockedRequest, Clearance, ClearanceCause,
     CrashAdmission, CrashReport, CrashTracker, CrashedRun, DueDecision, EndpointCrash,
-    NeighborCheck, RequestOrigin, SuspectStarts, Suspicion, suspect_endpoint,
+    NeighborCheck, RequestOrigin, SharedPart, SuspectKind, SuspectStarts, SuspectedPart, Suspects,
+    Suspicion, UncheckedCrash, suspect_endpoint,
 };
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
