Don't wait for an endpoint that was lost together with others

A suspected request runs at one endpoint only, the same on all nodes, of those not known to have crashed. A crash that was excused as a larger loss left its endpoint in that choice, so while the registry listed it the request was refused, never run and never blocked; an innocent one as long. Excused crashes are now remembered for 30 s as ends of their endpoints, and still accuse nobody.

--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -131,6 +131,9 @@
         }
         let neighbors = self.check_neighbors(run).await;
         if neighbors.is_mass_loss() {
+            let mut tracker = self.state.crashes.tracker();
+            tracker.record_excused_crash(clock::now(), run.crash.clone());
+            drop(tracker);
             self.state.events.write(&Event::CrashExcused {
                 fingerprint: run.suspects.request,
                 endpoint: run.crash.endpoint.as_str(),
--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -221,6 +221,17 @@
     assert_eq!(setup.crashes_after_run_at(&stopped[0], 2), 0);
 }
 
+/// Guards against a suspected request that may run only at an endpoint that was lost, and is neither run nor blocked.
+#[test]
+fn an_endpoint_that_was_lost_with_others_is_known_to_have_crashed() {
+    let setup = Setup::new();
+    let stopped: Vec<Endpoint> = (0..4).map(|index| setup.stopped(index)).collect();
+    setup.list(&stopped);
+    setup.crashes_after_run_at(&stopped[0], 2);
+    let tracker = setup.state.crashes.tracker();
+    assert!(tracker.has_crashed(&EndpointCrash::of(&stopped[0])));
+}
+
 #[test]
 fn a_crash_among_running_endpoints_may_be_the_last_one_before_a_block() {
     let setup = Setup::new();
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -70,6 +70,9 @@
 /// How long a clearance is kept at least, because requests that were sent before it may still be running.
 const CLEARANCE_TTL: Duration = Duration::from_secs(30);
 
+/// How long it is remembered that an endpoint was lost together with others. The registry shows it earlier.
+const EXCUSED_CRASH_TTL: Duration = Duration::from_secs(30);
+
 /// How long the report of a node is kept without a change. A running node withdraws its evidence earlier.
 const PEER_REPORT_TTL: Duration = Duration::from_secs(1_500);
 
@@ -133,6 +136,8 @@
     undecided: IndexMap<Fingerprint, Undecided>,
     /// Since when each crash has been known.
     known_crashes: IndexMap<EndpointCrash, Timestamp>,
+    /// Crashes that no request has caused.
+    excused_crashes: IndexMap<EndpointCrash, Timestamp>,
     /// The parts of prompts with which requests of this node have completed.
     harmless: HarmlessParts,
     changes: Vec<BlockChange>,
@@ -295,6 +300,11 @@
         }
     }
 
+    /// Records that a crash wasn't caused by a request. Its endpoint isn't used again.
+    pub fn record_excused_crash(&mut self, now: Timestamp, crash: EndpointCrash) {
+        self.excused_crashes.insert(crash, now);
+    }
+
     /// Removes the run that says least: the oldest one of those to which fewest crashes were attributed.
     fn remove_weakest_run(&mut self) {
         let runs = self.runs.iter().enumerate();
@@ -426,7 +436,7 @@
     /// Returns whether an incarnation of an endpoint is known to have crashed.
     #[must_use]
     pub fn has_crashed(&self, crash: &EndpointCrash) -> bool {
-        self.known_crashes.contains_key(crash)
+        self.known_crashes.contains_key(crash) || self.excused_crashes.contains_key(crash)
     }
 
     /// Returns whether a crash has another cause than a crash of an endpoint nearby that has just happened:
@@ -521,6 +531,8 @@
 
     /// Removes evidence that is too old. Returns the nodes that have stopped without withdrawing theirs.
     pub fn expire(&mut self, now: Timestamp) -> Vec<NodeId> {
+        self.excused_crashes
+            .retain(|_, since| now.since(*since) < EXCUSED_CRASH_TTL);
         let before = (self.runs.len(), self.blocks.len(), self.clearances.len());
         self.runs
             .retain(|own| now.since(own.observed_at) < BLOCK_TTL);
