--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -79,6 +79,16 @@
         self.state.directory.store(Arc::new(directory));
     }
 
+    /// Lists four endpoints that have stopped and two that run, so that the node's links aren't lost. Returns one of
+    /// the four.
+    fn list_lost_with_others(&self) -> Endpoint {
+        let stopped = (0..4).map(|index| self.stopped(index));
+        let running = (0..2).map(|index| self.running(index));
+        let listed: Vec<Endpoint> = stopped.chain(running).collect();
+        self.list(&listed);
+        listed[0].clone()
+    }
+
     /// Returns the number of crashes that are attributed to a request after its run at the endpoint was
     /// interrupted.
     fn crashes_after_run_at(&self, endpoint: &Endpoint, crashes_before: u32) -> u32 {
@@ -216,20 +226,18 @@
 #[test]
 fn a_crash_among_others_nearby_is_not_the_last_one_before_a_block() {
     let setup = Setup::new();
-    let stopped: Vec<Endpoint> = (0..4).map(|index| setup.stopped(index)).collect();
-    setup.list(&stopped);
-    assert_eq!(setup.crashes_after_run_at(&stopped[0], 2), 0);
+    let lost = setup.list_lost_with_others();
+    assert_eq!(setup.crashes_after_run_at(&lost, 2), 0);
 }
 
 /// Guards against a suspected request that may run only at an endpoint that was lost, and is neither run nor blocked.
 #[test]
 fn an_endpoint_that_was_lost_with_others_is_known_to_have_crashed() {
     let setup = Setup::new();
-    let stopped: Vec<Endpoint> = (0..4).map(|index| setup.stopped(index)).collect();
-    setup.list(&stopped);
-    setup.crashes_after_run_at(&stopped[0], 2);
+    let lost = setup.list_lost_with_others();
+    setup.crashes_after_run_at(&lost, 2);
     let tracker = setup.state.crashes.tracker();
-    assert!(tracker.has_crashed(&EndpointCrash::of(&stopped[0])));
+    assert!(tracker.has_crashed(&EndpointCrash::of(&lost)));
 }
 
 #[test]
