Check the endpoint when an answer ends with its connection

An answer, or a stream, may have neither a length nor chunks. It then ends with its connection, and a crash closes connections just so: a cut answer was delivered as whole, and its end counted as a completion, which cleared the request that had caused the crash.

Such an end is now whole only if the endpoint still runs, by one probe of its incarnation, or was leaving as planned. Otherwise the attempt was interrupted: it is checked as a crash, and repeated or resumed where the route allows it. The connection isn't kept. Nodes frame what they send each other, so the second hop tells a cut from an end.

--- a/crates/sesamecart-entry/src/crashes/probe.rs
+++ b/crates/sesamecart-entry/src/crashes/probe.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::Incarnation;
+use sesamecart_fleet::{Endpoint, Incarnation};
 use sesamecart_platform::fetch_report;
 use sesamecart_runtime::sleep;
 
@@ -46,6 +46,11 @@
     liveness
 }
 
+/// Returns whether an endpoint still runs after it has closed a connection to end its answer.
+pub(crate) async fn is_running(client: &HttpClient, endpoint: &Endpoint) -> bool {
+    probe(client, endpoint.address, endpoint.incarnation).await == Liveness::Running
+}
+
 async fn probe_once(
     client: &HttpClient,
     address: SocketAddr,
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -184,6 +184,15 @@
         self.crashes.tracker().most_crashes()
     }
 
+    /// Returns whether an endpoint is listed.
+    #[must_use]
+    pub fn knows_endpoint(&self, id: &str) -> bool {
+        let directory = self.directory.load();
+        directory
+            .listed()
+            .any(|endpoint| endpoint.id.as_str() == id)
+    }
+
     /// Returns the failure domains that are evacuated and get no new work.
     #[must_use]
     pub fn evacuated_domains(&self) -> Vec<FailureDomainId> {
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -85,6 +85,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
+    /// Whether nothing but the end of the connection marks the end of the body.
+    pub(crate) ends_with_connection: bool,
     pub(crate) lease: PooledConnection,
     pub(crate) in_flight: Flight,
 }
--- a/crates/sesamecart-entry/src/traffic/forward.rs
+++ b/crates/sesamecart-entry/src/traffic/forward.rs
@@ -299,6 +299,8 @@
                     status: head.status,
                     headers: head.headers,
                     body,
+                    // Nodes send bodies to each other with a length or in chunks.
+                    ends_with_connection: false,
                     lease: exchange.lease,
                     in_flight: Flight::Helper(Box::new(flight)),
                 })))
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -22,11 +22,13 @@
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::event_splitter::{EventSplitter, PushOutcome};
 use crate::traffic::flight::Flight;
+use crate::traffic::response::STOPPED;
 
 /// The response stream of one attempt, from its endpoint.
 #[derive(Debug)]
 struct EndpointStream {
     body: Incoming,
+    ends_with_connection: bool,
     lease: PooledConnection,
     in_flight: Flight,
 }
@@ -122,8 +124,11 @@
                     PushOutcome::Fault(fault) => fault.to_owned(),
                 },
                 ReadOutcome::End if self.splitter.is_between_events() => {
-                    self.finish();
-                    return Ok(None);
+                    if !self.has_endpoint_stopped().await {
+                        self.finish();
+                        return Ok(None);
+                    }
+                    STOPPED.to_owned()
                 }
                 ReadOutcome::End => "it ended within an event".to_owned(),
                 ReadOutcome::Broken(cause) => cause,
@@ -134,6 +139,16 @@
         }
     }
 
+    /// Returns whether a stream that ended with its connection was cut by the end of its endpoint.
+    async fn has_endpoint_stopped(&self) -> bool {
+        match &self.endpoint_stream {
+            Some(ended) if ended.ends_with_connection => {
+                self.call.has_stopped(&ended.in_flight).await
+            }
+            _ => false,
+        }
+    }
+
     /// Reads the next data from the endpoint, until it is interrupted or the deadline passes.
     async fn read(&mut self) -> ReadOutcome {
         let Some(endpoint_stream) = &mut self.endpoint_stream else {
@@ -230,7 +245,9 @@
         };
         endpoint_stream.in_flight.mark_succeeded();
         self.call.record_completion();
-        self.call.return_connection(endpoint_stream.lease);
+        if !endpoint_stream.ends_with_connection {
+            self.call.return_connection(endpoint_stream.lease);
+        }
         let now = clock::now();
         self.call.count_response("endpoint", self.status);
         self.call.state.events.write_success(
@@ -272,6 +289,7 @@
     fn new(received: EndpointResponse) -> Self {
         Self {
             body: received.body,
+            ends_with_connection: received.ends_with_connection,
             lease: received.lease,
             in_flight: received.in_flight,
         }
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -9,6 +9,7 @@
 use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, RequestId};
 
 use crate::clock;
+use crate::crashes::is_running;
 use crate::traffic::call::{AttemptError, Call, EndpointResponse};
 use crate::traffic::flight::Flight;
 use crate::traffic::in_flight::InFlightRequest;
@@ -16,7 +17,7 @@
 use crate::traffic::timeout::MIN_RESPONSE_TIMEOUT;
 
 /// The maximum size of a response that is buffered completely before it is forwarded.
-const MAX_BUFFERED_RESPONSE: ByteSize = ByteSize(16 * 1024 * 1024);
+pub(super) const MAX_BUFFERED_RESPONSE: ByteSize = ByteSize(16 * 1024 * 1024);
 
 /// Idle connections of all nodes may use `1 / IDLE_CONNECTIONS_DIVISOR` of an endpoint's connections; the
 /// others are left for requests in flight.
@@ -32,6 +33,9 @@
 /// change by then.
 const MISDIRECTED_EJECTION_TIME: Duration = Duration::from_millis(500);
 
+/// Why an answer that ended with its connection isn't used.
+pub(super) const STOPPED: &str = "the endpoint stopped when its answer ended";
+
 impl Call {
     /// Checks the head of a response.
     ///
@@ -85,6 +89,7 @@
         }
         Ok(EndpointResponse {
             status: response_head.status,
+            ends_with_connection: response_head.ends_with_connection,
             headers: head.headers,
             body,
             lease: exchange.lease,
@@ -130,12 +135,22 @@
             status,
             headers,
             body,
+            ends_with_connection,
             lease,
             mut in_flight,
         } = response;
-        match read_body(body, MAX_BUFFERED_RESPONSE, self.time_left()).await {
+        let body = read_body(body, MAX_BUFFERED_RESPONSE, self.time_left()).await;
+        let is_cut = body.is_ok() && ends_with_connection && self.has_stopped(&in_flight).await;
+        match body {
+            Ok(_) if is_cut => {
+                in_flight.mark_failed();
+                self.wait_for_crash_check(&in_flight).await;
+                Err(Refusal::IncompleteResponse(STOPPED.to_owned()))
+            }
             Ok(body) => {
-                self.return_connection(lease);
+                if !ends_with_connection {
+                    self.return_connection(lease);
+                }
                 if status.is_server_error() {
                     in_flight.mark_failed();
                 } else {
@@ -148,17 +163,36 @@
             }
             Err(error) => {
                 in_flight.mark_failed();
-                let direct = in_flight.direct();
-                let is_broken = matches!(error, ReadBodyError::Broken(_));
-                if let Some(run) = direct.filter(|_| is_broken) {
-                    let check = self.check_for_crash(run);
-                    self.wait_for_check(&run.context, check).await;
+                if matches!(error, ReadBodyError::Broken(_)) {
+                    self.wait_for_crash_check(&in_flight).await;
                 }
                 Err(Refusal::IncompleteResponse(error.to_string()))
             }
         }
     }
 
+    /// Has it checked whether an endpoint has crashed, if this node sent the request there itself.
+    async fn wait_for_crash_check(&self, flight: &Flight) {
+        if let Some(run) = flight.direct() {
+            let check = self.check_for_crash(run);
+            self.wait_for_check(&run.context, check).await;
+        }
+    }
+
+    /// Returns whether the endpoint has stopped since it ended an answer by closing the connection, other than as
+    /// planned.
+    ///
+    /// A crash closes connections like the end of such an answer, so the answer may be cut.
+    pub(super) async fn has_stopped(&self, flight: &Flight) -> bool {
+        let Some(run) = flight.direct() else {
+            return false;
+        };
+        let directory = self.state.directory.load_full();
+        let endpoint = directory.find(&run.endpoint.id);
+        let is_leaving = !endpoint.is_some_and(|endpoint| directory.takes_work(endpoint));
+        !is_leaving && !is_running(&self.client, &run.endpoint).await
+    }
+
     /// Returns a connection to the pool, within this node's share of the endpoint's connections.
     pub(crate) fn return_connection(&self, lease: PooledConnection) {
         let service = self.service().and_then(|id| self.catalog.services.get(id));
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -11,6 +11,7 @@
 mod setup;
 mod sources;
 mod store_proxy;
+mod unframed_answers;
 mod unreachable_endpoints;
 
 use std::cell::Cell;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -28,6 +28,8 @@
     Stream,
     /// A stream of a model that needs more engines than any fabric domain has.
     HugeStream,
+    /// A stream of a plain service.
+    PlainStream,
     Booking,
     Lookup,
 }
@@ -37,7 +39,7 @@
         match self {
             Self::Stream => Some("m"),
             Self::HugeStream => Some("huge"),
-            Self::Booking | Self::Lookup => None,
+            Self::PlainStream | Self::Booking | Self::Lookup => None,
         }
     }
 }
@@ -413,6 +415,7 @@
         } = *call;
         let prefix = match kind {
             RequestKind::Stream | RequestKind::HugeStream => "/chat/",
+            RequestKind::PlainStream => "/watch/",
             RequestKind::Booking => "/book/",
             RequestKind::Lookup => "/look/",
         };
@@ -522,6 +525,7 @@
         "version": version,
         "routes": [
             route("chat", "/chat/", "streaming", "llm", 2),
+            route("watch", "/watch/", "streaming", "app", 2),
             route("book", "/book/", "unsafe", "app", 1),
             route("look", "/look/", "safe", "app", 2),
         ],
--- /dev/null
+++ b/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
@@ -0,0 +1,102 @@
+//! Tests of answers that have neither a length nor chunks and end with their connection.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+
+use sesamecart_platform_standins::{AnswerEnd, UnframedEndpoint};
+
+use crate::setup::{Deployment, RequestKind, Response};
+
+/// A whole answer, which is a stream that ends between events as well.
+const WHOLE: &str = "id: 1\ndata: first\n\nid: 2\ndata: second\n\n";
+
+/// An answer that ends inside an event of a stream.
+const CUT: &str = "id: 1\ndata: first\n\nid: 2\nda";
+
+/// Sends a request to the only endpoint, and returns the response and the number of crashes that the node attributes
+/// to it.
+fn send(kind: RequestKind, body: &str, end: AnswerEnd) -> (Response, u32) {
+    let deployment = Deployment::start_with_plain_endpoints(0);
+    let endpoint = UnframedEndpoint::start(&deployment.store, "u0", "app", body, end);
+    let endpoint = endpoint.expect("the endpoint listens");
+    deployment.wait_until("the node knows the endpoint", || {
+        deployment.node.state().knows_endpoint("u0")
+    });
+    let response = deployment.send_request(kind, "r1", "key-1");
+    assert!(endpoint.answer_count() > 0, "it wasn't sent: {response:?}");
+    if end == AnswerEnd::Crash {
+        deployment.wait_until("the crash is attributed to the request", || {
+            deployment.node.state().most_crashes_of_a_request() > 0
+        });
+    }
+    let crashes = deployment.node.state().most_crashes_of_a_request();
+    deployment.kill();
+    (response, crashes)
+}
+
+/// Sends a request of HTTP/1.0 and returns all that the node sends until it closes the connection.
+fn send_http_1_0(body: &str, end: AnswerEnd) -> String {
+    let deployment = Deployment::start_with_plain_endpoints(0);
+    let endpoint = UnframedEndpoint::start(&deployment.store, "u0", "app", body, end);
+    let endpoint = endpoint.expect("the endpoint listens");
+    deployment.wait_until("the node knows the endpoint", || {
+        deployment.node.state().knows_endpoint("u0")
+    });
+    let node = deployment.node.caller_address();
+    let mut stream = TcpStream::connect(node).expect("the node listens");
+    let request = "POST /watch/1 HTTP/1.0\r\nhost: shop.example\r\nrequest-id: r1\r\n\
+        credential: key-1\r\ndeadline-ms: 3000\r\n\r\n";
+    let written = stream.write_all(request.as_bytes());
+    written.expect("the request is written");
+    let mut response = String::new();
+    let read = stream.read_to_string(&mut response);
+    read.expect("the response is read");
+    assert!(endpoint.answer_count() > 0, "it wasn't sent: {response}");
+    deployment.kill();
+    response
+}
+
+/// Guards against a cut stream that looks complete to a caller whose answers end with the connection.
+#[test]
+fn a_cut_stream_is_an_error_for_a_caller_of_http_1_0() {
+    let response = send_http_1_0(CUT, AnswerEnd::Close);
+    assert!(response.contains(" 502 "), "{response}");
+}
+
+#[test]
+fn a_whole_stream_has_a_length_for_a_caller_of_http_1_0() {
+    let response = send_http_1_0(WHOLE, AnswerEnd::Close);
+    let length = format!("content-length: {}", WHOLE.len());
+    assert!(response.contains(&length), "{response}");
+    assert!(response.ends_with(WHOLE), "{response}");
+}
+
+macro_rules! answer_cases {
+    ($($(#[doc = $doc:literal])* $name:ident: $kind:ident, $body:ident, $end:ident => $is_whole:literal;)*) => {
+        $(
+            $(#[doc = $doc])*
+            #[test]
+            fn $name() {
+                let (response, crashes) = send(RequestKind::$kind, $body, AnswerEnd::$end);
+                let is_whole = (response.status, response.body.as_str()) == (200, $body);
+                assert_eq!(is_whole, $is_whole, "{response:?}");
+                assert!($is_whole || response.status != 200, "{response:?}");
+                assert_eq!(crashes, u32::from(AnswerEnd::$end == AnswerEnd::Crash));
+            }
+        )*
+    };
+}
+
+answer_cases! {
+    an_answer_that_ends_with_its_connection_is_whole: Lookup, WHOLE, Close => true;
+    /// Guards against a crash that delivers a cut answer as whole, and clears the request that caused it.
+    an_answer_that_ends_with_its_endpoint_is_not_whole: Lookup, WHOLE, Crash => false;
+    an_answer_that_ends_with_a_reset_is_not_whole: Lookup, WHOLE, Reset => false;
+    /// Guards against the same for a request that must not run twice.
+    a_booking_whose_answer_ends_with_its_endpoint_is_not_whole: Booking, WHOLE, Crash => false;
+    a_stream_that_ends_with_its_connection_between_events_is_whole: PlainStream, WHOLE, Close => true;
+    a_stream_that_ends_with_its_connection_inside_an_event_is_not_whole: PlainStream, CUT, Close => false;
+    a_stream_that_ends_with_a_reset_is_not_whole: PlainStream, WHOLE, Reset => false;
+    /// Guards against a crash between two events that ends a stream as complete.
+    a_stream_that_ends_with_its_endpoint_is_not_whole: PlainStream, WHOLE, Crash => false;
+}
