Give streams to callers of HTTP/1.0 a length

A caller of HTTP/1.0 knows no chunks, so a stream that broke off inside an event looked complete to it: status 200, the connection closed.

--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::future::Boxed;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::{Body as _, Incoming};
 use sesamecart_edges::{CallerBody, HttpClient, ReadBodyError, read_body, whole};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, RouteMatch};
@@ -23,6 +24,7 @@
 use crate::traffic::forwarded::{Hop, RespondingEndpoint};
 use crate::traffic::refusal::Refusal;
 use crate::traffic::relay::Relay;
+use crate::traffic::response::MAX_BUFFERED_RESPONSE;
 
 /// Handles callers' requests.
 #[derive(Clone, Debug)]
@@ -261,7 +263,8 @@
     loop {
         let received = call.send_with_retries(&mut attempts, last_event).await?;
         if call.route.delivery.is_stream() && received.status.is_success() {
-            return Ok(stream_response(call, attempts, received));
+            let response = stream_response(call, attempts, received);
+            return with_length_for_http_1_0(call, response).await;
         }
         let endpoint = received.in_flight.endpoint().clone();
         let response = match call.buffer_response(received).await {
@@ -320,6 +323,26 @@
     response
 }
 
+/// Gives the response to a caller of HTTP/1.0 a length. It knows no chunks, so a stream that breaks off would look
+/// complete.
+async fn with_length_for_http_1_0(
+    call: &Call,
+    response: Response<CallerBody>,
+) -> Result<Response<CallerBody>, Refusal> {
+    if call.head.version != Version::HTTP_10 {
+        return Ok(response);
+    }
+    let (mut head, body) = response.into_parts();
+    // Without the type the compiler can't tell that the future may be sent to another thread.
+    let body: Boxed<_> = Box::pin(read_body(body, MAX_BUFFERED_RESPONSE, call.time_left()));
+    let body = body
+        .await
+        .map_err(|error| Refusal::IncompleteResponse(error.to_string()))?;
+    head.headers
+        .insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    Ok(Response::from_parts(head, whole(body)))
+}
+
 /// Forwards an endpoint's complete response unchanged.
 fn forward_response(
     call: &Call,
