Start nodes although the default port for forwarded requests is taken

A node without `forwarding` in its settings listens at the port after that of its metrics. Where anything had that port, an outgoing connection is enough, the node ended at start, and again at each restart: at least 6 of some 70 starts on one busy machine, where a quarter of the callers had no node. Nobody chose that address, so the next ports are tried, and then the system chooses one; the node registers the one that it has. A chosen address that is taken still is an error. The test failed before (address in use).

--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -76,6 +76,9 @@
     log_writer: Option<JoinHandle<()>>,
 }
 
+/// The number of ports that are tried before the system chooses one.
+const NEAR_PORTS: usize = 12;
+
 /// The listeners of a node. They are bound before any thread starts.
 struct Listeners {
     callers: TcpListener,
@@ -104,13 +107,27 @@
             callers: bind("callers", settings.callers)?,
             forwarding: settings
                 .forwarding
-                .map(|address| bind("forwarding", address))
-                .transpose()?,
+                .map(|address| match settings.is_forwarding_default {
+                    true => listen_near(address),
+                    false => listen(address),
+                })
+                .transpose()
+                .map_err(|error| anyhow::anyhow!("forwarding: {error}"))?,
             control,
         })
     }
 }
 
+/// Binds a listener to an address, or to one of the next ports if that is taken, or else to any port.
+///
+/// Nobody chose this address, so it must not decide whether the node starts.
+fn listen_near(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let ports = (address.port()..=u16::MAX).take(NEAR_PORTS);
+    let mut addresses = ports.map(|port| SocketAddr::new(address.ip(), port));
+    let near = addresses.find_map(|address| listen(address).ok());
+    near.map_or_else(|| listen(SocketAddr::new(address.ip(), 0)), Ok)
+}
+
 impl Entry {
     /// Starts the node's threads.
     ///
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -31,9 +31,13 @@
     /// The address for links from other nodes.
     pub links: SocketAddr,
     /// The address for requests that other nodes forward. If it is missing, it is at the next port after that of
-    /// `metrics` that none of the other addresses uses.
+    /// `metrics` that none of the other addresses uses, or at another one if that port is taken. Other nodes learn of
+    /// it with the node's registration.
     #[serde(default)]
     pub forwarding: Option<SocketAddr>,
+    /// Whether `forwarding` wasn't set.
+    #[serde(skip)]
+    pub is_forwarding_default: bool,
     /// The share of a core that the node may use. The nodes with the largest shares read the store for the
     /// others.
     pub processor_share: f64,
@@ -171,6 +175,7 @@
         })?;
         settings.validate(path)?;
         Ok(Self {
+            is_forwarding_default: settings.forwarding.is_none(),
             forwarding: Some(settings.forwarding_address()),
             ..settings
         })
--- a/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/forwarding.rs
@@ -1,7 +1,7 @@
 //! Tests of requests that one node forwards for another that doesn't reach the endpoints.
 
 use std::io::{Read as _, Write as _};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -513,3 +513,25 @@
     assert_eq!(deployment.runs("b1"), 1);
     deployment.shut_down();
 }
+
+/// Guards against a node that doesn't start because another socket has the port after that of its metrics.
+#[test]
+fn a_node_starts_although_the_default_port_for_forwarded_requests_is_taken() {
+    let deployment = Deployment::start(1);
+    // The node's metrics get the port before one that is taken.
+    let (metrics, taken) = (0..100)
+        .find_map(|_| {
+            let taken = TcpListener::bind("127.0.0.1:0").ok()?;
+            let port = taken.local_addr().ok()?.port();
+            let metrics = SocketAddr::from(([127, 0, 0, 1], port.checked_sub(1)?));
+            TcpListener::bind(metrics).ok()?;
+            Some((metrics, taken))
+        })
+        .expect("two ports in a row are free");
+    let other = deployment.add_node_with_metrics_at("n2", metrics);
+    let forwarding = other.forwarding_address().expect("it accepts requests");
+    assert_ne!(forwarding.port(), 0);
+    assert_ne!(Some(forwarding), taken.local_addr().ok());
+    other.kill();
+    deployment.kill();
+}
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -186,6 +186,12 @@
         self.add_with_links(settings(node, self.store.address()))
     }
 
+    /// Starts another node whose metrics are served at an address, and returns once it is ready.
+    pub(crate) fn add_node_with_metrics_at(&self, node: &str, metrics: SocketAddr) -> Entry {
+        let settings = settings_with(node, self.store.address(), &metrics.to_string());
+        self.add(settings)
+    }
+
     fn add_with_links(&self, settings: EntrySettings) -> (Entry, FaultyLinks) {
         let links = FaultyLinks::default();
         let entry = Entry::start_with_dialer(settings, Arc::new(links.clone()));
@@ -496,9 +502,13 @@
 }
 
 fn settings(node: &str, store: SocketAddr) -> EntrySettings {
+    settings_with(node, store, "127.0.0.1:0")
+}
+
+fn settings_with(node: &str, store: SocketAddr, metrics: &str) -> EntrySettings {
     let text = json!({
         "node": node, "failure_domain": "a", "region": "r",
-        "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+        "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": metrics,
         "links": "127.0.0.1:0", "processor_share": 0.25, "store": store.to_string(),
         "first_start": node == FIRST_NODE,
         "bounds": {
