Let more new connections wait to be accepted

Listeners had the standard library's queue of 128 new connections. While most new connections of a failure domain come to one node, more may arrive before its thread runs, and the system drops the first packet of those beyond: callers then wait a second or give up. The queue holds 4096 now, or what the system allows. The test opened 129 of 400 connections before, and all of them now.

--- a/crates/sesamecart-runtime/src/socket.rs
+++ b/crates/sesamecart-runtime/src/socket.rs
@@ -14,6 +14,10 @@
 /// thread would spin and starve the requests that free descriptors when they end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The number of connections that wait until they are accepted. Beyond it the system drops their first packet, which
+/// is sent again after a second only.
+const BACKLOG: i32 = 4_096;
+
 /// An accepted connection.
 #[derive(Debug)]
 pub struct AcceptedConnection {
@@ -43,6 +47,7 @@
 /// Returns the error of the operating system.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
+    rustix::net::listen(&listener, BACKLOG)?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
@@ -64,3 +69,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
