Close new connections unread while a node can't keep up

A node accepted all connections up to 1900 and read them when its thread had time.

While connections are accepted, the server measures how late its thread wakes from a short sleep. From 0.3 s at 0.1 s or more on, three of four new connections are closed unread, and all beyond the maximum, until the thread keeps up. A throttled processor (75 ms) or one freeze isn't taken for overload. Connections of other nodes still wait, as a node can't tell whether its request was read.

--- a/crates/sesamecart-edges/src/lib.rs
+++ b/crates/sesamecart-edges/src/lib.rs
@@ -9,6 +9,7 @@
 mod header;
 mod log_service;
 mod server;
+mod shedding;
 pub mod tls;
 mod vm_list;
 mod weight_store;
--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -3,9 +3,9 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use futures_lite::{AsyncRead, AsyncWrite, future};
@@ -17,6 +17,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body::CallerBody;
+use crate::shedding::{ConnectionShedder, PROBE_TIME};
 use crate::tls::TlsServer;
 
 /// Limits for the connections of one server.
@@ -24,6 +25,9 @@
 pub struct ServerLimits {
     /// The maximum number of concurrent connections.
     pub max_connections: usize,
+    /// Whether connections beyond the maximum, and those that the thread has no time for, are closed unread, so that
+    /// their callers try another server. Otherwise they wait.
+    pub closes_excess: bool,
     /// The timeout for receiving a request head, counted from the end of the previous request.
     pub head_timeout: Duration,
     /// The maximum size of a request head.
@@ -34,6 +38,7 @@
     fn default() -> Self {
         Self {
             max_connections: 8_192,
+            closes_excess: false,
             head_timeout: Duration::from_secs(30),
             max_head_bytes: 64 * 1024,
         }
@@ -72,6 +77,28 @@
 /// The timeout of a TLS handshake, without which a peer that sends nothing would hold a connection forever.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How late the thread of a server runs its tasks, measured while connections are accepted.
+#[derive(Clone, Debug, Default)]
+struct Overload(Arc<Mutex<ConnectionShedder>>);
+
+impl Overload {
+    fn shedder(&self) -> MutexGuard<'_, ConnectionShedder> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Measures the delay of a short sleep, unless that is under way.
+    fn probe(&self, tasks: &Tasks) {
+        if !self.shedder().begin_probe(Instant::now()) {
+            return;
+        }
+        let overload = self.clone();
+        tasks.spawn(async move {
+            sleep(PROBE_TIME).await;
+            overload.shedder().end_probe(Instant::now());
+        });
+    }
+}
+
 /// Accepts connections and passes their requests to `handle` until `shutdown` is signalled.
 ///
 /// Open connections then close after their current request, so that a graceful shutdown interrupts no
@@ -95,8 +122,11 @@
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
     let listener = Async::new(listener)?;
+    let overload = Overload::default();
     loop {
-        if connections.open() >= limits().max_connections {
+        let limits = limits();
+        let is_full = connections.open() >= limits.max_connections;
+        if is_full && !limits.closes_excess {
             future::or(sleep(ACCEPT_BACKOFF), shutdown.wait()).await;
         }
         let accepted = future::or(async { Some(accept(&listener).await) }, async {
@@ -107,11 +137,16 @@
         let Some(accepted) = accepted else {
             return Ok(());
         };
+        if limits.closes_excess {
+            overload.probe(&tasks);
+            if is_full || !overload.shedder().admit(Instant::now()) {
+                continue;
+            }
+        }
         let guard = connections.register();
         let shutdown = shutdown.clone();
         let handle = handle.clone();
         let tls = tls.clone();
-        let limits = limits();
         tasks.spawn(async move {
             serve_connection(accepted, tls, limits, shutdown, handle).await;
             drop(guard);
@@ -177,3 +212,6 @@
         log::debug!("server: connection from {peer} ended: {error}.");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sesamecart-edges/src/server/tests.rs
@@ -0,0 +1,91 @@
+//! Tests of a server that gets more new connections than its thread has time for.
+
+use std::io::{Error, ErrorKind, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use http::Response;
+use sesamecart_runtime::{Signal, Worker, listen};
+
+use super::{Connections, ServerLimits, serve};
+use crate::body::whole;
+
+/// The processor time of a request, so that 40 a second are served.
+const WORK: Duration = Duration::from_millis(25);
+
+const CONNECTIONS: u32 = 240;
+
+/// The time between two new connections.
+const INTERVAL: Duration = Duration::from_millis(10);
+
+/// The time after which a caller gives up whose request isn't answered.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What became of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    Served,
+    GivenUp,
+    ClosedUnread,
+}
+
+fn call(server: SocketAddr) -> Outcome {
+    let mut answer = Vec::new();
+    let answered = TcpStream::connect(server).and_then(|mut stream| {
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n")?;
+        stream.read_to_end(&mut answer)
+    });
+    match answered.as_ref().map_err(Error::kind) {
+        Ok(0) => Outcome::ClosedUnread,
+        Ok(_) => Outcome::Served,
+        Err(ErrorKind::WouldBlock) => Outcome::GivenUp,
+        Err(_) => Outcome::ClosedUnread,
+    }
+}
+
+/// Guards against connections that are accepted and not read until their callers give up.
+#[test]
+fn connections_that_cannot_be_served_in_time_are_closed_unread() {
+    let mut worker = Worker::start("server").expect("a thread starts");
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+    let server = listener.local_addr().expect("the listener has an address");
+    let (_stop, stopped) = Signal::new();
+    let tasks = worker.tasks().clone();
+    worker.tasks().spawn(async move {
+        let limits = || ServerLimits {
+            closes_excess: true,
+            ..ServerLimits::default()
+        };
+        let handle = |_req, _peer| async {
+            std::thread::sleep(WORK);
+            Response::new(whole("done"))
+        };
+        let connections = Connections::default();
+        let served = serve(listener, None, limits, tasks, connections, stopped, handle);
+        served.await.expect("it accepts connections");
+    });
+    let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
+        let callers = (0..CONNECTIONS).map(|_| {
+            std::thread::sleep(INTERVAL);
+            scope.spawn(move || call(server))
+        });
+        let callers: Vec<_> = callers.collect();
+        let callers = callers.into_iter();
+        callers
+            .map(|caller| caller.join().expect("it ends"))
+            .collect()
+    });
+    worker.stop();
+    let count = |wanted| {
+        outcomes
+            .iter()
+            .filter(|outcome| **outcome == wanted)
+            .count()
+    };
+    let [served, given_up, closed] =
+        [Outcome::Served, Outcome::GivenUp, Outcome::ClosedUnread].map(count);
+    let figures = format!("{served} served, {given_up} given up, {closed} closed unread");
+    assert!(4 * served >= 3 * (served + given_up), "{figures}");
+    assert!(served >= 60, "{figures}");
+}
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -108,6 +108,11 @@
         async move { handler.handle(req, peer).await }
     };
     let limits = limits_of(state);
+    // A node can't tell whether its request was read, if its connection is closed.
+    let limits = move || ServerLimits {
+        closes_excess: false,
+        ..limits()
+    };
     let connections = state.connections.clone();
     let (server_tasks, leaving) = (tasks.clone(), leaving.clone());
     tasks.spawn(async move {
@@ -139,6 +144,7 @@
     };
     ServerLimits {
         max_connections: MAX_CONNECTIONS,
+        closes_excess: true,
         head_timeout: idle_timeout,
         max_head_bytes: MAX_HEAD_BYTES,
     }
--- a/crates/sesamecart-node/src/administration.rs
+++ b/crates/sesamecart-node/src/administration.rs
@@ -20,6 +20,7 @@
 
 /// Bounds on operators' connections; there are few operators, so they are tight.
 const LIMITS: ServerLimits = ServerLimits {
+    closes_excess: false,
     max_connections: 128,
     head_timeout: Duration::from_secs(10),
     max_head_bytes: 32 * 1024,
