--- a/crates/sesamecart-fleet/examples/crashes.rs
+++ b/crates/sesamecart-fleet/examples/crashes.rs
@@ -5,17 +5,27 @@
 use std::time::Instant;
 
 use sesamecart_fleet::{
-    CrashReport, CrashTracker, CrashedRun, EndpointCrash, Incarnation, Suspicion,
+    CrashReport, CrashTracker, CrashedRun, EndpointCrash, Incarnation, SuspectedPart, Suspicion,
 };
-use sesamecart_vocabulary::{Fingerprint, NodeId, RequestIdentity, Timestamp};
+use sesamecart_vocabulary::{Fingerprint, NodeId, PromptPartId, RequestIdentity, Timestamp};
 
 /// The number of repetitions, of which the median is printed.
 const REPETITIONS: usize = 50;
 
-/// Numbers of nodes, and of the runs that each may report.
-const SIZES: [(usize, usize); 3] = [(7, 109), (71, 10), (380, 2)];
+/// Numbers of nodes, of the runs that each may report, and of the parts of each prompt.
+const SIZES: [(usize, usize, usize); 6] = [
+    (7, 109, 0),
+    (71, 10, 0),
+    (380, 2, 0),
+    (7, 109, 3),
+    (7, 109, 20),
+    (380, 2, 20),
+];
 
-fn report(node: usize, runs: usize) -> CrashReport {
+/// The number of different parts.
+const DIFFERENT_PARTS: usize = 400;
+
+fn report(node: usize, runs: usize, parts: usize) -> CrashReport {
     let runs = (0..runs).map(|index| CrashedRun {
         request: Fingerprint::of(&RequestIdentity {
             customer: Some("customer"),
@@ -32,7 +42,15 @@
         },
         suspicion: Suspicion::default(),
         ran_ms: 80,
-        parts: Vec::new(),
+        parts: (0..parts)
+            .map(|part| {
+                let number = (node * 31 + index * 7 + part * 13) % DIFFERENT_PARTS;
+                SuspectedPart {
+                    part: Fingerprint::of_prompt_part(PromptPartId(number as u128)),
+                    suspicion: Suspicion::default(),
+                }
+            })
+            .collect(),
         customer: None,
     });
     CrashReport {
@@ -42,13 +60,15 @@
 }
 
 fn main() {
-    println!("nodes | runs a node | bytes of a report | bytes of all | apply all, ms");
-    for (nodes, runs) in SIZES {
+    println!(
+        "nodes | runs a node | parts of a prompt | bytes of a report | bytes of all | apply all, ms"
+    );
+    for (nodes, runs, parts) in SIZES {
         let reports: Vec<(NodeId, CrashReport)> = (0..nodes)
             .map(|node| {
                 (
                     format!("node-{node}").parse().expect("a valid name"),
-                    report(node, runs),
+                    report(node, runs, parts),
                 )
             })
             .collect();
@@ -66,7 +86,7 @@
         times.sort_by(f64::total_cmp);
         let median = times[REPETITIONS / 2];
         println!(
-            "{nodes} | {runs} | {bytes} | {} | {median:.2}",
+            "{nodes} | {runs} | {parts} | {bytes} | {} | {median:.2}",
             bytes * nodes
         );
     }
--- a/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
@@ -24,7 +24,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(super) struct Assessment {
     pub(super) suspicion: Suspicion,
-    /// The largest number of successive crashes after about the same run time.
+    /// The largest number of successive crashes after about the same run time; of a part that was cleared, only those
+    /// that no other suspect explains.
     pub(super) strikes: u32,
     /// The number of crashes after about the same run time, of a part that hasn't been cleared. They may have happened
     /// at once.
@@ -148,35 +149,79 @@
 
     fn assess(&self, suspect: &Fingerprint, clearances: u32) -> Assessment {
         let entries: Vec<Entry<'_, '_>> = self.entries(suspect).collect();
-        let limit = self.limit(suspect);
-        let is_part = self.is_part(suspect);
-        let strikes = |entry: &Entry<'_, '_>| self.strikes(entry);
-        let all = entries.iter().map(strikes).max().unwrap_or(0);
-        // Most suspects are bystanders with few strikes, for which nothing follows.
-        let undecided = entries.iter().filter(|entry| {
-            !is_part || (all >= limit && strikes(entry) >= limit && !self.is_explained(entry))
-        });
-        let undecided = undecided.map(strikes).max().unwrap_or(0);
-        let decisive = entries.iter().filter(|entry| self.is_decisive(entry));
         let crashes = entries.iter().map(|entry| entry.interruption.crashes + 1);
-        let was_cleared = self.was_cleared(suspect);
-        let similar = entries.iter().filter(|_| is_part && !was_cleared);
-        let similar = similar.map(|entry| self.similar_crashes(entry)).max();
-        Assessment {
+        let crashes = crashes.max().unwrap_or(0);
+        let assessment = Assessment {
             suspicion: Suspicion {
-                crashes: crashes.max().unwrap_or(0),
+                crashes,
                 clearances,
             },
-            strikes: if is_part && was_cleared {
-                undecided
-            } else {
-                all
-            },
-            similar_crashes: similar.unwrap_or(0),
-            undecided_strikes: undecided,
-            limit,
-            decisive: decisive.map(|entry| entry.crash.clone()).collect(),
+            strikes: crashes.min(1),
+            limit: self.limit(suspect),
             customers: self.customers.get(suspect).cloned().unwrap_or_default(),
+            ..Assessment::default()
+        };
+        // Nothing follows from a single crash, and most suspects are bystanders of one.
+        if crashes <= 1 {
+            return assessment;
+        }
+        if self.is_part(suspect) {
+            self.count_strikes_of_part(&entries, assessment)
+        } else {
+            self.count_strikes_of_request(&entries, assessment)
+        }
+    }
+
+    fn count_strikes_of_request(
+        &self,
+        entries: &[Entry<'_, '_>],
+        assessment: Assessment,
+    ) -> Assessment {
+        let strikes = entries.iter().map(|entry| self.strikes(entry));
+        let strikes = strikes.max().unwrap_or(0);
+        let decisive = entries.iter().filter(|entry| {
+            strikes >= assessment.limit
+                && self.strikes(entry) >= assessment.limit
+                && !self.is_explained(entry)
+        });
+        Assessment {
+            strikes,
+            undecided_strikes: strikes,
+            decisive: decisive.map(|entry| entry.crash.clone()).collect(),
+            ..assessment
+        }
+    }
+
+    fn count_strikes_of_part(
+        &self,
+        entries: &[Entry<'_, '_>],
+        assessment: Assessment,
+    ) -> Assessment {
+        let strikes = entries.iter().map(|entry| self.strikes(entry));
+        let strikes: Vec<u32> = strikes.collect();
+        let decisive = entries.iter().zip(&strikes);
+        let decisive = decisive
+            .filter(|(entry, strikes)| **strikes >= assessment.limit && !self.is_explained(entry));
+        let decisive: Vec<_> = decisive.collect();
+        let undecided = decisive.iter().map(|(_, strikes)| **strikes).max();
+        let undecided = undecided.unwrap_or(0);
+        let decisive = decisive.iter().map(|(entry, _)| entry.crash.clone());
+        let decisive = decisive.collect();
+        if assessment.suspicion.clearances > 0 {
+            return Assessment {
+                strikes: undecided,
+                undecided_strikes: undecided,
+                decisive,
+                ..assessment
+            };
+        }
+        let similar = entries.iter().map(|entry| self.similar_crashes(entry));
+        Assessment {
+            strikes: strikes.into_iter().max().unwrap_or(0),
+            similar_crashes: similar.max().unwrap_or(0),
+            undecided_strikes: undecided,
+            decisive,
+            ..assessment
         }
     }
 
@@ -216,12 +261,7 @@
         u32::try_from(similar.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether a crash is enough to block the suspect: it isn't the first one, and nothing else that was
-    /// running comes into question as much.
-    fn is_decisive(&self, entry: &Entry<'_, '_>) -> bool {
-        self.strikes(entry) >= self.limit(entry.suspect) && !self.is_explained(entry)
-    }
-
+    /// Returns whether something else that was running comes into question as much as the suspect.
     fn is_explained(&self, entry: &Entry<'_, '_>) -> bool {
         let others = self.crashes[entry.crash].iter();
         let others = others.map(|(suspect, interruption)| Entry {
