--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -18,6 +18,8 @@
 mod assessment;
 mod harmless_parts;
 mod own_evidence;
+#[cfg(test)]
+mod part_tests;
 mod report;
 mod sharing;
 #[cfg(test)]
