Call crashing parts by that name, and count strikes once

What: read once more as a newcomer. A decision, and the functions of the tracker that take a whole request or a part of a prompt, call it a suspect. The strikes of a request were computed three times for each crash, and the choice of decisive crashes was written twice: once each now. Eight cases that guard against a failure got their line.

Cause: the tracker's names were those of whole requests. No behaviour changes.

No assertion or bound was changed.

--- a/crates/sesamecart-entry/tests/end_to_end/crashing_prompt_parts.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/crashing_prompt_parts.rs
@@ -29,7 +29,7 @@
 const COMMON_PART: &str = "c0";
 
 /// The part that crashes endpoints.
-const DEADLY_PART: &str = "dead";
+const CRASHING_PART: &str = "dead";
 
 /// The deadline of the requests, which is short enough that a test isn't held up by them.
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -99,7 +99,7 @@
 fn start() -> Deployment {
     let deployment = Deployment::start_with_plain_endpoints(ENDPOINTS);
     for endpoint in &deployment.plain {
-        endpoint.crash_on_prompt_parts(&[DEADLY_PART], Some(RESTART_DELAY));
+        endpoint.crash_on_prompt_parts(&[CRASHING_PART], Some(RESTART_DELAY));
         endpoint.set_first_event_delay(ANSWER_TIME);
     }
     deployment
@@ -121,9 +121,9 @@
         deployment: &deployment,
     };
     let duration = Duration::from_secs(12);
-    let deadly = |number: u64| format!("{COMMON_PART}:800,{number:x}:50,{DEADLY_PART}:30");
+    let crashing = |number: u64| format!("{COMMON_PART}:800,{number:x}:50,{CRASHING_PART}:30");
     let (late, sound) = std::thread::scope(|scope| {
-        scope.spawn(|| load.send("deadly", 10, duration, deadly));
+        scope.spawn(|| load.send("crashing", 10, duration, crashing));
         let sound =
             scope.spawn(|| load.send("sound", 20, duration, |_| format!("{COMMON_PART}:800")));
         deployment.wait_until("five endpoints have crashed", || {
--- a/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
@@ -91,11 +91,14 @@
     an_answer_that_ends_with_its_connection_is_whole: Lookup, WHOLE, Close => true;
     /// Guards against a crash that delivers a cut answer as whole, and clears the request that caused it.
     an_answer_that_ends_with_its_endpoint_is_not_whole: Lookup, WHOLE, Crash => false;
+    /// Guards against delivering what came before a reset as whole.
     an_answer_that_ends_with_a_reset_is_not_whole: Lookup, WHOLE, Reset => false;
     /// Guards against the same for a request that must not run twice.
     a_booking_whose_answer_ends_with_its_endpoint_is_not_whole: Booking, WHOLE, Crash => false;
     a_stream_that_ends_with_its_connection_between_events_is_whole: PlainStream, WHOLE, Close => true;
+    /// Guards against the end of a connection that ends a stream as complete wherever it is.
     a_stream_that_ends_with_its_connection_inside_an_event_is_not_whole: PlainStream, CUT, Close => false;
+    /// Guards against a reset between two events that ends a stream as complete.
     a_stream_that_ends_with_a_reset_is_not_whole: PlainStream, WHOLE, Reset => false;
     /// Guards against a crash between two events that ends a stream as complete.
     a_stream_that_ends_with_its_endpoint_is_not_whole: PlainStream, WHOLE, Crash => false;
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -91,7 +91,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DueDecision {
     /// The request, or the part of its prompt.
-    pub request: Fingerprint,
+    pub suspect: Fingerprint,
     /// The crash.
     pub crash: EndpointCrash,
 }
@@ -162,8 +162,8 @@
 
     /// Returns what is known about a request.
     #[must_use]
-    pub fn suspicion(&self, request: &Fingerprint) -> Suspicion {
-        let assessment = self.assessments.get(request);
+    pub fn suspicion(&self, suspect: &Fingerprint) -> Suspicion {
+        let assessment = self.assessments.get(suspect);
         assessment.map_or_else(Suspicion::default, |assessment| assessment.suspicion)
     }
 
@@ -191,17 +191,17 @@
 
     /// Returns whether a request may be sent to an endpoint.
     #[must_use]
-    pub fn admission(&self, now: Timestamp, request: &Fingerprint) -> CrashAdmission {
-        if let Some(known) = self.blocked.get(request) {
+    pub fn admission(&self, now: Timestamp, suspect: &Fingerprint) -> CrashAdmission {
+        if let Some(known) = self.blocked.get(suspect) {
             return CrashAdmission::Blocked(BLOCK_TTL.saturating_sub(now.since(known.since)));
         }
-        if let Some(undecided) = self.undecided.get(request) {
+        if let Some(undecided) = self.undecided.get(suspect) {
             let remaining = DECISION_TIMEOUT.saturating_sub(now.since(undecided.since));
             if !remaining.is_zero() {
                 return CrashAdmission::Undecided(remaining);
             }
         }
-        let assessment = self.assessments.get(request);
+        let assessment = self.assessments.get(suspect);
         if assessment.is_some_and(Assessment::is_one_strike_away) {
             return CrashAdmission::Restricted;
         }
@@ -329,11 +329,11 @@
     }
 
     /// Records that an endpoint ran a request to the end. Returns whether this cleared the request.
-    pub fn record_completion(&mut self, now: Timestamp, request: &Fingerprint) -> bool {
+    pub fn record_completion(&mut self, now: Timestamp, suspect: &Fingerprint) -> bool {
         let is_suspected =
-            self.suspicion(request).crashes > 0 || self.blocked.contains_key(request);
+            self.suspicion(suspect).crashes > 0 || self.blocked.contains_key(suspect);
         if is_suspected {
-            self.clear(now, request, ClearanceCause::Completed);
+            self.clear(now, suspect, ClearanceCause::Completed);
         }
         is_suspected
     }
@@ -354,26 +354,26 @@
     }
 
     /// Lifts the block of a request. Returns whether it was blocked.
-    pub fn lift(&mut self, now: Timestamp, request: &Fingerprint) -> bool {
-        let is_blocked = self.blocked.contains_key(request);
+    pub fn lift(&mut self, now: Timestamp, suspect: &Fingerprint) -> bool {
+        let is_blocked = self.blocked.contains_key(suspect);
         if is_blocked {
-            self.clear(now, request, ClearanceCause::Lifted);
+            self.clear(now, suspect, ClearanceCause::Lifted);
         }
         is_blocked
     }
 
-    fn clear(&mut self, now: Timestamp, request: &Fingerprint, cause: ClearanceCause) {
+    fn clear(&mut self, now: Timestamp, suspect: &Fingerprint, cause: ClearanceCause) {
         let clearance = Clearance {
-            request: *request,
-            number: self.suspicion(request).clearances + 1,
+            request: *suspect,
+            number: self.suspicion(suspect).clearances + 1,
             cause,
         };
         let own = OwnClearance {
             clearance,
             cleared_at: now,
-            is_shared: self.published.report.concerns(request),
+            is_shared: self.published.report.concerns(suspect),
         };
-        self.clearances.insert(*request, own);
+        self.clearances.insert(*suspect, own);
         if self.clearances.len() > MAX_OWN_CLEARANCES {
             self.clearances.shift_remove_index(0);
         }
@@ -394,8 +394,8 @@
         let due = suspected.filter(|(suspect, crash)| {
             self.is_decisive(suspect, crash) && !self.blocked.contains_key(suspect)
         });
-        let due = due.map(|(request, crash)| DueDecision {
-            request,
+        let due = due.map(|(suspect, crash)| DueDecision {
+            suspect,
             crash: crash.clone(),
         });
         due.collect()
@@ -415,13 +415,13 @@
             return false;
         };
         let parts = own.origin.parts.iter().copied().map(SharedPart::from);
-        let mut parts = parts.filter(|part| part.fingerprint == due.request);
+        let mut parts = parts.filter(|part| part.fingerprint == due.suspect);
         let block = BlockedRequest {
-            request: due.request,
+            request: due.suspect,
             part: parts.next().map(|part| part.id.to_string()),
-            clearances: self.suspicion(&due.request).clearances,
+            clearances: self.suspicion(&due.suspect).clearances,
             origin: own.origin.clone(),
-            endpoints: self.crashed_endpoints(&due.request),
+            endpoints: self.crashed_endpoints(&due.suspect),
             ran_ms: own.run.ran_ms,
             since_unix_ms: unix_ms,
         };
@@ -430,7 +430,7 @@
         }
         let expires_at = now + BLOCK_TTL;
         self.blocks
-            .insert(due.request, OwnBlock { block, expires_at });
+            .insert(due.suspect, OwnBlock { block, expires_at });
         self.reassess(now);
         true
     }
@@ -460,10 +460,10 @@
         is_old || runs.any(is_same)
     }
 
-    fn crashed_endpoints(&self, request: &Fingerprint) -> Vec<EndpointId> {
+    fn crashed_endpoints(&self, suspect: &Fingerprint) -> Vec<EndpointId> {
         let mut endpoints: Vec<EndpointId> = self
             .all_runs()
-            .filter(|run| run.concerns(request))
+            .filter(|run| run.concerns(suspect))
             .map(|run| run.crash.endpoint.clone())
             .collect();
         endpoints.sort_unstable();
@@ -613,11 +613,11 @@
     }
 
     /// Returns why a request isn't blocked any more.
-    fn block_end(&self, request: &Fingerprint) -> BlockEnd {
+    fn block_end(&self, suspect: &Fingerprint) -> BlockEnd {
         let own = self.clearances.values().map(|own| &own.clearance);
         let peers = self.peers.values().flat_map(|peer| &peer.report.clearances);
         let clearances = own.chain(peers);
-        let of_request = clearances.filter(|clearance| clearance.request == *request);
+        let of_request = clearances.filter(|clearance| clearance.request == *suspect);
         let last = of_request.max_by_key(|clearance| clearance.number);
         last.map_or(BlockEnd::Expired, |last| BlockEnd::Cleared(last.cause))
     }
--- a/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/assessment.rs
@@ -177,17 +177,13 @@
         entries: &[Entry<'_, '_>],
         assessment: Assessment,
     ) -> Assessment {
-        let strikes = entries.iter().map(|entry| self.strikes(entry));
-        let strikes = strikes.max().unwrap_or(0);
-        let decisive = entries.iter().filter(|entry| {
-            strikes >= assessment.limit
-                && self.strikes(entry) >= assessment.limit
-                && !self.is_explained(entry)
-        });
+        let strikes = self.strikes_of(entries);
+        let decisive = self.decisive(entries, &strikes, assessment.limit);
+        let strikes = strikes.iter().copied().max().unwrap_or(0);
         Assessment {
             strikes,
             undecided_strikes: strikes,
-            decisive: decisive.map(|entry| entry.crash.clone()).collect(),
+            decisive: decisive.map(|(entry, _)| entry.crash.clone()).collect(),
             ..assessment
         }
     }
@@ -197,13 +193,10 @@
         entries: &[Entry<'_, '_>],
         assessment: Assessment,
     ) -> Assessment {
-        let strikes = entries.iter().map(|entry| self.strikes(entry));
-        let strikes: Vec<u32> = strikes.collect();
-        let decisive = entries.iter().zip(&strikes);
-        let decisive = decisive
-            .filter(|(entry, strikes)| **strikes >= assessment.limit && !self.is_explained(entry));
+        let strikes = self.strikes_of(entries);
+        let decisive = self.decisive(entries, &strikes, assessment.limit);
         let decisive: Vec<_> = decisive.collect();
-        let undecided = decisive.iter().map(|(_, strikes)| **strikes).max();
+        let undecided = decisive.iter().map(|(_, strikes)| *strikes).max();
         let undecided = undecided.unwrap_or(0);
         let decisive = decisive.iter().map(|(entry, _)| entry.crash.clone());
         let decisive = decisive.collect();
@@ -225,6 +218,21 @@
         }
     }
 
+    fn strikes_of(&self, entries: &[Entry<'_, '_>]) -> Vec<u32> {
+        entries.iter().map(|entry| self.strikes(entry)).collect()
+    }
+
+    /// Returns the crashes that are enough to block the suspect, with the strikes up to each.
+    fn decisive<'s, 'e, 'b>(
+        &'s self,
+        entries: &'s [Entry<'e, 'b>],
+        strikes: &'s [u32],
+        limit: u32,
+    ) -> impl Iterator<Item = (&'s Entry<'e, 'b>, u32)> {
+        let counted = entries.iter().zip(strikes.iter().copied());
+        counted.filter(move |(entry, strikes)| *strikes >= limit && !self.is_explained(entry))
+    }
+
     /// Returns the number of strikes that is enough to block a suspect.
     fn limit(&self, suspect: &Fingerprint) -> u32 {
         let kind = match self.is_part(suspect) {
--- a/crates/sesamecart-fleet/src/crash_tracker/own_evidence.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/own_evidence.rs
@@ -36,7 +36,7 @@
 
 impl OwnRun {
     pub(super) fn is_of(&self, due: &DueDecision) -> bool {
-        self.run.concerns(&due.request) && self.run.crash == due.crash
+        self.run.concerns(&due.suspect) && self.run.crash == due.crash
     }
 }
 
--- a/crates/sesamecart-fleet/src/crash_tracker/part_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/part_tests.rs
@@ -19,7 +19,7 @@
 const CLEARED_CRASH_LIMIT: u32 = 8;
 
 const COMMON: u128 = 1;
-const DEADLY: u128 = 2;
+const CRASHING: u128 = 2;
 const OTHER: u128 = 3;
 
 /// Returns a request with parts in its prompt, which differs from all with another number.
@@ -127,10 +127,10 @@
 #[test]
 fn different_requests_with_a_part_that_crashed_endpoints_are_blocked() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let now = decide(&mut tracker);
-    assert_eq!(blocked(&tracker), [part(DEADLY)]);
-    let other = request(99, &[OTHER, DEADLY], "customer-1");
+    assert_eq!(blocked(&tracker), [part(CRASHING)]);
+    let other = request(99, &[OTHER, CRASHING], "customer-1");
     assert!(matches!(
         admission(&tracker, now, &other),
         CrashAdmission::Blocked(_)
@@ -143,7 +143,7 @@
 #[test]
 fn a_block_names_the_part_its_route_and_its_endpoints() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     decide(&mut tracker);
     let block = tracker.blocked().next().expect("it is blocked");
     assert_eq!(block.part.as_deref(), Some("2"));
@@ -157,12 +157,12 @@
 fn a_part_that_completes_is_neither_held_nor_blocked() {
     let mut tracker = CrashTracker::default();
     for index in 0..CRASH_LIMIT {
-        let deadly = request(index, &[COMMON, DEADLY], "customer-1");
-        record_crash(&mut tracker, index, &[deadly]);
+        let crashing = request(index, &[COMMON, CRASHING], "customer-1");
+        record_crash(&mut tracker, index, &[crashing]);
         complete(&mut tracker, &[COMMON]);
     }
     let now = decide(&mut tracker);
-    assert_eq!(blocked(&tracker), [part(DEADLY)]);
+    assert_eq!(blocked(&tracker), [part(CRASHING)]);
     let sound = request(99, &[COMMON], "customer-1");
     assert_eq!(admission(&tracker, now, &sound), CrashAdmission::Allowed);
 }
@@ -174,7 +174,7 @@
     record_crash(
         &mut tracker,
         0,
-        &[request(0, &[COMMON, DEADLY], "customer-1")],
+        &[request(0, &[COMMON, CRASHING], "customer-1")],
     );
     complete(&mut tracker, &[COMMON]);
     let mut later = forget_harmless_parts(&tracker);
@@ -182,55 +182,55 @@
         record_crash(
             &mut later,
             index,
-            &[request(index, &[COMMON, DEADLY], "customer-1")],
+            &[request(index, &[COMMON, CRASHING], "customer-1")],
         );
     }
     decide(&mut later);
-    assert_eq!(blocked(&later), [part(DEADLY)]);
+    assert_eq!(blocked(&later), [part(CRASHING)]);
 }
 
 /// Guards against a part that completed under an earlier version of the engines and is never blamed again.
 #[test]
 fn a_part_that_completed_before_is_blocked_after_more_crashes() {
     let mut tracker = CrashTracker::default();
-    record_crash(&mut tracker, 0, &[request(0, &[DEADLY], "customer-1")]);
-    complete(&mut tracker, &[DEADLY]);
+    record_crash(&mut tracker, 0, &[request(0, &[CRASHING], "customer-1")]);
+    complete(&mut tracker, &[CRASHING]);
     let mut later = forget_harmless_parts(&tracker);
-    crash_endpoints(&mut later, CLEARED_CRASH_LIMIT - 1, &[DEADLY]);
+    crash_endpoints(&mut later, CLEARED_CRASH_LIMIT - 1, &[CRASHING]);
     decide(&mut later);
     assert!(blocked(&later).is_empty());
-    record_crash(&mut later, 20, &[request(20, &[DEADLY], "customer-1")]);
+    record_crash(&mut later, 20, &[request(20, &[CRASHING], "customer-1")]);
     decide(&mut later);
-    assert_eq!(blocked(&later), [part(DEADLY)]);
+    assert_eq!(blocked(&later), [part(CRASHING)]);
 }
 
-/// Guards against blaming a rare part whose requests were interrupted by the crashes of a deadly one.
+/// Guards against blaming a rare part whose requests were interrupted by the crashes of a crashing one.
 #[test]
-fn a_rare_part_that_shares_endpoints_with_a_deadly_one_is_not_blocked() {
+fn a_rare_part_that_shares_endpoints_with_a_crashing_one_is_not_blocked() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, 2, &[DEADLY]);
+    crash_endpoints(&mut tracker, 2, &[CRASHING]);
     for index in 2..2 + CRASH_LIMIT {
-        let deadly = request(index, &[DEADLY], "customer-1");
+        let crashing = request(index, &[CRASHING], "customer-1");
         let rare = request(100 + index, &[OTHER], "customer-1");
-        record_crash(&mut tracker, index, &[deadly, rare]);
+        record_crash(&mut tracker, index, &[crashing, rare]);
     }
     decide(&mut tracker);
-    assert_eq!(blocked(&tracker), [part(DEADLY)]);
+    assert_eq!(blocked(&tracker), [part(CRASHING)]);
 }
 
 /// Guards against requests that are never blocked because two parts of their prompts explain each other's crashes.
 #[test]
 fn requests_whose_prompts_always_hold_two_parts_are_blocked() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY, OTHER]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING, OTHER]);
     decide(&mut tracker);
     assert!(blocked(&tracker).is_empty(), "one of them may be harmless");
     for index in CRASH_LIMIT..CRASH_LIMIT + 2 {
-        let both = request(index, &[DEADLY, OTHER], "customer-1");
+        let both = request(index, &[CRASHING, OTHER], "customer-1");
         record_crash(&mut tracker, index, &[both]);
     }
     let now = decide(&mut tracker);
-    let next = request(99, &[OTHER, DEADLY], "customer-1");
+    let next = request(99, &[OTHER, CRASHING], "customer-1");
     assert!(matches!(
         admission(&tracker, now, &next),
         CrashAdmission::Blocked(_)
@@ -253,11 +253,11 @@
 #[test]
 fn a_customer_without_a_crash_is_held_to_one_start_and_cleared_by_it() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let now = decide(&mut tracker);
-    let other = request(99, &[DEADLY], "customer-2");
+    let other = request(99, &[CRASHING], "customer-2");
     assert_eq!(admission(&tracker, now, &other), CrashAdmission::Restricted);
-    complete(&mut tracker, &[DEADLY]);
+    complete(&mut tracker, &[CRASHING]);
     assert_eq!(admission(&tracker, now, &other), CrashAdmission::Allowed);
 }
 
@@ -265,9 +265,9 @@
 #[test]
 fn one_crash_of_another_customer_is_enough_to_block_its_requests() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let now = decide(&mut tracker);
-    let other = request(99, &[DEADLY], "customer-2");
+    let other = request(99, &[CRASHING], "customer-2");
     record_crash(&mut tracker, 30, std::slice::from_ref(&other));
     assert!(matches!(
         admission(&tracker, now, &other),
@@ -281,10 +281,14 @@
     let mut tracker = CrashTracker::default();
     for index in 0..CRASH_LIMIT {
         let customer = format!("customer-{index}");
-        record_crash(&mut tracker, index, &[request(index, &[DEADLY], &customer)]);
+        record_crash(
+            &mut tracker,
+            index,
+            &[request(index, &[CRASHING], &customer)],
+        );
     }
     decide(&mut tracker);
-    assert_eq!(blocked(&tracker), [part(DEADLY)]);
+    assert_eq!(blocked(&tracker), [part(CRASHING)]);
 }
 
 /// Guards against blaming the parts of requests that had been running for long when many endpoints were lost.
@@ -320,10 +324,10 @@
 #[test]
 fn a_block_of_a_part_expires_and_the_next_crash_blocks_again() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let expired = decide(&mut tracker) + BLOCK_TTL;
     tracker.expire(expired);
-    let next = request(99, &[DEADLY], "customer-1");
+    let next = request(99, &[CRASHING], "customer-1");
     assert_eq!(
         admission(&tracker, expired, &next),
         CrashAdmission::Restricted
@@ -343,19 +347,19 @@
 #[test]
 fn an_operator_lifts_the_block_of_a_part() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let now = decide(&mut tracker);
-    assert!(tracker.lift(now, &part(DEADLY)));
-    let next = request(99, &[DEADLY], "customer-1");
+    assert!(tracker.lift(now, &part(CRASHING)));
+    let next = request(99, &[CRASHING], "customer-1");
     assert_eq!(admission(&tracker, now, &next), CrashAdmission::Allowed);
 }
 
-/// Guards against memory and messages that grow with the number of parts, and against losing the deadly one.
+/// Guards against memory and messages that grow with the number of parts, and against losing the crashing one.
 #[test]
 fn thousands_of_parts_are_kept_within_bounds() {
     const NODES: usize = 380;
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, 2, &[DEADLY]);
+    crash_endpoints(&mut tracker, 2, &[CRASHING]);
     for index in 2..300 {
         let parts: Vec<u128> = (0..20)
             .map(|part| 1_000 * u128::from(index) + part)
@@ -364,10 +368,10 @@
         record_crash(&mut tracker, 2 + index % 100, &[bystander]);
     }
     assert!(tracker.suspected_count() <= 21 * MAX_OWN_RUNS);
-    assert_eq!(tracker.suspicion(&part(DEADLY)).crashes, 2);
+    assert_eq!(tracker.suspicion(&part(CRASHING)).crashes, 2);
     let report = tracker.due_report(START + SHARE_DELAY, NODES);
     let report: CrashReport = report.expect("it is urgent");
-    assert!(report.runs.iter().any(|run| run.concerns(&part(DEADLY))));
+    assert!(report.runs.iter().any(|run| run.concerns(&part(CRASHING))));
     assert!(report.runs.len() <= 8, "{} runs", report.runs.len());
     let node = |index: usize| -> NodeId { format!("n{index}").parse().expect("a valid name") };
     tracker.apply_peers(
@@ -393,14 +397,14 @@
 #[test]
 fn nothing_remains_of_a_part_in_the_end() {
     let mut tracker = CrashTracker::default();
-    crash_endpoints(&mut tracker, CRASH_LIMIT, &[DEADLY]);
+    crash_endpoints(&mut tracker, CRASH_LIMIT, &[CRASHING]);
     let now = decide(&mut tracker);
     for round in 1..=3 {
         tracker.expire(now + BLOCK_TTL * round);
     }
     assert!(tracker.is_empty(), "{tracker:?}");
     assert_eq!(
-        admission(&tracker, now, &request(99, &[DEADLY], "customer-1")),
+        admission(&tracker, now, &request(99, &[CRASHING], "customer-1")),
         CrashAdmission::Allowed
     );
 }
--- a/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/simulation_tests.rs
@@ -66,7 +66,7 @@
 const RARE_PART: PromptPartId = PromptPartId(30);
 
 /// The first of the parts that crash endpoints.
-const FIRST_DEADLY_PART: u128 = 100;
+const FIRST_CRASHING_PART: u128 = 100;
 
 /// The interval of innocent requests with a rare part.
 const RARE_INTERVAL: Duration = Duration::from_secs(5);
@@ -84,11 +84,11 @@
     /// The mean time between two arrivals of each culprit.
     culprit_interval: Duration,
     /// The number of parts that crash endpoints, each in requests of which no two are alike.
-    deadly_parts: usize,
-    /// The mean time between two requests with a deadly part, for each of these.
-    deadly_interval: Duration,
-    /// The place of the deadly part in its prompts.
-    deadly_place: usize,
+    crashing_parts: usize,
+    /// The mean time between two requests with a crashing part, for each of these.
+    crashing_interval: Duration,
+    /// The place of the crashing part in its prompts.
+    crashing_place: usize,
     /// Whether some innocent requests hold a part that few others hold.
     has_rare_part: bool,
     /// Whether all requests arrive at one node.
@@ -122,8 +122,8 @@
 
 struct Request {
     suspects: Suspects,
-    /// The index of the deadly part in its prompt.
-    deadly_part: Option<usize>,
+    /// The index of the crashing part in its prompt.
+    crashing_part: Option<usize>,
     duration: Duration,
     is_culprit: bool,
     crashes: usize,
@@ -131,9 +131,9 @@
     late_sends: usize,
 }
 
-/// What became of the requests with one deadly part.
+/// What became of the requests with one crashing part.
 #[derive(Clone, Copy, Default)]
-struct DeadlyPart {
+struct CrashingPart {
     crashes: usize,
     fifth_crash_at: Option<Timestamp>,
     late_sends: usize,
@@ -180,7 +180,7 @@
     starts: SuspectStarts,
     blocked: Vec<Fingerprint>,
     refused_innocents: usize,
-    deadly_parts: Vec<DeadlyPart>,
+    crashing_parts: Vec<CrashingPart>,
     /// When each innocent request arrived for the first time, and whether its first attempt failed or was refused.
     first_attempts: IndexMap<usize, (Timestamp, bool)>,
 }
@@ -218,7 +218,7 @@
             starts: SuspectStarts::default(),
             blocked: Vec::new(),
             refused_innocents: 0,
-            deadly_parts: vec![DeadlyPart::default(); scenario.deadly_parts],
+            crashing_parts: vec![CrashingPart::default(); scenario.crashing_parts],
             first_attempts: IndexMap::new(),
         };
         for node in 0..scenario.nodes {
@@ -239,8 +239,8 @@
             let interval = Duration::from_millis(400);
             simulation.repeat(&format!("repeated {repeated}"), false, interval);
         }
-        for part in 0..scenario.deadly_parts {
-            simulation.add_deadly_requests(part);
+        for part in 0..scenario.crashing_parts {
+            simulation.add_crashing_requests(part);
         }
         let mut at = Duration::ZERO;
         while at < scenario.run_time {
@@ -260,17 +260,20 @@
         simulation
     }
 
-    /// Has different requests with one deadly part arrive all the time.
-    fn add_deadly_requests(&mut self, part: usize) {
-        let deadly = PromptPartId(FIRST_DEADLY_PART + part as u128);
+    /// Has different requests with one crashing part arrive all the time.
+    fn add_crashing_requests(&mut self, part: usize) {
+        let crashing = PromptPartId(FIRST_CRASHING_PART + part as u128);
         let mut at = Duration::from_secs(3);
         while at < self.scenario.run_time {
-            at += self.scenario.deadly_interval.mul_f64(2.0 * self.rng.f64());
+            at += self
+                .scenario
+                .crashing_interval
+                .mul_f64(2.0 * self.rng.f64());
             let mut parts = vec![COMMON_PART, self.shared_part()];
-            parts.insert(self.scenario.deadly_place, deadly);
-            let body = format!("deadly request {part} at {at:?}");
+            parts.insert(self.scenario.crashing_place, crashing);
+            let body = format!("crashing request {part} at {at:?}");
             let request = self.add_request(&body, true, &parts);
-            self.requests[request].deadly_part = Some(part);
+            self.requests[request].crashing_part = Some(part);
             self.schedule_arrival(at, request);
         }
     }
@@ -296,7 +299,7 @@
                 parts: parts.iter().copied().map(SharedPart::from).collect(),
                 customer: None,
             },
-            deadly_part: None,
+            crashing_part: None,
             duration: Duration::from_secs_f64(0.1 + 2.4 * self.rng.f64().powi(2)),
             is_culprit,
             crashes: 0,
@@ -421,9 +424,9 @@
     fn count_late_send(&mut self, request: usize) {
         let is_late =
             |since: Option<Timestamp>| since.is_some_and(|at| self.now.since(at) > CONTACT_TIMEOUT);
-        if let Some(part) = self.requests[request].deadly_part {
-            let is_late = is_late(self.deadly_parts[part].fifth_crash_at);
-            self.deadly_parts[part].late_sends += usize::from(is_late);
+        if let Some(part) = self.requests[request].crashing_part {
+            let is_late = is_late(self.crashing_parts[part].fifth_crash_at);
+            self.crashing_parts[part].late_sends += usize::from(is_late);
         } else {
             let is_late = is_late(self.requests[request].third_crash_at);
             self.requests[request].late_sends += usize::from(is_late);
@@ -516,10 +519,10 @@
         let requests = interrupted
             .iter()
             .map(|run| self.runs[*run].arrival.request);
-        let parts = requests.filter_map(|request| self.requests[request].deadly_part);
+        let parts = requests.filter_map(|request| self.requests[request].crashing_part);
         let parts: IndexSet<usize> = parts.filter(|_| is_by_request).collect();
         for part in parts {
-            let part = &mut self.deadly_parts[part];
+            let part = &mut self.crashing_parts[part];
             part.crashes += 1;
             if part.crashes == PART_CRASH_LIMIT {
                 part.fifth_crash_at = Some(self.now);
@@ -670,7 +673,7 @@
                 "seed {seed}: sent {late} times too late, {crashes} crashes"
             );
         }
-        for (index, part) in self.deadly_parts.iter().enumerate() {
+        for (index, part) in self.crashing_parts.iter().enumerate() {
             let (late, crashes) = (part.late_sends, part.crashes);
             assert!(
                 late <= MAX_LATE_SENDS,
@@ -689,7 +692,7 @@
     /// after the fifth crash.
     fn served_at_once(&self) -> Option<f64> {
         let fifth = self
-            .deadly_parts
+            .crashing_parts
             .iter()
             .filter_map(|part| part.fifth_crash_at);
         let since = fifth.max()? + 2 * CONTACT_TIMEOUT;
@@ -726,9 +729,9 @@
     culprits: 1,
     repeated: 5,
     culprit_interval: Duration::from_millis(800),
-    deadly_parts: 0,
-    deadly_interval: Duration::from_millis(100),
-    deadly_place: 1,
+    crashing_parts: 0,
+    crashing_interval: Duration::from_millis(100),
+    crashing_place: 1,
     has_rare_part: false,
     is_one_node_used: false,
     nodes: 7,
@@ -782,9 +785,9 @@
     }
 }
 
-const DEADLY_PART: Scenario = Scenario {
+const CRASHING_PART: Scenario = Scenario {
     culprits: 0,
-    deadly_parts: 1,
+    crashing_parts: 1,
     has_rare_part: true,
     endpoints: 24,
     ..CALM
@@ -813,28 +816,33 @@
 
 part_scenarios! {
     /// Guards against a part that crashes endpoint after endpoint, in ten requests a second.
-    a_deadly_part_is_blocked_and_nothing_else: DEADLY_PART;
+    a_crashing_part_is_blocked_and_nothing_else: CRASHING_PART;
     /// Guards against a part whose requests are far apart.
-    a_deadly_part_twice_a_second_is_blocked: Scenario {
-        deadly_interval: Duration::from_millis(500), ..DEADLY_PART
+    a_crashing_part_twice_a_second_is_blocked: Scenario {
+        crashing_interval: Duration::from_millis(500), ..CRASHING_PART
     };
     /// Guards against a part that crashes all endpoints before nodes hear of the first crash.
-    a_deadly_part_sixty_times_a_second_is_blocked: Scenario {
-        deadly_interval: Duration::from_millis(17), ..DEADLY_PART
+    a_crashing_part_sixty_times_a_second_is_blocked: Scenario {
+        crashing_interval: Duration::from_millis(17), ..CRASHING_PART
     };
-    a_deadly_first_part_is_blocked: Scenario { deadly_place: 0, ..DEADLY_PART };
-    a_deadly_part_at_the_end_of_the_shared_ones_is_blocked: Scenario { deadly_place: 2, ..DEADLY_PART };
+    /// Guards against looking at some places of a prompt only.
+    a_crashing_first_part_is_blocked: Scenario { crashing_place: 0, ..CRASHING_PART };
+    /// Guards against taking the last shared part for the request's own.
+    a_crashing_part_at_the_end_of_the_shared_ones_is_blocked: Scenario { crashing_place: 2, ..CRASHING_PART };
     /// Guards against parts that each explain the crashes of the other.
-    two_deadly_parts_at_once_are_blocked: Scenario { deadly_parts: 2, ..DEADLY_PART };
+    two_crashing_parts_at_once_are_blocked: Scenario { crashing_parts: 2, ..CRASHING_PART };
     /// Guards against a request and a part that each explain the crashes of the other.
-    a_deadly_part_beside_a_deadly_request_is_blocked: Scenario { culprits: 1, ..DEADLY_PART };
-    a_deadly_part_at_one_node_is_blocked: Scenario { is_one_node_used: true, ..DEADLY_PART };
-    a_deadly_part_with_a_single_node_is_blocked: Scenario { nodes: 1, ..DEADLY_PART };
-    a_deadly_part_at_62_nodes_is_blocked: Scenario {
-        nodes: 62, endpoints: 60, run_time: Duration::from_secs(12), ..DEADLY_PART
+    a_crashing_part_beside_a_crashing_request_is_blocked: Scenario { culprits: 1, ..CRASHING_PART };
+    /// Guards against counting on other nodes to see crashes as well.
+    a_crashing_part_at_one_node_is_blocked: Scenario { is_one_node_used: true, ..CRASHING_PART };
+    /// Guards against waiting for the reports of nodes that don't exist.
+    a_crashing_part_with_a_single_node_is_blocked: Scenario { nodes: 1, ..CRASHING_PART };
+    /// Guards against evidence that is spread over so many nodes that none has enough.
+    a_crashing_part_at_62_nodes_is_blocked: Scenario {
+        nodes: 62, endpoints: 60, run_time: Duration::from_secs(12), ..CRASHING_PART
     };
     /// Guards against a part that hides behind losses of failure domains, and against blaming others for these.
-    a_deadly_part_among_lost_failure_domains_is_blocked: Scenario { domain_losses: 4, ..DEADLY_PART };
+    a_crashing_part_among_lost_failure_domains_is_blocked: Scenario { domain_losses: 4, ..CRASHING_PART };
     /// Guards against blaming a part that all prompts share for the loss of endpoints.
-    lost_failure_domains_block_no_part: Scenario { deadly_parts: 0, domain_losses: 10, ..DEADLY_PART };
+    lost_failure_domains_block_no_part: Scenario { crashing_parts: 0, domain_losses: 10, ..CRASHING_PART };
 }
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -89,7 +89,7 @@
         );
     }
     DueDecision {
-        request,
+        suspect: request,
         crash: crash(CRASH_LIMIT as usize - 1),
     }
 }
@@ -198,7 +198,7 @@
     record(&mut tracker, now, run(culprit, 7, 6));
     let due = tracker.due_decisions(now + SETTLE_TIME);
     assert_eq!(due.len(), 1);
-    assert_eq!(due[0].request, culprit);
+    assert_eq!(due[0].suspect, culprit);
 }
 
 /// Guards against blocking a request that was unlucky before, for a new one that crashed its endpoint.
@@ -298,7 +298,7 @@
     }
     let due = tracker.due_decisions(START + SETTLE_TIME);
     assert_eq!(due.len(), 1);
-    assert_eq!(due[0].request, culprit);
+    assert_eq!(due[0].suspect, culprit);
 }
 
 /// Guards against taking endpoints that are known to be down for a mass loss.
