--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -14,6 +14,7 @@
 mod conversion;
 mod domains;
 mod loading;
+mod losses;
 mod spread;
 
 const START: Timestamp = Timestamp(1_000_000);
--- a/crates/sesamecart-fleet/src/planner/tests/spread.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/spread.rs
@@ -53,6 +53,12 @@
         [("large", 4, 0.9), ("small", 3, 0.1)],
         [("a-0", 9), ("a-1", 9), ("b-0", 9), ("b-1", 9), ("c-0", 9), ("c-1", 9)]
         => [4, 3];
+    /// Guards against a model that has as many engines for its share as the other one but only two domains, and
+    /// loses half of its groups with one of them.
+    equally_provisioned_models_get_equal_domains:
+        [("large", 4, 0.57), ("small", 3, 0.43)],
+        [("a-0", 9), ("a-1", 9), ("b-0", 9), ("b-1", 9), ("c-0", 9), ("c-1", 9)]
+        => [4, 6];
 }
 
 /// On a cold start, engines register in any order, and the first complete fabric domains are assigned before
