--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -8,9 +8,9 @@
 use sesamecart_fleet::{GroupHealth, GroupKey, Pool};
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{
-    FollowReply, FollowRequest, GroupLoss, GroupVerdict, LimitAnnouncement, LimitReport,
-    NodeAnnouncement, Noted, PermitReply, PermitRequest, ReachReply, ReachRequest, SuspectReply,
-    SuspectRequest, WatchLoadsRequest,
+    DispatchReply, DispatchRequest, FollowReply, FollowRequest, GroupLoss, GroupVerdict,
+    HeldReport, LimitAnnouncement, LimitReport, NodeAnnouncement, Noted, PermitReply,
+    PermitRequest, ReachReply, ReachRequest, SuspectReply, SuspectRequest, WatchLoadsRequest,
 };
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
@@ -190,6 +190,17 @@
         Ok(Response::new(Noted {}))
     }
 
+    async fn dispatch(
+        &self,
+        _request: Request<DispatchRequest>,
+    ) -> Result<Response<DispatchReply>, Status> {
+        Err(Status::unimplemented("this node dispatches no requests"))
+    }
+
+    async fn report_held(&self, _request: Request<HeldReport>) -> Result<Response<Noted>, Status> {
+        Err(Status::unimplemented("this node dispatches no requests"))
+    }
+
     async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
         let key = decode_group_key(&request)?;
         self.state.mark_group_lost(&key);
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -35,5 +35,5 @@
 pub use metrics::Metrics;
 pub use node::{Entry, StartError, run};
 pub use reach::UnreachablePool;
-pub use settings::{EntrySettings, SettingsError};
+pub use settings::{DispatchSetting, EntrySettings, SettingsError};
 pub use state::EntryState;
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -41,6 +41,13 @@
     /// The share of a core that the node may use. The nodes with the largest shares read the store for the
     /// others.
     pub processor_share: f64,
+    /// The memory that the node may use, in megabytes.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Whether dispatchers place requests. If it is missing, that depends on the configuration and on the nodes'
+    /// memory; docs/design/dispatch.md has the rule.
+    #[serde(default)]
+    pub dispatch: Option<DispatchSetting>,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// Whether the whole deployment starts for the first time, rather than only this process.
@@ -49,6 +56,16 @@
     pub bounds: OperatorBounds,
 }
 
+/// Whether dispatchers place requests, regardless of what the configuration calls for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum DispatchSetting {
+    /// They place the requests for all models with usable step times.
+    Always,
+    /// Each node places its own requests.
+    Never,
+}
+
 /// Limits that the operator sets for all nodes.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -386,5 +386,6 @@
         links: settings.links,
         forwarding: settings.forwarding,
         processor_share: settings.processor_share,
+        memory_mb: settings.memory_mb,
     }
 }
--- a/crates/sesamecart-fleet/examples/limits.rs
+++ b/crates/sesamecart-fleet/examples/limits.rs
@@ -21,6 +21,7 @@
         links: "127.0.0.1:1".parse().expect("an address"),
         forwarding: None,
         processor_share: 0.25,
+        memory_mb: None,
     }
 }
 
--- /dev/null
+++ b/crates/sesamecart-fleet/src/dispatch/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the dispatcher.
--- a/crates/sesamecart-fleet/src/endpoint_limit/tests/ranking.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/tests/ranking.rs
@@ -14,6 +14,7 @@
         links: "127.0.0.1:1".parse().expect("an address"),
         forwarding: None,
         processor_share: 0.25,
+        memory_mb: None,
     });
     nodes.collect()
 }
--- a/crates/sesamecart-fleet/src/helpers/tests.rs
+++ b/crates/sesamecart-fleet/src/helpers/tests.rs
@@ -16,6 +16,7 @@
         links: address,
         forwarding: Some(address),
         processor_share: 0.25,
+        memory_mb: None,
     }
 }
 
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod decay;
 mod demand;
 mod directory;
+mod dispatch;
 mod endpoint;
 mod endpoint_backoff;
 mod endpoint_limit;
@@ -44,6 +45,10 @@
 };
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
+pub use dispatch::{
+    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, Dispatcher, HeldRequest,
+    PoolHead, PoolSpec, RefusalCause, Ticket, TicketKey,
+};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 pub use endpoint_backoff::slow_start::SlowStartTicket;
 pub use endpoint_backoff::{
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -34,6 +34,9 @@
     pub forwarding: Option<SocketAddr>,
     /// The fraction of a processor core that is available to it.
     pub processor_share: f64,
+    /// The memory that is available to it, if its settings say so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
 }
 
 /// A source of the store's contents.
--- a/crates/sesamecart-fleet/src/sources/tests.rs
+++ b/crates/sesamecart-fleet/src/sources/tests.rs
@@ -18,6 +18,7 @@
         links: ([127, 0, domain, number], 7_000).into(),
         forwarding: None,
         processor_share,
+        memory_mb: None,
     }
 }
 
