Decide where dispatchers are used, and by which node

Routes of unequal urgency and nodes with little memory need a decision for all nodes together; with neither, the code paths stay as they are, which a test says. Pure functions return the order of the nodes that dispatch a part of a pool and the parts of a pool. Nothing uses them yet.

--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -35,5 +35,6 @@
 pub use metrics::Metrics;
 pub use node::{Entry, StartError, run};
 pub use reach::UnreachablePool;
-pub use settings::{DispatchSetting, EntrySettings, SettingsError};
+pub use sesamecart_fleet::DispatchSetting;
+pub use settings::{EntrySettings, SettingsError};
 pub use state::EntryState;
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use sesamecart_fleet::RetryLimit;
+use sesamecart_fleet::{DispatchSetting, RetryLimit};
 use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
@@ -56,16 +56,6 @@
     pub bounds: OperatorBounds,
 }
 
-/// Whether dispatchers place requests, regardless of what the configuration calls for.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum DispatchSetting {
-    /// They place the requests for all models with usable step times.
-    Always,
-    /// Each node places its own requests.
-    Never,
-}
-
 /// Limits that the operator sets for all nodes.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -342,6 +342,11 @@
         })
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<PathRoute>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/sesamecart-fleet/src/dispatch.rs
+++ b/crates/sesamecart-fleet/src/dispatch.rs
@@ -5,13 +5,19 @@
 //! turns while others idle. One node, the dispatcher of the pool, therefore assigns an endpoint to each request,
 //! lets it wait for a short time, or refuses it. docs/design/dispatch.md describes the parts and their failures.
 
+mod applicability;
 mod dispatcher;
 mod message;
+mod order;
+mod part;
 #[cfg(test)]
 mod tests;
 
+pub use applicability::{DispatchSetting, uses_dispatchers};
 pub use dispatcher::Dispatcher;
 pub use message::{
     Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest, PoolHead,
     PoolSpec, RefusalCause, Ticket, TicketKey,
 };
+pub use order::dispatch_order;
+pub use part::{PoolPart, choose_parts, part_count, part_of};
--- a/crates/sesamecart-fleet/src/endpoint_limit/ranking.rs
+++ b/crates/sesamecart-fleet/src/endpoint_limit/ranking.rs
@@ -40,10 +40,9 @@
         failure_domain: Option<&FailureDomainId>,
         nodes: &'a [PeerNode],
     ) -> Option<&'a PeerNode> {
-        let responsive = nodes.iter().filter(|peer| {
-            let unresponsive = self.unresponsive.get(&peer.node);
-            unresponsive.is_none_or(|unresponsive| unresponsive.until <= now)
-        });
+        let responsive = nodes
+            .iter()
+            .filter(|peer| self.is_responsive(now, &peer.node));
         responsive.min_by_key(|peer| {
             let weight = rendezvous_weight(key, peer.node.as_str());
             let is_preferred = Some(&peer.failure_domain) == failure_domain;
@@ -51,6 +50,13 @@
         })
     }
 
+    /// Returns whether a node is asked, because it hasn't failed to answer lately.
+    #[must_use]
+    pub fn is_responsive(&self, now: Timestamp, node: &NodeId) -> bool {
+        let unresponsive = self.unresponsive.get(node);
+        unresponsive.is_none_or(|unresponsive| unresponsive.until <= now)
+    }
+
     /// Records that a node didn't answer.
     pub fn mark_unresponsive(&mut self, now: Timestamp, node: &NodeId) {
         self.unresponsive
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -46,8 +46,9 @@
 pub use demand::{Demand, DemandTracker};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use dispatch::{
-    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, Dispatcher, HeldRequest,
-    PoolHead, PoolSpec, RefusalCause, Ticket, TicketKey,
+    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, DispatchSetting, Dispatcher,
+    HeldRequest, PoolHead, PoolPart, PoolSpec, RefusalCause, Ticket, TicketKey, choose_parts,
+    dispatch_order, part_count, part_of, uses_dispatchers,
 };
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 pub use endpoint_backoff::slow_start::SlowStartTicket;
