--- /dev/null
+++ b/crates/sesamecart-entry/src/dispatch.rs
@@ -0,0 +1,45 @@
+//! Dispatchers at the nodes: who dispatches, what nodes ask and report, and what the dispatcher answers.
+//!
+//! The decisions are those of [`sesamecart_fleet::Dispatcher`]; docs/design/dispatch.md describes messages and
+//! failures.
+
+mod client;
+mod message;
+mod outbox;
+mod pools;
+mod reporter;
+mod server;
+mod ticket;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use event_listener::Event as Notifier;
+
+pub(crate) use crate::dispatch::client::{Dispatched, DispatchClient, DispatchQuery};
+pub(crate) use crate::dispatch::message::{decode_part, decode_report, decode_request, encode_reply};
+use crate::dispatch::outbox::Outbox;
+use crate::dispatch::pools::PoolCache;
+pub(crate) use crate::dispatch::reporter::report_held;
+use crate::dispatch::server::Dispatchers;
+pub(crate) use crate::dispatch::server::poll_dispatchers;
+pub(crate) use crate::dispatch::ticket::{AssignedTicket, HeldAttempt};
+
+/// What a node knows of dispatchers, shared by its threads.
+#[derive(Debug, Default)]
+pub(crate) struct Dispatch {
+    pools: Mutex<PoolCache>,
+    outbox: Mutex<Outbox>,
+    /// Notified when the outbox has something to report.
+    outbox_changed: Notifier,
+    dispatchers: Dispatchers,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Dispatch {
+    fn outbox(&self) -> MutexGuard<'_, Outbox> {
+        lock(&self.outbox)
+    }
+}
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -279,6 +279,59 @@
         /// How often it was denied a permit.
         denials: u32,
     },
+    /// The dispatcher of a pool has assigned an endpoint to a request.
+    DispatchAssigned {
+        /// The request.
+        request: &'a str,
+        /// The node that dispatches.
+        dispatcher: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+        /// The predicted time from sending to the first event, in milliseconds.
+        predicted_start_ms: u64,
+        /// The time until the dispatcher answered, in milliseconds.
+        waited_ms: u64,
+    },
+    /// The endpoint that a dispatcher has assigned can't be used, so the node chooses one itself.
+    DispatchUnusable {
+        /// The request.
+        request: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+    },
+    /// The dispatcher of a part of a pool has refused a request.
+    DispatchRefused {
+        /// The request.
+        request: &'a str,
+        /// The node that dispatches.
+        dispatcher: &'a str,
+        /// The part of the pool.
+        part: u32,
+        /// The cause.
+        cause: &'a str,
+        /// When the caller may return, in milliseconds.
+        retry_after_ms: u64,
+        /// The time until the dispatcher answered, in milliseconds.
+        waited_ms: u64,
+    },
+    /// The dispatcher of a pool hasn't answered, so the node chooses an endpoint itself.
+    DispatchUnanswered {
+        /// The request.
+        request: &'a str,
+        /// The node that was asked.
+        dispatcher: &'a str,
+        /// The time since then, in milliseconds.
+        waited_ms: u64,
+    },
+    /// This node reports what it has at the endpoints of a part of a pool to another dispatcher than before.
+    DispatcherChanged {
+        /// The service, the model and the index of the part.
+        part: &'a str,
+        /// The node that dispatches now.
+        dispatcher: &'a str,
+        /// The node that did before, if there was one.
+        before: Option<&'a str>,
+    },
     /// An endpoint has named a limit that isn't a rate. Only its first one is logged.
     LimitIgnored {
         /// The endpoint.
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -18,6 +18,10 @@
 
 use crate::clock;
 use crate::crashes::{SuspectClient, encode_decision};
+use crate::dispatch::{
+    decode_part, decode_report as decode_held_report,
+    decode_request as decode_request_for_endpoint, encode_reply,
+};
 use crate::feed::has_updates;
 use crate::follower::millis;
 use crate::group_prober::GroupProber;
@@ -50,10 +54,15 @@
 }
 
 impl FeedHandler {
-    fn reply_to(&self, req: &FollowRequest) -> Result<FollowReply, Status> {
-        if self.state.is_leaving() {
-            return Err(Status::unavailable("the node is leaving"));
+    fn refuse_if_leaving(&self) -> Result<(), Status> {
+        match self.state.is_leaving() {
+            true => Err(Status::unavailable("the node is leaving")),
+            false => Ok(()),
         }
+    }
+
+    fn reply_to(&self, req: &FollowRequest) -> Result<FollowReply, Status> {
+        self.refuse_if_leaving()?;
         if !self.state.reads_store() {
             return Err(Status::failed_precondition(
                 "the node doesn't read the store",
@@ -192,13 +201,26 @@
 
     async fn dispatch(
         &self,
-        _request: Request<DispatchRequest>,
+        request: Request<DispatchRequest>,
     ) -> Result<Response<DispatchReply>, Status> {
-        Err(Status::unimplemented("this node dispatches no requests"))
+        self.refuse_if_leaving()?;
+        let message = request.get_ref();
+        let part = decode_part(message.pool.as_ref())?;
+        let req = decode_request_for_endpoint(message)?;
+        let decision = self.state.dispatch(&part, req).await;
+        let reply = decision.as_ref().and_then(encode_reply);
+        reply.map(Response::new).ok_or_else(unknown_part)
     }
 
-    async fn report_held(&self, _request: Request<HeldReport>) -> Result<Response<Noted>, Status> {
-        Err(Status::unimplemented("this node dispatches no requests"))
+    async fn report_held(&self, request: Request<HeldReport>) -> Result<Response<Noted>, Status> {
+        self.refuse_if_leaving()?;
+        let message = request.get_ref();
+        let part = decode_part(message.pool.as_ref())?;
+        let (node, report) = decode_held_report(message)?;
+        if !self.state.apply_held_report(&part, &node, report) {
+            return Err(unknown_part());
+        }
+        Ok(Response::new(Noted {}))
     }
 
     async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
@@ -209,6 +231,10 @@
     }
 }
 
+fn unknown_part() -> Status {
+    Status::failed_precondition("the node knows no such part of a dispatched pool")
+}
+
 fn decode_pool(req: &ReachRequest) -> Result<Pool, Status> {
     let invalid = || Status::invalid_argument("the pool isn't a service and a model");
     let model = match req.model.as_str() {
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use sesamecart_edges::ShedConnections;
+use sesamecart_fleet::RefusalCause;
 use sesamecart_platform::{StoreOperation, Topic};
 
 /// The metrics of one node.
@@ -38,6 +39,8 @@
     models_unservable: Gauge<u64>,
     pools_unreachable: Gauge<u64>,
     forwarded: Counter<u64>,
+    dispatched: Counter<u64>,
+    dispatch_wait: Histogram<f64>,
     domains_evacuated: Gauge<u64>,
     connections_shed: Counter<u64>,
     first_response: Histogram<f64>,
@@ -118,9 +121,47 @@
     }
 }
 
+/// What a dispatcher answered about a request of this node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum DispatchOutcome {
+    /// It assigned an endpoint.
+    Assigned,
+    /// The assigned endpoint can't be used by this node.
+    Unusable,
+    /// It refused the request.
+    Refused(RefusalCause),
+    /// It didn't answer.
+    Unanswered,
+}
+
+impl DispatchOutcome {
+    const ALL: [Self; 6] = [
+        Self::Assigned,
+        Self::Unusable,
+        Self::Refused(RefusalCause::NoEndpoint),
+        Self::Refused(RefusalCause::Full),
+        Self::Refused(RefusalCause::OverShare),
+        Self::Unanswered,
+    ];
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Assigned => "assigned",
+            Self::Unusable => "unusable",
+            Self::Refused(RefusalCause::NoEndpoint) => "no_endpoint",
+            Self::Refused(RefusalCause::Full) => "full",
+            Self::Refused(RefusalCause::OverShare) => "over_share",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Histogram buckets of the time to the first response, in seconds. Callers are promised 0.1 to 0.4.
 const FIRST_RESPONSE_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 5.0];
 
+/// Histogram buckets of the time until a dispatcher answers, in seconds. It holds a request for 0.1 at most.
+const DISPATCH_WAIT_BUCKETS_S: [f64; 7] = [0.002, 0.005, 0.01, 0.03, 0.06, 0.11, 0.16];
+
 impl Metrics {
     /// Creates metrics that start at zero.
     ///
@@ -205,6 +246,15 @@
                 "sesamecart.requests.forwarded",
                 "Requests that nodes forward for each other, by this node's part in it.",
             ),
+            dispatched: counter(
+                "sesamecart.requests.dispatched",
+                "Requests for which this node asked a dispatcher, by its answer.",
+            ),
+            dispatch_wait: meter
+                .f64_histogram("sesamecart.dispatch.wait.seconds")
+                .with_description("Time from asking a dispatcher to its answer.")
+                .with_boundaries(DISPATCH_WAIT_BUCKETS_S.to_vec())
+                .build(),
             connections_shed: counter(
                 "sesamecart.connections.shed",
                 "New connections of callers that weren't served, by what became of them.",
@@ -264,6 +314,10 @@
             self.forwarded
                 .add(0, &[KeyValue::new("part", part.label())]);
         }
+        for outcome in DispatchOutcome::ALL {
+            self.dispatched
+                .add(0, &[KeyValue::new("outcome", outcome.label())]);
+        }
         self.domains_evacuated.record(0, &[]);
     }
 
@@ -379,6 +433,16 @@
             .add(1, &[KeyValue::new("part", part.label())]);
     }
 
+    pub(crate) fn count_dispatched(&self, outcome: DispatchOutcome) {
+        self.dispatched
+            .add(1, &[KeyValue::new("outcome", outcome.label())]);
+    }
+
+    /// Records the time that a dispatcher took to answer.
+    pub(crate) fn record_dispatch_wait(&self, waited: Duration) {
+        self.dispatch_wait.record(waited.as_secs_f64(), &[]);
+    }
+
     pub(crate) fn record_unservable(&self, models: usize) {
         self.models_unservable.record(models as u64, &[]);
     }
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::controller::Controller;
 use crate::crashes::{CrashMonitor, SuspectClient};
+use crate::dispatch::{poll_dispatchers, report_held};
 use crate::events::{Event, EventLog};
 use crate::feed::{self, FeedHandler};
 use crate::follower::{SourceFollower, millis};
@@ -346,6 +347,8 @@
         suspects: SuspectClient::new(Arc::clone(state), links.clone()),
     };
     tasks.spawn(feed::serve(handler, listeners.links, tasks.clone()));
+    tasks.spawn(poll_dispatchers(Arc::clone(state)));
+    tasks.spawn(report_held(Arc::clone(state), links.clone()));
     tasks.spawn(peer_loads::watch_peers(
         Arc::clone(state),
         links.clone(),
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -19,6 +19,7 @@
 use crate::backoffs::Backoffs;
 use crate::clock;
 use crate::crashes::Crashes;
+use crate::dispatch::Dispatch;
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::leaving::LeavingGroups;
@@ -91,6 +92,8 @@
     pub(crate) limits: Limits,
     /// The paths to endpoints.
     pub(crate) reach: Reach,
+    /// What this node knows of dispatchers, and has of them.
+    pub(crate) dispatch: Dispatch,
     /// The groups with a member that has said that it leaves.
     pub(crate) leaving_groups: LeavingGroups,
 }
@@ -137,6 +140,7 @@
             backoffs: Backoffs::default(),
             limits: Limits::default(),
             reach: Reach::default(),
+            dispatch: Dispatch::default(),
             leaving_groups: LeavingGroups::default(),
         }
     }
