Assign the endpoints of a pool at one dispatcher

Each node knew only its own part of the load.

The dispatcher predicts the first event at each endpoint from the step model and what all nodes have there, learns the part that no configuration states and how much slower single endpoints are, and admits while the targets are held. Requests wait for a short time in the order of urgency, earlier refusals, customers' tokens and age, or are refused with the time of their return.

--- a/crates/sesamecart-fleet/src/dispatch.rs
+++ b/crates/sesamecart-fleet/src/dispatch.rs
@@ -5,8 +5,18 @@
 //! turns while others idle. One node, the dispatcher of the pool, therefore assigns an endpoint to each request,
 //! lets it wait for a short time, or refuses it. docs/design/dispatch.md describes the parts and their failures.
 
+mod attempts;
+mod classes;
+mod cold;
 mod dispatcher;
+mod heads;
 mod message;
+mod placement;
+mod prediction;
+mod queue;
+mod returns;
+mod shares;
+mod slowness;
 #[cfg(test)]
 mod tests;
 
--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -1,17 +1,46 @@
 //! Assigns endpoints of one pool to the requests of all nodes.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
+use super::attempts::Attempts;
+use super::classes::Classes;
+use super::heads::{from_millis, to_millis};
 use super::message::{
-    DispatchDecision, DispatchRequest, HeldRequest, PoolHead, PoolSpec, TicketKey,
+    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest, PoolHead,
+    PoolSpec, RefusalCause, TicketKey,
 };
+use super::placement::{Pool, Search, StartLimits};
+use super::queue::{Offer, Queue, Rank};
+use super::returns::{Returns, Standing};
+use super::shares::Shares;
+
+/// How often waiting requests are looked at.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The time after which the attempts of a silent node count as over.
+const MAX_NODE_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// The number of waiting requests in a row that find no place until the others aren't tried.
+const MAX_MISSES: usize = 8;
+
+/// The time until a place may be free if no endpoint is there or none is in time.
+const NO_PLACE_DELAY: Duration = Duration::from_millis(200);
 
 /// The dispatcher of one pool.
+///
+/// docs/design/dispatch.md has the rules of admission.
 #[derive(Debug)]
 pub struct Dispatcher {
     spec: PoolSpec,
-    heads: IndexMap<EndpointId, PoolHead>,
+    attempts: Attempts,
+    nodes: IndexMap<NodeId, Timestamp>,
+    classes: Classes,
+    shares: Shares,
+    returns: Returns,
+    queue: Queue,
 }
 
 impl Dispatcher {
@@ -20,7 +49,12 @@
     pub fn new(spec: PoolSpec) -> Self {
         Self {
             spec,
-            heads: IndexMap::new(),
+            attempts: Attempts::new(),
+            nodes: IndexMap::new(),
+            classes: Classes::default(),
+            shares: Shares::default(),
+            returns: Returns::new(),
+            queue: Queue::default(),
         }
     }
 
@@ -29,53 +63,286 @@
         self.spec = spec;
     }
 
-    /// Sets the endpoints that take requests now.
-    pub fn set_heads(&mut self, _now: Timestamp, heads: impl IntoIterator<Item = PoolHead>) {
-        self.heads = heads
-            .into_iter()
-            .map(|head| (head.id.clone(), head))
-            .collect();
+    /// Sets the endpoints that take requests now. What is known of an endpoint is kept while it has attempts.
+    pub fn set_heads(&mut self, now: Timestamp, heads: impl IntoIterator<Item = PoolHead>) {
+        self.attempts.advance(now, &self.spec);
+        self.attempts.set_heads(heads);
     }
 
     /// Decides about a new request.
-    pub fn offer(&mut self, _now: Timestamp, _req: DispatchRequest) -> DispatchDecision {
-        unimplemented!()
+    pub fn offer(&mut self, now: Timestamp, req: DispatchRequest) -> DispatchDecision {
+        self.advance(now);
+        self.record_heard(now, &req.key.node);
+        let standing = self
+            .returns
+            .record_asked(now, &req.fingerprint, req.urgency);
+        let offer = Offer {
+            req,
+            standing,
+            offered_at: now,
+        };
+        self.classes.record_asked(now, offer.class());
+        if standing != Standing::Early {
+            self.shares
+                .record_asked(now, &offer.req.customer, offer.tokens());
+        }
+        let rank = self.rank(now, &offer);
+        let ahead_ms = self.work_ahead_ms(now, rank);
+        match self.search(now, &offer) {
+            Search::Found {
+                endpoint,
+                predicted_ms,
+            } if ahead_ms == 0.0 => self.send(now, &offer, endpoint, predicted_ms),
+            Search::Found { .. } => self.wait_or_refuse(now, offer, Duration::ZERO, ahead_ms),
+            Search::Later(delay) => self.wait_or_refuse(now, offer, delay, ahead_ms),
+            Search::TooLate => self.refuse(now, &offer, RefusalCause::Full, NO_PLACE_DELAY),
+            Search::NoEndpoint => {
+                self.refuse(now, &offer, RefusalCause::NoEndpoint, NO_PLACE_DELAY)
+            }
+        }
     }
 
     /// Returns the decisions about requests that have waited.
-    pub fn poll(&mut self, _now: Timestamp) -> Vec<(TicketKey, DispatchDecision)> {
-        unimplemented!()
+    pub fn poll(&mut self, now: Timestamp) -> Vec<(TicketKey, DispatchDecision)> {
+        self.advance(now);
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        let offers = queue.take_sorted(|offer| self.rank(now, offer));
+        let mut decisions = Vec::new();
+        let mut misses = 0;
+        for offer in offers {
+            let decision = self.decide_waiting(now, &offer, misses < MAX_MISSES);
+            match decision {
+                DispatchDecision::Wait => {
+                    misses += 1;
+                    self.queue.push(offer);
+                }
+                DispatchDecision::Send(_) | DispatchDecision::Refuse(_) => {
+                    decisions.push((offer.req.key, decision));
+                }
+            }
+        }
+        decisions
     }
 
     /// Returns when [`Self::poll`] has to be called next, if requests wait.
     #[must_use]
-    pub fn next_poll(&self, _now: Timestamp) -> Option<Timestamp> {
-        unimplemented!()
+    pub fn next_poll(&self, now: Timestamp) -> Option<Timestamp> {
+        (!self.queue.is_empty()).then(|| now + POLL_INTERVAL)
     }
 
     /// Removes a waiting request whose caller has left.
-    pub fn cancel(&mut self, _key: &TicketKey) {
-        unimplemented!()
+    pub fn cancel(&mut self, key: &TicketKey) {
+        self.queue.remove(key);
     }
 
     /// Records an attempt that a node has at an endpoint, also one that this dispatcher hasn't assigned.
-    pub fn record_held(&mut self, _now: Timestamp, _held: HeldRequest) {
-        unimplemented!()
+    ///
+    /// Reporting an attempt again changes nothing. A report with a start has to be recorded before the end of the
+    /// attempt.
+    pub fn record_held(&mut self, now: Timestamp, held: HeldRequest) {
+        self.attempts.advance(now, &self.spec);
+        self.record_heard(now, &held.key.node);
+        self.attempts.record_held(now, &self.spec, held);
     }
 
     /// Records that an attempt has ended.
-    pub fn record_ended(&mut self, _now: Timestamp, _key: &TicketKey) {
-        unimplemented!()
+    pub fn record_ended(&mut self, now: Timestamp, key: &TicketKey) {
+        self.attempts.advance(now, &self.spec);
+        self.attempts.record_ended(now, key);
     }
 
     /// Records that a report of a node arrived. `is_complete` is whether it named all of the node's attempts:
     /// those not named in it are over.
-    pub fn record_report(&mut self, _now: Timestamp, _node: &NodeId, _is_complete: bool) {
-        unimplemented!()
+    ///
+    /// The attempts that it names have to be recorded before it, with the same `now`.
+    pub fn record_report(&mut self, now: Timestamp, node: &NodeId, is_complete: bool) {
+        self.record_heard(now, node);
+        if is_complete {
+            self.attempts.keep_reported_at(now, node);
+        }
     }
 
     /// Removes the attempts of a node that is gone.
-    pub fn drop_node(&mut self, _now: Timestamp, _node: &NodeId) {
-        unimplemented!()
+    pub fn drop_node(&mut self, _now: Timestamp, node: &NodeId) {
+        self.nodes.swap_remove(node);
+        self.attempts.remove_node(node);
+        self.queue.retain(|offer| offer.req.key.node != *node);
+    }
+
+    fn record_heard(&mut self, now: Timestamp, node: &NodeId) {
+        match self.nodes.get_mut(node) {
+            Some(heard_at) => *heard_at = now,
+            None => {
+                self.nodes.insert(node.clone(), now);
+            }
+        }
+    }
+
+    /// Removes what is over by now.
+    fn advance(&mut self, now: Timestamp) {
+        let is_silent = |heard_at: &Timestamp| now.since(*heard_at) >= MAX_NODE_SILENCE;
+        let silent = self
+            .nodes
+            .iter()
+            .filter(|(_, heard_at)| is_silent(heard_at));
+        let silent: Vec<NodeId> = silent.map(|(node, _)| node.clone()).collect();
+        for node in &silent {
+            self.drop_node(now, node);
+        }
+        self.attempts.advance(now, &self.spec);
+    }
+
+    /// Decides about a request that waits. Its place is only looked for if `is_tried`.
+    fn decide_waiting(
+        &mut self,
+        now: Timestamp,
+        offer: &Offer,
+        is_tried: bool,
+    ) -> DispatchDecision {
+        let is_over = now >= offer.waits_until();
+        if !is_tried && !is_over {
+            return DispatchDecision::Wait;
+        }
+        match self.search(now, offer) {
+            Search::Found {
+                endpoint,
+                predicted_ms,
+            } => self.send(now, offer, endpoint, predicted_ms),
+            Search::Later(delay) if is_over || now + delay > offer.waits_until() => {
+                self.refuse(now, offer, RefusalCause::Full, delay)
+            }
+            Search::Later(_) => DispatchDecision::Wait,
+            Search::TooLate => self.refuse(now, offer, RefusalCause::Full, NO_PLACE_DELAY),
+            Search::NoEndpoint => self.refuse(now, offer, RefusalCause::NoEndpoint, NO_PLACE_DELAY),
+        }
+    }
+
+    fn pool(&self, now: Timestamp) -> Pool<'_> {
+        Pool {
+            now,
+            spec: &self.spec,
+            overhead: self.attempts.overhead(),
+        }
+    }
+
+    fn search(&self, now: Timestamp, offer: &Offer) -> Search {
+        let limits = self.limits(now, offer);
+        let req = offer.at(now);
+        self.pool(now).search(self.attempts.heads(), &req, limits)
+    }
+
+    /// Returns the limits of a request's start.
+    ///
+    /// A target that not even an idle endpoint can hold is replaced by the time in which one starts a request behind
+    /// another.
+    fn limits(&self, now: Timestamp, offer: &Offer) -> StartLimits {
+        let pool = self.pool(now);
+        let class = offer.class();
+        let idle_ms = pool.idle_start_ms(self.attempts.heads(), offer.req.tokens.prompt);
+        let reachable_ms = idle_ms + pool.mean_prompt_ms(0);
+        let target_ms = to_millis(class.target).max(reachable_ms);
+        let shared_ms = to_millis(self.classes.shared_target(now, class)).max(reachable_ms);
+        let waited = offer.req.waited + now.since(offer.offered_at);
+        let left_ms = target_ms - to_millis(waited);
+        let is_late = left_ms < idle_ms;
+        let level = self.classes.level(now, class);
+        let yields = [
+            is_late,
+            offer.standing == Standing::Early,
+            self.shares.is_over(now, &offer.req.customer),
+        ];
+        let yields = yields.into_iter().filter(|yields| *yields).count();
+        StartLimits {
+            own_ms: if is_late { target_ms } else { left_ms },
+            shared_ms,
+            reserved_prompts: f64::from(level) + yields as f64,
+        }
+    }
+
+    fn rank(&self, now: Timestamp, offer: &Offer) -> Rank {
+        let served = self.shares.served_per_weight(now, &offer.req.customer);
+        Rank {
+            level: self.classes.level(now, offer.class()),
+            standing: offer.standing,
+            served_tokens: (served * SERVED_SCALE) as u64,
+            offered_at: offer.offered_at,
+        }
+    }
+
+    /// Returns the time that the pool takes to read the prompts that go before a request of rank `rank`.
+    fn work_ahead_ms(&self, now: Timestamp, rank: Rank) -> f64 {
+        let ahead = self
+            .queue
+            .iter()
+            .filter(|other| self.rank(now, other) < rank);
+        let tokens: f64 = ahead.map(|other| other.req.tokens.prompt.max(1.0)).sum();
+        tokens * self.spec.token_ms(0) / self.attempts.usable_heads().max(1) as f64
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        offer: &Offer,
+        endpoint: EndpointId,
+        predicted_ms: f64,
+    ) -> DispatchDecision {
+        self.attempts
+            .assign(now, &self.spec, &offer.at(now), &endpoint);
+        self.classes.record_decided(now, offer.class(), true);
+        self.shares
+            .record_served(now, &offer.req.customer, offer.tokens());
+        self.returns.record_admitted(now, &offer.req.fingerprint);
+        DispatchDecision::Send(Assignment {
+            endpoint,
+            predicted_start: from_millis(predicted_ms),
+        })
+    }
+
+    fn wait_or_refuse(
+        &mut self,
+        now: Timestamp,
+        offer: Offer,
+        delay: Duration,
+        ahead_ms: f64,
+    ) -> DispatchDecision {
+        let delay = delay + from_millis(ahead_ms);
+        if self.queue.is_full() || now + delay > offer.waits_until() {
+            return self.refuse(now, &offer, RefusalCause::Full, delay);
+        }
+        self.queue.push(offer);
+        DispatchDecision::Wait
+    }
+
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        offer: &Offer,
+        cause: RefusalCause,
+        room_after: Duration,
+    ) -> DispatchDecision {
+        let is_over = self.shares.is_over(now, &offer.req.customer);
+        let cause = match cause {
+            RefusalCause::Full if is_over => RefusalCause::OverShare,
+            cause => cause,
+        };
+        if offer.standing != Standing::Early {
+            self.classes.record_decided(now, offer.class(), false);
+        }
+        self.shares.record_refused(now);
+        let time_left = offer.at(now).time_left;
+        let retry_after = self.returns.promise(
+            now,
+            &offer.req.fingerprint,
+            offer.req.urgency,
+            room_after,
+            time_left,
+        );
+        DispatchDecision::Refuse(DispatchRefusal { cause, retry_after })
     }
 }
+
+/// The scale of served tokens per weight in the order of waiting requests.
+const SERVED_SCALE: f64 = 1_000.0;
--- /dev/null
+++ b/crates/sesamecart-fleet/src/dispatch/tests/records.rs
@@ -0,0 +1,100 @@
+//! What nodes report, and what they leave unreported.
+
+use super::{at, endpoint, head, held, key, ms, pool_spec, request};
+use crate::dispatch::{DispatchDecision, Dispatcher, HeldRequest, PoolHead, PoolSpec};
+
+/// Returns a dispatcher with one endpoint that has one slot, which is taken by ticket 0 of node 0.
+fn full() -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(PoolSpec { ..pool_spec() });
+    dispatcher.set_heads(
+        at(0),
+        [PoolHead {
+            slots: 1,
+            ..head(0)
+        }],
+    );
+    assert!(matches!(
+        dispatcher.offer(at(0), request(0)),
+        DispatchDecision::Send(_)
+    ));
+    dispatcher
+}
+
+fn is_free(dispatcher: &mut Dispatcher, millis: u64) -> bool {
+    let mut req = request(99);
+    req.key = key(9, 99);
+    let decision = dispatcher.offer(at(millis), req);
+    dispatcher.cancel(&key(9, 99));
+    matches!(decision, DispatchDecision::Send(_))
+}
+
+#[test]
+fn ended_attempt_frees_its_place() {
+    let mut dispatcher = full();
+    assert!(!is_free(&mut dispatcher, 1));
+    dispatcher.record_ended(at(2), &key(0, 0));
+    assert!(is_free(&mut dispatcher, 3));
+}
+
+#[test]
+fn attempt_that_another_dispatcher_assigned_takes_its_place() {
+    let mut dispatcher = Dispatcher::new(pool_spec());
+    dispatcher.set_heads(
+        at(0),
+        [PoolHead {
+            slots: 1,
+            ..head(0)
+        }],
+    );
+    for _ in 0..2 {
+        let report = HeldRequest {
+            age: ms(400),
+            started_after: Some(ms(150)),
+            ..held(&key(1, 7), endpoint(0))
+        };
+        dispatcher.record_held(at(0), report);
+    }
+    assert!(!is_free(&mut dispatcher, 1));
+    dispatcher.record_ended(at(2), &key(1, 7));
+    assert!(is_free(&mut dispatcher, 3));
+}
+
+/// Guards against places that stay taken because the node died before it sent the request.
+#[test]
+fn assignment_that_is_never_reported_ends() {
+    let mut dispatcher = full();
+    assert!(!is_free(&mut dispatcher, 499));
+    assert!(is_free(&mut dispatcher, 500));
+}
+
+/// Guards against places that stay taken because the node died or froze.
+#[test]
+fn attempts_of_a_silent_node_end() {
+    let mut dispatcher = full();
+    dispatcher.record_held(at(100), held(&key(0, 0), endpoint(0)));
+    assert!(!is_free(&mut dispatcher, 1_590));
+    assert!(is_free(&mut dispatcher, 1_600));
+}
+
+/// Guards against places that stay taken because the report of an end was lost.
+#[test]
+fn attempt_that_a_complete_report_omits_ends() {
+    let mut dispatcher = full();
+    dispatcher.record_held(at(100), held(&key(0, 0), endpoint(0)));
+    dispatcher.record_report(at(100), &key(0, 0).node, true);
+    assert!(!is_free(&mut dispatcher, 110));
+    dispatcher.record_report(at(120), &key(0, 0).node, false);
+    assert!(!is_free(&mut dispatcher, 130));
+    dispatcher.record_report(at(140), &key(0, 0).node, true);
+    assert!(is_free(&mut dispatcher, 150));
+}
+
+#[test]
+fn attempt_ends_at_its_deadline() {
+    let mut dispatcher = full();
+    for millis in (100..6_000).step_by(500) {
+        dispatcher.record_held(at(millis), held(&key(0, 0), endpoint(0)));
+    }
+    assert!(!is_free(&mut dispatcher, 5_999));
+    assert!(is_free(&mut dispatcher, 6_000));
+}
