--- a/crates/sesamecart-entry/src/dispatch.rs
+++ b/crates/sesamecart-entry/src/dispatch.rs
@@ -15,8 +15,10 @@
 
 use event_listener::Event as Notifier;
 
-pub(crate) use crate::dispatch::client::{Dispatched, DispatchClient, DispatchQuery};
-pub(crate) use crate::dispatch::message::{decode_part, decode_report, decode_request, encode_reply};
+pub(crate) use crate::dispatch::client::{DispatchClient, DispatchQuery, Dispatched};
+pub(crate) use crate::dispatch::message::{
+    decode_part, decode_report, decode_request, encode_reply,
+};
 use crate::dispatch::outbox::Outbox;
 use crate::dispatch::pools::PoolCache;
 pub(crate) use crate::dispatch::reporter::report_held;
--- a/crates/sesamecart-entry/src/dispatch/client.rs
+++ b/crates/sesamecart-entry/src/dispatch/client.rs
@@ -94,7 +94,10 @@
         let req = self.request(query, asked_at, &ticket);
         let decision = if peer.node == self.state.settings.node {
             let own = self.state.dispatch(&part.name, req);
-            with_timeout(OWN_DISPATCHER_TIMEOUT, own).await.ok().flatten()
+            with_timeout(OWN_DISPATCHER_TIMEOUT, own)
+                .await
+                .ok()
+                .flatten()
         } else {
             let message = encode_request(&part.name, &req);
             let call = |mut feed: Feed| async move { feed.dispatch(message).await };
@@ -108,7 +111,9 @@
         let dispatcher = peer.node.as_str();
         match decision {
             Some(DispatchDecision::Send(assignment)) => {
-                self.state.metrics.count_dispatched(DispatchOutcome::Assigned);
+                self.state
+                    .metrics
+                    .count_dispatched(DispatchOutcome::Assigned);
                 let event = Event::DispatchAssigned {
                     request,
                     dispatcher,
@@ -120,7 +125,9 @@
                 Dispatched::Assigned(assignment, ticket)
             }
             Some(DispatchDecision::Refuse(refusal)) => {
-                self.state.metrics.count_dispatched(DispatchOutcome::Refused(refusal.cause));
+                self.state
+                    .metrics
+                    .count_dispatched(DispatchOutcome::Refused(refusal.cause));
                 self.state.events.write(&Event::DispatchRefused {
                     request,
                     dispatcher,
@@ -133,7 +140,9 @@
                 Dispatched::Refused(refusal)
             }
             Some(DispatchDecision::Wait) | None => {
-                self.state.metrics.count_dispatched(DispatchOutcome::Unanswered);
+                self.state
+                    .metrics
+                    .count_dispatched(DispatchOutcome::Unanswered);
                 self.state.events.write(&Event::DispatchUnanswered {
                     request,
                     dispatcher,
--- a/crates/sesamecart-entry/src/dispatch/outbox.rs
+++ b/crates/sesamecart-entry/src/dispatch/outbox.rs
@@ -31,12 +31,21 @@
     is_changed: bool,
 }
 
+/// The attempts that have ended since the last report about a part.
+#[derive(Debug, Default)]
+struct Ended {
+    tickets: Vec<Ticket>,
+    /// Those whose start wasn't reported before. Dispatchers learn from it.
+    started: Vec<(Ticket, Held)>,
+}
+
 /// What a node tells a dispatcher.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Report {
     /// Whether `held` names all requests of the node.
     pub(crate) is_complete: bool,
     pub(crate) held: Vec<HeldRequest>,
+    /// Those of `held` among them are over as well.
     pub(crate) ended: Vec<Ticket>,
 }
 
@@ -54,7 +63,7 @@
 pub(super) struct Outbox {
     next_ticket: u64,
     held: IndexMap<Ticket, Held>,
-    ended: IndexMap<PoolPart, Vec<Ticket>>,
+    ended: IndexMap<PoolPart, Ended>,
     receivers: IndexMap<PoolPart, Receiver>,
 }
 
@@ -95,20 +104,20 @@
 
     /// Records the end of an attempt; `parts` is the number of parts of its pool.
     pub(super) fn record_ended(&mut self, ticket: Ticket, parts: u32) {
-        let Some(Held { attempt, .. }) = self.held.swap_remove(&ticket) else {
+        let Some(held) = self.held.swap_remove(&ticket) else {
             return;
         };
-        let part = PoolPart {
-            part: part_of(&attempt.endpoint, parts),
-            service: attempt.service,
-            model: attempt.model,
-        };
-        self.record_unused(part, ticket);
+        let part = held.attempt.part(parts);
+        let ended = self.ended.entry(part).or_default();
+        ended.tickets.push(ticket);
+        if held.is_changed && held.started_at.is_some() {
+            ended.started.push((ticket, held));
+        }
     }
 
     /// Records that the ticket of a request that was offered to a part isn't used there.
     pub(super) fn record_unused(&mut self, part: PoolPart, ticket: Ticket) {
-        self.ended.entry(part).or_default().push(ticket);
+        self.ended.entry(part).or_default().tickets.push(ticket);
     }
 
     /// Returns whether there is nothing that a dispatcher has to hear of.
@@ -141,10 +150,7 @@
         let mut held: Vec<_> = self.held.iter_mut().collect();
         held.retain(|(_, held)| held.attempt.is_in(part, parts));
         let has_ended = self.ended.contains_key(part);
-        let is_due = has_ended
-            || held
-                .iter()
-                .any(|(_, held)| held.is_changed || is_overdue);
+        let is_due = has_ended || held.iter().any(|(_, held)| held.is_changed || is_overdue);
         if !is_due {
             return None;
         }
@@ -153,10 +159,13 @@
             held.is_changed = false;
             held.describe(now, own, *ticket)
         });
+        let ended = self.ended.swap_remove(part).unwrap_or_default();
+        let started = ended.started.iter();
+        let started = started.map(|(ticket, held)| held.describe(now, own, *ticket));
         let report = Report {
             is_complete,
-            held: held.collect(),
-            ended: self.ended.swap_remove(part).unwrap_or_default(),
+            held: held.chain(started).collect(),
+            ended: ended.tickets,
         };
         let receiver = Receiver {
             dispatcher: dispatcher.clone(),
@@ -174,6 +183,14 @@
 }
 
 impl Attempt {
+    fn part(&self, parts: u32) -> PoolPart {
+        PoolPart {
+            service: self.service.clone(),
+            model: self.model.clone(),
+            part: part_of(&self.endpoint, parts),
+        }
+    }
+
     fn is_in(&self, part: &PoolPart, parts: u32) -> bool {
         self.service == part.service
             && self.model == part.model
--- a/crates/sesamecart-entry/src/dispatch/pools.rs
+++ b/crates/sesamecart-entry/src/dispatch/pools.rs
@@ -151,8 +151,7 @@
         let Sources { catalog, nodes, .. } = self.sources;
         let setting = self.state.settings.dispatch;
         let services = catalog.services.iter();
-        let services =
-            services.filter(|(id, _)| uses_dispatchers(catalog, id, nodes, setting));
+        let services = services.filter(|(id, _)| uses_dispatchers(catalog, id, nodes, setting));
         let pools = services.map(|(id, service)| (id.clone(), self.pools_of(id, service)));
         DispatchPools(pools.collect())
     }
@@ -166,7 +165,12 @@
         pools.collect()
     }
 
-    fn pool(&self, id: &ServiceId, service: &Service, model: &EngineModel) -> Option<DispatchedPool> {
+    fn pool(
+        &self,
+        id: &ServiceId,
+        service: &Service,
+        model: &EngineModel,
+    ) -> Option<DispatchedPool> {
         let directory = &self.sources.directory;
         let spec = PoolSpec {
             steps: service.engine.as_ref()?.steps?,
@@ -195,12 +199,14 @@
                 continue;
             }
             let is_cold = directory.is_cold(self.now, &endpoint.id);
-            views[part_of(&endpoint.id, parts) as usize].heads.push(PoolHead {
-                id: endpoint.id.clone(),
-                failure_domain: endpoint.failure_domain.clone(),
-                slots: endpoint.slots,
-                cold_per_s: service.cold_per_s.filter(|_| is_cold),
-            });
+            views[part_of(&endpoint.id, parts) as usize]
+                .heads
+                .push(PoolHead {
+                    id: endpoint.id.clone(),
+                    failure_domain: endpoint.failure_domain.clone(),
+                    slots: endpoint.slots,
+                    cold_per_s: service.cold_per_s.filter(|_| is_cold),
+                });
         }
         Some(DispatchedPool { spec, parts: views })
     }
--- a/crates/sesamecart-entry/src/dispatch/reporter.rs
+++ b/crates/sesamecart-entry/src/dispatch/reporter.rs
@@ -122,7 +122,10 @@
         } else {
             let message = encode_report(&part, own, &report);
             let call = |mut feed: Feed| async move { feed.report_held(message).await };
-            self.authorities.call(&dispatcher, false, call).await.is_some()
+            self.authorities
+                .call(&dispatcher, false, call)
+                .await
+                .is_some()
         };
         if !is_delivered {
             self.state.dispatch.outbox().mark_failed(&part);
--- a/crates/sesamecart-entry/src/dispatch/server.rs
+++ b/crates/sesamecart-entry/src/dispatch/server.rs
@@ -38,17 +38,25 @@
     /// The pools by which the dispatcher was last updated.
     pools: Arc<DispatchPools>,
     waiting: IndexMap<TicketKey, Sender<DispatchDecision>>,
+    /// When the dispatcher has to be polled, if requests wait.
+    poll_at: Option<Timestamp>,
     used_at: Timestamp,
 }
 
 impl Part {
-    fn new(now: Timestamp, pools: &Arc<DispatchPools>, pool: &DispatchedPool, view: &PoolPartView) -> Self {
+    fn new(
+        now: Timestamp,
+        pools: &Arc<DispatchPools>,
+        pool: &DispatchedPool,
+        view: &PoolPartView,
+    ) -> Self {
         let mut dispatcher = Dispatcher::new(pool.spec);
         dispatcher.set_heads(now, view.heads.iter().cloned());
         Self {
             dispatcher,
             pools: Arc::clone(pools),
             waiting: IndexMap::new(),
+            poll_at: None,
             used_at: now,
         }
     }
@@ -76,6 +84,13 @@
                 self.dispatcher.record_ended(now, &key);
             }
         }
+        self.poll_at = self.dispatcher.next_poll(now);
+    }
+
+    /// Adds a request that waits.
+    fn add_waiting(&mut self, now: Timestamp, key: TicketKey, decided: Sender<DispatchDecision>) {
+        self.waiting.insert(key, decided);
+        self.poll_at = self.poll_at.or_else(|| self.dispatcher.next_poll(now));
     }
 
     fn is_unused(&self, now: Timestamp) -> bool {
@@ -97,7 +112,7 @@
         let decision = self.with_part(part, |now, part| {
             let decision = part.dispatcher.offer(now, req);
             if decision == DispatchDecision::Wait {
-                part.waiting.insert(key.clone(), tx);
+                part.add_waiting(now, key.clone(), tx);
             }
             decision
         })?;
@@ -120,7 +135,6 @@
     pub(crate) fn apply_held_report(&self, part: &PoolPart, node: &NodeId, report: Report) -> bool {
         let applied = self.with_part(part, |now, part| {
             let dispatcher = &mut part.dispatcher;
-            dispatcher.record_report(now, node, report.is_complete);
             for held in report.held {
                 dispatcher.record_held(now, held);
             }
@@ -128,12 +142,17 @@
                 let node = node.clone();
                 dispatcher.record_ended(now, &TicketKey { node, ticket });
             }
+            dispatcher.record_report(now, node, report.is_complete);
             part.poll(now);
         });
         applied.is_some()
     }
 
-    fn with_part<T>(&self, name: &PoolPart, f: impl FnOnce(Timestamp, &mut Part) -> T) -> Option<T> {
+    fn with_part<T>(
+        &self,
+        name: &PoolPart,
+        f: impl FnOnce(Timestamp, &mut Part) -> T,
+    ) -> Option<T> {
         let pools = self.dispatch_pools();
         let (pool, view) = pools.part(name)?;
         let now = clock::now();
@@ -157,10 +176,10 @@
         let mut next = now + UNUSED_RETENTION;
         for (name, part) in parts.iter_mut() {
             part.update(now, &pools, name);
-            if part.dispatcher.next_poll(now).is_some_and(|at| at <= now) {
+            if part.poll_at.is_some_and(|at| at <= now) {
                 part.poll(now);
             }
-            next = part.dispatcher.next_poll(now).unwrap_or(next).min(next);
+            next = part.poll_at.unwrap_or(next).min(next);
         }
         let is_running = !parts.is_empty();
         is_running.then(|| next.since(now).max(MIN_POLL_INTERVAL))
--- a/crates/sesamecart-entry/src/dispatch/ticket.rs
+++ b/crates/sesamecart-entry/src/dispatch/ticket.rs
@@ -105,7 +105,10 @@
     /// Records that the first event has arrived.
     pub(crate) fn record_started(&self) {
         let now = clock::now();
-        self.state.dispatch.outbox().record_started(now, self.ticket);
+        self.state
+            .dispatch
+            .outbox()
+            .record_started(now, self.ticket);
         self.state.dispatch.outbox_changed.notify(usize::MAX);
     }
 }
@@ -115,7 +118,10 @@
         let pools = self.state.dispatch_pools();
         let pool = pools.get(&self.service, &self.model);
         let parts = pool.map_or(1, |pool| pool.part_count());
-        self.state.dispatch.outbox().record_ended(self.ticket, parts);
+        self.state
+            .dispatch
+            .outbox()
+            .record_ended(self.ticket, parts);
         self.state.dispatch.outbox_changed.notify(usize::MAX);
     }
 }
--- a/crates/sesamecart-fleet/src/dispatch.rs
+++ b/crates/sesamecart-fleet/src/dispatch.rs
@@ -6,10 +6,20 @@
 //! lets it wait for a short time, or refuses it. docs/design/dispatch.md describes the parts and their failures.
 
 mod applicability;
+mod attempts;
+mod classes;
+mod cold;
 mod dispatcher;
+mod heads;
 mod message;
 mod order;
 mod part;
+mod placement;
+mod prediction;
+mod queue;
+mod returns;
+mod shares;
+mod slowness;
 #[cfg(test)]
 mod tests;
 
