Let dispatchers assign endpoints to first attempts

Callers saw late first events on deployments whose nodes choose among the same endpoints without knowing what the others have just sent.

--- a/crates/sesamecart-entry/src/dispatch.rs
+++ b/crates/sesamecart-entry/src/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::dispatch::outbox::Outbox;
 use crate::dispatch::pools::PoolCache;
 pub(crate) use crate::dispatch::reporter::report_held;
+pub use crate::dispatch::server::DispatchedRequests;
 use crate::dispatch::server::Dispatchers;
 pub(crate) use crate::dispatch::server::poll_dispatchers;
 pub(crate) use crate::dispatch::ticket::{AssignedTicket, HeldAttempt};
--- a/crates/sesamecart-entry/src/dispatch/pools.rs
+++ b/crates/sesamecart-entry/src/dispatch/pools.rs
@@ -121,6 +121,12 @@
         Arc::clone(&cache.pools)
     }
 
+    /// Returns the number of pools that have dispatchers, as far as this node knows.
+    #[must_use]
+    pub fn dispatched_pool_count(&self) -> usize {
+        self.dispatch_pools().iter().count()
+    }
+
     /// Returns the node that dispatches a part: the first one in its order that answers.
     pub(crate) fn dispatcher_of(&self, part: &PoolPartView) -> Option<PeerNode> {
         let now = clock::now();
--- a/crates/sesamecart-entry/src/dispatch/server.rs
+++ b/crates/sesamecart-entry/src/dispatch/server.rs
@@ -17,17 +17,23 @@
 use crate::dispatch::pools::{DispatchPools, DispatchedPool, PoolPartView};
 use crate::state::EntryState;
 
+#[cfg(test)]
+mod tests;
+
 /// How long a dispatcher that nobody asks or reports to is kept.
 const UNUSED_RETENTION: Duration = Duration::from_secs(5);
 
 /// The least time between two polls. It bounds what a dispatcher costs whose requests all wait.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+/// The longest time between two polls. Metrics are as old at most.
+const MAX_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The dispatchers of a node, by the part that they dispatch.
 #[derive(Debug, Default)]
 pub(super) struct Dispatchers {
     parts: Mutex<IndexMap<PoolPart, Part>>,
-    /// Notified when a request begins to wait.
+    /// Notified when a dispatcher is created or a request begins to wait.
     changed: Notifier,
 }
 
@@ -98,6 +104,25 @@
     }
 }
 
+/// The requests of all nodes that the dispatchers of one node know of.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DispatchedRequests {
+    /// Those at endpoints.
+    pub held: usize,
+    /// Those that wait.
+    pub waiting: usize,
+}
+
+impl DispatchedRequests {
+    fn count(parts: &IndexMap<PoolPart, Part>) -> Self {
+        let dispatchers = parts.values().map(|part| &part.dispatcher);
+        dispatchers.fold(Self::default(), |sum, dispatcher| Self {
+            held: sum.held + dispatcher.held(),
+            waiting: sum.waiting + dispatcher.waiting(),
+        })
+    }
+}
+
 impl EntryState {
     /// Decides about a request as the dispatcher of a part. Returns `None` if this node doesn't know the part.
     ///
@@ -148,6 +173,13 @@
         applied.is_some()
     }
 
+    /// Returns what the dispatchers of this node know of.
+    #[must_use]
+    pub fn dispatched_requests(&self) -> DispatchedRequests {
+        let parts = lock(&self.dispatch.dispatchers.parts);
+        DispatchedRequests::count(&parts)
+    }
+
     fn with_part<T>(
         &self,
         name: &PoolPart,
@@ -159,6 +191,7 @@
         let mut parts = lock(&self.dispatch.dispatchers.parts);
         if !parts.contains_key(name) {
             parts.insert(name.clone(), Part::new(now, &pools, pool, view));
+            self.dispatch.dispatchers.changed.notify(usize::MAX);
         }
         let part = &mut parts[name];
         part.update(now, &pools, name);
@@ -173,7 +206,7 @@
         let now = clock::now();
         let mut parts = lock(&self.dispatch.dispatchers.parts);
         parts.retain(|_, part| !part.is_unused(now));
-        let mut next = now + UNUSED_RETENTION;
+        let mut next = now + MAX_POLL_INTERVAL;
         for (name, part) in parts.iter_mut() {
             part.update(now, &pools, name);
             if part.poll_at.is_some_and(|at| at <= now) {
@@ -181,6 +214,8 @@
             }
             next = part.poll_at.unwrap_or(next).min(next);
         }
+        self.metrics
+            .record_dispatchers(parts.len(), DispatchedRequests::count(&parts));
         let is_running = !parts.is_empty();
         is_running.then(|| next.since(now).max(MIN_POLL_INTERVAL))
     }
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod traffic;
 mod watch;
 
+pub use dispatch::DispatchedRequests;
 pub use events::{Event, EventLog};
 pub use leaving::LeavingEndpoint;
 pub use limits::LimitedEndpoint;
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -12,6 +12,8 @@
 use sesamecart_fleet::RefusalCause;
 use sesamecart_platform::{StoreOperation, Topic};
 
+use crate::dispatch::DispatchedRequests;
+
 /// The metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -41,6 +43,9 @@
     forwarded: Counter<u64>,
     dispatched: Counter<u64>,
     dispatch_wait: Histogram<f64>,
+    dispatchers: Gauge<u64>,
+    dispatcher_held: Gauge<u64>,
+    dispatcher_waiting: Gauge<u64>,
     domains_evacuated: Gauge<u64>,
     connections_shed: Counter<u64>,
     first_response: Histogram<f64>,
@@ -255,6 +260,20 @@
                 .with_description("Time from asking a dispatcher to its answer.")
                 .with_boundaries(DISPATCH_WAIT_BUCKETS_S.to_vec())
                 .build(),
+            dispatchers: meter
+                .u64_gauge("sesamecart.dispatchers")
+                .with_description("Parts of pools that this node dispatches.")
+                .build(),
+            dispatcher_held: meter
+                .u64_gauge("sesamecart.dispatcher.held")
+                .with_description(
+                    "Requests of all nodes at the endpoints that this node dispatches.",
+                )
+                .build(),
+            dispatcher_waiting: meter
+                .u64_gauge("sesamecart.dispatcher.waiting")
+                .with_description("Requests of all nodes that wait at this node for an endpoint.")
+                .build(),
             connections_shed: counter(
                 "sesamecart.connections.shed",
                 "New connections of callers that weren't served, by what became of them.",
@@ -318,6 +337,7 @@
             self.dispatched
                 .add(0, &[KeyValue::new("outcome", outcome.label())]);
         }
+        self.record_dispatchers(0, DispatchedRequests::default());
         self.domains_evacuated.record(0, &[]);
     }
 
@@ -438,6 +458,13 @@
             .add(1, &[KeyValue::new("outcome", outcome.label())]);
     }
 
+    /// Records the parts of pools that this node dispatches, and the requests that it knows of there.
+    pub(crate) fn record_dispatchers(&self, dispatchers: usize, requests: DispatchedRequests) {
+        self.dispatchers.record(dispatchers as u64, &[]);
+        self.dispatcher_held.record(requests.held as u64, &[]);
+        self.dispatcher_waiting.record(requests.waiting as u64, &[]);
+    }
+
     /// Records the time that a dispatcher took to answer.
     pub(crate) fn record_dispatch_wait(&self, waited: Duration) {
         self.dispatch_wait.record(waited.as_secs_f64(), &[]);
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -1,9 +1,11 @@
 //! The traffic threads: accept callers' requests, select endpoints and forward their responses.
 
+mod admission;
 mod alternative;
 mod backoff;
 mod call;
 mod demand;
+mod dispatch;
 mod event_splitter;
 mod flight;
 mod forward;
@@ -31,6 +33,7 @@
 use sesamecart_runtime::{ByteCounters, Signal, Tasks, Worker};
 
 use crate::crashes::SuspectClient;
+use crate::dispatch::DispatchClient;
 use crate::limits::LimitClient;
 use crate::state::EntryState;
 use crate::traffic::forwarded::ForwardedHandler;
@@ -88,8 +91,9 @@
     let client = HttpClient::with_dialer(tasks.clone(), CONNECT_TIMEOUT, dialer);
     let links = Links::new(tasks.clone(), ByteCounters::default());
     let limits = LimitClient::new(Arc::clone(state), links.clone(), tasks.clone());
-    let suspects = SuspectClient::new(Arc::clone(state), links);
-    let handler = Handler::new(Arc::clone(state), client, limits, suspects);
+    let suspects = SuspectClient::new(Arc::clone(state), links.clone());
+    let dispatcher = DispatchClient::new(Arc::clone(state), links);
+    let handler = Handler::new(Arc::clone(state), client, limits, suspects, dispatcher);
     if let Some(forwarding) = forwarding {
         serve_nodes(state, &handler, forwarding, &tasks, leaving);
     }
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::crashes::{SendContext, SuspectClient, SuspectRun};
+use crate::dispatch::DispatchClient;
 use crate::events::Event;
 use crate::follower::millis;
 use crate::limits::LimitClient;
@@ -25,7 +26,7 @@
 use crate::traffic::forward::Forwarding;
 use crate::traffic::forwarded::Hop;
 use crate::traffic::in_flight::InFlightRequest;
-use crate::traffic::placement::{Placement, RestrictedEndpointPolicy};
+use crate::traffic::placement::Placement;
 use crate::traffic::refusal::{Refusal, RelayedRefusal};
 
 #[cfg(test)]
@@ -48,6 +49,7 @@
     pub(crate) client: HttpClient,
     pub(crate) limits: LimitClient,
     pub(crate) suspect_starts: SuspectClient,
+    pub(crate) dispatcher: DispatchClient,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) route: Arc<PathRoute>,
     pub(crate) customer: Option<Arc<Customer>>,
@@ -78,6 +80,8 @@
     pub(super) has_no_helper: bool,
     /// The refusal of the last node that was asked in this node's place, if it said when to retry.
     pub(super) helper_refusal: Option<RelayedRefusal>,
+    /// Whether the request was offered to the dispatcher of its pool.
+    pub(super) is_offered: bool,
     /// How often a limited endpoint had no room for the request.
     pub(super) denials: u32,
     /// Whether the request still runs at an endpoint that may yet make these attempts needless.
@@ -272,7 +276,8 @@
                     continue;
                 }
             }
-            let placement = match self.place(attempts, RestrictedEndpointPolicy::WithinLimits) {
+            let assigned = self.dispatch(attempts).await?;
+            let placement = match self.place_unless_assigned(attempts, assigned) {
                 Ok(placement) => placement,
                 Err(unavailable) => {
                     if self.wait_for_path_check(attempts, unavailable).await {
@@ -373,6 +378,7 @@
             is_deposited: hop.is_some(),
             has_no_helper: false,
             helper_refusal: None,
+            is_offered: false,
             denials: 0,
             are_alternative: false,
             is_unfinished: false,
@@ -491,6 +497,7 @@
         );
         in_flight.set_alternative(attempts.are_alternative);
         in_flight.slow_start = slow_start;
+        in_flight.held = self.hold(endpoint, placement.ticket);
         match self
             .send_request(endpoint, &mut in_flight, attempts, last_event)
             .await
--- a/crates/sesamecart-entry/src/traffic/demand.rs
+++ b/crates/sesamecart-entry/src/traffic/demand.rs
@@ -1,6 +1,6 @@
 //! The capacity that a request needs from the groups of its model.
 
-use sesamecart_fleet::{EngineModel, EngineSpec};
+use sesamecart_fleet::{EngineModel, EngineSpec, TokenCounts};
 
 use crate::clock;
 use crate::traffic::call::Call;
@@ -11,8 +11,7 @@
         let Some((spec, model)) = self.engine_model() else {
             return;
         };
-        let prompt = self.metadata.size.map(|size| size.prompt as f64);
-        let tokens = spec.tokens(prompt, self.expected_output_tokens());
+        let tokens = self.tokens(spec);
         let group_time = spec.group_time(model, tokens);
         let now = clock::now();
         let mut demand = self.state.demand();
@@ -35,6 +34,16 @@
         Some((spec, model))
     }
 
+    /// Returns the tokens that the request is expected to take, if its service serves its model in groups.
+    pub(super) fn expected_tokens(&self) -> Option<TokenCounts> {
+        self.engine_model().map(|(spec, _)| self.tokens(spec))
+    }
+
+    fn tokens(&self, spec: &EngineSpec) -> TokenCounts {
+        let prompt = self.metadata.size.map(|size| size.prompt as f64);
+        spec.tokens(prompt, self.expected_output_tokens())
+    }
+
     /// Returns the expected length of the output in tokens, if the caller gave a hint.
     fn expected_output_tokens(&self) -> Option<f64> {
         let max = self
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -10,16 +10,18 @@
 use http::{Request, Response, Version};
 use hyper::body::{Body as _, Incoming};
 use sesamecart_edges::{CallerBody, HttpClient, ReadBodyError, discard_body, read_body};
-use sesamecart_fleet::{Catalog, Customer, PathRoute, RouteMatch};
+use sesamecart_fleet::Catalog;
 use sesamecart_platform::{RequestMetadata, forwarded_headers};
 use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
 
 use crate::clock;
 use crate::crashes::SuspectClient;
+use crate::dispatch::DispatchClient;
 use crate::events::Event;
 use crate::follower::millis;
 use crate::limits::LimitClient;
 use crate::state::EntryState;
+use crate::traffic::admission::admit;
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::forwarded::{Hop, RespondingEndpoint};
 use crate::traffic::pending::PendingRequest;
@@ -35,6 +37,7 @@
     client: HttpClient,
     limits: LimitClient,
     suspect_starts: SuspectClient,
+    dispatcher: DispatchClient,
 }
 
 impl Handler {
@@ -43,12 +46,14 @@
         client: HttpClient,
         limits: LimitClient,
         suspect_starts: SuspectClient,
+        dispatcher: DispatchClient,
     ) -> Self {
         Self {
             state,
             client,
             limits,
             suspect_starts,
+            dispatcher,
         }
     }
 
@@ -127,7 +132,7 @@
     ) -> Result<Response<CallerBody>, Refused> {
         let id = metadata.id.to_string();
         let refused = |refusal| Refused::new(id.clone(), refusal);
-        let admitted = match self.admit(&head, &metadata) {
+        let admitted = match admit(&self.state, &head, &metadata) {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 discard_rest(&head, body).await;
@@ -147,6 +152,7 @@
             client: self.client.clone(),
             limits: self.limits.clone(),
             suspect_starts: self.suspect_starts.clone(),
+            dispatcher: self.dispatcher.clone(),
             catalog: admitted.catalog,
             route: admitted.route,
             customer: admitted.customer,
@@ -179,60 +185,6 @@
         };
         self.state.events.write_success(clock::now(), &event);
     }
-
-    /// Looks up the route and the customer of a request in the current configuration.
-    ///
-    /// # Errors
-    ///
-    /// Refuses requests that the configuration doesn't allow, and all requests while the configuration is
-    /// missing. Requests that need a key are also refused while the configuration isn't confirmed to be
-    /// recent.
-    fn admit(&self, head: &Parts, metadata: &RequestMetadata) -> Result<Admitted, Refusal> {
-        let not_ready = Refusal::NotReady;
-        let catalog = self.state.catalog.load_full();
-        let catalog = catalog.ok_or_else(|| not_ready("the node has no configuration yet"))?;
-        if head_size(head) > catalog.limits.max_header_bytes.0 {
-            return Err(Refusal::HeadTooLarge);
-        }
-        // A route or key that is missing from an outdated configuration may have been added since. A node
-        // that may have missed a change therefore responds that it isn't ready instead of denying an allowed
-        // request.
-        let deny = |refusal| {
-            if self.state.is_configuration_outdated() {
-                not_ready("the node's configuration may be out of date")
-            } else {
-                refusal
-            }
-        };
-        let RouteMatch::Found(route) = catalog.route(&metadata.host, head.uri.path()) else {
-            return Err(deny(Refusal::NoRoute));
-        };
-        let Some(customers) = catalog.customers.as_ref().filter(|_| !route.is_public) else {
-            return Ok(Admitted {
-                catalog,
-                route,
-                customer: None,
-            });
-        };
-        if !self.state.is_confirmed_fresh() {
-            return Err(not_ready("the node's configuration is too old"));
-        }
-        let key = metadata.key.as_ref();
-        let customer = key.and_then(|key| customers.get(key)).cloned();
-        let customer = customer.ok_or_else(|| deny(Refusal::InvalidKey))?;
-        Ok(Admitted {
-            catalog,
-            route,
-            customer: Some(customer),
-        })
-    }
-}
-
-/// The configuration, route and customer of an admitted request.
-struct Admitted {
-    catalog: Arc<Catalog>,
-    route: Arc<PathRoute>,
-    customer: Option<Arc<Customer>>,
 }
 
 /// A request that the node refuses.
@@ -254,18 +206,6 @@
     }
 }
 
-/// Returns the approximate size of a request's head in bytes.
-fn head_size(head: &Parts) -> u64 {
-    let headers = head.headers.iter();
-    // The 4 bytes are the colon, the space and the line break of each header.
-    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or(0, |target| target.as_str().len());
-    (lines.sum::<usize>() + target) as u64
-}
-
 /// The maximum size of the rest of a refused request that is read before the response.
 const MAX_DISCARDED_BYTES: ByteSize = ByteSize(1024 * 1024);
 
--- a/crates/sesamecart-entry/src/traffic/in_flight.rs
+++ b/crates/sesamecart-entry/src/traffic/in_flight.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::crashes::{SendContext, SuspectRun};
+use crate::dispatch::HeldAttempt;
 use crate::events::Event;
 use crate::follower::millis;
 use crate::state::EntryState;
@@ -35,6 +36,8 @@
     group_signal: Option<Signal>,
     /// Set if this is one of the first requests after the endpoint's backoff, until the endpoint has answered.
     pub(crate) slow_start: Option<SlowStartTicket>,
+    /// Reports the attempt to the dispatcher of the endpoint's pool, if there is one.
+    pub(crate) held: Option<HeldAttempt>,
     /// When the endpoint sent the first data for this request.
     started_at: Option<Timestamp>,
     /// Whether the attempt has a result. An attempt dropped without one was abandoned by its caller.
@@ -67,6 +70,7 @@
             sent_at,
             group_signal,
             slow_start: None,
+            held: None,
             started_at: None,
             has_ended: false,
             is_alternative: false,
@@ -154,6 +158,9 @@
             return;
         }
         self.started_at = Some(now);
+        if let Some(held) = &self.held {
+            held.record_started();
+        }
         self.state
             .loads()
             .record_first_event(now, &self.endpoint.id);
--- a/crates/sesamecart-entry/src/traffic/permit.rs
+++ b/crates/sesamecart-entry/src/traffic/permit.rs
@@ -79,8 +79,7 @@
             return false;
         }
         let now = clock::now();
-        let may_ask =
-            policy == RestrictedEndpointPolicy::WithinLimits && attempts.denials < MAX_DENIALS;
+        let may_ask = policy != RestrictedEndpointPolicy::Skip && attempts.denials < MAX_DENIALS;
         let before = endpoints.len();
         endpoints.retain(
             |endpoint| match known.status(now, &endpoint.id, endpoint.incarnation) {
--- a/crates/sesamecart-entry/src/traffic/placement.rs
+++ b/crates/sesamecart-entry/src/traffic/placement.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamecart_fleet::{Candidate, Endpoint, Pool, Unavailable, WeightedService, return_delay};
-use sesamecart_vocabulary::{ServiceId, stable_hash};
+use indexmap::IndexSet;
+use sesamecart_fleet::{
+    Candidate, Directory, Endpoint, Pool, Service, Unavailable, WeightedService, return_delay,
+};
+use sesamecart_vocabulary::{EndpointId, ModelId, ServiceId, stable_hash};
 
 use crate::clock;
+use crate::dispatch::AssignedTicket;
 use crate::traffic::call::{Attempts, Call};
 use crate::traffic::refusal::Refusal;
 
@@ -19,6 +23,15 @@
     pub(super) endpoint: Arc<Endpoint>,
     pub(super) service: ServiceId,
     pub(super) load: f64,
+    /// The ticket by which the pool's dispatcher has assigned the endpoint.
+    pub(super) ticket: Option<AssignedTicket>,
+}
+
+/// The endpoints that an attempt may be sent to, as far as that doesn't depend on their load.
+struct Eligible<'a> {
+    endpoints: Vec<&'a Arc<Endpoint>>,
+    /// Whether limits exclude others.
+    is_limited: bool,
 }
 
 /// How endpoint selection handles cold endpoints and those that limit the requests of all nodes together.
@@ -27,6 +40,9 @@
     /// Cold endpoints are used within this node's share of the request rate that they can handle, and each
     /// use is charged to that share. Limited endpoints are selected, but the request then needs a permit.
     WithinLimits,
+    /// Cold endpoints are skipped, because the pool's dispatcher grants their use for all nodes. Limited endpoints
+    /// are handled as with [`Self::WithinLimits`].
+    SkipCold,
     /// They are skipped, because the selection only probes for a placement and sends no request.
     Skip,
 }
@@ -43,33 +59,13 @@
         policy: RestrictedEndpointPolicy,
     ) -> Result<Placement, Unavailable> {
         let service = self.service().ok_or(Unavailable::NoEndpoint)?;
-        let service_config = self.catalog.services.get(service);
-        let has_engine = service_config.is_some_and(|config| config.engine.is_some());
-        let model = self.metadata.model.as_ref().filter(|_| has_engine);
         let directory = self.state.directory.load_full();
         let slots = self.usable_slots();
-        let mut candidates: Vec<&Arc<Endpoint>> = directory.candidates(service, model).collect();
-        if candidates.is_empty() {
-            let drain_time = self.state.settings.bounds.drain_time();
-            let last_resort = directory.last_resort(clock::now(), drain_time, service, model);
-            candidates.extend(last_resort);
-        }
-        let mut endpoints: Vec<&Arc<Endpoint>> = candidates
-            .iter()
-            .copied()
-            .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
-            .filter(|endpoint| !self.state.is_group_avoided(endpoint))
-            .collect();
-        if let (true, Some(model), Some(config)) = (endpoints.is_empty(), model, service_config)
-            && !config.can_host(model, directory.largest_fabric_domain(service))
-        {
-            return Err(Unavailable::Unservable);
-        }
-        self.restrict(attempts, &candidates, &mut endpoints);
-        if self.remove_backing_off(&candidates, &mut endpoints) {
-            return Err(Unavailable::BackingOff);
-        }
-        let is_limited = self.remove_limited(attempts, policy, &mut endpoints);
+        let Eligible {
+            mut endpoints,
+            is_limited,
+        } = self.eligible(attempts, policy, service, &directory)?;
+        let cold_per_s = self.service_config().and_then(|config| config.cold_per_s);
         let now = clock::now();
         loop {
             let candidates: Vec<Candidate<'_>> = endpoints
@@ -89,10 +85,9 @@
                 return Err(Unavailable::OverShare);
             }
             let endpoint = Arc::clone(endpoints[chosen.index]);
-            let cold_per_s = service_config.and_then(|config| config.cold_per_s);
             let is_skipped = cold_per_s.is_some_and(|per_s| {
                 directory.is_cold(now, &endpoint.id)
-                    && (policy == RestrictedEndpointPolicy::Skip
+                    && (policy != RestrictedEndpointPolicy::WithinLimits
                         || !self.state.try_take_cold_request(&endpoint, per_s))
             });
             if is_skipped {
@@ -103,10 +98,109 @@
                 endpoint,
                 service: service.clone(),
                 load: chosen.load,
+                ticket: None,
             });
         }
     }
 
+    /// Returns the endpoints that this request hasn't tried and may be sent to.
+    fn eligible<'a>(
+        &'a self,
+        attempts: &Attempts,
+        policy: RestrictedEndpointPolicy,
+        service: &'a ServiceId,
+        directory: &'a Directory,
+    ) -> Result<Eligible<'a>, Unavailable> {
+        let service_config = self.service_config();
+        let model = self.served_model();
+        let mut candidates: Vec<&Arc<Endpoint>> = directory.candidates(service, model).collect();
+        if candidates.is_empty() {
+            let drain_time = self.state.settings.bounds.drain_time();
+            let last_resort = directory.last_resort(clock::now(), drain_time, service, model);
+            candidates.extend(last_resort);
+        }
+        let mut endpoints: Vec<&Arc<Endpoint>> = candidates
+            .iter()
+            .copied()
+            .filter(|endpoint| !attempts.tried.contains(&endpoint.id))
+            .filter(|endpoint| !self.state.is_group_avoided(endpoint))
+            .collect();
+        if let (true, Some(model), Some(config)) = (endpoints.is_empty(), model, service_config)
+            && !config.can_host(model, directory.largest_fabric_domain(service))
+        {
+            return Err(Unavailable::Unservable);
+        }
+        self.restrict(attempts, &candidates, &mut endpoints);
+        if self.remove_backing_off(&candidates, &mut endpoints) {
+            return Err(Unavailable::BackingOff);
+        }
+        let is_limited = self.remove_limited(attempts, policy, &mut endpoints);
+        Ok(Eligible {
+            endpoints,
+            is_limited,
+        })
+    }
+
+    /// Returns the endpoints of the pool that this request may not be sent to, or `None` if there are no others.
+    pub(super) fn excluded_endpoints(&self, attempts: &Attempts) -> Option<Vec<EndpointId>> {
+        let service = self.service()?;
+        let directory = self.state.directory.load_full();
+        let policy = RestrictedEndpointPolicy::SkipCold;
+        let mut usable = self
+            .eligible(attempts, policy, service, &directory)
+            .ok()?
+            .endpoints;
+        let now = clock::now();
+        let loads = self.state.loads();
+        usable.retain(|endpoint| !loads.is_ejected(now, &endpoint.id));
+        drop(loads);
+        if usable.is_empty() {
+            return None;
+        }
+        let usable: IndexSet<&EndpointId> = usable.iter().map(|endpoint| &endpoint.id).collect();
+        let candidates = directory.candidates(service, self.served_model());
+        let excluded = candidates.filter(|endpoint| !usable.contains(&endpoint.id));
+        Some(excluded.map(|endpoint| endpoint.id.clone()).collect())
+    }
+
+    /// Returns the placement at the endpoint that a dispatcher has assigned, if the request may be sent there.
+    pub(super) fn place_assigned(
+        &self,
+        attempts: &Attempts,
+        endpoint: &EndpointId,
+        ticket: AssignedTicket,
+    ) -> Option<Placement> {
+        let service = self.service()?;
+        let directory = self.state.directory.load_full();
+        let policy = RestrictedEndpointPolicy::SkipCold;
+        let eligible = self.eligible(attempts, policy, service, &directory).ok()?;
+        let mut endpoints = eligible.endpoints.into_iter();
+        let endpoint = endpoints.find(|eligible| eligible.id == *endpoint)?;
+        let now = clock::now();
+        let loads = self.state.loads();
+        if loads.is_ejected(now, &endpoint.id) {
+            return None;
+        }
+        Some(Placement {
+            endpoint: Arc::clone(endpoint),
+            service: service.clone(),
+            load: loads.known_load(now, &endpoint.id, endpoint.slots),
+            ticket: Some(ticket),
+        })
+    }
+
+    fn service_config(&self) -> Option<&Service> {
+        self.catalog.services.get(self.service()?)
+    }
+
+    /// Returns the requested model, if the service has engines.
+    fn served_model(&self) -> Option<&ModelId> {
+        let has_engine = self
+            .service_config()
+            .is_some_and(|config| config.engine.is_some());
+        self.metadata.model.as_ref().filter(|_| has_engine)
+    }
+
     /// Returns whether a first attempt exceeds its customer's fair share, so that the slot at an endpoint
     /// with `load` has to be left to other customers.
     fn is_over_share(&self, attempts: &Attempts, service: &ServiceId, load: f64) -> bool {
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -6,7 +6,7 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
 use sesamecart_edges::{CallerBody, whole};
-use sesamecart_fleet::{SuspectKind, Unavailable};
+use sesamecart_fleet::{DispatchRefusal, RefusalCause, SuspectKind, Unavailable};
 use sesamecart_platform::retry_after;
 use sesamecart_vocabulary::Fingerprint;
 
@@ -81,6 +81,9 @@
     /// No endpoint can take the request.
     #[display("{_0}")]
     Unavailable(Unavailable),
+    /// The dispatcher of the request's pool refuses it.
+    #[display("{}", _0.cause)]
+    Dispatched(DispatchRefusal),
     /// The request may crash its endpoint.
     #[display("{_0}")]
     Crashing(CrashRefusal),
@@ -118,10 +121,16 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
             Self::Relayed(refusal) => refusal.status,
-            Self::Unavailable(Unavailable::OverShare) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady(_) | Self::Unavailable(_) | Self::NotRun(_) | Self::Crashing(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Unavailable(Unavailable::OverShare)
+            | Self::Dispatched(DispatchRefusal {
+                cause: RefusalCause::OverShare,
+                ..
+            }) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady(_)
+            | Self::Unavailable(_)
+            | Self::Dispatched(_)
+            | Self::NotRun(_)
+            | Self::Crashing(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::IncompleteResponse(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -143,6 +152,7 @@
         let (min, max) = match self {
             Self::Crashing(refusal) => return Some(refusal.retry_after),
             Self::Relayed(refusal) => return refusal.retry_after,
+            Self::Dispatched(refusal) => return Some(refusal.retry_after),
             Self::Unavailable(Unavailable::Unservable) => UNSERVABLE_RETRY_AFTER,
             Self::NotReady(_) | Self::Unavailable(Unavailable::NoEndpoint) | Self::NotRun(_) => {
                 NO_ENDPOINT_RETRY_AFTER
--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -7,7 +7,7 @@
 
 use super::attempts::Attempts;
 use super::classes::Classes;
-use super::heads::{from_millis, to_millis};
+use super::heads::{Head, from_millis, to_millis};
 use super::message::{
     Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest, PoolHead,
     PoolSpec, RefusalCause, TicketKey,
@@ -172,6 +172,19 @@
         self.queue.retain(|offer| offer.req.key.node != *node);
     }
 
+    /// Returns the number of attempts that nodes have at the endpoints, as far as this dispatcher knows.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        let heads = self.attempts.heads().values();
+        heads.map(Head::attempt_count).sum()
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.iter().count()
+    }
+
     fn record_heard(&mut self, now: Timestamp, node: &NodeId) {
         match self.nodes.get_mut(node) {
             Some(heard_at) => *heard_at = now,
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -222,6 +222,21 @@
         (requests, waiting)
     }
 
+    /// Returns whether nothing is sent to an endpoint for some time, because it failed.
+    #[must_use]
+    pub fn is_ejected(&self, now: Timestamp, id: &EndpointId) -> bool {
+        let load = self.loads.get(id);
+        load.is_some_and(|load| load.ejected_until > now)
+    }
+
+    /// Returns what is known of the load of an endpoint, in requests per slot.
+    #[must_use]
+    pub fn known_load(&self, now: Timestamp, id: &EndpointId, slots: u32) -> f64 {
+        let load = self.loads.get(id);
+        let requests = load.map_or(0.0, |load| self.estimated_load(now, load, 0.0).0);
+        requests / f64::from(slots.max(1))
+    }
+
     /// Sets the number of other nodes, not counting those that are considered gone.
     pub fn set_other_nodes(&mut self, other_nodes: usize) {
         self.other_nodes = other_nodes;
