--- a/crates/sesamecart-fleet/examples/plan.rs
+++ b/crates/sesamecart-fleet/examples/plan.rs
@@ -82,6 +82,7 @@
         loads_per_s: 91.0,
         loads_at_once: 136,
         steps: None,
+        kv_capacity_tokens: None,
     }
 }
 
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -110,6 +110,8 @@
     pub loads_at_once: usize,
     /// The step times of groups, or nothing if the configuration has no usable times.
     pub steps: Option<StepModel>,
+    /// The number of tokens that one group can hold, if that is configured.
+    pub kv_capacity_tokens: Option<f64>,
 }
 
 /// A property of a service's engines that can't be used as configured. The message also says what is used
--- a/crates/sesamecart-fleet/src/dispatch/message.rs
+++ b/crates/sesamecart-fleet/src/dispatch/message.rs
@@ -4,6 +4,7 @@
 
 use sesamecart_vocabulary::{CustomerId, EndpointId, FailureDomainId, Fingerprint, NodeId};
 
+use crate::catalog::{EngineModel, EngineSpec};
 use crate::step_model::{StepModel, TokenCounts};
 
 /// Identifies an attempt among those of its node.
@@ -31,6 +32,18 @@
     pub kv_capacity_tokens: Option<f64>,
 }
 
+impl PoolSpec {
+    /// Returns the properties of the pool of a model, or nothing if its step times aren't usable.
+    #[must_use]
+    pub fn new(engine: &EngineSpec, model: &EngineModel) -> Option<Self> {
+        Some(Self {
+            steps: engine.steps?,
+            pace: model.usable_pace(),
+            kv_capacity_tokens: engine.kv_capacity_tokens,
+        })
+    }
+}
+
 /// An endpoint that takes requests of the pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolHead {
--- a/crates/sesamecart-fleet/src/dispatch/tests/records.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/records.rs
@@ -1,6 +1,7 @@
 //! What nodes report, and what they leave unreported.
 
 use super::{at, endpoint, head, held, key, ms, pool_spec, request};
+use crate::catalog::{EngineModel, EngineSpec};
 use crate::dispatch::{DispatchDecision, Dispatcher, HeldRequest, PoolHead, PoolSpec};
 
 /// Returns a dispatcher with one endpoint that has one slot, which is taken by ticket 0 of node 0.
@@ -98,3 +99,19 @@
     assert!(!is_free(&mut dispatcher, 5_999));
     assert!(is_free(&mut dispatcher, 6_000));
 }
+
+#[test]
+fn pool_has_the_pace_of_its_model_and_needs_step_times() {
+    let engine = crate::testkit::spec();
+    let model = EngineModel {
+        pace: 1.5,
+        ..engine.models[0].clone()
+    };
+    let spec = PoolSpec::new(&engine, &model).expect("step times are configured");
+    assert_eq!((spec.pace, spec.steps), (1.5, crate::testkit::steps()));
+    let without_steps = EngineSpec {
+        steps: None,
+        ..engine
+    };
+    assert_eq!(PoolSpec::new(&without_steps, &model), None);
+}
--- a/crates/sesamecart-fleet/src/testkit.rs
+++ b/crates/sesamecart-fleet/src/testkit.rs
@@ -105,6 +105,7 @@
         loads_per_s: 4.5,
         loads_at_once: 6,
         steps: Some(steps()),
+        kv_capacity_tokens: None,
     }
 }
 
