--- a/crates/sesamecart-entry/src/dispatch/pools.rs
+++ b/crates/sesamecart-entry/src/dispatch/pools.rs
@@ -178,11 +178,7 @@
         model: &EngineModel,
     ) -> Option<DispatchedPool> {
         let directory = &self.sources.directory;
-        let spec = PoolSpec {
-            steps: service.engine.as_ref()?.steps?,
-            pace: model.usable_pace(),
-            kv_capacity_tokens: None,
-        };
+        let spec = PoolSpec::new(service.engine.as_ref()?, model)?;
         let open: Vec<_> = directory.candidates(id, Some(&model.model)).collect();
         // All open groups count, so that nodes that suspect different groups agree.
         let parts = part_count(open.len());
--- a/crates/sesamecart-entry/src/dispatch/server/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/server/tests.rs
@@ -43,11 +43,12 @@
         }],
         loads_per_s: 1.0,
         loads_at_once: 1,
+        kv_capacity_tokens: None,
         steps: Some(StepModel {
             step_ms: 5.0,
             step_ms_per_answer: 0.1,
             read_tokens_per_ms: 50.0,
-            chunk_tokens: 2_048.0,
+            chunk_tokens: 50.0,
             steps_per_pass: 1,
             mean: TOKENS,
         }),
