--- a/crates/sesamecart-entry/src/dispatch/client.rs
+++ b/crates/sesamecart-entry/src/dispatch/client.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use sesamecart_fleet::{
-    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, RefusalCause, TicketKey,
-    TokenCounts, choose_parts,
+    DispatchDecision, DispatchRefusal, DispatchRequest, RefusalCause, TicketKey, TokenCounts,
+    choose_parts,
 };
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links};
@@ -16,7 +16,7 @@
 use crate::clock;
 use crate::dispatch::message::{decode_reply, encode_request};
 use crate::dispatch::pools::{DispatchedPool, PoolPartView};
-use crate::dispatch::ticket::AssignedTicket;
+use crate::dispatch::ticket::{AssignedEndpoint, AssignedTicket};
 use crate::events::Event;
 use crate::follower::millis;
 use crate::metrics::DispatchOutcome;
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) enum Dispatched {
     /// The request is to be sent to an endpoint.
-    Assigned(Assignment, AssignedTicket),
+    Assigned(AssignedEndpoint),
     /// It is refused.
     Refused(DispatchRefusal),
     /// No dispatcher answered.
@@ -122,7 +122,10 @@
                     waited_ms,
                 };
                 self.state.events.write_success(clock::now(), &event);
-                Dispatched::Assigned(assignment, ticket)
+                Dispatched::Assigned(AssignedEndpoint {
+                    endpoint: assignment.endpoint,
+                    ticket,
+                })
             }
             Some(DispatchDecision::Refuse(refusal)) => {
                 self.state
--- a/crates/sesamecart-entry/src/dispatch/ticket.rs
+++ b/crates/sesamecart-entry/src/dispatch/ticket.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use sesamecart_fleet::{Endpoint, PoolPart, Ticket, TokenCounts};
-use sesamecart_vocabulary::{ModelId, ServiceId};
+use sesamecart_vocabulary::{EndpointId, ModelId, ServiceId};
 
 use crate::clock;
 use crate::dispatch::outbox::Attempt;
@@ -21,6 +21,13 @@
     is_released: bool,
 }
 
+/// The endpoint that a dispatcher has assigned to a request.
+#[derive(Debug)]
+pub(crate) struct AssignedEndpoint {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) ticket: AssignedTicket,
+}
+
 /// An attempt at an endpoint of a dispatched pool. Dropping it reports that it has ended.
 #[derive(Debug)]
 pub(crate) struct HeldAttempt {
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -4,6 +4,7 @@
 mod alternative;
 mod backoff;
 mod call;
+mod checks;
 mod demand;
 mod dispatch;
 mod event_splitter;
--- a/crates/sesamecart-entry/src/traffic/dispatch.rs
+++ b/crates/sesamecart-entry/src/traffic/dispatch.rs
@@ -1,14 +1,17 @@
 //! Requests whose endpoint is assigned by the dispatcher of their pool.
 
-use sesamecart_fleet::{Assignment, Endpoint, Unavailable};
+use sesamecart_fleet::Endpoint;
 
 use crate::clock;
-use crate::dispatch::{AssignedTicket, DispatchQuery, Dispatched, HeldAttempt};
+use crate::dispatch::{
+    AssignedEndpoint, AssignedTicket, DispatchPools, DispatchQuery, Dispatched, DispatchedPool,
+    HeldAttempt,
+};
 use crate::events::Event;
 use crate::metrics::DispatchOutcome;
 use crate::traffic::admission::admit;
 use crate::traffic::call::{Attempts, Call};
-use crate::traffic::placement::{Placement, RestrictedEndpointPolicy};
+use crate::traffic::placement::RestrictedEndpointPolicy;
 use crate::traffic::refusal::Refusal;
 
 impl Call {
@@ -18,18 +21,15 @@
     /// # Errors
     ///
     /// Returns the dispatcher's refusal, or that of a request that isn't allowed any more after it has waited.
-    pub(super) async fn dispatch(
+    pub(super) async fn ask_dispatcher(
         &self,
         attempts: &mut Attempts,
-    ) -> Result<Option<Placement>, Refusal> {
+    ) -> Result<Option<AssignedEndpoint>, Refusal> {
         if self.hop.is_some() || attempts.made > 0 || attempts.is_offered {
             return Ok(None);
         }
         let pools = self.state.dispatch_pools();
-        let pool = self
-            .engine_model()
-            .zip(self.service())
-            .and_then(|((_, model), service)| pools.get(service, &model.model));
+        let pool = self.dispatched_pool(&pools);
         let Some((pool, query)) = pool.zip(self.dispatch_query(attempts)) else {
             return Ok(None);
         };
@@ -40,45 +40,26 @@
         }
         // The configuration may have changed while the request waited.
         admit(&self.state, &self.head, &self.metadata)?;
-        if self.time_left().is_zero() {
-            return Err(Refusal::NotRun("its time ran out".to_owned()));
-        }
         Ok(match answer {
-            Dispatched::Assigned(assignment, ticket) => {
-                self.use_assignment(attempts, &assignment, ticket)
-            }
+            Dispatched::Assigned(assigned) => Some(assigned),
             Dispatched::Refused(_) | Dispatched::Unanswered => None,
         })
     }
 
-    /// Returns the assigned placement, or this node's own choice.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no endpoint is available to the request.
-    pub(super) fn place_unless_assigned(
-        &self,
-        attempts: &Attempts,
-        assigned: Option<Placement>,
-    ) -> Result<Placement, Unavailable> {
-        assigned.map_or_else(|| self.place(attempts, self.placement_policy()), Ok)
-    }
-
     /// Returns how this node's own choice uses cold endpoints: not at all where a dispatcher grants their use for all
     /// nodes.
-    fn placement_policy(&self) -> RestrictedEndpointPolicy {
-        let model = self.engine_model().map(|(_, model)| &model.model);
-        let pools = self.state.dispatch_pools();
-        let pool = self
-            .service()
-            .zip(model)
-            .and_then(|(service, model)| pools.get(service, model));
-        match pool {
+    pub(super) fn placement_policy(&self) -> RestrictedEndpointPolicy {
+        match self.dispatched_pool(&self.state.dispatch_pools()) {
             Some(_) => RestrictedEndpointPolicy::SkipCold,
             None => RestrictedEndpointPolicy::WithinLimits,
         }
     }
 
+    fn dispatched_pool<'a>(&self, pools: &'a DispatchPools) -> Option<&'a DispatchedPool> {
+        let (_, model) = self.engine_model()?;
+        pools.get(self.service()?, &model.model)
+    }
+
     /// Describes the request to the dispatcher. Returns `None` if this node may not send it to any endpoint.
     fn dispatch_query(&self, attempts: &Attempts) -> Option<DispatchQuery> {
         let now = clock::now();
@@ -96,24 +77,14 @@
         })
     }
 
-    /// Returns the placement at an assigned endpoint, if that passes the checks of this node.
-    fn use_assignment(
-        &self,
-        attempts: &Attempts,
-        assignment: &Assignment,
-        ticket: AssignedTicket,
-    ) -> Option<Placement> {
-        let placement = self.place_assigned(attempts, &assignment.endpoint, ticket);
-        if placement.is_none() {
-            self.state
-                .metrics
-                .count_dispatched(DispatchOutcome::Unusable);
-            self.state.events.write(&Event::DispatchUnusable {
-                request: self.metadata.id.as_str(),
-                endpoint: assignment.endpoint.as_str(),
-            });
-        }
-        placement
+    /// Records that the endpoint that was assigned to the request can't be used.
+    pub(super) fn record_unusable(&self, assigned: &AssignedEndpoint) {
+        let outcome = DispatchOutcome::Unusable;
+        self.state.metrics.count_dispatched(outcome);
+        self.state.events.write(&Event::DispatchUnusable {
+            request: self.metadata.id.as_str(),
+            endpoint: assigned.endpoint.as_str(),
+        });
     }
 
     /// Records that the request is sent to an endpoint, if that belongs to a dispatched pool.
--- a/crates/sesamecart-entry/src/traffic/placement.rs
+++ b/crates/sesamecart-entry/src/traffic/placement.rs
@@ -7,7 +7,7 @@
 use sesamecart_fleet::{
     Candidate, Directory, Endpoint, Pool, Service, Unavailable, WeightedService, return_delay,
 };
-use sesamecart_vocabulary::{EndpointId, ModelId, ServiceId, stable_hash};
+use sesamecart_vocabulary::{EndpointId, ModelId, ServiceId, Timestamp, stable_hash};
 
 use crate::clock;
 use crate::dispatch::AssignedTicket;
@@ -18,6 +18,9 @@
 /// enough for the response.
 const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
 
+/// The load of an endpoint that is full by this node's own estimate, in requests per slot.
+const FULL_LOAD: f64 = 1.0;
+
 /// The endpoint selected for an attempt, and its load.
 pub(super) struct Placement {
     pub(super) endpoint: Arc<Endpoint>,
@@ -48,7 +51,7 @@
 }
 
 impl Call {
-    /// Selects an endpoint that this request hasn't tried.
+    /// Selects an endpoint that this request hasn't tried: the assigned one, if the request may use it.
     ///
     /// # Errors
     ///
@@ -57,6 +60,7 @@
         &self,
         attempts: &Attempts,
         policy: RestrictedEndpointPolicy,
+        assigned: Option<&EndpointId>,
     ) -> Result<Placement, Unavailable> {
         let service = self.service().ok_or(Unavailable::NoEndpoint)?;
         let directory = self.state.directory.load_full();
@@ -67,14 +71,20 @@
         } = self.eligible(attempts, policy, service, &directory)?;
         let cold_per_s = self.service_config().and_then(|config| config.cold_per_s);
         let now = clock::now();
+        if let Some(endpoint) = endpoints.iter().find(|one| Some(&one.id) == assigned)
+            && let Some(load) = self.assigned_load(now, self.candidate(endpoint, slots))
+        {
+            return Ok(Placement {
+                endpoint: Arc::clone(endpoint),
+                service: service.clone(),
+                load,
+                ticket: None,
+            });
+        }
         loop {
             let candidates: Vec<Candidate<'_>> = endpoints
                 .iter()
-                .map(|endpoint| Candidate {
-                    id: &endpoint.id,
-                    slots: slots.unwrap_or(endpoint.slots),
-                    is_local: endpoint.failure_domain == self.state.settings.failure_domain,
-                })
+                .map(|endpoint| self.candidate(endpoint, slots))
                 .collect();
             let chosen = self.state.loads().choose(now, &candidates, fastrand::f64);
             let chosen = chosen.map_err(|unavailable| match unavailable {
@@ -163,32 +173,6 @@
         Some(excluded.map(|endpoint| endpoint.id.clone()).collect())
     }
 
-    /// Returns the placement at the endpoint that a dispatcher has assigned, if the request may be sent there.
-    pub(super) fn place_assigned(
-        &self,
-        attempts: &Attempts,
-        endpoint: &EndpointId,
-        ticket: AssignedTicket,
-    ) -> Option<Placement> {
-        let service = self.service()?;
-        let directory = self.state.directory.load_full();
-        let policy = RestrictedEndpointPolicy::SkipCold;
-        let eligible = self.eligible(attempts, policy, service, &directory).ok()?;
-        let mut endpoints = eligible.endpoints.into_iter();
-        let endpoint = endpoints.find(|eligible| eligible.id == *endpoint)?;
-        let now = clock::now();
-        let loads = self.state.loads();
-        if loads.is_ejected(now, &endpoint.id) {
-            return None;
-        }
-        Some(Placement {
-            endpoint: Arc::clone(endpoint),
-            service: service.clone(),
-            load: loads.known_load(now, &endpoint.id, endpoint.slots),
-            ticket: Some(ticket),
-        })
-    }
-
     fn service_config(&self) -> Option<&Service> {
         self.catalog.services.get(self.service()?)
     }
@@ -201,6 +185,25 @@
         self.metadata.model.as_ref().filter(|_| has_engine)
     }
 
+    fn candidate<'a>(&self, endpoint: &'a Endpoint, slots: Option<u32>) -> Candidate<'a> {
+        Candidate {
+            id: &endpoint.id,
+            slots: slots.unwrap_or(endpoint.slots),
+            is_local: endpoint.failure_domain == self.state.settings.failure_domain,
+        }
+    }
+
+    /// Returns the load of an assigned endpoint, or `None` if this node has ejected it.
+    ///
+    /// Whether it is full was decided with the requests of all nodes, of which this node knows only a part.
+    fn assigned_load(&self, now: Timestamp, assigned: Candidate<'_>) -> Option<f64> {
+        match self.state.loads().choose(now, &[assigned], fastrand::f64) {
+            Ok(choice) => Some(choice.load),
+            Err(Unavailable::Full) => Some(FULL_LOAD),
+            Err(_) => None,
+        }
+    }
+
     /// Returns whether a first attempt exceeds its customer's fair share, so that the slot at an endpoint
     /// with `load` has to be left to other customers.
     fn is_over_share(&self, attempts: &Attempts, service: &ServiceId, load: f64) -> bool {
