--- a/crates/sesamecart-entry/src/dispatch/client.rs
+++ b/crates/sesamecart-entry/src/dispatch/client.rs
@@ -93,7 +93,7 @@
         let mut ticket = AssignedTicket::new(Arc::clone(&self.state), part.name.clone());
         let req = self.request(query, asked_at, &ticket);
         let decision = if peer.node == self.state.settings.node {
-            let own = self.state.dispatch(&part.name, req);
+            let own = self.state.decide_dispatch(&part.name, req);
             with_timeout(OWN_DISPATCHER_TIMEOUT, own)
                 .await
                 .ok()
--- a/crates/sesamecart-entry/src/dispatch/server.rs
+++ b/crates/sesamecart-entry/src/dispatch/server.rs
@@ -127,7 +127,7 @@
     /// Decides about a request as the dispatcher of a part. Returns `None` if this node doesn't know the part.
     ///
     /// If the future is dropped while the request waits, the request is removed.
-    pub(crate) async fn dispatch(
+    pub(crate) async fn decide_dispatch(
         self: &Arc<Self>,
         part: &PoolPart,
         req: DispatchRequest,
--- a/crates/sesamecart-entry/src/dispatch/server/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/server/tests.rs
@@ -108,7 +108,10 @@
 }
 
 fn dispatch(state: &Arc<EntryState>, ticket: u64) -> Option<DispatchDecision> {
-    future::block_on(future::poll_once(state.dispatch(&part(), request(ticket)))).flatten()
+    future::block_on(future::poll_once(
+        state.decide_dispatch(&part(), request(ticket)),
+    ))
+    .flatten()
 }
 
 #[test]
@@ -128,7 +131,7 @@
     let state = dispatching_state();
     let _first = dispatch(&state, 1);
     let part = part();
-    let mut waiting = Box::pin(state.dispatch(&part, request(2)));
+    let mut waiting = Box::pin(state.decide_dispatch(&part, request(2)));
     assert!(future::block_on(future::poll_once(&mut waiting)).is_none());
     assert_eq!(state.dispatched_requests().waiting, 1);
     drop(waiting);
@@ -142,7 +145,7 @@
     let state = dispatching_state();
     let _first = dispatch(&state, 1);
     let part = part();
-    let mut waiting = Box::pin(state.dispatch(&part, request(2)));
+    let mut waiting = Box::pin(state.decide_dispatch(&part, request(2)));
     assert!(future::block_on(future::poll_once(&mut waiting)).is_none());
     let report = Report {
         ended: vec![Ticket(1)],
@@ -180,6 +183,6 @@
     let state = dispatching_state();
     let unknown = PoolPart { part: 1, ..part() };
     assert!(!state.apply_held_report(&unknown, &key(1).node, Report::default()));
-    let decision = future::block_on(state.dispatch(&unknown, request(1)));
+    let decision = future::block_on(state.decide_dispatch(&unknown, request(1)));
     assert_eq!(decision, None);
 }
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -207,7 +207,7 @@
         let message = request.get_ref();
         let part = decode_part(message.pool.as_ref())?;
         let req = decode_request_for_endpoint(message)?;
-        let decision = self.state.dispatch(&part, req).await;
+        let decision = self.state.decide_dispatch(&part, req).await;
         let reply = decision.as_ref().and_then(encode_reply);
         reply.map(Response::new).ok_or_else(unknown_part)
     }
