--- a/crates/sesamecart-entry/src/dispatch/outbox.rs
+++ b/crates/sesamecart-entry/src/dispatch/outbox.rs
@@ -35,8 +35,8 @@
 #[derive(Debug, Default)]
 struct Ended {
     tickets: Vec<Ticket>,
-    /// Those whose start wasn't reported before. Dispatchers learn from it.
-    started: Vec<(Ticket, Held)>,
+    /// Those whose last state wasn't reported before. Dispatchers learn from it whether an endpoint is slow or fails.
+    unreported: Vec<(Ticket, Held)>,
 }
 
 /// What a node tells a dispatcher.
@@ -110,8 +110,8 @@
         let part = held.attempt.part(parts);
         let ended = self.ended.entry(part).or_default();
         ended.tickets.push(ticket);
-        if held.is_changed && held.started_at.is_some() {
-            ended.started.push((ticket, held));
+        if held.is_changed {
+            ended.unreported.push((ticket, held));
         }
     }
 
@@ -160,11 +160,11 @@
             held.describe(now, own, *ticket)
         });
         let ended = self.ended.swap_remove(part).unwrap_or_default();
-        let started = ended.started.iter();
-        let started = started.map(|(ticket, held)| held.describe(now, own, *ticket));
+        let unreported = ended.unreported.iter();
+        let unreported = unreported.map(|(ticket, held)| held.describe(now, own, *ticket));
         let report = Report {
             is_complete,
-            held: held.chain(started).collect(),
+            held: held.chain(unreported).collect(),
             ended: ended.tickets,
         };
         let receiver = Receiver {
--- a/crates/sesamecart-entry/src/dispatch/outbox/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/outbox/tests.rs
@@ -103,6 +103,18 @@
     assert!(fixture.outbox.is_empty());
 }
 
+/// A connection that is refused ends an attempt before it was reported. Dispatchers must learn of it, or they assign
+/// more requests to an endpoint that is gone.
+#[test]
+fn an_attempt_that_fails_at_once_is_reported_although_it_has_ended() {
+    let mut fixture = Fixture::new();
+    fixture.outbox.record_ended(fixture.ticket, 1);
+    let report = fixture.take(START + SOON, "d1").expect("a report is due");
+    assert_eq!(tickets(&report), [fixture.ticket]);
+    assert_eq!(report.held[0].started_after, None);
+    assert_eq!(report.ended, [fixture.ticket]);
+}
+
 #[test]
 fn an_end_is_reported_once() {
     let mut fixture = Fixture::new();
