Probe the preferred dispatcher while another one is used

A node now sends an empty report to the preferred dispatcher every 0.5 s, up to 8 s apart while it fails, and asks it again once it answers.

--- a/crates/sesamecart-entry/src/dispatch/reporter.rs
+++ b/crates/sesamecart-entry/src/dispatch/reporter.rs
@@ -10,7 +10,7 @@
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links};
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::NodeId;
+use sesamecart_vocabulary::{NodeId, Timestamp};
 
 use crate::authority::AuthorityClient;
 use crate::clock;
@@ -24,6 +24,9 @@
 /// predictions.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
+/// The longest time between two probes of a preferred dispatcher. A node that was replaced never answers.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(8);
+
 type Feed = FeedClient<Channel>;
 
 /// Reports to the dispatchers of all parts until the task is cancelled.
@@ -32,6 +35,8 @@
         authorities: AuthorityClient::new(Arc::clone(&state), links),
         state,
         dispatchers: IndexMap::new(),
+        probed_at: Timestamp::ZERO,
+        probe_interval: REPORT_INTERVAL,
     };
     loop {
         let changed = reporter.state.dispatch.outbox_changed.listen();
@@ -51,6 +56,9 @@
     authorities: AuthorityClient,
     /// The last dispatcher of each part.
     dispatchers: IndexMap<PoolPart, NodeId>,
+    /// When the preferred dispatchers were last probed.
+    probed_at: Timestamp,
+    probe_interval: Duration,
 }
 
 /// A report and the dispatcher that it is for.
@@ -69,6 +77,32 @@
         let reports = self.due_reports(&pools);
         let sent = reports.into_iter().map(|report| self.send(report));
         join_all(sent).await;
+        self.probe_preferred(&pools).await;
+    }
+
+    /// Sends an empty report to each node that comes first in the order of a part and hasn't answered lately.
+    ///
+    /// A node that answers is asked again. Without that, nodes that pass over it at different times would have
+    /// different dispatchers for seconds, for example after all of them have started again.
+    async fn probe_preferred(&mut self, pools: &DispatchPools) {
+        let now = clock::now();
+        if now.since(self.probed_at) < self.probe_interval {
+            return;
+        }
+        let parts = pools.iter().flat_map(|pool| &pool.parts);
+        let preferred = parts.filter_map(|part| Some((&part.name, part.order.first()?)));
+        let unresponsive = preferred.filter(|(_, peer)| {
+            peer.node != self.state.settings.node
+                && !self.state.authorities().is_responsive(now, &peer.node)
+        });
+        let probes = unresponsive.map(|(part, peer)| self.deliver(part, peer, Report::default()));
+        let probes: Vec<_> = probes.collect();
+        let answered = join_all(probes).await;
+        self.probed_at = now;
+        self.probe_interval = match answered.contains(&false) {
+            true => (self.probe_interval * 2).min(MAX_PROBE_INTERVAL),
+            false => REPORT_INTERVAL,
+        };
     }
 
     fn due_reports(&mut self, pools: &DispatchPools) -> Vec<AddressedReport> {
@@ -116,20 +150,21 @@
             dispatcher,
             report,
         } = addressed;
-        let own = &self.state.settings.node;
-        let is_delivered = if dispatcher.node == *own {
-            self.state.apply_held_report(&part, own, report)
-        } else {
-            let message = encode_report(&part, own, &report);
-            let call = |mut feed: Feed| async move { feed.report_held(message).await };
-            self.authorities
-                .call(&dispatcher, false, call)
-                .await
-                .is_some()
-        };
-        if !is_delivered {
+        if !self.deliver(&part, &dispatcher, report).await {
             self.state.dispatch.outbox().mark_failed(&part);
             self.state.dispatch.outbox_changed.notify(usize::MAX);
         }
     }
+
+    /// Delivers a report. Returns whether the dispatcher has taken it.
+    async fn deliver(&self, part: &PoolPart, dispatcher: &PeerNode, report: Report) -> bool {
+        let own = &self.state.settings.node;
+        if dispatcher.node == *own {
+            return self.state.apply_held_report(part, own, report);
+        }
+        let message = encode_report(part, own, &report);
+        let call = |mut feed: Feed| async move { feed.report_held(message).await };
+        let reply = self.authorities.call(dispatcher, false, call).await;
+        reply.is_some()
+    }
 }
