--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use sesamecart_fleet::RetryLimit;
+use sesamecart_fleet::{DispatchSetting, RetryLimit};
 use sesamecart_vocabulary::{FailureDomainId, NodeId, RegionId};
 use thiserror::Error;
 
@@ -41,6 +41,13 @@
     /// The share of a core that the node may use. The nodes with the largest shares read the store for the
     /// others.
     pub processor_share: f64,
+    /// The memory that the node may use, in megabytes.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Whether dispatchers place requests. If it is missing, that depends on the configuration and on the nodes'
+    /// memory; docs/design/dispatch.md has the rule.
+    #[serde(default)]
+    pub dispatch: Option<DispatchSetting>,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// Whether the whole deployment starts for the first time, rather than only this process.
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -222,6 +222,13 @@
         (requests, waiting)
     }
 
+    /// Returns whether nothing is sent to an endpoint for some time, because it failed.
+    #[must_use]
+    pub fn is_ejected(&self, now: Timestamp, id: &EndpointId) -> bool {
+        let load = self.loads.get(id);
+        load.is_some_and(|load| load.ejected_until > now)
+    }
+
     /// Sets the number of other nodes, not counting those that are considered gone.
     pub fn set_other_nodes(&mut self, other_nodes: usize) {
         self.other_nodes = other_nodes;
