Let nodes that the store turns away take turns to ask it

All nodes derive one order from the list of nodes. The readers ask once a second and six others at a time, so the asks of all nodes don't depend on their number; the others look for a node that is served, and are referred by nodes that follow one.

--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -66,8 +66,8 @@
 pub use repair::{GroupHealth, GroupProbes, MemberProbe, evaluate_group, evaluate_silent_group};
 pub use retry_schedule::RetrySchedule;
 pub use sources::{
-    MAX_WATCHED_PEERS, PeerNode, Role, Source, SourcePlan, SourceRotation, peers_to_watch,
-    plan_sources, readers, standbys,
+    AskOrder, AskTurn, MAX_WATCHED_PEERS, PeerNode, Role, Source, SourcePlan, SourceRotation,
+    StoreAsks, peers_to_watch, plan_sources, readers, search_delay, standbys,
 };
 pub use stall_detector::{StallDetector, StallLimits};
 pub use step_model::{StepModel, TokenCounts};
--- a/crates/sesamecart-fleet/src/sources.rs
+++ b/crates/sesamecart-fleet/src/sources.rs
@@ -15,10 +15,12 @@
 mod rotation;
 #[cfg(test)]
 mod rotation_tests;
+mod store_asks;
 #[cfg(test)]
 mod tests;
 
 pub use rotation::SourceRotation;
+pub use store_asks::{AskOrder, AskTurn, StoreAsks, search_delay};
 
 /// A node's description of itself for the other nodes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -177,24 +179,32 @@
 }
 
 fn domain_readers(nodes: &[PeerNode]) -> IndexMap<&FailureDomainId, DomainReaders<'_>> {
+    let domains = sorted_domains(nodes).into_iter();
+    let chosen = domains.map(|(domain, peers)| {
+        let readers = DomainReaders {
+            reader: peers.first().copied(),
+            standby: peers.get(1).copied(),
+        };
+        (domain, readers)
+    });
+    chosen.collect()
+}
+
+/// Returns the nodes of each failure domain, in the order in which they are chosen as readers.
+fn sorted_domains(nodes: &[PeerNode]) -> IndexMap<&FailureDomainId, Vec<&PeerNode>> {
     let mut domains: IndexMap<&FailureDomainId, Vec<&PeerNode>> = IndexMap::new();
     for peer in nodes {
         domains.entry(&peer.failure_domain).or_default().push(peer);
     }
-    let chosen = domains.into_iter().map(|(domain, mut peers)| {
+    for (domain, peers) in &mut domains {
         // A reader serves all of its followers, so the nodes with the largest processor shares are chosen.
         peers.sort_by(|a, b| {
             let weight = |peer: &PeerNode| rendezvous_weight(domain.as_str(), peer.node.as_str());
             let by_share = b.processor_share.total_cmp(&a.processor_share);
             by_share.then_with(|| weight(b).cmp(&weight(a)))
         });
-        let readers = DomainReaders {
-            reader: peers.first().copied(),
-            standby: peers.get(1).copied(),
-        };
-        (domain, readers)
-    });
-    chosen.collect()
+    }
+    domains
 }
 
 fn node_source(peer: &PeerNode) -> Source {
