Begin a new round when a source that served says it no longer does

Cause: the sources that failed at seconds 2 to 4 still counted as tried at second 25. A source that says that it doesn't read the store counts as failed only at the second time, and between the two it hasn't served, so no new round began and the store was the only source left.

Change: the first time begins the new round if the source had served.

--- a/crates/sesamecart-fleet/src/sources/rotation.rs
+++ b/crates/sesamecart-fleet/src/sources/rotation.rs
@@ -45,9 +45,7 @@
 
     /// Records that a source stopped serving or never served.
     pub fn fail(&mut self, now: Timestamp, source: Source) {
-        if now.since(self.started_at) >= MIN_SERVED_TIME {
-            self.tried.clear();
-        }
+        self.begin_round_after_service(now);
         self.tried.insert(source);
         self.failed_at.insert(source, now);
         self.unready = None;
@@ -61,7 +59,16 @@
         if self.unready == Some(source) {
             self.fail(now, source);
         } else {
+            self.begin_round_after_service(now);
             self.unready = Some(source);
         }
     }
+
+    /// Starts a new round if the source that ends now has served. Otherwise a node would skip all sources that
+    /// failed before this one served, however long ago.
+    fn begin_round_after_service(&mut self, now: Timestamp) {
+        if now.since(self.started_at) >= MIN_SERVED_TIME {
+            self.tried.clear();
+        }
+    }
 }
--- a/crates/sesamecart-fleet/src/sources/rotation_tests.rs
+++ b/crates/sesamecart-fleet/src/sources/rotation_tests.rs
@@ -66,3 +66,22 @@
     rotation.fail(later, node(2));
     assert_eq!(rotation.choose(&order), node(1));
 }
+
+/// Guards against followers that all read the store although readers serve. A source that served says twice that
+/// it no longer does, and the second time it hasn't served since the first.
+#[test]
+fn a_source_that_served_and_is_unready_starts_a_new_round() {
+    let order = [node(1), node(2), node(3), Source::Store];
+    let mut rotation = SourceRotation::default();
+    rotation.begin(START);
+    for source in &order[1..] {
+        rotation.fail(START, *source);
+    }
+    rotation.begin(START);
+    let mut now = START + Duration::from_secs(10);
+    rotation.fail_unready(now, node(1));
+    rotation.begin(now);
+    now = now + Duration::from_millis(150);
+    rotation.fail_unready(now, node(1));
+    assert_eq!(rotation.choose(&order), node(2));
+}
