Let nodes without a source ask the store in turn

Where the store turns nodes away, each of them read all topics anew whenever it came to the store, about every 1.9 s, and competed for control meanwhile.

Change: a node that the store turned away, or a follower whose sources say that they aren't served, asks with one small read in its turn, and looks for a node that is served meanwhile. A node that isn't served refers others to the one that it follows. Two faults beside it: a node that read the store before it knew others never left it, and a node that offered a configuration too old to follow counted as serving. A follower that reads the store returns to any reader, not only to that of its own failure domain. A node that starts repeats its registration after up to 1.2 s instead of 0.15 s.

Where the store serves every node, none of this acts.

--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -135,6 +135,8 @@
         /// The store, or the node that is followed.
         source: &'a str,
     },
+    /// The store turns this node away, and this node searches for a source.
+    SourceSearched {},
     /// This node has received everything that the newly followed node had to send.
     CaughtUp {
         /// The node.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -1,5 +1,6 @@
 //! Caches what this node reads from the store and serves it to the nodes that follow this one.
 
+pub(crate) mod referral;
 mod server;
 mod topic;
 
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::crashes::{SuspectClient, encode_decision};
 use crate::feed::has_updates;
+use crate::feed::referral::referral_status;
 use crate::follower::millis;
 use crate::group_prober::GroupProber;
 use crate::limits::{LimitClient, decode_report, decode_request, encode_permit};
@@ -55,9 +56,7 @@
             return Err(Status::unavailable("the node is leaving"));
         }
         if !self.state.reads_store() {
-            return Err(Status::failed_precondition(
-                "the node doesn't read the store",
-            ));
+            return Err(referral_status(self.state.referral()));
         }
         let not_read_yet = || Status::not_found("the node has read nothing yet");
         let age = self.state.configuration_age().ok_or_else(not_read_yet)?;
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -5,6 +5,7 @@
 mod operator;
 mod peer;
 mod registry;
+mod search;
 mod source_follower;
 #[cfg(test)]
 mod tests;
@@ -125,8 +126,8 @@
 }
 
 impl TopicFollower<'_> {
-    /// Follows the topic until the store has been unavailable for longer than `timeout`, or forever if it is
-    /// `None`.
+    /// Follows the topic until the store has been unavailable for longer than `timeout` and other nodes are known,
+    /// or forever if it is `None`.
     async fn run(mut self, timeout: Option<Duration>) {
         loop {
             match self.read_snapshot().await {
@@ -143,6 +144,8 @@
     }
 
     fn is_unavailable_for(&self, timeout: Option<Duration>) -> bool {
+        let has_others = self.state.nodes.load().len() > 1;
+        let timeout = timeout.filter(|_| has_others);
         let unavailable_since = self.dependency.unavailable_since;
         let outage = unavailable_since.map(|at| clock::now().since(at));
         outage
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -39,6 +39,10 @@
 /// registered late may be the one that should read the store instead.
 const FIRST_REREAD_DELAY: Duration = Duration::from_secs(1);
 
+/// The longest delay before another attempt to register. A node that is starting knows no other node that could
+/// ask the store for it.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(1_200);
+
 /// Registers this node in the store's nodes topic and reads the entries of the other nodes.
 pub(super) struct NodesTopic {
     dependency: Dependency,
@@ -54,10 +58,11 @@
     /// Registers this node and reads the list of nodes. Returns whether the other nodes don't know it yet.
     pub(super) async fn register(&mut self, state: &EntryState, store: &Store) -> bool {
         let own = state.local_peer();
+        let mut delay = RETRY_DELAY;
         if state.settings.first_start {
             // No node can have registered before the first start, so there is nothing to read yet.
             while !self.publish_entry(state, store, &own).await {
-                sleep(RETRY_DELAY).await;
+                delay = back_off(delay).await;
             }
             sleep(PEER_REGISTRATION_WAIT).await;
             let _nodes = self.read(state, store).await;
@@ -68,7 +73,7 @@
                 // The entry from before this process restarted is still valid.
                 Some(nodes) if nodes.contains(&own) => return false,
                 Some(_) if self.publish_entry(state, store, &own).await => return true,
-                _ => sleep(RETRY_DELAY).await,
+                _ => delay = back_off(delay).await,
             }
         }
     }
@@ -207,6 +212,12 @@
     nodes
 }
 
+/// Waits for about `delay`, and returns the next delay.
+async fn back_off(delay: Duration) -> Duration {
+    sleep(delay.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+    (2 * delay).min(MAX_REGISTRATION_DELAY)
+}
+
 async fn read_nodes(store: &Store) -> Result<NewestPage, StoreError> {
     let mut page = store.newest(Topic::Nodes, None).await?;
     while let Some(after) = page.next.take() {
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -92,7 +92,6 @@
     pub(super) async fn follow_node(&mut self, address: SocketAddr) -> SwitchReason {
         let configuration_bound =
             Duration::from_millis(self.state.settings.bounds.configuration_ms);
-        let max_age = configuration_bound.mul_f64(MAX_AGE_FRACTION);
         let first_read_timeout = configuration_bound.mul_f64(FIRST_READ_TIMEOUT_FRACTION);
         let started_at = clock::now();
         let mut probed_at = started_at;
@@ -136,8 +135,8 @@
             }
             let is_first = matches!(phase, FollowPhase::CatchUp);
             phase = FollowPhase::Poll;
-            let age = Duration::from_millis(reply.vouched_ms);
-            if age > max_age {
+            if !is_fresh(&self.state, &reply) {
+                let age = Duration::from_millis(reply.vouched_ms);
                 return source_failed(address, format_args!("the configuration is stale: {age:?}"));
             }
             if is_first {
@@ -310,6 +309,12 @@
     }
 }
 
+/// Returns whether the configuration in a reply is fresh enough to follow the node that sent it.
+pub(super) fn is_fresh(state: &EntryState, reply: &FollowReply) -> bool {
+    let configuration_bound = Duration::from_millis(state.settings.bounds.configuration_ms);
+    Duration::from_millis(reply.vouched_ms) <= configuration_bound.mul_f64(MAX_AGE_FRACTION)
+}
+
 fn source_failed(address: SocketAddr, cause: impl Display) -> SwitchReason {
     log::debug!("follower: node at {address}: {cause}.");
     SwitchReason::Failed
--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -7,10 +7,10 @@
 use async_channel::Sender;
 use futures_lite::future;
 use futures_util::future::join3;
-use sesamecart_fleet::{Role, Source, SourcePlan, SourceRotation, plan_sources};
+use sesamecart_fleet::{Role, Source, SourcePlan, SourceRotation, StoreAsks, plan_sources};
 use sesamecart_links::Links;
 use sesamecart_platform::{Store, Topic};
-use sesamecart_runtime::{sleep, with_timeout};
+use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
 
 use super::crashes::CrashesState;
@@ -18,6 +18,7 @@
 use super::operator::OperatorState;
 use super::peer::Position;
 use super::registry::RegistryState;
+use super::search::{NodeAnswer, ask_node, is_store_serving};
 use super::{Dependency, RETRY_DELAY, TopicFollower, TopicState};
 use crate::clock;
 use crate::events::Event;
@@ -37,9 +38,9 @@
 const STORE_FALLBACK_FRACTION: f64 = 0.5;
 
 /// The timeout for probing whether a source serves again.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long the store may be unavailable before another source is tried; well below
+/// How long the store may be unavailable before another source is tried, if there are other nodes; well below
 /// `bounds.configuration_ms`.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -54,6 +55,7 @@
     pub(super) operator: OperatorState,
     pub(super) registry: RegistryState,
     pub(super) position: Position,
+    pub(super) asks: StoreAsks,
     nodes: NodesTopic,
     operator_store: Dependency,
     registry_store: Dependency,
@@ -75,6 +77,7 @@
             operator: OperatorState::default(),
             registry: RegistryState::new(changed),
             position: Position::default(),
+            asks: StoreAsks::default(),
             nodes: NodesTopic::new(),
             operator_store: Dependency::new("store, operator"),
             registry_store: Dependency::new("store, registry"),
@@ -93,14 +96,16 @@
         loop {
             let source = match preferred.take() {
                 Some(source) => source,
-                None => self.choose_source(started_at, &rotation),
+                None => self.next_source(started_at, &rotation).await,
             };
-            rotation.begin(clock::now());
+            let begun_at = clock::now();
+            rotation.begin(begun_at);
             self.record_source(source);
             let reason = match source {
                 Source::Store => self.read_store().await,
                 Source::Node(address) => self.follow_node(address).await,
             };
+            self.record_outcome(begun_at, source, &reason);
             match reason {
                 SwitchReason::FoundBetter(other) => preferred = Some(other),
                 SwitchReason::Failed => {
@@ -115,6 +120,32 @@
         }
     }
 
+    /// Returns the source to follow next. While the store turns nodes away, this node reads it only after it has
+    /// asked in its turn.
+    async fn next_source(&mut self, started_at: Timestamp, rotation: &SourceRotation) -> Source {
+        match self.choose_source(started_at, rotation) {
+            Source::Store if self.asks.must_wait() => self.search().await,
+            source => source,
+        }
+    }
+
+    /// Records whether a source served, and whether the store turns nodes away.
+    fn record_outcome(&mut self, begun_at: Timestamp, source: Source, reason: &SwitchReason) {
+        let age = self.state.configuration_age();
+        if age.is_some_and(|age| age < clock::now().since(begun_at)) {
+            self.asks.record_served();
+        }
+        let is_turned_away = match (source, reason) {
+            (Source::Store, SwitchReason::Failed) => true,
+            // A node that is starting doesn't serve either, before the others have a configuration.
+            (Source::Node(_), SwitchReason::Unready) => age.is_some(),
+            _ => false,
+        };
+        if is_turned_away {
+            self.asks.record_turned_away();
+        }
+    }
+
     pub(super) fn plan(&self) -> SourcePlan {
         plan_sources(&self.state.settings.node, &self.state.nodes.load())
     }
@@ -155,8 +186,6 @@
 
     /// Reads the store until it has been unavailable for too long or this node should follow another node.
     async fn read_store(&mut self) -> SwitchReason {
-        let has_others = self.plan().order.len() > 1;
-        let timeout = has_others.then_some(STORE_TIMEOUT);
         let (state, store) = (&*self.state, &self.store);
         let operator = TopicFollower {
             state,
@@ -185,7 +214,7 @@
             self.nodes.run(state, store),
         );
         let failure = async {
-            future::or(operator.run(timeout), async {
+            future::or(operator.run(Some(STORE_TIMEOUT)), async {
                 reads.await;
             })
             .await;
@@ -202,11 +231,8 @@
         let better = preferred.into_iter().take_while(|known| *known != source);
         for candidate in better {
             let serves = match candidate {
-                Source::Store => {
-                    let read = self.store.newest(Topic::Nodes, None);
-                    matches!(with_timeout(PROBE_TIMEOUT, read).await, Ok(Ok(_)))
-                }
-                Source::Node(address) => is_serving(&self.links, address).await,
+                Source::Store => is_store_serving(&self.store).await,
+                Source::Node(address) => is_serving(&self.state, &self.links, address).await,
             };
             if serves {
                 return Some(candidate);
@@ -226,18 +252,19 @@
     FoundBetter(Source),
 }
 
-/// Waits until a preferred node serves, and returns it; pending for as long as there is none.
+/// Waits until a node serves that comes before the store in the order of sources, and returns it; pending for as long
+/// as there is none.
 async fn wait_for_preferred(state: &EntryState, links: &Links) -> Source {
     sleep(PREFERRED_PROBE_INTERVAL).await;
     loop {
         let plan = plan_sources(&state.settings.node, &state.nodes.load());
-        for source in plan.preferred {
+        for source in plan.order {
             let Source::Node(address) = source else {
-                continue;
+                break;
             };
             // A node that controls the groups keeps reading the store: while control moves, engines receive
             // no orders for the length of a lease.
-            if !state.is_controller() && is_serving(links, address).await {
+            if !state.is_controller() && is_serving(state, links, address).await {
                 return source;
             }
         }
@@ -246,10 +273,6 @@
 }
 
 /// Returns whether a node serves followers.
-async fn is_serving(links: &Links, address: SocketAddr) -> bool {
-    let mut feed = links.feed_client(address);
-    matches!(
-        with_timeout(PROBE_TIMEOUT, feed.follow(Position::probe_request())).await,
-        Ok(Ok(_))
-    )
+async fn is_serving(state: &EntryState, links: &Links, address: SocketAddr) -> bool {
+    ask_node(state, links, address).await == NodeAnswer::Serving
 }
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -24,6 +24,7 @@
     /// The calls to the store by step and topic, for the decision log.
     store_call_counts: Mutex<IndexMap<(StoreOperation, Topic), u64>>,
     store_failures: Counter<u64>,
+    source_searches: Counter<u64>,
     orders: Counter<u64>,
     groups_lost: Counter<u64>,
     crashed_runs: Counter<u64>,
@@ -156,6 +157,10 @@
             ),
             store_call_counts: Mutex::default(),
             store_failures: counter("sesamecart.store.failures", "Failed calls to the store."),
+            source_searches: counter(
+                "sesamecart.source.searches",
+                "Searches for a source while the store turned this node away.",
+            ),
             orders: counter("sesamecart.orders", "Orders to engines, by outcome."),
             groups_lost: counter(
                 "sesamecart.groups.lost",
@@ -240,6 +245,7 @@
         self.resumed.add(0, &[]);
         self.store_calls.add(0, &[]);
         self.store_failures.add(0, &[]);
+        self.source_searches.add(0, &[]);
         self.orders.add(0, &[]);
         self.groups_lost.add(0, &[]);
         self.crashed_runs.add(0, &[]);
@@ -314,6 +320,10 @@
         self.store_failures.add(1, &[]);
     }
 
+    pub(crate) fn count_source_search(&self) {
+        self.source_searches.add(1, &[]);
+    }
+
     pub(crate) fn count_order(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -64,6 +64,8 @@
     /// The address for links of the node that this node follows; `None` while it reads the store itself.
     upstream: ArcSwapOption<SocketAddr>,
     reads_store: AtomicBool,
+    /// Whether this node searches for a source because the store turned it away.
+    is_searching: AtomicBool,
     is_controller: AtomicBool,
     pub(crate) loads: Mutex<LoadTracker>,
     demand: Mutex<DemandTracker>,
@@ -109,6 +111,7 @@
             feed: Feed::new(),
             upstream: ArcSwapOption::empty(),
             reads_store: AtomicBool::new(false),
+            is_searching: AtomicBool::new(false),
             is_controller: AtomicBool::new(false),
             settings,
             events,
@@ -278,6 +281,22 @@
     pub(crate) fn set_upstream(&self, address: Option<SocketAddr>) {
         self.reads_store.store(address.is_none(), Ordering::Release);
         self.upstream.store(address.map(Arc::new));
+        self.is_searching.store(false, Ordering::Release);
+    }
+
+    /// Records that this node searches for a source. The node that it followed last stays its upstream, which
+    /// answers questions about groups also without the store.
+    pub(crate) fn begin_search(&self) {
+        self.reads_store.store(false, Ordering::Release);
+        self.is_searching.store(true, Ordering::Release);
+    }
+
+    /// Returns the node to which this node refers others that search for a source: the one that it follows, while
+    /// that serves.
+    pub(crate) fn referral(&self) -> Option<SocketAddr> {
+        let is_served =
+            !self.is_searching.load(Ordering::Acquire) && !self.is_configuration_outdated();
+        self.upstream().filter(|_| is_served)
     }
 
     /// Returns whether this node reads the store itself; false until it has chosen its source.
--- a/crates/sesamecart-entry/tests/end_to_end/sources.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/sources.rs
@@ -1,7 +1,10 @@
 //! Tests of nodes that switch between sources of the store's topics.
 
+use std::time::Duration;
+
 use serde_json::json;
 use sesamecart_entry::Entry;
+use sesamecart_platform_standins::Outage;
 
 use crate::setup::{Deployment, knows_evacuation};
 use crate::store_proxy::StoreProxy;
@@ -83,3 +86,84 @@
     }
     deployment.kill();
 }
+
+/// How long the store turns nodes away.
+const OUTAGE: Duration = Duration::from_secs(5);
+
+/// The calls of a reader and of its standby until both have noticed that the store turns them away: some for each
+/// topic within half a second.
+const CALLS_UNTIL_NOTICED: usize = 60;
+
+/// Guards against nodes that each go on to call a store that turns all of them away.
+#[test]
+fn the_calls_to_a_store_that_turns_all_nodes_away_are_bounded() {
+    let deployment = Deployment::start(1);
+    let others = deployment.add_nodes("a", 7);
+    deployment.wait_until("all nodes know each other", || {
+        let mut nodes = std::iter::once(&deployment.node).chain(&others);
+        nodes.all(|node| node.state().known_nodes() == 8)
+    });
+    deployment.store.set_outage(Outage::Unavailable);
+    std::thread::sleep(OUTAGE);
+    let refused = deployment.store.refused_calls();
+    deployment.store.set_outage(Outage::None);
+    deployment.store.publish(KEY, &json!({}));
+    deployment.wait_until("all nodes know of the evacuation", || {
+        knows(&deployment.node) && others.iter().all(knows)
+    });
+    // One reader and six others ask in each second.
+    let asks = 7 * OUTAGE.as_secs() as usize;
+    assert!(refused <= CALLS_UNTIL_NOTICED + asks, "{refused} calls");
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
+
+/// Guards against nodes without a source although the store serves one of them, and against calls of those that it
+/// turns away.
+#[test]
+fn nodes_that_the_store_turns_away_follow_the_one_that_it_serves() {
+    let deployment = Deployment::start(1);
+    let proxies =
+        [0.5, 0.4, 0.3].map(|share| (share, StoreProxy::start(deployment.store.address())));
+    let nodes = proxies.iter().enumerate().map(|(index, (share, proxy))| {
+        deployment.add_node_with_share_at(&format!("p{index}"), *share, proxy.address)
+    });
+    let nodes: Vec<Entry> = nodes.collect();
+    deployment.wait_until("the largest node reads the store", || {
+        reads(&nodes[0]) && !nodes[1..].iter().any(reads)
+    });
+    for (_, proxy) in &proxies {
+        proxy.close();
+    }
+    deployment.wait_until("all nodes follow the one that the store serves", || {
+        let served = Some(deployment.node.state().settings.links);
+        reads(&deployment.node) && nodes.iter().all(|node| node.state().upstream() == served)
+    });
+    let refused = || {
+        proxies
+            .iter()
+            .map(|(_, proxy)| proxy.refused())
+            .sum::<usize>()
+    };
+    let before = refused();
+    deployment.store.publish(KEY, &json!({}));
+    deployment.wait_until("all nodes know of the evacuation", || {
+        nodes.iter().all(knows)
+    });
+    std::thread::sleep(OUTAGE);
+    let asks = refused() - before;
+    // Only the reader asks whether the store serves it again.
+    assert!(asks <= 3, "{asks} calls of nodes that follow another one");
+    for (_, proxy) in &proxies {
+        proxy.reopen();
+    }
+    deployment.wait_until("the largest node reads the store again", || {
+        reads(&nodes[0])
+    });
+    for node in nodes {
+        node.kill();
+    }
+    deployment.kill();
+}
--- a/crates/sesamecart-entry/tests/end_to_end/store_proxy.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/store_proxy.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Connections are forwarded.
@@ -18,6 +18,7 @@
 pub(crate) struct StoreProxy {
     pub(crate) address: SocketAddr,
     mode: Arc<AtomicU8>,
+    refused: Arc<AtomicUsize>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -28,13 +29,16 @@
         let proxy = Self {
             address: listener.local_addr().expect("the listener is bound"),
             mode: Arc::new(AtomicU8::new(OPEN)),
+            refused: Arc::default(),
             streams: Arc::default(),
         };
         let (mode, streams) = (Arc::clone(&proxy.mode), Arc::clone(&proxy.streams));
+        let refused = Arc::clone(&proxy.refused);
         std::thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
                 // A store that rejects a node also drops its connections at once.
                 if mode.load(Ordering::Acquire) != OPEN {
+                    refused.fetch_add(1, Ordering::AcqRel);
                     continue;
                 }
                 let Ok(upstream) = TcpStream::connect(to) else {
@@ -70,6 +74,11 @@
         self.mode.store(OPEN, Ordering::Release);
     }
 
+    /// Returns the number of connections that were dropped at once.
+    pub(crate) fn refused(&self) -> usize {
+        self.refused.load(Ordering::Acquire)
+    }
+
     fn close_connections(&self) {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         for stream in streams.drain(..) {
--- a/crates/sesamecart-links/src/lib.rs
+++ b/crates/sesamecart-links/src/lib.rs
@@ -35,6 +35,7 @@
 pub use error::{LinkError, LinkStep};
 pub use links::Links;
 pub use server::{serve, serve_feed};
+pub use tonic::metadata::MetadataMap;
 pub use tonic::{Code, Request, Response, Status, async_trait};
 
 #[cfg(test)]
