Decide when several nodes' silent streams call for a probe

Cause: each node alone waits 160 to 320 ms before it has the members probed.

Change: the decision when the node that is followed probes the members, by the streams of all nodes that report a silent head and by the longest pass of a head.

--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod reach;
 mod repair;
 mod retry_schedule;
+mod shared_silence;
 mod sources;
 mod stall_detector;
 mod step_model;
@@ -65,6 +66,7 @@
 pub use reach::{Pool, ReachChange, ReachTracker};
 pub use repair::{GroupHealth, GroupProbes, MemberProbe, evaluate_group, evaluate_silent_group};
 pub use retry_schedule::RetrySchedule;
+pub use shared_silence::{HeadSilence, SilenceFinding, SilenceReports, silence_limit};
 pub use sources::{
     AskOrder, AskTurn, MAX_WATCHED_PEERS, PeerNode, Role, Source, SourcePlan, SourceRotation,
     StoreAsks, peers_to_watch, plan_sources, readers, search_delay, standbys,
--- a/crates/sesamecart-fleet/src/step_model.rs
+++ b/crates/sesamecart-fleet/src/step_model.rs
@@ -74,6 +74,15 @@
         prompts_per_pass * passes.max(1.0)
     }
 
+    /// Returns the time that a group takes at most for a pass with this many running answers, in which it also reads
+    /// a chunk of prompts.
+    #[must_use]
+    pub fn longest_pass(&self, answers: u32, pace: f64) -> Duration {
+        let step_ms = self.step_ms + self.step_ms_per_answer * f64::from(answers);
+        let steps = f64::from(self.steps_per_pass.max(1));
+        self.reading_time(self.chunk_tokens, pace) + millis(step_ms * steps * pace)
+    }
+
     /// Returns the time that a request occupies a group that works at about the load that it can serve in
     /// time.
     #[must_use]
