--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -23,6 +23,7 @@
     decode_request as decode_request_for_endpoint, encode_reply,
 };
 use crate::feed::has_updates;
+use crate::feed::referral::referral_status;
 use crate::follower::millis;
 use crate::group_prober::GroupProber;
 use crate::limits::{LimitClient, decode_report, decode_request, encode_permit};
@@ -64,9 +65,7 @@
     fn reply_to(&self, req: &FollowRequest) -> Result<FollowReply, Status> {
         self.refuse_if_leaving()?;
         if !self.state.reads_store() {
-            return Err(Status::failed_precondition(
-                "the node doesn't read the store",
-            ));
+            return Err(referral_status(self.state.referral()));
         }
         let not_read_yet = || Status::not_found("the node has read nothing yet");
         let age = self.state.configuration_age().ok_or_else(not_read_yet)?;
--- a/crates/sesamecart-fleet/src/sources/rotation.rs
+++ b/crates/sesamecart-fleet/src/sources/rotation.rs
@@ -22,6 +22,8 @@
     /// The source that was tried last, if it wasn't reading the store.
     unready: Option<Source>,
     started_at: Timestamp,
+    /// Whether the source of the current attempt has vouched for a configuration.
+    has_served: bool,
 }
 
 impl SourceRotation {
@@ -41,6 +43,13 @@
     /// Records the start of an attempt.
     pub fn begin(&mut self, now: Timestamp) {
         self.started_at = now;
+        self.has_served = false;
+    }
+
+    /// Records that the source of the current attempt has vouched for a configuration. One that only says for a
+    /// second that it hasn't read the store yet hasn't served.
+    pub const fn record_served(&mut self) {
+        self.has_served = true;
     }
 
     /// Records that a source stopped serving or never served.
@@ -61,6 +70,10 @@
         if self.unready == Some(source) {
             self.fail(now, source);
         } else {
+            // Otherwise the node would skip the sources that failed before this one served, however long ago.
+            if self.has_served && now.since(self.started_at) >= MIN_SERVED_TIME {
+                self.tried.clear();
+            }
             self.unready = Some(source);
         }
     }
