Read streams ahead of slow callers, within the VM's memory

Callers that read slowly cost their endpoint's patience: a stream was read only as fast as its caller read, so the endpoint cut it off after some seconds, or its group looked silent, and the stream ran a second time elsewhere.

A stream that its endpoint ends while that is full ends for its caller as well. Requests' bodies count in the same memory as responses now, which is a third of the VM's and at most 64 MiB (64 MiB whatever the VM had before), so 112 MB hold 37 MB of bodies. max_files bounds callers' connections: 1,285 with 2,870 files, 1,900 as before from 4,100 on.

The end-to-end tests run with memory_mb, as deployments do.

--- a/crates/sesamecart-edges/src/client.rs
+++ b/crates/sesamecart-edges/src/client.rs
@@ -17,7 +17,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use indexmap::IndexMap;
-use sesamecart_runtime::{Elapsed, Tasks, with_timeout};
+use sesamecart_runtime::{Elapsed, SharedExecutor, Tasks, with_timeout};
 use sesamecart_vocabulary::Bytes as ByteSize;
 use smol_hyper::rt::FuturesIo;
 
@@ -260,6 +260,12 @@
         }
     }
 
+    /// Returns the executor on which its connections run.
+    #[must_use]
+    pub fn executor(&self) -> &SharedExecutor {
+        self.tasks.executor()
+    }
+
     /// Closes the idle connections to `peer`, and those in use now once their exchanges have ended.
     pub fn retire_connections(&self, peer: SocketAddr) {
         let mut pools = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -12,6 +12,9 @@
 #[cfg(test)]
 mod tests;
 
+/// The number of files that a node needs at least: 300 for itself, and two for each of some requests.
+const MIN_FILES: usize = 512;
+
 /// The settings of one node, as read from its JSON file.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +47,9 @@
     /// The memory that the node may use, in megabytes.
     #[serde(default)]
     pub memory_mb: Option<u64>,
+    /// The number of files and connections that the node may have open.
+    #[serde(default)]
+    pub max_files: Option<usize>,
     /// Whether dispatchers place requests. If it is missing, that depends on the configuration and on the nodes'
     /// memory; docs/design/dispatch.md has the rule.
     #[serde(default)]
@@ -264,6 +270,13 @@
                 return error(field, value.to_string(), "must be 0 or more");
             }
         }
+        if self.memory_mb == Some(0) {
+            return error("memory_mb", "0".to_owned(), "must be at least 1");
+        }
+        if self.max_files.is_some_and(|files| files < MIN_FILES) {
+            let value = self.max_files.unwrap_or_default().to_string();
+            return error("max_files", value, "must be at least 512");
+        }
         let addresses = [
             ("readiness", self.readiness, self.callers),
             ("metrics", self.metrics, self.readiness),
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -28,7 +28,7 @@
 use crate::settings::EntrySettings;
 use crate::state::budgets::Contentions;
 use crate::state::group_signals::GroupSignal;
-use crate::traffic::response_memory::ResponseMemory;
+use crate::traffic::body_memory::BodyMemory;
 
 pub(crate) mod budgets;
 mod group_signals;
@@ -53,8 +53,8 @@
     pub metrics: Metrics,
     /// Open connections of callers.
     pub connections: Connections,
-    /// The memory of the responses that are being buffered.
-    pub(crate) response_memory: ResponseMemory,
+    /// The memory of the requests and responses that are being buffered.
+    pub(crate) body_memory: BodyMemory,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) directory: ArcSwap<Directory>,
     pub(crate) nodes: ArcSwap<Vec<PeerNode>>,
@@ -110,11 +110,11 @@
             upstream: ArcSwapOption::empty(),
             reads_store: AtomicBool::new(false),
             is_controller: AtomicBool::new(false),
+            body_memory: BodyMemory::new(settings.memory_mb),
             settings,
             events,
             metrics,
             connections: Connections::default(),
-            response_memory: ResponseMemory::default(),
             catalog: ArcSwapOption::empty(),
             directory: ArcSwap::default(),
             loads: Mutex::default(),
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -2,6 +2,7 @@
 
 mod alternative;
 mod backoff;
+pub(crate) mod body_memory;
 mod call;
 mod demand;
 mod event_splitter;
@@ -14,10 +15,10 @@
 mod pending;
 mod permit;
 mod placement;
+mod read_ahead;
 mod refusal;
 mod relay;
 mod response;
-pub(crate) mod response_memory;
 mod stream_start;
 mod suspicion;
 mod timeout;
@@ -43,11 +44,11 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// The maximum number of open connections from callers.
-///
-/// A VM has 4,100 file descriptors, of which 200 are reserved for files. Each request needs one for its
-/// caller and one for an endpoint.
 const MAX_CONNECTIONS: usize = 1_900;
 
+/// The number of files and connections that a node needs beside those of callers and endpoints.
+const RESERVED_FILES: usize = 300;
+
 /// How long a caller's connection may be idle until a configuration sets the limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -159,9 +160,16 @@
         None => DEFAULT_IDLE_TIMEOUT,
     };
     ServerLimits {
-        max_connections: MAX_CONNECTIONS,
+        max_connections: max_connections(state.settings.max_files),
         closes_excess: true,
         head_timeout: idle_timeout,
         max_head_bytes: MAX_HEAD_BYTES,
     }
 }
+
+/// Returns the number of callers' connections that a node with `max_files` files can serve. Each request needs one file
+/// for its caller and one for an endpoint.
+fn max_connections(max_files: Option<usize>) -> usize {
+    let available = max_files.map(|files| files.saturating_sub(RESERVED_FILES) / 2);
+    available.map_or(MAX_CONNECTIONS, |available| available.min(MAX_CONNECTIONS))
+}
--- a/crates/sesamecart-entry/src/traffic/response_memory.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory.rs
@@ -1,6 +1,6 @@
-//! The memory that all responses of a node take together while they are buffered.
+//! The memory that the requests and responses of a node take together while they are buffered.
 //!
-//! Each response has a limit of its own, but many long ones at once would exceed the memory of the VM. Short responses
+//! Each of them has a limit of its own, but many long ones at once would exceed the memory of the VM. Short ones
 //! need none of the shared memory, so long ones can't cause them to fail.
 
 use std::pin::Pin;
@@ -16,14 +16,20 @@
 use sesamecart_edges::{BoxError, CallerBody};
 use sesamecart_runtime::with_timeout;
 
-/// The number of bytes that each response may take without drawing on the shared memory.
+/// The number of bytes that each request and each response may take without drawing on the shared memory.
 const FREE_BYTES: usize = 16 * 1024;
 
-/// The number of bytes that all responses may take beyond their free bytes.
-const SHARED_BYTES: usize = 64 * 1024 * 1024;
+/// The number of bytes that all requests and responses may take beyond their free bytes, on a VM with enough memory.
+const MAX_SHARED_BYTES: usize = 64 * 1024 * 1024;
+
+/// The part of a VM's memory that may be shared. The rest is for the process itself, for the free bytes of each
+/// connection and for its read buffers.
+const SHARED_FRACTION: f64 = 1.0 / 3.0;
+
+const BYTES_PER_MB: f64 = 1_000_000.0;
 
 /// The maximum size of a response that is buffered completely before it is forwarded.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// The size of the parts in which a response is given to the caller's connection, which copies them.
 const PART_BYTES: usize = 64 * 1024;
@@ -31,28 +37,38 @@
 /// The reason why a response could not be buffered.
 #[derive(Debug, Display, Error)]
 pub(crate) enum BufferError {
-    /// The response exceeds the maximum size.
-    #[display("the body has more than {MAX_RESPONSE_BYTES} bytes")]
-    TooLarge,
-    /// Other responses take the node's memory.
-    #[display("the node has no memory left for long responses")]
+    /// The body exceeds the maximum size.
+    #[display("the body has more than {_0} bytes")]
+    TooLarge(#[error(not(source))] usize),
+    /// Other requests and responses take the node's memory.
+    #[display("the node has no memory left for long bodies")]
     NoMemory,
-    /// The response did not arrive in time.
+    /// The body did not arrive in time.
     #[display("the body did not arrive within {} ms", _0.as_millis())]
     TooSlow(#[error(not(source))] Duration),
-    /// The connection failed before the end of the response.
+    /// The connection failed before the end of the body.
     #[display("the body broke off: {_0}")]
     Broken(#[error(not(source))] BoxError),
 }
 
-/// Counts the memory that responses take.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ResponseMemory {
+/// Counts the memory that requests and responses take.
+#[derive(Clone, Debug)]
+pub(crate) struct BodyMemory {
     used: Arc<AtomicUsize>,
+    shared_bytes: usize,
 }
 
-impl ResponseMemory {
-    /// Begins a response that takes no memory yet.
+impl BodyMemory {
+    /// Creates the memory of a node whose VM has `memory_mb` megabytes, or enough if that isn't known.
+    pub(crate) fn new(memory_mb: Option<u64>) -> Self {
+        let shared = memory_mb.map(|mb| (mb as f64 * BYTES_PER_MB * SHARED_FRACTION) as usize);
+        Self {
+            used: Arc::default(),
+            shared_bytes: shared.map_or(MAX_SHARED_BYTES, |bytes| bytes.min(MAX_SHARED_BYTES)),
+        }
+    }
+
+    /// Begins a request or response that takes no memory yet.
     pub(crate) fn begin(&self) -> Reservation {
         Reservation {
             memory: self.clone(),
@@ -66,7 +82,7 @@
             .used
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
                 let used = used.checked_add(bytes)?;
-                (used <= SHARED_BYTES).then_some(used)
+                (used <= self.shared_bytes).then_some(used)
             });
         taken.is_ok()
     }
@@ -76,10 +92,10 @@
     }
 }
 
-/// The memory of one response, until it is dropped.
+/// The memory of one request or response, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Reservation {
-    memory: ResponseMemory,
+    memory: BodyMemory,
     shared: usize,
 }
 
@@ -104,11 +120,11 @@
     }
 }
 
-/// A complete response, with the memory that it takes.
+/// A complete body, with the memory that it takes.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
     bytes: Bytes,
-    _memory: Reservation,
+    memory: Reservation,
 }
 
 impl BufferedBody {
@@ -116,6 +132,11 @@
         self.bytes.len()
     }
 
+    /// Returns the bytes, and their memory, which is freed once the latter is dropped.
+    pub(crate) fn into_parts(self) -> (Bytes, Reservation) {
+        (self.bytes, self.memory)
+    }
+
     /// Converts it into the body of the caller's response, which frees the memory once it has been written.
     pub(crate) fn into_caller_body(self) -> CallerBody {
         self.map_err(|never| match never {}).boxed_unsync()
@@ -146,25 +167,30 @@
     }
 }
 
-/// Reads a response to its end.
+/// Reads a body to its end.
 ///
 /// # Errors
 ///
-/// Fails if the response is too large, takes longer than `timeout` or ends early, or if there is no memory for it.
+/// Fails if the body exceeds `max_bytes`, takes longer than `timeout` or ends early, or if there is no memory for it.
 pub(crate) async fn buffer_body<B>(
     body: B,
-    memory: &ResponseMemory,
+    memory: &BodyMemory,
+    max_bytes: usize,
     timeout: Duration,
 ) -> Result<BufferedBody, BufferError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<BoxError>,
 {
-    let read = with_timeout(timeout, read_to_end(body, memory)).await;
+    let read = with_timeout(timeout, read_to_end(body, memory, max_bytes)).await;
     read.unwrap_or(Err(BufferError::TooSlow(timeout)))
 }
 
-async fn read_to_end<B>(body: B, memory: &ResponseMemory) -> Result<BufferedBody, BufferError>
+async fn read_to_end<B>(
+    body: B,
+    memory: &BodyMemory,
+    max_bytes: usize,
+) -> Result<BufferedBody, BufferError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<BoxError>,
@@ -179,11 +205,11 @@
             continue;
         };
         let len = buf.len() + data.len();
-        if len > MAX_RESPONSE_BYTES {
-            return Err(BufferError::TooLarge);
+        if len > max_bytes {
+            return Err(BufferError::TooLarge(max_bytes));
         }
         if len > buf.capacity() {
-            let capacity = len.max(2 * buf.capacity()).min(MAX_RESPONSE_BYTES);
+            let capacity = len.max(2 * buf.capacity()).min(max_bytes);
             if !reservation.resize(capacity) {
                 return Err(BufferError::NoMemory);
             }
@@ -193,7 +219,7 @@
     }
     Ok(BufferedBody {
         bytes: Bytes::from(buf),
-        _memory: reservation,
+        memory: reservation,
     })
 }
 
--- a/crates/sesamecart-entry/src/traffic/call.rs
+++ b/crates/sesamecart-entry/src/traffic/call.rs
@@ -21,6 +21,7 @@
 use crate::follower::millis;
 use crate::limits::LimitClient;
 use crate::state::EntryState;
+use crate::traffic::body_memory::Reservation;
 use crate::traffic::flight::Flight;
 use crate::traffic::forward::Forwarding;
 use crate::traffic::forwarded::Hop;
@@ -54,6 +55,7 @@
     pub(crate) metadata: RequestMetadata,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
+    pub(crate) _body_memory: Reservation,
     pub(crate) arrived_at: Timestamp,
     /// Set if another node has sent the request.
     pub(crate) hop: Option<Hop>,
--- a/crates/sesamecart-entry/src/traffic/event_splitter.rs
+++ b/crates/sesamecart-entry/src/traffic/event_splitter.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::traffic::response_memory::Reservation;
+use crate::traffic::body_memory::Reservation;
 
 /// The maximum size of an event. A stream with a larger one is treated as broken.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
--- a/crates/sesamecart-entry/src/traffic/event_splitter/tests.rs
+++ b/crates/sesamecart-entry/src/traffic/event_splitter/tests.rs
@@ -1,18 +1,18 @@
 use bytes::Bytes;
 
 use super::{EventSplitter, MAX_EVENT_BYTES, PushOutcome};
-use crate::traffic::response_memory::ResponseMemory;
+use crate::traffic::body_memory::BodyMemory;
 
 const STREAM: &str =
     "\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\ndata: c\nid: 3\n\nid: 4\nda";
 
-fn splitter(memory: &ResponseMemory) -> EventSplitter {
+fn splitter(memory: &BodyMemory) -> EventSplitter {
     EventSplitter::resuming_after(None, memory.begin())
 }
 
 /// Pushes a stream in parts of `len` bytes, and returns the events and the last id.
 fn push_parts(len: usize) -> (Vec<u8>, Option<String>) {
-    let mut splitter = splitter(&ResponseMemory::default());
+    let mut splitter = splitter(&BodyMemory::new(None));
     let mut events = Vec::new();
     for part in STREAM.as_bytes().chunks(len) {
         match splitter.push(&Bytes::copy_from_slice(part)) {
@@ -35,7 +35,7 @@
 /// Guards against searching an event from its start again with each of its bytes, which takes minutes.
 #[test]
 fn an_event_in_parts_of_one_byte_is_searched_once() {
-    let mut splitter = splitter(&ResponseMemory::default());
+    let mut splitter = splitter(&BodyMemory::new(None));
     let part = Bytes::from_static(b"x");
     for _ in 0..MAX_EVENT_BYTES {
         let events = splitter.push(&part);
@@ -46,7 +46,7 @@
 
 /// Pushes one part, and then `next`. Returns the events of the first part and what the second one gives.
 fn push_two(first: &[u8], next: &[u8]) -> (PushOutcome, PushOutcome) {
-    let mut splitter = splitter(&ResponseMemory::default());
+    let mut splitter = splitter(&BodyMemory::new(None));
     let outcome = splitter.push(&Bytes::copy_from_slice(first));
     (outcome, splitter.push(&Bytes::copy_from_slice(next)))
 }
@@ -74,7 +74,7 @@
 /// Guards against the unfinished events of many streams, which together exceed the memory of the VM.
 #[test]
 fn unfinished_events_of_many_streams_share_the_memory_of_responses() {
-    let memory = ResponseMemory::default();
+    let memory = BodyMemory::new(None);
     let part = Bytes::from(vec![b'x'; MAX_EVENT_BYTES]);
     let mut streams: Vec<_> = (0..1_900).map(|_| splitter(&memory)).collect();
     let outcomes: Vec<_> = streams
--- a/crates/sesamecart-entry/src/traffic/handler.rs
+++ b/crates/sesamecart-entry/src/traffic/handler.rs
@@ -4,12 +4,11 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, Version};
 use hyper::body::{Body as _, Incoming};
-use sesamecart_edges::{CallerBody, HttpClient, ReadBodyError, discard_body, read_body};
+use sesamecart_edges::{CallerBody, HttpClient, discard_body};
 use sesamecart_fleet::{Catalog, Customer, PathRoute, RouteMatch};
 use sesamecart_platform::{RequestMetadata, forwarded_headers};
 use sesamecart_vocabulary::{Bytes as ByteSize, EndpointId, Timestamp};
@@ -20,12 +19,14 @@
 use crate::follower::millis;
 use crate::limits::LimitClient;
 use crate::state::EntryState;
+use crate::traffic::body_memory::{
+    BodyMemory, BufferError, BufferedBody, MAX_RESPONSE_BYTES, buffer_body,
+};
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::forwarded::{Hop, RespondingEndpoint};
 use crate::traffic::pending::PendingRequest;
 use crate::traffic::refusal::Refusal;
 use crate::traffic::relay::Relay;
-use crate::traffic::response_memory::{BufferedBody, buffer_body};
 use crate::traffic::stream_start::wait_for_first_frame;
 
 /// Handles callers' requests.
@@ -139,9 +140,10 @@
             metadata.last_event.clone_from(&hop.req.resume_after);
             self.log_accepted(&metadata, hop);
         }
-        let body = read_request_body(&admitted.catalog, &head, body)
+        let body = read_request_body(&admitted.catalog, &head, body, &self.state.body_memory)
             .await
             .map_err(refused)?;
+        let (body, body_memory) = body.into_parts();
         let call = Arc::new(Call {
             state: Arc::clone(&self.state),
             client: self.client.clone(),
@@ -153,6 +155,7 @@
             metadata,
             head,
             body,
+            _body_memory: body_memory,
             arrived_at,
             hop,
             suspects: OnceLock::new(),
@@ -281,12 +284,13 @@
     }
 }
 
-/// Reads the body of a request within the configured limits.
+/// Reads the body of a request within the configured limits and the node's memory.
 async fn read_request_body(
     catalog: &Catalog,
     head: &Parts,
     mut body: Incoming,
-) -> Result<Bytes, Refusal> {
+    memory: &BodyMemory,
+) -> Result<BufferedBody, Refusal> {
     let limits = &catalog.limits;
     if body.size_hint().lower() > limits.max_body_bytes.0 {
         discard_rest(head, body).await;
@@ -295,7 +299,8 @@
             limits.max_body_bytes
         )));
     }
-    let read = read_body(&mut body, limits.max_body_bytes, limits.idle_time).await;
+    let max_bytes = usize::try_from(limits.max_body_bytes.0).unwrap_or(usize::MAX);
+    let read = buffer_body(&mut body, memory, max_bytes, limits.idle_time).await;
     let error = match read {
         Ok(body) => return Ok(body),
         Err(error) => error,
@@ -303,9 +308,10 @@
     // By now the caller has been told to send its body.
     discard_body(body, MAX_DISCARDED_BYTES, DISCARD_TIME).await;
     Err(match error {
-        ReadBodyError::TooLarge(_) => Refusal::TooLarge(error.to_string()),
-        ReadBodyError::TooSlow(_) => Refusal::TooSlow(error.to_string()),
-        ReadBodyError::Broken(_) => Refusal::BadRequest(error.to_string()),
+        BufferError::TooLarge(_) => Refusal::TooLarge(error.to_string()),
+        BufferError::NoMemory => Refusal::NotReady("the node has no memory left for long bodies"),
+        BufferError::TooSlow(_) => Refusal::TooSlow(error.to_string()),
+        BufferError::Broken(_) => Refusal::BadRequest(error.to_string()),
     })
 }
 
@@ -410,9 +416,13 @@
     }
     let (mut head, body) = response.into_parts();
     // Without the type the compiler can't tell that the future may be sent to another thread.
-    let memory = &call.state.response_memory;
-    let body: Pin<Box<dyn Future<Output = _> + Send + '_>> =
-        Box::pin(buffer_body(body, memory, call.time_left()));
+    let memory = &call.state.body_memory;
+    let body: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(buffer_body(
+        body,
+        memory,
+        MAX_RESPONSE_BYTES,
+        call.time_left(),
+    ));
     let body = body
         .await
         .map_err(|error| Refusal::IncompleteResponse(error.to_string()))?;
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -3,19 +3,21 @@
 //! An endpoint that is silent may go on. Its stream is kept until another endpoint responds, and ends only with its
 //! connection or at the deadline.
 //!
-//! The caller's connection applies backpressure: nothing is read from the endpoint while that connection is
-//! full, so a slow caller occupies one buffer instead of memory for a complete response. When the caller
-//! disconnects, the stream is dropped, which closes the endpoint's connection and frees its slot.
+//! On a node that knows its memory, the stream is read ahead of a slow caller within the bounds of `read_ahead`.
+//! Otherwise, and beyond these bounds, the caller's connection applies backpressure: nothing is read from the endpoint
+//! while that connection is full. When the caller disconnects, the stream is dropped, which closes the endpoint's
+//! connection and frees its slot.
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use futures_util::stream;
+use futures_util::{Stream, TryStreamExt as _, stream};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
 use sesamecart_edges::{BoxError, CallerBody, PooledConnection, ResponseBody};
@@ -29,6 +31,7 @@
 use crate::traffic::call::{Attempts, Call, EndpointResponse};
 use crate::traffic::event_splitter::{EventSplitter, PushOutcome};
 use crate::traffic::flight::Flight;
+use crate::traffic::read_ahead::read_ahead;
 use crate::traffic::response::STOPPED;
 
 /// How long after the deadline the endpoint's connection is closed if the stream isn't being read.
@@ -60,6 +63,9 @@
     first_ms: u64,
     last_data_at: Timestamp,
     longest_pause: Duration,
+    /// Whether the caller has kept this node from reading since data arrived last. If the endpoint ends the stream then,
+    /// it isn't at fault, and another one would meet the same caller.
+    is_unread: Arc<AtomicBool>,
 }
 
 /// The result of reading from the endpoint.
@@ -113,7 +119,7 @@
     pub(crate) fn new(call: Arc<Call>, attempts: Attempts, received: EndpointResponse) -> Self {
         let last_event = call.metadata.last_event.clone();
         let elapsed = call.elapsed();
-        let memory = call.state.response_memory.begin();
+        let memory = call.state.body_memory.begin();
         call.record_first_response();
         Self {
             deadline: Timer::after(call.time_left()),
@@ -121,6 +127,7 @@
             first_ms: millis(elapsed),
             last_data_at: clock::now(),
             longest_pause: Duration::ZERO,
+            is_unread: Arc::default(),
             splitter: EventSplitter::resuming_after(last_event, memory),
             endpoint_stream: Some(EndpointStream::new(received, call.time_left())),
             attempts,
@@ -130,17 +137,24 @@
 
     /// Converts the relay into the body of the caller's response.
     pub(crate) fn into_body(self) -> CallerBody {
-        let frames = stream::unfold(Some(self), |relay| async {
+        let call = Arc::clone(&self.call);
+        let is_unread = Arc::clone(&self.is_unread);
+        let events = stream::unfold(Some(self), |relay| async {
             let mut relay = relay?;
             match relay.next_events().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
                 // An error closes the caller's connection in the middle of the body. Without it, the
                 // truncated response would look complete.
                 Err(error) => Some((Err(error), None)),
             }
         });
-        StreamBody::new(frames).boxed_unsync()
+        if call.state.settings.memory_mb.is_some() {
+            let memory = call.state.body_memory.begin();
+            let events = read_ahead(call.client.executor(), events, is_unread, memory);
+            return into_body(events);
+        }
+        into_body(events)
     }
 
     /// Returns the next complete events, or `None` at the regular end of the stream.
@@ -313,6 +327,7 @@
             let now = clock::now();
             self.longest_pause = self.longest_pause.max(now.since(self.last_data_at));
             self.last_data_at = now;
+            self.is_unread.store(false, Ordering::Release);
         }
         outcome
     }
@@ -323,6 +338,9 @@
     ///
     /// Fails if the stream can't be resumed; the error ends the caller's response.
     async fn resume(&mut self, reason: &str, cause: BreakCause) -> Result<(), BoxError> {
+        if self.is_unread.load(Ordering::Acquire) && cause == BreakCause::ConnectionClosed {
+            return Err(self.fail("the caller didn't read it"));
+        }
         self.record_run();
         let Some(broken) = &self.endpoint_stream else {
             return Err(self.fail(reason));
@@ -383,7 +401,7 @@
             last_event: last_event.as_deref().unwrap_or_default(),
             pause_ms: millis(clock::now().since(self.last_data_at)),
         });
-        let memory = self.call.state.response_memory.begin();
+        let memory = self.call.state.body_memory.begin();
         self.splitter = EventSplitter::resuming_after(last_event, memory);
         self.endpoint_stream = Some(EndpointStream::new(received, self.call.time_left()));
     }
@@ -435,6 +453,10 @@
     }
 }
 
+fn into_body(events: impl Stream<Item = Result<Bytes, BoxError>> + Send + 'static) -> CallerBody {
+    StreamBody::new(events.map_ok(Frame::data)).boxed_unsync()
+}
+
 impl EndpointStream {
     fn new(received: EndpointResponse, time_left: Duration) -> Self {
         received
--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -12,11 +12,11 @@
 
 use crate::clock;
 use crate::crashes::{Liveness, probe};
+use crate::traffic::body_memory::{BufferError, BufferedBody, MAX_RESPONSE_BYTES, buffer_body};
 use crate::traffic::call::{AttemptError, Call, EndpointResponse};
 use crate::traffic::flight::Flight;
 use crate::traffic::in_flight::InFlightRequest;
 use crate::traffic::refusal::Refusal;
-use crate::traffic::response_memory::{BufferError, BufferedBody, buffer_body};
 use crate::traffic::timeout::MIN_RESPONSE_TIMEOUT;
 
 /// The maximum size of a rejection's body, which is read only so that the connection can be reused.
@@ -182,7 +182,13 @@
             lease,
             mut in_flight,
         } = response;
-        let body = buffer_body(body, &self.state.response_memory, self.time_left()).await;
+        let body = buffer_body(
+            body,
+            &self.state.body_memory,
+            MAX_RESPONSE_BYTES,
+            self.time_left(),
+        )
+        .await;
         let is_cut = body.is_ok() && ends_with_connection && self.has_stopped(&in_flight).await;
         match body {
             Ok(_) if is_cut => {
@@ -208,7 +214,7 @@
                 match &error {
                     // The endpoint isn't at fault.
                     BufferError::NoMemory => in_flight.mark_ended(),
-                    BufferError::TooLarge | BufferError::TooSlow(_) => in_flight.mark_failed(),
+                    BufferError::TooLarge(_) | BufferError::TooSlow(_) => in_flight.mark_failed(),
                     BufferError::Broken(_) => {
                         in_flight.mark_failed();
                         self.wait_for_crash_check(&in_flight).await;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -532,7 +532,7 @@
     let text = json!({
         "node": node, "failure_domain": "a", "region": "r",
         "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "metrics": metrics,
-        "links": "127.0.0.1:0", "processor_share": 0.25, "store": store.to_string(),
+        "links": "127.0.0.1:0", "processor_share": 0.25, "memory_mb": 260, "store": store.to_string(),
         "first_start": node == FIRST_NODE,
         "bounds": {
             "key_revocation_ms": 5_000, "configuration_ms": 2_000, "group_stall_ms": 5_000,
