--- a/crates/sesamecart-fleet/src/sources/store_asks/tests.rs
+++ b/crates/sesamecart-fleet/src/sources/store_asks/tests.rs
@@ -93,6 +93,7 @@
                 links: ([127, 0, high, low], 7_000).into(),
                 forwarding: None,
                 processor_share: 0.084,
+                memory_mb: None,
             }
         });
         let peers: Vec<PeerNode> = peers.collect();
