Look at one endpoint where only one has changed

Each report looked at the attempts at all endpoints of the pool, several times over. The dispatcher runs beside traffic on small VMs. The factor of an endpoint is now calculated once for each decision, and a report looks at its own endpoint.

--- a/crates/sesamecart-fleet/src/dispatch/attempts.rs
+++ b/crates/sesamecart-fleet/src/dispatch/attempts.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    fn advance_one(&mut self, now: Timestamp, spec: &PoolSpec, endpoint: &EndpointId) {
+        let head = self.heads.get_mut(endpoint);
+        let over = head.map(|head| head.advance(now, spec, self.overhead));
+        for key in over.into_iter().flatten() {
+            self.endpoints.swap_remove(&key);
+        }
+    }
+
     /// Adds the attempt of a request at the endpoint that it is assigned.
     pub(super) fn assign(
         &mut self,
@@ -94,6 +102,7 @@
 
     /// Records an attempt that a node reports.
     pub(super) fn record_held(&mut self, now: Timestamp, spec: &PoolSpec, held: HeldRequest) {
+        self.advance_one(now, spec, &held.endpoint);
         let known = self.endpoints.get(&held.key);
         if known != Some(&held.endpoint) {
             self.remove(&held.key);
@@ -113,10 +122,11 @@
     }
 
     /// Records the end of an attempt.
-    pub(super) fn record_ended(&mut self, now: Timestamp, key: &TicketKey) {
+    pub(super) fn record_ended(&mut self, now: Timestamp, spec: &PoolSpec, key: &TicketKey) {
         let Some(endpoint) = self.endpoints.swap_remove(key) else {
             return;
         };
+        self.advance_one(now, spec, &endpoint);
         if let Some(head) = self.heads.get_mut(&endpoint) {
             head.record_end(now, key, self.overhead);
         }
--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -156,15 +156,13 @@
     /// Reporting an attempt again changes nothing. A report with a start has to be recorded before the end of the
     /// attempt.
     pub fn record_held(&mut self, now: Timestamp, held: HeldRequest) {
-        self.attempts.advance(now, &self.spec);
         self.record_heard(now, &held.key.node);
         self.attempts.record_held(now, &self.spec, held);
     }
 
     /// Records that an attempt has ended.
     pub fn record_ended(&mut self, now: Timestamp, key: &TicketKey) {
-        self.attempts.advance(now, &self.spec);
-        self.attempts.record_ended(now, key);
+        self.attempts.record_ended(now, &self.spec, key);
     }
 
     /// Records that a report of a node arrived. `is_complete` is whether it named all of the node's attempts:
--- a/crates/sesamecart-fleet/src/dispatch/heads.rs
+++ b/crates/sesamecart-fleet/src/dispatch/heads.rs
@@ -53,6 +53,8 @@
     read_until: Timestamp,
     sends: RecentSends,
     slowness: Slowness,
+    /// The factor by which it was slower than predicted when it was last looked at.
+    factor: f64,
 }
 
 impl Head {
@@ -64,6 +66,7 @@
             read_until: Timestamp::ZERO,
             sends: RecentSends::default(),
             slowness: Slowness::new(),
+            factor: 1.0,
         }
     }
 
@@ -75,7 +78,8 @@
         overhead: StartOverhead,
     ) -> Vec<TicketKey> {
         let over = self.remove_where(|_, attempt| attempt.is_over(now));
-        let token_ms = spec.token_ms(self.running()) * self.factor(now, overhead);
+        self.factor = self.current_factor(now, overhead);
+        let token_ms = spec.token_ms(self.running()) * self.factor;
         let mut read = millis_since(now, self.read_until) / token_ms;
         while let Some(prompt) = self.unread.front_mut() {
             let part = read.min(prompt.tokens);
@@ -193,7 +197,11 @@
     }
 
     /// Returns the factor by which the endpoint is slower than predicted.
-    pub(super) fn factor(&self, now: Timestamp, overhead: StartOverhead) -> f64 {
+    pub(super) const fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    fn current_factor(&self, now: Timestamp, overhead: StartOverhead) -> f64 {
         let waiting = self
             .attempts
             .values()
--- a/crates/sesamecart-fleet/src/dispatch/placement.rs
+++ b/crates/sesamecart-fleet/src/dispatch/placement.rs
@@ -72,7 +72,7 @@
     /// Returns the least time in which a new request of mean size is predicted to start.
     pub(super) fn idle_start_ms(&self, heads: &IndexMap<EndpointId, Head>) -> f64 {
         let heads = heads.values().filter(|head| head.properties.is_some());
-        let factors = heads.map(|head| head.factor(self.now, self.overhead));
+        let factors = heads.map(|head| head.factor());
         let factor = factors.fold(f64::INFINITY, f64::min);
         let factor = if factor.is_finite() { factor } else { 1.0 };
         factor * (self.start_ms(self.spec.steps.mean.prompt, 0) + self.overhead.margin_ms())
@@ -138,7 +138,7 @@
             return Fit::Never;
         };
         let running = head.running();
-        let factor = head.factor(self.now, self.overhead);
+        let factor = head.factor();
         let predicted_ms =
             factor * self.start_ms(head.unread_tokens() + req.tokens.prompt, running);
         let writing_ms = factor * self.spec.writing_ms(req.tokens.answer, running);
