--- a/crates/sesamecart-entry/src/dispatch/client.rs
+++ b/crates/sesamecart-entry/src/dispatch/client.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use sesamecart_fleet::{
-    DispatchDecision, DispatchRefusal, DispatchRequest, RefusalCause, TicketKey, TokenCounts,
-    choose_parts,
+    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, PeerNode, PoolPart,
+    RefusalCause, TicketKey, TokenCounts, choose_parts,
 };
 use sesamecart_links::feed::feed_client::FeedClient;
 use sesamecart_links::{Channel, Links};
 use sesamecart_runtime::with_timeout;
-use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint, RequestId, Timestamp};
+use sesamecart_vocabulary::{CustomerId, EndpointId, Fingerprint, NodeId, RequestId, Timestamp};
 
 use crate::authority::AuthorityClient;
 use crate::clock;
@@ -53,6 +53,14 @@
     Unanswered,
 }
 
+/// A request and the dispatcher that was asked about it, for the log.
+struct AskedDispatcher<'a> {
+    request: &'a RequestId,
+    dispatcher: &'a NodeId,
+    part: u32,
+    waited_ms: u64,
+}
+
 /// Asks dispatchers for endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct DispatchClient {
@@ -92,70 +100,88 @@
         let asked_at = clock::now();
         let mut ticket = AssignedTicket::new(Arc::clone(&self.state), part.name.clone());
         let req = self.request(query, asked_at, &ticket);
-        let decision = if peer.node == self.state.settings.node {
-            let own = self.state.decide_dispatch(&part.name, req);
-            with_timeout(OWN_DISPATCHER_TIMEOUT, own)
-                .await
-                .ok()
-                .flatten()
-        } else {
-            let message = encode_request(&part.name, &req);
-            let call = |mut feed: Feed| async move { feed.dispatch(message).await };
-            let reply = self.authorities.call(&peer, false, call).await;
-            reply.and_then(|reply| decode_reply(&reply))
-        };
+        let decision = self.call(&peer, &part.name, req).await;
         let waited = clock::now().since(asked_at);
         self.state.metrics.record_dispatch_wait(waited);
-        let waited_ms = millis(waited);
-        let request = query.request.as_str();
-        let dispatcher = peer.node.as_str();
+        let asked = AskedDispatcher {
+            request: &query.request,
+            dispatcher: &peer.node,
+            part: part.name.part,
+            waited_ms: millis(waited),
+        };
         match decision {
             Some(DispatchDecision::Send(assignment)) => {
-                self.state
-                    .metrics
-                    .count_dispatched(DispatchOutcome::Assigned);
-                let event = Event::DispatchAssigned {
-                    request,
-                    dispatcher,
-                    endpoint: assignment.endpoint.as_str(),
-                    predicted_start_ms: millis(assignment.predicted_start),
-                    waited_ms,
-                };
-                self.state.events.write_success(clock::now(), &event);
+                self.record_assigned(&asked, &assignment);
                 Dispatched::Assigned(AssignedEndpoint {
                     endpoint: assignment.endpoint,
                     ticket,
                 })
             }
             Some(DispatchDecision::Refuse(refusal)) => {
-                self.state
-                    .metrics
-                    .count_dispatched(DispatchOutcome::Refused(refusal.cause));
-                self.state.events.write(&Event::DispatchRefused {
-                    request,
-                    dispatcher,
-                    part: part.name.part,
-                    cause: &refusal.cause.to_string(),
-                    retry_after_ms: millis(refusal.retry_after),
-                    waited_ms,
-                });
+                self.record_refused(&asked, refusal);
                 ticket.mark_refused();
                 Dispatched::Refused(refusal)
             }
             Some(DispatchDecision::Wait) | None => {
-                self.state
-                    .metrics
-                    .count_dispatched(DispatchOutcome::Unanswered);
-                self.state.events.write(&Event::DispatchUnanswered {
-                    request,
-                    dispatcher,
-                    waited_ms,
-                });
+                self.record_unanswered(&asked);
                 Dispatched::Unanswered
             }
         }
     }
 
+    /// Returns the decision of a dispatcher, or `None` if it doesn't answer.
+    async fn call(
+        &self,
+        peer: &PeerNode,
+        part: &PoolPart,
+        req: DispatchRequest,
+    ) -> Option<DispatchDecision> {
+        if peer.node == self.state.settings.node {
+            let own = self.state.decide_dispatch(part, req);
+            return with_timeout(OWN_DISPATCHER_TIMEOUT, own).await.ok()?;
+        }
+        let message = encode_request(part, &req);
+        let call = |mut feed: Feed| async move { feed.dispatch(message).await };
+        let reply = self.authorities.call(peer, false, call).await?;
+        decode_reply(&reply)
+    }
+
+    fn record_assigned(&self, asked: &AskedDispatcher<'_>, assignment: &Assignment) {
+        let outcome = DispatchOutcome::Assigned;
+        self.state.metrics.count_dispatched(outcome);
+        let event = Event::DispatchAssigned {
+            request: asked.request.as_str(),
+            dispatcher: asked.dispatcher.as_str(),
+            endpoint: assignment.endpoint.as_str(),
+            predicted_start_ms: millis(assignment.predicted_start),
+            waited_ms: asked.waited_ms,
+        };
+        self.state.events.write_success(clock::now(), &event);
+    }
+
+    fn record_refused(&self, asked: &AskedDispatcher<'_>, refusal: DispatchRefusal) {
+        let outcome = DispatchOutcome::Refused(refusal.cause);
+        self.state.metrics.count_dispatched(outcome);
+        self.state.events.write(&Event::DispatchRefused {
+            request: asked.request.as_str(),
+            dispatcher: asked.dispatcher.as_str(),
+            part: asked.part,
+            cause: &refusal.cause.to_string(),
+            retry_after_ms: millis(refusal.retry_after),
+            waited_ms: asked.waited_ms,
+        });
+    }
+
+    fn record_unanswered(&self, asked: &AskedDispatcher<'_>) {
+        let outcome = DispatchOutcome::Unanswered;
+        self.state.metrics.count_dispatched(outcome);
+        self.state.events.write(&Event::DispatchUnanswered {
+            request: asked.request.as_str(),
+            dispatcher: asked.dispatcher.as_str(),
+            waited_ms: asked.waited_ms,
+        });
+    }
+
     fn request(
         &self,
         query: &DispatchQuery,
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -9,11 +9,14 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use sesamecart_edges::ShedConnections;
-use sesamecart_fleet::RefusalCause;
 use sesamecart_platform::{StoreOperation, Topic};
 
 use crate::dispatch::DispatchedRequests;
 
+mod outcome;
+
+pub(crate) use outcome::{BackoffOutcome, DispatchOutcome, ForwardingPart, PermitOutcome};
+
 /// The metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -51,116 +54,6 @@
     first_response: Histogram<f64>,
 }
 
-/// A node's part in the forwarding of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ForwardingPart {
-    /// It got the request from a caller and sent it to a helper.
-    Sent,
-    /// It accepted the request of another node.
-    Accepted,
-    /// It rejected the request of another node.
-    Rejected,
-}
-
-impl ForwardingPart {
-    const ALL: [Self; 3] = [Self::Sent, Self::Accepted, Self::Rejected];
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Sent => "sent",
-            Self::Accepted => "accepted",
-            Self::Rejected => "rejected",
-        }
-    }
-}
-
-/// What became of a backoff that an endpoint requested.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum BackoffOutcome {
-    /// It has begun.
-    Started,
-    /// One that had begun has become much longer.
-    Extended,
-    /// Its value isn't a time.
-    Ignored,
-}
-
-impl BackoffOutcome {
-    const ALL: [Self; 3] = [Self::Started, Self::Extended, Self::Ignored];
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Started => "started",
-            Self::Extended => "extended",
-            Self::Ignored => "ignored",
-        }
-    }
-}
-
-/// The answer to a request for a permit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum PermitOutcome {
-    Granted,
-    Denied,
-    /// The limit has ended.
-    Unlimited,
-    /// No node answered.
-    Unanswered,
-}
-
-impl PermitOutcome {
-    const ALL: [Self; 4] = [
-        Self::Granted,
-        Self::Denied,
-        Self::Unlimited,
-        Self::Unanswered,
-    ];
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Granted => "granted",
-            Self::Denied => "denied",
-            Self::Unlimited => "unlimited",
-            Self::Unanswered => "unanswered",
-        }
-    }
-}
-
-/// What a dispatcher answered about a request of this node.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum DispatchOutcome {
-    /// It assigned an endpoint.
-    Assigned,
-    /// The assigned endpoint can't be used by this node.
-    Unusable,
-    /// It refused the request.
-    Refused(RefusalCause),
-    /// It didn't answer.
-    Unanswered,
-}
-
-impl DispatchOutcome {
-    const ALL: [Self; 6] = [
-        Self::Assigned,
-        Self::Unusable,
-        Self::Refused(RefusalCause::NoEndpoint),
-        Self::Refused(RefusalCause::Full),
-        Self::Refused(RefusalCause::OverShare),
-        Self::Unanswered,
-    ];
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Assigned => "assigned",
-            Self::Unusable => "unusable",
-            Self::Refused(RefusalCause::NoEndpoint) => "no_endpoint",
-            Self::Refused(RefusalCause::Full) => "full",
-            Self::Refused(RefusalCause::OverShare) => "over_share",
-            Self::Unanswered => "unanswered",
-        }
-    }
-}
-
 /// Histogram buckets of the time to the first response, in seconds. Callers are promised 0.1 to 0.4.
 const FIRST_RESPONSE_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 5.0];
 
