--- a/crates/sesamecart-fleet/src/dispatch/attempts.rs
+++ b/crates/sesamecart-fleet/src/dispatch/attempts.rs
@@ -43,7 +43,16 @@
         usable.count()
     }
 
-    pub(super) fn set_heads(&mut self, heads: impl IntoIterator<Item = PoolHead>) {
+    /// Returns the slots of all endpoints together.
+    pub(super) fn slots(&self) -> u32 {
+        let usable = self
+            .heads
+            .values()
+            .filter_map(|head| head.properties.as_ref());
+        usable.map(|head| head.slots).sum()
+    }
+
+    pub(super) fn set_heads(&mut self, now: Timestamp, heads: impl IntoIterator<Item = PoolHead>) {
         for head in self.heads.values_mut() {
             head.properties = None;
         }
@@ -52,8 +61,7 @@
             let head = self.heads.entry(id).or_insert_with(Head::new);
             head.properties = Some(properties);
         }
-        let is_needed = |head: &Head| head.properties.is_some() || head.attempt_count() > 0;
-        self.heads.retain(|_, head| is_needed(head));
+        self.heads.retain(|_, head| head.is_needed(now));
     }
 
     /// Removes what endpoints have read and attempts that are over.
@@ -65,6 +73,14 @@
         }
     }
 
+    fn advance_one(&mut self, now: Timestamp, spec: &PoolSpec, endpoint: &EndpointId) {
+        let head = self.heads.get_mut(endpoint);
+        let over = head.map(|head| head.advance(now, spec, self.overhead));
+        for key in over.into_iter().flatten() {
+            self.endpoints.swap_remove(&key);
+        }
+    }
+
     /// Adds the attempt of a request at the endpoint that it is assigned.
     pub(super) fn assign(
         &mut self,
@@ -86,6 +102,7 @@
 
     /// Records an attempt that a node reports.
     pub(super) fn record_held(&mut self, now: Timestamp, spec: &PoolSpec, held: HeldRequest) {
+        self.advance_one(now, spec, &held.endpoint);
         let known = self.endpoints.get(&held.key);
         if known != Some(&held.endpoint) {
             self.remove(&held.key);
@@ -105,10 +122,11 @@
     }
 
     /// Records the end of an attempt.
-    pub(super) fn record_ended(&mut self, now: Timestamp, key: &TicketKey) {
+    pub(super) fn record_ended(&mut self, now: Timestamp, spec: &PoolSpec, key: &TicketKey) {
         let Some(endpoint) = self.endpoints.swap_remove(key) else {
             return;
         };
+        self.advance_one(now, spec, &endpoint);
         if let Some(head) = self.heads.get_mut(&endpoint) {
             head.record_end(now, key, self.overhead);
         }
