--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -193,7 +193,7 @@
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.queue.iter().count()
+        self.queue.len()
     }
 
     fn record_heard(&mut self, now: Timestamp, node: &NodeId) {
--- a/crates/sesamecart-fleet/src/dispatch/queue.rs
+++ b/crates/sesamecart-fleet/src/dispatch/queue.rs
@@ -83,6 +83,10 @@
         self.0.len() >= MAX_WAITING
     }
 
+    pub(super) const fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
