--- a/crates/sesamecart-entry/src/follower/search.rs
+++ b/crates/sesamecart-entry/src/follower/search.rs
@@ -71,10 +71,10 @@
     /// Asks nodes at the same time whether they serve, and those to which they refer this node. Returns at the first
     /// one that does.
     async fn find_node(&self, candidates: Vec<Source>) -> FoundNode {
-        let mut asked: IndexSet<Source> = candidates.into_iter().collect();
-        asked.insert(Source::Node(self.state.settings.links));
-        let own = asked.len() - 1;
-        let first = asked.iter().take(own);
+        // A referral to this node is outdated.
+        let own = Source::Node(self.state.settings.links);
+        let mut asked: IndexSet<Source> = std::iter::once(own).chain(candidates).collect();
+        let first = asked.iter().skip(1);
         let mut questions: FuturesUnordered<_> = first.map(|source| self.ask(*source)).collect();
         let mut found = FoundNode::default();
         while let Some((source, answer)) = questions.next().await {
