Let requests that can be in time go before those that are late

Callers that were refused returned as new requests whose waiting time began anew, and went before all others, so each of them took the place of one that would have been in time, which was refused and returned late in turn.

The time since a caller was refused counts as waiting now, and requests that are late rank behind those that are not, within the same urgency.

--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -76,12 +76,13 @@
     }
 
     /// Decides about a new request.
-    pub fn offer(&mut self, now: Timestamp, req: DispatchRequest) -> DispatchDecision {
+    pub fn offer(&mut self, now: Timestamp, mut req: DispatchRequest) -> DispatchDecision {
         self.advance(now);
         self.record_heard(now, &req.key.node);
-        let standing = self
+        let (standing, refused_for) = self
             .returns
             .record_asked(now, &req.fingerprint, req.urgency);
+        req.waited += refused_for;
         let offer = Offer {
             req,
             standing,
@@ -270,7 +271,7 @@
         let reachable_ms = idle_ms + pool.mean_prompt_ms(0);
         let target_ms = to_millis(class.target).max(reachable_ms);
         let shared_ms = to_millis(self.classes.shared_target(now, class)).max(reachable_ms);
-        let is_late = target_ms - to_millis(offer.req.waited) < idle_ms;
+        let is_late = self.is_late(now, offer);
         let waited = if is_late {
             Duration::ZERO
         } else {
@@ -294,6 +295,16 @@
         }
     }
 
+    /// Returns whether a request was already late when it was offered. One that serves in time goes before it, since
+    /// the room that it takes would make another one late as well.
+    fn is_late(&self, now: Timestamp, offer: &Offer) -> bool {
+        let pool = self.pool(now);
+        let idle_ms = pool.idle_start_ms(self.attempts.heads());
+        let reachable_ms = idle_ms + pool.mean_prompt_ms(0);
+        let target_ms = to_millis(offer.class().target).max(reachable_ms);
+        target_ms - to_millis(offer.req.waited) < idle_ms
+    }
+
     fn is_over_share(&self, now: Timestamp, offer: &Offer) -> bool {
         let mean = self.spec.steps.mean;
         self.shares
@@ -305,6 +316,7 @@
         Rank {
             precedence: self.classes.precedence(now, offer.class()),
             is_over_share: self.is_over_share(now, offer),
+            is_late: self.is_late(now, offer),
             standing: offer.standing,
             served_tokens: (served * SERVED_SCALE) as u64,
             late_at: offer.offered_at + offer.req.latency_target - offer.req.waited,
--- a/crates/sesamecart-fleet/src/dispatch/heads.rs
+++ b/crates/sesamecart-fleet/src/dispatch/heads.rs
@@ -13,7 +13,7 @@
 use crate::step_model::TokenCounts;
 
 /// The time in which a node has to report that it holds an assigned request.
-const MAX_UNREPORTED: Duration = Duration::from_millis(500);
+const MAX_UNREPORTED: Duration = Duration::from_millis(1_500);
 
 /// An attempt at an endpoint.
 #[derive(Clone, Debug)]
--- a/crates/sesamecart-fleet/src/dispatch/queue.rs
+++ b/crates/sesamecart-fleet/src/dispatch/queue.rs
@@ -60,6 +60,8 @@
     pub(super) precedence: Precedence,
     /// Whether its customer has its share.
     pub(super) is_over_share: bool,
+    /// Whether it was late when it was offered.
+    pub(super) is_late: bool,
     pub(super) standing: Standing,
     /// What its customer was served lately.
     pub(super) served_tokens: u64,
@@ -70,7 +72,9 @@
 impl Rank {
     /// Returns whether requests of both ranks have to leave the same room to others.
     pub(super) fn has_limits_of(&self, other: &Self) -> bool {
-        self.precedence == other.precedence && self.is_over_share == other.is_over_share
+        self.precedence == other.precedence
+            && self.is_over_share == other.is_over_share
+            && self.is_late == other.is_late
     }
 }
 
--- a/crates/sesamecart-fleet/src/dispatch/returns.rs
+++ b/crates/sesamecart-fleet/src/dispatch/returns.rs
@@ -80,25 +80,26 @@
         }
     }
 
-    /// Records a new request and returns the standing of its caller.
+    /// Records a new request. Returns the standing of its caller and the time since the caller was first refused.
     pub(super) fn record_asked(
         &mut self,
         now: Timestamp,
         caller: &Fingerprint,
         urgency: u8,
-    ) -> Standing {
+    ) -> (Standing, Duration) {
         self.forget_old(now);
         match self.promises.get(caller) {
             Some(promise) if promise.return_at <= now + EARLY_TOLERANCE => {
+                let refused_for = now.since(promise.made_at);
                 self.remove(caller);
-                Standing::Returned
+                (Standing::Returned, refused_for)
             }
-            Some(_) => Standing::Early,
+            Some(promise) => (Standing::Early, now.since(promise.made_at)),
             None => {
                 let rate = self.new.entry(urgency);
                 rate.or_insert_with(|| DecayingRate::new(RATE_WINDOW))
                     .record(now, 1.0);
-                Standing::New
+                (Standing::New, Duration::ZERO)
             }
         }
     }
