Give groups to models by the urgency of what callers ask

Nodes now record how urgent the requests for each model are and send it with the demand (`ModelDemand`, field `milli_urgent_groups`). While a model has fewer groups than its callers keep busy and is served worse than a less urgent one, a group of the latter counts by the ratio of their urgencies when a conversion is weighed, unless the next loss would leave it below a quarter of the mean. A busy group of a more urgent model counts for more. All other conditions of a conversion stay: worthwhile for a load's time, three times the loss, room for its loads, two failure domains kept.

It is on only for services whose routes differ in priority. Elsewhere every urgency is 1, nothing more is sent and every factor is exactly 1. `fleet_counted` logs the urgency.

Under played demand (tests/urgency.rs): 6 and 12 groups become 5 and 14 where the urgent model needs 16 and the other one 6, stay where both are equally urgent or the wave turns after 13 s, and end at 2 and 20 where the urgent model needs 60 and both are then served alike. `DemandTracker::note` takes the urgency, so its tests pass it; what they check is unchanged.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -12,7 +12,7 @@
 use futures_lite::future;
 use indexmap::IndexSet;
 use sesamecart_edges::HttpClient;
-use sesamecart_fleet::{FencingToken, GroupKey, Planner, PlannerInput, Step};
+use sesamecart_fleet::{FencingToken, GroupKey, Planner, PlannerInput, Step, Urgency};
 use sesamecart_links::Links;
 use sesamecart_platform::Store;
 use sesamecart_runtime::{Tasks, sleep};
@@ -219,6 +219,10 @@
             loading: counts.loading,
             empty,
             needed: input.demand.map(|demand| demand.groups(&counts.model)),
+            urgency: input.demand.and_then(|demand| {
+                let urgency = demand.urgency(&counts.model)?;
+                Some(urgency.relative_to(Urgency::MOST))
+            }),
         });
     }
 }
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -105,6 +105,8 @@
         empty: usize,
         /// The number of its groups that callers keep busy, or `None` while there is no estimate yet.
         needed: Option<f64>,
+        /// The mean urgency of their requests, where 1 is the most urgent, or `None` while there are none.
+        urgency: Option<f64>,
     },
     /// A group is closed because its engines are of more use in groups of another model.
     GroupRetired {
--- a/crates/sesamecart-entry/src/peer_loads.rs
+++ b/crates/sesamecart-entry/src/peer_loads.rs
@@ -7,16 +7,20 @@
 //! docs/decisions-under-faults.md describes the effect.
 
 mod changes;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use sesamecart_fleet::{Demand, LoadReport, MAX_WATCHED_PEERS, NodeLoad, PeerNode, peers_to_watch};
+use sesamecart_fleet::{
+    Demand, LoadReport, MAX_WATCHED_PEERS, ModelDemand, NodeLoad, PeerNode, peers_to_watch,
+};
 use sesamecart_links::Links;
-use sesamecart_links::feed::{ModelDemand, WatchLoadsRequest};
+use sesamecart_links::feed::{self, WatchLoadsRequest};
 use sesamecart_runtime::{Tasks, sleep, with_timeout};
-use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, ModelId, NodeId, Timestamp};
 
 use crate::clock;
 use crate::events::Event;
@@ -41,17 +45,42 @@
 const NODES_REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Parses the demand of a peer's callers. Models with invalid names are skipped, because no node serves them.
-fn parse_demand(demand: &[ModelDemand]) -> Demand {
+fn parse_demand(demand: &[feed::ModelDemand]) -> Demand {
     let models = demand.iter().filter_map(|entry| {
-        let model = entry.model.parse().ok()?;
-        Some((
-            model,
-            f64::from(entry.milli_groups) / MILLI_GROUPS_PER_GROUP,
-        ))
+        let model: ModelId = entry.model.parse().ok()?;
+        let urgent = entry.milli_urgent_groups.unwrap_or(entry.milli_groups);
+        let demand = ModelDemand {
+            groups: groups_from_milli(entry.milli_groups),
+            urgent_groups: groups_from_milli(urgent),
+        };
+        Some((model, demand))
+    });
+    models.collect()
+}
+
+/// Formats the demand of this node's callers for its peers.
+fn format_demand(demand: &Demand) -> Vec<feed::ModelDemand> {
+    let models = demand.iter().map(|(model, demand)| {
+        let milli_groups = groups_to_milli(demand.groups);
+        let milli_urgent_groups = groups_to_milli(demand.urgent_groups);
+        feed::ModelDemand {
+            model: model.to_string(),
+            milli_groups,
+            milli_urgent_groups: (milli_urgent_groups != milli_groups)
+                .then_some(milli_urgent_groups),
+        }
     });
     models.collect()
 }
 
+fn groups_from_milli(milli_groups: u32) -> f64 {
+    f64::from(milli_groups) / MILLI_GROUPS_PER_GROUP
+}
+
+fn groups_to_milli(groups: f64) -> u32 {
+    (groups * MILLI_GROUPS_PER_GROUP).round() as u32
+}
+
 /// Watches the loads of peer nodes until the task is cancelled.
 pub(crate) async fn watch_peers(state: Arc<EntryState>, links: Links, tasks: Tasks) {
     let mut watched = WatchedPeers::default();
--- a/crates/sesamecart-entry/src/peer_loads/changes.rs
+++ b/crates/sesamecart-entry/src/peer_loads/changes.rs
@@ -13,7 +13,7 @@
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::{EndpointId, Timestamp};
 
-use super::MILLI_GROUPS_PER_GROUP;
+use super::format_demand;
 use crate::clock;
 use crate::follower::millis;
 use crate::state::EntryState;
@@ -119,12 +119,7 @@
             return Vec::new();
         }
         self.demand_sent_at = now;
-        let demand = state.demand().own(now);
-        let models = demand.iter().map(|(model, groups)| ModelDemand {
-            model: model.to_string(),
-            milli_groups: (groups * MILLI_GROUPS_PER_GROUP).round() as u32,
-        });
-        models.collect()
+        format_demand(&state.demand().own(now))
     }
 }
 
--- a/crates/sesamecart-entry/src/traffic/demand.rs
+++ b/crates/sesamecart-entry/src/traffic/demand.rs
@@ -1,6 +1,6 @@
 //! The capacity that a request needs from the groups of its model.
 
-use sesamecart_fleet::{EngineModel, EngineSpec};
+use sesamecart_fleet::{EngineModel, EngineSpec, Urgency};
 
 use crate::clock;
 use crate::traffic::call::Call;
@@ -16,7 +16,17 @@
         let group_time = spec.group_time(model, tokens);
         let now = clock::now();
         let mut demand = self.state.demand();
-        demand.note(now, &model.model, group_time, tokens);
+        demand.note(now, &model.model, group_time, tokens, self.urgency());
+    }
+
+    /// Returns the urgency of this request, which differs from that of others only where routes do.
+    fn urgency(&self) -> Urgency {
+        let is_unequal = |service| self.catalog.has_unequal_routes(service);
+        if self.service().is_some_and(is_unequal) {
+            Urgency::of_priority(self.priority())
+        } else {
+            Urgency::MOST
+        }
     }
 
     /// Returns how many requests a group of the model can hold while each of them still starts in time.
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{Bytes, CustomerId, ModelId, ServiceId};
 
 use crate::number::CatalogVersion;
@@ -288,6 +288,8 @@
     /// The version of the configuration.
     pub version: CatalogVersion,
     routes: IndexMap<String, Vec<Arc<PathRoute>>>,
+    /// The services whose routes differ in priority.
+    unequal_services: IndexSet<ServiceId>,
     /// The services by ID.
     pub services: IndexMap<ServiceId, Service>,
     /// The customers by API key, or nothing if requests need no key at all.
@@ -316,7 +318,15 @@
         limits: Limits,
     ) -> Self {
         let mut by_host: IndexMap<String, Vec<Arc<PathRoute>>> = IndexMap::new();
+        let mut priorities: IndexMap<ServiceId, u8> = IndexMap::new();
+        let mut unequal_services = IndexSet::new();
         for route in routes {
+            for WeightedService { service, .. } in &route.services {
+                let known = *priorities.entry(service.clone()).or_insert(route.priority);
+                if known != route.priority {
+                    unequal_services.insert(service.clone());
+                }
+            }
             let host = route.host.clone();
             by_host.entry(host).or_default().push(Arc::new(route));
         }
@@ -326,6 +336,7 @@
         Self {
             version,
             routes: by_host,
+            unequal_services,
             services,
             customers,
             limits,
@@ -342,6 +353,12 @@
         })
     }
 
+    /// Returns whether the routes to a service differ in priority.
+    #[must_use]
+    pub fn has_unequal_routes(&self, service: &ServiceId) -> bool {
+        self.unequal_services.contains(service)
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/sesamecart-fleet/src/demand/tests.rs
+++ b/crates/sesamecart-fleet/src/demand/tests.rs
@@ -4,7 +4,7 @@
 
 use sesamecart_vocabulary::{ModelId, NodeId, Timestamp};
 
-use super::{Demand, DemandTracker};
+use super::{Demand, DemandTracker, ModelDemand, Urgency};
 use crate::step_model::TokenCounts;
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -34,7 +34,7 @@
     let interval = Duration::from_secs(1) / per_s;
     let mut now = from;
     while now < from + time {
-        tracker.note(now, &model(name), group_time, TOKENS);
+        tracker.note(now, &model(name), group_time, TOKENS, Urgency::MOST);
         now = now + interval;
     }
 }
@@ -126,7 +126,13 @@
 fn demand_is_unknown_before_the_minimum_observation_time() {
     let mut tracker = DemandTracker::default();
     assert_eq!(tracker.estimate(START, 3), None);
-    tracker.note(START, &model("m"), Duration::from_millis(40), TOKENS);
+    tracker.note(
+        START,
+        &model("m"),
+        Duration::from_millis(40),
+        TOKENS,
+        Urgency::MOST,
+    );
     assert_eq!(
         tracker.estimate(START + Duration::from_millis(500), 3),
         None
@@ -142,14 +148,14 @@
 fn mean_tokens_are_known_after_the_minimum_number_of_requests() {
     let mut tracker = DemandTracker::default();
     let time = Duration::from_millis(40);
-    tracker.note(START, &model("m"), time, TOKENS);
+    tracker.note(START, &model("m"), time, TOKENS, Urgency::MOST);
     assert_eq!(tracker.mean_tokens(START, &model("m")), None);
     for prompt in [100.0, 400.0, 1_600.0] {
         let tokens = TokenCounts {
             prompt,
             answer: 150.0,
         };
-        tracker.note(START, &model("m"), time, tokens);
+        tracker.note(START, &model("m"), time, tokens, Urgency::MOST);
     }
     let mean = tracker
         .mean_tokens(START, &model("m"))
@@ -157,3 +163,32 @@
     assert_close(mean.prompt, 700.0);
     assert_close(mean.answer, 150.0);
 }
+
+#[test]
+fn the_urgency_of_a_model_is_that_of_its_mean_group_time() {
+    let mut tracker = DemandTracker::default();
+    for (priority, time_ms) in [(0, 30), (1, 90)] {
+        let time = Duration::from_millis(time_ms);
+        let urgency = Urgency::of_priority(priority);
+        tracker.note(START, &model("m"), time, TOKENS, urgency);
+    }
+    let demand = tracker.own(START);
+    let mean = (30.0 + 90.0 * Urgency::of_priority(1).relative_to(Urgency::MOST)) / 120.0;
+    let urgency = demand.urgency(&model("m")).expect("requests are known");
+    assert_close(urgency.relative_to(Urgency::MOST), mean);
+}
+
+/// Guards against the urgency of a sample getting lost when the demand is scaled to all nodes.
+#[test]
+fn fleet_demand_keeps_the_urgency_of_the_reporting_nodes() {
+    let mut tracker = DemandTracker::default();
+    let less_urgent = ModelDemand {
+        groups: 0.5,
+        urgent_groups: 0.125,
+    };
+    let demand: Demand = [(model("m"), less_urgent)].into_iter().collect();
+    tracker.apply_peer_demand(START, &node("n2"), demand);
+    let all = tracker.estimate(START + Duration::from_secs(2), 60);
+    let urgency = all.expect("demand is known").urgency(&model("m"));
+    assert_eq!(urgency, Some(Urgency::of_priority(1)));
+}
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -42,7 +42,7 @@
     NeighborCheck, RequestOrigin, SharedPart, SuspectKind, SuspectStarts, SuspectedPart, Suspects,
     Suspicion, UncheckedCrash, suspect_endpoint,
 };
-pub use demand::{Demand, DemandTracker};
+pub use demand::{Demand, DemandTracker, ModelDemand, Urgency};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 pub use endpoint_backoff::slow_start::SlowStartTicket;
--- a/crates/sesamecart-fleet/src/planner/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/conversion.rs
@@ -10,6 +10,8 @@
 //!   would hurt both models.
 //! - The model that gives up a group keeps reachable groups in two failure domains, or in all of its failure
 //!   domains if it has fewer.
+//! - A model that can't serve what is asked of it gets groups of a model whose routes are less urgent, as long as
+//!   the callers of the latter don't starve.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -154,7 +156,8 @@
                     continue;
                 }
                 let gain = provisioning.value_of_change(&to.model, gained_groups as f64);
-                let loss = -provisioning.value_of_change(&from.model, -1.0);
+                let loss = -provisioning.value_of_change(&from.model, -1.0)
+                    * provisioning.loss_factor(&from.model, &to.model);
                 let is_worthwhile = gain >= MIN_GAIN_PER_GROUP * gained_groups as f64
                     && gain >= MIN_GAIN_LOSS_RATIO * loss;
                 let net_gain = gain - loss;
--- a/crates/sesamecart-fleet/src/planner/leftover.rs
+++ b/crates/sesamecart-fleet/src/planner/leftover.rs
@@ -77,17 +77,18 @@
     if engines >= own.group_size {
         return None;
     }
-    let loss = if engines + NEARLY_COMPLETE_MARGIN >= own.group_size {
+    let own_gain = if engines + NEARLY_COMPLETE_MARGIN >= own.group_size {
         provisioning.value_of_change(&own.model, 1.0)
     } else {
         0.0
     };
+    let loss = |model: &EngineModel| own_gain * provisioning.loss_factor(&own.model, &model.model);
     let gain = |model: &EngineModel| provisioning.value_of_change(&model.model, 1.0);
     let others = input.spec.models.iter().filter(|model| {
         model.model != own.model
             && model.group_size <= engines
             && gain(model) >= MIN_GAIN_PER_GROUP
-            && gain(model) >= MIN_GAIN_LOSS_RATIO * loss
+            && gain(model) >= MIN_GAIN_LOSS_RATIO * loss(model)
     });
     others.max_by(|a, b| gain(a).total_cmp(&gain(b)))
 }
--- a/crates/sesamecart-fleet/src/planner/provisioning.rs
+++ b/crates/sesamecart-fleet/src/planner/provisioning.rs
@@ -2,7 +2,8 @@
 //!
 //! The distribution of work among models can differ from what the configuration expects. Until demand has
 //! been observed, each model needs its configured share of the engines. After that, the observed demand
-//! determines the need.
+//! determines the need, and where the routes of a service differ in urgency, which model goes first while one is
+//! short.
 
 use indexmap::IndexMap;
 use sesamecart_vocabulary::ModelId;
@@ -10,6 +11,10 @@
 use super::engine::engines;
 use super::{Planner, PlannerInput};
 use crate::catalog::{EngineModel, EngineSpec};
+use crate::demand::{Demand, Urgency};
+
+#[cfg(test)]
+mod tests;
 
 /// The fraction of all engines that is assumed to be busy while the demand is unknown.
 const ASSUMED_UTILIZATION: f64 = 0.6;
@@ -29,11 +34,40 @@
 /// The value of a group that is only a reserve for losses, relative to a group with sustained load.
 const RESERVE_GROUP_VALUE: f64 = 0.05;
 
+/// The fraction of the mean service of all models that callers of a less urgent model still get.
+const MIN_FRACTION_OF_MEAN: f64 = 0.25;
+
+/// The groups that a conversion takes from a model.
+const GIVEN_UP_GROUPS: f64 = 1.0;
+
+/// The groups that a model may lose before the planner could give it others.
+const LOST_GROUPS: f64 = 1.0;
+
 /// The number of groups that a model needs and the number that it has.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Provision {
     needed_groups: f64,
     groups: f64,
+    /// The urgency of what is asked of it, if anything is.
+    urgency: Option<Urgency>,
+}
+
+impl Provision {
+    fn ratio(self) -> f64 {
+        self.ratio_of(self.groups)
+    }
+
+    fn ratio_of(self, groups: f64) -> f64 {
+        groups.max(0.0) / self.needed_groups.max(MIN_NEEDED_GROUPS)
+    }
+
+    /// Returns whether the model, if it gave up a group to `other`, could get too few groups for its callers by the
+    /// next loss.
+    fn would_starve(self, other: &Self) -> bool {
+        let mean_ratio = f64::midpoint(self.ratio(), other.ratio());
+        let left = self.ratio_of(self.groups - GIVEN_UP_GROUPS - LOST_GROUPS);
+        left < MIN_FRACTION_OF_MEAN * mean_ratio.min(PEAK_RATIO)
+    }
 }
 
 /// The provision of each model.
@@ -43,9 +77,9 @@
 impl Provisioning {
     /// Returns the ratio of groups that a model has to groups that it needs.
     pub(super) fn ratio(&self, model: &ModelId) -> f64 {
-        self.0.get(model).map_or(f64::INFINITY, |provision| {
-            provision.groups / provision.needed_groups.max(MIN_NEEDED_GROUPS)
-        })
+        self.0
+            .get(model)
+            .map_or(f64::INFINITY, |provision| provision.ratio())
     }
 
     /// Returns the value of changing the number of a model's groups by `groups`, in units of one group with
@@ -59,6 +93,31 @@
         value(provision.groups + groups) - value(provision.groups)
     }
 
+    /// Returns the factor by which the loss of a group of `from` counts when a group of `to` is gained for it.
+    ///
+    /// Among models whose routes are equally urgent it is 1. A group of a more urgent model counts for more if its
+    /// callers keep it busy. One of a less urgent model counts for less while `to` can't serve what is asked of it,
+    /// unless callers of `from` would starve.
+    pub(super) fn loss_factor(&self, from: &ModelId, to: &ModelId) -> f64 {
+        let (Some(from), Some(to)) = (self.0.get(from), self.0.get(to)) else {
+            return 1.0;
+        };
+        let (Some(from_urgency), Some(to_urgency)) = (from.urgency, to.urgency) else {
+            return 1.0;
+        };
+        let counts_by_urgency = if from_urgency < to_urgency {
+            let is_short = to.ratio() < PEAK_RATIO && to.ratio() < from.ratio();
+            is_short && !from.would_starve(to)
+        } else {
+            from.ratio_of(from.groups - GIVEN_UP_GROUPS) < PEAK_RATIO
+        };
+        if counts_by_urgency {
+            from_urgency.relative_to(to_urgency)
+        } else {
+            1.0
+        }
+    }
+
     /// Adds groups that will be available soon.
     pub(super) fn add(&mut self, model: &ModelId, groups: f64) {
         if let Some(provision) = self.0.get_mut(model) {
@@ -101,14 +160,13 @@
                     share * ASSUMED_UTILIZATION * engines_count / model.group_size as f64
                 }
             };
-            let groups = self.reachable_groups(input, model);
-            (
-                model.model.clone(),
-                Provision {
-                    needed_groups,
-                    groups,
-                },
-            )
+            let urgency = |demand: &Demand| demand.urgency(&model.model);
+            let provision = Provision {
+                needed_groups,
+                groups: self.reachable_groups(input, model),
+                urgency: input.demand.and_then(urgency),
+            };
+            (model.model.clone(), provision)
         });
         Provisioning(provisions.collect())
     }
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -16,6 +16,7 @@
 mod loading;
 mod losses;
 mod spread;
+mod urgency;
 
 const START: Timestamp = Timestamp(1_000_000);
 
--- a/crates/sesamecart-fleet/src/planner/tests/conversion.rs
+++ b/crates/sesamecart-fleet/src/planner/tests/conversion.rs
@@ -24,7 +24,7 @@
     Some(demand.into_iter().collect())
 }
 
-fn started_fleet() -> Fleet {
+pub(super) fn started_fleet() -> Fleet {
     let mut fleet = Fleet::new(&MODELS, &DOMAINS);
     fleet.spec.loads_at_once = 20;
     fleet.spec.loads_per_s = 14.0;
@@ -33,7 +33,7 @@
     fleet
 }
 
-fn open_counts(fleet: &Fleet) -> (usize, usize) {
+pub(super) fn open_counts(fleet: &Fleet) -> (usize, usize) {
     (fleet.open_groups("large"), fleet.open_groups("small"))
 }
 
