Take the urgency of a model's requests from their routes

Cause: demand was recorded with the priority of the customer, which takes precedence over the route's and is about the same for most customers there. It orders the requests for one model, but doesn't say which model a route's callers need.

The catalog now gives the urgency of a route, which its tests check.

--- a/crates/sesamecart-entry/src/traffic/demand.rs
+++ b/crates/sesamecart-entry/src/traffic/demand.rs
@@ -1,6 +1,6 @@
 //! The capacity that a request needs from the groups of its model.
 
-use sesamecart_fleet::{EngineModel, EngineSpec, Urgency};
+use sesamecart_fleet::{EngineModel, EngineSpec};
 
 use crate::clock;
 use crate::traffic::call::Call;
@@ -8,25 +8,16 @@
 impl Call {
     /// Adds this request to the demand for its model, whether or not it will be served.
     pub(super) fn record_demand(&self) {
-        let Some((spec, model)) = self.engine_model() else {
+        let (Some(service), Some((spec, model))) = (self.service(), self.engine_model()) else {
             return;
         };
         let prompt = self.metadata.size.map(|size| size.prompt as f64);
         let tokens = spec.tokens(prompt, self.expected_output_tokens());
         let group_time = spec.group_time(model, tokens);
+        let urgency = self.catalog.urgency(service, &self.route);
         let now = clock::now();
         let mut demand = self.state.demand();
-        demand.note(now, &model.model, group_time, tokens, self.urgency());
-    }
-
-    /// Returns the urgency of this request, which differs from that of others only where routes do.
-    fn urgency(&self) -> Urgency {
-        let is_unequal = |service| self.catalog.has_unequal_routes(service);
-        if self.service().is_some_and(is_unequal) {
-            Urgency::of_priority(self.priority())
-        } else {
-            Urgency::MOST
-        }
+        demand.note(now, &model.model, group_time, tokens, urgency);
     }
 
     /// Returns how many requests a group of the model can hold while each of them still starts in time.
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{Bytes, CustomerId, ModelId, ServiceId};
 
+use crate::demand::Urgency;
 use crate::number::CatalogVersion;
 use crate::step_model::{StepModel, TokenCounts};
 
@@ -353,10 +354,18 @@
         })
     }
 
-    /// Returns whether the routes to a service differ in priority.
+    /// Returns the urgency of a route's requests among those to a service. It differs only where the routes to the
+    /// service differ in priority.
+    ///
+    /// The priorities of customers don't count here: they order the requests for one model, but say nothing about
+    /// which model a route's callers need.
     #[must_use]
-    pub fn has_unequal_routes(&self, service: &ServiceId) -> bool {
-        self.unequal_services.contains(service)
+    pub fn urgency(&self, service: &ServiceId, route: &PathRoute) -> Urgency {
+        if self.unequal_services.contains(service) {
+            Urgency::of_priority(route.priority)
+        } else {
+            Urgency::MOST
+        }
     }
 
     /// Returns the number of routes.
--- a/crates/sesamecart-fleet/src/catalog/tests.rs
+++ b/crates/sesamecart-fleet/src/catalog/tests.rs
@@ -5,9 +5,13 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::Bytes;
 
-use super::{Catalog, Delivery, EngineSpec, Limits, PathRoute, RouteMatch, SpecProblem};
+use super::{
+    Catalog, Delivery, EngineSpec, Limits, PathRoute, RouteMatch, SpecProblem, WeightedService,
+};
+use crate::demand::Urgency;
 use crate::number::CatalogVersion;
 use crate::step_model::TokenCounts;
+use crate::testkit::service;
 
 fn route(name: &str, host: &str, prefix: &str) -> PathRoute {
     PathRoute {
@@ -25,20 +29,23 @@
     }
 }
 
-fn catalog() -> Catalog {
-    let limits = Limits {
+fn limits() -> Limits {
+    Limits {
         max_header_bytes: Bytes(16_384),
         max_body_bytes: Bytes(1_000),
         header_time: Duration::from_secs(3),
         idle_time: Duration::from_secs(15),
-    };
+    }
+}
+
+fn catalog() -> Catalog {
     let routes = [
         route("all", "one.example", "/"),
         route("pay", "one.example", "/pay/"),
         route("pay-card", "one.example", "/pay/card/"),
         route("other", "two.example", "/pay/"),
     ];
-    Catalog::new(CatalogVersion(1), routes, IndexMap::new(), None, limits)
+    Catalog::new(CatalogVersion(1), routes, IndexMap::new(), None, limits())
 }
 
 macro_rules! routes {
@@ -147,3 +154,35 @@
         spec.steps.as_mut().expect("step times are configured").mean = tokens(0.0, 0.0);
     } => [SpecProblem::MeanTokens];
 }
+
+fn route_to_service(name: &str, priority: u8) -> PathRoute {
+    PathRoute {
+        priority,
+        services: vec![WeightedService {
+            service: service(),
+            weight: 1,
+        }],
+        ..route(name, "one.example", "/")
+    }
+}
+
+macro_rules! urgencies {
+    ($($name:ident: $priorities:expr => $urgency:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let routes = $priorities.map(|priority| route_to_service("r", priority));
+                let last = routes[routes.len() - 1].clone();
+                let version = CatalogVersion(1);
+                let catalog = Catalog::new(version, routes, IndexMap::new(), None, limits());
+                assert_eq!(catalog.urgency(&service(), &last), $urgency);
+            }
+        )*
+    };
+}
+
+urgencies! {
+    routes_that_differ_have_the_urgency_of_their_priority: [0, 0, 2] => Urgency::of_priority(2);
+    the_most_urgent_of_routes_that_differ_is_most_urgent: [2, 0] => Urgency::MOST;
+    routes_of_one_priority_are_all_most_urgent: [2, 2] => Urgency::MOST;
+}
