--- a/crates/sesamecart-entry/src/traffic/demand.rs
+++ b/crates/sesamecart-entry/src/traffic/demand.rs
@@ -8,14 +8,15 @@
 impl Call {
     /// Adds this request to the demand for its model, whether or not it will be served.
     pub(super) fn record_demand(&self) {
-        let Some((spec, model)) = self.engine_model() else {
+        let (Some(service), Some((spec, model))) = (self.service(), self.engine_model()) else {
             return;
         };
         let tokens = self.tokens(spec);
         let group_time = spec.group_time(model, tokens);
+        let urgency = self.catalog.urgency(service, &self.route);
         let now = clock::now();
         let mut demand = self.state.demand();
-        demand.note(now, &model.model, group_time, tokens);
+        demand.note(now, &model.model, group_time, tokens, urgency);
     }
 
     /// Returns how many requests a group of the model can hold while each of them still starts in time.
--- a/crates/sesamecart-entry/src/traffic/dispatch.rs
+++ b/crates/sesamecart-entry/src/traffic/dispatch.rs
@@ -68,7 +68,7 @@
             request: self.metadata.id.clone(),
             fingerprint: self.fingerprint(),
             customer: self.customer.as_ref().map(|customer| customer.id.clone()),
-            urgency: self.priority(),
+            urgency: self.route.priority,
             tokens: self.expected_tokens()?,
             latency_target: self.route.latency_target.unwrap_or(time_left),
             arrived_at: self.arrived_at,
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{Bytes, CustomerId, ModelId, ServiceId};
 
+use crate::demand::Urgency;
 use crate::number::CatalogVersion;
 use crate::step_model::{StepModel, TokenCounts};
 
@@ -290,6 +291,8 @@
     /// The version of the configuration.
     pub version: CatalogVersion,
     routes: IndexMap<String, Vec<Arc<PathRoute>>>,
+    /// The services whose routes differ in priority.
+    unequal_services: IndexSet<ServiceId>,
     /// The services by ID.
     pub services: IndexMap<ServiceId, Service>,
     /// The customers by API key, or nothing if requests need no key at all.
@@ -318,7 +321,15 @@
         limits: Limits,
     ) -> Self {
         let mut by_host: IndexMap<String, Vec<Arc<PathRoute>>> = IndexMap::new();
+        let mut priorities: IndexMap<ServiceId, u8> = IndexMap::new();
+        let mut unequal_services = IndexSet::new();
         for route in routes {
+            for WeightedService { service, .. } in &route.services {
+                let known = *priorities.entry(service.clone()).or_insert(route.priority);
+                if known != route.priority {
+                    unequal_services.insert(service.clone());
+                }
+            }
             let host = route.host.clone();
             by_host.entry(host).or_default().push(Arc::new(route));
         }
@@ -328,6 +339,7 @@
         Self {
             version,
             routes: by_host,
+            unequal_services,
             services,
             customers,
             limits,
@@ -349,6 +361,20 @@
         self.routes.values().flatten()
     }
 
+    /// Returns the urgency of a route's requests among those to a service. It differs only where the routes to the
+    /// service differ in priority.
+    ///
+    /// The priorities of customers don't count here: they order the requests for one model, but say nothing about
+    /// which model a route's callers need.
+    #[must_use]
+    pub fn urgency(&self, service: &ServiceId, route: &PathRoute) -> Urgency {
+        if self.unequal_services.contains(service) {
+            Urgency::of_priority(route.priority)
+        } else {
+            Urgency::MOST
+        }
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
