Limit only customers whose callers surge

Only a customer that asks for more than twice its usual tokens, beyond what all others grow by and beyond chance, is limited, and none before usual rates are known.

--- a/crates/sesamecart-fleet/src/dispatch/shares.rs
+++ b/crates/sesamecart-fleet/src/dispatch/shares.rs
@@ -2,7 +2,9 @@
 //!
 //! The load is that of one customer whose callers send many times their usual tokens, so that requests of all
 //! customers are refused. While requests are refused, the tokens that the pool serves are divided by max-min
-//! fairness, weighted by what each customer usually gets: whoever asks for less than its part gets all of it.
+//! fairness, weighted by what each customer usually gets: whoever asks for less than its part gets all of it. Only
+//! customers that ask for more than twice their usual tokens are limited. A pool that has lost endpoints is short of
+//! room for all alike, and its slots would stay free if each customer left some to the others.
 
 use std::time::Duration;
 
@@ -17,6 +19,9 @@
 /// The time constant of the usual rate. It grows only while no request is refused.
 const USUAL_WINDOW: Duration = Duration::from_secs(20);
 
+/// The time from which on usual rates are known. Before it, a decaying rate is too low.
+const USUAL_WARMUP: Duration = Duration::from_secs(4);
+
 /// The time for which a refusal says that the pool is short.
 const SHORT_FOR: Duration = Duration::from_secs(1);
 
@@ -57,6 +62,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Shares {
     customers: IndexMap<Option<CustomerId>, Share>,
+    first_asked_at: Option<Timestamp>,
     refused_at: Option<Timestamp>,
     /// The served tokens per second and unit of weight from which a customer has its share.
     level: f64,
@@ -74,6 +80,7 @@
         customer: &Option<CustomerId>,
         tokens: f64,
     ) {
+        self.first_asked_at.get_or_insert(now);
         if !self.customers.contains_key(customer) {
             let share = Share {
                 asked: DecayingRate::new(RECENT_WINDOW),
@@ -129,13 +136,15 @@
         let Some(share) = self
             .customers
             .get(customer)
-            .filter(|_| self.customers.len() > 1)
+            .filter(|_| self.customers.len() > 1 && self.knows_usual(now))
         else {
             return false;
         };
         let requests_per_s = (self.weight(now, share) / mean_tokens.max(1.0)).max(1.0);
         let burst = CHANCE_DEVIATIONS * requests_per_s.sqrt() * mean_tokens;
-        self.debt(now, customer, share) > burst
+        let usual = self.growth_of_others(now, customer) * self.weight(now, share);
+        let is_surging = share.asked.per_s(now) > MAX_SURGE * usual + burst;
+        is_surging && self.debt(now, customer, share) > burst
     }
 
     /// Returns the tokens that the customer was served beyond its share.
@@ -158,6 +167,11 @@
         })
     }
 
+    fn knows_usual(&self, now: Timestamp) -> bool {
+        self.first_asked_at
+            .is_some_and(|at| now.since(at) >= USUAL_WARMUP)
+    }
+
     fn is_short(&self, now: Timestamp) -> bool {
         self.refused_at.is_some_and(|at| now.since(at) < SHORT_FOR)
     }
