Bound what slow callers take, and break streams whose reader ends early

The end of a stream is passed on explicitly. Only after a second without reading is the end of a stream the caller's, and never where the endpoint was found to have stopped.

Open: memory is counted without the overhead of each item, and a reader that was stopped for lack of memory waits for its own caller.

--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -56,6 +56,8 @@
     pub connections: Connections,
     /// The memory of the requests and responses that are being buffered.
     pub(crate) body_memory: BodyMemory,
+    /// The memory of the streams that are read ahead of their callers.
+    pub(crate) read_ahead_memory: BodyMemory,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) directory: ArcSwap<Directory>,
     pub(crate) nodes: ArcSwap<Vec<PeerNode>>,
@@ -117,6 +119,7 @@
             is_searching: AtomicBool::new(false),
             is_controller: AtomicBool::new(false),
             body_memory: BodyMemory::new(settings.memory_mb),
+            read_ahead_memory: BodyMemory::for_read_ahead(settings.memory_mb),
             settings,
             events,
             metrics,
--- a/crates/sesamecart-entry/src/traffic/body_memory.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory.rs
@@ -26,6 +26,9 @@
 /// connection and for its read buffers.
 const SHARED_FRACTION: f64 = 1.0 / 3.0;
 
+/// The memory for reading ahead as a part of that for all else.
+const READ_AHEAD_DIVISOR: usize = 4;
+
 const BYTES_PER_MB: f64 = 1_000_000.0;
 
 /// The maximum size of a response that is buffered completely before it is forwarded.
@@ -68,6 +71,16 @@
         }
     }
 
+    /// Creates the memory for streams that are read ahead of their callers. It is apart from that of other requests and
+    /// responses, which callers that don't read would otherwise take up.
+    pub(crate) fn for_read_ahead(memory_mb: Option<u64>) -> Self {
+        let all = Self::new(memory_mb);
+        Self {
+            shared_bytes: all.shared_bytes / READ_AHEAD_DIVISOR,
+            ..all
+        }
+    }
+
     /// Begins a request or response that takes no memory yet.
     pub(crate) fn begin(&self) -> Reservation {
         Reservation {
@@ -87,6 +100,11 @@
         taken.is_ok()
     }
 
+    #[cfg(test)]
+    pub(super) fn used(&self) -> usize {
+        self.used.load(Ordering::Acquire)
+    }
+
     fn put_back(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::AcqRel);
     }
--- a/crates/sesamecart-entry/src/traffic/read_ahead/tests.rs
+++ b/crates/sesamecart-entry/src/traffic/read_ahead/tests.rs
@@ -8,7 +8,7 @@
 use sesamecart_edges::BoxError;
 use sesamecart_runtime::{SharedExecutor, sleep};
 
-use super::{MAX_KEPT_BYTES, read_ahead};
+use super::{MAX_KEPT_BYTES, UNREAD_TIMEOUT, read_ahead};
 use crate::traffic::body_memory::BodyMemory;
 
 /// The memory of the smallest VM, in megabytes.
@@ -94,8 +94,52 @@
         let events = read_ahead(executor, source.events(100, 8_192), is_unread, memory);
         sleep(SETTLE_TIME).await;
         assert_eq!(source.read(), MAX_KEPT_BYTES / 8_192);
-        assert!(source.is_unread.load(Ordering::Acquire));
         assert_eq!(count(events).await, 100);
+        assert!(!source.is_unread.load(Ordering::Acquire));
+    });
+}
+
+/// Guards against an endpoint that is blamed for ending a stream that wasn't read.
+#[test]
+fn a_stream_that_was_not_read_for_long_is_marked() {
+    run(async |executor| {
+        let source = Source::new();
+        let memory = BodyMemory::new(Some(SMALL_VM_MB)).begin();
+        let is_unread = Arc::clone(&source.is_unread);
+        let events = read_ahead(executor, source.events(100, 8_192), is_unread, memory);
+        sleep(UNREAD_TIMEOUT + SETTLE_TIME).await;
+        assert_eq!(count(events).await, 100);
+        assert!(source.is_unread.load(Ordering::Acquire));
+    });
+}
+
+/// Guards against a stream that looks complete although its reader ended early.
+#[test]
+fn a_reader_that_ends_early_breaks_its_stream() {
+    run(async |executor| {
+        let memory = BodyMemory::new(Some(SMALL_VM_MB)).begin();
+        let broken = stream::iter([Ok(Bytes::from_static(b"x")), Err("broken".into())]);
+        let mut events = Box::pin(read_ahead(executor, broken, Arc::default(), memory));
+        assert!(matches!(events.next().await, Some(Ok(_))));
+        assert!(matches!(events.next().await, Some(Err(_))));
+        assert!(events.next().await.is_none());
+    });
+}
+
+/// Guards against memory that stays taken while the endpoint is silent.
+#[test]
+fn memory_is_given_back_as_the_caller_reads() {
+    run(async |executor| {
+        let source = Source::new();
+        let shared = BodyMemory::new(Some(SMALL_VM_MB));
+        let silent = source.events(6, 8_192).chain(stream::pending());
+        let mut events = Box::pin(read_ahead(executor, silent, Arc::default(), shared.begin()));
+        sleep(SETTLE_TIME).await;
+        assert!(shared.used() > 0);
+        for _ in 0..6 {
+            assert!(events.next().await.is_some());
+        }
+        assert_eq!(shared.used(), 0);
     });
 }
 
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -150,7 +150,7 @@
             }
         });
         if call.state.settings.memory_mb.is_some() {
-            let memory = call.state.body_memory.begin();
+            let memory = call.state.read_ahead_memory.begin();
             let events = read_ahead(call.client.executor(), events, is_unread, memory);
             return into_body(events);
         }
@@ -338,7 +338,8 @@
     ///
     /// Fails if the stream can't be resumed; the error ends the caller's response.
     async fn resume(&mut self, reason: &str, cause: BreakCause) -> Result<(), BoxError> {
-        if self.is_unread.load(Ordering::Acquire) && cause == BreakCause::ConnectionClosed {
+        let is_unread = self.is_unread.load(Ordering::Acquire) && reason != STOPPED;
+        if is_unread && cause == BreakCause::ConnectionClosed {
             return Err(self.fail("the caller didn't read it"));
         }
         self.record_run();
