--- a/crates/sesamecart-fleet/src/planner/assignment.rs
+++ b/crates/sesamecart-fleet/src/planner/assignment.rs
@@ -7,7 +7,6 @@
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_vocabulary::{FabricDomainId, FailureDomainId, ModelId};
 
-use super::domains::SHARE_TOLERANCE;
 use super::provisioning::expected_share;
 use crate::catalog::{EngineModel, EngineSpec};
 
@@ -47,12 +46,10 @@
 ///
 /// First, a model that the loss of one failure domain would remove entirely gets another domain, provided
 /// that this removes no other model. This step precedes the swaps because a model that stays reachable after
-/// a loss matters more than capacity. Then single domains change their model where that leaves more after a
-/// loss and no less without one. If the loss of a domain would still remove a model after the swaps, the
-/// first step is repeated, all assignments are tried if there are few, and the swaps are repeated.
+/// a loss matters more than capacity. If the loss of a domain would still remove a model after the swaps,
+/// the step is repeated, all assignments are tried if there are few, and the swaps are repeated.
 pub(super) fn spread_models<'a>(spec: &'a EngineSpec, placements: &mut [Placement<'a>]) {
     rescue_models(spec, placements);
-    reassign_domains(spec, placements);
     swap_models(spec, placements);
     if count_lost_models(spec, placements) > 0 {
         rescue_models(spec, placements);
@@ -131,35 +128,6 @@
     }
 }
 
-/// Reassigns single domains while that leaves the least-provisioned model with more after a loss.
-///
-/// Whole groups divide the engines unevenly, so two assignments can provision the least-provisioned model
-/// equally well, although in one of them it has few domains. Once one of these is lost, its callers are
-/// refused, and their retries keep its remaining groups overloaded after the domain is back.
-fn reassign_domains<'a>(spec: &'a EngineSpec, placements: &mut [Placement<'a>]) {
-    let mut counts = EngineCounts::of(spec, placements);
-    let required = counts.least_capacity() / SHARE_TOLERANCE;
-    let mut left = counts.least_capacity_after_loss();
-    loop {
-        let mut improved = false;
-        for index in 0..placements.len() {
-            for candidate in placements[index].candidates.clone() {
-                let previous = counts.assign(placements, index, candidate);
-                let left_now = counts.least_capacity_after_loss();
-                if left_now > left * SHARE_TOLERANCE && counts.least_capacity() >= required {
-                    left = left_now;
-                    improved = true;
-                } else {
-                    counts.assign(placements, index, previous);
-                }
-            }
-        }
-        if !improved {
-            return;
-        }
-    }
-}
-
 /// Counts the models that have at least one domain.
 fn count_served_models(spec: &EngineSpec, placements: &[Placement<'_>]) -> usize {
     let served = spec.models.iter().filter(|model| {
@@ -276,19 +244,6 @@
         model.engines.get_mut(index)
     }
 
-    /// Assigns a model to a placement and returns the previous one.
-    fn assign(
-        &mut self,
-        placements: &mut [Placement<'a>],
-        index: usize,
-        model: &'a EngineModel,
-    ) -> &'a EngineModel {
-        self.remove(&placements[index]);
-        let previous = std::mem::replace(&mut placements[index].model, model);
-        self.add(&placements[index]);
-        previous
-    }
-
     /// Swaps the models of two placements.
     fn swap(&mut self, placements: &mut [Placement<'a>], first: usize, second: usize) {
         self.remove(&placements[first]);
@@ -300,20 +255,6 @@
         self.add(&placements[second]);
     }
 
-    /// Returns the capacity of the least-provisioned model, relative to its expected share of the work.
-    fn least_capacity(&self) -> f64 {
-        let capacities = self.models.values().map(|model| {
-            let engines: usize = model.engines.iter().sum();
-            engines as f64 / model.expected_share
-        });
-        capacities.fold(f64::INFINITY, f64::min)
-    }
-
-    fn least_capacity_after_loss(&self) -> f64 {
-        let capacities = self.capacity_after_loss();
-        capacities.first().copied().unwrap_or(f64::INFINITY)
-    }
-
     fn capacity_after_loss(&self) -> Vec<f64> {
         let capacities = self.models.values().map(|model| {
             let total: usize = model.engines.iter().sum();
--- a/crates/sesamecart-fleet/src/planner/domains.rs
+++ b/crates/sesamecart-fleet/src/planner/domains.rs
@@ -15,7 +15,7 @@
 
 /// Models whose engines in groups, relative to their share of the work, are within this factor of the minimum
 /// count as equally underprovisioned.
-pub(super) const SHARE_TOLERANCE: f64 = 1.05;
+const SHARE_TOLERANCE: f64 = 1.05;
 
 impl Planner {
     /// Assigns a model to each fabric domain.
