--- a/crates/sesamecart-entry/src/backoffs.rs
+++ b/crates/sesamecart-entry/src/backoffs.rs
@@ -2,7 +2,7 @@
 //!
 //! The rules are in [`sesamecart_fleet::BackoffTracker`]; docs/design/endpoint-backoff.md describes them.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use indexmap::IndexSet;
 use sesamecart_fleet::{
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::events::Event;
 use crate::follower::millis;
+use crate::lock::lock;
 use crate::metrics::BackoffOutcome;
 use crate::state::EntryState;
 
@@ -26,10 +27,6 @@
     invalid: Mutex<IndexSet<EndpointId>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Backoffs {
     pub(crate) fn tracker(&self) -> MutexGuard<'_, BackoffTracker> {
         lock(&self.tracker)
--- a/crates/sesamecart-entry/src/dispatch.rs
+++ b/crates/sesamecart-entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 mod server;
 mod ticket;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use event_listener::Event as Notifier;
 
@@ -27,6 +27,7 @@
 use crate::dispatch::server::Dispatchers;
 pub(crate) use crate::dispatch::server::poll_dispatchers;
 pub(crate) use crate::dispatch::ticket::{AssignedEndpoint, AssignedTicket, HeldAttempt};
+use crate::lock::lock;
 
 /// What a node knows of dispatchers, shared by its threads.
 #[derive(Debug, Default)]
@@ -38,10 +39,6 @@
     dispatchers: Dispatchers,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Dispatch {
     fn outbox(&self) -> MutexGuard<'_, Outbox> {
         lock(&self.outbox)
--- a/crates/sesamecart-entry/src/dispatch/message.rs
+++ b/crates/sesamecart-entry/src/dispatch/message.rs
@@ -124,6 +124,7 @@
         is_complete: report.is_complete,
         held: held.collect(),
         ended: report.ended.iter().map(|ticket| ticket.0).collect(),
+        abandoned: report.abandoned.iter().map(|ticket| ticket.0).collect(),
     }
 }
 
@@ -151,6 +152,7 @@
         is_complete: report.is_complete,
         held,
         ended: report.ended.iter().copied().map(Ticket).collect(),
+        abandoned: report.abandoned.iter().copied().map(Ticket).collect(),
     };
     Ok((node, report))
 }
--- a/crates/sesamecart-entry/src/dispatch/message/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/message/tests.rs
@@ -146,6 +146,7 @@
         is_complete: true,
         held: vec![held(1, None), held(2, Some(Duration::ZERO))],
         ended: vec![Ticket(3)],
+        abandoned: vec![Ticket(4)],
     };
     let node = key(1).node;
     let message = encode_report(&part(), &node, &report);
--- a/crates/sesamecart-entry/src/dispatch/outbox.rs
+++ b/crates/sesamecart-entry/src/dispatch/outbox.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sesamecart_fleet::{HeldRequest, PoolPart, Ticket, TicketKey, TokenCounts, part_of};
+use sesamecart_fleet::{
+    AttemptEnd, HeldRequest, PoolPart, Ticket, TicketKey, TokenCounts, part_of,
+};
 use sesamecart_vocabulary::{EndpointId, ModelId, NodeId, ServiceId, Timestamp};
 
 #[cfg(test)]
@@ -34,7 +36,8 @@
 /// The attempts that have ended since the last report about a part.
 #[derive(Debug, Default)]
 struct Ended {
-    tickets: Vec<Ticket>,
+    finished: Vec<Ticket>,
+    abandoned: Vec<Ticket>,
     /// Those whose last state wasn't reported before. Dispatchers learn from it whether an endpoint is slow or fails.
     unreported: Vec<(Ticket, Held)>,
 }
@@ -47,6 +50,8 @@
     pub(crate) held: Vec<HeldRequest>,
     /// Those of `held` among them are over as well.
     pub(crate) ended: Vec<Ticket>,
+    /// Those whose callers have left.
+    pub(crate) abandoned: Vec<Ticket>,
 }
 
 /// The dispatcher of a part that got the last report.
@@ -103,13 +108,16 @@
     }
 
     /// Records the end of an attempt; `parts` is the number of parts of its pool.
-    pub(super) fn record_ended(&mut self, ticket: Ticket, parts: u32) {
+    pub(super) fn record_ended(&mut self, ticket: Ticket, parts: u32, end: AttemptEnd) {
         let Some(held) = self.held.swap_remove(&ticket) else {
             return;
         };
         let part = held.attempt.part(parts);
         let ended = self.ended.entry(part).or_default();
-        ended.tickets.push(ticket);
+        match end {
+            AttemptEnd::Finished => ended.finished.push(ticket),
+            AttemptEnd::Abandoned => ended.abandoned.push(ticket),
+        }
         if held.is_changed {
             ended.unreported.push((ticket, held));
         }
@@ -117,7 +125,7 @@
 
     /// Records that the ticket of a request that was offered to a part isn't used there.
     pub(super) fn record_unused(&mut self, part: PoolPart, ticket: Ticket) {
-        self.ended.entry(part).or_default().tickets.push(ticket);
+        self.ended.entry(part).or_default().finished.push(ticket);
     }
 
     /// Returns whether there is nothing that a dispatcher has to hear of.
@@ -165,7 +173,8 @@
         let report = Report {
             is_complete,
             held: held.chain(unreported).collect(),
-            ended: ended.tickets,
+            ended: ended.finished,
+            abandoned: ended.abandoned,
         };
         let receiver = Receiver {
             dispatcher: dispatcher.clone(),
--- a/crates/sesamecart-entry/src/dispatch/outbox/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/outbox/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sesamecart_fleet::{PoolPart, Ticket, TokenCounts};
+use sesamecart_fleet::{AttemptEnd, PoolPart, Ticket, TokenCounts};
 use sesamecart_vocabulary::{NodeId, Timestamp};
 
 use super::{Attempt, Outbox, REPORT_INTERVAL, Report};
@@ -96,7 +96,9 @@
     let mut fixture = Fixture::new();
     let _first = fixture.take(START, "d1");
     fixture.outbox.record_started(START + SOON, fixture.ticket);
-    fixture.outbox.record_ended(fixture.ticket, 1);
+    fixture
+        .outbox
+        .record_ended(fixture.ticket, 1, AttemptEnd::Finished);
     let report = fixture.take(START + SOON, "d1").expect("a report is due");
     assert_eq!(tickets(&report), [fixture.ticket]);
     assert_eq!(report.ended, [fixture.ticket]);
@@ -108,18 +110,35 @@
 #[test]
 fn an_attempt_that_fails_at_once_is_reported_although_it_has_ended() {
     let mut fixture = Fixture::new();
-    fixture.outbox.record_ended(fixture.ticket, 1);
+    fixture
+        .outbox
+        .record_ended(fixture.ticket, 1, AttemptEnd::Finished);
     let report = fixture.take(START + SOON, "d1").expect("a report is due");
     assert_eq!(tickets(&report), [fixture.ticket]);
     assert_eq!(report.held[0].started_after, None);
     assert_eq!(report.ended, [fixture.ticket]);
 }
 
+/// Guards against an endpoint that counts as failing because callers leave before its first event.
+#[test]
+fn an_attempt_whose_caller_has_left_is_reported_as_abandoned() {
+    let mut fixture = Fixture::new();
+    let _first = fixture.take(START, "d1");
+    fixture
+        .outbox
+        .record_ended(fixture.ticket, 1, AttemptEnd::Abandoned);
+    let report = fixture.take(START + SOON, "d1").expect("a report is due");
+    assert_eq!(report.abandoned, [fixture.ticket]);
+    assert!(report.ended.is_empty());
+}
+
 #[test]
 fn an_end_is_reported_once() {
     let mut fixture = Fixture::new();
     let _first = fixture.take(START, "d1");
-    fixture.outbox.record_ended(fixture.ticket, 1);
+    fixture
+        .outbox
+        .record_ended(fixture.ticket, 1, AttemptEnd::Finished);
     let report = fixture.take(START + SOON, "d1").expect("a report is due");
     assert_eq!((report.held.len(), report.ended), (0, vec![fixture.ticket]));
     assert_eq!(fixture.take(START + REPORT_INTERVAL * 2, "d1"), None);
@@ -188,6 +207,7 @@
     assert_eq!(report.ended, [unused]);
 }
 
+/// Guards against reports that pile up for a pool that is no longer dispatched.
 #[test]
 fn nothing_is_kept_for_parts_without_dispatcher() {
     let mut outbox = Outbox::default();
--- a/crates/sesamecart-entry/src/dispatch/pools.rs
+++ b/crates/sesamecart-entry/src/dispatch/pools.rs
@@ -11,7 +11,7 @@
 use sesamecart_vocabulary::{ModelId, ServiceId, Timestamp};
 
 use crate::clock;
-use crate::dispatch::lock;
+use crate::lock::lock;
 use crate::state::EntryState;
 
 /// How old the pools may get while the registry stays as it is: cold times end, and groups are suspected.
--- a/crates/sesamecart-entry/src/dispatch/server.rs
+++ b/crates/sesamecart-entry/src/dispatch/server.rs
@@ -7,14 +7,16 @@
 use event_listener::Event as Notifier;
 use futures_lite::future;
 use indexmap::IndexMap;
-use sesamecart_fleet::{DispatchDecision, DispatchRequest, Dispatcher, PoolPart, TicketKey};
+use sesamecart_fleet::{
+    AttemptEnd, DispatchDecision, DispatchRequest, Dispatcher, PoolPart, TicketKey,
+};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::{NodeId, Timestamp};
 
 use crate::clock;
-use crate::dispatch::lock;
 use crate::dispatch::outbox::Report;
 use crate::dispatch::pools::{DispatchPools, DispatchedPool, PoolPartView};
+use crate::lock::lock;
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -87,7 +89,8 @@
         for (key, decision) in self.dispatcher.poll(now) {
             let waiting = self.waiting.swap_remove(&key);
             if waiting.is_none_or(|waiting| waiting.try_send(decision).is_err()) {
-                self.dispatcher.record_ended(now, &key);
+                self.dispatcher
+                    .record_ended(now, &key, AttemptEnd::Abandoned);
             }
         }
         self.poll_at = self.dispatcher.next_poll(now);
@@ -163,9 +166,15 @@
             for held in report.held {
                 dispatcher.record_held(now, held);
             }
-            for ticket in report.ended {
+            let finished = report
+                .ended
+                .into_iter()
+                .map(|ticket| (ticket, AttemptEnd::Finished));
+            let abandoned = report.abandoned.into_iter();
+            let abandoned = abandoned.map(|ticket| (ticket, AttemptEnd::Abandoned));
+            for (ticket, end) in finished.chain(abandoned) {
                 let node = node.clone();
-                dispatcher.record_ended(now, &TicketKey { node, ticket });
+                dispatcher.record_ended(now, &TicketKey { node, ticket }, end);
             }
             dispatcher.record_report(now, node, report.is_complete);
             part.poll(now);
@@ -250,7 +259,8 @@
             part.waiting.swap_remove(&self.key);
             part.dispatcher.cancel(&self.key);
             // The decision may have been made but not been received.
-            part.dispatcher.record_ended(clock::now(), &self.key);
+            part.dispatcher
+                .record_ended(clock::now(), &self.key, AttemptEnd::Abandoned);
         }
     }
 }
--- a/crates/sesamecart-entry/src/dispatch/server/tests.rs
+++ b/crates/sesamecart-entry/src/dispatch/server/tests.rs
@@ -149,6 +149,7 @@
     assert!(future::block_on(future::poll_once(&mut waiting)).is_none());
     let report = Report {
         ended: vec![Ticket(1)],
+        abandoned: Vec::new(),
         ..Report::default()
     };
     assert!(state.apply_held_report(&part, &key(1).node, report));
@@ -173,6 +174,7 @@
             started_after: Some(Duration::from_millis(90)),
         }],
         ended: Vec::new(),
+        abandoned: Vec::new(),
     };
     assert!(state.apply_held_report(&part(), &key(7).node, report));
     assert_eq!(dispatch(&state, 1), None, "it has to wait");
--- a/crates/sesamecart-entry/src/dispatch/ticket.rs
+++ b/crates/sesamecart-entry/src/dispatch/ticket.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sesamecart_fleet::{Endpoint, PoolPart, Ticket, TokenCounts};
+use sesamecart_fleet::{AttemptEnd, Endpoint, PoolPart, Ticket, TokenCounts};
 use sesamecart_vocabulary::{EndpointId, ModelId, ServiceId};
 
 use crate::clock;
@@ -35,6 +35,7 @@
     service: ServiceId,
     model: ModelId,
     ticket: Ticket,
+    end: AttemptEnd,
 }
 
 impl AssignedTicket {
@@ -106,9 +107,15 @@
             service: service.clone(),
             model: model.clone(),
             ticket,
+            end: AttemptEnd::Finished,
         })
     }
 
+    /// Records that the caller has left, before the attempt is dropped.
+    pub(crate) const fn mark_abandoned(&mut self) {
+        self.end = AttemptEnd::Abandoned;
+    }
+
     /// Records that the first event has arrived.
     pub(crate) fn record_started(&self) {
         let now = clock::now();
@@ -128,7 +135,7 @@
         self.state
             .dispatch
             .outbox()
-            .record_ended(self.ticket, parts);
+            .record_ended(self.ticket, parts, self.end);
         self.state.dispatch.outbox_changed.notify(usize::MAX);
     }
 }
--- a/crates/sesamecart-entry/src/feed/referral.rs
+++ b/crates/sesamecart-entry/src/feed/referral.rs
@@ -4,6 +4,9 @@
 
 use sesamecart_links::{Code, MetadataMap, Status};
 
+#[cfg(test)]
+mod tests;
+
 /// The metadata key of the address at which the followed node accepts links.
 const REFERRAL_KEY: &str = "sesamecart-referral";
 
@@ -23,16 +26,3 @@
     let value = status.metadata().get(REFERRAL_KEY)?;
     value.to_str().ok()?.parse().ok()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::{referral_of, referral_status};
-
-    /// Guards against a referral that gets lost, or that is read from a status without one.
-    #[test]
-    fn a_referral_is_read_as_it_was_written() {
-        for referral in [None, Some(([10, 0, 0, 7], 7_000).into())] {
-            assert_eq!(referral_of(&referral_status(referral)), referral);
-        }
-    }
-}
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod group_prober;
 mod leaving;
 mod limits;
+mod lock;
 mod loss_reports;
 mod metrics;
 mod node;
--- a/crates/sesamecart-entry/src/limits.rs
+++ b/crates/sesamecart-entry/src/limits.rs
@@ -6,7 +6,7 @@
 mod client;
 mod message;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use indexmap::IndexSet;
 use serde::Serialize;
@@ -24,6 +24,7 @@
 pub(crate) use crate::limits::client::LimitClient;
 use crate::limits::message::{decode_limit, encode_limit};
 pub(crate) use crate::limits::message::{decode_report, decode_request, encode_permit};
+use crate::lock::lock;
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -39,10 +40,6 @@
     invalid: Mutex<IndexSet<EndpointId>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Limits {
     pub(crate) fn known(&self) -> MutexGuard<'_, KnownLimits> {
         lock(&self.known)
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-/// The number of files that a node needs at least: 300 for itself, and two for each of some requests.
+/// The number of files that a node needs at least, for itself and two for each of some requests.
 const MIN_FILES: usize = 512;
 
 /// The settings of one node, as read from its JSON file.
@@ -265,7 +265,7 @@
         }
         if self.max_files.is_some_and(|files| files < MIN_FILES) {
             let value = self.max_files.unwrap_or_default().to_string();
-            return error("max_files", value, "must be at least 512");
+            return error("max_files", value, "leaves no files for callers");
         }
         let addresses = [
             ("readiness", self.readiness, self.callers),
--- a/crates/sesamecart-entry/src/settings/tests.rs
+++ b/crates/sesamecart-entry/src/settings/tests.rs
@@ -1,4 +1,4 @@
-//! Tests the address at which a node accepts requests that other nodes forward.
+//! Tests which settings are accepted, and the address at which a node accepts requests that other nodes forward.
 
 use std::path::Path;
 
@@ -24,6 +24,28 @@
     settings
 }
 
+macro_rules! rejected_settings {
+    ($($name:ident: $field:literal = $value:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut settings = settings(7_340, 7_355, &Value::Null);
+                settings[$field] = $value;
+                let parsed = EntrySettings::parse(Path::new("settings.json"), &settings.to_string());
+                let error = parsed.expect_err("the value is rejected").to_string();
+                assert!(error.contains($field), "{error}");
+            }
+        )*
+    };
+}
+
+rejected_settings! {
+    no_memory_at_all_is_rejected: "memory_mb" = json!(0);
+    a_memory_that_is_no_number_is_rejected: "memory_mb" = json!("much");
+    too_few_files_for_callers_are_rejected: "max_files" = json!(300);
+    an_unknown_way_to_dispatch_is_rejected: "dispatch" = json!("sometimes");
+}
+
 macro_rules! forwarding_addresses {
     ($($name:ident: $metrics:expr, $links:expr, $forwarding:expr => $address:expr;)*) => {
         $(
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -24,6 +24,7 @@
 use crate::feed::Feed;
 use crate::leaving::LeavingGroups;
 use crate::limits::Limits;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::reach::Reach;
 use crate::settings::EntrySettings;
@@ -102,10 +103,6 @@
     pub(crate) leaving_groups: LeavingGroups,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl EntryState {
     /// Creates the state of a node that has read nothing yet.
     #[must_use]
--- a/crates/sesamecart-entry/src/state/budgets.rs
+++ b/crates/sesamecart-entry/src/state/budgets.rs
@@ -11,8 +11,9 @@
     CustomerId, EndpointId, NodeId, ServiceId, Timestamp, rendezvous_weight,
 };
 
-use super::{EntryState, lock};
+use super::EntryState;
 use crate::clock;
+use crate::lock::lock;
 
 /// Fair shares and retry schedule of the requests that compete for the same endpoints.
 #[derive(Debug, Default)]
--- a/crates/sesamecart-entry/src/state/group_signals.rs
+++ b/crates/sesamecart-entry/src/state/group_signals.rs
@@ -7,7 +7,8 @@
 use sesamecart_vocabulary::{EndpointId, Timestamp};
 
 use crate::clock;
-use crate::state::{EntryState, lock};
+use crate::lock::lock;
+use crate::state::EntryState;
 
 /// How long a group stays marked as lost. By then its head has given up and reports this itself.
 const LOST_GROUP_TTL: Duration = Duration::from_secs(6);
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -24,6 +24,8 @@
 mod response;
 mod stream_start;
 mod suspicion;
+#[cfg(test)]
+mod tests;
 mod timeout;
 
 use std::net::TcpListener;
--- a/crates/sesamecart-entry/src/traffic/in_flight.rs
+++ b/crates/sesamecart-entry/src/traffic/in_flight.rs
@@ -214,6 +214,11 @@
             .loads()
             .record_end(&self.endpoint.id, self.started_at.is_some());
         self.state.loads_changed.notify(usize::MAX);
+        if !self.has_ended
+            && let Some(held) = &mut self.held
+        {
+            held.mark_abandoned();
+        }
         if self.has_ended || self.is_alternative {
             return;
         }
--- a/crates/sesamecart-entry/src/traffic/read_ahead.rs
+++ b/crates/sesamecart-entry/src/traffic/read_ahead.rs
@@ -4,7 +4,7 @@
 //! for a silent endpoint. So the events are read by a task of their own and kept for the caller, within bounds.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -15,6 +15,7 @@
 use sesamecart_edges::BoxError;
 use sesamecart_runtime::SharedExecutor;
 
+use crate::lock::lock;
 use crate::traffic::body_memory::Reservation;
 
 #[cfg(test)]
@@ -98,7 +99,7 @@
 
     /// Adapts the reserved memory to what is kept. Returns whether more may be read.
     fn reserve(&self) -> bool {
-        let mut memory = self.memory.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut memory = lock(&self.memory);
         let bytes = self.bytes.load(Ordering::Acquire);
         memory.resize(bytes) && bytes < MAX_KEPT_BYTES
     }
--- a/crates/sesamecart-entry/src/traffic/refusal.rs
+++ b/crates/sesamecart-entry/src/traffic/refusal.rs
@@ -6,7 +6,7 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
 use sesamecart_edges::{CallerBody, whole};
-use sesamecart_fleet::{DispatchRefusal, RefusalCause, SuspectKind, Unavailable};
+use sesamecart_fleet::{DispatchRefusal, SuspectKind, Unavailable};
 use sesamecart_platform::retry_after;
 use sesamecart_vocabulary::Fingerprint;
 
@@ -121,16 +121,11 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
             Self::Relayed(refusal) => refusal.status,
-            Self::Unavailable(Unavailable::OverShare)
-            | Self::Dispatched(DispatchRefusal {
-                cause: RefusalCause::OverShare,
-                ..
-            }) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady(_)
-            | Self::Unavailable(_)
-            | Self::Dispatched(_)
-            | Self::NotRun(_)
-            | Self::Crashing(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Dispatched(refusal) => Self::Unavailable(refusal.cause.unavailable()).status(),
+            Self::Unavailable(Unavailable::OverShare) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady(_) | Self::Unavailable(_) | Self::NotRun(_) | Self::Crashing(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::IncompleteResponse(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/sesamecart-entry/tests/end_to_end/dispatch.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/dispatch.rs
@@ -114,7 +114,7 @@
     deployment.shut_down();
 }
 
-/// Starts a deployment whose dispatcher is a machine that accepts connections and answers nothing.
+/// Starts a deployment whose dispatcher is a VM that accepts connections and answers nothing.
 fn start_with_silent_dispatcher() -> (Deployment, TcpListener) {
     let silent = TcpListener::bind("127.0.0.1:0").expect("it listens");
     let address = silent.local_addr().expect("it has an address");
@@ -135,7 +135,7 @@
     (deployment, silent)
 }
 
-/// The dispatcher's machine is suspended: connections to it open, and nothing is answered. Without a time limit,
+/// The dispatcher's VM is suspended: connections to it open, and nothing is answered. Without a time limit,
 /// callers would wait until their deadline.
 #[test]
 fn a_silent_dispatcher_delays_callers_for_a_moment_only() {
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -13,6 +13,7 @@
 mod kept_connection;
 mod leaving_endpoints;
 mod many_nodes;
+mod memory;
 mod overload;
 mod setup;
 mod silent_endpoints;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -275,6 +275,15 @@
         })
     }
 
+    /// Starts another node on a VM with `memory_mb` megabytes.
+    pub(crate) fn add_node_with_memory(&self, node: &str, memory_mb: u64) -> Entry {
+        let settings = settings(node, self.store.address());
+        self.add(EntrySettings {
+            memory_mb: Some(memory_mb),
+            ..settings
+        })
+    }
+
     fn add(&self, settings: EntrySettings) -> Entry {
         let entry = Entry::start(settings).expect("the node starts");
         self.wait_until("the other node is ready", || {
--- a/crates/sesamecart-fleet/src/catalog.rs
+++ b/crates/sesamecart-fleet/src/catalog.rs
@@ -356,9 +356,10 @@
         })
     }
 
-    /// Returns all routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<PathRoute>> {
-        self.routes.values().flatten()
+    /// Returns whether the routes to a service differ in priority.
+    #[must_use]
+    pub fn has_unequal_routes(&self, service: &ServiceId) -> bool {
+        self.unequal_services.contains(service)
     }
 
     /// Returns the urgency of a route's requests among those to a service. It differs only where the routes to the
@@ -368,7 +369,7 @@
     /// which model a route's callers need.
     #[must_use]
     pub fn urgency(&self, service: &ServiceId, route: &PathRoute) -> Urgency {
-        if self.unequal_services.contains(service) {
+        if self.has_unequal_routes(service) {
             Urgency::of_priority(route.priority)
         } else {
             Urgency::MOST
--- a/crates/sesamecart-fleet/src/dispatch.rs
+++ b/crates/sesamecart-fleet/src/dispatch.rs
@@ -26,8 +26,8 @@
 pub use applicability::{DispatchSetting, uses_dispatchers};
 pub use dispatcher::Dispatcher;
 pub use message::{
-    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest, PoolHead,
-    PoolSpec, RefusalCause, Ticket, TicketKey,
+    Assignment, AttemptEnd, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest,
+    PoolHead, PoolSpec, RefusalCause, Ticket, TicketKey,
 };
 pub use order::dispatch_order;
 pub use part::{PoolPart, choose_parts, part_count, part_of};
--- a/crates/sesamecart-fleet/src/dispatch/applicability.rs
+++ b/crates/sesamecart-fleet/src/dispatch/applicability.rs
@@ -41,7 +41,7 @@
     match setting {
         Some(DispatchSetting::Always) => true,
         Some(DispatchSetting::Never) => false,
-        None => has_unequal_routes(catalog, service) || nodes.iter().any(is_small),
+        None => catalog.has_unequal_routes(service) || nodes.iter().any(is_small),
     }
 }
 
@@ -50,17 +50,6 @@
     steps.is_some_and(|steps| steps.is_usable())
 }
 
-/// Returns whether the routes to a service differ in priority.
-fn has_unequal_routes(catalog: &Catalog, service: &ServiceId) -> bool {
-    let routes = catalog.routes().filter(|route| {
-        let mut services = route.services.iter();
-        services.any(|part| part.service == *service)
-    });
-    let mut priorities = routes.map(|route| route.priority);
-    let first = priorities.next();
-    priorities.any(|priority| Some(priority) != first)
-}
-
 fn is_small(node: &PeerNode) -> bool {
     node.memory_mb.is_some_and(|mb| mb < SMALL_NODE_MB)
 }
--- a/crates/sesamecart-fleet/src/dispatch/applicability/tests.rs
+++ b/crates/sesamecart-fleet/src/dispatch/applicability/tests.rs
@@ -124,11 +124,7 @@
     let catalog = catalog(Some(steps(6.0)), &[5]);
     let mut other = route("other", 0);
     other.services[0].service = "app".parse().expect("a valid service");
-    let mut routes: Vec<PathRoute> = catalog
-        .routes()
-        .map(|route| PathRoute::clone(route))
-        .collect();
-    routes.push(other);
+    let routes = [route("equal", 5), other];
     let Catalog {
         version,
         services,
--- a/crates/sesamecart-fleet/src/dispatch/attempts.rs
+++ b/crates/sesamecart-fleet/src/dispatch/attempts.rs
@@ -6,7 +6,7 @@
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
 use super::heads::{Attempt, Head};
-use super::message::{DispatchRequest, HeldRequest, PoolHead, PoolSpec, TicketKey};
+use super::message::{AttemptEnd, DispatchRequest, HeldRequest, PoolHead, PoolSpec, TicketKey};
 use super::prediction::StartOverhead;
 use crate::step_model::TokenCounts;
 
@@ -122,13 +122,19 @@
     }
 
     /// Records the end of an attempt.
-    pub(super) fn record_ended(&mut self, now: Timestamp, spec: &PoolSpec, key: &TicketKey) {
+    pub(super) fn record_ended(
+        &mut self,
+        now: Timestamp,
+        spec: &PoolSpec,
+        key: &TicketKey,
+        end: AttemptEnd,
+    ) {
         let Some(endpoint) = self.endpoints.swap_remove(key) else {
             return;
         };
         self.advance_one(now, spec, &endpoint);
         if let Some(head) = self.heads.get_mut(&endpoint) {
-            head.record_end(now, key, self.overhead);
+            head.record_end(now, key, end, self.overhead);
         }
     }
 
--- a/crates/sesamecart-fleet/src/dispatch/classes.rs
+++ b/crates/sesamecart-fleet/src/dispatch/classes.rs
@@ -17,8 +17,8 @@
 /// The time constant over which served requests are compared.
 const SERVICE_WINDOW: Duration = Duration::from_secs(4);
 
-/// The fraction of the mean service below which a class is served like the most urgent one. Callers get an offer on
-/// a class at least a quarter as often as on the mean.
+/// The fraction of the mean service below which a class is served like the most urgent one. No class may fall below a
+/// quarter of the mean.
 const MIN_SERVICE_FRACTION: f64 = 0.4;
 
 /// The number of recent requests from which the service of a class can be told.
--- a/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
+++ b/crates/sesamecart-fleet/src/dispatch/dispatcher.rs
@@ -6,16 +6,17 @@
 use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
 use super::attempts::Attempts;
-use super::classes::Classes;
-use super::heads::{Head, from_millis, to_millis};
+use super::classes::{Class, Classes};
+use super::heads::Head;
 use super::message::{
-    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest, PoolHead,
-    PoolSpec, RefusalCause, TicketKey,
+    Assignment, AttemptEnd, DispatchDecision, DispatchRefusal, DispatchRequest, HeldRequest,
+    PoolHead, PoolSpec, RefusalCause, TicketKey,
 };
 use super::placement::{Pool, Search, StartLimits};
 use super::queue::{Offer, Queue, Rank};
 use super::returns::{Returns, Standing};
 use super::shares::Shares;
+use crate::millis::{from_millis, to_millis};
 
 /// How often waiting requests are looked at.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -35,6 +36,24 @@
 /// The scale of served tokens per weight in the order of waiting requests.
 const SERVED_SCALE: f64 = 1_000.0;
 
+/// The times to the first event that hold for a class of requests, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct StartTimes {
+    /// That of a mean request at an idle endpoint.
+    idle_ms: f64,
+    /// The promised one.
+    target_ms: f64,
+    /// The promised one of the requests that must find room after it.
+    shared_ms: f64,
+}
+
+impl StartTimes {
+    /// Returns whether a request that has waited for so long can't start in time any more.
+    fn are_missed_after(self, waited: Duration) -> bool {
+        self.target_ms - to_millis(waited) < self.idle_ms
+    }
+}
+
 /// The dispatcher of one pool.
 ///
 /// docs/design/dispatch.md has the rules of admission.
@@ -162,8 +181,8 @@
     }
 
     /// Records that an attempt has ended.
-    pub fn record_ended(&mut self, now: Timestamp, key: &TicketKey) {
-        self.attempts.record_ended(now, &self.spec, key);
+    pub fn record_ended(&mut self, now: Timestamp, key: &TicketKey, end: AttemptEnd) {
+        self.attempts.record_ended(now, &self.spec, key, end);
     }
 
     /// Records that a report of a node arrived. `is_complete` is whether it named all of the node's attempts:
@@ -260,18 +279,27 @@
         self.pool(now).search(self.attempts.heads(), &req, limits)
     }
 
-    /// Returns the limits of a request's start.
+    /// Returns the times to the first event that hold for a class of requests.
     ///
     /// A target that not even an idle endpoint can hold is replaced by the time in which one starts a request behind
-    /// another. A request that is late when it is offered is treated like a new one, but yields to those in time.
-    fn limits(&self, now: Timestamp, offer: &Offer) -> StartLimits {
+    /// another.
+    fn start_times(&self, now: Timestamp, class: Class) -> StartTimes {
         let pool = self.pool(now);
-        let class = offer.class();
         let idle_ms = pool.idle_start_ms(self.attempts.heads());
         let reachable_ms = idle_ms + pool.mean_prompt_ms(0);
-        let target_ms = to_millis(class.target).max(reachable_ms);
-        let shared_ms = to_millis(self.classes.shared_target(now, class)).max(reachable_ms);
-        let is_late = self.is_late(now, offer);
+        StartTimes {
+            idle_ms,
+            target_ms: to_millis(class.target).max(reachable_ms),
+            shared_ms: to_millis(self.classes.shared_target(now, class)).max(reachable_ms),
+        }
+    }
+
+    /// Returns the limits of a request's start. A request that is late when it is offered is treated like a new one,
+    /// but yields to those in time.
+    fn limits(&self, now: Timestamp, offer: &Offer) -> StartLimits {
+        let class = offer.class();
+        let times = self.start_times(now, class);
+        let is_late = times.are_missed_after(offer.req.waited);
         let waited = if is_late {
             Duration::ZERO
         } else {
@@ -284,8 +312,8 @@
         let yields = [precedence.is_ahead, is_late, is_early, is_over_share];
         let yields = yields.into_iter().filter(|yields| *yields).count();
         StartLimits {
-            own_ms: target_ms - waited_ms,
-            shared_ms,
+            own_ms: times.target_ms - waited_ms,
+            shared_ms: times.shared_ms,
             reserved: usize::from(precedence.urgencies_before) + yields,
             reserved_slots: if is_over_share {
                 OVER_SHARE_RESERVE
@@ -295,16 +323,6 @@
         }
     }
 
-    /// Returns whether a request was already late when it was offered. One that serves in time goes before it, since
-    /// the room that it takes would make another one late as well.
-    fn is_late(&self, now: Timestamp, offer: &Offer) -> bool {
-        let pool = self.pool(now);
-        let idle_ms = pool.idle_start_ms(self.attempts.heads());
-        let reachable_ms = idle_ms + pool.mean_prompt_ms(0);
-        let target_ms = to_millis(offer.class().target).max(reachable_ms);
-        target_ms - to_millis(offer.req.waited) < idle_ms
-    }
-
     fn is_over_share(&self, now: Timestamp, offer: &Offer) -> bool {
         let mean = self.spec.steps.mean;
         self.shares
@@ -316,7 +334,9 @@
         Rank {
             precedence: self.classes.precedence(now, offer.class()),
             is_over_share: self.is_over_share(now, offer),
-            is_late: self.is_late(now, offer),
+            is_late: self
+                .start_times(now, offer.class())
+                .are_missed_after(offer.req.waited),
             standing: offer.standing,
             served_tokens: (served * SERVED_SCALE) as u64,
             late_at: offer.offered_at + offer.req.latency_target - offer.req.waited,
--- a/crates/sesamecart-fleet/src/dispatch/heads.rs
+++ b/crates/sesamecart-fleet/src/dispatch/heads.rs
@@ -7,9 +7,10 @@
 use sesamecart_vocabulary::Timestamp;
 
 use super::cold::RecentSends;
-use super::message::{PoolHead, PoolSpec, TicketKey};
+use super::message::{AttemptEnd, PoolHead, PoolSpec, TicketKey};
 use super::prediction::StartOverhead;
 use super::slowness::{Slowness, overdue_factor};
+use crate::millis::to_millis;
 use crate::step_model::TokenCounts;
 
 /// The time in which a node has to report that it holds an assigned request.
@@ -137,7 +138,13 @@
     }
 
     /// Records the end of an attempt.
-    pub(super) fn record_end(&mut self, now: Timestamp, key: &TicketKey, overhead: StartOverhead) {
+    pub(super) fn record_end(
+        &mut self,
+        now: Timestamp,
+        key: &TicketKey,
+        end: AttemptEnd,
+        overhead: StartOverhead,
+    ) {
         let Some(attempt) = self.remove(key) else {
             return;
         };
@@ -145,7 +152,7 @@
             let age_ms = millis_since(now, attempt.sent_at);
             let predicted_ms = attempt.modelled_ms + overhead.base_ms();
             self.slowness
-                .record_end_without_start(now, age_ms, predicted_ms);
+                .record_end_without_start(now, end, age_ms, predicted_ms);
         }
     }
 
@@ -232,12 +239,3 @@
 pub(super) fn millis_since(now: Timestamp, earlier: Timestamp) -> f64 {
     to_millis(now.since(earlier))
 }
-
-pub(super) fn to_millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
-
-/// Returns a duration from milliseconds; negative ones are zero.
-pub(super) fn from_millis(millis: f64) -> Duration {
-    Duration::try_from_secs_f64(millis.max(0.0) / 1_000.0).unwrap_or(Duration::MAX)
-}
--- a/crates/sesamecart-fleet/src/dispatch/message.rs
+++ b/crates/sesamecart-fleet/src/dispatch/message.rs
@@ -5,6 +5,7 @@
 use sesamecart_vocabulary::{CustomerId, EndpointId, FailureDomainId, Fingerprint, NodeId};
 
 use crate::catalog::{EngineModel, EngineSpec};
+use crate::loads::Unavailable;
 use crate::step_model::{StepModel, TokenCounts};
 
 /// Identifies an attempt among those of its node.
@@ -93,18 +94,28 @@
 
 /// Why a dispatcher refuses a request.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[display("{}", self.unavailable())]
 pub enum RefusalCause {
     /// The pool has no endpoint that may take it.
-    #[display("no endpoint is there")]
     NoEndpoint,
     /// It can't be served in time.
-    #[display("all endpoints are full")]
     Full,
     /// Its customer has used its share of the pool.
-    #[display("the customer has its share of the endpoints")]
     OverShare,
 }
 
+impl RefusalCause {
+    /// Returns the reason why no endpoint takes the request.
+    #[must_use]
+    pub const fn unavailable(self) -> Unavailable {
+        match self {
+            Self::NoEndpoint => Unavailable::NoEndpoint,
+            Self::Full => Unavailable::Full,
+            Self::OverShare => Unavailable::OverShare,
+        }
+    }
+}
+
 /// A refusal, with the time after which the caller may return.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DispatchRefusal {
@@ -125,6 +136,15 @@
     Refuse(DispatchRefusal),
 }
 
+/// How an attempt has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// It has a result.
+    Finished,
+    /// Its caller has left, which says nothing about the endpoint.
+    Abandoned,
+}
+
 /// An attempt that a node has at an endpoint, as the node reports it.
 ///
 /// A dispatcher learns of attempts that it hasn't assigned: those of its predecessor, and those that nodes made
--- a/crates/sesamecart-fleet/src/dispatch/order.rs
+++ b/crates/sesamecart-fleet/src/dispatch/order.rs
@@ -1,7 +1,5 @@
 //! The order of the nodes in which they dispatch a part of a pool.
 
-use std::cmp::Reverse;
-
 use indexmap::IndexSet;
 use sesamecart_vocabulary::{NodeId, rendezvous_weight};
 
@@ -20,38 +18,13 @@
     let readers: IndexSet<&NodeId> = readers(nodes).into_iter().map(|peer| &peer.node).collect();
     let name = part.to_string();
     let mut order: Vec<&PeerNode> = nodes.iter().collect();
-    order.sort_by_cached_key(|peer| {
-        let weight = rendezvous_weight(&name, peer.node.as_str());
-        let reads_store = readers.contains(&peer.node);
-        (
-            Reverse(Share(peer.processor_share)),
-            reads_store,
-            Reverse(weight),
-        )
+    order.sort_by(|a, b| {
+        let reads_store = |peer: &PeerNode| readers.contains(&peer.node);
+        let weight = |peer: &PeerNode| rendezvous_weight(&name, peer.node.as_str());
+        let by_share = b.processor_share.total_cmp(&a.processor_share);
+        by_share
+            .then_with(|| reads_store(a).cmp(&reads_store(b)))
+            .then_with(|| weight(b).cmp(&weight(a)))
     });
     order
 }
-
-/// A processor share with the total order of its value.
-#[derive(Clone, Copy, Debug)]
-struct Share(f64);
-
-impl Ord for Share {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
-impl PartialOrd for Share {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Share {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Share {}
--- a/crates/sesamecart-fleet/src/dispatch/placement.rs
+++ b/crates/sesamecart-fleet/src/dispatch/placement.rs
@@ -5,9 +5,10 @@
 use indexmap::IndexMap;
 use sesamecart_vocabulary::{EndpointId, Timestamp};
 
-use super::heads::{Head, from_millis, to_millis};
+use super::heads::Head;
 use super::message::{DispatchRequest, PoolSpec};
 use super::prediction::StartOverhead;
+use crate::millis::{from_millis, to_millis};
 
 /// The difference in predicted starts that is less than what a step or the way of a message takes. Within it, an
 /// endpoint in the request's failure domain is preferred, because bytes between failure domains are dear.
--- a/crates/sesamecart-fleet/src/dispatch/slowness.rs
+++ b/crates/sesamecart-fleet/src/dispatch/slowness.rs
@@ -7,6 +7,8 @@
 
 use sesamecart_vocabulary::Timestamp;
 
+use super::message::AttemptEnd;
+
 /// The weight of a new start in the factor.
 const LEARNING_RATE: f64 = 0.4;
 
@@ -48,17 +50,20 @@
         self.record(now, observed_ms / predicted_ms.max(1.0));
     }
 
-    /// Records a request that ended without a start. One that ended before its start was due is a failure; a later
+    /// Records a request that ended without a start. One that finished before its start was due is a failure; a later
     /// end says at least how late it was.
     pub(super) fn record_end_without_start(
         &mut self,
         now: Timestamp,
+        end: AttemptEnd,
         age_ms: f64,
         predicted_ms: f64,
     ) {
         let overdue = overdue_factor(age_ms, predicted_ms);
         if age_ms < predicted_ms {
-            self.record(now, FAILURE_FACTOR);
+            if end == AttemptEnd::Finished {
+                self.record(now, FAILURE_FACTOR);
+            }
         } else if overdue > SLOW_FACTOR {
             self.record(now, overdue);
         }
--- a/crates/sesamecart-fleet/src/dispatch/tests/admission.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/admission.rs
@@ -39,6 +39,7 @@
     assert_eq!(assignment.endpoint, endpoint(1));
 }
 
+/// Guards against an endpoint that the node knows to leave or to fail.
 #[test]
 fn excluded_endpoints_are_never_chosen() {
     let mut dispatcher = dispatcher((0..2).map(head));
@@ -80,6 +81,7 @@
     );
 }
 
+/// Guards against an endpoint that crashes because the requests of all nodes exceed its memory.
 #[test]
 fn group_never_holds_more_tokens_than_its_memory() {
     let spec = PoolSpec {
@@ -110,6 +112,7 @@
     ));
 }
 
+/// Guards against work that no caller gets.
 #[test]
 fn request_that_its_deadline_would_cut_is_refused_at_once() {
     let mut dispatcher = dispatcher([head(0)]);
--- a/crates/sesamecart-fleet/src/dispatch/tests/endpoints.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/endpoints.rs
@@ -98,7 +98,7 @@
     assert!(in_time >= 0.95, "{in_time}");
 }
 
-/// Guards against a zone that comes back cold and fails again under the load of all nodes.
+/// Guards against a failure domain that comes back cold and fails again under the load of all nodes.
 #[test]
 fn cold_endpoints_get_their_allowance_and_no_more() {
     const COLD_PER_S: f64 = 17.0;
--- a/crates/sesamecart-fleet/src/dispatch/tests/load.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/load.rs
@@ -11,7 +11,7 @@
 
 use super::{endpoint, held, key, ms, pool_spec, request, tokens};
 use crate::dispatch::{
-    DispatchDecision, DispatchRequest, Dispatcher, HeldRequest, PoolHead, TicketKey,
+    AttemptEnd, DispatchDecision, DispatchRequest, Dispatcher, HeldRequest, PoolHead, TicketKey,
 };
 use crate::step_model::TokenCounts;
 
@@ -358,7 +358,9 @@
         for told in std::mem::take(&mut self.reports[node]) {
             match told {
                 Told::Held(held) => self.dispatcher.record_held(now, held),
-                Told::Ended(key) => self.dispatcher.record_ended(now, &key),
+                Told::Ended(key) => self
+                    .dispatcher
+                    .record_ended(now, &key, AttemptEnd::Finished),
             }
         }
     }
--- a/crates/sesamecart-fleet/src/dispatch/tests/overload.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/overload.rs
@@ -166,6 +166,7 @@
     play.asked(6_000, 14_000).cloned().collect()
 }
 
+/// Guards against one customer that takes the room of all others.
 #[test]
 fn customer_with_ten_times_its_tokens_costs_the_others_nothing() {
     for seed in SEEDS {
--- a/crates/sesamecart-fleet/src/dispatch/tests/records.rs
+++ b/crates/sesamecart-fleet/src/dispatch/tests/records.rs
@@ -1,8 +1,10 @@
 //! What nodes report, and what they leave unreported.
 
+use std::time::Duration;
+
 use super::{at, endpoint, head, held, key, ms, pool_spec, request};
 use crate::catalog::{EngineModel, EngineSpec};
-use crate::dispatch::{DispatchDecision, Dispatcher, HeldRequest, PoolHead, PoolSpec};
+use crate::dispatch::{AttemptEnd, DispatchDecision, Dispatcher, HeldRequest, PoolHead, PoolSpec};
 
 /// Returns a dispatcher with one endpoint that has one slot, which is taken by ticket 0 of node 0.
 fn full() -> Dispatcher {
@@ -33,10 +35,11 @@
 fn ended_attempt_frees_its_place() {
     let mut dispatcher = full();
     assert!(!is_free(&mut dispatcher, 1));
-    dispatcher.record_ended(at(2), &key(0, 0));
+    dispatcher.record_ended(at(2), &key(0, 0), AttemptEnd::Finished);
     assert!(is_free(&mut dispatcher, 3));
 }
 
+/// Guards against a successor that fills endpoints twice because it knows nothing of earlier attempts.
 #[test]
 fn attempt_that_another_dispatcher_assigned_takes_its_place() {
     let mut dispatcher = Dispatcher::new(pool_spec());
@@ -56,10 +59,33 @@
         dispatcher.record_held(at(0), report);
     }
     assert!(!is_free(&mut dispatcher, 1));
-    dispatcher.record_ended(at(2), &key(1, 7));
+    dispatcher.record_ended(at(2), &key(1, 7), AttemptEnd::Finished);
     assert!(is_free(&mut dispatcher, 3));
 }
 
+fn predicted_start(dispatcher: &mut Dispatcher) -> Option<Duration> {
+    match dispatcher.offer(at(3), request(1)) {
+        DispatchDecision::Send(assignment) => Some(assignment.predicted_start),
+        DispatchDecision::Wait | DispatchDecision::Refuse(_) => None,
+    }
+}
+
+/// Guards against an endpoint that gets fewer requests because callers leave before its first event.
+#[test]
+fn callers_that_leave_do_not_make_an_endpoint_slow() {
+    let mut unused = Dispatcher::new(pool_spec());
+    unused.set_heads(at(0), [head(0)]);
+    let usual = predicted_start(&mut unused);
+    let predicted_after = |end| {
+        let mut dispatcher = full();
+        dispatcher.record_held(at(0), held(&key(0, 0), endpoint(0)));
+        dispatcher.record_ended(at(2), &key(0, 0), end);
+        predicted_start(&mut dispatcher)
+    };
+    assert_eq!(predicted_after(AttemptEnd::Abandoned), usual);
+    assert_ne!(predicted_after(AttemptEnd::Finished), usual);
+}
+
 /// Guards against places that stay taken because the node died before it sent the request.
 #[test]
 fn assignment_that_is_never_reported_ends() {
@@ -90,6 +116,7 @@
     assert!(is_free(&mut dispatcher, 150));
 }
 
+/// Guards against places that stay taken because the end of an attempt was never reported.
 #[test]
 fn attempt_ends_at_its_deadline() {
     let mut dispatcher = full();
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod leaving;
 mod loads;
 mod member_silence;
+mod millis;
 mod number;
 mod planner;
 mod reach;
@@ -47,9 +48,9 @@
 pub use demand::{Demand, DemandTracker, ModelDemand, Urgency};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use dispatch::{
-    Assignment, DispatchDecision, DispatchRefusal, DispatchRequest, DispatchSetting, Dispatcher,
-    HeldRequest, PoolHead, PoolPart, PoolSpec, RefusalCause, Ticket, TicketKey, choose_parts,
-    dispatch_order, part_count, part_of, uses_dispatchers,
+    Assignment, AttemptEnd, DispatchDecision, DispatchRefusal, DispatchRequest, DispatchSetting,
+    Dispatcher, HeldRequest, PoolHead, PoolPart, PoolSpec, RefusalCause, Ticket, TicketKey,
+    choose_parts, dispatch_order, part_count, part_of, uses_dispatchers,
 };
 pub use endpoint::{Endpoint, EndpointState, GroupRole, GroupState};
 pub use endpoint_backoff::slow_start::SlowStartTicket;
--- a/crates/sesamecart-fleet/src/step_model.rs
+++ b/crates/sesamecart-fleet/src/step_model.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::millis::from_millis;
+
 /// The fraction of a group's slots that are busy when it works at about the load that it can serve in time.
 ///
 /// Above that, few more requests share the time of a step, and each of them waits longer.
@@ -59,7 +61,7 @@
 
     /// Returns the time that a group takes to read a prompt.
     fn reading_time(&self, prompt_tokens: f64, pace: f64) -> Duration {
-        millis(prompt_tokens / self.read_tokens_per_ms * pace)
+        from_millis(prompt_tokens / self.read_tokens_per_ms * pace)
     }
 
     /// Returns the number of requests that a group can hold while each of them starts in time.
@@ -80,7 +82,7 @@
     pub fn longest_pass(&self, answers: u32, pace: f64) -> Duration {
         let step_ms = self.step_ms + self.step_ms_per_answer * f64::from(answers);
         let steps = f64::from(self.steps_per_pass.max(1));
-        self.reading_time(self.chunk_tokens, pace) + millis(step_ms * steps * pace)
+        self.reading_time(self.chunk_tokens, pace) + from_millis(step_ms * steps * pace)
     }
 
     /// Returns the time that a request occupies a group that works at about the load that it can serve in
@@ -89,10 +91,6 @@
     pub fn group_time(&self, tokens: TokenCounts, slots: u32, pace: f64) -> Duration {
         let answers = (f64::from(slots) * BUSY_SLOT_FRACTION).max(1.0);
         let step_ms = self.step_ms / answers + self.step_ms_per_answer;
-        self.reading_time(tokens.prompt, pace) + millis(tokens.answer * step_ms * pace)
+        self.reading_time(tokens.prompt, pace) + from_millis(tokens.answer * step_ms * pace)
     }
 }
-
-fn millis(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or(Duration::MAX)
-}
--- a/crates/sesamecart-fleet/tests/emulation/dispatched.rs
+++ b/crates/sesamecart-fleet/tests/emulation/dispatched.rs
@@ -5,8 +5,8 @@
 
 use indexmap::IndexMap;
 use sesamecart_fleet::{
-    DispatchDecision, DispatchRequest, Dispatcher, HeldRequest, PoolHead, RefusalCause, Ticket,
-    TicketKey, TokenCounts,
+    AttemptEnd, DispatchDecision, DispatchRequest, Dispatcher, HeldRequest, PoolHead, RefusalCause,
+    Ticket, TicketKey, TokenCounts,
 };
 use sesamecart_vocabulary::{EndpointId, FailureDomainId, NodeId, Timestamp, stable_hash};
 
@@ -435,7 +435,7 @@
         }
         dispatcher.record_report(now, &self.names[report.node], report.is_complete);
         for key in &report.ended {
-            dispatcher.record_ended(now, key);
+            dispatcher.record_ended(now, key, AttemptEnd::Finished);
             self.requests.swap_remove(&RequestId(key.ticket.0));
         }
     }
