Log the store's era and the replies that a follower ignores

Now each era that a node learns is one line (store_era_changed, with who named it) and a metric; a header that isn't a number is one line; a reply that is ignored as too old is one line with both positions; topic_reread shows the offset known before. No decision changes.

--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::crashes::{InterruptedRun, SendContext};
 use crate::state::EntryState;
+use crate::store_observer::StoreCalls;
 use crate::testkit::new_state;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -56,8 +57,9 @@
         let state = Arc::new(new_state(false));
         let worker = Worker::start("monitor").expect("a thread starts");
         let client = HttpClient::new(worker.tasks().clone(), CONNECT_TIMEOUT);
+        let calls = StoreCalls::new(Arc::clone(&state));
         let store_client =
-            StoreClient::new(client.clone(), store.address(), CONNECT_TIMEOUT, |_, _| {});
+            StoreClient::new(client.clone(), store.address(), CONNECT_TIMEOUT, calls);
         let tasks = worker.tasks().clone();
         let monitor = CrashMonitor::new(Arc::clone(&state), store_client, client, tasks);
         Self {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -178,6 +178,34 @@
         /// The number of keys that are no longer in the topic.
         gone: usize,
     },
+    /// The store has returned from an older copy of itself, or this node has learned its era for the first time.
+    StoreEraChanged {
+        /// The era.
+        era: u64,
+        /// The era before.
+        before: u64,
+        /// Who named the era.
+        source: &'a str,
+    },
+    /// The store names an era that isn't a number. Written once until it names one again.
+    StoreEraUnreadable {
+        /// What it names.
+        text: &'a str,
+    },
+    /// A reply of the node that this one follows was ignored, because it is older than what this node has. Written
+    /// once until a reply is taken in.
+    ReplyIgnored {
+        /// The node.
+        source: &'a str,
+        /// The position up to which this node has the operator's topic.
+        operator_known: &'a str,
+        /// The position that the reply offers.
+        operator_offered: &'a str,
+        /// The position up to which this node has the registry.
+        registry_known: &'a str,
+        /// The position that the reply offers.
+        registry_offered: &'a str,
+    },
     /// A record or a response couldn't be parsed or used.
     RecordIgnored {
         /// The topic or other source of it.
--- a/crates/sesamecart-entry/src/feed/topic.rs
+++ b/crates/sesamecart-entry/src/feed/topic.rs
@@ -49,11 +49,11 @@
 
     /// Replaces the contents with these records, whose topic ends at offset `end`.
     pub(super) fn replace(&mut self, records: &[StoredRecord], end: Offset) -> ReplaceSummary {
+        let previous_end = Offset(self.next);
         if end.0 < self.next {
             // The store has lost records, so the cached contents are invalid.
             *self = Self::default();
         }
-        let previous_end = Offset(self.next);
         self.record_gap(end.0);
         let removed = self.tombstone_missing(records, end.0);
         let new = records.iter().filter(|stored| !self.contains(stored));
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -77,12 +77,18 @@
     Poll,
 }
 
+/// The offsets up to which another node has the topics by which its replies are compared.
+struct OfferedOffsets {
+    operator: u64,
+    registry: u64,
+}
+
 /// The result of processing a reply.
 enum ReplyOutcome {
     /// The reply was applied.
     Applied,
-    /// The other node's offsets are behind this node's.
-    Behind,
+    /// The other node is behind this one: it has the topics up to these offsets.
+    Behind(OfferedOffsets),
     /// The reply lacks a topic.
     Incomplete,
 }
@@ -147,7 +153,10 @@
                 ReplyOutcome::Incomplete => {
                     return source_failed(address, "the reply lacks a topic");
                 }
-                ReplyOutcome::Behind => {
+                ReplyOutcome::Behind(offered) => {
+                    if behind_since.is_none() {
+                        self.log_ignored_reply(address, &offered);
+                    }
                     let since = *behind_since.get_or_insert(sent);
                     if clock::now().since(since) > LAG_TIMEOUT {
                         return source_failed(address, "its offsets are behind this node's");
@@ -164,6 +173,17 @@
         }
     }
 
+    /// Logs that a reply was ignored because it is older than what this node has.
+    fn log_ignored_reply(&self, address: SocketAddr, offered: &OfferedOffsets) {
+        self.state.events.write(&Event::ReplyIgnored {
+            source: &Source::Node(address).to_string(),
+            operator_known: &self.position.operator.to_string(),
+            operator_offered: &offered.operator.to_string(),
+            registry_known: &self.position.registry.to_string(),
+            registry_offered: &offered.registry.to_string(),
+        });
+    }
+
     /// Logs this node's offsets and what another node's first reply contains.
     fn log_caught_up(&self, address: SocketAddr, reply: &FollowReply) {
         let (Some(operator), Some(registry)) = (&reply.operator, &reply.registry) else {
@@ -192,7 +212,10 @@
         let position = &mut self.position;
         let is_behind = operator.next < position.operator || registry.next < position.registry;
         if is_behind {
-            return ReplyOutcome::Behind;
+            return ReplyOutcome::Behind(OfferedOffsets {
+                operator: operator.next,
+                registry: registry.next,
+            });
         }
         position.operator = operator.next;
         position.registry = registry.next;
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod reach;
 mod settings;
 mod state;
+mod store_observer;
 #[cfg(test)]
 mod testkit;
 mod traffic;
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use sesamecart_edges::ShedConnections;
 use sesamecart_platform::{StoreOperation, Topic};
+use sesamecart_vocabulary::StoreEra;
 
 use crate::dispatch::DispatchedRequests;
 
@@ -30,6 +31,7 @@
     /// The calls to the store by step and topic, for the decision log.
     store_call_counts: Mutex<IndexMap<(StoreOperation, Topic), u64>>,
     store_failures: Counter<u64>,
+    store_era: Gauge<u64>,
     source_searches: Counter<u64>,
     orders: Counter<u64>,
     groups_lost: Counter<u64>,
@@ -96,6 +98,10 @@
             ),
             store_call_counts: Mutex::default(),
             store_failures: counter("sesamecart.store.failures", "Failed calls to the store."),
+            store_era: meter
+                .u64_gauge("sesamecart.store.era")
+                .with_description("The newest era of the store that this node knows.")
+                .build(),
             source_searches: counter(
                 "sesamecart.source.searches",
                 "Searches for a source while the store turned this node away.",
@@ -257,6 +263,10 @@
         self.resumed.add(1, &[]);
     }
 
+    pub(crate) fn record_store_era(&self, era: StoreEra) {
+        self.store_era.record(era.0, &[]);
+    }
+
     pub(crate) fn count_store_call(&self, step: StoreOperation, topic: Topic) {
         let labels = [
             KeyValue::new("step", step.to_string()),
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -33,6 +33,7 @@
 use crate::reach::{ReachChecker, ReachMonitor};
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
+use crate::store_observer::StoreCalls;
 use crate::traffic::{self, TrafficThreads};
 use crate::watch;
 
@@ -316,14 +317,11 @@
     let tasks = worker.tasks().clone();
     let client = HttpClient::with_dialer(tasks.clone(), CONTROL_CONNECT_TIMEOUT, dialer);
     let store = {
-        let on_call_state = Arc::clone(state);
-        let on_call =
-            move |operation, topic| on_call_state.metrics.count_store_call(operation, topic);
         Store::new(
             client.clone(),
             state.settings.store,
             STORE_CALL_TIMEOUT,
-            on_call,
+            StoreCalls::new(Arc::clone(state)),
         )
     };
     tasks.spawn(log_store_calls(Arc::clone(state)));
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -12,7 +12,7 @@
 use sesamecart_fleet::{
     AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Demand, DemandTracker, Directory,
     FirstEventTimeouts, Freshness, GroupKey, LoadTracker, MemberSilences, PeerNode, RetryBudget,
-    readers, standbys,
+    StoreEras, readers, standbys,
 };
 use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, ServiceId, Timestamp};
 
@@ -65,6 +65,8 @@
     /// Notified when a node was added that this node may not know.
     pub(crate) node_added: Notifier,
     pub(crate) feed: Feed,
+    /// The era of the store.
+    pub(crate) store_eras: StoreEras,
     /// The address for links of the node that this node follows; `None` while it reads the store itself.
     upstream: ArcSwapOption<SocketAddr>,
     reads_store: AtomicBool,
@@ -111,6 +113,7 @@
             nodes: ArcSwap::from_pointee(vec![local_peer(&settings)]),
             node_added: Notifier::new(),
             feed: Feed::new(),
+            store_eras: StoreEras::default(),
             upstream: ArcSwapOption::empty(),
             reads_store: AtomicBool::new(false),
             is_searching: AtomicBool::new(false),
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -31,6 +31,7 @@
 mod sources;
 mod stall_detector;
 mod step_model;
+mod store_era;
 #[cfg(test)]
 mod testkit;
 
@@ -80,3 +81,4 @@
 };
 pub use stall_detector::{StallDetector, StallLimits};
 pub use step_model::{StepModel, TokenCounts};
+pub use store_era::StoreEras;
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -23,7 +23,7 @@
 pub use key::{BodyDigest, IdempotencyKey, KeyHash, ParseDigestError};
 pub use number::{
     Bytes, Concurrency, Epoch, Generation, Incarnation, Offset, ParseNumberError, Permits,
-    Revision, ShardId, Tokens, Weight,
+    Revision, ShardId, StoreEra, Tokens, Weight,
 };
 pub use prompt::{ParsePromptPartError, PromptPartId};
 pub use rate::{ParseRateError, RequestRate};
--- a/crates/sesamecart-vocabulary/src/number.rs
+++ b/crates/sesamecart-vocabulary/src/number.rs
@@ -99,6 +99,10 @@
     /// The position of a record in a topic of the platform's log.
     Offset(u64)
 );
+number!(
+    /// The era of the platform's store. It rises by one whenever the store returns from an older copy of itself.
+    StoreEra(u64)
+);
 number!(
     /// The revision of the configuration: the number of accepted changes.
     Revision(u64)
