--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -161,6 +161,13 @@
         heads.filter(|head| directory.takes_work(head)).count()
     }
 
+    /// Returns the version of the configuration in force, or 0 while there is none.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        let catalog = self.catalog.load();
+        catalog.as_ref().map_or(0, |catalog| catalog.version.0)
+    }
+
     /// Returns the number of requests that other nodes report to have in flight at the heads of groups.
     #[must_use]
     pub fn peer_requests_in_flight(&self) -> u32 {
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -19,6 +19,7 @@
 mod silent_endpoints;
 mod sources;
 mod store_proxy;
+mod store_returns;
 mod unframed_answers;
 mod unreachable_endpoints;
 
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -296,6 +296,11 @@
         self.store.publish("config", &configuration(version, keys));
     }
 
+    /// Returns a configuration that was published or is about to be.
+    pub(crate) fn configuration(&self, version: u64) -> serde_json::Value {
+        configuration(version, &["key-1"])
+    }
+
     /// Publishes a configuration with a change.
     pub(crate) fn publish_edited(&self, version: u64, edit: impl FnOnce(&mut serde_json::Value)) {
         let mut configuration = configuration(version, &["key-1", "key-2"]);
