--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sesamecart_fleet::FencingToken;
-use sesamecart_platform::Store;
+use sesamecart_platform::{GroupMembership, Store, StoreEra};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
 
@@ -29,6 +29,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct HeldLease {
     fence: FencingToken,
+    /// The era in which the store assigned the lease. In a later one, it may have assigned it to another node.
+    era: StoreEra,
+    /// When the leases of an earlier era have expired at the latest.
+    valid_from: Timestamp,
     expires_at: Timestamp,
 }
 
@@ -71,8 +75,9 @@
     /// Returns the fence under which this node may act now, or `None` if it doesn't hold the lease.
     pub(crate) fn fence(&self) -> Option<FencingToken> {
         let held = *self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        let held = held.filter(|held| clock::now() < held.expires_at)?;
-        Some(held.fence)
+        let now = clock::now();
+        let held = held.filter(|held| held.era == self.state.store_eras.latest())?;
+        (held.valid_from <= now && now < held.expires_at).then_some(held.fence)
     }
 
     /// Gives up control immediately, because another node has used a fence higher than `fence`.
@@ -87,7 +92,13 @@
         let ttl = LEASE_TTL.max(min_ttl);
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
+        let mut era = StoreEra::default();
         loop {
+            // The store gives out generations again in a later era.
+            let latest = self.state.store_eras.latest();
+            if std::mem::replace(&mut era, latest) != latest {
+                generation = 0;
+            }
             if let Some(reason) = self.reason_not_to_compete() {
                 if self.fence().is_some() {
                     self.release(reason).await;
@@ -101,17 +112,16 @@
                 Ok(membership) => {
                     let _was_unavailable = dependency.record_success(&self.state);
                     generation = membership.generation;
-                    let is_refused = generation <= self.highest_refused.load(Ordering::Acquire);
+                    let held =
+                        self.held_lease(&membership, sent + ttl.saturating_sub(EXPIRY_MARGIN));
+                    let is_refused = held.fence.0 <= self.highest_refused.load(Ordering::Acquire);
                     if membership.is_holder && is_refused {
                         // Engines accept only a higher fence, and only a change of the group raises it.
                         self.release("an engine refused the fence").await;
                         sleep(RENEW_INTERVAL).await;
                         continue;
                     }
-                    let held = membership.is_holder.then_some(HeldLease {
-                        fence: FencingToken(generation),
-                        expires_at: sent + ttl.saturating_sub(EXPIRY_MARGIN),
-                    });
+                    let held = membership.is_holder.then_some(held);
                     self.set_held(held, "the store says so");
                 }
                 Err(error) => dependency.record_failure(&self.state, &error),
@@ -123,6 +133,26 @@
         }
     }
 
+    /// Returns the lease of the holder of a generation.
+    ///
+    /// The holder in an earlier era acts until its last renewal expires, which it sent before the store returned. So
+    /// this node waits for that time after it has learned the era. When a deployment starts for the first time, there
+    /// is no earlier holder.
+    fn held_lease(&self, membership: &GroupMembership, expires_at: Timestamp) -> HeldLease {
+        let eras = &self.state.store_eras;
+        let is_first = self.state.settings.first_start && eras.is_first();
+        let valid_from = match is_first {
+            true => Timestamp::ZERO,
+            false => eras.learned_at() + LEASE_TTL,
+        };
+        HeldLease {
+            fence: FencingToken::of(membership.era, membership.generation),
+            era: membership.era,
+            valid_from,
+            expires_at,
+        }
+    }
+
     /// Returns why this node doesn't compete for control now, or `None` if it does.
     ///
     /// Only nodes that read the store compete: if all nodes renewed a membership, the calls to the store would
--- a/crates/sesamecart-entry/src/controller/observations.rs
+++ b/crates/sesamecart-entry/src/controller/observations.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Sender;
 use sesamecart_fleet::GroupKey;
-use sesamecart_platform::{Offset, ReadResult, Record, Store, Topic};
+use sesamecart_platform::{LogPosition, ReadResult, Record, Store, Topic};
 use sesamecart_runtime::sleep;
 
 use crate::loss_reports;
@@ -15,30 +15,26 @@
 /// Delay before a failed call to the store is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Sends the groups of all observations that are appended from now on to `lost_groups`. If the start of the
-/// topic was trimmed, the observations that it still holds are sent as well.
+/// Sends the groups of all observations that are appended from now on to `lost_groups`.
+///
+/// After a return of the store, it starts at the end again: what the copy holds was sent before, and a loss that was
+/// reported since is reported again for as long as it lasts.
 pub(super) async fn follow_observations(store: Store, lost_groups: Sender<GroupKey>) {
-    let mut next_offset: Option<Offset> = None;
+    let mut next_position: Option<LogPosition> = None;
     loop {
-        let Some(offset) = next_offset else {
-            // This read only finds where to start. The reply to a read contains the topic's end. If offset 0
-            // was trimmed, the reply only has the first record kept, and reading starts there.
-            match store
-                .read(Topic::Observations, Offset(0), Duration::ZERO)
-                .await
-            {
-                Ok(ReadResult::Records { end, .. }) => next_offset = Some(end),
-                Ok(ReadResult::Trimmed { first }) => next_offset = Some(first),
+        let Some(position) = next_position else {
+            match store.end(Topic::Observations).await {
+                Ok(end) => next_position = Some(end),
                 Err(_) => sleep(RETRY_DELAY).await,
             }
             continue;
         };
         match store
-            .read(Topic::Observations, offset, LONG_POLL_TIMEOUT)
+            .read(Topic::Observations, position, LONG_POLL_TIMEOUT)
             .await
         {
             Ok(ReadResult::Records { records, next, .. }) => {
-                next_offset = Some(next);
+                next_position = Some(next);
                 for record in records {
                     let Some(key) = parse_observation(&record) else {
                         continue;
@@ -48,7 +44,8 @@
                     }
                 }
             }
-            Ok(ReadResult::Trimmed { first }) => next_offset = Some(first),
+            Ok(ReadResult::Trimmed { first }) if first > position => next_position = Some(first),
+            Ok(ReadResult::Trimmed { .. } | ReadResult::Returned) => next_position = None,
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
--- a/crates/sesamecart-entry/src/crashes.rs
+++ b/crates/sesamecart-entry/src/crashes.rs
@@ -8,16 +8,17 @@
 mod suspect_client;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use event_listener::{Event as Notifier, EventListener};
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use sesamecart_fleet::{
-    CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts, SuspectedPart, Suspects,
-    Suspicion, UncheckedCrash,
+    CrashReport, CrashTracker, CrashedRun, EndpointCrash, RequestOrigin, SuspectStarts,
+    SuspectedPart, Suspects, Suspicion, UncheckedCrash,
 };
 use sesamecart_vocabulary::Fingerprint;
 
@@ -28,6 +29,16 @@
 /// The maximum number of interrupted runs that wait for a check. Further ones leave no evidence.
 const MAX_WAITING_RUNS: usize = 1_024;
 
+/// A report as a node publishes it.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct PublishedReport {
+    /// Rises with each report of the node.
+    #[serde(default)]
+    pub(crate) revision: u64,
+    #[serde(flatten)]
+    pub(crate) report: CrashReport,
+}
+
 /// A run that ended because its endpoint closed the connection.
 #[derive(Debug)]
 pub(crate) struct InterruptedRun {
@@ -101,6 +112,8 @@
     running_suspects: Mutex<IndexSet<Fingerprint>>,
     /// Of all nodes, for the suspected requests that this node decides about.
     suspect_starts: Mutex<SuspectStarts>,
+    /// The revision of this node's last report.
+    revision: AtomicU64,
     changed: Notifier,
     interrupted: Sender<InterruptedRun>,
     to_check: Receiver<InterruptedRun>,
@@ -114,12 +127,26 @@
             unchecked: Mutex::default(),
             running_suspects: Mutex::default(),
             suspect_starts: Mutex::default(),
+            revision: AtomicU64::new(0),
             changed: Notifier::new(),
             interrupted,
             to_check,
         }
     }
 
+    /// Returns the next report to publish.
+    fn next_published(&self, report: CrashReport) -> PublishedReport {
+        PublishedReport {
+            revision: 1 + self.revision.fetch_add(1, Ordering::AcqRel),
+            report,
+        }
+    }
+
+    /// Continues after the last revision that the topic has of this node.
+    pub(crate) fn continue_revisions(&self, last: u64) {
+        self.revision.fetch_max(last, Ordering::AcqRel);
+    }
+
     pub(crate) fn tracker(&self) -> MutexGuard<'_, CrashTracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sesamecart-entry/src/crashes/monitor.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor.rs
@@ -11,7 +11,7 @@
 use sesamecart_fleet::{
     BlockChange, CrashReport, Directory, Endpoint, EndpointCrash, NeighborCheck,
 };
-use sesamecart_platform::{AppendCondition, Record, Store, Topic};
+use sesamecart_platform::{Record, Store, Topic};
 use sesamecart_runtime::{Tasks, sleep};
 use sesamecart_vocabulary::{Fingerprint, NodeId, Timestamp};
 
@@ -314,7 +314,8 @@
     /// store accepted it.
     async fn append(&self, node: &NodeId, report: Option<&CrashReport>) -> bool {
         let report = report.filter(|report| !report.is_empty());
-        let value = match report.map(serde_json::to_vec).transpose() {
+        let published = report.map(|report| self.state.crashes.next_published(report.clone()));
+        let value = match published.as_ref().map(serde_json::to_vec).transpose() {
             Ok(value) => value,
             Err(error) => {
                 log::error!("crashes: the report can't be serialized: {error}.");
@@ -325,10 +326,7 @@
             key: Some(node.to_string()),
             value,
         };
-        let append = self
-            .store
-            .append(Topic::Crashes, &record, AppendCondition::Unconditional);
-        let appended = append.await;
+        let appended = self.store.append(Topic::Crashes, &record).await;
         if let Err(error) = &appended {
             self.state.metrics.count_store_failure();
             log::debug!("crashes: {error}.");
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -146,18 +146,18 @@
     CaughtUp {
         /// The node.
         source: &'a str,
-        /// The offset up to which this node had the operator's topic before.
-        operator_from: u64,
-        /// The offset up to which it has the operator's topic now.
-        operator_next: u64,
+        /// The position up to which this node had the operator's topic before, as era and offset.
+        operator_from: &'a str,
+        /// The position up to which it has the operator's topic now.
+        operator_next: &'a str,
         /// The number of records of the operator that were received.
         operator_records: usize,
         /// Whether these are the operator's complete records.
         operator_whole: bool,
-        /// The offset up to which this node had the registry before.
-        registry_from: u64,
-        /// The offset up to which it has the registry now.
-        registry_next: u64,
+        /// The position up to which this node had the registry before.
+        registry_from: &'a str,
+        /// The position up to which it has the registry now.
+        registry_next: &'a str,
         /// The number of records of the registry that were received.
         registry_records: usize,
         /// Whether these are the registry's complete records.
@@ -167,10 +167,10 @@
     TopicReread {
         /// The topic.
         topic: &'a str,
-        /// The offset up to which this node had the topic before.
-        known_to: u64,
-        /// The end offset of the topic.
-        end: u64,
+        /// The position up to which this node had the topic before, as era and offset.
+        known_to: &'a str,
+        /// The end of the topic.
+        end: &'a str,
         /// The number of its records.
         records: usize,
         /// The number of records that are new to the nodes that follow this one.
@@ -187,6 +187,19 @@
         /// Who named the era.
         source: &'a str,
     },
+    /// Other nodes were asked what they know of the operator's topic, at the start or after a return of the store.
+    NeighborsAsked {
+        /// The number of nodes that answered.
+        answered: usize,
+        /// The version of the configuration in force after that.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// The number of evacuations that count though the topic doesn't name them.
+        kept: usize,
+    },
+    /// This node's entry was missing from the list of nodes, and was written again.
+    RegisteredAgain {},
     /// The store names an era that isn't a number. Written once until it names one again.
     StoreEraUnreadable {
         /// What it names.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -11,7 +11,7 @@
 use event_listener::{Event as Changed, EventListener};
 use sesamecart_fleet::GroupKey;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
-use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
+use sesamecart_platform::{LogPosition, Record, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
 pub(crate) use crate::feed::server::{FeedHandler, serve};
@@ -77,13 +77,13 @@
         &self,
         topic: Topic,
         records: &[StoredRecord],
-        end: Offset,
+        end: LogPosition,
     ) -> Option<ReplaceSummary> {
         self.update(topic, |feed| feed.replace(records, end))
     }
 
-    /// Applies records that were read, the last of which precedes offset `next`.
-    pub(crate) fn apply(&self, topic: Topic, records: &[Record], next: Offset) {
+    /// Applies records that were read, the last of which precedes `next`.
+    pub(crate) fn apply(&self, topic: Topic, records: &[Record], next: LogPosition) {
         if !records.is_empty() {
             let _updated = self.update(topic, |feed| feed.apply(records, next));
         }
@@ -172,20 +172,27 @@
         let since_recovery = state.recovered_at.map(|at| millis(now.since(at)));
         Some(FollowReply {
             feed: self.id,
-            operator: Some(operator.as_ref()?.part_from(req.operator_next)),
-            registry: Some(registry.as_ref()?.part_from(req.registry_next)),
-            nodes: Some(nodes.as_ref()?.part_from(req.nodes_next)),
-            crashes: Some(crashes.as_ref()?.part_from(req.crashes_next)),
+            operator: Some(part(operator, req.operator_era, req.operator_next)?),
+            registry: Some(part(registry, req.registry_era, req.registry_next)?),
+            nodes: Some(part(nodes, req.nodes_era, req.nodes_next)?),
+            crashes: Some(part(crashes, req.crashes_era, req.crashes_next)?),
             limits: Vec::new(),
             limits_next: 0,
             losses: losses.map(|loss| loss.group.clone()).collect(),
             losses_next: state.losses_next,
             vouched_ms: 0,
+            read_ms: None,
             returned_ms: since_recovery,
         })
     }
 }
 
+/// Returns what a follower doesn't have of a topic, from the position that it names.
+fn part(topic: &Option<TopicFeed>, era: Option<u64>, next: u64) -> Option<TopicPart> {
+    let topic = topic.as_ref()?;
+    Some(topic.part_from(topic.position_of(era, next)))
+}
+
 fn has_updates(reply: &FollowReply) -> bool {
     let parts = [
         &reply.operator,
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -9,8 +9,9 @@
 use sesamecart_links::feed::feed_server::Feed as FeedService;
 use sesamecart_links::feed::{
     DispatchReply, DispatchRequest, FollowReply, FollowRequest, GroupLoss, GroupVerdict,
-    HeldReport, LimitAnnouncement, LimitReport, NodeAnnouncement, Noted, PermitReply,
-    PermitRequest, ReachReply, ReachRequest, SuspectReply, SuspectRequest, WatchLoadsRequest,
+    HeldReport, LimitAnnouncement, LimitReport, NodeAnnouncement, Noted, OperatorState,
+    OperatorStateRequest, PermitReply, PermitRequest, ReachReply, ReachRequest, SuspectReply,
+    SuspectRequest, WatchLoadsRequest,
 };
 use sesamecart_links::{Request, Response, Status, async_trait};
 use sesamecart_platform::Store;
@@ -78,6 +79,10 @@
         };
         (reply.limits, reply.limits_next) = self.state.limits.updates(limits_from);
         reply.vouched_ms = millis(age).saturating_add(1);
+        reply.read_ms = self
+            .state
+            .source_age()
+            .map(|age| millis(age).saturating_add(1));
         Ok(reply)
     }
 }
@@ -222,6 +227,19 @@
         Ok(Response::new(Noted {}))
     }
 
+    async fn read_operator_state(
+        &self,
+        request: Request<OperatorStateRequest>,
+    ) -> Result<Response<OperatorState>, Status> {
+        let is_newer = self.state.configuration_version() > request.get_ref().version;
+        let record = self.state.configuration_record.load_full();
+        let evacuated = self.state.evacuated_domains();
+        Ok(Response::new(OperatorState {
+            configuration: record.filter(|_| is_newer).map(|record| record.to_vec()),
+            evacuated: evacuated.iter().map(ToString::to_string).collect(),
+        }))
+    }
+
     async fn announce_loss(&self, request: Request<GroupLoss>) -> Result<Response<Noted>, Status> {
         let key = decode_group_key(&request)?;
         self.state.mark_group_lost(&key);
--- a/crates/sesamecart-entry/src/feed/source_change_tests.rs
+++ b/crates/sesamecart-entry/src/feed/source_change_tests.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use sesamecart_links::feed::{FollowRequest, TopicPart};
-use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
+use sesamecart_platform::{LogPosition, Offset, Record, StoreEra, StoredRecord, Topic};
 use sesamecart_property::check_property;
 use sesamecart_vocabulary::Timestamp;
 
@@ -22,6 +22,8 @@
     Drop(&'static str),
     /// Trim the store's history, so that all readers have to reread the topic in full.
     Trim,
+    /// Let the store return from a copy without the last records, as many as given.
+    Return(usize),
     /// Let a node read new records; a node that doesn't read the store begins to.
     Read(usize),
     /// Let a node stop reading the store.
@@ -30,13 +32,16 @@
     Follow(usize),
 }
 
-use Step::{Drop, Follow, Put, Read, Stop, Trim};
+use Step::{Drop, Follow, Put, Read, Return, Stop, Trim};
 
 /// The topic in the store.
 #[derive(Default)]
 struct Log {
+    era: u64,
     records: Vec<Record>,
     first: usize,
+    /// The records of each earlier era, at its end.
+    ended: Vec<Vec<Record>>,
 }
 
 impl Log {
@@ -47,14 +52,24 @@
         });
     }
 
-    fn end(&self) -> Offset {
-        Offset(self.records.len() as u64)
+    fn return_without(&mut self, lost: usize) {
+        self.ended.push(self.records.clone());
+        self.era += 1;
+        self.records
+            .truncate(self.records.len().saturating_sub(lost));
+        self.first = self.first.min(self.records.len());
+    }
+
+    fn end(&self) -> LogPosition {
+        LogPosition::new(StoreEra(self.era), Offset(self.records.len() as u64))
     }
 
     /// Returns the topic's contents after the records before `end`.
-    fn values_at(&self, end: u64) -> Values {
+    fn values_at(&self, end: LogPosition) -> Values {
         let mut values = Values::new();
-        for record in &self.records[..usize::try_from(end).expect("the offset fits")] {
+        let era = usize::try_from(end.era.0).expect("the era fits");
+        let records = self.ended.get(era).unwrap_or(&self.records);
+        for record in &records[..usize::try_from(end.offset.0).expect("the offset fits")] {
             apply(&mut values, record.key.as_deref(), record.value.clone());
         }
         values
@@ -93,7 +108,7 @@
 struct Reader {
     feed: Feed,
     /// The next offset to read, or `None` while the node doesn't read the store.
-    next: Option<usize>,
+    next: Option<LogPosition>,
 }
 
 impl Reader {
@@ -106,18 +121,19 @@
 
     fn read(&mut self, log: &Log) {
         match self.next {
-            Some(next) if next >= log.first => {
+            Some(next) if next.era == log.end().era && next.offset.0 >= log.first as u64 => {
+                let next = usize::try_from(next.offset.0).expect("the offset fits");
                 let records = &log.records[next..];
                 self.feed.apply(Topic::Registry, records, log.end());
             }
             _ => {
                 let _summary = self.feed.replace(Topic::Registry, &log.newest(), log.end());
                 for topic in [Topic::Operator, Topic::Nodes, Topic::Crashes] {
-                    let _summary = self.feed.replace(topic, &[], Offset(0));
+                    let _summary = self.feed.replace(topic, &[], LogPosition::START);
                 }
             }
         }
-        self.next = Some(log.records.len());
+        self.next = Some(log.end());
     }
 
     fn stop(&mut self) {
@@ -129,27 +145,29 @@
 /// A node that follows the readers.
 #[derive(Default)]
 struct Follower {
-    next: u64,
+    next: LogPosition,
     values: Values,
 }
 
 impl Follower {
     fn follow(&mut self, reader: &Reader) {
         let req = FollowRequest {
-            registry_next: self.next,
+            registry_next: self.next.offset.0,
+            registry_era: Some(self.next.era.0),
             ..FollowRequest::default()
         };
         let Some(reply) = reader.feed.reply_to(NOW, &req) else {
             return;
         };
         let part = reply.registry.expect("a serving feed has all topics");
-        // Like a real follower, ignores a node whose offset is behind its own.
-        if part.next >= self.next {
+        // Like a real follower, ignores a node that is behind it.
+        if end_of(&part) >= self.next {
             self.apply_part(part);
         }
     }
 
     fn apply_part(&mut self, part: TopicPart) {
+        let end = end_of(&part);
         let unchanged = part.unchanged.map(|unchanged| unchanged.keys);
         let unchanged = unchanged.or_else(|| part.whole.then(Vec::new));
         if let Some(unchanged) = unchanged {
@@ -158,10 +176,14 @@
         for record in part.records {
             apply(&mut self.values, Some(&record.key), record.value);
         }
-        self.next = part.next;
+        self.next = end;
     }
 }
 
+fn end_of(part: &TopicPart) -> LogPosition {
+    LogPosition::new(StoreEra(part.era), Offset(part.next))
+}
+
 /// Runs the steps and checks after each that the follower has the topic's contents at its offset.
 fn run_steps(steps: &[Step]) {
     let mut log = Log::default();
@@ -172,6 +194,7 @@
             Put(key, value) => log.append(key, Some(value)),
             Drop(key) => log.append(key, None),
             Trim => log.first = log.records.len(),
+            Return(lost) => log.return_without(lost),
             Read(reader) => readers[reader].read(&log),
             Stop(reader) => readers[reader].stop(),
             Follow(reader) => follower.follow(&readers[reader]),
@@ -218,6 +241,29 @@
         Put("endpoint", "a"), Read(0), Put("endpoint", "b"), Read(1), Follow(1),
         Put("endpoint", "a"), Trim, Read(0), Follow(0),
     ];
+    /// Guards against a follower whose offset of before a return lies below the end of the new log.
+    records_written_after_a_return_below_a_followers_offset_are_received: [
+        Put("k1", "a"), Put("k2", "a"), Put("k3", "a"), Read(0), Follow(0), Return(2),
+        Put("k2", "b"), Put("other", "a"), Put("other", "b"), Read(0), Follow(0),
+    ];
+    /// Guards against a value that was lost in a return at a follower that had read it from another reader.
+    lost_value_is_dropped_by_a_follower_that_switches_to_a_reader_without_it: [
+        Put("k1", "a"), Read(0), Put("k1", "b"), Read(1), Follow(1), Return(1), Read(0), Follow(0),
+    ];
+    /// Guards against a key that was lost in a return, and that no reader had at its offset since.
+    lost_key_is_dropped_by_a_follower: [
+        Put("k1", "a"), Put("k2", "a"), Read(0), Follow(0), Return(1), Put("k3", "a"), Read(0), Follow(0),
+    ];
+    /// Guards against another value at the offset that a reader had before two returns.
+    value_at_the_same_offset_after_two_returns_is_received: [
+        Put("k1", "a"), Put("k2", "a"), Read(0), Follow(0), Return(1), Put("k2", "c"), Return(1),
+        Put("k2", "b"), Read(0), Follow(0),
+    ];
+    /// Guards against a follower that goes back to an era that has ended.
+    follower_ignores_a_reader_of_an_earlier_era: [
+        Put("k1", "a"), Put("k2", "a"), Read(0), Read(1), Return(1), Put("k3", "a"), Read(1), Follow(1),
+        Follow(0),
+    ];
 }
 
 /// Guards against keeping a removed endpoint when the reader has had more gaps than it keeps separately.
@@ -243,12 +289,13 @@
     let key = ["k1", "k2", "k3"][usize::from(key % 3)];
     let value = ["a", "b"][usize::from(reader % 2)];
     let reader = usize::from(reader % 3);
-    match kind % 12 {
+    match kind % 13 {
         0 | 1 => Put(key, value),
         2 | 3 => Drop(key),
         4 => Trim,
         5..=7 => Read(reader),
         8 => Stop(reader),
+        12 => Return(reader),
         _ => Follow(reader),
     }
 }
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -4,7 +4,7 @@
 
 use sesamecart_fleet::GroupKey;
 use sesamecart_links::feed::{FollowReply, FollowRequest};
-use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
+use sesamecart_platform::{LogPosition, Offset, Record, StoreEra, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
 use super::topic::MAX_TOMBSTONES;
@@ -12,6 +12,10 @@
 
 const NOW: Timestamp = Timestamp(10_000_000);
 
+fn end(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra(0), Offset(offset))
+}
+
 fn record(key: &str, value: Option<&str>) -> Record {
     Record {
         key: Some(key.to_owned()),
@@ -29,11 +33,11 @@
 /// Returns a feed whose registry topic contains two endpoints and ends at offset 10.
 fn feed() -> Feed {
     let feed = Feed::new();
-    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], end(3));
     let endpoints = [stored(8, "e1", "a"), stored(9, "e2", "b")];
-    feed.replace(Topic::Registry, &endpoints, Offset(10));
-    feed.replace(Topic::Nodes, &[], Offset(0));
-    feed.replace(Topic::Crashes, &[], Offset(0));
+    feed.replace(Topic::Registry, &endpoints, end(10));
+    feed.replace(Topic::Nodes, &[], end(0));
+    feed.replace(Topic::Crashes, &[], end(0));
     feed
 }
 
@@ -76,7 +80,7 @@
     feed.apply(
         Topic::Registry,
         &[record("e2", None), record("e3", Some("c"))],
-        Offset(12),
+        end(12),
     );
     let reply = request_update(&feed, 10);
     assert_eq!(registry(&reply), [("e2", None), ("e3", Some(&b"c"[..]))]);
@@ -112,7 +116,7 @@
 #[test]
 fn a_key_missing_from_a_reread_topic_is_removed_at_followers() {
     let feed = feed();
-    feed.replace(Topic::Registry, &[stored(8, "e1", "a")], Offset(20));
+    feed.replace(Topic::Registry, &[stored(8, "e1", "a")], end(20));
     let reply = request_update(&feed, 10);
     assert!(registry(&reply).contains(&("e2", None)));
 }
@@ -124,7 +128,7 @@
 fn only_changed_records_of_a_reread_topic_are_sent() {
     let feed = feed();
     let endpoints = [stored(8, "e1", "a"), stored(15, "e2", "changed")];
-    feed.replace(Topic::Registry, &endpoints, Offset(20));
+    feed.replace(Topic::Registry, &endpoints, end(20));
     let reply = request_update(&feed, 10);
     assert_eq!(registry(&reply), [("e2", Some(&b"changed"[..]))]);
     assert_eq!(reply.registry.as_ref().map(|part| part.next), Some(20));
@@ -140,7 +144,7 @@
         next += 2;
         let key = format!("x{index}");
         let records = [record(&key, Some("x")), record(&key, None)];
-        feed.apply(Topic::Registry, &records, Offset(next));
+        feed.apply(Topic::Registry, &records, end(next));
     }
     let reply = request_update(&feed, 10);
     assert!(
@@ -169,14 +173,14 @@
 fn a_reader_that_resumes_reading_the_store_sends_only_differences() {
     let feed = feed();
     feed.stop_serving();
-    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
-    feed.replace(Topic::Registry, &[stored(9, "e2", "b")], Offset(14));
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], end(3));
+    feed.replace(Topic::Registry, &[stored(9, "e2", "b")], end(14));
     assert!(
         feed.reply_to(NOW, &FollowRequest::default()).is_none(),
         "one topic hasn't been read yet"
     );
-    feed.replace(Topic::Nodes, &[], Offset(0));
-    feed.replace(Topic::Crashes, &[], Offset(0));
+    feed.replace(Topic::Nodes, &[], end(0));
+    feed.replace(Topic::Crashes, &[], end(0));
     let reply = request_update(&feed, 10);
     assert!(
         !reply
@@ -195,11 +199,11 @@
 fn unchanged_keys_alone_are_an_update_for_a_follower_in_a_gap() {
     let feed = feed();
     feed.stop_serving();
-    feed.replace(Topic::Operator, &[stored(2, "config", "1")], Offset(3));
+    feed.replace(Topic::Operator, &[stored(2, "config", "1")], end(3));
     let endpoints = [stored(8, "e1", "a"), stored(9, "e2", "b")];
-    feed.replace(Topic::Registry, &endpoints, Offset(12));
-    feed.replace(Topic::Nodes, &[], Offset(0));
-    feed.replace(Topic::Crashes, &[], Offset(0));
+    feed.replace(Topic::Registry, &endpoints, end(12));
+    feed.replace(Topic::Nodes, &[], end(0));
+    feed.replace(Topic::Crashes, &[], end(0));
     let reply = request_update(&feed, 11);
     assert!(registry(&reply).is_empty());
     assert!(has_updates(&reply));
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -1,6 +1,7 @@
 //! Follows the store's topics: the operator's configuration, the endpoint registry and the list of nodes.
 
 mod crashes;
+mod neighbors;
 mod nodes;
 mod operator;
 mod peer;
@@ -9,17 +10,22 @@
 mod source_follower;
 #[cfg(test)]
 mod tests;
+mod topic_era;
 
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use sesamecart_platform::{Offset, ReadResult, Record, Store, StoreError, StoredRecord, Topic};
+use sesamecart_links::Links;
+use sesamecart_platform::{
+    LogPosition, ReadResult, Record, Store, StoreEra, StoreError, StoredRecord, Topic,
+};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
 
 use crate::clock;
 use crate::events::Event;
 use crate::follower::crashes::CrashesState;
+pub(crate) use crate::follower::nodes::keep_registered;
 use crate::follower::operator::OperatorState;
 use crate::follower::registry::RegistryState;
 pub(crate) use crate::follower::source_follower::SourceFollower;
@@ -113,13 +119,14 @@
 enum TopicState<'a> {
     Operator(&'a mut OperatorState),
     Registry(&'a mut RegistryState),
-    Crashes(&'a CrashesState),
+    Crashes(&'a mut CrashesState),
 }
 
 /// Follows one compacted topic of the store, which keeps the newest record of each key.
 struct TopicFollower<'a> {
     state: &'a EntryState,
     store: &'a Store,
+    links: &'a Links,
     topic: Topic,
     dependency: &'a mut Dependency,
     topic_state: TopicState<'a>,
@@ -153,33 +160,35 @@
             .is_some_and(|(outage, limit)| outage > limit)
     }
 
-    /// Reads the newest record of each key and returns the offset from which to follow the topic.
-    ///
-    /// The pages aren't a consistent snapshot. The returned offset is the topic's end at the first page, so
-    /// following from it rereads every change made between the pages.
-    async fn read_snapshot(&mut self) -> Result<Offset, StoreError> {
+    /// Reads the newest record of each key and returns the position from which to follow the topic.
+    async fn read_snapshot(&mut self) -> Result<LogPosition, StoreError> {
         let sent = clock::now();
-        let first = self.store.newest(self.topic, None).await?;
-        let mut records = first.records;
-        let mut next = first.next;
-        while let Some(after) = next {
-            let page = self.store.newest(self.topic, Some(&after)).await?;
-            records.extend(page.records);
-            next = page.next;
-        }
+        let snapshot = self.store.newest(self.topic).await?;
+        let (records, end) = (snapshot.records, snapshot.end);
         let was_unavailable = self.dependency.record_success(self.state);
         if was_unavailable {
             self.state.feed.record_recovery(clock::now());
         }
-        self.publish_snapshot(&records, first.end);
+        self.publish_snapshot(&records, end);
         let records = records.into_iter().map(|stored| stored.record);
-        self.replace(records.collect(), was_unavailable);
+        self.replace(end.era, records.collect(), was_unavailable);
+        self.ask_neighbors().await;
         self.confirm_freshness(sent);
-        Ok(first.end)
+        Ok(end)
+    }
+
+    /// Asks other nodes for a newer configuration than the topic's before that is confirmed, if there may be one.
+    async fn ask_neighbors(&mut self) {
+        if let TopicState::Operator(operator) = &mut self.topic_state
+            && operator.take_needs_neighbors()
+        {
+            let answers = neighbors::ask(self.state, self.links).await;
+            operator.learn(self.state, &answers);
+        }
     }
 
     /// Reads records starting at `from` until the topic has to be reread in full.
-    async fn follow(&mut self, mut from: Offset, timeout: Option<Duration>) {
+    async fn follow(&mut self, mut from: LogPosition, timeout: Option<Duration>) {
         loop {
             let (poll_timeout, interval) = self.read_timing();
             let sent = clock::now();
@@ -194,13 +203,13 @@
                         self.record_recovery();
                     }
                     self.state.feed.apply(self.topic, &records, next);
-                    self.apply(records);
+                    self.apply(next.era, records);
                     from = next;
                     if next >= end {
                         self.confirm_freshness(sent);
                     }
                 }
-                Ok(ReadResult::Trimmed { .. }) => return,
+                Ok(ReadResult::Trimmed { .. } | ReadResult::Returned) => return,
                 Err(error) => {
                     self.dependency.record_failure(self.state, &error);
                     sleep(RETRY_DELAY).await;
@@ -239,42 +248,42 @@
         self.state.settings.bounds.contact().mul_f64(fraction)
     }
 
-    fn publish_snapshot(&self, records: &[StoredRecord], end: Offset) {
+    fn publish_snapshot(&self, records: &[StoredRecord], end: LogPosition) {
         let Some(summary) = self.state.feed.replace(self.topic, records, end) else {
             return;
         };
         self.state.events.write(&Event::TopicReread {
             topic: &self.topic.to_string(),
-            known_to: summary.previous_end.0,
-            end: end.0,
+            known_to: &summary.previous_end.to_string(),
+            end: &end.to_string(),
             records: records.len(),
             changed: summary.changed,
             gone: summary.removed,
         });
     }
 
-    fn replace(&mut self, records: Vec<Record>, was_unavailable: bool) {
+    fn replace(&mut self, era: StoreEra, records: Vec<Record>, was_unavailable: bool) {
         match &mut self.topic_state {
             TopicState::Operator(operator) => {
-                operator.replace(self.state, &records, &IndexSet::new());
+                operator.replace(self.state, era, &records, &IndexSet::new());
             }
             TopicState::Registry(registry) => {
                 if was_unavailable {
                     registry.recovered_at = Some(clock::now());
                 }
-                registry.replace(self.state, &records, &IndexSet::new());
+                registry.replace(self.state, era, &records, &IndexSet::new());
             }
             TopicState::Crashes(crashes) => {
-                crashes.replace(self.state, &records, &IndexSet::new());
+                crashes.replace(self.state, era, &records, &IndexSet::new());
             }
         }
     }
 
-    fn apply(&mut self, records: Vec<Record>) {
+    fn apply(&mut self, era: StoreEra, records: Vec<Record>) {
         match &mut self.topic_state {
-            TopicState::Operator(operator) => operator.apply(self.state, &records),
-            TopicState::Registry(registry) => registry.apply(self.state, &records),
-            TopicState::Crashes(crashes) => crashes.apply(self.state, &records),
+            TopicState::Operator(operator) => operator.apply(self.state, era, &records),
+            TopicState::Registry(registry) => registry.apply(self.state, era, &records),
+            TopicState::Crashes(crashes) => crashes.apply(self.state, era, &records),
         }
     }
 
@@ -285,11 +294,9 @@
         }
     }
 
-    fn confirm_freshness(&self, sent: Timestamp) {
-        match &self.topic_state {
-            // Without a configuration there is nothing whose freshness could be confirmed.
-            TopicState::Operator(_) if self.state.catalog.load().is_none() => {}
-            TopicState::Operator(_) => self.state.confirm_configuration(sent),
+    fn confirm_freshness(&mut self, sent: Timestamp) {
+        match &mut self.topic_state {
+            TopicState::Operator(operator) => operator.confirm(self.state, sent),
             TopicState::Registry(_) => self.state.set_registry_read(),
             TopicState::Crashes(_) => {}
         }
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -9,11 +9,13 @@
 use sesamecart_fleet::PeerNode;
 use sesamecart_links::Links;
 use sesamecart_links::feed::NodeAnnouncement;
-use sesamecart_platform::{AppendCondition, NewestPage, Record, Store, StoreError, Topic};
+use sesamecart_platform::{LogPosition, Record, Store, StoreError, Topic};
 use sesamecart_runtime::{sleep, with_timeout};
 use sesamecart_vocabulary::NodeId;
 
+use super::topic_era::TopicEra;
 use super::{Dependency, RETRY_DELAY, log_ignored_record};
+use crate::events::Event;
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -43,15 +45,20 @@
 /// ask the store for it.
 const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(1_200);
 
+/// Nodes whose entries are missing register again within this time after they have noticed.
+const REREGISTRATION_DELAY: Duration = Duration::from_millis(500);
+
 /// Registers this node in the store's nodes topic and reads the entries of the other nodes.
 pub(super) struct NodesTopic {
     dependency: Dependency,
+    list: NodeList,
 }
 
 impl NodesTopic {
-    pub(super) const fn new() -> Self {
+    pub(super) fn new() -> Self {
         Self {
             dependency: Dependency::new("store, nodes"),
+            list: NodeList::default(),
         }
     }
 
@@ -71,7 +78,10 @@
         loop {
             match self.read(state, store).await {
                 // The entry from before this process restarted is still valid.
-                Some(nodes) if nodes.contains(&own) => return false,
+                Some(nodes) if nodes.contains(&own) => {
+                    state.set_own_entry(LogPosition::START);
+                    return false;
+                }
                 Some(_) if self.publish_entry(state, store, &own).await => return true,
                 _ => delay = back_off(delay).await,
             }
@@ -90,15 +100,17 @@
             false => Duration::ZERO,
         };
         let mut added = state.node_added.listen();
+        let mut returned = state.era_changed.listen();
         loop {
             let notice = async {
-                added.await;
+                future::or(added, returned).await;
                 // Nodes that are added together are read together.
                 sleep(ADDED_NODE_READ_DELAY).await;
             };
             future::or(notice, sleep(next)).await;
             // Before the read, which may miss a node that is added meanwhile.
             added = state.node_added.listen();
+            returned = state.era_changed.listen();
             next = match self.read(state, store).await {
                 Some(_) => NODES_READ_INTERVAL,
                 None => RETRY_DELAY,
@@ -107,13 +119,14 @@
     }
 
     async fn read(&mut self, state: &EntryState, store: &Store) -> Option<Vec<PeerNode>> {
-        match read_nodes(store).await {
-            Ok(page) => {
+        match store.newest(Topic::Nodes).await {
+            Ok(snapshot) => {
                 let _was_unavailable = self.dependency.record_success(state);
-                let _summary = state.feed.replace(Topic::Nodes, &page.records, page.end);
-                let records = page.records.into_iter().map(|stored| stored.record);
+                let end = snapshot.end;
+                let _summary = state.feed.replace(Topic::Nodes, &snapshot.records, end);
+                let records = snapshot.records.into_iter().map(|stored| stored.record);
                 let records: Vec<Record> = records.collect();
-                Some(replace_nodes(state, &records, &IndexSet::new()))
+                Some(self.list.replace(state, end, &records, &IndexSet::new()))
             }
             Err(error) => {
                 self.dependency.record_failure(state, &error);
@@ -123,25 +136,56 @@
     }
 
     async fn publish_entry(&mut self, state: &EntryState, store: &Store, own: &PeerNode) -> bool {
-        let value = match serde_json::to_vec(own) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!("follower: cannot serialize this node's entry: {error}.");
-                return false;
-            }
-        };
-        let record = Record {
-            key: Some(own.node.to_string()),
-            value: Some(value),
-        };
-        let appended = store
-            .append(Topic::Nodes, &record, AppendCondition::Unconditional)
-            .await;
+        let appended = publish_entry(state, store, own).await;
         if let Err(error) = &appended {
             self.dependency.record_failure(state, error);
         }
         appended.is_ok()
     }
+
+    /// Returns the list, to which other nodes' updates are applied.
+    pub(super) const fn list(&mut self) -> &mut NodeList {
+        &mut self.list
+    }
+}
+
+async fn publish_entry(
+    state: &EntryState,
+    store: &Store,
+    own: &PeerNode,
+) -> Result<(), StoreError> {
+    let value = match serde_json::to_vec(own) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!("follower: cannot serialize this node's entry: {error}.");
+            return Ok(());
+        }
+    };
+    let record = Record {
+        key: Some(own.node.to_string()),
+        value: Some(value),
+    };
+    let position = store.append(Topic::Nodes, &record).await?;
+    state.set_own_entry(position);
+    Ok(())
+}
+
+/// Registers this node again whenever its entry is missing from the list: it may have been written after the copy
+/// was taken from which the store has returned.
+pub(crate) async fn keep_registered(state: Arc<EntryState>, store: Store, links: Links) {
+    loop {
+        let missing = state.own_entry_missing.listen();
+        missing.await;
+        // All nodes notice a return at about the same time.
+        sleep(REREGISTRATION_DELAY.mul_f64(fastrand::f64())).await;
+        let mut delay = RETRY_DELAY;
+        while let Err(error) = publish_entry(&state, &store, &state.local_peer()).await {
+            log::debug!("follower: {error}.");
+            delay = back_off(delay).await;
+        }
+        state.events.write(&Event::RegisteredAgain {});
+        announce(&state, &links).await;
+    }
 }
 
 /// Tells the nodes that read the store that this node was added.
@@ -162,40 +206,69 @@
     join_all(announcements).await;
 }
 
-/// Replaces the list with `records` and with the known nodes whose keys are in `unchanged`. Returns the nodes
-/// decoded from `records`.
-pub(super) fn replace_nodes(
-    state: &EntryState,
-    records: &[Record],
-    unchanged: &IndexSet<String>,
-) -> Vec<PeerNode> {
-    merge(state, records, |node| unchanged.contains(node.as_str()))
+/// The list of nodes.
+#[derive(Debug, Default)]
+pub(super) struct NodeList {
+    era: TopicEra,
+    /// Whether this node's entry is in the list.
+    has_own: bool,
 }
 
-/// Applies changed records to the list.
-pub(super) fn apply_nodes(state: &EntryState, records: &[Record]) {
-    let changed: IndexSet<&str> = records
-        .iter()
-        .filter_map(|record| record.key.as_deref())
-        .collect();
-    merge(state, records, |node| !changed.contains(node.as_str()));
+impl NodeList {
+    /// Replaces the list with `records` and with the known nodes whose keys are in `unchanged`. Returns the nodes
+    /// decoded from `records`.
+    pub(super) fn replace(
+        &mut self,
+        state: &EntryState,
+        end: LogPosition,
+        records: &[Record],
+        unchanged: &IndexSet<String>,
+    ) -> Vec<PeerNode> {
+        self.has_own = unchanged.contains(state.settings.node.as_str());
+        self.merge(state, end, records, |node| {
+            unchanged.contains(node.as_str())
+        })
+    }
+
+    /// Applies changed records to the list.
+    pub(super) fn apply(&mut self, state: &EntryState, end: LogPosition, records: &[Record]) {
+        let changed: IndexSet<&str> = records
+            .iter()
+            .filter_map(|record| record.key.as_deref())
+            .collect();
+        self.has_own &= !changed.contains(state.settings.node.as_str());
+        self.merge(state, end, records, |node| !changed.contains(node.as_str()));
+    }
+
+    /// Merges records into the list. After a return of the store, nodes that are missing count until the list is read
+    /// the next time: they register again, and limits that all nodes share must not be divided among too few.
+    fn merge(
+        &mut self,
+        state: &EntryState,
+        end: LogPosition,
+        records: &[Record],
+        is_listed: impl Fn(&NodeId) -> bool,
+    ) -> Vec<PeerNode> {
+        let is_restored = self.era.advance(end.era);
+        let decoded = decode_nodes(state, records);
+        self.has_own |= decoded.contains(&state.local_peer());
+        if !self.has_own && state.has_own_entry_before(end) {
+            state.own_entry_missing.notify(usize::MAX);
+        }
+        merge(state, &decoded, |node| is_restored || is_listed(node));
+        decoded
+    }
 }
 
-fn merge(
-    state: &EntryState,
-    records: &[Record],
-    is_kept: impl Fn(&NodeId) -> bool,
-) -> Vec<PeerNode> {
-    let decoded = decode_nodes(state, records);
+fn merge(state: &EntryState, decoded: &[PeerNode], is_kept: impl Fn(&NodeId) -> bool) {
     let known = state.nodes.load();
     let kept = known.iter().filter(|peer| is_kept(&peer.node));
     let own = state.local_peer();
-    let all = kept.chain(&decoded).chain([&own]);
+    let all = kept.chain(decoded).chain([&own]);
     let mut nodes: IndexMap<&NodeId, &PeerNode> = all.map(|peer| (&peer.node, peer)).collect();
     nodes.sort_unstable_keys();
     let nodes = nodes.into_values().cloned().collect();
     state.nodes.store(Arc::new(nodes));
-    decoded
 }
 
 fn decode_nodes(state: &EntryState, records: &[Record]) -> Vec<PeerNode> {
@@ -217,13 +290,3 @@
     sleep(delay.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
     (2 * delay).min(MAX_REGISTRATION_DELAY)
 }
-
-async fn read_nodes(store: &Store) -> Result<NewestPage, StoreError> {
-    let mut page = store.newest(Topic::Nodes, None).await?;
-    while let Some(after) = page.next.take() {
-        let more = store.newest(Topic::Nodes, Some(&after)).await?;
-        page.records.extend(more.records);
-        page.next = more.next;
-    }
-    Ok(page)
-}
--- a/crates/sesamecart-entry/src/follower/nodes/tests.rs
+++ b/crates/sesamecart-entry/src/follower/nodes/tests.rs
@@ -1,11 +1,14 @@
 //! Tests of how a follower updates its list of nodes.
 
+use futures_util::FutureExt as _;
+use indexmap::IndexSet;
 use sesamecart_links::feed::{FollowRequest, KeyedRecord, TopicPart, UnchangedKeys};
-use sesamecart_platform::{Offset, Record, StoredRecord, Topic};
+use sesamecart_platform::{LogPosition, Offset, Record, StoreEra, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
 use crate::feed::Feed;
-use crate::follower::peer::update_nodes;
+use crate::follower::nodes::NodeList;
+use crate::follower::peer::{TopicUpdate, update_nodes};
 use crate::state::EntryState;
 use crate::testkit::new_state;
 
@@ -29,7 +32,7 @@
         record,
     });
     let entries: Vec<StoredRecord> = entries.collect();
-    let end = Offset(entries.len() as u64);
+    let end = LogPosition::new(StoreEra(0), Offset(entries.len() as u64));
     let _summary = feed.replace(Topic::Nodes, &entries, end);
 }
 
@@ -42,7 +45,9 @@
     let reply = feed.reply_to(NOW, &req).expect("the feed is serving");
     let part = reply.nodes.expect("the reply contains the list of nodes");
     let next = part.next;
-    update_nodes(state, part);
+    let mut position = LogPosition::START;
+    let update = TopicUpdate::new(part, &mut position).expect("something has changed");
+    update_nodes(state, &mut NodeList::default(), update);
     next
 }
 
@@ -57,7 +62,7 @@
 fn adding_a_node_keeps_the_other_nodes() {
     let feed = Feed::new();
     for topic in [Topic::Operator, Topic::Registry, Topic::Crashes] {
-        let _summary = feed.replace(topic, &[], Offset(0));
+        let _summary = feed.replace(topic, &[], LogPosition::START);
     }
     read_list(&feed, &["n1", "n2", "n3"]);
     let state = new_state(true);
@@ -85,7 +90,13 @@
         whole: true,
         ..TopicPart::default()
     };
-    update_nodes(&state, whole);
+    let mut list = NodeList::default();
+    let mut position = LogPosition::START;
+    let mut apply = |part| {
+        let update = TopicUpdate::new(part, &mut position).expect("something has changed");
+        update_nodes(&state, &mut list, update);
+    };
+    apply(whole);
     let changed = TopicPart {
         records: records(&["n4"]),
         unchanged: Some(UnchangedKeys {
@@ -93,7 +104,70 @@
         }),
         ..TopicPart::default()
     };
-    update_nodes(&state, changed);
+    apply(changed);
     // The node itself, n1, stays listed although no record contains it.
     assert_eq!(known(&state), ["n1", "n3", "n4"]);
 }
+
+/// Returns whether this node would register again after it has read a list that ends at `end`.
+fn misses_own_entry(
+    state: &EntryState,
+    list: &mut NodeList,
+    end: LogPosition,
+    nodes: &[&str],
+) -> bool {
+    let own = serde_json::to_vec(&state.local_peer()).expect("an entry serializes");
+    let entries = nodes.iter().map(|node| match *node {
+        "n1" => Record {
+            key: Some("n1".to_owned()),
+            value: Some(own.clone()),
+        },
+        other => entry(other),
+    });
+    let entries: Vec<Record> = entries.collect();
+    let missing = state.own_entry_missing.listen();
+    let _nodes = list.replace(state, end, &entries, &IndexSet::new());
+    missing.now_or_never().is_some()
+}
+
+fn at(era: u64, offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra(era), Offset(offset))
+}
+
+/// Guards against a node that nobody knows of any more because its entry was lost when the store returned.
+#[test]
+fn a_node_whose_entry_was_lost_registers_again() {
+    let state = new_state(true);
+    let mut list = NodeList::default();
+    state.set_own_entry(at(1, 5));
+    assert!(
+        !misses_own_entry(&state, &mut list, at(1, 5), &["n2"]),
+        "the list is older"
+    );
+    assert!(!misses_own_entry(
+        &state,
+        &mut list,
+        at(1, 6),
+        &["n1", "n2"]
+    ));
+    assert!(misses_own_entry(&state, &mut list, at(2, 3), &["n2"]));
+    state.set_own_entry(at(2, 3));
+    assert!(!misses_own_entry(
+        &state,
+        &mut list,
+        at(2, 4),
+        &["n1", "n2"]
+    ));
+}
+
+/// Guards against limits of all nodes that are divided among too few while nodes register again.
+#[test]
+fn nodes_that_a_return_has_lost_count_until_the_next_read() {
+    let state = new_state(true);
+    let mut list = NodeList::default();
+    misses_own_entry(&state, &mut list, at(1, 3), &["n1", "n2", "n3"]);
+    misses_own_entry(&state, &mut list, at(2, 2), &["n1", "n2"]);
+    assert_eq!(known(&state), ["n1", "n2", "n3"]);
+    misses_own_entry(&state, &mut list, at(2, 3), &["n1", "n2", "n4"]);
+    assert_eq!(known(&state), ["n1", "n2", "n4"]);
+}
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -8,13 +8,14 @@
 use sesamecart_fleet::Source;
 use sesamecart_links::Code;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
-use sesamecart_platform::Record;
+use sesamecart_platform::{LogPosition, Offset, Record, StoreEra};
 use sesamecart_runtime::{sleep, with_timeout};
 use sesamecart_vocabulary::Timestamp;
 
 use super::RETRY_DELAY;
 use super::crashes::CrashesState;
-use super::nodes::{apply_nodes, replace_nodes};
+use super::neighbors;
+use super::nodes::NodeList;
 use super::source_follower::{PREFERRED_PROBE_INTERVAL, SourceFollower, SwitchReason};
 use crate::clock;
 use crate::events::Event;
@@ -46,13 +47,13 @@
 /// `bounds.configuration_ms`. A node that reads the store always stays below it.
 const MAX_AGE_FRACTION: f64 = 0.9;
 
-/// The next offset of each topic, and the next loss in the feed that was followed last.
+/// The next position in each topic, and the next loss in the feed that was followed last.
 #[derive(Debug, Default)]
 pub(super) struct Position {
-    operator: u64,
-    registry: u64,
-    nodes: u64,
-    crashes: u64,
+    operator: LogPosition,
+    registry: LogPosition,
+    nodes: LogPosition,
+    crashes: LogPosition,
     feed: u64,
     losses: u64,
     limits: u64,
@@ -77,18 +78,23 @@
     Poll,
 }
 
-/// The offsets up to which another node has the topics by which its replies are compared.
-struct OfferedOffsets {
-    operator: u64,
-    registry: u64,
+/// The positions up to which another node has the topics by which its replies are compared.
+struct OfferedPositions {
+    operator: LogPosition,
+    registry: LogPosition,
 }
 
 /// The result of processing a reply.
 enum ReplyOutcome {
-    /// The reply was applied.
-    Applied,
-    /// The other node is behind this one: it has the topics up to these offsets.
-    Behind(OfferedOffsets),
+    /// The reply was applied. The other node's last read was sent at this time at the latest.
+    Applied {
+        /// When the read was sent that vouches for the configuration of the other node.
+        vouched_at: Timestamp,
+        /// When its last read of the operator's topic was sent.
+        read_at: Timestamp,
+    },
+    /// The other node is behind this one: it has the topics up to these positions.
+    Behind(OfferedPositions),
     /// The reply lacks a topic.
     Incomplete,
 }
@@ -142,14 +148,20 @@
             let is_first = matches!(phase, FollowPhase::CatchUp);
             phase = FollowPhase::Poll;
             if !is_fresh(&self.state, &reply) {
-                let age = Duration::from_millis(reply.vouched_ms);
+                let age = Duration::from_millis(read_ms(&reply));
                 return source_failed(address, format_args!("the configuration is stale: {age:?}"));
             }
             if is_first {
                 self.log_caught_up(address, &reply);
             }
-            match self.apply_reply(sent, reply) {
-                ReplyOutcome::Applied => behind_since = None,
+            match self.apply_reply(address, sent, reply) {
+                ReplyOutcome::Applied {
+                    vouched_at,
+                    read_at,
+                } => {
+                    behind_since = None;
+                    self.confirm(vouched_at, read_at).await;
+                }
                 ReplyOutcome::Incomplete => {
                     return source_failed(address, "the reply lacks a topic");
                 }
@@ -159,7 +171,7 @@
                     }
                     let since = *behind_since.get_or_insert(sent);
                     if clock::now().since(since) > LAG_TIMEOUT {
-                        return source_failed(address, "its offsets are behind this node's");
+                        return source_failed(address, "it is behind this node");
                     }
                 }
             }
@@ -174,7 +186,7 @@
     }
 
     /// Logs that a reply was ignored because it is older than what this node has.
-    fn log_ignored_reply(&self, address: SocketAddr, offered: &OfferedOffsets) {
+    fn log_ignored_reply(&self, address: SocketAddr, offered: &OfferedPositions) {
         self.state.events.write(&Event::ReplyIgnored {
             source: &Source::Node(address).to_string(),
             operator_known: &self.position.operator.to_string(),
@@ -191,41 +203,52 @@
         };
         self.state.events.write(&Event::CaughtUp {
             source: &Source::Node(address).to_string(),
-            operator_from: self.position.operator,
-            operator_next: operator.next,
+            operator_from: &self.position.operator.to_string(),
+            operator_next: &end_of(operator).to_string(),
             operator_records: operator.records.len(),
             operator_whole: operator.whole,
-            registry_from: self.position.registry,
-            registry_next: registry.next,
+            registry_from: &self.position.registry.to_string(),
+            registry_next: &end_of(registry).to_string(),
             registry_records: registry.records.len(),
             registry_whole: registry.whole,
         });
     }
 
-    /// Applies a reply unless its offsets are behind this node's.
-    fn apply_reply(&mut self, sent: Timestamp, reply: FollowReply) -> ReplyOutcome {
+    /// Applies a reply unless it is behind this node.
+    fn apply_reply(
+        &mut self,
+        address: SocketAddr,
+        sent: Timestamp,
+        reply: FollowReply,
+    ) -> ReplyOutcome {
+        let read_ms = read_ms(&reply);
         let (Some(operator), Some(registry), Some(nodes)) =
             (reply.operator, reply.registry, reply.nodes)
         else {
             return ReplyOutcome::Incomplete;
         };
         let position = &mut self.position;
-        let is_behind = operator.next < position.operator || registry.next < position.registry;
-        if is_behind {
-            return ReplyOutcome::Behind(OfferedOffsets {
-                operator: operator.next,
-                registry: registry.next,
-            });
+        let offered = OfferedPositions {
+            operator: end_of(&operator),
+            registry: end_of(&registry),
+        };
+        if offered.operator < position.operator || offered.registry < position.registry {
+            return ReplyOutcome::Behind(offered);
         }
-        position.operator = operator.next;
-        position.registry = registry.next;
-        position.nodes = nodes.next;
+        let era = offered.operator.era.max(offered.registry.era);
+        let source = Source::Node(address).to_string();
+        self.state.learn_store_era(era, &source);
+        let operator = TopicUpdate::new(operator, &mut position.operator);
+        let registry = TopicUpdate::new(registry, &mut position.registry);
+        // The other node reads each topic by itself, so after a return of the store, some may still be of before.
+        let nodes = Some(nodes).filter(|part| end_of(part).era >= position.nodes.era);
+        let nodes = nodes.and_then(|part| TopicUpdate::new(part, &mut position.nodes));
         // A node of an older version has no such topic.
-        let crashes = reply.crashes;
-        let crashes = crashes.filter(|part| part.whole || part.next >= position.crashes);
-        if let Some(crashes) = &crashes {
-            position.crashes = crashes.next;
-        }
+        let crashes = reply.crashes.filter(|part| {
+            let end = end_of(part);
+            end >= position.crashes || (part.whole && end.era == position.crashes.era)
+        });
+        let crashes = crashes.and_then(|part| TopicUpdate::new(part, &mut position.crashes));
         position.feed = reply.feed;
         position.losses = reply.losses_next;
         position.limits = reply.limits_next;
@@ -236,16 +259,13 @@
                     .saturating_sub(u64::try_from(since_recovery.as_micros()).unwrap_or(u64::MAX)),
             ));
         }
-        self.apply_topics(operator, registry, nodes);
+        self.apply_topics(operator, registry);
+        if let Some(nodes) = nodes {
+            update_nodes(&self.state, self.nodes.list(), nodes);
+        }
         if let Some(crashes) = crashes {
-            update_crashes(&self.state, crashes);
+            update_crashes(&self.state, &mut self.crashes, crashes);
         }
-        // The reply was sent after the request, so subtracting the reported age from the request's time gives
-        // a safe lower bound.
-        let age = Duration::from_millis(reply.vouched_ms);
-        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.state
-            .confirm_configuration(Timestamp(sent.0.saturating_sub(age)));
         self.state.set_registry_read();
         self.state.learn_limits(&reply.limits);
         for group in &reply.losses {
@@ -254,53 +274,100 @@
                 None => log::warn!("follower: invalid group in a loss: {group}."),
             }
         }
-        ReplyOutcome::Applied
+        // The reply was sent after the request, so subtracting a reported age from the request's time gives a safe
+        // lower bound.
+        let at = |age_ms: u64| {
+            let age = Duration::from_millis(age_ms).as_micros();
+            Timestamp(
+                sent.0
+                    .saturating_sub(u64::try_from(age).unwrap_or(u64::MAX)),
+            )
+        };
+        ReplyOutcome::Applied {
+            vouched_at: at(reply.vouched_ms),
+            read_at: at(read_ms),
+        }
+    }
+
+    /// Confirms what was received, after other nodes were asked if they may know more.
+    async fn confirm(&mut self, vouched_at: Timestamp, read_at: Timestamp) {
+        if self.operator.take_needs_neighbors() {
+            let answers = neighbors::ask(&self.state, &self.links).await;
+            self.operator.learn(&self.state, &answers);
+        }
+        self.operator.confirm(&self.state, vouched_at);
+        self.state.record_source_read(read_at);
     }
 
-    fn apply_topics(&mut self, operator: TopicPart, registry: TopicPart, nodes: TopicPart) {
+    fn apply_topics(&mut self, operator: Option<TopicUpdate>, registry: Option<TopicUpdate>) {
         let state = &self.state;
-        match TopicUpdate::from(operator) {
-            TopicUpdate::Snapshot { records, unchanged } => {
-                self.operator.replace(state, &records, &unchanged);
+        if let Some(TopicUpdate { end, change }) = operator {
+            match change {
+                TopicChange::Snapshot { records, unchanged } => {
+                    self.operator.replace(state, end.era, &records, &unchanged);
+                }
+                TopicChange::Delta(records) => self.operator.apply(state, end.era, &records),
             }
-            TopicUpdate::Delta(records) if records.is_empty() => {}
-            TopicUpdate::Delta(records) => self.operator.apply(state, &records),
         }
-        match TopicUpdate::from(registry) {
-            TopicUpdate::Snapshot { records, unchanged } => {
-                self.registry.replace(state, &records, &unchanged);
+        if let Some(TopicUpdate { end, change }) = registry {
+            match change {
+                TopicChange::Snapshot { records, unchanged } => {
+                    self.registry.replace(state, end.era, &records, &unchanged);
+                }
+                TopicChange::Delta(records) => self.registry.apply(state, end.era, &records),
             }
-            TopicUpdate::Delta(records) if records.is_empty() => {}
-            TopicUpdate::Delta(records) => self.registry.apply(state, &records),
         }
-        update_nodes(state, nodes);
     }
 }
 
 /// Applies another node's update of the list of nodes.
-pub(super) fn update_nodes(state: &EntryState, nodes: TopicPart) {
-    match TopicUpdate::from(nodes) {
-        TopicUpdate::Snapshot { records, unchanged } => {
-            let _nodes = replace_nodes(state, &records, &unchanged);
+pub(super) fn update_nodes(state: &EntryState, list: &mut NodeList, nodes: TopicUpdate) {
+    let end = nodes.end;
+    match nodes.change {
+        TopicChange::Snapshot { records, unchanged } => {
+            let _nodes = list.replace(state, end, &records, &unchanged);
         }
-        TopicUpdate::Delta(records) if records.is_empty() => {}
-        TopicUpdate::Delta(records) => apply_nodes(state, &records),
+        TopicChange::Delta(records) => list.apply(state, end, &records),
     }
 }
 
 /// Applies another node's update of the topic of crashes.
-fn update_crashes(state: &EntryState, crashes: TopicPart) {
-    match TopicUpdate::from(crashes) {
-        TopicUpdate::Snapshot { records, unchanged } => {
-            CrashesState.replace(state, &records, &unchanged);
+fn update_crashes(state: &EntryState, reports: &mut CrashesState, crashes: TopicUpdate) {
+    let era = crashes.end.era;
+    match crashes.change {
+        TopicChange::Snapshot { records, unchanged } => {
+            reports.replace(state, era, &records, &unchanged);
         }
-        TopicUpdate::Delta(records) if records.is_empty() => {}
-        TopicUpdate::Delta(records) => CrashesState.apply(state, &records),
+        TopicChange::Delta(records) => reports.apply(state, era, &records),
     }
 }
 
+/// Returns the position up to which another node has a topic.
+const fn end_of(part: &TopicPart) -> LogPosition {
+    LogPosition::new(StoreEra(part.era), Offset(part.next))
+}
+
 /// Another node's update of a topic.
-enum TopicUpdate {
+pub(super) struct TopicUpdate {
+    /// The position up to which the other node has the topic.
+    end: LogPosition,
+    change: TopicChange,
+}
+
+impl TopicUpdate {
+    /// Advances `position` to the end of a part. Returns the update, unless nothing has changed.
+    pub(super) fn new(part: TopicPart, position: &mut LogPosition) -> Option<Self> {
+        let end = end_of(&part);
+        let is_same_era = end.era == position.era;
+        *position = end;
+        let change = TopicChange::from(part);
+        let is_empty = matches!(&change, TopicChange::Delta(records) if records.is_empty());
+        (!is_empty || !is_same_era).then_some(Self { end, change })
+    }
+}
+
+/// What has changed in a topic.
+enum TopicChange {
     /// All keys of the topic; other keys no longer exist.
     Snapshot {
         records: Vec<Record>,
@@ -311,7 +378,7 @@
     Delta(Vec<Record>),
 }
 
-impl From<TopicPart> for TopicUpdate {
+impl From<TopicPart> for TopicChange {
     fn from(part: TopicPart) -> Self {
         let records = part.records.into_iter().map(|record| Record {
             key: Some(record.key),
@@ -335,7 +402,13 @@
 /// Returns whether the configuration in a reply is fresh enough to follow the node that sent it.
 pub(super) fn is_fresh(state: &EntryState, reply: &FollowReply) -> bool {
     let configuration_bound = Duration::from_millis(state.settings.bounds.configuration_ms);
-    Duration::from_millis(reply.vouched_ms) <= configuration_bound.mul_f64(MAX_AGE_FRACTION)
+    Duration::from_millis(read_ms(reply)) <= configuration_bound.mul_f64(MAX_AGE_FRACTION)
+}
+
+/// Returns the age of the other node's last read. While the store has an older configuration than the node, the read
+/// vouches for nothing, and following another node wouldn't help.
+fn read_ms(reply: &FollowReply) -> u64 {
+    reply.read_ms.unwrap_or(reply.vouched_ms)
 }
 
 fn source_failed(address: SocketAddr, cause: impl Display) -> SwitchReason {
@@ -348,9 +421,13 @@
     pub(super) const fn probe_request() -> FollowRequest {
         FollowRequest {
             operator_next: u64::MAX,
+            operator_era: Some(u64::MAX),
             registry_next: u64::MAX,
+            registry_era: Some(u64::MAX),
             nodes_next: u64::MAX,
+            nodes_era: Some(u64::MAX),
             crashes_next: u64::MAX,
+            crashes_era: Some(u64::MAX),
             feed: 0,
             losses_next: 0,
             limits_next: 0,
@@ -360,10 +437,14 @@
 
     const fn request(&self, wait: Duration) -> FollowRequest {
         FollowRequest {
-            operator_next: self.operator,
-            registry_next: self.registry,
-            nodes_next: self.nodes,
-            crashes_next: self.crashes,
+            operator_next: self.operator.offset.0,
+            operator_era: Some(self.operator.era.0),
+            registry_next: self.registry.offset.0,
+            registry_era: Some(self.registry.era.0),
+            nodes_next: self.nodes.offset.0,
+            nodes_era: Some(self.nodes.era.0),
+            crashes_next: self.crashes.offset.0,
+            crashes_era: Some(self.crashes.era.0),
             feed: self.feed,
             losses_next: self.losses,
             limits_next: self.limits,
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -5,10 +5,11 @@
 use async_channel::Sender;
 use indexmap::{IndexMap, IndexSet};
 use sesamecart_fleet::{Directory, Endpoint};
-use sesamecart_platform::{Record, Topic, decode_endpoint};
+use sesamecart_platform::{Record, StoreEra, Topic, decode_endpoint, decode_heartbeats};
 use sesamecart_vocabulary::{EndpointId, ModelId, Timestamp};
 
 use super::log_ignored_record;
+use super::topic_era::TopicEra;
 use crate::clock;
 use crate::events::Event;
 use crate::state::EntryState;
@@ -27,6 +28,9 @@
     /// Endpoints whose entries were missing after the outage, with the time at which each is removed unless
     /// it registers again.
     missing: IndexMap<EndpointId, Timestamp>,
+    era: TopicEra,
+    /// The heartbeats that each endpoint's last entry counts.
+    heartbeats: IndexMap<EndpointId, u64>,
 }
 
 impl RegistryState {
@@ -35,6 +39,8 @@
             changed,
             recovered_at: None,
             missing: IndexMap::new(),
+            era: TopicEra::default(),
+            heartbeats: IndexMap::new(),
         }
     }
 
@@ -43,6 +49,7 @@
     pub(super) fn replace(
         &mut self,
         state: &EntryState,
+        era: StoreEra,
         records: &[Record],
         unchanged: &IndexSet<String>,
     ) {
@@ -64,13 +71,20 @@
             .collect();
         drop(current);
         let all: Vec<Record> = records.iter().cloned().chain(removed).collect();
-        self.apply(state, &all);
+        self.apply(state, era, &all);
     }
 
-    pub(super) fn apply(&mut self, state: &EntryState, records: &[Record]) {
+    pub(super) fn apply(&mut self, state: &EntryState, era: StoreEra, records: &[Record]) {
         let now = clock::now();
+        let is_restored = self.era.advance(era);
+        if is_restored {
+            self.recovered_at = Some(now);
+        }
         let mut directory = Directory::clone(&state.directory.load());
         for record in records {
+            if is_restored && self.is_outdated(&directory, record) {
+                continue;
+            }
             self.apply_one(state, &mut directory, now, record);
         }
         let expired = self
@@ -80,6 +94,7 @@
             remove(state, &mut directory, now, &id);
         }
         directory.prune(now);
+        self.heartbeats.retain(|id, _| directory.find(id).is_some());
         state.prune_groups(now, &directory);
         state.directory.rcu(|current| {
             // The operator topic's follower and responses of endpoints may have changed it meanwhile.
@@ -91,6 +106,21 @@
         let _sent = self.changed.try_send(());
     }
 
+    /// Returns whether a record of the copy from which the store has returned is older than what is known of the
+    /// endpoint, which may have begun to leave or opened its group since. Also an endpoint that is gone stays gone.
+    fn is_outdated(&self, directory: &Directory, record: &Record) -> bool {
+        let Some((key, value)) = record.key.as_deref().zip(record.value.as_deref()) else {
+            return false;
+        };
+        let Ok(copied) = decode_endpoint(key, value) else {
+            return false;
+        };
+        let known = directory.find(&copied.id);
+        let is_same_start = known.is_some_and(|known| known.incarnation == copied.incarnation);
+        let heartbeats = self.heartbeats.get(&copied.id).copied();
+        is_same_start && heartbeats.is_some() && decode_heartbeats(value) <= heartbeats
+    }
+
     fn apply_one(
         &mut self,
         state: &EntryState,
@@ -116,6 +146,9 @@
             Ok(endpoint) => {
                 let endpoint = directory.with_current_state(endpoint);
                 self.missing.swap_remove(&id);
+                if let Some(heartbeats) = decode_heartbeats(value) {
+                    self.heartbeats.insert(id, heartbeats);
+                }
                 log_change(state, directory, &endpoint);
                 directory.put(now, endpoint);
             }
--- a/crates/sesamecart-entry/src/follower/search.rs
+++ b/crates/sesamecart-entry/src/follower/search.rs
@@ -114,7 +114,7 @@
 
 /// Returns whether the store answers a small read.
 pub(super) async fn is_store_serving(store: &Store) -> bool {
-    let read = store.newest(Topic::Nodes, None);
+    let read = store.newest(Topic::Nodes);
     matches!(with_timeout(PROBE_TIMEOUT, read).await, Ok(Ok(_)))
 }
 
--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -54,9 +54,10 @@
     pub(super) links: Links,
     pub(super) operator: OperatorState,
     pub(super) registry: RegistryState,
+    pub(super) crashes: CrashesState,
     pub(super) position: Position,
     pub(super) asks: StoreAsks,
-    nodes: NodesTopic,
+    pub(super) nodes: NodesTopic,
     operator_store: Dependency,
     registry_store: Dependency,
     crashes_store: Dependency,
@@ -71,17 +72,18 @@
         changed: Sender<()>,
     ) -> Self {
         Self {
-            state,
             store,
             links,
-            operator: OperatorState::default(),
+            operator: OperatorState::new(state.settings.first_start),
             registry: RegistryState::new(changed),
+            crashes: CrashesState::default(),
             position: Position::default(),
             asks: StoreAsks::default(),
             nodes: NodesTopic::new(),
             operator_store: Dependency::new("store, operator"),
             registry_store: Dependency::new("store, registry"),
             crashes_store: Dependency::new("store, crashes"),
+            state,
         }
     }
 
@@ -134,7 +136,7 @@
     }
 
     fn has_served_since(&self, begun_at: Timestamp) -> bool {
-        let age = self.state.configuration_age();
+        let age = self.state.source_age();
         age.is_some_and(|age| age < clock::now().since(begun_at))
     }
 
@@ -161,7 +163,7 @@
         let mut plan = self.plan();
         let configuration_bound =
             Duration::from_millis(self.state.settings.bounds.configuration_ms);
-        let age = self.state.configuration_age();
+        let age = self.state.source_age();
         let age = age.unwrap_or_else(|| clock::now().since(started_at));
         if plan.role == Role::Follower && age < configuration_bound.mul_f64(STORE_FALLBACK_FRACTION)
         {
@@ -191,10 +193,11 @@
 
     /// Reads the store until it has been unavailable for too long or this node should follow another node.
     async fn read_store(&mut self) -> SwitchReason {
-        let (state, store) = (&*self.state, &self.store);
+        let (state, store, links) = (&*self.state, &self.store, &self.links);
         let operator = TopicFollower {
             state,
             store,
+            links,
             topic: Topic::Operator,
             dependency: &mut self.operator_store,
             topic_state: TopicState::Operator(&mut self.operator),
@@ -202,6 +205,7 @@
         let registry = TopicFollower {
             state,
             store,
+            links,
             topic: Topic::Registry,
             dependency: &mut self.registry_store,
             topic_state: TopicState::Registry(&mut self.registry),
@@ -209,9 +213,10 @@
         let crashes = TopicFollower {
             state,
             store,
+            links,
             topic: Topic::Crashes,
             dependency: &mut self.crashes_store,
-            topic_state: TopicState::Crashes(&CrashesState),
+            topic_state: TopicState::Crashes(&mut self.crashes),
         };
         let reads = join3(
             registry.run(None),
--- a/crates/sesamecart-entry/src/loss_reports.rs
+++ b/crates/sesamecart-entry/src/loss_reports.rs
@@ -12,7 +12,7 @@
 use sesamecart_fleet::GroupKey;
 use sesamecart_links::Links;
 use sesamecart_links::feed::GroupLoss;
-use sesamecart_platform::{AppendCondition, Record, Store, Topic};
+use sesamecart_platform::{Record, Store, Topic};
 use sesamecart_runtime::with_timeout;
 
 use crate::clock;
@@ -48,8 +48,7 @@
         key: None,
         value: Some(key.to_string().into_bytes()),
     };
-    let append = store.append(Topic::Observations, &record, AppendCondition::Unconditional);
-    if let Err(error) = append.await {
+    if let Err(error) = store.append(Topic::Observations, &record).await {
         // The controller detects the loss a little later, from its own streams or the expired registry entry.
         state.metrics.count_store_failure();
         state.events.write(&Event::RecordIgnored {
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -24,7 +24,7 @@
 use crate::dispatch::{poll_dispatchers, report_held};
 use crate::events::{Event, EventLog};
 use crate::feed::{self, FeedHandler};
-use crate::follower::{SourceFollower, millis};
+use crate::follower::{SourceFollower, keep_registered, millis};
 use crate::group_prober::GroupProber;
 use crate::limits::LimitClient;
 use crate::metrics::Metrics;
@@ -332,6 +332,11 @@
     let source_follower =
         SourceFollower::new(Arc::clone(state), store.clone(), links.clone(), change_tx);
     tasks.spawn(source_follower.run());
+    tasks.spawn(keep_registered(
+        Arc::clone(state),
+        store.clone(),
+        links.clone(),
+    ));
     let group_prober = GroupProber::new(Arc::clone(state), client.clone(), links.clone());
     let reach_checker = ReachChecker::new(Arc::clone(state), client.clone());
     let reach_monitor = ReachMonitor::new(Arc::clone(state), reach_checker.clone(), links.clone());
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -14,7 +14,9 @@
     FirstEventTimeouts, Freshness, GroupKey, LoadTracker, MemberSilences, PeerNode, RetryBudget,
     StoreEras, readers, standbys,
 };
-use sesamecart_vocabulary::{EndpointId, FailureDomainId, ModelId, ServiceId, Timestamp};
+use sesamecart_vocabulary::{
+    EndpointId, FailureDomainId, LogPosition, ModelId, ServiceId, Timestamp,
+};
 
 use crate::backoffs::Backoffs;
 use crate::clock;
@@ -67,6 +69,14 @@
     pub(crate) feed: Feed,
     /// The era of the store.
     pub(crate) store_eras: StoreEras,
+    /// Notified when a later era of the store was learned.
+    pub(crate) era_changed: Notifier,
+    /// Where this node's entry in the list of nodes was written, once it was.
+    own_entry_at: Mutex<Option<LogPosition>>,
+    /// Notified when the list of nodes lacks this node's entry.
+    pub(crate) own_entry_missing: Notifier,
+    /// The configuration in force, as the operator wrote it.
+    pub(crate) configuration_record: ArcSwapOption<Vec<u8>>,
     /// The address for links of the node that this node follows; `None` while it reads the store itself.
     upstream: ArcSwapOption<SocketAddr>,
     reads_store: AtomicBool,
@@ -79,6 +89,8 @@
     /// Notified whenever a request is sent, gets the start of its response or ends.
     pub(crate) loads_changed: Notifier,
     confirmed_at: AtomicU64,
+    /// When the last read of the operator's topic was sent, by this node or by those that it follows.
+    source_read_at: AtomicU64,
     registry_read: AtomicBool,
     leaving: AtomicBool,
     forming: AtomicBool,
@@ -114,6 +126,10 @@
             node_added: Notifier::new(),
             feed: Feed::new(),
             store_eras: StoreEras::default(),
+            era_changed: Notifier::new(),
+            own_entry_at: Mutex::default(),
+            own_entry_missing: Notifier::new(),
+            configuration_record: ArcSwapOption::empty(),
             upstream: ArcSwapOption::empty(),
             reads_store: AtomicBool::new(false),
             is_searching: AtomicBool::new(false),
@@ -131,6 +147,7 @@
             first_event_timeouts: Mutex::default(),
             loads_changed: Notifier::new(),
             confirmed_at: AtomicU64::new(0),
+            source_read_at: AtomicU64::new(0),
             registry_read: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             forming: AtomicBool::new(false),
@@ -250,6 +267,27 @@
         self.confirmed_at.fetch_max(sent.0, Ordering::AcqRel);
     }
 
+    /// Records that a read of the operator's topic was sent at `sent`, also if it doesn't confirm the configuration.
+    pub(crate) fn record_source_read(&self, sent: Timestamp) {
+        self.source_read_at.fetch_max(sent.0, Ordering::AcqRel);
+    }
+
+    /// Returns how long ago the last read of the operator's topic was sent.
+    pub(crate) fn source_age(&self) -> Option<Duration> {
+        let read_at = self.source_read_at.load(Ordering::Acquire);
+        (read_at > 0).then(|| clock::now().since(Timestamp(read_at)))
+    }
+
+    /// Records where this node's entry in the list of nodes was written.
+    pub(crate) fn set_own_entry(&self, position: LogPosition) {
+        *lock(&self.own_entry_at) = Some(position);
+    }
+
+    /// Returns whether this node's entry was written before `end`, so that a list that ends there must have it.
+    pub(crate) fn has_own_entry_before(&self, end: LogPosition) -> bool {
+        lock(&self.own_entry_at).is_some_and(|at| at < end)
+    }
+
     /// Returns the age of the configuration, by a clock that also advances while the machine is suspended.
     pub(crate) fn configuration_age(&self) -> Option<Duration> {
         self.freshness().age(clock::now())
--- a/crates/sesamecart-entry/src/store_observer.rs
+++ b/crates/sesamecart-entry/src/store_observer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use sesamecart_fleet::StaleEra;
 use sesamecart_platform::{NamedEra, StoreObserver, StoreOperation, Topic};
 use sesamecart_vocabulary::StoreEra;
 
@@ -31,17 +32,24 @@
         self.state.metrics.count_store_call(step, topic);
     }
 
-    fn on_answer(&self, named: &NamedEra) {
+    fn attribute(&self, named: &NamedEra) -> Result<StoreEra, StaleEra> {
         let was_unreadable = self
             .is_unreadable
             .swap(matches!(named, NamedEra::Unreadable(_)), Ordering::AcqRel);
-        match named {
-            NamedEra::Era(era) => self.state.learn_store_era(*era, "the store"),
-            NamedEra::Unreadable(text) if !was_unreadable => {
-                self.state.events.write(&Event::StoreEraUnreadable { text });
+        let named = match named {
+            NamedEra::Era(era) => {
+                self.state.learn_store_era(*era, "the store");
+                Some(*era)
             }
-            NamedEra::Missing | NamedEra::Unreadable(_) => {}
-        }
+            NamedEra::Unreadable(text) => {
+                if !was_unreadable {
+                    self.state.events.write(&Event::StoreEraUnreadable { text });
+                }
+                None
+            }
+            NamedEra::Missing => None,
+        };
+        self.state.store_eras.attribute(named)
     }
 }
 
@@ -57,5 +65,6 @@
             before: before.0,
             source,
         });
+        self.era_changed.notify(usize::MAX);
     }
 }
--- a/crates/sesamecart-fleet/src/crash_tracker/sharing.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/sharing.rs
@@ -54,6 +54,12 @@
         self.published = Published { report, at: now };
     }
 
+    /// Records what the topic has of this node's reports after the store has returned from a copy, so that a report
+    /// that differs is published again.
+    pub fn reset_published(&mut self, report: CrashReport) {
+        self.published.report = report;
+    }
+
     pub(super) fn report(&self, max_runs: usize, now: Timestamp) -> CrashReport {
         let runs = self.runs.iter().filter(|own| own.share_at <= now);
         let blocks = self.blocks.values();
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -81,4 +81,4 @@
 };
 pub use stall_detector::{StallDetector, StallLimits};
 pub use step_model::{StepModel, TokenCounts};
-pub use store_era::StoreEras;
+pub use store_era::{StaleEra, StoreEras};
--- a/crates/sesamecart-vocabulary/src/lib.rs
+++ b/crates/sesamecart-vocabulary/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod key;
 mod number;
+mod position;
 mod prompt;
 mod rate;
 mod time;
@@ -25,6 +26,7 @@
     Bytes, Concurrency, Epoch, Generation, Incarnation, Offset, ParseNumberError, Permits,
     Revision, ShardId, StoreEra, Tokens, Weight,
 };
+pub use position::LogPosition;
 pub use prompt::{ParsePromptPartError, PromptPartId};
 pub use rate::{ParseRateError, RequestRate};
 pub use time::{ParseTimestampError, Timestamp};
