--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -14,6 +14,9 @@
 use crate::follower::Dependency;
 use crate::state::EntryState;
 
+#[cfg(test)]
+mod tests;
+
 /// How long the store keeps a member that doesn't renew. After that, another node takes over.
 ///
 /// With a shorter TTL, control would move back and forth when the store is slow. With a longer one, losses
--- a/crates/sesamecart-entry/src/controller/observations.rs
+++ b/crates/sesamecart-entry/src/controller/observations.rs
@@ -9,6 +9,9 @@
 
 use crate::loss_reports;
 
+#[cfg(test)]
+mod tests;
+
 /// How long the store waits for records before it answers a read of observations that finds none.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
--- a/crates/sesamecart-entry/src/store_observer.rs
+++ b/crates/sesamecart-entry/src/store_observer.rs
@@ -11,6 +11,9 @@
 use crate::events::Event;
 use crate::state::EntryState;
 
+#[cfg(test)]
+mod tests;
+
 /// The observer of one client of the store.
 pub(crate) struct StoreCalls {
     state: Arc<EntryState>,
--- a/crates/sesamecart-fleet/src/store_era/tests.rs
+++ b/crates/sesamecart-fleet/src/store_era/tests.rs
@@ -5,6 +5,7 @@
 use sesamecart_vocabulary::{StoreEra, Timestamp};
 
 use super::StoreEras;
+use crate::number::FencingToken;
 
 const NOW: Timestamp = Timestamp(1_000_000);
 
@@ -18,3 +19,13 @@
     assert_eq!(eras.learn(later, StoreEra(2)), None);
     assert_eq!((eras.latest(), eras.learned_at()), (StoreEra(3), NOW));
 }
+
+/// Guards against orders that engines refuse, and against names of groups that are used twice, after a return.
+#[test]
+fn a_generation_that_is_given_out_again_has_a_higher_fence() {
+    let before = FencingToken::of(StoreEra(1), 25);
+    let after = FencingToken::of(StoreEra(2), 25);
+    assert!(before < FencingToken::of(StoreEra(2), 1));
+    assert_ne!(before, after);
+    assert_eq!(FencingToken::of(StoreEra(0), 25), FencingToken(25));
+}
