--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -284,6 +284,16 @@
         })
     }
 
+    /// Starts another node, which may not be ready yet.
+    pub(crate) fn start_node(&self, node: &str) -> Entry {
+        self.start_node_at(node, self.store.address())
+    }
+
+    /// Like [`Self::start_node`], for a node that connects to the store at `store`.
+    pub(crate) fn start_node_at(&self, node: &str, store: SocketAddr) -> Entry {
+        Entry::start(settings(node, store)).expect("the node starts")
+    }
+
     fn add(&self, settings: EntrySettings) -> Entry {
         let entry = Entry::start(settings).expect("the node starts");
         self.wait_until("the other node is ready", || {
--- a/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
@@ -1,13 +1,13 @@
 //! Tests of nodes whose store returns from an older copy of itself.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use sesamecart_entry::Entry;
 use sesamecart_platform_standins::Outage;
 
 use crate::EVENTS;
-use crate::setup::Deployment;
+use crate::setup::{DEFAULT_DEADLINE, Deployment, RequestKind};
 use crate::store_proxy::StoreProxy;
 
 /// How long the store answers nobody before it returns.
@@ -120,6 +120,122 @@
     a_configuration_is_read_from_a_store_that_returned_longer: Length::Longer;
 }
 
+/// A revoked key stays revoked, and the newest configuration in force, on a node that starts while the store has an older
+/// one.
+fn start_while_the_store_is_behind(deployment: &Deployment, rewrite_after: Duration) {
+    let nodes = start_nodes(deployment);
+    let all: Vec<&Entry> = nodes.iter().chain([&deployment.node]).collect();
+    deployment.publish(2, &["key-1", "key-2"]);
+    wait_for_version(deployment, &all, 2);
+    let copy = deployment.store.copy();
+    deployment.publish(3, &["key-1"]);
+    wait_for_version(deployment, &all, 3);
+    deployment.store.return_from(&copy);
+    let started = deployment.start_node("n9");
+    let returned_at = Instant::now();
+    while returned_at.elapsed() < rewrite_after {
+        let status = deployment
+            .send_request_to(
+                &started,
+                RequestKind::Lookup,
+                "r1",
+                "key-2",
+                DEFAULT_DEADLINE,
+            )
+            .status;
+        assert!([401, 503].contains(&status), "a revoked key got {status}");
+        assert!([0, 3].contains(&version_of(&started)));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    deployment.publish(3, &["key-1"]);
+    deployment.wait_until("the started node is ready", || {
+        deployment.readiness_of(&started) == 200
+    });
+    assert_eq!(version_of(&started), 3);
+    started.kill();
+    kill_all(nodes);
+}
+
+/// Guards against a node that starts after a return, and serves a key that was revoked before.
+#[test]
+fn a_node_that_starts_after_a_return_accepts_no_revoked_key() {
+    let deployment = Deployment::start(EVENTS);
+    start_while_the_store_is_behind(&deployment, Duration::from_secs(3));
+    deployment.kill();
+}
+
+/// Guards against nodes that share limits among too few because an entry was lost for good.
+#[test]
+fn a_node_whose_entry_was_lost_is_known_to_a_node_that_starts_later() {
+    let deployment = Deployment::start(EVENTS);
+    let copy = deployment.store.copy();
+    let nodes = start_nodes(&deployment);
+    deployment.store.return_from(&copy);
+    deployment.wait_until("the entries are written again", || {
+        deployment.store.keys("keyed.status").len() == 1 + nodes.len()
+    });
+    let later = deployment.add_node("n9", deployment.store.address());
+    deployment.wait_until("the later node knows all nodes", || {
+        later.state().known_nodes() == 2 + nodes.len()
+    });
+    later.kill();
+    kill_all(nodes);
+    deployment.kill();
+}
+
+/// Guards against nodes that read nothing any more because the store names no era, or no number.
+#[test]
+fn a_store_without_a_readable_era_is_followed() {
+    let deployment = Deployment::start(EVENTS);
+    let nodes = start_nodes(&deployment);
+    let all: Vec<&Entry> = nodes.iter().chain([&deployment.node]).collect();
+    deployment.store.return_from(&deployment.store.copy());
+    deployment.publish(2, &["key-1"]);
+    wait_for_version(&deployment, &all, 2);
+    for (version, named) in (3..).zip(["", "one", "-1", "99999999999999999999"]) {
+        deployment.store.name_era(Some(named));
+        deployment.publish(version, &["key-1"]);
+        wait_for_version(&deployment, &all, version);
+    }
+    // Answers of an era that is over count for nothing, however many there are.
+    deployment.store.name_era(Some("0"));
+    deployment.publish(9, &["key-1"]);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(all.iter().all(|node| version_of(node) == 6));
+    deployment.store.name_era(None);
+    wait_for_version(&deployment, &all, 9);
+    kill_all(nodes);
+    deployment.kill();
+}
+
+/// Guards against groups that nobody repairs after a return, because engines refuse the fences given out again.
+#[test]
+fn groups_are_repaired_after_the_generations_were_given_out_again() {
+    let deployment = Deployment::start(EVENTS);
+    let copy = deployment.store.copy();
+    let high = copy.clone().with_generation(1_000);
+    deployment.store.return_from(&high);
+    deployment.wait_for_groups(2);
+    deployment.store.return_from(&copy.with_generation(0));
+    let head = deployment
+        .engines
+        .iter()
+        .find(|engine| engine.is_open_head());
+    let head = head.expect("a group is open");
+    head.crash(Some(Duration::from_millis(100)));
+    deployment.wait_until("a group is lost", || {
+        deployment.node.state().open_group_count() < 2
+    });
+    deployment.wait_until("the group is repaired", || {
+        let open = deployment
+            .engines
+            .iter()
+            .filter(|engine| engine.is_open_head());
+        open.count() == 2 && deployment.node.state().open_group_count() == 2
+    });
+    deployment.kill();
+}
+
 /// Guards against a follower that takes each source for one that is behind, because its offset is of before a return.
 #[test]
 fn a_follower_goes_on_behind_a_reader_whose_store_returned_shorter() {
