--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -308,7 +308,12 @@
 
     /// Returns a configuration that was published or is about to be.
     pub(crate) fn configuration(&self, version: u64) -> serde_json::Value {
-        configuration(version, &["key-1"])
+        self.configuration_with_keys(version, &["key-1"])
+    }
+
+    /// Like [`Self::configuration`], with other keys.
+    pub(crate) fn configuration_with_keys(&self, version: u64, keys: &[&str]) -> serde_json::Value {
+        configuration(version, keys)
     }
 
     /// Publishes a configuration with a change.
