Count the calls to the store after a return, and start a node only once the copy is read

A node that starts at once after a return may still follow a reader that hasn't read the copy, and passes for that reason; now the test starts it a second later, and fails on the code before the fix (a revoked key got 200).

--- a/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
@@ -19,6 +19,9 @@
 /// The version of which a copy is taken.
 const COPIED: u64 = 3;
 
+/// The time within which readers have read a store that has returned.
+const COPY_READ: Duration = Duration::from_secs(1);
+
 /// How long the topic is when the store answers again, compared with before.
 #[derive(Clone, Copy, Debug)]
 enum Length {
@@ -131,6 +134,8 @@
     deployment.publish(3, &["key-1"]);
     wait_for_version(deployment, &all, 3);
     deployment.store.return_from(&copy);
+    // By then, the nodes that it may follow have read the copy.
+    std::thread::sleep(COPY_READ);
     let started = deployment.start_node("n9");
     let returned_at = Instant::now();
     while returned_at.elapsed() < rewrite_after {
@@ -255,3 +260,58 @@
     kill_all(nodes);
     deployment.kill();
 }
+
+/// The failure domains of a larger deployment.
+const DOMAINS: [&str; 5] = ["b", "c", "d", "e", "f"];
+
+/// The nodes of each of them. Set `RETURN_NODES_PER_DOMAIN` for other sizes.
+const NODES_PER_DOMAIN: usize = 4;
+
+/// How long calls are counted.
+const COUNTED: Duration = Duration::from_secs(1);
+
+/// The calls by which a reader that notices a return reads its four topics whole and renews its membership.
+const CALLS_OF_A_READER: usize = 5;
+
+/// Returns the calls to the store in the second after an outage, which `end` ends.
+fn calls_after_outage(deployment: &Deployment, end: impl FnOnce()) -> usize {
+    deployment.store.set_outage(Outage::Unavailable);
+    std::thread::sleep(OUTAGE);
+    end();
+    deployment.store.set_outage(Outage::None);
+    let before = deployment.store.calls();
+    std::thread::sleep(COUNTED);
+    deployment.store.calls() - before
+}
+
+/// Guards against a store that is called by all nodes at once because they notice a return.
+#[test]
+fn a_return_costs_the_store_no_more_calls_than_an_outage() {
+    let per_domain = std::env::var("RETURN_NODES_PER_DOMAIN");
+    let per_domain = per_domain.map_or(NODES_PER_DOMAIN, |text| text.parse().expect("a number"));
+    let deployment = Deployment::start(1);
+    let nodes = DOMAINS
+        .iter()
+        .flat_map(|domain| deployment.add_nodes(domain, per_domain));
+    let nodes: Vec<Entry> = nodes.collect();
+    let all: Vec<&Entry> = nodes.iter().chain([&deployment.node]).collect();
+    let readers = || all.iter().filter(|node| node.state().reads_store()).count();
+    deployment.wait_until("one node of each failure domain reads the store", || {
+        readers() == DOMAINS.len() + 1
+    });
+    let after_outage = calls_after_outage(&deployment, || {});
+    deployment.wait_until("the readers read the store again", || {
+        readers() == DOMAINS.len() + 1
+    });
+    deployment.publish(2, &["key-1"]);
+    wait_for_version(&deployment, &all, 2);
+    let copy = deployment.store.copy();
+    let after_return = calls_after_outage(&deployment, || deployment.store.return_from(&copy));
+    eprintln!("{after_outage} calls after an outage, {after_return} after a return");
+    let readers = DOMAINS.len() + 1;
+    assert!(after_return <= after_outage + CALLS_OF_A_READER * readers);
+    deployment.publish(3, &["key-1"]);
+    wait_for_version(&deployment, &all, 3);
+    kill_all(nodes);
+    deployment.kill();
+}
