--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -86,7 +86,7 @@
 
 /// The result of processing a reply.
 enum ReplyOutcome {
-    /// The reply was applied. The other node's last read was sent at this time at the latest.
+    /// The reply was applied.
     Applied {
         /// When the read was sent that vouches for the configuration of the other node.
         vouched_at: Timestamp,
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -83,6 +83,7 @@
         let mut directory = Directory::clone(&state.directory.load());
         for record in records {
             if is_restored && self.is_outdated(&directory, record) {
+                self.keep_listed(record);
                 continue;
             }
             self.apply_one(state, &mut directory, now, record);
@@ -106,6 +107,13 @@
         let _sent = self.changed.try_send(());
     }
 
+    /// Cancels the removal of an endpoint whose entry is there again, though an older one.
+    fn keep_listed(&mut self, record: &Record) {
+        if let Some(key) = &record.key {
+            self.missing.retain(|id, _| id.as_str() != key);
+        }
+    }
+
     /// Returns whether a record of the copy from which the store has returned is older than what is known of the
     /// endpoint, which may have begun to leave or opened its group since. Also an endpoint that is gone stays gone.
     fn is_outdated(&self, directory: &Directory, record: &Record) -> bool {
