--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -248,3 +248,47 @@
         "the earlier loss has expired"
     );
 }
+
+/// Requests an update of the registry from a position of an era, or of none for a follower that knows no eras.
+fn request_from(feed: &Feed, era: Option<u64>, registry_next: u64) -> FollowReply {
+    let req = FollowRequest {
+        registry_next,
+        registry_era: era,
+        ..FollowRequest::default()
+    };
+    feed.reply_to(NOW, &req).expect("the feed is serving")
+}
+
+/// Returns a feed whose store has returned from a copy: one endpoint has changed, and the topic is shorter.
+fn returned_feed() -> Feed {
+    let feed = feed();
+    let endpoints = [stored(5, "e1", "a"), stored(6, "e2", "changed")];
+    let end = LogPosition::new(StoreEra(1), Offset(7));
+    feed.replace(Topic::Registry, &endpoints, end);
+    feed
+}
+
+/// Guards against a reader that sends all topics to all its followers at once when the store has returned.
+#[test]
+fn only_what_a_return_has_changed_is_sent_to_followers_that_are_up_to_date() {
+    let reply = request_from(&returned_feed(), Some(0), 10);
+    assert_eq!(registry(&reply), [("e2", Some(&b"changed"[..]))]);
+    let part = reply.registry.expect("the reply has a registry part");
+    assert_eq!((part.whole, part.era, part.next), (false, 1, 7));
+}
+
+/// Guards against records that were lost in a return and stay at a follower that had read them elsewhere.
+#[test]
+fn a_follower_that_may_have_lost_records_receives_the_whole_topic() {
+    let reply = request_from(&returned_feed(), Some(0), 11);
+    assert_eq!(registry(&reply).len(), 2);
+    assert!(reply.registry.expect("the reply has a registry part").whole);
+}
+
+/// Guards against a reader that sends whole topics again and again to nodes of a version that knows no eras.
+#[test]
+fn an_offset_without_an_era_is_of_the_readers_era() {
+    let reply = request_from(&returned_feed(), None, 7);
+    assert!(registry(&reply).is_empty());
+    assert!(!reply.registry.expect("the reply has a registry part").whole);
+}
