--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -115,8 +115,7 @@
                 Ok(membership) => {
                     let _was_unavailable = dependency.record_success(&self.state);
                     generation = membership.generation;
-                    let held =
-                        self.held_lease(&membership, sent + ttl.saturating_sub(EXPIRY_MARGIN));
+                    let held = self.held_lease(&membership, sent, ttl);
                     let is_refused = held.fence.0 <= self.highest_refused.load(Ordering::Acquire);
                     if membership.is_holder && is_refused {
                         // Engines accept only a higher fence, and only a change of the group raises it.
@@ -136,23 +135,28 @@
         }
     }
 
-    /// Returns the lease of the holder of a generation.
+    /// Returns the lease of the holder of a generation, which was renewed for `ttl` by a call that was sent at `sent`.
     ///
     /// The holder in an earlier era acts until its last renewal expires, which it sent before the store returned. So
     /// this node waits for that time after it has learned the era. When a deployment starts for the first time, there
     /// is no earlier holder.
-    fn held_lease(&self, membership: &GroupMembership, expires_at: Timestamp) -> HeldLease {
+    fn held_lease(
+        &self,
+        membership: &GroupMembership,
+        sent: Timestamp,
+        ttl: Duration,
+    ) -> HeldLease {
         let eras = &self.state.store_eras;
         let is_first = self.state.settings.first_start && eras.is_first();
         let valid_from = match is_first {
             true => Timestamp::ZERO,
-            false => eras.learned_at() + LEASE_TTL,
+            false => eras.learned_at() + ttl,
         };
         HeldLease {
             fence: FencingToken::of(membership.era, membership.generation),
             era: membership.era,
             valid_from,
-            expires_at,
+            expires_at: sent + ttl.saturating_sub(EXPIRY_MARGIN),
         }
     }
 
--- a/crates/sesamecart-entry/src/controller/lease/tests.rs
+++ b/crates/sesamecart-entry/src/controller/lease/tests.rs
@@ -8,11 +8,14 @@
 use sesamecart_platform::{GroupMembership, Store, StoreEra};
 use sesamecart_runtime::Worker;
 
-use super::{LEASE_TTL, Lease};
+use super::Lease;
 use crate::clock;
 use crate::store_observer::StoreCalls;
 use crate::testkit::new_state;
 
+/// A TTL above the usual one, as a store may require.
+const TTL: Duration = Duration::from_secs(3);
+
 const BEFORE: StoreEra = StoreEra(1);
 const AFTER: StoreEra = StoreEra(2);
 
@@ -39,7 +42,7 @@
         generation,
         is_holder: true,
     };
-    let held = lease.held_lease(&membership, clock::now() + LEASE_TTL);
+    let held = lease.held_lease(&membership, clock::now(), TTL);
     lease.set_held(Some(held), "the store says so");
 }
 
@@ -62,8 +65,8 @@
         generation: 2,
         is_holder: true,
     };
-    let held = lease.held_lease(&membership, clock::now());
-    assert!(held.valid_from >= lease.state.store_eras.learned_at() + LEASE_TTL);
+    let held = lease.held_lease(&membership, clock::now(), TTL);
+    assert!(held.valid_from >= lease.state.store_eras.learned_at() + TTL);
 }
 
 /// Guards against the same on a process that starts right after the return, and can't know when that was.
