Ask other nodes before the configuration of a copy is put in force

It accepted no keys in that time, as nothing was confirmed, but routes that need none went by the copy.

Cause: the configuration was put in force when it was read, and other nodes were asked after that.

Change: a node that starts asks while it reads the store, or before it takes in the first reply of another node.

The test now looks at that time without a pause between two looks.

--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -14,6 +14,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join;
 use indexmap::IndexSet;
 use sesamecart_links::Links;
 use sesamecart_platform::{
@@ -163,7 +164,10 @@
     /// Reads the newest record of each key and returns the position from which to follow the topic.
     async fn read_snapshot(&mut self) -> Result<LogPosition, StoreError> {
         let sent = clock::now();
-        let snapshot = self.store.newest(self.topic).await?;
+        let (store, topic) = (self.store, self.topic);
+        // A node that starts must not serve by a copy before it has heard of something newer.
+        let (snapshot, ()) = join(store.newest(topic), self.ask_neighbors()).await;
+        let snapshot = snapshot?;
         let (records, end) = (snapshot.records, snapshot.end);
         let was_unavailable = self.dependency.record_success(self.state);
         if was_unavailable {
@@ -177,7 +181,7 @@
         Ok(end)
     }
 
-    /// Asks other nodes for a newer configuration than the topic's before that is confirmed, if there may be one.
+    /// Asks other nodes for a newer configuration than the topic's, if there may be one.
     async fn ask_neighbors(&mut self) {
         if let TopicState::Operator(operator) = &mut self.topic_state
             && operator.take_needs_neighbors()
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -154,6 +154,8 @@
             if is_first {
                 self.log_caught_up(address, &reply);
             }
+            // A node that starts must not serve by a copy before it has heard of something newer.
+            self.ask_neighbors().await;
             match self.apply_reply(address, sent, reply) {
                 ReplyOutcome::Applied {
                     vouched_at,
@@ -289,12 +291,17 @@
         }
     }
 
-    /// Confirms what was received, after other nodes were asked if they may know more.
-    async fn confirm(&mut self, vouched_at: Timestamp, read_at: Timestamp) {
+    /// Asks other nodes for a newer configuration than the topic's, if there may be one.
+    async fn ask_neighbors(&mut self) {
         if self.operator.take_needs_neighbors() {
             let answers = neighbors::ask(&self.state, &self.links).await;
             self.operator.learn(&self.state, &answers);
         }
+    }
+
+    /// Confirms what was received, after other nodes were asked if the store has returned.
+    async fn confirm(&mut self, vouched_at: Timestamp, read_at: Timestamp) {
+        self.ask_neighbors().await;
         self.operator.confirm(&self.state, vouched_at);
         self.state.record_source_read(read_at);
     }
--- a/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/store_returns.rs
@@ -137,8 +137,13 @@
     // By then, the nodes that it may follow have read the copy.
     std::thread::sleep(COPY_READ);
     let started = deployment.start_node("n9");
-    let returned_at = Instant::now();
-    while returned_at.elapsed() < rewrite_after {
+    let started_at = Instant::now();
+    // Also the time between the read of the copy and the answers of the other nodes is observed.
+    while started_at.elapsed() < COPY_READ {
+        assert!([0, 3].contains(&version_of(&started)));
+        std::thread::yield_now();
+    }
+    while started_at.elapsed() < rewrite_after {
         let status = deployment
             .send_request_to(
                 &started,
