Say once which keys a topic has and when neighbours are asked, and test a second copy

- Which keys are there after a topic was replaced stood in two followers, and that other nodes are asked stood in two more: one function each now.
- Two functions named publish_evacuated called each other; the one that writes is set_evacuated.
- The comment on the generations of an era told how long they last by a guess; it says what takes one.
- That an endpoint whose older entry is back isn't removed was mended without a test.

--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -183,11 +183,8 @@
 
     /// Asks other nodes for a newer configuration than the topic's, if there may be one.
     async fn ask_neighbors(&mut self) {
-        if let TopicState::Operator(operator) = &mut self.topic_state
-            && operator.take_needs_neighbors()
-        {
-            let answers = neighbors::ask(self.state, self.links).await;
-            operator.learn(self.state, &answers);
+        if let TopicState::Operator(operator) = &mut self.topic_state {
+            neighbors::ask_if_needed(operator, self.state, self.links).await;
         }
     }
 
@@ -307,6 +304,16 @@
     }
 }
 
+/// Returns the keys of a topic that was replaced by `records` and by the keys in `unchanged`.
+fn present_keys<'a>(
+    records: &'a [Record],
+    unchanged: &'a IndexSet<String>,
+) -> impl Iterator<Item = &'a str> {
+    let changed = records.iter().filter(|record| record.value.is_some());
+    let changed = changed.filter_map(|record| record.key.as_deref());
+    unchanged.iter().map(String::as_str).chain(changed)
+}
+
 fn log_ignored_record(state: &EntryState, topic: Topic, key: &str, cause: &str) {
     let topic = topic.to_string();
     state.events.write(&Event::RecordIgnored {
--- a/crates/sesamecart-entry/src/follower/crashes.rs
+++ b/crates/sesamecart-entry/src/follower/crashes.rs
@@ -5,8 +5,8 @@
 use sesamecart_platform::{Record, StoreEra, Topic};
 use sesamecart_vocabulary::NodeId;
 
-use super::log_ignored_record;
 use super::topic_era::TopicEra;
+use super::{log_ignored_record, present_keys};
 use crate::clock;
 use crate::crashes::PublishedReport;
 use crate::state::EntryState;
@@ -86,12 +86,7 @@
 
 /// Drops the reports of nodes that are neither in `records` nor in `unchanged`.
 fn retain_peers(state: &EntryState, records: &[Record], unchanged: &IndexSet<String>) {
-    let changed = records.iter().filter_map(|record| record.key.as_deref());
-    let present: IndexSet<&str> = unchanged
-        .iter()
-        .map(String::as_str)
-        .chain(changed)
-        .collect();
+    let present: IndexSet<&str> = present_keys(records, unchanged).collect();
     state
         .crashes
         .tracker()
--- a/crates/sesamecart-entry/src/follower/neighbors.rs
+++ b/crates/sesamecart-entry/src/follower/neighbors.rs
@@ -11,6 +11,7 @@
 use sesamecart_links::feed::{OperatorState, OperatorStateRequest};
 use sesamecart_runtime::with_timeout;
 
+use super::operator::OperatorState as OperatorTopic;
 use crate::state::EntryState;
 
 /// The number of nodes with followers that are asked. These are the first to know of a change.
@@ -22,8 +23,16 @@
 /// The timeout of the question. A node that doesn't answer is likely to be starting or cut off.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Asks other nodes for a newer configuration than the topic's, if there may be one.
+pub(super) async fn ask_if_needed(operator: &mut OperatorTopic, state: &EntryState, links: &Links) {
+    if operator.take_needs_neighbors() {
+        let answers = ask(state, links).await;
+        operator.learn(state, &answers);
+    }
+}
+
 /// Asks some other nodes at the same time, and returns the answers that arrive in time.
-pub(super) async fn ask(state: &EntryState, links: &Links) -> Vec<OperatorState> {
+async fn ask(state: &EntryState, links: &Links) -> Vec<OperatorState> {
     let version = state.configuration_version();
     let questions = choose(state).into_iter().map(|address| async move {
         let mut feed = links.feed_client(address);
--- a/crates/sesamecart-entry/src/follower/operator.rs
+++ b/crates/sesamecart-entry/src/follower/operator.rs
@@ -11,8 +11,8 @@
 };
 use sesamecart_vocabulary::{FailureDomainId, Timestamp};
 
-use super::log_ignored_record;
 use super::topic_era::TopicEra;
+use super::{log_ignored_record, present_keys};
 use crate::clock;
 use crate::events::Event;
 use crate::state::EntryState;
@@ -61,17 +61,10 @@
         unchanged: &IndexSet<String>,
     ) {
         let is_restored = self.begin(era);
-        let changed = records.iter().filter(|record| record.value.is_some());
-        let changed = changed.filter_map(|record| record.key.as_deref());
-        let present: Vec<&str> = unchanged
-            .iter()
-            .map(String::as_str)
-            .chain(changed)
-            .collect();
-        if !present.iter().any(|key| is_configuration(key)) {
+        if !present_keys(records, unchanged).any(is_configuration) {
             self.topic_version = CatalogVersion::default();
         }
-        let evacuated = present.into_iter().filter_map(evacuated_domain);
+        let evacuated = present_keys(records, unchanged).filter_map(evacuated_domain);
         let before = std::mem::replace(&mut self.evacuated, evacuated.collect());
         if is_restored {
             self.keep(before);
@@ -189,12 +182,12 @@
         let evacuated: IndexSet<FailureDomainId> =
             self.evacuated.iter().chain(kept).cloned().collect();
         if evacuated != *state.directory.load().evacuated() {
-            publish_evacuated(state, &evacuated);
+            set_evacuated(state, &evacuated);
         }
     }
 }
 
-fn publish_evacuated(state: &EntryState, evacuated: &IndexSet<FailureDomainId>) {
+fn set_evacuated(state: &EntryState, evacuated: &IndexSet<FailureDomainId>) {
     state.directory.rcu(|directory| {
         let mut directory = Directory::clone(directory);
         directory.set_evacuated(evacuated.clone());
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -293,10 +293,7 @@
 
     /// Asks other nodes for a newer configuration than the topic's, if there may be one.
     async fn ask_neighbors(&mut self) {
-        if self.operator.take_needs_neighbors() {
-            let answers = neighbors::ask(&self.state, &self.links).await;
-            self.operator.learn(&self.state, &answers);
-        }
+        neighbors::ask_if_needed(&mut self.operator, &self.state, &self.links).await;
     }
 
     /// Confirms what was received, after other nodes were asked if the store has returned.
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -18,7 +18,7 @@
 ///
 /// Running endpoints register again within about 2 s; this is that time minus what a node takes to act on the
 /// entry.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_900);
+pub(super) const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_900);
 
 /// Applies the registry's records to the directory of endpoints.
 pub(super) struct RegistryState {
--- a/crates/sesamecart-entry/src/follower/tests.rs
+++ b/crates/sesamecart-entry/src/follower/tests.rs
@@ -219,3 +219,18 @@
     crashes.replace(&state, LATER_ERA, &[], &keys([]));
     assert!(due().is_some());
 }
+
+/// Guards against removing an endpoint whose older entry is there again.
+#[test]
+fn an_endpoint_that_a_second_copy_has_is_not_removed() {
+    let state = new_state(true);
+    let (changed, _changes) = async_channel::bounded(1);
+    let mut registry = RegistryState::new(changed);
+    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
+    registry.replace(&state, ERA, &all, &keys([]));
+    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    registry.replace(&state, StoreEra(3), &all, &keys([]));
+    std::thread::sleep(super::registry::REREGISTRATION_GRACE);
+    registry.apply(&state, StoreEra(3), &[endpoint_after("e1", "ready", 5, 7)]);
+    assert_eq!(ready(&state), ["e1", "e2"]);
+}
--- a/crates/sesamecart-fleet/src/store_era.rs
+++ b/crates/sesamecart-fleet/src/store_era.rs
@@ -89,8 +89,7 @@
     }
 }
 
-/// The number of generations of the store's group that the fences of one era can tell apart. An operator would have
-/// to restart thousands of nodes a day for decades to use them up.
+/// The number of generations of the store's group in one era. Each change of the group's members takes one.
 const GENERATIONS_PER_ERA: u64 = 1 << 24;
 
 impl FencingToken {
