--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -251,6 +251,14 @@
         /// The endpoint.
         endpoint: &'a str,
     },
+    /// An endpoint's entry is missing after an outage of the store. The endpoint is kept until it may have registered
+    /// again.
+    RemovalDeferred {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// For how much longer the endpoint is kept, in milliseconds.
+        for_ms: u64,
+    },
     /// An endpoint has said in a response that it leaves. It gets no new work.
     EndpointLeaving {
         /// The endpoint.
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -8,8 +8,8 @@
 use sesamecart_platform::{Record, StoreEra, Topic, decode_endpoint, decode_heartbeats};
 use sesamecart_vocabulary::{EndpointId, ModelId, Timestamp};
 
-use super::log_ignored_record;
 use super::topic_era::TopicEra;
+use super::{log_ignored_record, millis};
 use crate::clock;
 use crate::events::Event;
 use crate::state::EntryState;
@@ -178,6 +178,10 @@
         let remove_at = self.recovered_at.map(|at| at + REREGISTRATION_GRACE);
         match remove_at {
             Some(remove_at) if remove_at > now => {
+                state.events.write(&Event::RemovalDeferred {
+                    endpoint: id.as_str(),
+                    for_ms: millis(remove_at.since(now)),
+                });
                 self.missing.entry(id).or_insert(remove_at);
             }
             _ => remove(state, directory, now, &id),
