Make each deferred removal when it is due

Cause: a removal that is deferred was made only in RegistryState::apply. A node that reads the store calls that after each read. One that follows another node calls it only for a reply with changes.

Evidence: both followers log removal_deferred by 1.5 s and never endpoint_gone.

Change: Deferred, a list of items with the time at which each is due. A task of each node waits for the next of them, whichever source the node follows, and removes what is due. It also forgets endpoints that left long ago and what is known of them, which hung on the next change in the same way.

--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -11,6 +11,7 @@
 use super::topic_era::TopicEra;
 use super::{log_ignored_record, millis};
 use crate::clock;
+use crate::deferred::Removal;
 use crate::events::Event;
 use crate::state::EntryState;
 
@@ -25,9 +26,6 @@
     changed: Sender<()>,
     /// When the store became available again after an outage.
     pub(super) recovered_at: Option<Timestamp>,
-    /// Endpoints whose entries were missing after the outage, with the time at which each is removed unless
-    /// it registers again.
-    missing: IndexMap<EndpointId, Timestamp>,
     era: TopicEra,
     /// The heartbeats that each endpoint's last entry counts.
     heartbeats: IndexMap<EndpointId, u64>,
@@ -38,7 +36,6 @@
         Self {
             changed,
             recovered_at: None,
-            missing: IndexMap::new(),
             era: TopicEra::default(),
             heartbeats: IndexMap::new(),
         }
@@ -83,17 +80,11 @@
         let mut directory = Directory::clone(&state.directory.load());
         for record in records {
             if is_restored && self.is_outdated(&directory, record) {
-                self.keep_listed(record);
+                keep_listed(state, record);
                 continue;
             }
             self.apply_one(state, &mut directory, now, record);
         }
-        let expired = self
-            .missing
-            .extract_if(.., |_, remove_at| *remove_at <= now);
-        for (id, _) in expired {
-            remove(state, &mut directory, now, &id);
-        }
         directory.prune(now);
         self.heartbeats.retain(|id, _| directory.find(id).is_some());
         state.prune_groups(now, &directory);
@@ -103,17 +94,11 @@
             directory.take_over(now, current);
             directory
         });
+        state.deferred_changed.notify(usize::MAX);
         // A full channel already holds a notification.
         let _sent = self.changed.try_send(());
     }
 
-    /// Cancels the removal of an endpoint whose entry is there again, though an older one.
-    fn keep_listed(&mut self, record: &Record) {
-        if let Some(key) = &record.key {
-            self.missing.retain(|id, _| id.as_str() != key);
-        }
-    }
-
     /// Returns whether a record of the copy from which the store has returned is older than what is known of the
     /// endpoint, which may have begun to leave or opened its group since. Also an endpoint that is gone stays gone.
     fn is_outdated(&self, directory: &Directory, record: &Record) -> bool {
@@ -153,7 +138,7 @@
         match decode_endpoint(key, value) {
             Ok(endpoint) => {
                 let endpoint = directory.with_current_state(endpoint);
-                self.missing.swap_remove(&id);
+                state.cancel_removal(&Removal::Endpoint(id.clone()));
                 if let Some(heartbeats) = decode_heartbeats(value) {
                     self.heartbeats.insert(id, heartbeats);
                 }
@@ -169,7 +154,7 @@
 
     /// Removes an endpoint, or defers the removal if the store was unavailable recently.
     fn remove_or_defer(
-        &mut self,
+        &self,
         state: &EntryState,
         directory: &mut Directory,
         now: Timestamp,
@@ -178,18 +163,29 @@
         let remove_at = self.recovered_at.map(|at| at + REREGISTRATION_GRACE);
         match remove_at {
             Some(remove_at) if remove_at > now => {
-                state.events.write(&Event::RemovalDeferred {
-                    endpoint: id.as_str(),
-                    for_ms: millis(remove_at.since(now)),
-                });
-                self.missing.entry(id).or_insert(remove_at);
+                if directory.is_listed(&id) && state.defer(Removal::Endpoint(id.clone()), remove_at)
+                {
+                    state.events.write(&Event::RemovalDeferred {
+                        endpoint: id.as_str(),
+                        for_ms: millis(remove_at.since(now)),
+                    });
+                }
             }
             _ => remove(state, directory, now, &id),
         }
     }
 }
 
+/// Cancels the removal of an endpoint whose entry is there again, though an older one.
+fn keep_listed(state: &EntryState, record: &Record) {
+    let id = record.key.as_deref().and_then(|key| key.parse().ok());
+    if let Some(id) = id {
+        state.cancel_removal(&Removal::Endpoint(id));
+    }
+}
+
 fn remove(state: &EntryState, directory: &mut Directory, now: Timestamp, id: &EndpointId) {
+    state.cancel_removal(&Removal::Endpoint(id.clone()));
     if directory.remove(now, id) {
         let endpoint = id.as_str();
         state.events.write(&Event::EndpointGone { endpoint });
--- a/crates/sesamecart-entry/src/follower/tests.rs
+++ b/crates/sesamecart-entry/src/follower/tests.rs
@@ -6,7 +6,8 @@
 
 use super::crashes::CrashesState;
 use super::operator::OperatorState;
-use super::registry::RegistryState;
+use super::registry::{REREGISTRATION_GRACE, RegistryState};
+use crate::clock;
 use crate::state::EntryState;
 use crate::testkit::new_state;
 
@@ -177,6 +178,34 @@
     assert_eq!(ready(&state), ["e1", "e2"]);
 }
 
+/// Guards against sending requests to an endpoint that is gone, for as long as nothing else changes in the registry.
+#[test]
+fn an_endpoint_that_does_not_register_again_is_removed_without_another_change() {
+    let state = new_state(true);
+    let (changed, _changes) = async_channel::bounded(1);
+    let mut registry = RegistryState::new(changed);
+    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
+    registry.replace(&state, ERA, &all, &keys([]));
+    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    assert!(!state.make_due_removals(clock::now()));
+    assert!(state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
+    assert_eq!(ready(&state), ["e1"]);
+}
+
+/// Guards against removing an endpoint that has registered again in time.
+#[test]
+fn an_endpoint_that_registers_again_is_not_removed() {
+    let state = new_state(true);
+    let (changed, _changes) = async_channel::bounded(1);
+    let mut registry = RegistryState::new(changed);
+    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
+    registry.replace(&state, ERA, &all, &keys([]));
+    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    registry.apply(&state, LATER_ERA, &[endpoint_after("e2", "ready", 5, 7)]);
+    assert!(!state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
+    assert_eq!(ready(&state), ["e1", "e2"]);
+}
+
 /// Returns a report with a revision.
 fn revised(node: &str, fingerprint: char, revision: u64) -> Record {
     let mut report = crash_report(node, fingerprint);
@@ -230,7 +259,7 @@
     registry.replace(&state, ERA, &all, &keys([]));
     registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
     registry.replace(&state, StoreEra(3), &all, &keys([]));
-    std::thread::sleep(super::registry::REREGISTRATION_GRACE);
+    state.make_due_removals(clock::now() + REREGISTRATION_GRACE);
     registry.apply(&state, StoreEra(3), &[endpoint_after("e1", "ready", 5, 7)]);
     assert_eq!(ready(&state), ["e1", "e2"]);
 }
--- a/crates/sesamecart-entry/src/lib.rs
+++ b/crates/sesamecart-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod controller;
 mod crashes;
+mod deferred;
 mod dispatch;
 mod events;
 mod feed;
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::controller::Controller;
 use crate::crashes::{CrashMonitor, SuspectClient};
+use crate::deferred::make_removals;
 use crate::dispatch::{poll_dispatchers, report_held};
 use crate::events::{Event, EventLog};
 use crate::feed::{self, FeedHandler};
@@ -329,6 +330,7 @@
     let (change_tx, registry_changed) = async_channel::bounded(1);
     let (loss_tx, lost_groups) = async_channel::unbounded();
     let links = Links::new(tasks.clone(), ByteCounters::default());
+    tasks.spawn(make_removals(Arc::clone(state), change_tx.clone()));
     let source_follower =
         SourceFollower::new(Arc::clone(state), store.clone(), links.clone(), change_tx);
     tasks.spawn(source_follower.run());
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -10,9 +10,9 @@
 use indexmap::IndexMap;
 use sesamecart_edges::Connections;
 use sesamecart_fleet::{
-    AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Demand, DemandTracker, Directory,
-    FirstEventTimeouts, Freshness, GroupKey, LoadTracker, MemberSilences, PeerNode, RetryBudget,
-    StoreEras, readers, standbys,
+    AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Deferred, Demand, DemandTracker,
+    Directory, FirstEventTimeouts, Freshness, GroupKey, LoadTracker, MemberSilences, PeerNode,
+    RetryBudget, StoreEras, readers, standbys,
 };
 use sesamecart_vocabulary::{
     EndpointId, FailureDomainId, LogPosition, ModelId, ServiceId, Timestamp,
@@ -21,6 +21,7 @@
 use crate::backoffs::Backoffs;
 use crate::clock;
 use crate::crashes::Crashes;
+use crate::deferred::Removal;
 use crate::dispatch::Dispatch;
 use crate::events::EventLog;
 use crate::feed::Feed;
@@ -115,6 +116,10 @@
     pub(crate) dispatch: Dispatch,
     /// The groups with a member that has said that it leaves.
     pub(crate) leaving_groups: LeavingGroups,
+    /// What is missing in the store, and when it is removed.
+    pub(crate) deferred: Mutex<Deferred<Removal>>,
+    /// Notified when the next removal may be due at another time.
+    pub(crate) deferred_changed: Notifier,
 }
 
 impl EntryState {
@@ -165,6 +170,8 @@
             reach: Reach::default(),
             dispatch: Dispatch::default(),
             leaving_groups: LeavingGroups::default(),
+            deferred: Mutex::default(),
+            deferred_changed: Notifier::new(),
         }
     }
 
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -15,6 +15,7 @@
 mod many_nodes;
 mod memory;
 mod overload;
+mod registry_removals;
 mod return_soak;
 mod setup;
 mod silent_endpoints;
--- a/crates/sesamecart-entry/tests/end_to_end/store_proxy.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/store_proxy.rs
@@ -3,7 +3,7 @@
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Connections are forwarded.
 const OPEN: u8 = 0;
@@ -19,7 +19,32 @@
     pub(crate) address: SocketAddr,
     mode: Arc<AtomicU8>,
     refused: Arc<AtomicUsize>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<Vec<ProxiedConnection>>>,
+}
+
+/// A connection of the node and the one to the store that it is forwarded to.
+struct ProxiedConnection {
+    client: TcpStream,
+    upstream: TcpStream,
+    /// What the node has sent last.
+    last_sent: Arc<Mutex<Vec<u8>>>,
+}
+
+impl ProxiedConnection {
+    fn close(&self) {
+        for stream in [&self.client, &self.upstream] {
+            // A connection that has already ended can't be shut down again.
+            let _ended = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn last_sent(&self) -> String {
+        let sent = self
+            .last_sent
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        String::from_utf8_lossy(&sent).into_owned()
+    }
 }
 
 impl StoreProxy {
@@ -30,9 +55,9 @@
             address: listener.local_addr().expect("the listener is bound"),
             mode: Arc::new(AtomicU8::new(OPEN)),
             refused: Arc::default(),
-            streams: Arc::default(),
+            connections: Arc::default(),
         };
-        let (mode, streams) = (Arc::clone(&proxy.mode), Arc::clone(&proxy.streams));
+        let (mode, connections) = (Arc::clone(&proxy.mode), Arc::clone(&proxy.connections));
         let refused = Arc::clone(&proxy.refused);
         std::thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
@@ -44,14 +69,22 @@
                 let Ok(upstream) = TcpStream::connect(to) else {
                     continue;
                 };
-                for (from, into) in [(&client, &upstream), (&upstream, &client)] {
+                let last_sent = Arc::default();
+                for (from, into, last) in [
+                    (&client, &upstream, &last_sent),
+                    (&upstream, &client, &Arc::default()),
+                ] {
                     let from = from.try_clone().expect("a socket can be cloned");
                     let into = into.try_clone().expect("a socket can be cloned");
-                    let mode = Arc::clone(&mode);
-                    std::thread::spawn(move || forward(from, into, &mode));
+                    let (mode, last) = (Arc::clone(&mode), Arc::clone(last));
+                    std::thread::spawn(move || forward(from, into, &mode, &last));
                 }
-                let mut streams = streams.lock().unwrap_or_else(PoisonError::into_inner);
-                streams.extend([client, upstream]);
+                let mut connections = connections.lock().unwrap_or_else(PoisonError::into_inner);
+                connections.push(ProxiedConnection {
+                    client,
+                    upstream,
+                    last_sent,
+                });
             }
         });
         proxy
@@ -79,21 +112,34 @@
         self.refused.load(Ordering::Acquire)
     }
 
+    /// Closes the connections on which the node has last sent something that contains `text`, and returns their number.
+    pub(crate) fn reset(&self, text: &str) -> usize {
+        let mut connections = self.connections();
+        let reset = connections.extract_if(.., |connection| connection.last_sent().contains(text));
+        reset.map(|connection| connection.close()).count()
+    }
+
     fn close_connections(&self) {
-        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in streams.drain(..) {
-            // A connection that has already ended can't be shut down again.
-            let _ended = stream.shutdown(Shutdown::Both);
+        for connection in self.connections().drain(..) {
+            connection.close();
         }
     }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<ProxiedConnection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-fn forward(mut from: TcpStream, mut into: TcpStream, mode: &AtomicU8) {
+/// Forwards bytes in one direction, and keeps those that were forwarded last.
+fn forward(mut from: TcpStream, mut into: TcpStream, mode: &AtomicU8, last: &Mutex<Vec<u8>>) {
     let mut buf = [0; 16 * 1024];
     while let Ok(len @ 1..) = from.read(&mut buf) {
         if mode.load(Ordering::Acquire) == STALLED {
             continue;
         }
+        *last.lock().unwrap_or_else(PoisonError::into_inner) = buf[..len].to_vec();
         if into.write_all(&buf[..len]).is_err() {
             break;
         }
--- a/crates/sesamecart-fleet/src/directory.rs
+++ b/crates/sesamecart-fleet/src/directory.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Returns when [`Self::prune`] next has an endpoint to remove.
+    #[must_use]
+    pub fn next_prune(&self) -> Option<Timestamp> {
+        let gone = self.endpoints.values().filter_map(|entry| entry.gone_at);
+        gone.min().map(|at| at + GONE_RETENTION)
+    }
+
     /// Removes endpoints that left the registry long ago.
     pub fn prune(&mut self, now: Timestamp) {
         self.endpoints.retain(|_, entry| {
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod crash_tracker;
 mod decay;
+mod deferred;
 mod demand;
 mod directory;
 mod dispatch;
@@ -46,6 +47,7 @@
     NeighborCheck, RequestOrigin, SharedPart, SuspectKind, SuspectStarts, SuspectedPart, Suspects,
     Suspicion, UncheckedCrash, suspect_endpoint,
 };
+pub use deferred::Deferred;
 pub use demand::{Demand, DemandTracker, ModelDemand, Urgency};
 pub use directory::{Directory, GroupKey, GroupView};
 pub use dispatch::{
