Tell a new follower of no group losses from long ago

What callers saw: nothing was reported.

Cause: the feed keeps the loss of a group for 6 s, but dropped the expired ones only when another group was lost. A node that began to follow this one was told of all of them, marked the groups as lost for 6 s more and moved their requests.

Evidence: a_new_follower_gets_no_loss_from_long_ago fails before (the loss is in the reply) and passes now.

Change: a reply leaves out what has expired.

--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -168,7 +168,8 @@
         let losses = state
             .losses
             .iter()
-            .filter(|loss| loss.sequence >= losses_from);
+            .filter(|loss| loss.sequence >= losses_from)
+            .filter(|loss| now.since(loss.at) < LOSS_RETENTION);
         let since_recovery = state.recovered_at.map(|at| millis(now.since(at)));
         Some(FollowReply {
             feed: self.id,
--- a/crates/sesamecart-entry/src/feed/tests.rs
+++ b/crates/sesamecart-entry/src/feed/tests.rs
@@ -210,15 +210,19 @@
     assert!(!has_updates(&request_update(&feed, 12)));
 }
 
+fn group() -> GroupKey {
+    GroupKey {
+        group: "g1".parse().expect("a valid group name"),
+        epoch: "7".parse().expect("a valid epoch"),
+    }
+}
+
 /// A loss that the controller announces has to reach each follower once, including one that switches from
 /// another node.
 #[test]
 fn each_follower_receives_a_loss_once() {
     let feed = feed();
-    let key = GroupKey {
-        group: "g1".parse().expect("a valid group name"),
-        epoch: "7".parse().expect("a valid epoch"),
-    };
+    let key = group();
     assert!(feed.record_loss(NOW, &key));
     assert!(!feed.record_loss(NOW, &key), "the loss is already recorded");
     let reply = request_update(&feed, 10);
@@ -292,3 +296,17 @@
     assert!(registry(&reply).is_empty());
     assert!(!reply.registry.expect("the reply has a registry part").whole);
 }
+
+/// Guards against moving requests from a sound group, because a node that has just begun to follow this one is told of
+/// a loss from long ago.
+#[test]
+fn a_new_follower_gets_no_loss_from_long_ago() {
+    let feed = feed();
+    feed.record_loss(NOW, &group());
+    let reply = |now| {
+        feed.reply_to(now, &FollowRequest::default())
+            .expect("the feed is serving")
+    };
+    assert_eq!(reply(NOW).losses, ["g1@7"]);
+    assert!(reply(NOW + LOSS_RETENTION).losses.is_empty());
+}
