Count as an outage of the store only what lets entries expire

Cause: any failed read of the registry counted as an outage, and it ended only when the next read returned. That read waits for records, so it often returned with the very removal, which was then deferred by 1.9 s from that moment.

Change: StoreAvailability says what an outage is: no answer for a heartbeat interval, and a failed call meanwhile. It learns from all calls of the node.

--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -113,7 +113,7 @@
             let sent = clock::now();
             match self.store.join(&self.member, ttl, generation).await {
                 Ok(membership) => {
-                    let _was_unavailable = dependency.record_success(&self.state);
+                    dependency.record_success(&self.state);
                     generation = membership.generation;
                     let held = self.held_lease(&membership, sent, ttl);
                     let is_refused = held.fence.0 <= self.highest_refused.load(Ordering::Acquire);
@@ -126,7 +126,9 @@
                     let held = membership.is_holder.then_some(held);
                     self.set_held(held, "the store says so");
                 }
-                Err(error) => dependency.record_failure(&self.state, &error),
+                Err(error) => {
+                    let _is_first = dependency.record_failure(&self.state, &error);
+                }
             }
             if self.state.is_leaving() {
                 return self.release("the node is leaving").await;
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -259,6 +259,13 @@
         /// For how much longer the endpoint is kept, in milliseconds.
         for_ms: u64,
     },
+    /// The store has returned from an outage in which entries of running endpoints may have expired.
+    StoreReturned {
+        /// How long it was away, in milliseconds.
+        away_ms: u64,
+        /// Who has told so: the store or another node.
+        source: &'a str,
+    },
     /// An endpoint has said in a response that it leaves. It gets no new work.
     EndpointLeaving {
         /// The endpoint.
--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -16,7 +16,6 @@
 
 pub(crate) use crate::feed::server::{FeedHandler, serve};
 use crate::feed::topic::{ReplaceSummary, TopicFeed};
-use crate::follower::millis;
 
 /// How long the loss of a group is kept for followers; the group's head has stopped serving by then.
 const LOSS_RETENTION: Duration = Duration::from_secs(6);
@@ -48,7 +47,6 @@
     is_read: [bool; TOPICS.len()],
     losses: VecDeque<Loss>,
     losses_next: u64,
-    recovered_at: Option<Timestamp>,
 }
 
 #[derive(Debug)]
@@ -105,11 +103,6 @@
         index.is_some_and(|index| self.state().is_read[index])
     }
 
-    /// Records that the store became available again after an outage.
-    pub(crate) fn record_recovery(&self, now: Timestamp) {
-        self.state().recovered_at = Some(now);
-    }
-
     /// Stops serving because this node no longer reads the store.
     ///
     /// The cached topics are kept, so that followers receive only the differences once this node reads the
@@ -170,7 +163,6 @@
             .iter()
             .filter(|loss| loss.sequence >= losses_from)
             .filter(|loss| now.since(loss.at) < LOSS_RETENTION);
-        let since_recovery = state.recovered_at.map(|at| millis(now.since(at)));
         Some(FollowReply {
             feed: self.id,
             operator: Some(part(operator, req.operator_era, req.operator_next)?),
@@ -183,7 +175,7 @@
             losses_next: state.losses_next,
             vouched_ms: 0,
             read_ms: None,
-            returned_ms: since_recovery,
+            returned_ms: None,
         })
     }
 }
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -78,6 +78,10 @@
             0
         };
         (reply.limits, reply.limits_next) = self.state.limits.updates(limits_from);
+        reply.returned_ms = self
+            .state
+            .store_returned_at()
+            .map(|at| millis(clock::now().since(at)));
         reply.vouched_ms = millis(age).saturating_add(1);
         reply.read_ms = self
             .state
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -85,11 +85,11 @@
         }
     }
 
-    /// Records a failed call.
-    pub(crate) fn record_failure(&mut self, state: &EntryState, cause: &StoreError) {
+    /// Records a failed call. Returns whether the one before it was successful.
+    pub(crate) fn record_failure(&mut self, state: &EntryState, cause: &StoreError) -> bool {
         state.metrics.count_store_failure();
         if self.unavailable_since.is_some() {
-            return;
+            return false;
         }
         self.unavailable_since = Some(clock::now());
         let cause = cause.to_string();
@@ -97,18 +97,18 @@
             dependency: self.name,
             cause: &cause,
         });
+        true
     }
 
-    /// Records a successful call. Returns whether the dependency was unavailable before it.
-    pub(crate) fn record_success(&mut self, state: &EntryState) -> bool {
+    /// Records a successful call.
+    pub(crate) fn record_success(&mut self, state: &EntryState) {
         let Some(unavailable_since) = self.unavailable_since.take() else {
-            return false;
+            return;
         };
         state.events.write(&Event::DependencyRegained {
             dependency: self.name,
             away_ms: millis(clock::now().since(unavailable_since)),
         });
-        true
     }
 }
 
@@ -169,13 +169,10 @@
         let (snapshot, ()) = join(store.newest(topic), self.ask_neighbors()).await;
         let snapshot = snapshot?;
         let (records, end) = (snapshot.records, snapshot.end);
-        let was_unavailable = self.dependency.record_success(self.state);
-        if was_unavailable {
-            self.state.feed.record_recovery(clock::now());
-        }
+        self.dependency.record_success(self.state);
         self.publish_snapshot(&records, end);
         let records = records.into_iter().map(|stored| stored.record);
-        self.replace(end.era, records.collect(), was_unavailable);
+        self.replace(end.era, records.collect());
         self.ask_neighbors().await;
         self.confirm_freshness(sent);
         Ok(end)
@@ -195,14 +192,11 @@
             let sent = clock::now();
             match self.store.read(self.topic, from, poll_timeout).await {
                 Ok(ReadResult::Records { next, end, records }) => {
-                    let was_unavailable = self.dependency.record_success(self.state);
+                    self.dependency.record_success(self.state);
                     // The store has lost records that were already read.
                     if end < from {
                         return;
                     }
-                    if was_unavailable {
-                        self.record_recovery();
-                    }
                     self.state.feed.apply(self.topic, &records, next);
                     self.apply(next.era, records);
                     from = next;
@@ -212,7 +206,10 @@
                 }
                 Ok(ReadResult::Trimmed { .. } | ReadResult::Returned) => return,
                 Err(error) => {
-                    self.dependency.record_failure(self.state, &error);
+                    // Often only the connection was closed, and a new one works.
+                    if self.dependency.record_failure(self.state, &error) {
+                        continue;
+                    }
                     sleep(RETRY_DELAY).await;
                     if self.is_unavailable_for(timeout) {
                         return;
@@ -225,6 +222,15 @@
 
     /// Returns the long-poll timeout of the next read and the interval after it.
     fn read_timing(&self) -> (Duration, Duration) {
+        let (poll_timeout, interval) = self.usual_timing();
+        // A read that doesn't wait shows at once that the store is available again.
+        match self.dependency.unavailable_since {
+            Some(_) => (Duration::ZERO, interval),
+            None => (poll_timeout, interval),
+        }
+    }
+
+    fn usual_timing(&self) -> (Duration, Duration) {
         let configuration_bound =
             Duration::from_millis(self.state.settings.bounds.configuration_ms);
         match self.topic_state {
@@ -263,15 +269,12 @@
         });
     }
 
-    fn replace(&mut self, era: StoreEra, records: Vec<Record>, was_unavailable: bool) {
+    fn replace(&mut self, era: StoreEra, records: Vec<Record>) {
         match &mut self.topic_state {
             TopicState::Operator(operator) => {
                 operator.replace(self.state, era, &records, &IndexSet::new());
             }
             TopicState::Registry(registry) => {
-                if was_unavailable {
-                    registry.recovered_at = Some(clock::now());
-                }
                 registry.replace(self.state, era, &records, &IndexSet::new());
             }
             TopicState::Crashes(crashes) => {
@@ -288,13 +291,6 @@
         }
     }
 
-    fn record_recovery(&mut self) {
-        self.state.feed.record_recovery(clock::now());
-        if let TopicState::Registry(registry) = &mut self.topic_state {
-            registry.recovered_at = Some(clock::now());
-        }
-    }
-
     fn confirm_freshness(&mut self, sent: Timestamp) {
         match &mut self.topic_state {
             TopicState::Operator(operator) => operator.confirm(self.state, sent),
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -121,7 +121,7 @@
     async fn read(&mut self, state: &EntryState, store: &Store) -> Option<Vec<PeerNode>> {
         match store.newest(Topic::Nodes).await {
             Ok(snapshot) => {
-                let _was_unavailable = self.dependency.record_success(state);
+                self.dependency.record_success(state);
                 let end = snapshot.end;
                 let _summary = state.feed.replace(Topic::Nodes, &snapshot.records, end);
                 let records = snapshot.records.into_iter().map(|stored| stored.record);
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use sesamecart_fleet::Source;
+use sesamecart_fleet::{Source, StoreReport};
 use sesamecart_links::Code;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
 use sesamecart_platform::{LogPosition, Offset, Record, StoreEra};
@@ -224,6 +224,7 @@
         reply: FollowReply,
     ) -> ReplyOutcome {
         let read_ms = read_ms(&reply);
+        let availability = availability(clock::now(), &reply);
         let (Some(operator), Some(registry), Some(nodes)) =
             (reply.operator, reply.registry, reply.nodes)
         else {
@@ -254,13 +255,7 @@
         position.feed = reply.feed;
         position.losses = reply.losses_next;
         position.limits = reply.limits_next;
-        if let Some(since_recovery) = reply.returned_ms {
-            let since_recovery = Duration::from_millis(since_recovery);
-            self.registry.recovered_at = Some(Timestamp(
-                sent.0
-                    .saturating_sub(u64::try_from(since_recovery.as_micros()).unwrap_or(u64::MAX)),
-            ));
-        }
+        self.state.learn_store_report(&availability, &source);
         self.apply_topics(operator, registry);
         if let Some(nodes) = nodes {
             update_nodes(&self.state, self.nodes.list(), nodes);
@@ -415,6 +410,17 @@
     reply.read_ms.unwrap_or(reply.vouched_ms)
 }
 
+/// Returns what the other node tells of the store's availability.
+fn availability(now: Timestamp, reply: &FollowReply) -> StoreReport {
+    let ago = |age_ms: u64| now - Duration::from_millis(age_ms);
+    let returned_at = reply.returned_ms.map(ago);
+    StoreReport {
+        answered_at: ago(read_ms(reply)),
+        answers_since: returned_at.unwrap_or_default(),
+        returned_at,
+    }
+}
+
 fn source_failed(address: SocketAddr, cause: impl Display) -> SwitchReason {
     log::debug!("follower: node at {address}: {cause}.");
     SwitchReason::Failed
--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -15,7 +15,7 @@
 use crate::events::Event;
 use crate::state::EntryState;
 
-/// How long after an outage of the store a missing entry is kept before its endpoint is removed.
+/// How long after an outage of the store an endpoint without an entry is kept.
 ///
 /// Running endpoints register again within about 2 s; this is that time minus what a node takes to act on the
 /// entry.
@@ -24,8 +24,6 @@
 /// Applies the registry's records to the directory of endpoints.
 pub(super) struct RegistryState {
     changed: Sender<()>,
-    /// When the store became available again after an outage.
-    pub(super) recovered_at: Option<Timestamp>,
     era: TopicEra,
     /// The heartbeats that each endpoint's last entry counts.
     heartbeats: IndexMap<EndpointId, u64>,
@@ -35,7 +33,6 @@
     pub(super) fn new(changed: Sender<()>) -> Self {
         Self {
             changed,
-            recovered_at: None,
             era: TopicEra::default(),
             heartbeats: IndexMap::new(),
         }
@@ -75,7 +72,7 @@
         let now = clock::now();
         let is_restored = self.era.advance(era);
         if is_restored {
-            self.recovered_at = Some(now);
+            state.record_store_restored(now);
         }
         let mut directory = Directory::clone(&state.directory.load());
         for record in records {
@@ -133,7 +130,7 @@
             );
         };
         let Some(value) = record.value.as_deref() else {
-            return self.remove_or_defer(state, directory, now, id);
+            return remove_or_defer(state, directory, now, id);
         };
         match decode_endpoint(key, value) {
             Ok(endpoint) => {
@@ -151,28 +148,21 @@
             }
         }
     }
+}
 
-    /// Removes an endpoint, or defers the removal if the store was unavailable recently.
-    fn remove_or_defer(
-        &self,
-        state: &EntryState,
-        directory: &mut Directory,
-        now: Timestamp,
-        id: EndpointId,
-    ) {
-        let remove_at = self.recovered_at.map(|at| at + REREGISTRATION_GRACE);
-        match remove_at {
-            Some(remove_at) if remove_at > now => {
-                if directory.is_listed(&id) && state.defer(Removal::Endpoint(id.clone()), remove_at)
-                {
-                    state.events.write(&Event::RemovalDeferred {
-                        endpoint: id.as_str(),
-                        for_ms: millis(remove_at.since(now)),
-                    });
-                }
-            }
-            _ => remove(state, directory, now, &id),
-        }
+/// Removes an endpoint, or defers the removal if the store was away a short time ago.
+fn remove_or_defer(state: &EntryState, directory: &mut Directory, now: Timestamp, id: EndpointId) {
+    let remove_at = state
+        .store_returned_at()
+        .map(|returned_at| returned_at + REREGISTRATION_GRACE);
+    let Some(remove_at) = remove_at.filter(|at| *at > now) else {
+        return remove(state, directory, now, &id);
+    };
+    if directory.is_listed(&id) && state.defer(Removal::Endpoint(id.clone()), remove_at) {
+        state.events.write(&Event::RemovalDeferred {
+            endpoint: id.as_str(),
+            for_ms: millis(remove_at.since(now)),
+        });
     }
 }
 
--- a/crates/sesamecart-entry/src/settings.rs
+++ b/crates/sesamecart-entry/src/settings.rs
@@ -116,6 +116,12 @@
         Duration::try_from_secs_f64(self.leave_s).unwrap_or_default()
     }
 
+    /// Returns the interval at which endpoints write their heartbeats.
+    #[must_use]
+    pub const fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
     /// Returns the time within which a node must know what other nodes have reported.
     #[must_use]
     pub const fn contact(&self) -> Duration {
--- a/crates/sesamecart-entry/src/state.rs
+++ b/crates/sesamecart-entry/src/state.rs
@@ -12,7 +12,7 @@
 use sesamecart_fleet::{
     AuthorityRanking, BlockedRequest, Catalog, ColdRateLimit, Deferred, Demand, DemandTracker,
     Directory, FirstEventTimeouts, Freshness, GroupKey, LoadTracker, MemberSilences, PeerNode,
-    RetryBudget, StoreEras, readers, standbys,
+    RetryBudget, StoreAvailability, StoreEras, readers, standbys,
 };
 use sesamecart_vocabulary::{
     EndpointId, FailureDomainId, LogPosition, ModelId, ServiceId, Timestamp,
@@ -72,6 +72,8 @@
     pub(crate) store_eras: StoreEras,
     /// Notified when a later era of the store was learned.
     pub(crate) era_changed: Notifier,
+    /// When the store has answered, as far as this node knows.
+    pub(crate) store_availability: Mutex<StoreAvailability>,
     /// Where this node's entry in the list of nodes was written, once it was.
     own_entry_at: Mutex<Option<LogPosition>>,
     /// Notified when the list of nodes lacks this node's entry.
@@ -132,6 +134,9 @@
             feed: Feed::new(),
             store_eras: StoreEras::default(),
             era_changed: Notifier::new(),
+            store_availability: Mutex::new(StoreAvailability::new(
+                settings.bounds.heartbeat_interval(),
+            )),
             own_entry_at: Mutex::default(),
             own_entry_missing: Notifier::new(),
             configuration_record: ArcSwapOption::empty(),
--- a/crates/sesamecart-entry/src/store_observer.rs
+++ b/crates/sesamecart-entry/src/store_observer.rs
@@ -1,14 +1,18 @@
-//! Observes this node's calls to the store: counts them, and learns the store's era from the answers.
+//! Observes this node's calls to the store: counts them, and learns from the answers the store's era and whether the
+//! store was away.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use sesamecart_fleet::StaleEra;
-use sesamecart_platform::{NamedEra, StoreObserver, StoreOperation, Topic};
-use sesamecart_vocabulary::StoreEra;
+use sesamecart_fleet::{StaleEra, StoreReport};
+use sesamecart_platform::{CallOutcome, NamedEra, StoreObserver, StoreOperation, Topic};
+use sesamecart_vocabulary::{StoreEra, Timestamp};
 
 use crate::clock;
 use crate::events::Event;
+use crate::follower::millis;
+use crate::lock::lock;
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -35,6 +39,13 @@
         self.state.metrics.count_store_call(step, topic);
     }
 
+    fn on_outcome(&self, outcome: CallOutcome) {
+        match outcome {
+            CallOutcome::Answered => self.state.record_store_answer(),
+            CallOutcome::Failed => self.state.record_store_failure(),
+        }
+    }
+
     fn attribute(&self, named: &NamedEra) -> Result<StoreEra, StaleEra> {
         let was_unreadable = self
             .is_unreadable
@@ -57,6 +68,41 @@
 }
 
 impl EntryState {
+    fn record_store_answer(&self) {
+        let outage = lock(&self.store_availability).record_answer(clock::now());
+        self.log_store_return(outage, "the store");
+    }
+
+    /// Records that the store didn't answer a call, or refused it.
+    pub(crate) fn record_store_failure(&self) {
+        lock(&self.store_availability).record_failure();
+    }
+
+    /// Learns from another node, `source`, when the store has answered.
+    pub(crate) fn learn_store_report(&self, report: &StoreReport, source: &str) {
+        let outage = lock(&self.store_availability).record_report(report);
+        self.log_store_return(outage, source);
+    }
+
+    /// Records that the store has returned from a copy, which may lack entries of running endpoints.
+    pub(crate) fn record_store_restored(&self, now: Timestamp) {
+        lock(&self.store_availability).record_restored(now);
+    }
+
+    /// Returns when the store returned from its last outage.
+    pub(crate) fn store_returned_at(&self) -> Option<Timestamp> {
+        lock(&self.store_availability).returned_at()
+    }
+
+    fn log_store_return(&self, outage: Option<Duration>, source: &str) {
+        if let Some(outage) = outage {
+            self.events.write(&Event::StoreReturned {
+                away_ms: millis(outage),
+                source,
+            });
+        }
+    }
+
     /// Learns an era of the store from `source`.
     pub(crate) fn learn_store_era(&self, era: StoreEra, source: &str) {
         let Some(before) = self.store_eras.learn(clock::now(), era) else {
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod sources;
 mod stall_detector;
 mod step_model;
+mod store_availability;
 mod store_era;
 #[cfg(test)]
 mod testkit;
@@ -83,4 +84,5 @@
 };
 pub use stall_detector::{StallDetector, StallLimits};
 pub use step_model::{StepModel, TokenCounts};
+pub use store_availability::{StoreAvailability, StoreReport};
 pub use store_era::{StaleEra, StoreEras};
