Let followers know of outages of the store, also when they change their source

What callers saw: after an outage of 1.7 s in which the entries of running endpoints expire, nodes refuse requests until the endpoints have registered again, though they run.

Cause: whether removals are deferred followed from this node's own failed reads of the registry. A node that follows another one makes none, and one that takes over the reading after the outage hasn't failed either.

Evidence: endpoints_whose_entries_expire_in_an_outage_are_kept and endpoints_are_kept_by_a_node_that_takes_over_after_an_outage fail before (requests get 503 in the 1.5 s after the return) and pass now.

Change: replies to followers say when the store last answered and since when it has answered without a gap. A follower puts that beside what it knows. A source that says that it doesn't read the store, and a store that doesn't answer a probe, count as failures.

--- a/crates/sesamecart-entry/src/feed.rs
+++ b/crates/sesamecart-entry/src/feed.rs
@@ -176,6 +176,8 @@
             vouched_ms: 0,
             read_ms: None,
             returned_ms: None,
+            store_answered_ms: None,
+            store_answers_for_ms: None,
         })
     }
 }
--- a/crates/sesamecart-entry/src/feed/server.rs
+++ b/crates/sesamecart-entry/src/feed/server.rs
@@ -78,10 +78,13 @@
             0
         };
         (reply.limits, reply.limits_next) = self.state.limits.updates(limits_from);
-        reply.returned_ms = self
-            .state
-            .store_returned_at()
-            .map(|at| millis(clock::now().since(at)));
+        if let Some(report) = self.state.store_report() {
+            let now = clock::now();
+            let age_ms = |at| millis(now.since(at));
+            reply.store_answered_ms = Some(age_ms(report.answered_at));
+            reply.store_answers_for_ms = Some(age_ms(report.answers_since));
+            reply.returned_ms = report.returned_at.map(age_ms);
+        }
         reply.vouched_ms = millis(age).saturating_add(1);
         reply.read_ms = self
             .state
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -415,8 +415,13 @@
     let ago = |age_ms: u64| now - Duration::from_millis(age_ms);
     let returned_at = reply.returned_ms.map(ago);
     StoreReport {
-        answered_at: ago(read_ms(reply)),
-        answers_since: returned_at.unwrap_or_default(),
+        answered_at: ago(reply.store_answered_ms.unwrap_or_else(|| read_ms(reply))),
+        // A node of an older version doesn't tell of gaps without an outage.
+        answers_since: reply
+            .store_answers_for_ms
+            .map(ago)
+            .or(returned_at)
+            .unwrap_or_default(),
         returned_at,
     }
 }
--- a/crates/sesamecart-entry/src/follower/search.rs
+++ b/crates/sesamecart-entry/src/follower/search.rs
@@ -58,7 +58,7 @@
             (order.turn(own), candidates)
         };
         let asks_store = self.asks.try_ask(now, turn);
-        let ask = async { asks_store && is_store_serving(&self.store).await };
+        let ask = async { asks_store && is_store_serving(&self.state, &self.store).await };
         let (is_store_serving, found) = join(ask, self.find_node(candidates)).await;
         self.asks.record_answers(found.has_answers);
         let store = is_store_serving.then_some(Source::Store);
@@ -113,9 +113,14 @@
 }
 
 /// Returns whether the store answers a small read.
-pub(super) async fn is_store_serving(store: &Store) -> bool {
+pub(super) async fn is_store_serving(state: &EntryState, store: &Store) -> bool {
     let read = store.newest(Topic::Nodes);
-    matches!(with_timeout(PROBE_TIMEOUT, read).await, Ok(Ok(_)))
+    let Ok(outcome) = with_timeout(PROBE_TIMEOUT, read).await else {
+        // The call was dropped before it could fail.
+        state.record_store_failure();
+        return false;
+    };
+    outcome.is_ok()
 }
 
 /// Asks a node whether it serves followers. A node that notices later than others that the store doesn't answer
--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -149,6 +149,7 @@
             _ => false,
         };
         if is_turned_away {
+            self.state.record_store_failure();
             self.asks.record_turned_away();
         }
     }
@@ -241,7 +242,7 @@
         let better = preferred.into_iter().take_while(|known| *known != source);
         for candidate in better {
             let serves = match candidate {
-                Source::Store => is_store_serving(&self.store).await,
+                Source::Store => is_store_serving(&self.state, &self.store).await,
                 Source::Node(address) => is_serving(&self.state, &self.links, address).await,
             };
             if serves {
--- a/crates/sesamecart-entry/src/store_observer.rs
+++ b/crates/sesamecart-entry/src/store_observer.rs
@@ -89,6 +89,11 @@
         lock(&self.store_availability).record_restored(now);
     }
 
+    /// Returns what this node tells its followers of the store, once the store has answered.
+    pub(crate) fn store_report(&self) -> Option<StoreReport> {
+        lock(&self.store_availability).report()
+    }
+
     /// Returns when the store returned from its last outage.
     pub(crate) fn store_returned_at(&self) -> Option<Timestamp> {
         lock(&self.store_availability).returned_at()
