End the mark of a lost group by the clock on each node

What callers saw: nothing was reported.

Cause: a group that was found lost is avoided for 6 s, but the mark was dropped only when registry records were applied. A node that follows another one applies them only when something changes there, so that it sends no requests to a sound group that another node has taken for lost, for as long as the registry is quiet.

Change: the mark is compared with the clock where it is used, and dropped with its signal.

--- a/crates/sesamecart-entry/src/state/group_signals.rs
+++ b/crates/sesamecart-entry/src/state/group_signals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use sesamecart_fleet::{Directory, Endpoint, GroupKey};
 use sesamecart_runtime::{Signal, Trigger};
 use sesamecart_vocabulary::{EndpointId, Timestamp};
@@ -11,7 +12,7 @@
 use crate::state::EntryState;
 
 /// How long a group stays marked as lost. By then its head has given up and reports this itself.
-const LOST_GROUP_TTL: Duration = Duration::from_secs(6);
+pub(super) const LOST_GROUP_TTL: Duration = Duration::from_secs(6);
 
 /// Notifies the requests that depend on a group when the group is suspected or found lost.
 #[derive(Debug)]
@@ -21,9 +22,18 @@
     mark: Option<GroupMark>,
 }
 
+impl GroupSignal {
+    fn is_expired(&self, now: Timestamp) -> bool {
+        match self.mark {
+            Some(GroupMark::Lost(at)) => now.since(at) > LOST_GROUP_TTL,
+            Some(GroupMark::Suspected) | None => false,
+        }
+    }
+}
+
 /// Why a group gets no new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum GroupMark {
+pub(super) enum GroupMark {
     /// A member is silent. The group gets requests again once it answers.
     Suspected,
     /// It has lost a member, since this time.
@@ -34,6 +44,7 @@
     /// Returns the signal that is triggered when a group is suspected or found lost.
     pub(crate) fn group_signal(&self, key: &GroupKey) -> Signal {
         let mut signals = lock(&self.group_signals);
+        drop_expired(&mut signals, clock::now(), key);
         if let Some(group) = signals.get(key) {
             return group.signal.clone();
         }
@@ -93,29 +104,28 @@
 
     /// Returns whether the group of an endpoint was recently found lost.
     pub(crate) fn is_group_lost(&self, endpoint: &Endpoint) -> bool {
-        matches!(self.group_mark(endpoint), Some(GroupMark::Lost(_)))
+        matches!(
+            self.group_mark(clock::now(), endpoint),
+            Some(GroupMark::Lost(_))
+        )
     }
 
     /// Returns whether the group of an endpoint gets no new requests, as it is suspected or lost.
     pub(crate) fn is_group_avoided(&self, endpoint: &Endpoint) -> bool {
-        self.group_mark(endpoint).is_some()
+        self.group_mark(clock::now(), endpoint).is_some()
     }
 
-    fn group_mark(&self, endpoint: &Endpoint) -> Option<GroupMark> {
+    pub(super) fn group_mark(&self, now: Timestamp, endpoint: &Endpoint) -> Option<GroupMark> {
         let key = endpoint.group_key()?;
-        let signals = lock(&self.group_signals);
+        let mut signals = lock(&self.group_signals);
+        drop_expired(&mut signals, now, &key);
         signals.get(&key).and_then(|group| group.mark)
     }
 
     /// Removes the signals of groups that are no longer in the directory, and expired losses.
     pub(super) fn prune_group_signals(&self, now: Timestamp, directory: &Directory) {
-        lock(&self.group_signals).retain(|key, group| {
-            let is_expired = match group.mark {
-                Some(GroupMark::Lost(at)) => now.since(at) > LOST_GROUP_TTL,
-                Some(GroupMark::Suspected) | None => false,
-            };
-            !is_expired && directory.members(key).next().is_some()
-        });
+        lock(&self.group_signals)
+            .retain(|key, group| !group.is_expired(now) && directory.members(key).next().is_some());
     }
 
     /// Records that a member of a group didn't answer a probe that started at `started_at`. Returns for how long
@@ -130,3 +140,11 @@
         lock(&self.member_silences).record_answer(member);
     }
 }
+
+/// Drops a group's signal with its mark if the mark has expired. A signal stays triggered, so that new requests need a
+/// new one.
+fn drop_expired(signals: &mut IndexMap<GroupKey, GroupSignal>, now: Timestamp, key: &GroupKey) {
+    if signals.get(key).is_some_and(|group| group.is_expired(now)) {
+        signals.swap_remove(key);
+    }
+}
