Remove nodes that a return of the store has lost also at nodes that follow another

What callers saw: nothing was reported.

Cause: after a return of the store, a node that is missing in the copy counts until the list is read the next time. A node that reads the store reads it every 10 s. One that follows another node gets nothing for a node that is gone, and keeps it for ever. Limits that all nodes share and the choice of the node that decides for all depend on the list.

Evidence: nodes_that_a_return_has_lost_are_removed_without_another_change fails before (n3 stays) and passes now.

Change: the removal is deferred by the interval of reads, like that of endpoints; a list that has the node cancels it.

--- a/crates/sesamecart-entry/src/deferred.rs
+++ b/crates/sesamecart-entry/src/deferred.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use sesamecart_fleet::Directory;
 use sesamecart_runtime::sleep;
-use sesamecart_vocabulary::{EndpointId, Timestamp};
+use sesamecart_vocabulary::{EndpointId, NodeId, Timestamp};
 
 use crate::clock;
 use crate::events::Event;
@@ -22,6 +22,8 @@
 pub(crate) enum Removal {
     /// An endpoint without an entry in the registry.
     Endpoint(EndpointId),
+    /// A node without an entry in the list of nodes.
+    Node(NodeId),
 }
 
 impl EntryState {
@@ -44,6 +46,7 @@
         for removal in due {
             match removal {
                 Removal::Endpoint(id) => has_removed_endpoint |= self.remove_endpoint(now, &id),
+                Removal::Node(node) => self.remove_node(&node),
             }
         }
         self.forget_gone_endpoints(now);
@@ -64,6 +67,13 @@
         is_removed
     }
 
+    fn remove_node(&self, node: &NodeId) {
+        self.nodes.rcu(|nodes| {
+            let kept = nodes.iter().filter(|peer| peer.node != *node);
+            kept.cloned().collect::<Vec<_>>()
+        });
+    }
+
     /// Drops endpoints that left the registry long ago, and what is known of them.
     fn forget_gone_endpoints(&self, now: Timestamp) {
         let next = self.directory.load().next_prune();
--- a/crates/sesamecart-entry/src/follower/nodes.rs
+++ b/crates/sesamecart-entry/src/follower/nodes.rs
@@ -15,6 +15,8 @@
 
 use super::topic_era::TopicEra;
 use super::{Dependency, RETRY_DELAY, log_ignored_record};
+use crate::clock;
+use crate::deferred::Removal;
 use crate::events::Event;
 use crate::state::EntryState;
 
@@ -225,6 +227,9 @@
         unchanged: &IndexSet<String>,
     ) -> Vec<PeerNode> {
         self.has_own = unchanged.contains(state.settings.node.as_str());
+        for node in unchanged.iter().filter_map(|key| key.parse().ok()) {
+            state.cancel_removal(&Removal::Node(node));
+        }
         self.merge(state, end, records, |node| {
             unchanged.contains(node.as_str())
         })
@@ -241,7 +246,8 @@
     }
 
     /// Merges records into the list. After a return of the store, nodes that are missing count until the list is read
-    /// the next time: they register again, and limits that all nodes share must not be divided among too few.
+    /// the next time, or would be: they register again, and limits that all nodes share must not be divided among too
+    /// few.
     fn merge(
         &mut self,
         state: &EntryState,
@@ -255,11 +261,27 @@
         if !self.has_own && state.has_own_entry_before(end) {
             state.own_entry_missing.notify(usize::MAX);
         }
+        if is_restored {
+            defer_removals(state, &is_listed);
+        }
+        for peer in &decoded {
+            state.cancel_removal(&Removal::Node(peer.node.clone()));
+        }
         merge(state, &decoded, |node| is_restored || is_listed(node));
         decoded
     }
 }
 
+/// Defers the removal of the known nodes that aren't listed.
+fn defer_removals(state: &EntryState, is_listed: impl Fn(&NodeId) -> bool) {
+    let due = clock::now() + NODES_READ_INTERVAL;
+    let nodes = state.nodes.load();
+    let missing = nodes.iter().filter(|peer| !is_listed(&peer.node));
+    for peer in missing.filter(|peer| peer.node != state.settings.node) {
+        state.defer(Removal::Node(peer.node.clone()), due);
+    }
+}
+
 fn merge(state: &EntryState, decoded: &[PeerNode], is_kept: impl Fn(&NodeId) -> bool) {
     let known = state.nodes.load();
     let kept = known.iter().filter(|peer| is_kept(&peer.node));
--- a/crates/sesamecart-entry/src/follower/nodes/tests.rs
+++ b/crates/sesamecart-entry/src/follower/nodes/tests.rs
@@ -6,8 +6,9 @@
 use sesamecart_platform::{LogPosition, Offset, Record, StoreEra, StoredRecord, Topic};
 use sesamecart_vocabulary::Timestamp;
 
+use crate::clock;
 use crate::feed::Feed;
-use crate::follower::nodes::NodeList;
+use crate::follower::nodes::{NODES_READ_INTERVAL, NodeList};
 use crate::follower::peer::{TopicUpdate, update_nodes};
 use crate::state::EntryState;
 use crate::testkit::new_state;
@@ -171,3 +172,30 @@
     misses_own_entry(&state, &mut list, at(2, 3), &["n1", "n2", "n4"]);
     assert_eq!(known(&state), ["n1", "n2", "n4"]);
 }
+
+/// Guards against a node that is gone and stays in the lists of those that follow another node, so that nodes choose
+/// different ones to decide for all.
+#[test]
+fn nodes_that_a_return_has_lost_are_removed_without_another_change() {
+    let state = new_state(true);
+    let mut list = NodeList::default();
+    misses_own_entry(&state, &mut list, at(1, 4), &["n1", "n2", "n3", "n4"]);
+    misses_own_entry(&state, &mut list, at(2, 2), &["n1", "n2"]);
+    list.apply(&state, at(2, 3), &[entry("n4")]);
+    assert_eq!(known(&state), ["n1", "n2", "n3", "n4"]);
+    state.make_due_removals(clock::now() + NODES_READ_INTERVAL);
+    assert_eq!(known(&state), ["n1", "n2", "n4"]);
+}
+
+/// Guards against removing a node that another source has listed all the while.
+#[test]
+fn a_node_that_another_source_lists_is_not_removed() {
+    let state = new_state(true);
+    let mut list = NodeList::default();
+    misses_own_entry(&state, &mut list, at(1, 3), &["n1", "n2", "n3"]);
+    misses_own_entry(&state, &mut list, at(2, 2), &["n1", "n2"]);
+    let unchanged = ["n2", "n3"].map(str::to_owned).into_iter().collect();
+    let _nodes = list.replace(&state, at(2, 3), &[], &unchanged);
+    state.make_due_removals(clock::now() + NODES_READ_INTERVAL);
+    assert_eq!(known(&state), ["n1", "n2", "n3"]);
+}
