Keep an endpoint that another source lists as unchanged

What callers saw: nothing was reported.

Cause: a follower that changes its source gets the keys whose records it has, without the records. An endpoint among them whose removal was deferred is there, but only a record cancelled the removal.

Evidence: an_endpoint_that_another_source_lists_is_not_removed fails before (the endpoint is removed when it is due) and passes now.

Change: a key that is listed as unchanged cancels the removal as well.

--- a/crates/sesamecart-entry/src/follower/registry.rs
+++ b/crates/sesamecart-entry/src/follower/registry.rs
@@ -47,6 +47,9 @@
         records: &[Record],
         unchanged: &IndexSet<String>,
     ) {
+        for key in unchanged {
+            cancel_removal(state, key);
+        }
         let current = state.directory.load();
         let changed = records.iter().filter_map(|record| record.key.as_deref());
         let present: IndexSet<&str> = unchanged
@@ -77,7 +80,7 @@
         let mut directory = Directory::clone(&state.directory.load());
         for record in records {
             if is_restored && self.is_outdated(&directory, record) {
-                keep_listed(state, record);
+                cancel_removal(state, record.key.as_deref().unwrap_or_default());
                 continue;
             }
             self.apply_one(state, &mut directory, now, record);
@@ -166,10 +169,9 @@
     }
 }
 
-/// Cancels the removal of an endpoint whose entry is there again, though an older one.
-fn keep_listed(state: &EntryState, record: &Record) {
-    let id = record.key.as_deref().and_then(|key| key.parse().ok());
-    if let Some(id) = id {
+/// Cancels the removal of an endpoint whose entry is there again, though it may be an older one.
+fn cancel_removal(state: &EntryState, key: &str) {
+    if let Ok(id) = key.parse() {
         state.cancel_removal(&Removal::Endpoint(id));
     }
 }
--- a/crates/sesamecart-entry/src/follower/tests.rs
+++ b/crates/sesamecart-entry/src/follower/tests.rs
@@ -263,3 +263,17 @@
     registry.apply(&state, StoreEra(3), &[endpoint_after("e1", "ready", 5, 7)]);
     assert_eq!(ready(&state), ["e1", "e2"]);
 }
+
+/// Guards against removing an endpoint whose entry another source has had all the while.
+#[test]
+fn an_endpoint_that_another_source_lists_is_not_removed() {
+    let state = new_state(true);
+    let (changed, _changes) = async_channel::bounded(1);
+    let mut registry = RegistryState::new(changed);
+    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
+    registry.replace(&state, ERA, &all, &keys([]));
+    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    registry.replace(&state, LATER_ERA, &[], &keys(["e1", "e2"]));
+    assert!(!state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
+    assert_eq!(ready(&state), ["e1", "e2"]);
+}
