Read a topic whole at once where a later era of the store is known

What callers saw: nothing. a_return_costs_the_store_no_more_calls_than_an_outage failed since reads after a failure don't wait: 83 calls in the second after a return where 38 and 30 more were allowed.

Cause: the failed call names the new era, yet each topic first asked for records behind its position of the ended era. Before, such a read waited for up to a second, so that it came after the second in which calls are counted.

Change: a position of an ended era isn't read from.

--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -187,7 +187,8 @@
 
     /// Reads records starting at `from` until the topic has to be reread in full.
     async fn follow(&mut self, mut from: LogPosition, timeout: Option<Duration>) {
-        loop {
+        // Once a later era is known, also from a call for another topic, a read from this position is in vain.
+        while from.era == self.state.store_eras.latest() {
             let (poll_timeout, interval) = self.read_timing();
             let sent = clock::now();
             match self.store.read(self.topic, from, poll_timeout).await {
