Test answers that stop at each of their bytes

cut_answers cuts answers after each byte of head and body: with a length, in chunks, with lone line feeds, behind an interim response, and without a length (there only in the head, since a close is the end of such an answer); by a close and by a reset; lookups, bookings and streams by turns; at the node that has the request and through a second one.

UnframedEndpoint, the stand-in that these use, writes any format now and is called RawEndpoint.

--- a/crates/sesamecart-entry/tests/end_to_end/faulty_links.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/faulty_links.rs
@@ -26,18 +26,32 @@
     Reset,
     /// Open connections work, and new ones are refused.
     Refused,
+    /// Each connection ends after this number of bytes was read from it.
+    EndsAfter(u64),
 }
 
 #[derive(Debug, Default)]
 struct State {
     fault: LinkFault,
     peers: HashSet<SocketAddr>,
+    /// A peer whose link fails in another way.
+    other: Option<(SocketAddr, LinkFault)>,
     /// The number of bytes that were read from each peer.
     received: HashMap<SocketAddr, u64>,
     /// The tasks to wake when the fault changes.
     waiting: Vec<Waker>,
 }
 
+impl State {
+    fn fault_of(&self, peer: SocketAddr) -> LinkFault {
+        match self.other {
+            Some((other, fault)) if other == peer => fault,
+            _ if self.peers.contains(&peer) => self.fault,
+            _ => LinkFault::None,
+        }
+    }
+}
+
 /// The links of one node, whose faults a test sets.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FaultyLinks(Arc<Mutex<State>>);
@@ -60,6 +74,12 @@
         }
     }
 
+    /// Lets the links to `reset` be reset, and the one to another peer fail in another way.
+    pub(crate) fn fail_both(&self, reset: &[SocketAddr], other: (SocketAddr, LinkFault)) {
+        self.state().other = Some(other);
+        self.fail(LinkFault::Reset, reset.iter().copied());
+    }
+
     /// Lets all links work again.
     pub(crate) fn heal(&self) {
         self.fail(LinkFault::None, []);
@@ -75,12 +95,7 @@
     }
 
     fn fault_of(&self, peer: SocketAddr) -> LinkFault {
-        let state = self.state();
-        if state.peers.contains(&peer) {
-            state.fault
-        } else {
-            LinkFault::None
-        }
+        self.state().fault_of(peer)
     }
 
     /// Checks the link to `peer`, and wakes the task when the fault changes.
@@ -88,12 +103,10 @@
         let mut state = self.state();
         state.waiting.retain(|waker| !waker.will_wake(cx.waker()));
         state.waiting.push(cx.waker().clone());
-        match state.fault {
-            LinkFault::Silent if state.peers.contains(&peer) => Poll::Pending,
-            LinkFault::Reset if state.peers.contains(&peer) => {
-                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
-            }
-            _ => Poll::Ready(Ok(())),
+        match state.fault_of(peer) {
+            LinkFault::Silent => Poll::Pending,
+            LinkFault::Reset => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            LinkFault::None | LinkFault::Refused | LinkFault::EndsAfter(_) => Poll::Ready(Ok(())),
         }
     }
 }
@@ -103,7 +116,7 @@
         let links = self.clone();
         Box::pin(async move {
             match links.fault_of(peer) {
-                LinkFault::None => {}
+                LinkFault::None | LinkFault::EndsAfter(_) => {}
                 LinkFault::Silent => {
                     sleep(limit).await;
                     return Err(io::ErrorKind::TimedOut.into());
@@ -117,6 +130,7 @@
                 links,
                 peer,
                 stream,
+                received: 0,
             };
             Ok(Box::new(connection) as Box<dyn Connection>)
         })
@@ -128,6 +142,8 @@
     links: FaultyLinks,
     peer: SocketAddr,
     stream: Async<TcpStream>,
+    /// The number of bytes that were read.
+    received: u64,
 }
 
 impl AsyncRead for FaultyConnection {
@@ -141,8 +157,14 @@
             Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
             Poll::Pending => return Poll::Pending,
         }
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let len = match self.links.fault_of(self.peer) {
+            LinkFault::EndsAfter(limit) => limit.saturating_sub(self.received),
+            _ => u64::MAX,
+        };
+        let len = usize::try_from(len).unwrap_or(usize::MAX).min(buf.len());
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..len]);
         if let Poll::Ready(Ok(bytes)) = read {
+            self.received += bytes as u64;
             self.links.count_received(self.peer, bytes);
         }
         read
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -4,6 +4,7 @@
 mod configuration_changes;
 mod crashing_prompt_parts;
 mod crashing_requests;
+mod cut_answers;
 mod dispatch;
 mod endless_answers;
 mod endpoint_backoffs;
--- a/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use sesamecart_platform_standins::{AnswerEnd, UnframedEndpoint};
+use sesamecart_platform_standins::{AnswerEnd, RawEndpoint};
 
 use crate::setup::{Deployment, RequestKind, Response};
 
@@ -21,7 +21,7 @@
 /// to it.
 fn send(kind: RequestKind, body: &str, end: AnswerEnd) -> (Response, u32) {
     let deployment = Deployment::start_with_plain_endpoints(0);
-    let endpoint = UnframedEndpoint::start(&deployment.store, "u0", "app", body, end);
+    let endpoint = RawEndpoint::start(&deployment.store, "u0", "app", body, end);
     let endpoint = endpoint.expect("the endpoint listens");
     deployment.wait_until("the node knows the endpoint", || {
         deployment.node.state().knows_endpoint("u0")
@@ -41,7 +41,7 @@
 /// Sends a request of HTTP/1.0 and returns all that the node sends until it closes the connection.
 fn send_http_1_0(body: &str, end: AnswerEnd) -> String {
     let deployment = Deployment::start_with_plain_endpoints(0);
-    let endpoint = UnframedEndpoint::start(&deployment.store, "u0", "app", body, end);
+    let endpoint = RawEndpoint::start(&deployment.store, "u0", "app", body, end);
     let endpoint = endpoint.expect("the endpoint listens");
     deployment.wait_until("the node knows the endpoint", || {
         deployment.node.state().knows_endpoint("u0")
@@ -135,7 +135,7 @@
     for deadline_ms in DEADLINES_MS {
         let deployment = Deployment::start_with_plain_endpoints(0);
         let end = AnswerEnd::Silence;
-        let endpoint = UnframedEndpoint::start(&deployment.store, "u0", "app", WHOLE, end);
+        let endpoint = RawEndpoint::start(&deployment.store, "u0", "app", WHOLE, end);
         let _endpoint = endpoint.expect("the endpoint listens");
         deployment.wait_until("the node knows the endpoint", || {
             deployment.node.state().knows_endpoint("u0")
