--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -126,9 +126,7 @@
                     let held = membership.is_holder.then_some(held);
                     self.set_held(held, "the store says so");
                 }
-                Err(error) => {
-                    let _is_first = dependency.record_failure(&self.state, &error);
-                }
+                Err(error) => dependency.record_failure(&self.state, &error),
             }
             if self.state.is_leaving() {
                 return self.release("the node is leaving").await;
--- a/crates/sesamecart-entry/src/deferred.rs
+++ b/crates/sesamecart-entry/src/deferred.rs
@@ -55,6 +55,7 @@
 
     fn remove_endpoint(&self, now: Timestamp, id: &EndpointId) -> bool {
         let mut is_removed = false;
+        // The registry's follower runs on the same thread, so it can't publish a directory from before.
         self.directory.rcu(|directory| {
             let mut directory = Directory::clone(directory);
             is_removed = directory.remove(now, id);
--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -85,11 +85,11 @@
         }
     }
 
-    /// Records a failed call. Returns whether the one before it was successful.
-    pub(crate) fn record_failure(&mut self, state: &EntryState, cause: &StoreError) -> bool {
+    /// Records a failed call.
+    pub(crate) fn record_failure(&mut self, state: &EntryState, cause: &StoreError) {
         state.metrics.count_store_failure();
         if self.unavailable_since.is_some() {
-            return false;
+            return;
         }
         self.unavailable_since = Some(clock::now());
         let cause = cause.to_string();
@@ -97,7 +97,6 @@
             dependency: self.name,
             cause: &cause,
         });
-        true
     }
 
     /// Records a successful call.
@@ -207,8 +206,10 @@
                 }
                 Ok(ReadResult::Trimmed { .. } | ReadResult::Returned) => return,
                 Err(error) => {
+                    let is_first = self.dependency.unavailable_since.is_none();
+                    self.dependency.record_failure(self.state, &error);
                     // Often only the connection was closed, and a new one works.
-                    if self.dependency.record_failure(self.state, &error) {
+                    if is_first {
                         continue;
                     }
                     sleep(RETRY_DELAY).await;
@@ -231,6 +232,7 @@
         }
     }
 
+    /// Returns the same while the store is available.
     fn usual_timing(&self) -> (Duration, Duration) {
         let configuration_bound =
             Duration::from_millis(self.state.settings.bounds.configuration_ms);
--- a/crates/sesamecart-entry/src/follower/tests.rs
+++ b/crates/sesamecart-entry/src/follower/tests.rs
@@ -166,27 +166,28 @@
     assert_eq!(ready, ["e1", "e2", "e3"]);
 }
 
-/// Guards against losing endpoints that serve because their entries were written after the copy was taken.
-#[test]
-fn an_endpoint_that_a_copy_lacks_is_kept_while_it_may_register_again() {
+/// Returns a node whose store has returned from a copy that lacks the second of two endpoints.
+fn node_that_misses_an_endpoint() -> (EntryState, RegistryState) {
     let state = new_state(true);
     let (changed, _changes) = async_channel::bounded(1);
     let mut registry = RegistryState::new(changed);
     let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
     registry.replace(&state, ERA, &all, &keys([]));
     registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    (state, registry)
+}
+
+/// Guards against losing endpoints that serve because their entries were written after the copy was taken.
+#[test]
+fn an_endpoint_that_a_copy_lacks_is_kept_while_it_may_register_again() {
+    let (state, _registry) = node_that_misses_an_endpoint();
     assert_eq!(ready(&state), ["e1", "e2"]);
 }
 
 /// Guards against sending requests to an endpoint that is gone, for as long as nothing else changes in the registry.
 #[test]
 fn an_endpoint_that_does_not_register_again_is_removed_without_another_change() {
-    let state = new_state(true);
-    let (changed, _changes) = async_channel::bounded(1);
-    let mut registry = RegistryState::new(changed);
-    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
-    registry.replace(&state, ERA, &all, &keys([]));
-    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    let (state, _registry) = node_that_misses_an_endpoint();
     assert!(!state.make_due_removals(clock::now()));
     assert!(state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
     assert_eq!(ready(&state), ["e1"]);
@@ -195,12 +196,7 @@
 /// Guards against removing an endpoint that has registered again in time.
 #[test]
 fn an_endpoint_that_registers_again_is_not_removed() {
-    let state = new_state(true);
-    let (changed, _changes) = async_channel::bounded(1);
-    let mut registry = RegistryState::new(changed);
-    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
-    registry.replace(&state, ERA, &all, &keys([]));
-    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    let (state, mut registry) = node_that_misses_an_endpoint();
     registry.apply(&state, LATER_ERA, &[endpoint_after("e2", "ready", 5, 7)]);
     assert!(!state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
     assert_eq!(ready(&state), ["e1", "e2"]);
@@ -252,12 +248,8 @@
 /// Guards against removing an endpoint whose older entry is there again.
 #[test]
 fn an_endpoint_that_a_second_copy_has_is_not_removed() {
-    let state = new_state(true);
-    let (changed, _changes) = async_channel::bounded(1);
-    let mut registry = RegistryState::new(changed);
+    let (state, mut registry) = node_that_misses_an_endpoint();
     let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
-    registry.replace(&state, ERA, &all, &keys([]));
-    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
     registry.replace(&state, StoreEra(3), &all, &keys([]));
     state.make_due_removals(clock::now() + REREGISTRATION_GRACE);
     registry.apply(&state, StoreEra(3), &[endpoint_after("e1", "ready", 5, 7)]);
@@ -267,12 +259,7 @@
 /// Guards against removing an endpoint whose entry another source has had all the while.
 #[test]
 fn an_endpoint_that_another_source_lists_is_not_removed() {
-    let state = new_state(true);
-    let (changed, _changes) = async_channel::bounded(1);
-    let mut registry = RegistryState::new(changed);
-    let all = ["e1", "e2"].map(|id| endpoint_after(id, "ready", 4, 7));
-    registry.replace(&state, ERA, &all, &keys([]));
-    registry.replace(&state, LATER_ERA, &all[..1], &keys([]));
+    let (state, mut registry) = node_that_misses_an_endpoint();
     registry.replace(&state, LATER_ERA, &[], &keys(["e1", "e2"]));
     assert!(!state.make_due_removals(clock::now() + REREGISTRATION_GRACE));
     assert_eq!(ready(&state), ["e1", "e2"]);
--- a/crates/sesamecart-fleet/src/deferred.rs
+++ b/crates/sesamecart-fleet/src/deferred.rs
@@ -35,11 +35,6 @@
         self.0.swap_remove(item).is_some()
     }
 
-    /// Returns the items that are put off.
-    pub fn iter(&self) -> impl Iterator<Item = &T> {
-        self.0.keys()
-    }
-
     /// Removes and returns the items that are due.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<T> {
         let due = self.0.extract_if(.., |_, due| *due <= now);
