--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -149,6 +149,7 @@
             _ => false,
         };
         if is_turned_away {
+            // The node that was followed may have called the store in vain.
             self.state.record_store_failure();
             self.asks.record_turned_away();
         }
--- a/crates/sesamecart-entry/tests/end_to_end/registry_removals.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/registry_removals.rs
@@ -23,6 +23,7 @@
 /// The time between two requests to one node.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The index of the plain endpoint that leaves.
 const LEAVING: usize = 2;
 
 /// The reader of the store, whose path to it can be disturbed, and two nodes that follow it. The deployment's first node
@@ -128,7 +129,7 @@
     Kill,
 }
 
-/// Disturbs the reader, lets an endpoint leave without a word some time later, and checks that the nodes send no
+/// Disturbs the reader, lets an endpoint's entry be removed some time later while it still serves, and checks that the nodes send no
 /// requests to it once they must have noticed.
 fn check_removal(disturbance: Disturbance, delay: Duration) {
     let mut nodes = Nodes::start();
@@ -248,7 +249,7 @@
     endpoints_are_kept_by_a_node_that_takes_over_in_an_outage:
         Outage::Interrupted, 2 * OUTAGE, Takeover::During;
     /// Guards against the same, and against keeping an endpoint that is gone, at a node that begins to read the store
-    /// while removals are put off.
+    /// while removals are deferred.
     endpoints_are_kept_by_a_node_that_takes_over_after_an_outage:
         Outage::Interrupted, OUTAGE, Takeover::After;
 }
--- a/crates/sesamecart-fleet/src/deferred.rs
+++ b/crates/sesamecart-fleet/src/deferred.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Work that is put off, each item until its own time.
+/// Work that is deferred, each item until its own time.
 ///
 /// Whoever holds it waits for [`Self::next_due`], so that an item is done when it is due and not when the next update
 /// happens to arrive. See docs/design/deferred-work.md.
@@ -22,15 +22,15 @@
 }
 
 impl<T: Eq + Hash> Deferred<T> {
-    /// Puts an item off until `due`. One that is already put off keeps its time: otherwise, repeated outages could put
-    /// it off forever. Returns whether it is new.
+    /// Defers an item until `due`. One that is already deferred keeps its time: otherwise, repeated outages could defer
+    /// it forever. Returns whether it is new.
     pub fn defer(&mut self, item: T, due: Timestamp) -> bool {
         let is_new = !self.0.contains_key(&item);
         self.0.entry(item).or_insert(due);
         is_new
     }
 
-    /// Cancels an item. Returns whether it was put off.
+    /// Cancels an item. Returns whether it was deferred.
     pub fn cancel(&mut self, item: &T) -> bool {
         self.0.swap_remove(item).is_some()
     }
--- a/crates/sesamecart-fleet/src/deferred/tests.rs
+++ b/crates/sesamecart-fleet/src/deferred/tests.rs
@@ -23,7 +23,7 @@
 
 /// Guards against an endpoint that is gone and is kept for ever because the store is away again and again.
 #[test]
-fn an_item_that_is_put_off_again_keeps_its_time() {
+fn an_item_that_is_deferred_again_keeps_its_time() {
     let mut deferred = Deferred::default();
     assert!(deferred.defer("item", at(10)));
     assert!(!deferred.defer("item", at(90)));
