Judge overload by the work that is left, not by how seldom a thread runs

What callers saw: at nodes whose processor is away most of the time (99 of each 108 ms), a third to a half of them were served after a restart of all nodes, although the nodes had served nearly all before. Each node refused three of four new connections, for as long as it lasted.

Cause: overload was the delay of a sleep of 20 ms, with a limit of 100 ms for all nodes. Connections are accepted only while the process runs, so the sleep always ends in the next stop, and its delay is the length of that stop: just below 100 ms on a calm machine, just above it beside some load. Such a node does all that is due whenever it runs. And what was served during an overload was a fraction of what callers offered, who come back in 0.1 s.

Class: a fixed delay as the measure of load. The time that a thread stands still isn't work that is left.

Change: the measure is the time to get round all ready tasks, the shorter one of two rounds, and during an overload one connection waits at a time, so that as many are served as there is time for.

--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -19,7 +19,7 @@
 use crate::connections::Connections;
 use crate::idle_timer::IdleTimer;
 use crate::refused_connection::ConnectionRefuser;
-use crate::shedding::{ConnectionShedder, PROBE_TIME};
+use crate::shedding::ConnectionShedder;
 use crate::tls::TlsServer;
 
 /// Limits for the connections of one server.
@@ -54,7 +54,7 @@
 /// The timeout of a TLS handshake, without which a peer that sends nothing would hold a connection forever.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How late the thread of a server runs its tasks, measured while connections are accepted.
+/// Whether the thread of a server has time for new connections, measured while they are accepted.
 #[derive(Clone, Debug, Default)]
 struct Overload(Arc<Mutex<ConnectionShedder>>);
 
@@ -63,15 +63,16 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Measures the delay of a short sleep, unless that is under way.
+    /// Measures how long the thread takes to get round its ready tasks, if that is due.
     fn probe(&self, tasks: &Tasks) {
         if !self.shedder().begin_probe(Instant::now()) {
             return;
         }
         let overload = self.clone();
         tasks.spawn(async move {
-            sleep(PROBE_TIME).await;
-            overload.shedder().end_probe(Instant::now());
+            let resumed_at = Instant::now();
+            future::yield_now().await;
+            overload.shedder().end_probe(resumed_at, Instant::now());
         });
     }
 }
@@ -128,7 +129,11 @@
         let handle = handle.clone();
         let tls = tls.clone();
         let limits = limits.clone();
+        let overload = overload.clone();
         tasks.spawn(async move {
+            if accepting.closes_excess {
+                overload.shedder().record_begun();
+            }
             serve_connection(accepted, tls, limits, shutdown, handle).await;
             drop(guard);
         });
--- a/crates/sesamecart-edges/src/server/tests.rs
+++ b/crates/sesamecart-edges/src/server/tests.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use http::Response;
-use sesamecart_runtime::{Signal, Worker, listen};
+use sesamecart_runtime::{Signal, Worker, listen, sleep};
 
 use super::{Connections, ServerLimits, serve};
 use crate::body::whole;
@@ -73,10 +73,40 @@
     OwnThread,
 }
 
-/// Offers a late thread more new connections than it can serve.
-fn play(acceptor: Acceptor) -> Vec<Ended> {
+/// What keeps a server from answering at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Load {
+    /// Requests that take more processor time than there is.
+    Work,
+    /// Both threads stand still together most of the time, and have enough time in between.
+    Stops,
+}
+
+/// The period in which the threads run for a moment.
+const STOP_PERIOD: Duration = Duration::from_millis(150);
+
+/// The time for which they run in each period.
+const RUN_TIME: Duration = Duration::from_millis(9);
+
+/// Blocks a thread in all of each period but `RUN_TIME`.
+async fn stop_regularly(started_at: Instant) {
+    let mut next = started_at + STOP_PERIOD;
+    loop {
+        std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        sleep(RUN_TIME).await;
+        next += STOP_PERIOD;
+    }
+}
+
+/// Offers new connections to a server that can't answer them at once.
+fn play(acceptor: Acceptor, load: Load) -> Vec<Ended> {
     let mut worker = Worker::start("server").expect("a thread starts");
     let mut own_thread = Worker::start("acceptor").expect("a thread starts");
+    if load == Load::Stops {
+        let started_at = Instant::now();
+        worker.tasks().spawn(stop_regularly(started_at));
+        own_thread.tasks().spawn(stop_regularly(started_at));
+    }
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
     let server = listener.local_addr().expect("the listener has an address");
     let (_stop, stopped) = Signal::new();
@@ -90,8 +120,10 @@
             closes_excess: true,
             ..ServerLimits::default()
         };
-        let handle = |_req, _peer| async {
-            std::thread::sleep(WORK);
+        let handle = move |_req, _peer| async move {
+            if load == Load::Work {
+                std::thread::sleep(WORK);
+            }
             Response::new(whole("done"))
         };
         let connections = Connections::default();
@@ -129,7 +161,7 @@
 /// Guards against connections that are accepted and not read until their callers give up, or read only to be refused.
 #[test]
 fn connections_that_cannot_be_served_in_time_are_closed_unread() {
-    let ends = play(Acceptor::OwnThread);
+    let ends = play(Acceptor::OwnThread, Load::Work);
     let [served, refused, given_up, closed] = [
         Outcome::Served,
         Outcome::Refused,
@@ -147,10 +179,17 @@
 /// Guards against closing a connection unread whose whole request has waited for a late thread.
 #[test]
 fn whole_requests_that_waited_for_a_late_thread_get_a_status() {
-    let ends = play(Acceptor::SameThread);
+    let ends = play(Acceptor::SameThread, Load::Work);
     assert_eq!(count_late_closes(&ends), 0, "of {CONNECTIONS}");
 }
 
+/// Guards against refusing connections at a server that serves all of them, only not at once.
+#[test]
+fn connections_to_a_server_that_stops_regularly_and_keeps_up_are_served() {
+    let ends = play(Acceptor::OwnThread, Load::Stops);
+    assert_eq!(count(&ends, Outcome::Served), ends.len());
+}
+
 /// Sends a request on an open connection and returns the start of the answer, which is empty if there is none.
 fn ask(mut stream: &TcpStream) -> String {
     let mut answer = [0; 1_024];
--- a/crates/sesamecart-edges/src/shedding.rs
+++ b/crates/sesamecart-edges/src/shedding.rs
@@ -1,21 +1,33 @@
 //! Decides which new connections a busy server doesn't serve.
+//!
+//! The load: more new connections than the thread that serves them has time for. Whether the thread runs seldom says
+//! nothing of that: a small share of a processor comes in bursts, and between them nothing runs. What counts is the work
+//! that is left when it runs, measured by the time that it takes to get round all tasks that are ready.
+//! docs/design/connections.md has the ways weighed.
 
 use std::time::{Duration, Instant};
 
-/// The delay of a thread's tasks from which on it is overloaded.
-const MAX_DELAY: Duration = Duration::from_millis(100);
+/// The time to get round all ready tasks from which on a thread is overloaded.
+const MAX_ROUND: Duration = Duration::from_millis(100);
 
-/// How long the delay has to stay above that. A thread that has just been stopped for a moment catches up by then.
+/// How long rounds have to stay above that. A thread that has just been stopped for a moment catches up by then.
 const OVERLOAD_TIME: Duration = Duration::from_millis(300);
 
-/// The sleep by which the delay is measured.
-pub(crate) const PROBE_TIME: Duration = Duration::from_millis(20);
+/// The least time between two measurements.
+const PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How long a measurement says something about the present.
 const PROBE_TTL: Duration = Duration::from_millis(500);
 
-/// An overloaded server still serves one in this number of new connections, so that it notices when others end.
-const SERVED_INTERVAL: u32 = 4;
+/// The number of connections that wait for an overloaded thread. As each is read, the next one is served, so that as many
+/// are as it has time for.
+const MAX_WAITING: usize = 1;
+
+/// A measurement that hasn't ended.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    begun_at: Instant,
+}
 
 /// Sheds new connections while the thread that serves them can't keep up.
 ///
@@ -23,52 +35,64 @@
 /// read waits until it gives up.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionShedder {
-    /// When the measurement began that hasn't ended.
-    probing_since: Option<Instant>,
+    probe: Option<Probe>,
     probed_at: Option<Instant>,
     overloaded_since: Option<Instant>,
-    offered: u32,
+    /// The connections that the thread hasn't begun to serve.
+    waiting: usize,
 }
 
 impl ConnectionShedder {
-    /// Begins a measurement, unless one is under way. Returns whether it has begun.
+    /// Begins a measurement if one is due. Returns whether it has begun.
     pub(crate) fn begin_probe(&mut self, now: Instant) -> bool {
-        let is_free = self.probing_since.is_none();
-        self.probing_since.get_or_insert(now);
-        is_free
+        let is_recent = |probed_at| now.duration_since(probed_at) < PROBE_INTERVAL;
+        if self.probe.is_some() || self.probed_at.is_some_and(is_recent) {
+            return false;
+        }
+        self.probe = Some(Probe { begun_at: now });
+        true
     }
 
-    /// Ends the measurement, after a sleep of `PROBE_TIME`.
-    pub(crate) fn end_probe(&mut self, now: Instant) {
-        if self.is_probe_late(now) {
+    /// Ends the measurement. Its task ran at `resumed_at` for the first time, let all others run, and ran again at `now`.
+    ///
+    /// A thread that was stopped in one of the two rounds has at most done nothing in it, so the shorter one counts.
+    pub(crate) fn end_probe(&mut self, resumed_at: Instant, now: Instant) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let first = resumed_at.duration_since(probe.begun_at);
+        let round = first.min(now.duration_since(resumed_at));
+        if round >= MAX_ROUND {
             self.overloaded_since.get_or_insert(now);
         } else {
             self.overloaded_since = None;
         }
-        self.probing_since = None;
         self.probed_at = Some(now);
     }
 
-    /// Returns whether a new connection is served.
+    /// Returns whether a new connection is served. It then waits until [`Self::record_begun`].
     pub(crate) fn admit(&mut self, now: Instant) -> bool {
-        if self.is_probe_late(now) {
+        let is_admitted = !self.is_overloaded(now) || self.waiting < MAX_WAITING;
+        self.waiting += usize::from(is_admitted);
+        is_admitted
+    }
+
+    /// Records that the thread has begun to serve a connection that was admitted.
+    pub(crate) fn record_begun(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    fn is_overloaded(&mut self, now: Instant) -> bool {
+        let is_late = |probe: Probe| now.duration_since(probe.begun_at) >= MAX_ROUND;
+        if self.probe.is_some_and(is_late) {
             self.overloaded_since.get_or_insert(now);
         }
         let is_old = |probed_at| now.duration_since(probed_at) >= PROBE_TTL;
-        if self.probing_since.is_none() && self.probed_at.is_none_or(is_old) {
+        if self.probe.is_none() && self.probed_at.is_none_or(is_old) {
             self.overloaded_since = None;
         }
-        let is_short = |since| now.duration_since(since) < OVERLOAD_TIME;
-        if self.overloaded_since.is_none_or(is_short) {
-            return true;
-        }
-        self.offered = self.offered.wrapping_add(1);
-        self.offered.is_multiple_of(SERVED_INTERVAL)
-    }
-
-    fn is_probe_late(&self, now: Instant) -> bool {
-        let probing_since = self.probing_since;
-        probing_since.is_some_and(|since| now.duration_since(since) >= PROBE_TIME + MAX_DELAY)
+        let is_long = |since| now.duration_since(since) >= OVERLOAD_TIME;
+        self.overloaded_since.is_some_and(is_long)
     }
 }
 
