Try each source in turn, however long those before it take to fail

What callers saw: nothing, for as long as two sources took more than a second each to fail. A node that starts then asks these two in turn for ever, and neither the third nor the store: it never has a configuration.

Cause: a source's failure began a new round if the attempt had lasted for a second, also if the source had only been waited for. A new round forgets all sources but the one that has just failed, so the node goes back to the first one. Where readers are slow, as when all of their followers start at the same time and want all topics at once, each attempt ends in a timeout of 2 s and costs the reader a full reply, so that they stay slow.

Class: time that was waited counts as service.

Evidence: each_source_is_tried_however_long_those_before_it_take_to_fail failed before with 1, 2, 1, 2 for ever, and now tries 1, 2, 3 and the store.

Change: only a source that has vouched for a configuration begins a new round. The test of that rule now says so itself, which it had left to the elapsed time.

--- a/crates/sesamecart-fleet/src/sources/rotation.rs
+++ b/crates/sesamecart-fleet/src/sources/rotation.rs
@@ -54,7 +54,7 @@
 
     /// Records that a source stopped serving or never served.
     pub fn fail(&mut self, now: Timestamp, source: Source) {
-        if now.since(self.started_at) >= MIN_SERVED_TIME {
+        if self.has_served_long(now) {
             self.tried.clear();
         }
         self.tried.insert(source);
@@ -71,10 +71,15 @@
             self.fail(now, source);
         } else {
             // Otherwise the node would skip the sources that failed before this one served, however long ago.
-            if self.has_served && now.since(self.started_at) >= MIN_SERVED_TIME {
+            if self.has_served_long(now) {
                 self.tried.clear();
             }
             self.unready = Some(source);
         }
     }
+
+    /// Returns whether the source of the current attempt has served, and not only been waited for.
+    fn has_served_long(&self, now: Timestamp) -> bool {
+        self.has_served && now.since(self.started_at) >= MIN_SERVED_TIME
+    }
 }
--- a/crates/sesamecart-fleet/src/sources/rotation_tests.rs
+++ b/crates/sesamecart-fleet/src/sources/rotation_tests.rs
@@ -62,11 +62,28 @@
     rotation.begin(START);
     rotation.fail(START, node(1));
     rotation.begin(START);
+    rotation.record_served();
     let later = START + Duration::from_secs(10);
     rotation.fail(later, node(2));
     assert_eq!(rotation.choose(&order), node(1));
 }
 
+/// Guards against a node that goes to and fro between two sources that take long and never serve it.
+#[test]
+fn each_source_is_tried_however_long_those_before_it_take_to_fail() {
+    let order = [node(1), node(2), node(3), Source::Store];
+    let mut rotation = SourceRotation::default();
+    let mut now = START;
+    let tried = order.map(|_| {
+        let source = rotation.choose(&order);
+        rotation.begin(now);
+        now = now + Duration::from_secs(2);
+        rotation.fail(now, source);
+        source
+    });
+    assert_eq!(tried, order);
+}
+
 /// Lets the first source fail as unready twice, after it was tried for ten seconds. The other nodes failed before.
 fn rotation_after_unready(order: &[Source], has_served: bool) -> SourceRotation {
     let mut rotation = SourceRotation::default();
