Wait for no single source at a start

What callers saw: 3.1 s at a node that starts while the readers and standbys that it would follow stand still or are dark, and 16.2 s where they stop after their first answer; 2 s are wanted.

Cause: a node that starts tried one source after the other, each for 0.35 s and a pause of 0.15 s, the store only later; and it waited up to 2 s for a full reply of a source that had answered a small question.

Class: waits that add up, each sensible by itself, for nodes of which nothing is known.

Change: a follower without a source asks all sources that it would try, with a head start of 0.3 s each, and follows the first one that serves. It reads the store after 1 s if none has answered at all. While a full reply is on its way, small questions show whether the source is still there.

Evidence: starts::a_node_serves_soon_although_all_readers_are_silent (3.07 s before) and ..._fall_silent (16.2 s before) failed on the code before, and pass now, three runs of three; ..._are_gone passes on both.

--- a/crates/sesamecart-entry/src/follower.rs
+++ b/crates/sesamecart-entry/src/follower.rs
@@ -1,6 +1,7 @@
 //! Follows the store's topics: the operator's configuration, the endpoint registry and the list of nodes.
 
 mod crashes;
+mod first_source;
 mod neighbors;
 mod nodes;
 mod operator;
@@ -30,6 +31,7 @@
 use crate::follower::operator::OperatorState;
 use crate::follower::registry::RegistryState;
 pub(crate) use crate::follower::source_follower::SourceFollower;
+use crate::start_steps::StartStep;
 use crate::state::EntryState;
 
 /// The long-poll timeout for reads of the operator topic, as a fraction of `bounds.configuration_ms`.
@@ -167,6 +169,7 @@
         // A node that starts must not serve by a copy before it has heard of something newer.
         let (snapshot, ()) = join(store.newest(topic), self.ask_neighbors()).await;
         let snapshot = snapshot?;
+        self.state.reach_start_step(StartStep::SourceFound);
         let (records, end) = (snapshot.records, snapshot.end);
         self.dependency.record_success(self.state);
         self.publish_snapshot(&records, end);
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_lite::future;
 use indexmap::IndexSet;
 use sesamecart_fleet::{Source, StoreReport};
 use sesamecart_links::Code;
@@ -14,12 +15,14 @@
 
 use super::RETRY_DELAY;
 use super::crashes::CrashesState;
+use super::first_source::wait_until_silent;
 use super::neighbors;
 use super::nodes::NodeList;
 use super::source_follower::{PREFERRED_PROBE_INTERVAL, SourceFollower, SwitchReason};
 use crate::clock;
 use crate::events::Event;
 use crate::loss_reports::parse_group_key;
+use crate::start_steps::StartStep;
 use crate::state::EntryState;
 
 /// How long the other node holds a call while there are no updates.
@@ -123,25 +126,37 @@
                     POLL_TIMEOUT + REPLY_GRACE,
                 ),
             };
-            let reply = match with_timeout(reply_timeout, feed.follow(request)).await {
-                Ok(Ok(reply)) => reply.into_inner(),
-                Ok(Err(status)) if status.code() == Code::FailedPrecondition => {
+            let reply = async { Some(feed.follow(request).await) };
+            let silent = async {
+                // Whether it is there was asked just before, and a reply without new records comes in time.
+                if !matches!(phase, FollowPhase::CatchUp) {
+                    return future::pending().await;
+                }
+                wait_until_silent(&self.state, &self.links, address).await;
+                None
+            };
+            let reply = match with_timeout(reply_timeout, future::or(reply, silent)).await {
+                Ok(Some(Ok(reply))) => reply.into_inner(),
+                Ok(Some(Err(status))) if status.code() == Code::FailedPrecondition => {
+                    let _failed = self.source_failed(address, "it doesn't read the store");
                     return SwitchReason::Unready;
                 }
                 // The reader has just started and hasn't read the store yet. If a standby switched to the
                 // store now, it would take over control of the groups from the reader while models are
                 // loading.
-                Ok(Err(status))
+                Ok(Some(Err(status)))
                     if status.code() == Code::NotFound
                         && sent.since(started_at) < first_read_timeout =>
                 {
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
-                Ok(Err(status)) => return source_failed(address, status),
-                Err(elapsed) => return source_failed(address, elapsed),
+                Ok(Some(Err(status))) => return self.source_failed(address, status),
+                Ok(None) => return self.source_failed(address, "it has fallen silent"),
+                Err(elapsed) => return self.source_failed(address, elapsed),
             };
             if matches!(phase, FollowPhase::Probe) {
+                self.state.reach_start_step(StartStep::SourceFound);
                 phase = FollowPhase::CatchUp;
                 continue;
             }
@@ -149,7 +164,8 @@
             phase = FollowPhase::Poll;
             if !is_fresh(&self.state, &reply) {
                 let age = Duration::from_millis(read_ms(&reply));
-                return source_failed(address, format_args!("the configuration is stale: {age:?}"));
+                return self
+                    .source_failed(address, format_args!("the configuration is stale: {age:?}"));
             }
             if is_first {
                 self.log_caught_up(address, &reply);
@@ -165,7 +181,7 @@
                     self.confirm(vouched_at, read_at).await;
                 }
                 ReplyOutcome::Incomplete => {
-                    return source_failed(address, "the reply lacks a topic");
+                    return self.source_failed(address, "the reply lacks a topic");
                 }
                 ReplyOutcome::Behind(offered) => {
                     if behind_since.is_none() {
@@ -173,7 +189,7 @@
                     }
                     let since = *behind_since.get_or_insert(sent);
                     if clock::now().since(since) > LAG_TIMEOUT {
-                        return source_failed(address, "it is behind this node");
+                        return self.source_failed(address, "it is behind this node");
                     }
                 }
             }
@@ -187,6 +203,14 @@
         }
     }
 
+    fn source_failed(&self, address: SocketAddr, cause: impl Display) -> SwitchReason {
+        self.state.events.write(&Event::SourceFailed {
+            source: &Source::Node(address).to_string(),
+            cause: &cause.to_string(),
+        });
+        SwitchReason::Failed
+    }
+
     /// Logs that a reply was ignored because it is older than what this node has.
     fn log_ignored_reply(&self, address: SocketAddr, offered: &OfferedPositions) {
         self.state.events.write(&Event::ReplyIgnored {
@@ -426,11 +450,6 @@
     }
 }
 
-fn source_failed(address: SocketAddr, cause: impl Display) -> SwitchReason {
-    log::debug!("follower: node at {address}: {cause}.");
-    SwitchReason::Failed
-}
-
 impl Position {
     /// Returns a request that no record can match, to ask only whether a node serves.
     pub(super) const fn probe_request() -> FollowRequest {
--- a/crates/sesamecart-entry/src/follower/source_follower.rs
+++ b/crates/sesamecart-entry/src/follower/source_follower.rs
@@ -22,6 +22,7 @@
 use super::{Dependency, RETRY_DELAY, TopicFollower, TopicState};
 use crate::clock;
 use crate::events::Event;
+use crate::start_steps::StartStep;
 use crate::state::EntryState;
 
 /// How long a node follows a source before it probes the sources that it prefers to it.
@@ -35,7 +36,7 @@
 ///
 /// When a deployment starts, no reader has read the store yet, and without this delay all followers would
 /// read the store at once.
-const STORE_FALLBACK_FRACTION: f64 = 0.5;
+pub(super) const STORE_FALLBACK_FRACTION: f64 = 0.5;
 
 /// The timeout for probing whether a source serves again.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -89,7 +90,9 @@
 
     /// Follows one source after another until the task is dropped.
     pub(crate) async fn run(mut self) {
-        if self.nodes.register(&self.state, &self.store).await {
+        let is_new = self.nodes.register(&self.state, &self.store).await;
+        self.state.reach_start_step(StartStep::Registered);
+        if is_new {
             nodes::announce(&self.state, &self.links).await;
         }
         let started_at = clock::now();
@@ -129,6 +132,9 @@
     /// Returns the source to follow next. While the store turns nodes away, this node reads it only after it has
     /// asked in its turn.
     async fn next_source(&mut self, started_at: Timestamp, rotation: &SourceRotation) -> Source {
+        if self.seeks_first_source() {
+            return self.first_source(started_at).await;
+        }
         match self.choose_source(started_at, rotation) {
             Source::Store if self.asks.must_wait() => self.search().await,
             source => source,
@@ -163,12 +169,9 @@
     /// store until its configuration is old enough for the fallback.
     fn choose_source(&self, started_at: Timestamp, rotation: &SourceRotation) -> Source {
         let mut plan = self.plan();
-        let configuration_bound =
-            Duration::from_millis(self.state.settings.bounds.configuration_ms);
         let age = self.state.source_age();
         let age = age.unwrap_or_else(|| clock::now().since(started_at));
-        if plan.role == Role::Follower && age < configuration_bound.mul_f64(STORE_FALLBACK_FRACTION)
-        {
+        if plan.role == Role::Follower && age < self.store_fallback_delay() {
             plan.order.retain(|source| *source != Source::Store);
         }
         rotation.choose(&plan.order)
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -21,6 +21,7 @@
 mod setup;
 mod silent_endpoints;
 mod sources;
+mod starts;
 mod store_proxy;
 mod store_returns;
 mod unframed_answers;
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -289,6 +289,17 @@
         self.start_node_at(node, self.store.address())
     }
 
+    /// Like [`Self::start_node`], in a failure domain.
+    pub(crate) fn start_node_in(&self, failure_domain: &str, node: &str) -> Entry {
+        let settings = settings(node, self.store.address());
+        let failure_domain = failure_domain.parse().expect("a valid failure domain name");
+        let settings = EntrySettings {
+            failure_domain,
+            ..settings
+        };
+        Entry::start(settings).expect("the node starts")
+    }
+
     /// Like [`Self::start_node`], for a node that connects to the store at `store`.
     pub(crate) fn start_node_at(&self, node: &str, store: SocketAddr) -> Entry {
         Entry::start(settings(node, store)).expect("the node starts")
