Test restarts of all nodes with real processes

Each row of what must hold after a loss of everything at once is a case: 39 processes of the node in three failure domains (12 in two cases) before a stand-in store, all killed and started 0.8 s later, with readers that stand still, are gone with their standbys, or are killed again, a store that turns all away for 3 s, and 300 more routes. Each node has to serve its first caller 2 s after its start, and nine in ten callers 5 s later. In the last case all processes stand still for 125 of each 134 ms.

--- /dev/null
+++ b/crates/sesamecart-node/tests/restarts/main.rs
@@ -0,0 +1,157 @@
+//! Tests with real processes, all of which are killed and started again.
+//!
+//! `SESAMECART_RESTART_NODES` sets the number of nodes in each failure domain.
+
+mod nodes;
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use sesamecart_platform_standins::Outage;
+
+use crate::nodes::{Deployment, Node, send_for, wait_until_serving};
+
+/// How long a node that reaches the store may take from its start to its first response.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// The time from the start from which on nine in ten callers are served.
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
+
+/// How long all processes are away.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+
+/// The interval between two callers of a node.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Each test has dozens of processes, so they take turns.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// What happens to the nodes that others follow while all restart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Readers {
+    /// They restart like the others.
+    Restart,
+    /// They stand still, so that connections to them open and nothing answers.
+    StandStill,
+    /// They don't return, and neither do their standbys.
+    AreGone,
+    /// They are killed again as soon as they have started, and start again.
+    AreKilledAgain,
+}
+
+impl Readers {
+    /// Returns whether a node restarts like most.
+    fn leave(self, node: &Node) -> bool {
+        match self {
+            Self::Restart | Self::AreKilledAgain => true,
+            Self::StandStill => node.place > 0,
+            Self::AreGone => node.place > 1,
+        }
+    }
+}
+
+fn per_domain(usual: usize) -> usize {
+    let set = std::env::var("SESAMECART_RESTART_NODES");
+    set.ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(usual)
+}
+
+/// Kills all nodes of a deployment that serves, and starts them again. Checks when each one serves first, and that callers
+/// are served from then on.
+fn check_restart(count: usize, routes: usize, readers: Readers, store_away: Duration) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut deployment = Deployment::start(per_domain(count), routes);
+    if readers == Readers::StandStill {
+        let readers = deployment.nodes.iter().filter(|node| node.place == 0);
+        readers.for_each(Node::stand_still);
+    }
+    deployment.kill_nodes(|node| readers.leave(node));
+    deployment.kill_nodes(|node| readers == Readers::AreGone && node.place <= 1);
+    std::thread::sleep(DOWN_TIME);
+    if !store_away.is_zero() {
+        deployment.store.set_outage(Outage::Unavailable);
+    }
+    deployment.start_nodes(false, |node| readers.leave(node));
+    if readers == Readers::AreKilledAgain {
+        deployment.kill_nodes(|node| node.place == 0);
+        deployment.start_nodes(false, |node| node.place == 0);
+    }
+    std::thread::sleep(store_away);
+    deployment.store.set_outage(Outage::None);
+    let served_from = Instant::now() + RECOVERY_TIME;
+    let restarted = deployment.nodes.iter().filter(|node| readers.leave(node));
+    let slowest = std::thread::scope(|scope| {
+        let waits = restarted.map(|node| scope.spawn(move || wait_until_serving(node)));
+        let waits: Vec<_> = waits.collect();
+        let times = waits
+            .into_iter()
+            .map(|wait| wait.join().expect("it serves"));
+        times.max().unwrap_or_default()
+    });
+    assert!(
+        slowest <= START_TIME + store_away,
+        "the last node serves after {slowest:?}"
+    );
+    deployment.nodes.retain(|node| readers.leave(node));
+    std::thread::sleep(served_from.saturating_duration_since(Instant::now()));
+    let (served, all) = send_for(&deployment.nodes, Duration::from_secs(1), CALL_INTERVAL);
+    assert!(10 * served >= 9 * all, "{served} of {all} served");
+}
+
+macro_rules! restart_tests {
+    ($($(#[$doc:meta])* $name:ident: $count:expr, $routes:expr, $readers:ident, $store_away_ms:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let store_away = Duration::from_millis($store_away_ms);
+                check_restart($count, $routes, Readers::$readers, store_away);
+            }
+        )*
+    };
+}
+
+restart_tests! {
+    all_nodes_serve_soon_after_all_were_killed: 13, 240, Restart, 0;
+    four_nodes_in_each_domain_serve_soon_after_all_were_killed: 4, 240, Restart, 0;
+    /// Guards against a start that grows with the configuration.
+    all_nodes_serve_soon_with_many_routes: 13, 540, Restart, 0;
+    /// Guards against nodes that wait for readers that stand still.
+    all_nodes_serve_soon_although_the_readers_stand_still: 13, 240, StandStill, 0;
+    /// Guards against nodes that look for readers that are gone for good.
+    all_nodes_serve_soon_although_readers_and_standbys_are_gone: 13, 240, AreGone, 0;
+    /// Guards against followers of a reader that has started twice.
+    all_nodes_serve_soon_although_the_readers_are_killed_again: 13, 240, AreKilledAgain, 0;
+    /// Guards against nodes that return late after the store, whose first calls have failed.
+    all_nodes_serve_soon_after_the_store_is_back: 13, 240, Restart, 3_000;
+}
+
+/// For how long each process runs in a period, and for how long it stands still: a small share of a processor, on a machine that
+/// has other work.
+const RUNNING: Duration = Duration::from_millis(9);
+const STOPPED: Duration = Duration::from_millis(125);
+
+/// The interval between two callers of a node that stands still most of the time.
+const SLOW_CALL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Guards against nodes that refuse callers whom they could serve, as their processes run seldom.
+#[test]
+fn nodes_that_run_seldom_serve_their_callers_before_and_after_a_restart() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut deployment = Deployment::start(4, 240);
+    let time = Duration::from_secs(4);
+    let check = |deployment: &Deployment, when: &str| {
+        let (served, all) = send_for(&deployment.nodes, time, SLOW_CALL_INTERVAL);
+        assert!(10 * served >= 9 * all, "{when}: {served} of {all} served");
+    };
+    let stops = deployment.stop_regularly(RUNNING, STOPPED);
+    check(&deployment, "before");
+    drop(stops);
+    deployment.kill_nodes(|_| true);
+    std::thread::sleep(DOWN_TIME);
+    deployment.start_nodes(false, |_| true);
+    let _stops = deployment.stop_regularly(RUNNING, STOPPED);
+    std::thread::sleep(RECOVERY_TIME);
+    check(&deployment, "after");
+}
--- /dev/null
+++ b/crates/sesamecart-node/tests/restarts/nodes.rs
@@ -0,0 +1,327 @@
+//! Node processes on addresses of the loopback interface, before a stand-in store and plain endpoints.
+
+use std::io::{Read as _, Write as _};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// The ports of each node, all below those that the system gives to outgoing connections.
+const CALLERS_PORT: u16 = 18_227;
+const READINESS_PORT: u16 = 18_220;
+const METRICS_PORT: u16 = 18_240;
+const LINKS_PORT: u16 = 18_241;
+
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Deployments of one run of the tests, which are at the same time on different addresses.
+static DEPLOYMENTS: AtomicU8 = AtomicU8::new(0);
+
+/// One node, whose process may be running.
+pub(crate) struct Node {
+    name: String,
+    failure_domain: &'static str,
+    /// Its place in its failure domain. The first one reads the store for the others, the second one is its standby.
+    pub(crate) place: usize,
+    address: Ipv4Addr,
+    child: Option<Child>,
+    pub(crate) started_at: Instant,
+}
+
+impl Node {
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::from((self.address, port))
+    }
+
+    /// Returns the address at which callers connect.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.at(CALLERS_PORT)
+    }
+
+    fn settings(&self, store: SocketAddr, is_first_start: bool) -> Value {
+        let share = match self.place {
+            0 => 0.6,
+            1 => 0.5,
+            _ => 0.084,
+        };
+        json!({
+            "node": self.name, "failure_domain": self.failure_domain, "region": "r",
+            "callers": self.callers(), "readiness": self.at(READINESS_PORT),
+            "metrics": self.at(METRICS_PORT), "links": self.at(LINKS_PORT),
+            "processor_share": share, "memory_mb": 112, "max_files": 2_870, "store": store,
+            "first_start": is_first_start,
+            "bounds": {
+                "key_revocation_ms": 5_000, "configuration_ms": 3_000, "group_stall_ms": 5_000,
+                "leave_s": 8, "retry_ratio": 0.2, "retry_burst": 369, "heartbeat_ms": 1_200,
+                "lease_least_ms": 1_000, "contact_ms": 4_000, "drain_ms": 3_000,
+            },
+        })
+    }
+
+    fn pid(&self) -> Option<Pid> {
+        let id = self.child.as_ref()?.id();
+        Pid::from_raw(i32::try_from(id).ok()?)
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.pid().expect("the process was started");
+        kill_process(pid, signal).expect("the process isn't reaped");
+    }
+
+    /// Stops the process, whose connections stay open.
+    pub(crate) fn stand_still(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Kills the process and waits for its end.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the process isn't reaped");
+            child.wait().expect("the process ends");
+        }
+    }
+
+    /// Sends a request of a caller on a new connection, and returns whether it is served.
+    pub(crate) fn serves(&self, id: &str) -> bool {
+        serves(self.callers(), id)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Sends a request of a caller on a new connection, and returns whether it is served.
+pub(crate) fn serves(callers: SocketAddr, id: &str) -> bool {
+    let request = format!(
+        "GET /look/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: {id}\r\ndeadline-ms: 1000\r\n\
+         credential: key-1\r\nconnection: close\r\n\r\n"
+    );
+    let mut answer = [0; 15];
+    let answered = TcpStream::connect_timeout(&callers, PATIENCE).and_then(|mut stream| {
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(request.as_bytes())?;
+        stream.read_exact(&mut answer)
+    });
+    answered.is_ok() && answer.starts_with(b"HTTP/1.1 200 ")
+}
+
+/// A deployment of node processes.
+pub(crate) struct Deployment {
+    pub(crate) store: Store,
+    pub(crate) nodes: Vec<Node>,
+    folder: PathBuf,
+    _endpoints: Vec<Engine>,
+}
+
+impl Deployment {
+    /// Starts everything for the first time, with `per_domain` nodes in each of three failure domains, and waits until
+    /// each node serves.
+    pub(crate) fn start(per_domain: usize, routes: usize) -> Self {
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("sesamecart-restarts-{process}-{number}"));
+        std::fs::create_dir_all(&folder).expect("the folder can be written");
+        let store = Store::start().expect("the store listens");
+        store.publish("config", &configuration(routes));
+        let endpoints = DOMAINS.iter().map(|domain| {
+            let setup = EngineSetup {
+                id: format!("p-{domain}"),
+                service: "app".to_owned(),
+                zone: (*domain).to_owned(),
+                kind: EngineKind::Plain,
+                events: 1,
+            };
+            Engine::start(&store, setup).expect("an endpoint listens")
+        });
+        let endpoints = endpoints.collect();
+        let network = u8::try_from(20 + process % 200).expect("it fits");
+        let places = DOMAINS
+            .into_iter()
+            .zip(0..)
+            .flat_map(|(domain, index)| (0..per_domain).map(move |place| (domain, index, place)));
+        let nodes = places.map(|(failure_domain, index, place): (&str, u8, usize)| Node {
+            name: format!("{failure_domain}-{place}"),
+            failure_domain,
+            place,
+            address: Ipv4Addr::new(
+                127,
+                network,
+                number * 3 + index,
+                u8::try_from(place + 1).expect("it fits"),
+            ),
+            child: None,
+            started_at: Instant::now(),
+        });
+        let nodes = nodes.collect();
+        let mut deployment = Self {
+            store,
+            nodes,
+            folder,
+            _endpoints: endpoints,
+        };
+        deployment.start_nodes(true, |_| true);
+        for node in &deployment.nodes {
+            wait_until_serving(node);
+        }
+        deployment
+    }
+
+    /// Starts the processes of some nodes.
+    pub(crate) fn start_nodes(&mut self, is_first_start: bool, is_meant: impl Fn(&Node) -> bool) {
+        let store = self.store.address();
+        for node in self.nodes.iter_mut().filter(|node| is_meant(node)) {
+            let path = self.folder.join(format!("{}.json", node.name));
+            let settings = node.settings(store, is_first_start).to_string();
+            std::fs::write(&path, settings).expect("the folder can be written");
+            let mut command = Command::new(env!("CARGO_BIN_EXE_sesamecart-node"));
+            let command = command.args(["--platform", "--log-format", "json"]);
+            let command = command.arg(&path).stdin(Stdio::null());
+            let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+            node.child = Some(child.expect("the program starts"));
+            node.started_at = Instant::now();
+        }
+    }
+
+    /// Kills the processes of some nodes.
+    pub(crate) fn kill_nodes(&mut self, is_meant: impl Fn(&Node) -> bool) {
+        let mut meant: Vec<&mut Node> = self
+            .nodes
+            .iter_mut()
+            .filter(|node| is_meant(node))
+            .collect();
+        for child in meant.iter_mut().filter_map(|node| node.child.as_mut()) {
+            child.kill().expect("the process isn't reaped");
+        }
+        for node in meant {
+            node.kill();
+        }
+    }
+
+    /// Lets all processes run for only a part of each period, until the value is dropped.
+    pub(crate) fn stop_regularly(&self, running: Duration, stopped: Duration) -> RegularStops {
+        let pids = self.nodes.iter().filter_map(Node::pid).collect();
+        RegularStops::start(pids, running, stopped)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // What can't be removed stays in the folder for temporary files.
+        let _removed = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a node serves, and returns the time from its start.
+pub(crate) fn wait_until_serving(node: &Node) -> Duration {
+    const TIMEOUT: Duration = Duration::from_secs(30);
+    let mut attempt = 0;
+    while !node.serves(&format!("{}-w{attempt}", node.name)) {
+        let waited = node.started_at.elapsed();
+        assert!(waited < TIMEOUT, "{} doesn't serve", node.name);
+        attempt += 1;
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    node.started_at.elapsed()
+}
+
+/// Processes that run for only a part of each period.
+pub(crate) struct RegularStops {
+    is_over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl RegularStops {
+    fn start(pids: Vec<Pid>, running: Duration, stopped: Duration) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let over = Arc::clone(&is_over);
+        let thread = std::thread::spawn(move || {
+            let signal = |signal| {
+                for pid in &pids {
+                    // A process that was killed meanwhile needs no signal.
+                    let _sent = kill_process(*pid, signal);
+                }
+            };
+            while !over.load(Ordering::Relaxed) {
+                signal(Signal::STOP);
+                std::thread::sleep(stopped);
+                signal(Signal::CONT);
+                std::thread::sleep(running);
+            }
+        });
+        Self {
+            is_over,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for RegularStops {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("it ends");
+        }
+    }
+}
+
+/// Returns how many of the requests are served that callers send on new connections for some time, one every `interval` at
+/// each node, and how many there were. Callers don't wait for one another.
+pub(crate) fn send_for(nodes: &[Node], time: Duration, interval: Duration) -> (usize, usize) {
+    let outcomes = Mutex::new((0, 0));
+    let ends_at = Instant::now() + time;
+    std::thread::scope(|scope| {
+        for (index, node) in nodes.iter().enumerate() {
+            let (outcomes, callers) = (&outcomes, node.callers());
+            scope.spawn(move || {
+                let mut sent = 0;
+                while Instant::now() < ends_at {
+                    let id = format!("s{index}-{sent}-{}", fastrand::u32(..));
+                    scope.spawn(move || {
+                        let is_served = serves(callers, &id);
+                        let mut outcomes = outcomes.lock().expect("no caller panics");
+                        outcomes.0 += usize::from(is_served);
+                        outcomes.1 += 1;
+                    });
+                    sent += 1;
+                    std::thread::sleep(interval);
+                }
+            });
+        }
+    });
+    outcomes.into_inner().expect("no caller panics")
+}
+
+fn configuration(idle_routes: usize) -> Value {
+    let route = |name: &str, host: &str, prefix: &str| {
+        json!({"name": name, "host": host, "pathPrefix": prefix, "routeType": "safe",
+            "timeoutMs": 20_000, "targetLatencyMs": 1_000, "priority": 1, "service": "app",
+            "maxAttempts": 2, "authExempt": false, "streamResume": false})
+    };
+    let idle = (0..idle_routes).map(|index| {
+        let host = format!("idle{index}.example");
+        route(&format!("idle{index}"), &host, "/idle/")
+    });
+    let routes: Vec<Value> = std::iter::once(route("look", "shop.example", "/look/"))
+        .chain(idle)
+        .collect();
+    json!({
+        "version": 1, "routes": routes,
+        "services": [{"name": "app", "healthPath": "/health", "maxConnections": 732, "coldPerS": 0.0}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "customer-1", "apiKeys": ["key-1"]}],
+    })
+}
