Try one endpoint that has never answered, and test odd entries

What callers saw: beside 14 valid entries of another writer at whose addresses nobody listens, and three sound endpoints, 3 of 300 lookups were refused with 503 after three refused connections each.

Cause: an entry of the registry was as good as an endpoint that has answered. Each such endpoint is ejected for a second after a refused connection, but one request could meet three of them.

Change: a request that has tried an endpoint that has never answered this node goes on to one that has, if there is any. First attempts choose as before, so that new endpoints are found.

Evidence: endpoints_that_have_never_answered_cost_a_request_one_attempt failed before (3 of 300) and passes now.

--- a/crates/sesamecart-entry/src/traffic/placement.rs
+++ b/crates/sesamecart-entry/src/traffic/placement.rs
@@ -71,6 +71,7 @@
         } = self.eligible(attempts, policy, service, &directory)?;
         let cold_per_s = self.service_config().and_then(|config| config.cold_per_s);
         let now = clock::now();
+        self.avoid_unproved(now, attempts, &mut endpoints);
         if let Some(endpoint) = endpoints.iter().find(|one| Some(&one.id) == assigned)
             && let Some(load) = self.assigned_load(now, self.candidate(endpoint, slots))
         {
@@ -151,6 +152,25 @@
         })
     }
 
+    /// Removes the endpoints that have never answered if this request has tried such a one and others have answered, so
+    /// that entries of the registry that name no endpoint cost a request one attempt.
+    fn avoid_unproved(
+        &self,
+        now: Timestamp,
+        attempts: &Attempts,
+        endpoints: &mut Vec<&Arc<Endpoint>>,
+    ) {
+        if attempts.tried.is_empty() {
+            return;
+        }
+        let loads = self.state.loads();
+        let is_usable = |id| loads.has_answered(id) && !loads.is_ejected(now, id);
+        let has_tried_unproved = attempts.tried.iter().any(|id| !loads.has_answered(id));
+        if has_tried_unproved && endpoints.iter().any(|endpoint| is_usable(&endpoint.id)) {
+            endpoints.retain(|endpoint| loads.has_answered(&endpoint.id));
+        }
+    }
+
     /// Returns the endpoints of the pool that this request may not be sent to, or `None` if there are no others.
     pub(super) fn excluded_endpoints(&self, attempts: &Attempts) -> Option<Vec<EndpointId>> {
         let service = self.service()?;
--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -15,6 +15,7 @@
 mod leaving_endpoints;
 mod many_nodes;
 mod memory;
+mod odd_entries;
 mod overload;
 mod registry_removals;
 mod return_soak;
--- a/crates/sesamecart-fleet/src/loads.rs
+++ b/crates/sesamecart-fleet/src/loads.rs
@@ -371,6 +371,14 @@
         let load = self.load(id);
         load.failures = 0;
         load.ejected_until = Timestamp::ZERO;
+        load.has_answered = true;
+    }
+
+    /// Returns whether an endpoint has ever answered a request of this node. An entry of the registry alone doesn't show
+    /// that there is one.
+    #[must_use]
+    pub fn has_answered(&self, id: &EndpointId) -> bool {
+        self.loads.get(id).is_some_and(|load| load.has_answered)
     }
 
     /// Records a failure. Returns the ejection time if the endpoint is ejected.
--- a/crates/sesamecart-fleet/src/loads/load.rs
+++ b/crates/sesamecart-fleet/src/loads/load.rs
@@ -33,6 +33,8 @@
     known_at_report: u32,
     pub(super) in_flight: u32,
     pub(super) failures: u32,
+    /// Whether the endpoint has ever answered a request of this node.
+    pub(super) has_answered: bool,
     pub(super) ejected_until: Timestamp,
     pub(super) stall_detector: StallDetector,
     /// The loads that other nodes report for the endpoint.
