Ask other sources only once the first one isn't starting

A follower asked the next sources 0.3 s after its reader, also if that had answered that it was about to serve. They now wait for a reader that says that it is starting, as before, for half of the bound of a configuration at most; one that is silent is waited for no longer than before.

Also: the measurement of the shedder is a time, not a type of its own.

--- a/crates/sesamecart-edges/src/shedding.rs
+++ b/crates/sesamecart-edges/src/shedding.rs
@@ -1,8 +1,8 @@
 //! Decides which new connections a busy server doesn't serve.
 //!
 //! The load: more new connections than the thread that serves them has time for. Whether the thread runs seldom says
-//! nothing of that: a small share of a processor comes in bursts, and between them nothing runs. What counts is the work
-//! that is left when it runs, measured by the time that it takes to get round all tasks that are ready.
+//! nothing of that: a small share of a processor comes in bursts, and between them nothing runs. What counts is the
+//! work that is left when it runs, measured by the time that it takes to get round all tasks that are ready.
 //! docs/design/connections.md has the ways weighed.
 
 use std::time::{Duration, Instant};
@@ -19,23 +19,18 @@
 /// How long a measurement says something about the present.
 const PROBE_TTL: Duration = Duration::from_millis(500);
 
-/// The number of connections that wait for an overloaded thread. As each is read, the next one is served, so that as many
-/// are as it has time for.
+/// The number of connections that wait for an overloaded thread. As each is read, the next one is served, so that as
+/// many are as it has time for.
 const MAX_WAITING: usize = 1;
 
-/// A measurement that hasn't ended.
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    begun_at: Instant,
-}
-
 /// Sheds new connections while the thread that serves them can't keep up.
 ///
 /// A caller whose connection is ended tries another node soon. One whose connection is accepted and not
 /// read waits until it gives up.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionShedder {
-    probe: Option<Probe>,
+    /// When the measurement began that hasn't ended.
+    probing_since: Option<Instant>,
     probed_at: Option<Instant>,
     overloaded_since: Option<Instant>,
     /// The connections that the thread hasn't begun to serve.
@@ -46,21 +41,22 @@
     /// Begins a measurement if one is due. Returns whether it has begun.
     pub(crate) fn begin_probe(&mut self, now: Instant) -> bool {
         let is_recent = |probed_at| now.duration_since(probed_at) < PROBE_INTERVAL;
-        if self.probe.is_some() || self.probed_at.is_some_and(is_recent) {
+        if self.probing_since.is_some() || self.probed_at.is_some_and(is_recent) {
             return false;
         }
-        self.probe = Some(Probe { begun_at: now });
+        self.probing_since = Some(now);
         true
     }
 
-    /// Ends the measurement. Its task ran at `resumed_at` for the first time, let all others run, and ran again at `now`.
+    /// Ends the measurement. Its task ran at `resumed_at` for the first time, let all others run, and ran again at
+    /// `now`.
     ///
     /// A thread that was stopped in one of the two rounds has at most done nothing in it, so the shorter one counts.
     pub(crate) fn end_probe(&mut self, resumed_at: Instant, now: Instant) {
-        let Some(probe) = self.probe.take() else {
+        let Some(begun_at) = self.probing_since.take() else {
             return;
         };
-        let first = resumed_at.duration_since(probe.begun_at);
+        let first = resumed_at.duration_since(begun_at);
         let round = first.min(now.duration_since(resumed_at));
         if round >= MAX_ROUND {
             self.overloaded_since.get_or_insert(now);
@@ -83,12 +79,12 @@
     }
 
     fn is_overloaded(&mut self, now: Instant) -> bool {
-        let is_late = |probe: Probe| now.duration_since(probe.begun_at) >= MAX_ROUND;
-        if self.probe.is_some_and(is_late) {
+        let is_late = |begun_at| now.duration_since(begun_at) >= MAX_ROUND;
+        if self.probing_since.is_some_and(is_late) {
             self.overloaded_since.get_or_insert(now);
         }
         let is_old = |probed_at| now.duration_since(probed_at) >= PROBE_TTL;
-        if self.probe.is_none() && self.probed_at.is_none_or(is_old) {
+        if self.probing_since.is_none() && self.probed_at.is_none_or(is_old) {
             self.overloaded_since = None;
         }
         let is_long = |since| now.duration_since(since) >= OVERLOAD_TIME;
--- a/crates/sesamecart-entry/src/follower/first_source.rs
+++ b/crates/sesamecart-entry/src/follower/first_source.rs
@@ -41,19 +41,20 @@
 
     /// Waits until a node serves, or until it is time to read the store.
     pub(super) async fn first_source(&self, started_at: Timestamp) -> Source {
-        let order = self.plan().order;
-        let has_answer = AtomicBool::new(false);
-        let nodes = order.iter().filter_map(|source| match source {
+        let plan = self.plan();
+        let nodes = plan.order.iter().filter_map(|source| match source {
             Source::Node(address) => Some(*address),
             Source::Store => None,
         });
+        let answers = Answers::default();
+        let fallback_at = started_at + self.store_fallback_delay();
         let mut questions: FuturesUnordered<_> = nodes
             .zip(0..)
             .map(|(address, place)| {
-                let has_answer = &has_answer;
+                let answers = &answers;
                 async move {
-                    sleep(HEAD_START * place).await;
-                    wait_until_serving(&self.state, &self.links, address, has_answer).await;
+                    answers.wait_for_turn(place, fallback_at).await;
+                    self.wait_until_serving(address, place, answers).await;
                     address
                 }
             })
@@ -66,14 +67,26 @@
         };
         let store = async {
             sleep_until(started_at + SILENCE_TIMEOUT).await;
-            if has_answer.load(Ordering::Relaxed) {
-                sleep_until(started_at + self.store_fallback_delay()).await;
+            if answers.has_any.load(Ordering::Relaxed) {
+                sleep_until(fallback_at).await;
             }
             Source::Store
         };
         future::or(node, store).await
     }
 
+    /// Asks the node at a place in the order of sources until it serves.
+    async fn wait_until_serving(&self, address: SocketAddr, place: u32, answers: &Answers) {
+        loop {
+            let answer = ask_node(&self.state, &self.links, address).await;
+            if answer == NodeAnswer::Serving {
+                return;
+            }
+            answers.record(place, answer);
+            sleep(ASK_INTERVAL).await;
+        }
+    }
+
     /// Returns how long a follower does without the store.
     pub(super) fn store_fallback_delay(&self) -> Duration {
         let bound = Duration::from_millis(self.state.settings.bounds.configuration_ms);
@@ -85,20 +98,33 @@
     sleep(due.since(clock::now())).await;
 }
 
-/// Asks a node until it serves. Sets `has_answer` when it has answered.
-async fn wait_until_serving(
-    state: &EntryState,
-    links: &Links,
-    address: SocketAddr,
-    has_answer: &AtomicBool,
-) {
-    loop {
-        match ask_node(state, links, address).await {
-            NodeAnswer::Serving => return,
-            NodeAnswer::NotServing(_) => has_answer.store(true, Ordering::Relaxed),
-            NodeAnswer::Silent => {}
+/// What the nodes have answered that a starting node has asked.
+#[derive(Debug, Default)]
+struct Answers {
+    /// Whether any has answered.
+    has_any: AtomicBool,
+    /// Whether the first one reads the store, but hasn't read all topics yet.
+    is_first_starting: AtomicBool,
+}
+
+impl Answers {
+    fn record(&self, place: u32, answer: NodeAnswer) {
+        if answer != NodeAnswer::Silent {
+            self.has_any.store(true, Ordering::Relaxed);
+        }
+        if place == 0 {
+            let is_starting = answer == NodeAnswer::Starting;
+            self.is_first_starting.store(is_starting, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits until the node at a place may be asked: after its head start, and not while the first one is about to
+    /// serve, as all followers would go to whichever reader is ready first.
+    async fn wait_for_turn(&self, place: u32, latest: Timestamp) {
+        sleep(HEAD_START * place).await;
+        while place > 0 && self.is_first_starting.load(Ordering::Relaxed) && clock::now() < latest {
+            sleep(ASK_INTERVAL).await;
         }
-        sleep(ASK_INTERVAL).await;
     }
 }
 
@@ -112,7 +138,7 @@
         sleep(ASK_INTERVAL).await;
         unanswered = match ask_node(state, links, address).await {
             NodeAnswer::Silent => unanswered + 1,
-            NodeAnswer::Serving | NodeAnswer::NotServing(_) => 0,
+            NodeAnswer::Serving | NodeAnswer::Starting | NodeAnswer::NotServing(_) => 0,
         };
     }
 }
--- a/crates/sesamecart-entry/src/follower/search.rs
+++ b/crates/sesamecart-entry/src/follower/search.rs
@@ -23,6 +23,8 @@
 pub(super) enum NodeAnswer {
     /// It serves followers.
     Serving,
+    /// It reads the store, and hasn't read all topics yet.
+    Starting,
     /// It answers, but doesn't serve. It may know a node that does.
     NotServing(Option<SocketAddr>),
     /// It doesn't answer.
@@ -90,7 +92,7 @@
                         questions.push(self.ask(referral));
                     }
                 }
-                NodeAnswer::NotServing(None) | NodeAnswer::Silent => {}
+                NodeAnswer::NotServing(None) | NodeAnswer::Starting | NodeAnswer::Silent => {}
             }
         }
         found
@@ -131,9 +133,8 @@
         Ok(Ok(reply)) if is_fresh(state, reply.get_ref()) => NodeAnswer::Serving,
         Ok(Ok(_)) => NodeAnswer::NotServing(None),
         Ok(Err(status)) => match status.code() {
-            Code::FailedPrecondition | Code::NotFound => {
-                NodeAnswer::NotServing(referral_of(&status))
-            }
+            Code::NotFound => NodeAnswer::Starting,
+            Code::FailedPrecondition => NodeAnswer::NotServing(referral_of(&status)),
             _ => NodeAnswer::Silent,
         },
         Err(_) => NodeAnswer::Silent,
--- a/crates/sesamecart-entry/tests/end_to_end/odd_entries.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/odd_entries.rs
@@ -196,7 +196,8 @@
 const ODD: usize = 14;
 const REQUESTS: usize = 300;
 
-/// Guards against refusing callers after attempts at several endpoints that have never answered, while sound ones are idle.
+/// Guards against refusing callers after attempts at several endpoints that have never answered, while sound ones are
+/// idle.
 #[test]
 fn endpoints_that_have_never_answered_cost_a_request_one_attempt() {
     let deployment = Deployment::start_with_plain_endpoints(3);
--- a/crates/sesamecart-entry/tests/end_to_end/starts.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/starts.rs
@@ -28,8 +28,8 @@
     FallenSilent,
 }
 
-/// The bytes of answers on one connection until a node falls silent: those to some small questions, and less than the topics
-/// take.
+/// The bytes of answers on one connection until a node falls silent: those to some small questions, and less than the
+/// topics take.
 const FIRST_ANSWERS: usize = 1_500;
 
 /// Returns the address of a node that doesn't answer. One that falls silent stands before the node at `serving`.
@@ -78,8 +78,8 @@
     let _copied = std::io::copy(&mut client, &mut server);
 }
 
-/// Lists a reader and its standby in each of four failure domains, and starts a node that would follow them. Returns the
-/// time that it takes to serve a caller.
+/// Lists a reader and its standby in each of four failure domains, and starts a node that would follow them. Returns
+/// the time that it takes to serve a caller.
 fn time_to_serve(absent: Absent) -> Duration {
     let deployment = Deployment::start(1);
     let serving = deployment.node.state().settings.links;
--- a/crates/sesamecart-node/tests/restarts/main.rs
+++ b/crates/sesamecart-node/tests/restarts/main.rs
@@ -57,8 +57,8 @@
         .unwrap_or(usual)
 }
 
-/// Kills all nodes of a deployment that serves, and starts them again. Checks when each one serves first, and that callers
-/// are served from then on.
+/// Kills all nodes of a deployment that serves, and starts them again. Checks when each one serves first, and that
+/// callers are served from then on.
 fn check_restart(count: usize, routes: usize, readers: Readers, store_away: Duration) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let mut deployment = Deployment::start(per_domain(count), routes);
@@ -127,8 +127,8 @@
     all_nodes_serve_soon_after_the_store_is_back: 13, 240, Restart, 3_000;
 }
 
-/// For how long each process runs in a period, and for how long it stands still: a small share of a processor, on a machine that
-/// has other work.
+/// For how long each process runs in a period, and for how long it stands still: a small share of a processor, on a
+/// machine that has other work.
 const RUNNING: Duration = Duration::from_millis(9);
 const STOPPED: Duration = Duration::from_millis(125);
 
--- a/crates/sesamecart-node/tests/restarts/nodes.rs
+++ b/crates/sesamecart-node/tests/restarts/nodes.rs
@@ -277,8 +277,8 @@
     }
 }
 
-/// Returns how many of the requests are served that callers send on new connections for some time, one every `interval` at
-/// each node, and how many there were. Callers don't wait for one another.
+/// Returns how many of the requests are served that callers send on new connections for some time, one every
+/// `interval` at each node, and how many there were. Callers don't wait for one another.
 pub(crate) fn send_for(nodes: &[Node], time: Duration, interval: Duration) -> (usize, usize) {
     let outcomes = Mutex::new((0, 0));
     let ends_at = Instant::now() + time;
