Set up an overloaded server once in the tests of shedding

Three tests began with the same eight lines, and a comment in peer.rs gave a reason that held for one of two cases only. No assertion, bound or logic changed.

--- a/crates/sesamecart-edges/src/shedding/tests.rs
+++ b/crates/sesamecart-edges/src/shedding/tests.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// Returns the shedder of an overloaded server, and the time of its last measurement.
+fn overloaded() -> (ConnectionShedder, Instant) {
+    let mut shedder = ConnectionShedder::default();
+    let started_at = Instant::now();
+    let now = probe_for(
+        &mut shedder,
+        started_at,
+        rounds(MAX_ROUND),
+        OVERLOAD_TIME * 2,
+    );
+    (shedder, now)
+}
+
 /// Returns how many of 100 new connections are served, if the thread begins to serve every tenth of those.
 fn served(shedder: &mut ConnectionShedder, now: Instant) -> usize {
     let served = (0..100).filter(|offered| {
@@ -99,13 +112,7 @@
 /// Guards against callers that get no answer while an overloaded server hasn't read those that it has accepted.
 #[test]
 fn an_overloaded_server_that_reads_nothing_accepts_no_more_than_one() {
-    let mut shedder = ConnectionShedder::default();
-    let now = probe_for(
-        &mut shedder,
-        Instant::now(),
-        rounds(MAX_ROUND),
-        OVERLOAD_TIME * 2,
-    );
+    let (mut shedder, now) = overloaded();
     let admitted = (0..100).filter(|_| shedder.admit(now)).count();
     assert_eq!(admitted, MAX_WAITING);
 }
@@ -113,13 +120,7 @@
 /// Guards against a server that goes on refusing connections.
 #[test]
 fn a_server_serves_all_as_soon_as_it_keeps_up() {
-    let mut shedder = ConnectionShedder::default();
-    let now = probe_for(
-        &mut shedder,
-        Instant::now(),
-        rounds(MAX_ROUND),
-        OVERLOAD_TIME * 2,
-    );
+    let (mut shedder, now) = overloaded();
     let now = probe_for(&mut shedder, now, rounds(Duration::ZERO), Duration::ZERO);
     assert_eq!(served(&mut shedder, now), 100);
 }
@@ -127,12 +128,6 @@
 /// Guards against refusing the first connection after a pause.
 #[test]
 fn an_old_measurement_does_not_count() {
-    let mut shedder = ConnectionShedder::default();
-    let now = probe_for(
-        &mut shedder,
-        Instant::now(),
-        rounds(MAX_ROUND),
-        OVERLOAD_TIME * 2,
-    );
+    let (mut shedder, now) = overloaded();
     assert_eq!(served(&mut shedder, now + PROBE_TTL), 100);
 }
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -128,7 +128,7 @@
             };
             let reply = async { Some(feed.follow(request).await) };
             let silent = async {
-                // Whether it is there was asked just before, and a reply without new records comes in time.
+                // Only a full reply may take longer than a silent node is waited for.
                 if !matches!(phase, FollowPhase::CatchUp) {
                     return future::pending().await;
                 }
