Log a control lease that has run out, and orders that aren't sent for it

Both cases of an order that isn't carried out for want of control read "a newer controller gives orders": an engine that has seen a higher fencing token, and a lease of this node's own that had run out before the order was sent. The second one now says so, and lease_lapsed says for how long, and how long the store took for the renewal.

No decision changes: neither outcome was ever accepted, and only a refusal by an engine makes the holder step down.

--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -152,7 +152,8 @@
             };
             // The lease is checked right before the order is sent: it may have expired during the wait above.
             let Some(fence) = self.lease.fence() else {
-                return (OrderOutcome::Fenced, FencingToken::default());
+                let outcome = OrderOutcome::NotSent("the control lease has run out".to_owned());
+                return (outcome, FencingToken::default());
             };
             last_fence = fence;
             let reply = self
--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -11,7 +11,7 @@
 
 use crate::clock;
 use crate::events::Event;
-use crate::follower::Dependency;
+use crate::follower::{Dependency, millis};
 use crate::state::EntryState;
 
 #[cfg(test)]
@@ -124,6 +124,7 @@
                         continue;
                     }
                     let held = membership.is_holder.then_some(held);
+                    self.log_lapse(held.as_ref(), sent);
                     self.set_held(held, "the store says so");
                 }
                 Err(error) => dependency.record_failure(&self.state, &error),
@@ -180,6 +181,23 @@
         (!is_requested && !keeps_control).then_some("the node doesn't read the store")
     }
 
+    /// Logs that the lease had run out before it was renewed, by an answer to a call that was sent at `sent`.
+    fn log_lapse(&self, renewed: Option<&HeldLease>, sent: Timestamp) {
+        let before = *self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let (Some(before), Some(renewed)) = (before, renewed) else {
+            return;
+        };
+        let now = clock::now();
+        if now >= before.expires_at {
+            self.state.events.write(&Event::LeaseLapsed {
+                fence: before.fence.0,
+                fence_now: renewed.fence.0,
+                away_ms: millis(now.since(before.expires_at)),
+                answer_ms: millis(now.since(sent)),
+            });
+        }
+    }
+
     async fn release(&self, reason: &str) {
         self.set_held(None, reason);
         if let Err(error) = self.store.leave(&self.member).await {
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -78,6 +78,17 @@
         /// The age of the configuration, in milliseconds; missing if there is none.
         configuration_age_ms: Option<u64>,
     },
+    /// This node's control lease had run out before the store answered its renewal. No orders were given meanwhile.
+    LeaseLapsed {
+        /// The fencing token before.
+        fence: u64,
+        /// The fencing token now.
+        fence_now: u64,
+        /// For how long the lease had run out, in milliseconds.
+        away_ms: u64,
+        /// How long the store took for the renewal, in milliseconds.
+        answer_ms: u64,
+    },
     /// A dependency stopped answering.
     DependencyLost {
         /// The name of the dependency.
