Let the time to live of the control lease follow how long its renewals take

Callers with streams were refused with "no endpoint is there" for more than 20 s after all nodes and engines had lost power and returned to two processors for everything: no groups were formed. The lease lasted 1.1 s, and a renewal took as long where processors are scarce. So it ran out between renewals, another node took over (seven changes in 20 s, and the fencing token rose from 22 to 258), and each holder planned all groups anew; nearly all orders weren't sent, or were refused.

The TTL is now twice the time that a renewal has to bridge, from when the one before it was sent until its answer is here, between 1.1 s and 5 s. With quick answers nothing changes. Refused renewals don't count, so an outage of the store doesn't make the lease longer. A holder also keeps control while it follows another node for a while, as long as the store answers its renewals, and a member that doesn't compete any more leaves the group at once instead of keeping control from others until it expires. A holder in a later era of the store waits for the longest TTL.

a_holder_keeps_control_while_the_store_answers_renewals_slowly fails before (0 of 3 nodes have control), as the answer takes 0.7 s.

--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -1,11 +1,11 @@
 //! The lease that lets one node at a time control the groups.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use sesamecart_fleet::FencingToken;
-use sesamecart_platform::{GroupMembership, Store, StoreEra};
+use sesamecart_fleet::{FencingToken, MAX_TTL, RenewalPace};
+use sesamecart_platform::{GroupMembership, Store, StoreEra, StoreError};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
 
@@ -17,11 +17,11 @@
 #[cfg(test)]
 mod tests;
 
-/// How long the store keeps a member that doesn't renew. After that, another node takes over.
+/// How long the store keeps a member that doesn't renew, where renewals are quick. After that, another node takes over.
 ///
-/// With a shorter TTL, control would move back and forth when the store is slow. With a longer one, losses
-/// would be repaired later after the holder was killed.
-const LEASE_TTL: Duration = Duration::from_millis(1_100);
+/// With a longer one, losses would be repaired later after the holder was killed. Where renewals take long, the TTL
+/// follows them, so that control doesn't move while its holder lives.
+const MIN_LEASE_TTL: Duration = Duration::from_millis(1_100);
 
 /// Interval between renewals: less than a third of the TTL, so that two renewals may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(330);
@@ -58,8 +58,6 @@
     held: Mutex<Option<HeldLease>>,
     /// The highest fence that an engine refused.
     highest_refused: AtomicU64,
-    /// Whether this node competes for control because another one asked it to.
-    is_requested: AtomicBool,
 }
 
 impl Lease {
@@ -71,7 +69,6 @@
             member,
             held: Mutex::new(None),
             highest_refused: AtomicU64::new(0),
-            is_requested: AtomicBool::new(false),
         }
     }
 
@@ -92,9 +89,11 @@
     /// Acquires the lease when it is free and renews it, until the node leaves or the task is dropped.
     pub(crate) async fn run(self: Arc<Self>) {
         let min_ttl = Duration::from_millis(self.state.settings.bounds.lease_least_ms);
-        let ttl = LEASE_TTL.max(min_ttl);
+        let min_ttl = MIN_LEASE_TTL.max(min_ttl);
+        let mut pace = RenewalPace::default();
         let mut dependency = Dependency::new("store, control");
         let mut generation = 0;
+        let mut is_member = false;
         let mut era = StoreEra::default();
         loop {
             // The store gives out generations again in a later era.
@@ -103,17 +102,20 @@
                 generation = 0;
             }
             if let Some(reason) = self.reason_not_to_compete() {
-                if self.fence().is_some() {
+                // A member that doesn't act would keep control from the others until it expires.
+                if std::mem::take(&mut is_member) {
                     self.release(reason).await;
                 }
                 self.set_held(None, reason);
                 sleep(RENEW_INTERVAL).await;
                 continue;
             }
-            let sent = clock::now();
+            let (sent, ttl) = (clock::now(), pace.ttl(min_ttl));
+            is_member = true;
             match self.store.join(&self.member, ttl, generation).await {
                 Ok(membership) => {
                     dependency.record_success(&self.state);
+                    pace.record_answer(sent, clock::now());
                     generation = membership.generation;
                     let held = self.held_lease(&membership, sent, ttl);
                     let is_refused = held.fence.0 <= self.highest_refused.load(Ordering::Acquire);
@@ -127,7 +129,12 @@
                     self.log_lapse(held.as_ref(), sent);
                     self.set_held(held, "the store says so");
                 }
-                Err(error) => dependency.record_failure(&self.state, &error),
+                Err(error) => {
+                    if is_refused(&error) {
+                        pace.record_outage();
+                    }
+                    dependency.record_failure(&self.state, &error);
+                }
             }
             if self.state.is_leaving() {
                 return self.release("the node is leaving").await;
@@ -139,8 +146,8 @@
     /// Returns the lease of the holder of a generation, which was renewed for `ttl` by a call that was sent at `sent`.
     ///
     /// The holder in an earlier era acts until its last renewal expires, which it sent before the store returned. So
-    /// this node waits for that time after it has learned the era. When a deployment starts for the first time, there
-    /// is no earlier holder.
+    /// this node waits for the longest time that this may take after it has learned the era, and for its own TTL if it
+    /// has just started. When a deployment starts for the first time, there is no earlier holder.
     fn held_lease(
         &self,
         membership: &GroupMembership,
@@ -149,9 +156,10 @@
     ) -> HeldLease {
         let eras = &self.state.store_eras;
         let is_first = self.state.settings.first_start && eras.is_first();
-        let valid_from = match is_first {
-            true => Timestamp::ZERO,
-            false => eras.learned_at() + ttl,
+        let valid_from = match (is_first, eras.is_first()) {
+            (true, _) => Timestamp::ZERO,
+            (false, true) => eras.learned_at() + ttl,
+            (false, false) => eras.learned_at() + ttl.max(MAX_TTL),
         };
         HeldLease {
             fence: FencingToken::of(membership.era, membership.generation),
@@ -165,20 +173,15 @@
     ///
     /// Only nodes that read the store compete: if all nodes renewed a membership, the calls to the store would
     /// grow with the number of nodes. A node that reaches no engine leaves control to nodes that do and that it
-    /// has asked to compete. The one of them that gets control keeps it.
+    /// has asked to compete. Whoever has control keeps it while the store answers its renewals, as each move ends the
+    /// groups that are being formed.
     fn reason_not_to_compete(&self) -> Option<&'static str> {
         let state = &self.state;
         if state.reach.should_hand_over_control() {
             return Some("the node reaches no engine");
         }
-        if state.reads_store() {
-            return None;
-        }
-        let is_requested = state.reach.is_control_requested();
-        let keeps_control = self.is_requested.load(Ordering::Acquire) && self.fence().is_some();
-        self.is_requested
-            .store(is_requested || keeps_control, Ordering::Release);
-        (!is_requested && !keeps_control).then_some("the node doesn't read the store")
+        let competes = state.reads_store() || state.reach.is_control_requested();
+        (!competes && self.fence().is_none()).then_some("the node doesn't read the store")
     }
 
     /// Logs that the lease had run out before it was renewed, by an answer to a call that was sent at `sent`.
@@ -222,3 +225,8 @@
         }
     }
 }
+
+/// Returns whether the store has refused a renewal, or wasn't reached, rather than taken long.
+const fn is_refused(error: &StoreError) -> bool {
+    !error.may_have_run
+}
--- a/crates/sesamecart-entry/src/controller/lease/tests.rs
+++ b/crates/sesamecart-entry/src/controller/lease/tests.rs
@@ -1,11 +1,12 @@
 //! Tests of the control lease across returns of the store.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sesamecart_edges::HttpClient;
 use sesamecart_fleet::FencingToken;
 use sesamecart_platform::{GroupMembership, Store, StoreEra};
+use sesamecart_platform_standins::Store as StoreStandIn;
 use sesamecart_runtime::Worker;
 
 use super::Lease;
@@ -85,3 +86,41 @@
     lease.state.learn_store_era(AFTER, "node at 127.0.0.1:1");
     assert_eq!(lease.fence(), None);
 }
+
+/// How long the store takes to answer a renewal of the lease.
+const SLOW_ANSWER: Duration = Duration::from_millis(700);
+
+/// How long renewals may take to find their pace, and how long control is watched after that.
+const ADAPTATION_TIME: Duration = Duration::from_secs(5);
+const WATCH_TIME: Duration = Duration::from_secs(4);
+
+/// Guards against control that moves, or rests, while its holder lives and renews as fast as the store answers.
+#[test]
+fn a_holder_keeps_control_while_the_store_answers_renewals_slowly() {
+    let store = StoreStandIn::start().expect("the store listens");
+    store.set_join_delay(SLOW_ANSWER);
+    let nodes: Vec<(Arc<Lease>, Worker)> = (0..3).map(|_| competing_lease(&store)).collect();
+    std::thread::sleep(ADAPTATION_TIME);
+    let holder = |(lease, _): &(Arc<Lease>, Worker)| lease.fence().is_some();
+    let first = nodes.iter().position(holder);
+    let ends_at = Instant::now() + WATCH_TIME;
+    while Instant::now() < ends_at {
+        let holders = nodes.iter().filter(|node| holder(node));
+        assert_eq!(holders.count(), 1, "one node has control at any time");
+        assert_eq!(nodes.iter().position(holder), first);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Returns the lease of a node that reads a store, and competes for control on a thread of its own.
+fn competing_lease(store: &StoreStandIn) -> (Arc<Lease>, Worker) {
+    let state = Arc::new(new_state(true));
+    state.set_upstream(None);
+    let worker = Worker::start("lease").expect("a thread starts");
+    let client = HttpClient::new(worker.tasks().clone(), Duration::from_millis(250));
+    let calls = StoreCalls::new(Arc::clone(&state));
+    let store = Store::new(client, store.address(), Duration::from_millis(900), calls);
+    let lease = Arc::new(Lease::new(state, store));
+    worker.tasks().spawn(Arc::clone(&lease).run());
+    (lease, worker)
+}
