Ask an engine once before its first order instead of twice

A controller that has just taken over probed each engine of a group for a sign of life, and then asked for the same report again for its number of orders. With 162 engines and scarce processors, joins were sent two to seven seconds after they were planned. The report of the probe now counts, unless it shows that the engine has joined another group meanwhile; then the order asks anew and is refused, as before.

--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -93,6 +93,10 @@
             let report = fetch_report(&self.client, endpoint.address, PROBE_TIMEOUT).await;
             if let Ok(report) = report {
                 self.state.record_report(&endpoint, &report);
+                // The order that follows needs no report of its own, unless the engine has joined another group.
+                if !has_joined_since(&report, &endpoint) {
+                    self.record_count(engine, endpoint.incarnation, report.orders);
+                }
                 return false;
             }
         }
@@ -278,10 +282,14 @@
 /// The previous controller may just have formed and opened that group. Adding its members to another group
 /// would put them into two groups at once.
 fn is_joined_elsewhere(order: &Order, report: &EngineReport, endpoint: &Endpoint) -> bool {
-    let is_join = matches!(order, Order::Join { .. });
+    matches!(order, Order::Join { .. }) && has_joined_since(report, endpoint)
+}
+
+/// Returns whether an engine is in another group than its registry entry shows.
+fn has_joined_since(report: &EngineReport, endpoint: &Endpoint) -> bool {
     let key = |role: &GroupRole| (role.group.clone(), role.epoch);
     let reported = report.group.as_ref().map(key);
-    is_join && reported.is_some() && reported != endpoint.group.as_ref().map(key)
+    reported.is_some() && reported != endpoint.group.as_ref().map(key)
 }
 
 fn outcome_label(outcome: &OrderOutcome) -> &'static str {
