Count the time of a formation from when its orders are accepted

A formation had the time that its members need to join and 2.5 s, counted from its plan. Where processors are scarce, its orders took longer than that, so that groups whose members were joining were given up, dissolved and planned anew: m0 was planned five times in 20 s. The time now begins when all orders of the phase are accepted; until then, 8 s bound them, and an order that fails ends the formation as before.

a_formation_gets_its_time_from_when_its_orders_are_accepted fails before: the formation is given up instead of opened.

--- a/crates/sesamecart-entry/src/controller.rs
+++ b/crates/sesamecart-entry/src/controller.rs
@@ -268,10 +268,13 @@
         match outcome {
             StepOutcome::Joined {
                 accepted_by_all: true,
-                ..
+                key,
             }
-            | StepOutcome::Opened { accepted: true, .. }
-            | StepOutcome::Staged { accepted: true, .. } => {}
+            | StepOutcome::Opened {
+                accepted: true,
+                key,
+            } => self.planner.record_begun(&key, now),
+            StepOutcome::Staged { accepted: true, .. } => {}
             StepOutcome::Joined { key, .. } | StepOutcome::Opened { key, .. } => {
                 self.planner.abandon_formation(&key, now);
             }
--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -43,6 +43,10 @@
 /// Time a formation gets beyond the expected join time of its slowest member, and time its head gets to open.
 const JOIN_TIMEOUT_MARGIN: Duration = Duration::from_millis(2_500);
 
+/// How long the orders of a phase may take until they are answered, before the time of the members begins. They end by
+/// themselves earlier, unless processors are scarce.
+const ORDERS_TIME_LIMIT: Duration = Duration::from_secs(8);
+
 /// How long the members of a failed formation are excluded from new groups.
 const FAILED_FORMATION_QUARANTINE: Duration = Duration::from_millis(400);
 
@@ -73,9 +77,23 @@
     /// The members in rank order. The first one is the head.
     pub members: Vec<EndpointId>,
     phase: Phase,
+    /// How long the slowest member needs to join, and a margin.
+    time_limit: Duration,
+    /// When the present phase counts as failed.
     deadline: Timestamp,
 }
 
+impl Formation {
+    /// Sets the deadline of the present phase, whose orders have been accepted.
+    fn begin_work(&mut self, now: Timestamp) {
+        let time = match self.phase {
+            Phase::Joining => self.time_limit,
+            Phase::Opening => JOIN_TIMEOUT_MARGIN,
+        };
+        self.deadline = now + time;
+    }
+}
+
 /// An action for the controller to carry out.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -262,6 +280,13 @@
         }
     }
 
+    /// Records that the orders of a formation's phase have been accepted, so that its members or its head are at work.
+    pub fn record_begun(&mut self, key: &GroupKey, now: Timestamp) {
+        if let Some(formation) = self.formations.get_mut(key) {
+            formation.begin_work(now);
+        }
+    }
+
     /// Removes the record of an engine's load, because it wasn't started.
     pub fn cancel_load(&mut self, endpoint: &EndpointId) {
         self.loading.swap_remove(endpoint);
@@ -319,7 +344,7 @@
             let ready = states.iter().all(|state| *state == Some(GroupState::Ready));
             if ready && formation.phase == Phase::Joining {
                 formation.phase = Phase::Opening;
-                formation.deadline = now + JOIN_TIMEOUT_MARGIN;
+                formation.deadline = now + ORDERS_TIME_LIMIT;
                 steps.push(Step::Open(formation.clone()));
             } else if now > formation.deadline {
                 ended.push((key.clone(), true));
--- a/crates/sesamecart-fleet/src/planner/forming.rs
+++ b/crates/sesamecart-fleet/src/planner/forming.rs
@@ -7,7 +7,9 @@
 use sesamecart_vocabulary::{EndpointId, FabricDomainId, GroupId, Timestamp};
 
 use super::engine::{engines, group_size, join_time, needs_load};
-use super::{Formation, JOIN_TIMEOUT_MARGIN, Phase, Planner, PlannerInput, Step};
+use super::{
+    Formation, JOIN_TIMEOUT_MARGIN, ORDERS_TIME_LIMIT, Phase, Planner, PlannerInput, Step,
+};
 use crate::catalog::EngineModel;
 use crate::directory::GroupKey;
 use crate::endpoint::Endpoint;
@@ -149,7 +151,8 @@
             model: model.model.clone(),
             members,
             phase: Phase::Joining,
-            deadline: now + time + margin,
+            time_limit: time + margin,
+            deadline: now + ORDERS_TIME_LIMIT,
         };
         self.formations
             .insert(formation.key.clone(), formation.clone());
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -73,6 +73,11 @@
     members.collect()
 }
 
+fn set_state(engine: &mut Endpoint, state: GroupState) {
+    let role = engine.group.as_mut().expect("the engine is in a group");
+    role.state = state;
+}
+
 fn six_domains_of_nine() -> Vec<Endpoint> {
     let domains = ["a-0", "a-1", "b-0", "b-1", "c-0", "c-1"];
     let names = domains
@@ -212,15 +217,11 @@
     };
     let names: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
     let mut endpoints = group(&formation.key, "a-0", &names, "small", GroupState::Ready);
-    if let Some(role) = &mut endpoints[2].group {
-        role.state = GroupState::Joining;
-    }
+    set_state(&mut endpoints[2], GroupState::Joining);
     let later = START + Duration::from_millis(50);
     let steps = plan(&mut planner, later, &directory(endpoints.clone()), true);
     assert!(steps.is_empty(), "one member isn't ready: {steps:?}");
-    if let Some(role) = &mut endpoints[2].group {
-        role.state = GroupState::Ready;
-    }
+    set_state(&mut endpoints[2], GroupState::Ready);
     let steps = plan(&mut planner, later, &directory(endpoints), true);
     assert!(matches!(steps.as_slice(), [Step::Open(opened)] if opened.key == formation.key));
 }
@@ -284,6 +285,29 @@
     );
 }
 
+/// Guards against a formation that is given up before its orders are answered, where processors are scarce.
+#[test]
+fn a_formation_gets_its_time_from_when_its_orders_are_accepted() {
+    let staged = directory(["e1", "e2", "e3"].map(|name| {
+        let mut engine = engine(name, "a-0");
+        engine.staged = vec![model("small")];
+        engine
+    }));
+    let mut planner = Planner::new(FencingToken(1), 0);
+    let steps = plan(&mut planner, START, &staged, true);
+    let Some(Step::Join(formation)) = steps.first() else {
+        panic!("no group was formed: {steps:?}");
+    };
+    let accepted_at = START + Duration::from_secs(6);
+    assert!(plan(&mut planner, accepted_at, &staged, true).is_empty());
+    planner.record_begun(&formation.key, accepted_at);
+    let names: Vec<&str> = formation.members.iter().map(EndpointId::as_str).collect();
+    let ready = group(&formation.key, "a-0", &names, "small", GroupState::Ready);
+    let ready_at = accepted_at + Duration::from_secs(2);
+    let steps = plan(&mut planner, ready_at, &directory(ready), true);
+    assert!(matches!(steps.as_slice(), [Step::Open(opened)] if opened.key == formation.key));
+}
+
 /// After a restart of all nodes, the groups are still serving. Forming them again would leave callers without
 /// any group for seconds.
 #[test]
