Let a new controller carry on with groups that are being formed

When control moved while groups were being formed, the next controller dissolved those whose members were joining, and planned all of them anew; with a move every one or two seconds and members that need 1.1 to 16 s, no group ever opened. A group of an earlier controller, or of an earlier term, whose members are all there and joining or ready is now taken over, and opened once all are ready. One that lacks a member is dissolved as before, and so is one that isn't ready in the time that its members need. A head that this controller has closed looks the same as one that is ready to open, so groups that it has named itself aren't taken over.

a_new_controller_opens_a_group_whose_members_join_under_an_earlier_one and a_new_controller_dissolves_a_group_that_does_not_become_ready_in_time fail before: the group is dissolved at once.

--- a/crates/sesamecart-fleet/src/planner.rs
+++ b/crates/sesamecart-fleet/src/planner.rs
@@ -19,13 +19,15 @@
 use crate::demand::Demand;
 use crate::directory::{Directory, GroupKey};
 use crate::endpoint::{Endpoint, EndpointState, GroupState};
-use crate::number::FencingToken;
+use crate::number::{FencingToken, GroupEpoch};
 use crate::planner::conversion::Conversions;
 use crate::planner::domain_sizes::DomainSizes;
 use crate::planner::engine::{engines, group_size, holds, member_state};
+use crate::planner::forming::epoch_of;
 use crate::planner::loading::LOAD_RATE_WINDOW;
 pub use crate::planner::summary::ModelSummary;
 
+mod adoption;
 mod assignment;
 mod conversion;
 mod domain_sizes;
@@ -180,6 +182,8 @@
 pub struct Planner {
     fence: FencingToken,
     formed_count: u64,
+    /// The epoch of the last group that was named before this planner, by an earlier controller or an earlier term.
+    inherited_epoch: GroupEpoch,
     /// The model assigned to each fabric domain.
     domain_models: IndexMap<FabricDomainId, ModelId>,
     domain_sizes: DomainSizes,
@@ -195,6 +199,8 @@
     /// When each group was last examined, closed or dissolved. A time in the future delays the next of these
     /// steps.
     examined: IndexMap<GroupKey, Timestamp>,
+    /// Groups whose formation has failed. They are dissolved.
+    abandoned: IndexSet<GroupKey>,
     /// Groups that were dissolved. The registry entries of their members may still name them.
     dissolved: IndexSet<GroupKey>,
     /// Engines reserved for groups of a model other than the one assigned to their fabric domain.
@@ -210,6 +216,7 @@
         Self {
             fence,
             formed_count,
+            inherited_epoch: epoch_of(fence, formed_count),
             domain_models: IndexMap::new(),
             domain_sizes: DomainSizes::default(),
             active_domains: IndexSet::new(),
@@ -218,6 +225,7 @@
             recent_load_starts: VecDeque::new(),
             quarantined: IndexMap::new(),
             examined: IndexMap::new(),
+            abandoned: IndexSet::new(),
             dissolved: IndexSet::new(),
             reserved: IndexMap::new(),
             conversions: Conversions::default(),
@@ -274,6 +282,7 @@
         let Some(formation) = self.formations.swap_remove(key) else {
             return;
         };
+        self.abandoned.insert(key.clone());
         for member in formation.members {
             self.loading.swap_remove(&member);
             self.quarantine(member, now + FAILED_FORMATION_QUARANTINE);
@@ -369,6 +378,8 @@
         let size = |model: &ModelId| group_size(input.spec, model);
         let groups = input.directory.groups(input.service, size);
         self.dissolved.retain(|key| groups.contains_key(key));
+        self.abandoned.retain(|key| groups.contains_key(key));
+        self.adopt_formations(now, input, &groups);
         self.conversions.prune(now, |key| groups.contains_key(key));
         let mut grouped = IndexSet::new();
         for (key, group) in &groups {
--- a/crates/sesamecart-fleet/src/planner/forming.rs
+++ b/crates/sesamecart-fleet/src/planner/forming.rs
@@ -13,7 +13,7 @@
 use crate::catalog::EngineModel;
 use crate::directory::GroupKey;
 use crate::endpoint::Endpoint;
-use crate::number::GroupEpoch;
+use crate::number::{FencingToken, GroupEpoch};
 
 /// The fraction of a group's loads that may exceed the number of loads that the weight store serves at full
 /// speed.
@@ -33,6 +33,11 @@
 /// The size of the epoch range of one controller. The next fencing token starts the next range.
 const EPOCHS_PER_FENCE: u64 = 1_000_000;
 
+/// Returns the epoch of the group that is the `formed_count`th under a fencing token.
+pub(super) const fn epoch_of(fence: FencingToken, formed_count: u64) -> GroupEpoch {
+    GroupEpoch(fence.0 * EPOCHS_PER_FENCE + formed_count)
+}
+
 /// Whether the free engines of a domain can form a group of a model now.
 enum Feasibility {
     /// They can. The group takes this long to join.
@@ -164,8 +169,10 @@
         let name = format!("g{}-{}", self.fence, self.formed_count);
         // The name consists of `g`, digits and a hyphen, all of which are valid in a name.
         let group = name.parse::<GroupId>().unwrap_or_else(|_| unreachable!());
-        let epoch = GroupEpoch(self.fence.0 * EPOCHS_PER_FENCE + self.formed_count);
-        GroupKey { group, epoch }
+        GroupKey {
+            group,
+            epoch: epoch_of(self.fence, self.formed_count),
+        }
     }
 
     /// Returns whether a group of a domain's free engines may be formed now, and how long its members need to
--- a/crates/sesamecart-fleet/src/planner/tests.rs
+++ b/crates/sesamecart-fleet/src/planner/tests.rs
@@ -285,6 +285,43 @@
     );
 }
 
+/// Guards against groups that each new controller forms anew, as control moves faster than their members join.
+#[test]
+fn a_new_controller_opens_a_group_whose_members_join_under_an_earlier_one() {
+    let half_formed = key("g1-7", 7);
+    let mut members = group(
+        &half_formed,
+        "a-0",
+        &["e1", "e2", "e3"],
+        "small",
+        GroupState::Joining,
+    );
+    let mut planner = Planner::new(FencingToken(9), 0);
+    let steps = plan(&mut planner, START, &directory(members.clone()), true);
+    assert!(steps.is_empty(), "one member is still joining: {steps:?}");
+    set_state(&mut members[0], GroupState::Ready);
+    let later = START + Duration::from_millis(50);
+    let steps = plan(&mut planner, later, &directory(members), true);
+    assert!(matches!(steps.as_slice(), [Step::Open(opened)] if opened.key == half_formed));
+}
+
+/// Guards against waiting for ever for a member that never becomes ready.
+#[test]
+fn a_new_controller_dissolves_a_group_that_does_not_become_ready_in_time() {
+    let half_formed = key("g1-7", 7);
+    let names = ["e1", "e2", "e3"];
+    let members = group(&half_formed, "a-0", &names, "small", GroupState::Joining);
+    let directory = directory(members);
+    let mut planner = Planner::new(FencingToken(9), 0);
+    assert!(plan(&mut planner, START, &directory, true).is_empty());
+    let much_later = START + Duration::from_secs(60);
+    let mut steps = plan(&mut planner, much_later, &directory, true);
+    let next = much_later + Duration::from_secs(1);
+    steps.extend(plan(&mut planner, next, &directory, true));
+    let is_meant = |step: &Step| matches!(step, Step::Dissolve(key) if *key == half_formed);
+    assert!(!steps.is_empty() && steps.iter().all(is_meant), "{steps:?}");
+}
+
 /// Guards against a formation that is given up before its orders are answered, where processors are scarce.
 #[test]
 fn a_formation_gets_its_time_from_when_its_orders_are_accepted() {
