Use what an old reader sends, and stay with it while no other one is fresher

A follower left a reader whose configuration was older than 2.7 s without using its reply, although a configuration may be used until it is 5 s old and a reader's is up to 2.55 s old on a calm machine. Where all readers are slow it went from one to the next, each time with all topics read anew, and at last to the store, which made all of them slower; on two processors for 105 nodes the configuration's age then grew at all nodes.

The reply is applied first. A follower stays up to 4 s of age unless another node answers that it has a fresh configuration; a standby leaves as before, as it is there to read the store.

--- a/crates/sesamecart-entry/src/controller/lease/tests.rs
+++ b/crates/sesamecart-entry/src/controller/lease/tests.rs
@@ -98,7 +98,7 @@
 #[test]
 fn a_holder_keeps_control_while_the_store_answers_renewals_slowly() {
     let store = StoreStandIn::start().expect("the store listens");
-    store.set_join_delay(SLOW_ANSWER);
+    store.set_answer_delay(SLOW_ANSWER);
     let nodes: Vec<(Arc<Lease>, Worker)> = (0..3).map(|_| competing_lease(&store)).collect();
     std::thread::sleep(ADAPTATION_TIME);
     let holder = |(lease, _): &(Arc<Lease>, Worker)| lease.fence().is_some();
--- a/crates/sesamecart-entry/src/follower/peer.rs
+++ b/crates/sesamecart-entry/src/follower/peer.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use futures_util::future::join_all;
 use indexmap::IndexSet;
-use sesamecart_fleet::{Source, StoreReport};
+use sesamecart_fleet::{Role, Source, StoreReport};
 use sesamecart_links::Code;
 use sesamecart_links::feed::{FollowReply, FollowRequest, TopicPart};
 use sesamecart_platform::{LogPosition, Offset, Record, StoreEra};
@@ -18,6 +19,7 @@
 use super::first_source::wait_until_silent;
 use super::neighbors;
 use super::nodes::NodeList;
+use super::search::{NodeAnswer, ask_node};
 use super::source_follower::{PREFERRED_PROBE_INTERVAL, SourceFollower, SwitchReason};
 use crate::clock;
 use crate::events::Event;
@@ -50,6 +52,10 @@
 /// `bounds.configuration_ms`. A node that reads the store always stays below it.
 const MAX_AGE_FRACTION: f64 = 0.9;
 
+/// The age up to which a follower uses what another node has while no other one is fresher, as a fraction of
+/// `bounds.key_revocation_ms`. It leaves the time to read the store.
+const MAX_USABLE_AGE_FRACTION: f64 = 0.8;
+
 /// The next position in each topic, and the next loss in the feed that was followed last.
 #[derive(Debug, Default)]
 pub(super) struct Position {
@@ -162,11 +168,8 @@
             }
             let is_first = matches!(phase, FollowPhase::CatchUp);
             phase = FollowPhase::Poll;
-            if !is_fresh(&self.state, &reply) {
-                let age = Duration::from_millis(read_ms(&reply));
-                return self
-                    .source_failed(address, format_args!("the configuration is stale: {age:?}"));
-            }
+            let is_stale = !is_fresh(&self.state, &reply);
+            let age = Duration::from_millis(read_ms(&reply));
             if is_first {
                 self.log_caught_up(address, &reply);
             }
@@ -193,6 +196,9 @@
                     }
                 }
             }
+            if is_stale && let Some(reason) = self.reason_to_leave_stale(address, age).await {
+                return reason;
+            }
             if clock::now().since(probed_at) >= PREFERRED_PROBE_INTERVAL {
                 probed_at = clock::now();
                 if let Some(better) = self.find_better_source(Source::Node(address)).await {
@@ -203,6 +209,40 @@
         }
     }
 
+    /// Returns why this node should leave a source whose configuration has an age at which another one may be fresher.
+    ///
+    /// Where all sources are slow, none is fresher. Going from one to the next, with all topics read anew, then makes all
+    /// of them slower. So a follower stays while the age lets it serve its callers, unless it finds a fresher source. A
+    /// standby is there to read the store instead.
+    async fn reason_to_leave_stale(
+        &self,
+        address: SocketAddr,
+        age: Duration,
+    ) -> Option<SwitchReason> {
+        let revocation_bound = Duration::from_millis(self.state.settings.bounds.key_revocation_ms);
+        let is_usable = age <= revocation_bound.mul_f64(MAX_USABLE_AGE_FRACTION);
+        if self.plan().role != Role::Follower || !is_usable {
+            let cause = format_args!("the configuration is stale: {age:?}");
+            return Some(self.source_failed(address, cause));
+        }
+        let fresher = self.find_fresher_node(address).await;
+        fresher.map(SwitchReason::FoundBetter)
+    }
+
+    /// Returns the first node in the order of sources, except one, that has a fresh configuration.
+    async fn find_fresher_node(&self, except: SocketAddr) -> Option<Source> {
+        let order = self.plan().order.into_iter();
+        let nodes = order.filter_map(|source| match source {
+            Source::Node(address) if address != except => Some(address),
+            Source::Node(_) | Source::Store => None,
+        });
+        let asked = nodes.map(|address| async move {
+            let answer = ask_node(&self.state, &self.links, address).await;
+            (answer == NodeAnswer::Serving).then_some(Source::Node(address))
+        });
+        join_all(asked).await.into_iter().flatten().next()
+    }
+
     fn source_failed(&self, address: SocketAddr, cause: impl Display) -> SwitchReason {
         self.state.events.write(&Event::SourceFailed {
             source: &Source::Node(address).to_string(),
--- a/crates/sesamecart-entry/tests/end_to_end/sources.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/sources.rs
@@ -1,6 +1,6 @@
 //! Tests of nodes that switch between sources of the store's topics.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use sesamecart_entry::Entry;
@@ -74,13 +74,48 @@
 fn nodes_that_are_added_are_known_to_all_at_once() {
     let deployment = Deployment::start(1);
     let others = deployment.add_nodes("a", 4);
-    let started_at = std::time::Instant::now();
+    let started_at = Instant::now();
     deployment.wait_until("all nodes know each other", || {
         let mut nodes = std::iter::once(&deployment.node).chain(&others);
         nodes.all(|node| node.state().known_nodes() == 5)
     });
     let taken = started_at.elapsed();
-    assert!(taken < std::time::Duration::from_secs(5), "{taken:?}");
+    assert!(taken < Duration::from_secs(5), "{taken:?}");
+    for node in others {
+        node.kill();
+    }
+    deployment.kill();
+}
+
+/// How long the store takes for each answer, so that all readers' configurations are old when they confirm them.
+const SLOW_ANSWER: Duration = Duration::from_millis(500);
+
+/// How long nodes are watched before such a store.
+const SLOW_TIME: Duration = Duration::from_secs(6);
+
+/// Guards against followers that leave a reader as slow as all the others, each time with all topics read anew, until
+/// all nodes read the store.
+#[test]
+fn followers_stay_with_a_reader_to_which_the_store_answers_slowly() {
+    let deployment = Deployment::start(1);
+    let others = deployment.add_nodes("a", 7);
+    let count_readers = || {
+        let nodes = std::iter::once(&deployment.node).chain(&others);
+        nodes.filter(|node| reads(node)).count()
+    };
+    // The first node is alone in its failure domain.
+    deployment.wait_until("each failure domain has one reader", || {
+        count_readers() == 2
+    });
+    deployment.store.set_answer_delay(SLOW_ANSWER);
+    let ends_at = Instant::now() + SLOW_TIME;
+    let mut readers = 0;
+    while Instant::now() < ends_at {
+        readers = readers.max(count_readers());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // Both readers, and the standby of one of them.
+    assert!(readers <= 3, "{readers} nodes read the store at once");
     for node in others {
         node.kill();
     }
