--- a/crates/sesamecart-entry/src/controller/lease.rs
+++ b/crates/sesamecart-entry/src/controller/lease.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use sesamecart_fleet::{FencingToken, MAX_TTL, RenewalPace};
+use sesamecart_fleet::{FencingToken, MAX_LEASE_TTL, RenewalPace};
 use sesamecart_platform::{GroupMembership, Store, StoreEra, StoreError};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::Timestamp;
@@ -130,7 +130,7 @@
                     self.set_held(held, "the store says so");
                 }
                 Err(error) => {
-                    if is_refused(&error) {
+                    if is_outage(&error) {
                         pace.record_outage();
                     }
                     dependency.record_failure(&self.state, &error);
@@ -159,7 +159,7 @@
         let valid_from = match (is_first, eras.is_first()) {
             (true, _) => Timestamp::ZERO,
             (false, true) => eras.learned_at() + ttl,
-            (false, false) => eras.learned_at() + ttl.max(MAX_TTL),
+            (false, false) => eras.learned_at() + ttl.max(MAX_LEASE_TTL),
         };
         HeldLease {
             fence: FencingToken::of(membership.era, membership.generation),
@@ -227,6 +227,6 @@
 }
 
 /// Returns whether the store has refused a renewal, or wasn't reached, rather than taken long.
-const fn is_refused(error: &StoreError) -> bool {
+const fn is_outage(error: &StoreError) -> bool {
     !error.may_have_run
 }
--- a/crates/sesamecart-fleet/src/lib.rs
+++ b/crates/sesamecart-fleet/src/lib.rs
@@ -76,7 +76,7 @@
 pub use number::{CatalogVersion, FencingToken, GroupEpoch, Incarnation, OrderCount};
 pub use planner::{Formation, GroupCapacities, ModelSummary, Planner, PlannerInput, Step};
 pub use reach::{Pool, ReachChange, ReachTracker};
-pub use renewal_pace::{MAX_TTL, RenewalPace};
+pub use renewal_pace::{MAX_LEASE_TTL, RenewalPace};
 pub use repair::{GroupHealth, GroupProbes, MemberProbe, evaluate_group, evaluate_silent_group};
 pub use retry_schedule::RetrySchedule;
 pub use shared_silence::{HeadSilence, SilenceFinding, SilenceReports, silence_limit};
--- a/crates/sesamecart-fleet/src/renewal_pace.rs
+++ b/crates/sesamecart-fleet/src/renewal_pace.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 /// The longest time to live. A holder that was killed is followed after that time at the latest.
-pub const MAX_TTL: Duration = Duration::from_secs(5);
+pub const MAX_LEASE_TTL: Duration = Duration::from_secs(5);
 
 /// The time to live as a multiple of the time that a renewal has to bridge, so that one renewal may fail.
 const SPANS_PER_TTL: u32 = 2;
@@ -33,7 +33,7 @@
         let before = self.sent_at.replace(sent);
         let span = before.map_or(Duration::ZERO, |before| now.since(before));
         let decayed = self.span - self.span / DECAY_DIVISOR;
-        self.span = span.min(MAX_TTL).max(decayed);
+        self.span = span.min(MAX_LEASE_TTL).max(decayed);
     }
 
     /// Records that the store has refused renewals, so that the time until the next answer says nothing of their pace.
@@ -44,6 +44,6 @@
     /// Returns the time for which the next renewal should extend the lease, which is `min_ttl` at least.
     #[must_use]
     pub fn ttl(&self, min_ttl: Duration) -> Duration {
-        (self.span * SPANS_PER_TTL).min(MAX_TTL).max(min_ttl)
+        (self.span * SPANS_PER_TTL).min(MAX_LEASE_TTL).max(min_ttl)
     }
 }
--- a/crates/sesamecart-runtime/src/lateness.rs
+++ b/crates/sesamecart-runtime/src/lateness.rs
@@ -25,9 +25,9 @@
 /// The longest time that is added to a timeout.
 const MAX_PATIENCE: Duration = Duration::from_secs(2);
 
-/// How much longer than this thread is late work rests that can wait, as a multiple, and at most.
-const REST_FACTOR: u32 = 4;
-const MAX_REST: Duration = Duration::from_secs(1);
+/// The time that is added to the intervals of work that can wait, as a multiple of the lateness, and at most.
+const INTERVAL_FACTOR: u32 = 4;
+const MAX_ADDED_INTERVAL: Duration = Duration::from_secs(1);
 
 thread_local! {
     static LATENESS: Cell<Lateness> = const { Cell::new(Lateness::new()) };
@@ -64,10 +64,10 @@
         (self.delay() * WAITS_PER_EXCHANGE).min(MAX_PATIENCE)
     }
 
-    /// Returns the time for which work that can wait rests longer.
+    /// Returns the time that is added to the intervals of work that can wait.
     #[must_use]
-    pub fn rest(self) -> Duration {
-        (self.delay() * REST_FACTOR).min(MAX_REST)
+    pub fn added_interval(self) -> Duration {
+        (self.delay() * INTERVAL_FACTOR).min(MAX_ADDED_INTERVAL)
     }
 }
 
@@ -84,7 +84,7 @@
 /// Waits between two rounds of work that can wait: for `interval`, and longer if this thread is late, so that the work
 /// takes less of a scarce processor.
 pub async fn sleep_paced(interval: Duration) {
-    sleep(interval + lateness().rest()).await;
+    sleep(interval + lateness().added_interval()).await;
 }
 
 /// Runs an exchange with a peer, with a timeout that is longer if this thread is late.
--- a/crates/sesamecart-runtime/src/lateness/tests.rs
+++ b/crates/sesamecart-runtime/src/lateness/tests.rs
@@ -38,7 +38,10 @@
 }
 
 #[test]
-fn work_that_can_wait_rests_for_a_second_longer_at_most() {
-    assert_eq!(after_delays(2, 50).rest(), Duration::ZERO);
-    assert_eq!(after_delays(5_000, 50).rest(), Duration::from_secs(1));
+fn work_that_can_wait_is_put_off_by_a_second_at_most() {
+    assert_eq!(after_delays(2, 50).added_interval(), Duration::ZERO);
+    assert_eq!(
+        after_delays(5_000, 50).added_interval(),
+        Duration::from_secs(1)
+    );
 }
