Count a leave without an answer as begun only if the engine's report shows it

The leave of the head got no answer, and counted as begun since the head's number of orders had risen; an earlier order, a close, had been carried out late. The group was then taken for dissolved.

a_leave_has_not_started_while_the_engine_is_in_the_group guards the check itself; no test has an engine that carries out orders late.

--- a/crates/sesamecart-entry/src/controller/engines.rs
+++ b/crates/sesamecart-entry/src/controller/engines.rs
@@ -16,6 +16,9 @@
 use crate::state::EntryState;
 use crate::watch::{MAX_PROBES, PROBE_TIMEOUT};
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout of an order. A live engine answers within a few milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -174,7 +177,7 @@
                     return (outcome, fence);
                 }
                 OrderOutcome::NoResponse(_) => {
-                    if self.has_started(engine, &endpoint, count).await {
+                    if self.has_started(engine, &endpoint, order, count).await {
                         return (OrderOutcome::Begun, fence);
                     }
                     sleep(RETRY_DELAY).await;
@@ -196,10 +199,14 @@
     }
 
     /// Returns whether the engine has started an order that got no answer, judging by its order count.
+    ///
+    /// An earlier order without an answer may have been carried out just now, and raises the count as well. A member
+    /// that is taken for gone joins another group, so a leave must show in the engine's report.
     async fn has_started(
         &self,
         engine: &EndpointId,
         endpoint: &Endpoint,
+        order: &Order,
         before: OrderCount,
     ) -> bool {
         let Ok(report) = fetch_report(&self.client, endpoint.address, ORDER_TIMEOUT).await else {
@@ -207,7 +214,7 @@
         };
         self.state.record_report(endpoint, &report);
         self.record_count(engine, endpoint.incarnation, report.orders);
-        report.orders > before
+        report.orders > before && !is_still_joined(order, &report)
     }
 
     fn count(&self, engine: &EndpointId, incarnation: Option<Incarnation>) -> Option<OrderCount> {
@@ -285,6 +292,15 @@
     matches!(order, Order::Join { .. }) && has_joined_since(report, endpoint)
 }
 
+/// Returns whether an engine that is to leave a group is still in it.
+fn is_still_joined(order: &Order, report: &EngineReport) -> bool {
+    let Order::Leave(key) = order else {
+        return false;
+    };
+    let role = report.group.as_ref();
+    role.is_some_and(|role| role.group == key.group && role.epoch == key.epoch)
+}
+
 /// Returns whether an engine is in another group than its registry entry shows.
 fn has_joined_since(report: &EngineReport, endpoint: &Endpoint) -> bool {
     let key = |role: &GroupRole| (role.group.clone(), role.epoch);
