--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -1,8 +1,11 @@
 """An engine of a plain service, as a process: engine.py ID PORT BORN MODE.
 
-MODE is `unframed` (each answer is written in parts over two seconds, has no length and ends with its connection) or
-`full` (each request is rejected with 503 and Not-Executed). Each line on standard output is a list: the time in
-seconds, the request's id, and what became of it.
+MODE is one of these:
+- `unframed`: each answer is written in parts over two seconds, has no length and ends with its connection.
+- `full`: each request is rejected with 503 and Not-Executed.
+- `plain`: each request is read to its end and answered 0.2 s later.
+
+Each line on standard output is a list: the time in seconds, the request's id, and what became of it.
 """
 
 import hashlib
@@ -14,6 +17,7 @@
 
 PARTS = 20
 PART_INTERVAL_S = 0.1
+WORK_S = 0.2
 
 LOCK = threading.Lock()
 
@@ -38,7 +42,7 @@
 
 
 def read_request(connection, buffered):
-    """Returns the first line, the headers and what was read beyond the request, or nothing at the end."""
+    """Returns the first line, the headers, what was read beyond the request, and its body, or nothing at the end."""
     while b"\r\n\r\n" not in buffered:
         data = connection.recv(65536)
         if not data:
@@ -51,12 +55,13 @@
         name, value = line.split(":", 1)
         headers[name.strip().lower()] = value.strip()
     length = int(headers.get("content-length", 0))
-    while len(rest) < length:
+    body = bytearray(rest)
+    while len(body) < length:
         data = connection.recv(65536)
         if not data:
             return None
-        rest += data
-    return lines[0], headers, rest[length:]
+        body += data
+    return lines[0], headers, bytes(body[length:]), bytes(body[:length])
 
 
 def answer(connection, status, headers, body):
@@ -83,7 +88,7 @@
     own = {"Instance-Id": engine_id, "Server-Load": "0,0,6"}
     with connection:
         while request := read_request(connection, buffered):
-            line, headers, buffered = request
+            line, headers, buffered, _body = request
             path = line.split(" ")[1]
             request_id = headers.get("request-id")
             if path == "/health":
@@ -98,6 +103,11 @@
                 note(request_id, "rejected")
                 full = {"Request-Id": request_id, "Not-Executed": "1", "Server-Load": "6,24,6"}
                 answer(connection, "503 Service Unavailable", full, b"")
+            elif mode == "plain":
+                note(request_id, "runs")
+                time.sleep(WORK_S)
+                done = b"done\n"
+                answer(connection, "200 OK", {"Request-Id": request_id, "Response-Seal": seal(done)}, done)
             else:
                 run(connection, request_id)
                 return
--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -189,16 +189,15 @@
         self.state = "ready"
         self.sequence = 0
         self.stopped = threading.Event()
-        command = [sys.executable, os.path.join(HERE, "engine.py"), engine_id, str(self.port), str(self.born), mode]
+        command = [sys.executable, "-B", os.path.join(HERE, "engine.py"), engine_id, str(self.port), str(self.born), mode]
         self.log = os.path.join(case.folder, engine_id + ".log")
         self.process = subprocess.Popen(command, stdout=open(self.log, "w"), stderr=subprocess.STDOUT)
         case.processes.append(self.process)
         wait_until(lambda: connects(self.port), "engine %s listens" % engine_id)
         threading.Thread(target=self.beat, daemon=True).start()
 
-    def register(self):
-        self.sequence += 1
-        entry = {
+    def entry(self):
+        return {
             "service": self.service,
             "address": "127.0.0.1:%d" % self.port,
             "zone": self.zone,
@@ -209,7 +208,10 @@
             "sequence": self.sequence,
             "born": self.born,
         }
-        self.case.store.append("keyed.servers", self.id, json.dumps(entry).encode())
+
+    def register(self):
+        self.sequence += 1
+        self.case.store.append("keyed.servers", self.id, json.dumps(self.entry()).encode())
 
     def beat(self):
         while not self.stopped.is_set():
@@ -232,10 +234,48 @@
             return [json.loads(line) for line in lines if line.startswith("[")]
 
 
+class ModelEngine(Engine):
+    """A model engine: a process, and its entry in the store, which is written again as soon as it changes."""
+
+    def __init__(self, case, engine_id, zone, service, port, peers):
+        self.case = case
+        self.id = engine_id
+        self.zone = zone
+        self.service = service
+        self.port = port
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.sequence = 0
+        self.stopped = threading.Event()
+        script = os.path.join(HERE, "model_engine.py")
+        command = [sys.executable, "-B", script, engine_id, str(port), str(self.born), peers]
+        self.log = os.path.join(case.folder, engine_id + ".log")
+        self.process = subprocess.Popen(command, stdout=open(self.log, "w"), stderr=subprocess.STDOUT)
+        case.processes.append(self.process)
+        wait_until(lambda: connects(port), "engine %s listens" % engine_id)
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        written, written_at = None, 0
+        while not self.stopped.is_set():
+            try:
+                _head, body, _ended = exchange(self.port, "GET /entry HTTP/1.1\r\nHost: e\r\n\r\n", 1)
+            except OSError:
+                body = None
+            if body and (body != written or time.monotonic() - written_at >= HEARTBEAT_S):
+                written, written_at = body, time.monotonic()
+                self.described = json.loads(body)
+                self.register()
+            self.stopped.wait(0.03)
+
+    def entry(self):
+        return {**super().entry(), "slots": 26, **self.described}
+
+
 class Node:
     """A node, started as the deploy file says."""
 
-    def __init__(self, case, name, zone):
+    def __init__(self, case, name, zone, memory_mb=260, max_files=4200):
         self.case = case
         self.name = name
         ports = [free_port() for _ in range(4)]
@@ -250,8 +290,8 @@
             "metrics": address % metrics,
             "links": address % links,
             "processor_share": 0.25,
-            "memory_mb": 260,
-            "max_files": 4200,
+            "memory_mb": memory_mb,
+            "max_files": max_files,
             "store": case.store.address,
             "first_start": True,
             "bounds": {
@@ -287,6 +327,15 @@
         self.settings["first_start"] = False
         self.start()
 
+    def memory_mib(self):
+        """Returns the memory of the process that isn't backed by files, in MiB, or 0 once it has ended."""
+        try:
+            with open("/proc/%d/status" % self.process.pid) as status:
+                lines = [line.split() for line in status if line.startswith("RssAnon:")]
+        except OSError:
+            return 0
+        return int(lines[0][1]) / 1024 if lines else 0
+
     def is_ready(self):
         try:
             head, _body, _ended = exchange(self.readiness, "GET /readiness HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n", 1)
