--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -58,6 +58,8 @@
 
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
+        # Nodes that are killed leave connections that break off.
+        self.server.handle_error = lambda *_: None
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
