--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prepares the stand-ins that the scripts of the cases 6 to 10 start. They are Python 3 without packages, so nothing is
+# Prepares the stand-ins that the script of case 6 starts. They are Python 3 without packages, so nothing is
 # built; this checks that each file can be read by the python3 of this machine.
 set -euo pipefail
 cd "$(dirname "$0")"
