--- a/crates/sesamecart-node/tests/restarts/callers.rs
+++ b/crates/sesamecart-node/tests/restarts/callers.rs
@@ -3,10 +3,12 @@
 use std::io::{Error, ErrorKind, Read as _, Result, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
 use crate::nodes::Node;
 
 /// How often the balancer asks each node whether it is ready, and how long it waits for the answer.
@@ -21,8 +23,15 @@
 /// The longest pause in an answer after which a caller gives up.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The part of their requests for which callers open a new connection.
+/// The part of their requests for which callers open a new connection, usually and while one node gets most of them.
 const NEW_CONNECTION_SHARE: f64 = 0.3;
+const CROWDED_NEW_CONNECTION_SHARE: f64 = 0.8;
+
+/// The part of new connections that the balancer hands to one node.
+const CROWDED_SHARE: f64 = 0.9;
+
+/// The longest time from a request to the end of its connection if the node has closed it unread.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(200);
 
 /// The longest time that a refused caller waits before it tries again.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(2);
@@ -37,6 +46,30 @@
     is_in_rotation: AtomicBool,
 }
 
+/// How one try of a request has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TryEnd {
+    Answered(u16),
+    /// The connection wasn't opened, or was closed before the request was read.
+    Unread,
+    /// The answer broke off, or didn't come in time.
+    Broken(ErrorKind),
+}
+
+/// One try of a request.
+#[derive(Clone, Copy, Debug)]
+struct Try {
+    end: TryEnd,
+    /// Whether it met the node that gets most new connections.
+    is_there: bool,
+}
+
+impl Try {
+    fn is_served(self) -> bool {
+        self.end == TryEnd::Answered(200)
+    }
+}
+
 /// How one request of a caller has ended, with its second try if there was one.
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
@@ -44,6 +77,25 @@
     /// The model that was asked for, if any.
     model: Option<&'static str>,
     is_served: bool,
+    /// The first try that a node has read, if there was one.
+    first_read: Option<Try>,
+}
+
+/// The callers whose new connections go to one node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CrowdScope {
+    /// Those of the node's failure domain.
+    Domain,
+    All,
+}
+
+/// The node that gets most new connections.
+#[derive(Clone, Copy, Debug)]
+struct Crowd {
+    node: usize,
+    scope: CrowdScope,
+    /// How often another node has taken the place of one that was out of rotation.
+    moves: usize,
 }
 
 /// A kind of request, and its part of all requests.
@@ -71,6 +123,7 @@
     interval: Duration,
     is_over: AtomicBool,
     outcomes: Mutex<Vec<Outcome>>,
+    crowd: Mutex<Option<Crowd>>,
 }
 
 impl Traffic {
@@ -88,6 +141,7 @@
             interval: Duration::from_secs_f64(callers as f64 / per_s),
             is_over: AtomicBool::new(false),
             outcomes: Mutex::default(),
+            crowd: Mutex::default(),
         });
         let spawn = |run: Box<dyn FnOnce() + Send>| {
             let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
@@ -105,6 +159,43 @@
         Self { shared, threads }
     }
 
+    /// Hands most new connections to one node, and lets callers open new ones more often.
+    pub(crate) fn crowd(&self, node: usize, scope: CrowdScope) {
+        *self.shared.crowd() = Some(Crowd {
+            node,
+            scope,
+            moves: 0,
+        });
+    }
+
+    /// Returns how many nodes got most new connections, one after the other.
+    pub(crate) fn crowded_nodes(&self) -> usize {
+        self.shared.crowd().map_or(0, |crowd| crowd.moves + 1)
+    }
+
+    /// Returns how many requests that were sent in a span have been served at the first try that a node has read, and how
+    /// many there were. Prints how the others have ended.
+    pub(crate) fn first_reads_between(&self, from: Instant, to: Instant) -> (usize, usize) {
+        let outcomes = self.shared.outcomes.lock();
+        let outcomes = outcomes.unwrap_or_else(PoisonError::into_inner);
+        let sent = outcomes.iter();
+        let sent = sent.filter(|outcome| (from..to).contains(&outcome.sent_at));
+        let (mut served, mut all) = (0, 0);
+        let mut others: IndexMap<String, usize> = IndexMap::new();
+        for outcome in sent {
+            all += 1;
+            match outcome.first_read {
+                Some(first) if first.is_served() => served += 1,
+                first => *others.entry(format!("{first:?}")).or_default() += 1,
+            }
+        }
+        others.sort_unstable_by(|_, a, _, b| b.cmp(a));
+        for (end, count) in &others {
+            println!("  {count} {end}");
+        }
+        (served, all)
+    }
+
     /// Returns how many requests that were sent in a span have been served, and how many there were.
     pub(crate) fn served_between(&self, from: Instant, to: Instant) -> (usize, usize) {
         self.count_between(from, to, |_| true)
@@ -182,16 +273,54 @@
         }
     }
 
+    fn crowd(&self) -> MutexGuard<'_, Option<Crowd>> {
+        self.crowd.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the node that gets most new connections of a caller's failure domain, if there is one.
+    fn crowded_node(&self, domain: usize) -> Option<usize> {
+        let mut crowd = self.crowd();
+        let crowd = crowd.as_mut()?;
+        let home = self.members[crowd.node].domain;
+        if !self.members[crowd.node].is_in_rotation() {
+            let mut others = (0..self.members.len()).rev().filter(|index| {
+                self.members[*index].domain == home && self.members[*index].is_in_rotation()
+            });
+            crowd.node = others.next()?;
+            crowd.moves += 1;
+        }
+        (crowd.scope == CrowdScope::All || home == domain).then_some(crowd.node)
+    }
+
+    /// Returns the part of their requests for which callers of a failure domain open a new connection.
+    fn new_connection_share(&self, domain: usize) -> f64 {
+        match self.crowded_node(domain) {
+            Some(_) => CROWDED_NEW_CONNECTION_SHARE,
+            None => NEW_CONNECTION_SHARE,
+        }
+    }
+
+    /// Chooses a node for a new connection. Retries don't meet the node that gets most others.
+    fn choose(&self, domain: usize, is_retry: bool) -> usize {
+        let crowded = self.crowded_node(domain);
+        match crowded {
+            Some(node) if !is_retry && fastrand::f64() < CROWDED_SHARE => node,
+            _ => loop {
+                let node = self.choose_evenly(domain);
+                if !is_retry || Some(node) != crowded {
+                    return node;
+                }
+            },
+        }
+    }
+
     /// Chooses a node of a caller's failure domain: one that is ready, or any if fewer than half are. If none is, one
     /// of another failure domain.
-    fn choose(&self, domain: usize) -> SocketAddr {
-        let all: Vec<&Member> = self.members_of(domain).collect();
-        let ready: Vec<&Member> = self
-            .members_of(domain)
-            .filter(|m| m.is_in_rotation())
-            .collect();
-        let elsewhere = self.members.iter().filter(|m| m.is_in_rotation());
-        let elsewhere: Vec<&Member> = elsewhere.collect();
+    fn choose_evenly(&self, domain: usize) -> usize {
+        let is_ready = |index: &usize| self.members[*index].is_in_rotation();
+        let all: Vec<usize> = self.members_of(domain).collect();
+        let ready: Vec<usize> = self.members_of(domain).filter(is_ready).collect();
+        let elsewhere: Vec<usize> = (0..self.members.len()).filter(is_ready).collect();
         let from = if ready.is_empty() && !elsewhere.is_empty() {
             &elsewhere
         } else if 2 * ready.len() < all.len() {
@@ -199,13 +328,13 @@
         } else {
             &ready
         };
-        from[fastrand::usize(..from.len())].callers
+        from[fastrand::usize(..from.len())]
     }
 
-    fn members_of(&self, domain: usize) -> impl Iterator<Item = &Member> {
-        self.members
-            .iter()
-            .filter(move |member| member.domain == domain)
+    fn members_of(&self, domain: usize) -> impl Iterator<Item = usize> {
+        let members = self.members.iter().enumerate();
+        let members = members.filter(move |(_, member)| member.domain == domain);
+        members.map(|(index, _)| index)
     }
 
     fn choose_kind(&self) -> Kind {
@@ -240,7 +369,10 @@
     shared: &'a Shared,
     index: usize,
     sent: usize,
-    kept: Option<TcpStream>,
+    /// The connection that is kept for the next request, with the node at its other end.
+    kept: Option<(usize, TcpStream)>,
+    /// The time after which the last answer lets the caller return.
+    return_delay: Duration,
 }
 
 /// What a caller gets.
@@ -250,12 +382,6 @@
     is_last: bool,
 }
 
-impl Answer {
-    fn is_success(&self) -> bool {
-        self.status == 200
-    }
-}
-
 impl<'a> Caller<'a> {
     fn new(shared: &'a Shared, index: usize) -> Self {
         Self {
@@ -263,6 +389,7 @@
             index,
             sent: 0,
             kept: None,
+            return_delay: Duration::ZERO,
         }
     }
 
@@ -271,39 +398,72 @@
         while !self.shared.is_over() {
             let sent_at = Instant::now();
             let kind = self.shared.choose_kind();
-            let is_served = self.is_served(&kind);
+            let tries = self.send(&kind);
             self.shared.record(Outcome {
                 sent_at,
                 model: kind.model,
-                is_served,
+                is_served: tries.iter().any(|one| one.is_served()),
+                first_read: tries.into_iter().find(|one| one.end != TryEnd::Unread),
             });
             let pause = self.shared.interval.mul_f64(2.0 * fastrand::f64());
             std::thread::sleep((sent_at + pause).saturating_duration_since(Instant::now()));
         }
     }
 
-    /// Sends a request, and once more on a new connection if it isn't served. Returns whether it was in the end.
-    fn is_served(&mut self, kind: &Kind) -> bool {
-        if fastrand::f64() < NEW_CONNECTION_SHARE {
+    /// Sends a request, and once more on a new connection if it isn't served. Returns the tries.
+    fn send(&mut self, kind: &Kind) -> Vec<Try> {
+        if fastrand::f64() < self.shared.new_connection_share(self.domain()) {
             self.kept = None;
         }
         let deadline = Instant::now() + kind.deadline;
-        let first = self.call(kind, deadline);
-        if first.as_ref().is_ok_and(Answer::is_success) {
-            return true;
+        let first = self.call(kind, deadline, false);
+        if first.is_served() {
+            return vec![first];
         }
         self.kept = None;
-        let delay = first.ok().and_then(|answer| answer.retry_after);
-        std::thread::sleep(delay.unwrap_or_default().min(MAX_RETURN_DELAY));
-        let second = self.call(kind, deadline);
-        second.is_ok_and(|answer| answer.is_success())
+        std::thread::sleep(self.return_delay.min(MAX_RETURN_DELAY));
+        vec![first, self.call(kind, deadline, true)]
     }
 
-    fn call(&mut self, kind: &Kind, deadline: Instant) -> Result<Answer> {
-        let mut stream = match self.kept.take() {
-            Some(stream) => stream,
-            None => self.connect()?,
+    fn domain(&self) -> usize {
+        self.index % self.shared.domains
+    }
+
+    /// Tries a request once, on the kept connection or on a new one.
+    fn call(&mut self, kind: &Kind, deadline: Instant, is_retry: bool) -> Try {
+        self.return_delay = Duration::ZERO;
+        let kept = self.kept.take();
+        let is_new = kept.is_none();
+        let node = match &kept {
+            Some((node, _)) => *node,
+            None => self.shared.choose(self.domain(), is_retry),
+        };
+        let is_there = self.shared.crowded_node(self.domain()) == Some(node);
+        let opened = kept.map_or_else(|| self.connect(node), |(_, stream)| Ok(stream));
+        let sent_at = Instant::now();
+        let end = match opened.map(|stream| self.exchange(stream, node, kind, deadline)) {
+            Ok(Ok(answer)) => TryEnd::Answered(answer),
+            Ok(Err(error)) => {
+                let is_closed = error.kind() != ErrorKind::WouldBlock && error.kind() != ErrorKind::TimedOut;
+                if is_new && is_closed && sent_at.elapsed() < MAX_UNREAD_TIME {
+                    TryEnd::Unread
+                } else {
+                    TryEnd::Broken(error.kind())
+                }
+            }
+            Err(_) => TryEnd::Unread,
         };
+        Try { end, is_there }
+    }
+
+    /// Sends a request and reads its answer. Returns its status.
+    fn exchange(
+        &mut self,
+        mut stream: TcpStream,
+        node: usize,
+        kind: &Kind,
+        deadline: Instant,
+    ) -> Result<u16> {
         self.sent += 1;
         let left = deadline.saturating_duration_since(Instant::now());
         let prompt = kind.model.map_or_else(String::new, |model| {
@@ -323,13 +483,14 @@
         stream.write_all(head.as_bytes())?;
         let answer = read_answer(&mut stream, deadline)?;
         if !answer.is_last {
-            self.kept = Some(stream);
+            self.kept = Some((node, stream));
         }
-        Ok(answer)
+        self.return_delay = answer.retry_after.unwrap_or_default();
+        Ok(answer.status)
     }
 
-    fn connect(&self) -> Result<TcpStream> {
-        let callers = self.shared.choose(self.index % self.shared.domains);
+    fn connect(&self, node: usize) -> Result<TcpStream> {
+        let callers = self.shared.members[node].callers;
         let stream = TcpStream::connect_timeout(&callers, CONNECT_TIMEOUT)?;
         stream.set_read_timeout(Some(SILENCE_TIMEOUT))?;
         stream.set_nodelay(true)?;
--- a/crates/sesamecart-node/tests/restarts/endless.rs
+++ b/crates/sesamecart-node/tests/restarts/endless.rs
@@ -55,7 +55,7 @@
 }
 
 /// Returns the largest amount of memory that a node's process has had, in megabytes.
-fn peak_memory_mb(node: &Node) -> f64 {
+pub(crate) fn peak_memory_mb(node: &Node) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", node.process_id()));
     let status = status.expect("the process runs");
     let line = status.lines().find(|line| line.starts_with("VmHWM"));
--- a/crates/sesamecart-node/tests/restarts/engines.rs
+++ b/crates/sesamecart-node/tests/restarts/engines.rs
@@ -158,6 +158,13 @@
         weights.map_or(0, |weights| weights.load_count())
     }
 
+    /// Sets the time between two events of all streams.
+    pub(crate) fn set_event_interval(&self, interval: Duration) {
+        let hosts = self.shared.hosts();
+        let engines = hosts.iter().filter_map(|host| host.engine.as_ref());
+        engines.for_each(|engine| engine.set_event_interval(interval));
+    }
+
     /// Ends all engines at once.
     pub(crate) fn lose_power(&self) {
         let expires_at = Instant::now() + EXPIRY;
--- a/crates/sesamecart-node/tests/restarts/main.rs
+++ b/crates/sesamecart-node/tests/restarts/main.rs
@@ -3,6 +3,7 @@
 //! `SESAMECART_RESTART_NODES` sets the number of nodes in each failure domain.
 
 mod callers;
+mod crowds;
 mod endless;
 mod engines;
 mod nodes;
--- a/crates/sesamecart-node/tests/restarts/nodes.rs
+++ b/crates/sesamecart-node/tests/restarts/nodes.rs
@@ -261,7 +261,18 @@
 
     /// Lets all processes run for only a part of each period, until the value is dropped.
     pub(crate) fn stop_regularly(&self, running: Duration, stopped: Duration) -> RegularStops {
-        let pids = self.nodes.iter().filter_map(Node::pid).collect();
+        self.stop_some_regularly(running, stopped, |_| true)
+    }
+
+    /// Like [`Self::stop_regularly`], for some of them.
+    pub(crate) fn stop_some_regularly(
+        &self,
+        running: Duration,
+        stopped: Duration,
+        is_meant: impl Fn(&Node) -> bool,
+    ) -> RegularStops {
+        let meant = self.nodes.iter().filter(|node| is_meant(node));
+        let pids = meant.filter_map(Node::pid).collect();
         RegularStops::start(pids, running, stopped)
     }
 }
