Say why new connections aren't served, how late the traffic thread is, and what requests take

What callers saw: refusals at a node that gets most new connections, and no line of its log says which of its limits they met.

Cause: connections_shed counts connections, not causes; control_late is of another thread; nothing shows the account of memory.

Change: connections_shed has the number for each cause; traffic_late has the longest time to get round all tasks, once a second; memory_taken and memory_freed say when the memory for new connections is taken, and there is some again; the metrics have what requests take.

--- a/crates/sesamecart-edges/src/connections.rs
+++ b/crates/sesamecart-edges/src/connections.rs
@@ -11,7 +11,21 @@
 #[derive(Debug, Default)]
 struct Counters {
     open: AtomicUsize,
+    /// Those that count as open and whose first request may still come.
+    opening: AtomicUsize,
     shed: Mutex<ShedConnections>,
+    longest_round: Mutex<Duration>,
+}
+
+/// Why a new connection isn't served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ShedCause {
+    /// The thread that would serve it has more work than it can do.
+    Overload,
+    /// The maximum number of connections is open.
+    Connections,
+    /// There may be no room for its first request.
+    Requests,
 }
 
 /// The new connections that a server didn't serve.
@@ -23,6 +37,12 @@
     pub refused: u64,
     /// An upper bound of the longest time that one of them waited to be accepted, as far as it is known.
     pub max_wait: Duration,
+    /// The number of those that weren't served as the thread is overloaded.
+    pub overload: u64,
+    /// The number of those that weren't served as too many connections are open.
+    pub too_many: u64,
+    /// The number of those that weren't served as there may be no room for another request.
+    pub no_room: u64,
 }
 
 impl ShedConnections {
@@ -46,12 +66,49 @@
         std::mem::take(&mut *self.shed())
     }
 
+    /// Returns the number of open connections whose first request may still come.
+    pub(crate) fn opening(&self) -> usize {
+        self.0.opening.load(Ordering::Acquire)
+    }
+
+    /// Returns the longest time since the last call that the thread took to get round its tasks.
+    #[must_use]
+    pub fn take_longest_round(&self) -> Duration {
+        std::mem::take(&mut *self.longest_round())
+    }
+
     /// Counts one more connection until the guard is dropped.
     pub(crate) fn register(&self) -> ConnectionGuard {
         self.0.open.fetch_add(1, Ordering::AcqRel);
         ConnectionGuard(Arc::clone(&self.0))
     }
 
+    /// Counts a connection as one whose first request may still come, until the guard is dropped.
+    pub(crate) fn register_opening(&self) -> OpeningGuard {
+        self.0.opening.fetch_add(1, Ordering::AcqRel);
+        OpeningGuard(Arc::clone(&self.0))
+    }
+
+    pub(crate) fn record_round(&self, round: Duration) {
+        let mut longest = self.longest_round();
+        *longest = longest.max(round);
+    }
+
+    fn longest_round(&self) -> MutexGuard<'_, Duration> {
+        let longest = &self.0.longest_round;
+        longest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts why a connection isn't served.
+    pub(crate) fn record_cause(&self, cause: ShedCause) {
+        let mut shed = self.shed();
+        match cause {
+            ShedCause::Overload => shed.overload += 1,
+            ShedCause::Connections => shed.too_many += 1,
+            ShedCause::Requests => shed.no_room += 1,
+        }
+    }
+
     /// Counts a connection that is closed unread after it may have waited this long.
     pub(crate) fn record_closed_unread(&self, max_wait: Option<Duration>) {
         let mut shed = self.shed();
@@ -75,6 +132,16 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionGuard(Arc<Counters>);
 
+/// Counts a connection as one whose first request may still come.
+#[derive(Debug)]
+pub(crate) struct OpeningGuard(Arc<Counters>);
+
+impl Drop for OpeningGuard {
+    fn drop(&mut self) {
+        self.0.opening.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::AcqRel);
--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -16,7 +16,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::{CallerBody, whole};
-use crate::connections::Connections;
+use crate::connections::{Connections, ShedCause};
 use crate::idle_timer::IdleTimer;
 use crate::refused_connection::ConnectionRefuser;
 use crate::shedding::ConnectionShedder;
@@ -64,15 +64,17 @@
     }
 
     /// Measures how long the thread takes to get round its ready tasks, if that is due.
-    fn probe(&self, tasks: &Tasks) {
+    fn probe(&self, tasks: &Tasks, connections: &Connections) {
         if !self.shedder().begin_probe(Instant::now()) {
             return;
         }
-        let overload = self.clone();
+        let (overload, connections) = (self.clone(), connections.clone());
         tasks.spawn(async move {
             let resumed_at = Instant::now();
             future::yield_now().await;
-            overload.shedder().end_probe(resumed_at, Instant::now());
+            let now = Instant::now();
+            connections.record_round(now.duration_since(resumed_at));
+            overload.shedder().end_probe(resumed_at, now);
         });
     }
 }
@@ -118,8 +120,9 @@
         };
         let accepting = limits();
         if accepting.closes_excess {
-            overload.probe(&tasks);
-            if is_full(&accepting) || !overload.shedder().admit(Instant::now()) {
+            overload.probe(&tasks, &connections);
+            if let Some(cause) = shed_cause(&accepting, &connections, &overload) {
+                connections.record_cause(cause);
                 refuser.refuse(accepted, queue.max_wait());
                 continue;
             }
@@ -140,6 +143,21 @@
     }
 }
 
+/// Returns why a new connection isn't served, if it isn't.
+fn shed_cause(
+    limits: &ServerLimits,
+    connections: &Connections,
+    overload: &Overload,
+) -> Option<ShedCause> {
+    if connections.open() >= limits.max_connections {
+        Some(ShedCause::Connections)
+    } else if !overload.shedder().admit(Instant::now()) {
+        Some(ShedCause::Overload)
+    } else {
+        None
+    }
+}
+
 /// Serves a connection, after a TLS handshake if `tls` is set.
 async fn serve_connection<H, F>(
     accepted: AcceptedConnection,
--- a/crates/sesamecart-entry/src/events.rs
+++ b/crates/sesamecart-entry/src/events.rs
@@ -55,7 +55,8 @@
         /// The time since the listeners were bound, in milliseconds.
         after_ms: u64,
     },
-    /// New connections of callers weren't served, because the thread has no time for them or too many are open.
+    /// New connections of callers weren't served, because the thread has no time for them, too many are open, or the memory
+    /// for requests is taken.
     /// Written once a second while that happens.
     ConnectionsShed {
         /// The number of those that were closed unread.
@@ -64,6 +65,33 @@
         refused: u64,
         /// An upper bound of the longest time that one of them waited to be accepted, in milliseconds.
         max_wait_ms: u64,
+        /// The number of those that weren't served as the thread is overloaded.
+        overload: u64,
+        /// The number of those that weren't served as too many connections are open.
+        too_many: u64,
+        /// The number of those that weren't served as the memory for requests is taken.
+        no_room: u64,
+    },
+    /// The thread that serves callers takes long to get round its tasks. Written once a second while that lasts.
+    TrafficLate {
+        /// The longest round, in milliseconds.
+        round_ms: u64,
+    },
+    /// Requests have taken the memory that the node has for new connections, which are closed unread from now on.
+    MemoryTaken {
+        /// The memory that requests take.
+        used_bytes: u64,
+        /// The memory for all requests.
+        limit_bytes: u64,
+        /// The number of open connections.
+        connections: usize,
+    },
+    /// There is memory for new connections again.
+    MemoryFreed {
+        /// The memory that requests take.
+        used_bytes: u64,
+        /// The memory for all requests.
+        limit_bytes: u64,
     },
     /// Requests were refused, by this node itself. Written once a second while that happens.
     RefusalsCounted {
--- a/crates/sesamecart-entry/src/metrics.rs
+++ b/crates/sesamecart-entry/src/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use sesamecart_edges::ShedConnections;
 use sesamecart_platform::{StoreOperation, Topic};
-use sesamecart_vocabulary::StoreEra;
+use sesamecart_vocabulary::{Bytes, StoreEra};
 
 use crate::dispatch::DispatchedRequests;
 
@@ -54,6 +54,7 @@
     dispatcher_waiting: Gauge<u64>,
     domains_evacuated: Gauge<u64>,
     connections_shed: Counter<u64>,
+    request_memory: Gauge<u64>,
     first_response: Histogram<f64>,
 }
 
@@ -182,6 +183,10 @@
                 "sesamecart.connections.shed",
                 "New connections of callers that weren't served, by what became of them.",
             ),
+            request_memory: meter
+                .u64_gauge("sesamecart.request.memory.bytes")
+                .with_description("The memory that requests of callers take.")
+                .build(),
             models_unservable: meter
                 .u64_gauge("sesamecart.models.unservable")
                 .with_description("Models that no fabric domain holds, on the controlling node.")
@@ -361,6 +366,10 @@
         }
     }
 
+    pub(crate) fn record_request_memory(&self, used: Bytes) {
+        self.request_memory.record(used.0, &[]);
+    }
+
     pub(crate) fn count_forwarded(&self, part: ForwardingPart) {
         self.forwarded
             .add(1, &[KeyValue::new("part", part.label())]);
--- a/crates/sesamecart-entry/src/node.rs
+++ b/crates/sesamecart-entry/src/node.rs
@@ -60,6 +60,9 @@
 /// Interval at which it is logged what wasn't served, and whether the control thread is late.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time to get round all tasks of the thread that serves callers from which on it is logged.
+const LONG_ROUND: Duration = Duration::from_millis(50);
+
 /// Interval at which the calls to the store are logged.
 const STORE_CALLS_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -417,11 +420,45 @@
 
 /// Logs what wasn't served, and whether the control thread is late, at an interval until the task is cancelled.
 async fn log_load(state: Arc<EntryState>) {
+    let mut is_memory_taken = false;
     loop {
         sleep(LOAD_LOG_INTERVAL).await;
-        write_shed_connections(&state);
+        let has_shed_for_memory = write_shed_connections(&state);
+        is_memory_taken = write_memory(&state, is_memory_taken, has_shed_for_memory);
         write_refusals(&state);
         write_lateness(&state);
+        write_traffic_lateness(&state);
+    }
+}
+
+/// Logs when requests have taken the memory for new connections, and when there is some again. Returns whether it is taken.
+fn write_memory(state: &EntryState, was_taken: bool, has_shed_for_memory: bool) -> bool {
+    let (used, limit) = state.body_memory.usage();
+    state.metrics.record_request_memory(used);
+    if has_shed_for_memory == was_taken {
+        return was_taken;
+    }
+    let (used_bytes, limit_bytes) = (used.0, limit.0);
+    state.events.write(&match has_shed_for_memory {
+        true => Event::MemoryTaken {
+            used_bytes,
+            limit_bytes,
+            connections: state.connections.open(),
+        },
+        false => Event::MemoryFreed {
+            used_bytes,
+            limit_bytes,
+        },
+    });
+    has_shed_for_memory
+}
+
+/// Logs how long the thread that serves callers takes to get round its tasks, if that is long.
+fn write_traffic_lateness(state: &EntryState) {
+    let round = state.connections.take_longest_round();
+    if round >= LONG_ROUND {
+        let round_ms = millis(round);
+        state.events.write(&Event::TrafficLate { round_ms });
     }
 }
 
@@ -444,17 +481,22 @@
     }
 }
 
-fn write_shed_connections(state: &EntryState) {
+/// Logs the connections that weren't served. Returns whether one of them wasn't for lack of memory.
+fn write_shed_connections(state: &EntryState) -> bool {
     let shed = state.connections.take_shed();
     if shed.is_empty() {
-        return;
+        return false;
     }
     state.metrics.count_shed(&shed);
     state.events.write(&Event::ConnectionsShed {
         closed_unread: shed.closed_unread,
         refused: shed.refused,
         max_wait_ms: millis(shed.max_wait),
+        overload: shed.overload,
+        too_many: shed.too_many,
+        no_room: shed.no_room,
     });
+    shed.no_room > 0
 }
 
 fn write_store_calls(state: &EntryState) {
--- a/crates/sesamecart-entry/src/traffic/body_memory.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory.rs
@@ -16,6 +16,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use sesamecart_edges::{BoxError, CallerBody};
 use sesamecart_runtime::with_timeout;
+use sesamecart_vocabulary::Bytes as ByteSize;
 
 /// The number of bytes that each request and each response may take without drawing on the shared memory.
 const FREE_BYTES: usize = 16 * 1024;
@@ -141,6 +142,12 @@
         }
     }
 
+    /// Returns what is used of the memory of all requests, and its limit.
+    pub(crate) fn usage(&self) -> (ByteSize, ByteSize) {
+        let used = self.all.used.load(Ordering::Acquire);
+        (ByteSize(used as u64), ByteSize(self.all.limit as u64))
+    }
+
     /// Takes the memory of one more request, if there is enough.
     pub(crate) fn begin_request(&self) -> Option<RequestMemory> {
         let all = Arc::clone(&self.all);
