Limit the requests under way at a node that was overloaded

What callers saw: requests that a crowded node has read miss their deadlines of 6 s.

Cause: the load of a stream comes after its connection was accepted, and overload was over with the first short round.

Change: when the thread is overloaded, the requests under way are limited to seven eighths of those that there are. While it keeps up and they reach the limit, the limit grows; it ends when fewer than half as many are there.

Evidence: the simulated servers of crowd_cases.

--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -29,6 +29,8 @@
     pub max_connections: usize,
     /// The maximum number of new connections whose first request may still come: those for which there is room.
     pub max_opening: usize,
+    /// The number of requests under way, beside which new ones are served.
+    pub under_way: usize,
     /// Whether connections beyond a maximum, and those that the thread has no time for, are closed unread or refused,
     /// so that their callers try another server. Otherwise they wait. Not for servers with TLS, as the refusal is
     /// written in plain text.
@@ -44,6 +46,7 @@
         Self {
             max_connections: 8_192,
             max_opening: usize::MAX,
+            under_way: 0,
             closes_excess: false,
             head_timeout: Duration::from_secs(30),
             max_head_bytes: 64 * 1024,
@@ -163,13 +166,14 @@
     connections: &Connections,
     overload: &Overload,
 ) -> Option<ShedCause> {
+    let opening = connections.opening();
     if connections.open() >= limits.max_connections {
         Some(ShedCause::Connections)
-    } else if connections.opening() >= limits.max_opening {
+    } else if opening >= limits.max_opening {
         Some(ShedCause::Requests)
     } else if !overload
         .shedder()
-        .admit(Instant::now())
+        .admit(Instant::now(), limits.under_way + opening)
     {
         Some(ShedCause::Overload)
     } else {
@@ -233,6 +237,7 @@
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
     let service = service_fn(move |req| {
+
         let response = AssertUnwindSafe(handle(req, peer)).catch_unwind();
         async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| after_panic())) }
     });
--- a/crates/sesamecart-edges/src/shedding.rs
+++ b/crates/sesamecart-edges/src/shedding.rs
@@ -23,6 +23,50 @@
 /// many are as it has time for.
 const MAX_WAITING: usize = 1;
 
+/// How often the limit of requests under way is adjusted.
+const LIMIT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What is left of the requests under way when the thread is overloaded, in eighths.
+const LIMIT_EIGHTHS: usize = 7;
+
+/// The part by which the limit grows while the thread keeps up and requests reach it, as a divisor. It grows by one at least.
+const LIMIT_GROWTH_DIVISOR: usize = 32;
+
+/// A limit of the requests under way, from when a thread was overloaded until it is no longer reached.
+///
+/// The load of a stream comes after its connection was accepted. A thread that keeps up again would otherwise take more new
+/// connections than it can serve before the next measurement shows it.
+#[derive(Debug, Default)]
+struct RequestLimit {
+    limit: Option<usize>,
+    adjusted_at: Option<Instant>,
+}
+
+impl RequestLimit {
+    fn adjust(&mut self, now: Instant, is_overloaded: bool, under_way: usize) {
+        let is_recent = |adjusted_at| now.duration_since(adjusted_at) < LIMIT_INTERVAL;
+        if self.adjusted_at.is_some_and(is_recent) {
+            return;
+        }
+        self.adjusted_at = Some(now);
+        self.limit = match self.limit {
+            limit if is_overloaded => {
+                let reduced = under_way * LIMIT_EIGHTHS / 8;
+                Some(limit.map_or(reduced, |limit| limit.min(reduced)).max(1))
+            }
+            Some(limit) if under_way >= limit => {
+                Some(limit + (limit / LIMIT_GROWTH_DIVISOR).max(1))
+            }
+            Some(limit) if under_way < limit / 2 => None,
+            limit => limit,
+        };
+    }
+
+    fn allows(&self, under_way: usize) -> bool {
+        self.limit.is_none_or(|limit| under_way < limit)
+    }
+}
+
 /// Sheds new connections while the thread that serves them can't keep up.
 ///
 /// A caller whose connection is ended tries another node soon. One whose connection is accepted and not
@@ -35,6 +79,7 @@
     overloaded_since: Option<Instant>,
     /// The connections that the thread hasn't begun to serve.
     waiting: usize,
+    limit: RequestLimit,
 }
 
 impl ConnectionShedder {
@@ -66,9 +111,13 @@
         self.probed_at = Some(now);
     }
 
-    /// Returns whether a new connection is served. It then waits until [`Self::record_begun`].
-    pub(crate) fn admit(&mut self, now: Instant) -> bool {
-        let is_admitted = !self.is_overloaded(now) || self.waiting < MAX_WAITING;
+    /// Returns whether a new connection is served beside the requests under way. It then waits until
+    /// [`Self::record_begun`].
+    pub(crate) fn admit(&mut self, now: Instant, under_way: usize) -> bool {
+        let is_overloaded = self.is_overloaded(now);
+        self.limit.adjust(now, is_overloaded, under_way);
+        let has_time = !is_overloaded || self.waiting < MAX_WAITING;
+        let is_admitted = has_time && self.limit.allows(under_way);
         self.waiting += usize::from(is_admitted);
         is_admitted
     }
--- a/crates/sesamecart-edges/src/shedding/tests.rs
+++ b/crates/sesamecart-edges/src/shedding/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of which new connections a busy server serves.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use super::{ConnectionShedder, MAX_ROUND, MAX_WAITING, OVERLOAD_TIME, PROBE_INTERVAL, PROBE_TTL};
@@ -58,7 +59,7 @@
         if offered % 10 == 0 {
             shedder.record_begun();
         }
-        shedder.admit(now)
+        shedder.admit(now, 0)
     });
     served.count()
 }
@@ -104,7 +105,7 @@
     let started_at = Instant::now();
     shedder.begin_probe(started_at);
     let late = started_at + MAX_ROUND;
-    assert!(shedder.admit(late));
+    assert!(shedder.admit(late, 0));
     shedder.record_begun();
     assert_eq!(served(&mut shedder, late + OVERLOAD_TIME), 10);
 }
@@ -113,7 +114,7 @@
 #[test]
 fn an_overloaded_server_that_reads_nothing_accepts_no_more_than_one() {
     let (mut shedder, now) = overloaded();
-    let admitted = (0..100).filter(|_| shedder.admit(now)).count();
+    let admitted = (0..100).filter(|_| shedder.admit(now, 0)).count();
     assert_eq!(admitted, MAX_WAITING);
 }
 
@@ -131,3 +132,73 @@
     let (mut shedder, now) = overloaded();
     assert_eq!(served(&mut shedder, now + PROBE_TTL), 100);
 }
+
+/// How long each request takes in a simulation, and how many new connections come in each interval.
+const REQUEST_TIME: Duration = Duration::from_millis(1_500);
+const OFFERED: usize = 10;
+
+/// Plays new connections for a server whose rounds grow with its requests under way. `capacity` of them fill a round of
+/// [`MAX_ROUND`]. Returns the requests under way at each step of the last 20 s of 30.
+fn under_way_while_crowded(capacity: usize) -> Vec<usize> {
+    let mut shedder = ConnectionShedder::default();
+    let started_at = Instant::now();
+    let mut now = started_at;
+    let mut ends: VecDeque<Instant> = VecDeque::new();
+    let mut counts = Vec::new();
+    while now.duration_since(started_at) < Duration::from_secs(30) {
+        let round = MAX_ROUND.mul_f64(ends.len() as f64 / capacity as f64);
+        let next = now + round * 2 + PROBE_INTERVAL;
+        assert!(shedder.begin_probe(now));
+        shedder.end_probe(now + round, now + round * 2);
+        while now < next {
+            while ends.front().is_some_and(|end| *end <= now) {
+                ends.pop_front();
+            }
+            for _ in 0..OFFERED {
+                if shedder.admit(now, ends.len()) {
+                    ends.push_back(now + REQUEST_TIME);
+                    shedder.record_begun();
+                }
+            }
+            now += PROBE_INTERVAL;
+        }
+        if now.duration_since(started_at) > Duration::from_secs(10) {
+            counts.push(ends.len());
+        }
+    }
+    counts
+}
+
+macro_rules! crowd_cases {
+    ($($name:ident: $capacity:expr;)*) => {
+        $(
+            /// Guards against streams that all miss their deadlines, as the load of those admitted shows too late.
+            #[test]
+            fn $name() {
+                let counts = under_way_while_crowded($capacity);
+                let mean = counts.iter().sum::<usize>() / counts.len();
+                let max = counts.iter().max().copied().unwrap_or(0);
+                let found = format!("{mean} in the mean, {max} at most");
+                assert!(2 * mean >= $capacity, "{found}");
+                assert!(max <= 2 * $capacity, "{found}");
+            }
+        )*
+    };
+}
+
+crowd_cases! {
+    a_crowded_server_with_room_for_ten_keeps_to_it: 10;
+    a_crowded_server_with_room_for_forty_keeps_to_it: 40;
+    a_crowded_server_with_room_for_four_hundred_keeps_to_it: 400;
+}
+
+/// Guards against a limit that outlasts the crowd.
+#[test]
+fn the_limit_ends_when_few_requests_are_under_way() {
+    let (mut shedder, now) = overloaded();
+    assert!(!shedder.admit(now, 100));
+    let now = probe_for(&mut shedder, now, rounds(SHORT), LONG);
+    assert!(shedder.admit(now, 10));
+    shedder.record_begun();
+    assert!(shedder.admit(now + LONG, 1_000));
+}
--- a/crates/sesamecart-entry/src/traffic.rs
+++ b/crates/sesamecart-entry/src/traffic.rs
@@ -169,6 +169,7 @@
     ServerLimits {
         max_connections: max_connections(state.settings.max_files),
         max_opening: state.body_memory.room_for_new(state.connections.open()),
+        under_way: state.body_memory.requests(),
         closes_excess: true,
         head_timeout: idle_timeout,
         max_head_bytes: MAX_HEAD_BYTES,
--- a/crates/sesamecart-node/src/administration.rs
+++ b/crates/sesamecart-node/src/administration.rs
@@ -23,6 +23,7 @@
     closes_excess: false,
     max_connections: 128,
     max_opening: usize::MAX,
+    under_way: 0,
     head_timeout: Duration::from_secs(10),
     max_head_bytes: 32 * 1024,
 };
