Give a connection the memory of a request only while it has one

What operators saw: at full size the node with most new connections takes 116 MB, more than its VM has.

Cause: a connection keeps the future of its handler, 15 KB, as long as it is open; a stream keeps that of its resumption, 19 KB, twice.

Change: these futures are boxed when they are needed.

--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -237,8 +237,8 @@
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
     let service = service_fn(move |req| {
-
-        let response = AssertUnwindSafe(handle(req, peer)).catch_unwind();
+        // Boxed, so that a connection has the memory for it only while a request is handled.
+        let response = AssertUnwindSafe(Box::pin(handle(req, peer))).catch_unwind();
         async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| after_panic())) }
     });
     let accepting = limits();
--- a/crates/sesamecart-entry/src/traffic/read_ahead.rs
+++ b/crates/sesamecart-entry/src/traffic/read_ahead.rs
@@ -3,6 +3,7 @@
 //! An endpoint cuts off a response that isn't read for some seconds, and a node that doesn't read takes a slow caller
 //! for a silent endpoint. So the events are read by a task of their own and kept for the caller, within bounds.
 
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -58,7 +59,8 @@
     let kept_events = KeptEvents {
         rx,
         kept,
-        _reader: executor.spawn(reader.run(events)),
+        // Boxed here, as the task would have the memory for it twice.
+        _reader: executor.spawn(reader.run(Box::pin(events))),
     };
     stream::unfold(Some(kept_events), |kept_events| async {
         let kept_events = kept_events?;
@@ -113,8 +115,7 @@
 }
 
 impl Reader {
-    async fn run(self, events: impl Stream<Item = Events> + Send + 'static) {
-        let mut events = Box::pin(events);
+    async fn run(self, mut events: Pin<Box<impl Stream<Item = Events> + Send + 'static>>) {
         loop {
             self.wait_for_room().await;
             let item = match events.next().await {
--- a/crates/sesamecart-entry/src/traffic/relay.rs
+++ b/crates/sesamecart-entry/src/traffic/relay.rs
@@ -169,10 +169,11 @@
                     return Ok(None);
                 }
                 Progress::Broken(reason, cause) => {
-                    self.resume(&reason, cause).await?;
+                    // Boxed, as few streams need the memory for it.
+                    Box::pin(self.resume(&reason, cause)).await?;
                     self.progress().await
                 }
-                Progress::Interrupted(reason) => self.go_on_or_move(reason).await?,
+                Progress::Interrupted(reason) => Box::pin(self.go_on_or_move(reason)).await?,
                 Progress::DeadlinePassed => return Err(self.fail("the deadline passed")),
             };
         }
