Make the test of a late thread fail without its fix

What was seen: a_connection_that_is_open_in_time_is_found_so_by_a_late_thread passed with the plain timeout as well.

Cause: the event of a socket is taken for an old one only if another thread waits for events meanwhile, and a round has to be longer than the limit.

Change: the test has an idle thread beside, rounds of 120 ms, and ends them itself.

--- a/crates/sesamecart-runtime/src/socket/tests.rs
+++ b/crates/sesamecart-runtime/src/socket/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the queue of new connections.
 
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_lite::future;
@@ -42,7 +44,7 @@
 
 /// The limit for a connection, and how long the thread is busy in each round.
 const LIMIT: Duration = Duration::from_millis(80);
-const ROUND: Duration = Duration::from_millis(60);
+const ROUND: Duration = Duration::from_millis(120);
 
 /// Guards against taking the lateness of this thread for a peer that doesn't accept connections.
 #[test]
@@ -50,12 +52,16 @@
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
     let peer = listener.local_addr().expect("the listener has an address");
     let mut worker = Worker::start("late").expect("a thread starts");
-    worker.tasks().spawn(async {
-        loop {
+    let is_late = Arc::new(AtomicBool::new(true));
+    let stays_late = Arc::clone(&is_late);
+    worker.tasks().spawn(async move {
+        while stays_late.load(Ordering::Relaxed) {
             std::thread::sleep(ROUND);
             future::yield_now().await;
         }
     });
+    // The events of all threads are waited for by one that has nothing else to do.
+    let _idle = Worker::start("idle").expect("a thread starts");
     let (ended, ends) = async_channel::unbounded();
     for _ in 0..5 {
         let ended = ended.clone();
@@ -68,5 +74,6 @@
         let opened = ends.recv_blocking().expect("it ends");
         opened.expect("the peer accepts connections");
     }
+    is_late.store(false, Ordering::Relaxed);
     worker.stop();
 }
