Test that answers whose status isn't one are errors

Lookups, bookings and streams answered with 000, 099, 1000, letters, none and a negative number get an error of the node without a seal, and bookings are sent once. The HTTP library refuses such a status line.

--- a/crates/sesamecart-entry/tests/end_to_end/main.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/main.rs
@@ -11,6 +11,7 @@
 mod endpoint_limits;
 mod faulty_links;
 mod forwarding;
+mod invalid_statuses;
 mod kept_connection;
 mod leaving_endpoints;
 mod many_nodes;
