Bound the wait of new connections although one always waits

Cause: what bounds the wait of a new connection is the moment at which none waited last. The accept loop looked at each connection before it accepted the next one, which costs more for one that is answered 503 than for one that is closed unread. With some 400 a second there was no moment without a waiting connection any more, the bound grew by a second each second (to 19 s), and all connections that weren't served were answered 503.

Change: the accept loop accepts all that wait, up to 128, before it looks at the first one. Connections are registered with the event loop only if they are served.

--- a/crates/sesamecart-edges/src/refused_connection.rs
+++ b/crates/sesamecart-edges/src/refused_connection.rs
@@ -70,22 +70,23 @@
 
     /// Ends a connection that has waited for `max_wait` at most, if that is known. If it may have waited for long, the
     /// request that it holds is answered with 503.
-    pub(crate) fn refuse(&self, accepted: AcceptedConnection, max_wait: Option<Duration>) {
+    pub(crate) fn refuse(&self, accepted: AcceptedConnection) {
+        let max_wait = accepted.max_wait();
         let is_new = max_wait.is_some_and(|wait| wait <= MAX_UNREAD_WAIT);
         let received = if is_new {
             Received::Nothing
         } else {
-            read_available(accepted.stream.get_ref())
+            read_available(&accepted.stream)
         };
         match received {
             Received::Nothing => self.connections.record_closed_unread(max_wait),
             Received::End => {
                 self.connections.record_refused(max_wait);
-                answer(accepted.stream.get_ref());
+                answer(&accepted.stream);
             }
             Received::Part => {
                 self.connections.record_refused(max_wait);
-                if answer(accepted.stream.get_ref()) {
+                if answer(&accepted.stream) {
                     self.linger(accepted.stream);
                 }
             }
@@ -93,10 +94,13 @@
     }
 
     /// Reads what the caller still sends, unless many connections are read in this way.
-    fn linger(&self, mut stream: Async<TcpStream>) {
+    fn linger(&self, stream: TcpStream) {
         if self.lingering.open() >= MAX_LINGERING {
             return;
         }
+        let Ok(mut stream) = Async::new(stream) else {
+            return;
+        };
         let guard = self.lingering.register();
         self.tasks.spawn(async move {
             // A caller that sends for longer loses its connection.
--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use async_io::Async;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt as _, future};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -61,6 +62,9 @@
 /// room for good.
 const OPENING_TIME: Duration = Duration::from_secs(1);
 
+/// The number of new connections that are accepted before it is decided which ones are served.
+const MAX_BATCH: usize = 128;
+
 /// The timeout of a TLS handshake, without which a peer that sends nothing would hold a connection forever.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -111,7 +115,8 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
-    let mut queue = AcceptQueue::new(listener)?;
+    let max_batch = if limits().closes_excess { MAX_BATCH } else { 1 };
+    let mut queue = AcceptQueue::new(listener, max_batch)?;
     let overload = Overload::default();
     let refuser = ConnectionRefuser::new(connections.clone(), tasks.clone());
     loop {
@@ -133,7 +138,7 @@
             overload.probe(&tasks, &connections);
             if let Some(cause) = shed_cause(&accepting, &connections, &overload) {
                 connections.record_cause(cause);
-                refuser.refuse(accepted, queue.max_wait());
+                refuser.refuse(accepted);
                 continue;
             }
         }
@@ -215,10 +220,14 @@
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
     let peer = accepted.peer;
+    let stream = match Async::new(accepted.stream) {
+        Ok(stream) => stream,
+        Err(error) => return log::warn!("server: {peer}: {error}."),
+    };
     let Some(tls) = tls else {
-        return serve_http(accepted.stream, peer, limits, shutdown, handle).await;
+        return serve_http(stream, peer, limits, shutdown, handle).await;
     };
-    match with_timeout(HANDSHAKE_TIMEOUT, tls.acceptor().accept(accepted.stream)).await {
+    match with_timeout(HANDSHAKE_TIMEOUT, tls.acceptor().accept(stream)).await {
         Ok(Ok(stream)) => serve_http(stream, peer, limits, shutdown, handle).await,
         Ok(Err(error)) => log::debug!("server: TLS handshake with {peer} failed: {error}."),
         Err(_) => log::debug!("server: TLS handshake with {peer} timed out."),
--- a/crates/sesamecart-links/src/server.rs
+++ b/crates/sesamecart-links/src/server.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 
+use async_io::Async;
 use hyper::body::Incoming;
 use hyper::server::conn::http2::Builder;
 use hyper::service::service_fn;
@@ -63,16 +64,23 @@
         + 'static,
     S::Future: Send,
 {
-    let mut queue = AcceptQueue::new(listener)?;
+    let mut queue = AcceptQueue::new(listener, 1)?;
     loop {
         let accepted = queue.accept().await;
+        let stream = match Async::new(accepted.stream) {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::warn!("links: connection from {}: {error}.", accepted.peer);
+                continue;
+            }
+        };
         let server = server.clone();
         let service = service_fn(move |req: http::Request<Incoming>| {
             let mut server = server.clone();
             async move { server.call(req).await }
         });
         let executor = SmolExecutor::new(Arc::clone(tasks.executor()));
-        let io = FuturesIo::new(CountingStream::new(accepted.stream, byte_count.clone()));
+        let io = FuturesIo::new(CountingStream::new(stream, byte_count.clone()));
         let connection = Builder::new(executor)
             .timer(SmolTimer::new())
             .serve_connection(io, service);
--- a/crates/sesamecart-runtime/src/socket.rs
+++ b/crates/sesamecart-runtime/src/socket.rs
@@ -1,5 +1,6 @@
 //! TCP sockets with the options that all connections of a process use.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -19,13 +20,24 @@
 /// is sent again after a second only.
 const BACKLOG: i32 = 4_096;
 
-/// An accepted connection.
+/// An accepted connection, which isn't registered with the event loop.
 #[derive(Debug)]
 pub struct AcceptedConnection {
     /// The connection.
-    pub stream: Async<TcpStream>,
+    pub stream: TcpStream,
     /// The address of the peer.
     pub peer: SocketAddr,
+    /// The time since the machine booted after which it was opened, if that is known.
+    opened_after: Option<Duration>,
+}
+
+impl AcceptedConnection {
+    /// Returns an upper bound of the time since it was opened, or `None` if there is none.
+    #[must_use]
+    pub fn max_wait(&self) -> Option<Duration> {
+        let opened_after = self.opened_after?;
+        Some(uptime().saturating_sub(opened_after))
+    }
 }
 
 /// Opens a connection with `TCP_NODELAY`. It counts as open in time although its thread is late to see it.
@@ -54,22 +66,30 @@
 }
 
 /// A listener that knows how long its new connections may have waited to be accepted.
+///
+/// It accepts all that wait, up to a maximum, before the first one is looked at. Otherwise connections that come as fast as
+/// they are looked at would leave no moment at which none waits, and no bound.
 #[derive(Debug)]
 pub struct AcceptQueue {
     listener: Async<TcpListener>,
+    accepted: VecDeque<AcceptedConnection>,
+    max_batch: usize,
     /// When no connection waited last, as time since the machine booted. `None` if that isn't known.
     emptied_at: Option<Duration>,
 }
 
 impl AcceptQueue {
-    /// Registers a listener with the event loop.
+    /// Registers a listener with the event loop. Up to `max_batch` connections, each of which takes a file descriptor, are
+    /// accepted before the first one is looked at.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system.
-    pub fn new(listener: TcpListener) -> io::Result<Self> {
+    pub fn new(listener: TcpListener, max_batch: usize) -> io::Result<Self> {
         Ok(Self {
             listener: Async::new(listener)?,
+            accepted: VecDeque::new(),
+            max_batch,
             emptied_at: None,
         })
     }
@@ -77,42 +97,44 @@
     /// Accepts the next connection. After an error it waits and retries.
     pub async fn accept(&mut self) -> AcceptedConnection {
         loop {
-            match self.try_accept().await {
-                Ok((stream, peer)) => {
-                    // Without this option, Nagle's algorithm delays small writes until the peer's acknowledgement.
-                    if stream.get_ref().set_nodelay(true).is_ok() {
-                        return AcceptedConnection { stream, peer };
-                    }
-                }
-                Err(error) => {
-                    log::warn!("runtime: accept failed: {error}.");
-                    sleep(ACCEPT_RETRY_DELAY).await;
+            if let Some(next) = self.accepted.pop_front() {
+                // Without this option, Nagle's algorithm delays small writes until the peer's acknowledgement.
+                let is_set = next.stream.set_nodelay(true).is_ok();
+                if is_set && next.stream.set_nonblocking(true).is_ok() {
+                    return next;
                 }
+            } else if let Err(error) = self.accept_waiting().await {
+                log::warn!("runtime: accept failed: {error}.");
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 
-    async fn try_accept(&mut self) -> io::Result<(Async<TcpStream>, SocketAddr)> {
-        let emptied_at = &mut self.emptied_at;
-        let accepted = self.listener.read_with(|listener| {
+    /// Accepts the connections that wait, once there is one.
+    async fn accept_waiting(&mut self) -> io::Result<()> {
+        while self.accepted.len() < self.max_batch {
             // Before the call, because a connection may come right after it.
             let now = uptime();
-            let accepted = listener.accept();
-            if is_empty(&accepted) {
-                *emptied_at = Some(now);
+            match self.listener.get_ref().accept() {
+                Ok((stream, peer)) => self.accepted.push_back(AcceptedConnection {
+                    stream,
+                    peer,
+                    opened_after: self.emptied_at,
+                }),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.emptied_at = Some(now);
+                    if !self.accepted.is_empty() {
+                        return Ok(());
+                    }
+                    // A connection that is accepted next came after this moment.
+                    self.listener.readable().await?;
+                }
+                Err(error) if self.accepted.is_empty() => return Err(error),
+                // The ones that were accepted come first.
+                Err(_) => return Ok(()),
             }
-            accepted
-        });
-        let (stream, peer) = accepted.await?;
-        Ok((Async::new(stream)?, peer))
-    }
-
-    /// Returns an upper bound of the time for which the connection that was accepted last had waited, or `None` if
-    /// there is none.
-    #[must_use]
-    pub fn max_wait(&self) -> Option<Duration> {
-        let emptied_at = self.emptied_at?;
-        Some(uptime().saturating_sub(emptied_at))
+        }
+        Ok(())
     }
 }
 
@@ -122,10 +144,5 @@
     Duration::try_from(time).unwrap_or_default()
 }
 
-fn is_empty<T>(accepted: &io::Result<T>) -> bool {
-    let error = accepted.as_ref().err();
-    error.is_some_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
-
 #[cfg(test)]
 mod tests;
