Serve a new connection each second beyond the limit of requests under way

What callers would see: a node whose requests last for long takes no new connection while its thread is overloaded, for longer than contact_ms, although it says that it is ready.

Cause: the limit of requests under way admits none until enough of them have ended.

Change: one new connection a second is served beyond it.

Evidence: an_overloaded_server_serves_a_new_connection_each_second; without the change none is served, with it 4 or 5 in 5 s.

--- a/crates/sesamecart-edges/src/shedding.rs
+++ b/crates/sesamecart-edges/src/shedding.rs
@@ -32,6 +32,10 @@
 /// The part by which the limit grows while the thread keeps up and requests reach it, as a divisor. It grows by one at least.
 const LIMIT_GROWTH_DIVISOR: usize = 32;
 
+/// The longest time without a new connection that is served. A server whose requests last for long must not look as if it
+/// took none.
+const MAX_SERVED_GAP: Duration = Duration::from_secs(1);
+
 /// A limit of the requests under way, from when a thread was overloaded until it is no longer reached.
 ///
 /// The load of a stream comes after its connection was accepted. A thread that keeps up again would otherwise take more new
@@ -80,6 +84,7 @@
     /// The connections that the thread hasn't begun to serve.
     waiting: usize,
     limit: RequestLimit,
+    served_at: Option<Instant>,
 }
 
 impl ConnectionShedder {
@@ -117,7 +122,12 @@
         let is_overloaded = self.is_overloaded(now);
         self.limit.adjust(now, is_overloaded, under_way);
         let has_time = !is_overloaded || self.waiting < MAX_WAITING;
-        let is_admitted = has_time && self.limit.allows(under_way);
+        let is_recent = |served_at| now.duration_since(served_at) < MAX_SERVED_GAP;
+        let is_due = !self.served_at.is_some_and(is_recent);
+        let is_admitted = has_time && (is_due || self.limit.allows(under_way));
+        if is_admitted {
+            self.served_at = Some(now);
+        }
         self.waiting += usize::from(is_admitted);
         is_admitted
     }
--- a/crates/sesamecart-edges/src/shedding/tests.rs
+++ b/crates/sesamecart-edges/src/shedding/tests.rs
@@ -192,10 +192,28 @@
     a_crowded_server_with_room_for_four_hundred_keeps_to_it: 400;
 }
 
+/// Guards against a server that takes no new connection for as long as its requests last.
+#[test]
+fn an_overloaded_server_serves_a_new_connection_each_second() {
+    let (mut shedder, started_at) = overloaded();
+    let mut now = started_at;
+    let mut served = 0;
+    while now.duration_since(started_at) < LONG {
+        if shedder.admit(now, 100) {
+            shedder.record_begun();
+            served += 1;
+        }
+        now = probe_for(&mut shedder, now, rounds(MAX_ROUND), MAX_ROUND);
+    }
+    assert!((4..=5).contains(&served), "{served} in {LONG:?}");
+}
+
 /// Guards against a limit that outlasts the crowd.
 #[test]
 fn the_limit_ends_when_few_requests_are_under_way() {
     let (mut shedder, now) = overloaded();
+    assert!(shedder.admit(now, 100));
+    shedder.record_begun();
     assert!(!shedder.admit(now, 100));
     let now = probe_for(&mut shedder, now, rounds(SHORT), LONG);
     assert!(shedder.admit(now, 10));
