Accept all connections that wait before the first one is looked at

What callers saw: at full size (105 nodes, 610 requests a second, nine of ten new connections at a node that may run for 8.4 ms of each 100 ms) 1944 of 5161 requests were served at the first try that was read, and 3075 got 503.

Cause: what bounds the wait of a new connection is the moment at which none waited last. The accept loop accepted up to 128 before it looked at one. A process that misses one of its moments, since other work has the processor, finds more than that at the next one. From then on the queue was never found empty, the bound grew by a second each second (to 12 s in the log, while no caller waited for 2 s), and each connection that wasn't served was answered 503. That costs more than closing it, so the state lasted.

Change: up to 1,024 are accepted before the first one is looked at, as far as connections leave descriptors, and 128 at least.

--- a/crates/sesamecart-edges/src/server.rs
+++ b/crates/sesamecart-edges/src/server.rs
@@ -62,8 +62,10 @@
 /// room for good.
 const OPENING_TIME: Duration = Duration::from_secs(1);
 
-/// The number of new connections that are accepted before it is decided which ones are served.
-const MAX_BATCH: usize = 128;
+/// The number of new connections that are accepted before it is decided which ones are served: at least this many, and more
+/// as far as other connections leave file descriptors.
+const MIN_BATCH: usize = 128;
+const MAX_BATCH: usize = 1_024;
 
 /// The timeout of a TLS handshake, without which a peer that sends nothing would hold a connection forever.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -115,8 +117,7 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<CallerBody>> + Send + 'static,
 {
-    let max_batch = if limits().closes_excess { MAX_BATCH } else { 1 };
-    let mut queue = AcceptQueue::new(listener, max_batch)?;
+    let mut queue = AcceptQueue::new(listener)?;
     let overload = Overload::default();
     let refuser = ConnectionRefuser::new(connections.clone(), tasks.clone());
     loop {
@@ -125,7 +126,8 @@
         if is_full(&limits_before) && !limits_before.closes_excess {
             future::or(sleep(ACCEPT_BACKOFF), shutdown.wait()).await;
         }
-        let accepted = future::or(async { Some(queue.accept().await) }, async {
+        let max_batch = max_batch(&limits_before, connections.open());
+        let accepted = future::or(async { Some(queue.accept(max_batch).await) }, async {
             shutdown.wait().await;
             None
         })
@@ -165,6 +167,16 @@
     }
 }
 
+/// Returns how many new connections may be accepted before it is decided which ones are served.
+fn max_batch(limits: &ServerLimits, open: usize) -> usize {
+    if limits.closes_excess {
+        let free = limits.max_connections.saturating_sub(open);
+        free.clamp(MIN_BATCH, MAX_BATCH)
+    } else {
+        1
+    }
+}
+
 /// Returns why a new connection isn't served, if it isn't.
 fn shed_cause(
     limits: &ServerLimits,
--- a/crates/sesamecart-edges/src/server/tests.rs
+++ b/crates/sesamecart-edges/src/server/tests.rs
@@ -9,7 +9,7 @@
 use http::Response;
 use sesamecart_runtime::{Signal, Worker, listen, sleep};
 
-use super::{Connections, ServerLimits, serve};
+use super::{Connections, ServerLimits, max_batch, serve};
 use crate::body::whole;
 
 /// The processor time of a request, so that 40 a second are served.
@@ -190,6 +190,31 @@
     assert_eq!(count(&ends, Outcome::Served), ends.len());
 }
 
+macro_rules! batch_cases {
+    ($($(#[doc = $doc:literal])* $name:ident: $closes_excess:literal, $open:literal => $max_batch:literal;)*) => {
+        $(
+            $(#[doc = $doc])*
+            #[test]
+            fn $name() {
+                let limits = ServerLimits {
+                    max_connections: 1_900,
+                    closes_excess: $closes_excess,
+                    ..ServerLimits::default()
+                };
+                assert_eq!(max_batch(&limits, $open), $max_batch);
+            }
+        )*
+    };
+}
+
+batch_cases! {
+    /// Guards against connections that are refused because those before them aren't accepted all at once.
+    a_server_with_few_connections_accepts_all_that_wait: true, 100 => 1_024;
+    a_server_with_many_connections_accepts_as_many_as_it_has_descriptors_for: true, 1_500 => 400;
+    a_full_server_accepts_some_that_wait: true, 1_900 => 128;
+    a_server_whose_connections_wait_accepts_one_at_a_time: false, 100 => 1;
+}
+
 /// Sends a request on an open connection and returns the start of the answer, which is empty if there is none.
 fn ask(mut stream: &TcpStream) -> String {
     let mut answer = [0; 1_024];
--- a/crates/sesamecart-links/src/server.rs
+++ b/crates/sesamecart-links/src/server.rs
@@ -64,9 +64,9 @@
         + 'static,
     S::Future: Send,
 {
-    let mut queue = AcceptQueue::new(listener, 1)?;
+    let mut queue = AcceptQueue::new(listener)?;
     loop {
-        let accepted = queue.accept().await;
+        let accepted = queue.accept(1).await;
         let stream = match Async::new(accepted.stream) {
             Ok(stream) => stream,
             Err(error) => {
--- a/crates/sesamecart-runtime/src/socket.rs
+++ b/crates/sesamecart-runtime/src/socket.rs
@@ -73,29 +73,28 @@
 pub struct AcceptQueue {
     listener: Async<TcpListener>,
     accepted: VecDeque<AcceptedConnection>,
-    max_batch: usize,
     /// When no connection waited last, as time since the machine booted. `None` if that isn't known.
     emptied_at: Option<Duration>,
 }
 
 impl AcceptQueue {
-    /// Registers a listener with the event loop. Up to `max_batch` connections, each of which takes a file descriptor, are
-    /// accepted before the first one is looked at.
+    /// Registers a listener with the event loop.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system.
-    pub fn new(listener: TcpListener, max_batch: usize) -> io::Result<Self> {
+    pub fn new(listener: TcpListener) -> io::Result<Self> {
         Ok(Self {
             listener: Async::new(listener)?,
             accepted: VecDeque::new(),
-            max_batch,
             emptied_at: None,
         })
     }
 
     /// Accepts the next connection. After an error it waits and retries.
-    pub async fn accept(&mut self) -> AcceptedConnection {
+    ///
+    /// Up to `max_batch` connections, each of which takes a file descriptor, are accepted before the first one is returned.
+    pub async fn accept(&mut self, max_batch: usize) -> AcceptedConnection {
         loop {
             if let Some(next) = self.accepted.pop_front() {
                 // Without this option, Nagle's algorithm delays small writes until the peer's acknowledgement.
@@ -103,7 +102,7 @@
                 if is_set && next.stream.set_nonblocking(true).is_ok() {
                     return next;
                 }
-            } else if let Err(error) = self.accept_waiting().await {
+            } else if let Err(error) = self.accept_waiting(max_batch).await {
                 log::warn!("runtime: accept failed: {error}.");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -111,8 +110,8 @@
     }
 
     /// Accepts the connections that wait, once there is one.
-    async fn accept_waiting(&mut self) -> io::Result<()> {
-        while self.accepted.len() < self.max_batch {
+    async fn accept_waiting(&mut self, max_batch: usize) -> io::Result<()> {
+        while self.accepted.len() < max_batch {
             // Before the call, because a connection may come right after it.
             let now = uptime();
             match self.listener.get_ref().accept() {
--- a/crates/sesamecart-runtime/src/socket/tests.rs
+++ b/crates/sesamecart-runtime/src/socket/tests.rs
@@ -29,16 +29,16 @@
     const LATENESS: Duration = Duration::from_millis(150);
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
-    let mut queue = AcceptQueue::new(listener, 1).expect("it can be registered");
+    let mut queue = AcceptQueue::new(listener).expect("it can be registered");
     let connect = || TcpStream::connect(address).expect("the listener listens");
     let _first = connect();
-    let accepted = async_io::block_on(queue.accept());
+    let accepted = async_io::block_on(queue.accept(1));
     assert_eq!(accepted.max_wait(), None);
-    let is_waiting = async_io::block_on(future::poll_once(queue.accept()));
+    let is_waiting = async_io::block_on(future::poll_once(queue.accept(1)));
     assert!(is_waiting.is_none());
     let _second = connect();
     std::thread::sleep(LATENESS);
-    let accepted = async_io::block_on(queue.accept());
+    let accepted = async_io::block_on(queue.accept(1));
     assert!(accepted.max_wait() >= Some(LATENESS));
 }
 
@@ -48,15 +48,15 @@
     const TIME: Duration = Duration::from_millis(500);
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
-    let mut queue = AcceptQueue::new(listener, 64).expect("it can be registered");
+    let mut queue = AcceptQueue::new(listener).expect("it can be registered");
     let connect = || TcpStream::connect(address).expect("the listener listens");
-    let is_waiting = async_io::block_on(future::poll_once(queue.accept()));
+    let is_waiting = async_io::block_on(future::poll_once(queue.accept(64)));
     assert!(is_waiting.is_none());
     let started_at = Instant::now();
     let mut opened = vec![connect(), connect()];
     let mut longest = Duration::ZERO;
     while started_at.elapsed() < TIME {
-        let accepted = async_io::block_on(queue.accept());
+        let accepted = async_io::block_on(queue.accept(64));
         longest = longest.max(accepted.max_wait().expect("there is a bound"));
         opened.push(connect());
         std::thread::sleep(Duration::from_millis(10));
