Ask endpoints that leave whether they have stopped, too, when an answer ends with its connection

Cause: a crash closes connections just as the end of such an answer does, so the endpoint is asked whether it still runs. Endpoints that get no new work weren't asked: their end was taken for the planned one. An endpoint that is evacuated, or has lost its entry, runs on; one that drains serves for its drain time at least.

Change: all are asked. An endpoint that exits as planned within a few milliseconds of such an answer can't be told from one that crashed inside it, so that answer isn't passed on as whole either; safe requests are repeated elsewhere.

--- a/crates/sesamecart-entry/src/traffic/response.rs
+++ b/crates/sesamecart-entry/src/traffic/response.rs
@@ -233,21 +233,15 @@
         }
     }
 
-    /// Returns whether the endpoint has stopped since it ended an answer by closing the connection, other than as
-    /// planned.
+    /// Returns whether the endpoint has stopped since it ended an answer by closing the connection.
     ///
-    /// A crash closes connections like the end of such an answer, so the answer may be cut. An endpoint that is silent
+    /// A crash closes connections like the end of such an answer, so the answer may be cut. That holds for an endpoint
+    /// that leaves as well: a planned exit and a crash look the same. An endpoint that is silent
     /// is asked again, as only its answer shows that it hasn't stopped.
     pub(super) async fn has_stopped(&self, flight: &Flight) -> bool {
         let Some(run) = flight.direct() else {
             return false;
         };
-        let directory = self.state.directory.load_full();
-        let endpoint = directory.find(&run.endpoint.id);
-        let is_leaving = !endpoint.is_some_and(|endpoint| directory.takes_work(endpoint));
-        if is_leaving {
-            return false;
-        }
         // Without an answer by the deadline, the endpoint counts as stopped.
         let is_running = with_timeout(self.time_left(), self.is_running(&run.endpoint)).await;
         !is_running.unwrap_or(false)
--- a/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/unframed_answers.rs
@@ -123,6 +123,82 @@
     a_stream_of_an_endpoint_that_falls_silent_is_whole: PlainStream, WHOLE, Silence => true;
 }
 
+/// How an endpoint leaves as planned while it still runs requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Leaving {
+    /// Its entry says that it drains.
+    Drains,
+    /// Its entry is removed.
+    Unregisters,
+    /// Operators evacuate its failure domain.
+    IsEvacuated,
+}
+
+/// Makes an endpoint leave, and returns when the node knows it.
+fn leave(deployment: &Deployment, endpoint: &RawEndpoint, leaving: Leaving) {
+    let store = &deployment.store;
+    match leaving {
+        Leaving::Drains => store.register("u0", endpoint.entry("draining")),
+        Leaving::Unregisters => store.unregister("u0"),
+        Leaving::IsEvacuated => store.publish("evacuate/a", &serde_json::json!({})),
+    }
+    // Once this later record is applied, so is the one before.
+    store.register("later", endpoint.entry("draining"));
+    deployment.wait_until("the node knows that the endpoint leaves", || {
+        let is_evacuated = deployment.knows_evacuation("a");
+        deployment.node.state().knows_endpoint("later")
+            && is_evacuated == (leaving == Leaving::IsEvacuated)
+    });
+}
+
+/// Like [`send`], to an endpoint that leaves in the middle of its answer.
+fn send_to_leaving(leaving: Leaving, kind: RequestKind, end: AnswerEnd) -> Response {
+    let deployment = Deployment::start_with_plain_endpoints(0);
+    let endpoint = RawEndpoint::start(&deployment.store, "u0", "app", WHOLE, end);
+    let endpoint = endpoint.expect("the endpoint listens");
+    deployment.wait_until("the node knows the endpoint", || {
+        deployment.node.state().knows_endpoint("u0")
+    });
+    endpoint.hold_answers(true);
+    let response = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| deployment.send_request(kind, "r1", "key-1"));
+        deployment.wait_until("the endpoint answers", || endpoint.held_count() == 1);
+        leave(&deployment, &endpoint, leaving);
+        endpoint.hold_answers(false);
+        caller.join().expect("the request ends")
+    });
+    deployment.kill();
+    response
+}
+
+macro_rules! leaving_cases {
+    ($($name:ident: $leaving:ident, $kind:ident, $end:ident => $is_whole:literal;)*) => {
+        $(
+            /// Guards against passing on what came before a crash as whole because the endpoint was about to leave.
+            #[test]
+            fn $name() {
+                let response =
+                    send_to_leaving(Leaving::$leaving, RequestKind::$kind, AnswerEnd::$end);
+                let is_whole = (response.status, response.body.as_str()) == (200, WHOLE);
+                assert_eq!(is_whole, $is_whole, "{response:?}");
+                assert!($is_whole || response.status != 200, "{response:?}");
+            }
+        )*
+    };
+}
+
+leaving_cases! {
+    an_answer_that_ends_with_a_draining_endpoint_is_not_whole: Drains, Lookup, Crash => false;
+    a_booking_that_ends_with_a_draining_endpoint_is_not_whole: Drains, Booking, Crash => false;
+    a_stream_that_ends_with_a_draining_endpoint_is_not_whole: Drains, PlainStream, Crash => false;
+    an_answer_that_ends_with_an_unregistered_endpoint_is_not_whole: Unregisters, Lookup, Crash => false;
+    a_stream_that_ends_with_an_evacuated_endpoint_is_not_whole: IsEvacuated, PlainStream, Crash => false;
+    an_answer_of_a_draining_endpoint_is_whole: Drains, Lookup, Close => true;
+    a_stream_of_a_draining_endpoint_is_whole: Drains, PlainStream, Close => true;
+    a_booking_of_an_unregistered_endpoint_is_whole: Unregisters, Booking, Close => true;
+    a_stream_of_an_evacuated_endpoint_is_whole: IsEvacuated, PlainStream, Close => true;
+}
+
 /// The deadlines of requests whose endpoints are silent after their answers for longer than that.
 const DEADLINES_MS: [u64; 4] = [745, 750, 755, 760];
 
