Leave memory for new connections beside long bodies

Callers saw: at a VM of 112 MB that 500 callers ask for endless bodies at once, 23 to 32 of 110 requests of other callers were served; before new connections were closed for want of memory it had been 98 % or more.

Cause: long bodies took up to 37 MB of the 69 MB that all requests have, and 175 requests took the rest of what new connections may take. So nearly every new connection was closed unread, of callers with short requests as well.

Evidence: `connections_shed` with no_room of about 5,000 a second at 175 connections. The unit test fails before the change (no room is left).

Change: a long body gets memory only if a quarter of all memory is left, which is more than the eighth that new connections leave.

--- a/crates/sesamecart-entry/src/traffic/body_memory.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory.rs
@@ -73,6 +73,10 @@
 /// are closed unread before it is used up, as their callers are served by other nodes.
 const KEPT_DIVISOR: usize = 8;
 
+/// The part of the memory that long bodies leave to requests, as a divisor. It exceeds what new connections leave, so
+/// there is room for these however many long bodies there are.
+const REQUESTS_DIVISOR: usize = 4;
+
 /// The number of requests for which there is memory beside long bodies on any VM.
 const MIN_REQUESTS: usize = 16;
 
@@ -97,11 +101,17 @@
 
     /// Takes some bytes. Returns whether there were enough.
     fn take(&self, bytes: usize) -> bool {
+        self.take_and_leave(bytes, 0)
+    }
+
+    /// Takes some bytes if `left` bytes are left afterwards. Returns whether there were enough.
+    fn take_and_leave(&self, bytes: usize, left: usize) -> bool {
+        let limit = self.limit.saturating_sub(left);
         let taken = self
             .used
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
                 let used = used.checked_add(bytes)?;
-                (used <= self.limit).then_some(used)
+                (used <= limit).then_some(used)
             });
         taken.is_ok()
     }
@@ -120,6 +130,8 @@
     requests: Arc<AtomicUsize>,
     /// Of long bodies, or of streams that are read ahead.
     shared: Arc<Account>,
+    /// The bytes of `all` that these leave to requests.
+    left: usize,
 }
 
 /// The memory of one request beside its long bodies, until it is dropped.
@@ -146,10 +158,12 @@
             let left = (bytes * PROCESS_FRACTION - IDLE_PROCESS_BYTES).max(0.0);
             (left as usize).max(shared + MIN_REQUESTS * REQUEST_BYTES)
         });
+        let all = all.unwrap_or(usize::MAX);
         Self {
-            all: Account::new(all.unwrap_or(usize::MAX)),
+            all: Account::new(all),
             requests: Arc::default(),
             shared: Account::new(shared),
+            left: all / REQUESTS_DIVISOR,
         }
     }
 
@@ -160,6 +174,7 @@
             all: Arc::clone(&self.all),
             requests: Arc::clone(&self.requests),
             shared: Account::new(self.shared.limit / READ_AHEAD_DIVISOR),
+            left: 0,
         }
     }
 
@@ -201,7 +216,7 @@
 
     /// Takes shared memory. Returns whether there was enough.
     fn take(&self, bytes: usize) -> bool {
-        if !self.all.take(bytes) {
+        if !self.all.take_and_leave(bytes, self.left) {
             return false;
         }
         let is_taken = self.shared.take(bytes);
--- a/crates/sesamecart-entry/src/traffic/body_memory/tests.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory/tests.rs
@@ -167,3 +167,20 @@
     assert!(kept.len() > 50, "{}", kept.len());
     assert_eq!(memory.requests(), taken.len() + kept.len());
 }
+
+/// Guards against long bodies that leave no memory for short requests on new connections.
+#[test]
+fn long_bodies_leave_memory_for_requests_on_new_connections() {
+    let memory = BodyMemory::new(Some(112));
+    let mut bodies = Vec::new();
+    while memory.room_for_new(bodies.len()) > 0 {
+        let request = memory.begin_request().expect("there is room");
+        let mut body = memory.begin();
+        if !body.resize(FREE_BYTES + 3 * REQUEST_BYTES / 2) {
+            break;
+        }
+        bodies.push((request, body));
+    }
+    let room = memory.room_for_new(bodies.len());
+    assert!(!bodies.is_empty() && room >= 50, "{room}");
+}
