--- a/crates/sesamecart-node/tests/restarts/nodes.rs
+++ b/crates/sesamecart-node/tests/restarts/nodes.rs
@@ -92,6 +92,11 @@
         child.id()
     }
 
+    /// Returns whether its process was started and not killed since.
+    pub(crate) const fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     fn pid(&self) -> Option<Pid> {
         let id = self.child.as_ref()?.id();
         Pid::from_raw(i32::try_from(id).ok()?)
