Let dispatchers assign endpoints in the tests of restarts and crowds

They have the steps, the memory for tokens and the 20 slots of a large deployment's engines now, and callers ask for as long answers as they get.

--- a/crates/sesamecart-entry/src/controller/engines/tests.rs
+++ b/crates/sesamecart-entry/src/controller/engines/tests.rs
@@ -8,7 +8,7 @@
     Directory, Endpoint, GroupEpoch, GroupKey, GroupRole, GroupState, OrderCount,
 };
 use sesamecart_platform::{EngineReport, Order, OrderOutcome};
-use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store, USUAL_SLOTS};
 use sesamecart_runtime::sleep;
 
 use super::{EngineClient, is_still_joined};
@@ -61,6 +61,7 @@
             domain: "a-0".to_owned(),
         },
         events: 1,
+        slots: USUAL_SLOTS,
     };
     let engine = Engine::start(store, setup).expect("an engine listens");
     let mut directory = Directory::default();
--- a/crates/sesamecart-entry/src/crashes/monitor/tests.rs
+++ b/crates/sesamecart-entry/src/crashes/monitor/tests.rs
@@ -11,7 +11,7 @@
     Suspicion,
 };
 use sesamecart_platform::Store as StoreClient;
-use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store, USUAL_SLOTS};
 use sesamecart_runtime::Worker;
 use sesamecart_vocabulary::{Fingerprint, RequestIdentity};
 
@@ -47,6 +47,7 @@
                 zone: "a".to_owned(),
                 kind: EngineKind::Plain,
                 events: 1,
+                slots: USUAL_SLOTS,
             };
             Engine::start(&store, setup).expect("the endpoint listens")
         });
--- a/crates/sesamecart-entry/tests/end_to_end/configuration_changes.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/configuration_changes.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 use sesamecart_entry::Entry;
-use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, USUAL_SLOTS};
 
 use crate::EVENTS;
 use crate::faulty_links::LinkFault;
@@ -205,6 +205,7 @@
         zone: "a".to_owned(),
         kind: EngineKind::Plain,
         events: EVENTS,
+        slots: USUAL_SLOTS,
     };
     Engine::start(&deployment.store, setup).expect("an endpoint listens")
 }
--- a/crates/sesamecart-entry/tests/end_to_end/setup.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/setup.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use sesamecart_edges::{HttpClient, Reuse};
 use sesamecart_entry::{Entry, EntrySettings};
-use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store, USUAL_SLOTS};
 use sesamecart_runtime::Worker;
 
 use crate::faulty_links::FaultyLinks;
@@ -586,6 +586,7 @@
         zone: "a".to_owned(),
         kind,
         events,
+        slots: USUAL_SLOTS,
     };
     Engine::start(store, setup).expect("an endpoint listens")
 }
--- a/crates/sesamecart-node/tests/restarts/callers.rs
+++ b/crates/sesamecart-node/tests/restarts/callers.rs
@@ -479,7 +479,7 @@
         let left = deadline.saturating_duration_since(Instant::now());
         let prompt = kind.model.map_or_else(String::new, |model| {
             format!(
-                "model-name: {model}\r\ntoken-count: 700,80\r\nprefix-hash: {:x}:40,{:x}{:x}:660\r\n",
+                "model-name: {model}\r\ntoken-count: 700,168\r\nprefix-hash: {:x}:40,{:x}{:x}:660\r\n",
                 self.index % 60, self.index, self.sent
             )
         });
--- a/crates/sesamecart-node/tests/restarts/engines.rs
+++ b/crates/sesamecart-node/tests/restarts/engines.rs
@@ -15,6 +15,9 @@
 /// The number of engines in each fabric domain.
 const DOMAIN_ENGINES: usize = 18;
 
+/// The number of requests that an engine runs at once.
+const ENGINE_SLOTS: u32 = 20;
+
 /// The part of the engines that are in groups once no more can be formed. The larger model leaves two of a fabric domain.
 const GROUPED_PART: f64 = 16.0 / 18.0;
 
@@ -228,6 +231,7 @@
                 domain: format!("{}-{fabric_domain}", host.domain),
             },
             events: STREAM_EVENTS,
+            slots: ENGINE_SLOTS,
         };
         self.expiring().retain(|(id, _)| *id != setup.id);
         let engine = Engine::start(&self.store, setup).expect("an engine listens");
--- a/crates/sesamecart-node/tests/restarts/nodes.rs
+++ b/crates/sesamecart-node/tests/restarts/nodes.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use serde_json::{Value, json};
-use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store};
+use sesamecart_platform_standins::{Engine, EngineKind, EngineSetup, Store, USUAL_SLOTS};
 
 use crate::engines::{EngineTimes, Engines};
 
@@ -206,6 +206,7 @@
                 zone: (*domain).to_owned(),
                 kind: EngineKind::Plain,
                 events: 1,
+                slots: USUAL_SLOTS,
             };
             Engine::start(&store, setup).expect("an endpoint listens")
         });
@@ -432,7 +433,10 @@
             {"name": "app", "healthPath": "/health", "maxConnections": 732, "coldPerS": 0.0},
             {"name": "long", "healthPath": "/health", "maxConnections": 732, "coldPerS": 0.0},
             {"name": "llm", "healthPath": "/health", "maxConnections": 955, "coldPerS": 17.0,
-             "engine": {"slots": 20, "loadsPerS": 14.0, "loads_at_once": 20, "formMs": 300.0, "models": [
+             "engine": {"slots": 20, "loadsPerS": 14.0, "loads_at_once": 20, "formMs": 300.0,
+                "step_ms": 7.8, "per_seq_ms": 0.0947, "read_per_s": 45_900.0, "chunk": 2_048, "stride": 6,
+                "kvCapacityTokens": 1_860_000,
+                "usual": {"prompt": 856, "answer": 158}, "models": [
                 {"name": "m0", "size": 8, "share": 0.5, "pace": 1.0, "loadS": 16.0, "warmS": 1.6},
                 {"name": "m1", "size": 2, "share": 0.5, "pace": 0.6, "loadS": 12.0, "warmS": 1.1}]}},
         ],
