--- a/crates/sesamecart-entry/src/traffic/body_memory.rs
+++ b/crates/sesamecart-entry/src/traffic/body_memory.rs
@@ -73,8 +73,8 @@
 /// are closed unread before it is used up, as their callers are served by other nodes.
 const KEPT_DIVISOR: usize = 8;
 
-/// The part of the memory that long bodies leave to requests, as a divisor. It exceeds what new connections leave, so
-/// there is room for these however many long bodies there are.
+/// The part of the memory that long bodies leave to requests, as a divisor. It is larger than that of [`KEPT_DIVISOR`], so
+/// new connections find room beside any number of long bodies.
 const REQUESTS_DIVISOR: usize = 4;
 
 /// The number of requests for which there is memory beside long bodies on any VM.
--- a/crates/sesamecart-node/tests/restarts/crowds.rs
+++ b/crates/sesamecart-node/tests/restarts/crowds.rs
@@ -242,7 +242,7 @@
     callers_at_one_node_without_memory_are_served: Whole, None;
     /// Guards against a node that takes its own lateness for failures of its endpoints.
     callers_at_one_node_that_runs_seldom_are_served: Small, None;
-    /// Guards against a node that returned and refuses what it learns from others only later.
+    /// Guards against a node that has just returned and refuses its callers.
     callers_at_one_node_after_a_return_are_served: Whole, Return;
     /// Guards against a node whose configuration gets too old while it is crowded.
     callers_at_one_node_beside_killed_readers_are_served: Whole, ReadersKilled;
