Don't wait for one unreachable endpoint with a suspected request

What callers saw: a request that was suspected of two crashes was refused for as long as the endpoint that was chosen for it couldn't be reached but stayed in the registry, though others were free. It may be innocent, and nothing could clear it.

Cause: all nodes choose the same endpoint for a suspected request, by its fingerprint, of those not known to have crashed. If the check after the third crash says nothing (its two probes run out of time), that endpoint isn't known to have crashed, so it is chosen each time, and each connection to it is refused.

Change: an endpoint that has refused a suspected request's connections for 3 s, the time in which nodes report a crash by another copy, is left out of the choice for 30 s from its first refusal.

Before: the new end-to-end test fails ("timed out waiting until the request is served", 30 s). After: all eight tests of crashing requests pass.

--- a/crates/sesamecart-entry/src/traffic/in_flight.rs
+++ b/crates/sesamecart-entry/src/traffic/in_flight.rs
@@ -28,7 +28,7 @@
     pub(crate) endpoint: Arc<Endpoint>,
     /// What was known about the request when it was sent.
     pub(crate) context: SendContext,
-    _suspect_run: Option<SuspectRun>,
+    suspect_run: Option<SuspectRun>,
     request: RequestId,
     arrived_at: Timestamp,
     sent_at: Timestamp,
@@ -64,7 +64,7 @@
             state,
             endpoint,
             context,
-            _suspect_run: suspect_run,
+            suspect_run,
             request,
             arrived_at,
             sent_at,
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns whether the request may crash its endpoint, so that all nodes choose the same one.
+    pub(super) const fn is_suspect(&self) -> bool {
+        self.suspect_run.is_some()
+    }
+
     /// Sets whether another run of the request may yet make this one needless. If it is dropped then, no caller
     /// has left.
     pub(crate) const fn set_alternative(&mut self, is_alternative: bool) {
--- a/crates/sesamecart-entry/src/traffic/suspicion.rs
+++ b/crates/sesamecart-entry/src/traffic/suspicion.rs
@@ -80,7 +80,8 @@
     /// Reduces the endpoints to the one of all `candidates` that a suspected request may be sent to.
     ///
     /// Endpoints that are known to have crashed are left out. If the remaining one can't be reached, a copy of the
-    /// request from another node may just have crashed it, and the request isn't sent to another endpoint.
+    /// request from another node may just have crashed it, and the request isn't sent to another endpoint until that
+    /// node would have reported it.
     pub(super) fn restrict(
         &self,
         attempts: &Attempts,
@@ -95,9 +96,10 @@
         };
         let has_run =
             |endpoint: &Endpoint| attempts.may_have_run() && attempts.tried.contains(&endpoint.id);
+        let now = clock::now();
         let tracker = self.state.crashes.tracker();
         let candidates = candidates.iter().filter(|endpoint| {
-            !has_run(endpoint) && !tracker.has_crashed(&EndpointCrash::of(endpoint))
+            !has_run(endpoint) && !tracker.is_left_out(now, &EndpointCrash::of(endpoint))
         });
         let candidates: Vec<_> = candidates.collect();
         drop(tracker);
--- a/crates/sesamecart-entry/src/traffic/timeout.rs
+++ b/crates/sesamecart-entry/src/traffic/timeout.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::future;
 use sesamecart_edges::{ClientError, Exchange, Reuse, SendStatus, Step};
-use sesamecart_fleet::{Delivery, Endpoint, EndpointState};
+use sesamecart_fleet::{Delivery, Endpoint, EndpointCrash, EndpointState};
 use sesamecart_platform::{ForwardContext, build_forwarded_request};
 use sesamecart_runtime::sleep;
 use sesamecart_vocabulary::EndpointId;
@@ -112,6 +112,10 @@
                 if has_path_failed && !is_leaving {
                     self.record_unreachable(&endpoint.id);
                 }
+                if has_path_failed && in_flight.is_suspect() {
+                    let mut tracker = self.state.crashes.tracker();
+                    tracker.record_unreachable(clock::now(), EndpointCrash::of(endpoint));
+                }
                 let may_have_run = client_error.sent == SendStatus::PossiblySent;
                 let mut error = AttemptError::new(client_error.to_string(), may_have_run);
                 error.may_have_arrived = may_have_run;
--- a/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
@@ -4,7 +4,9 @@
 
 use serde_json::Value;
 use sesamecart_entry::Entry;
+use sesamecart_platform_standins::Engine;
 
+use crate::faulty_links::LinkFault;
 use crate::setup::{CallerRequest, DEFAULT_DEADLINE, Deployment, RequestKind, Response};
 use crate::store_proxy::StoreProxy;
 
@@ -267,3 +269,40 @@
     }
     deployment.kill();
 }
+
+/// Guards against refusing a suspected request for as long as the endpoint that was chosen for it can't be reached.
+#[test]
+fn a_suspected_request_whose_endpoint_is_unreachable_is_served_by_another() {
+    let deployment = start();
+    let node = &deployment.node;
+    lookup(&deployment, node, "key-1", CRASHING);
+    deployment.wait_until("the node knows of two crashes", || {
+        node.state().most_crashes_of_a_request() == 2
+    });
+    // A request without an answer in time shows which endpoint is chosen.
+    for endpoint in &deployment.plain {
+        endpoint.crash_on("another", None);
+        endpoint.set_first_event_delay(Duration::from_millis(600));
+    }
+    let arrivals = |endpoint: &Engine| endpoint.arrivals().len();
+    let before: Vec<usize> = deployment.plain.iter().map(arrivals).collect();
+    let call = CallerRequest {
+        kind: RequestKind::Lookup,
+        id: "without-an-answer",
+        key: "key-1",
+        body: CRASHING,
+    };
+    deployment.send_call_to(node, &call, Duration::from_millis(300));
+    let mut chosen = deployment.plain.iter().zip(before);
+    let (chosen, _) = chosen
+        .find(|(endpoint, before)| arrivals(endpoint) > *before)
+        .expect("it was sent");
+    deployment.links.fail(LinkFault::Reset, [chosen.address()]);
+    for endpoint in &deployment.plain {
+        endpoint.set_first_event_delay(Duration::ZERO);
+    }
+    deployment.wait_until("the request is served", || {
+        lookup(&deployment, node, "key-1", CRASHING).status == 200
+    });
+    deployment.kill();
+}
--- a/crates/sesamecart-fleet/src/crash_tracker.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker.rs
@@ -72,7 +72,8 @@
 /// How long a clearance is kept at least, because requests that were sent before it may still be running.
 const CLEARANCE_TTL: Duration = Duration::from_secs(30);
 
-/// How long it is remembered that an endpoint was lost together with others. The registry shows it earlier.
+/// How long it is remembered that an endpoint was lost together with others, or can't be reached. The registry shows a
+/// loss earlier.
 const EXCUSED_CRASH_TTL: Duration = Duration::from_secs(30);
 
 /// How long the report of a node is kept without a change. A running node withdraws its evidence earlier.
@@ -140,6 +141,8 @@
     known_crashes: IndexMap<EndpointCrash, Timestamp>,
     /// Crashes that no request has caused.
     excused_crashes: IndexMap<EndpointCrash, Timestamp>,
+    /// Since when endpoints that were chosen for suspected requests can't be reached.
+    unreachable: IndexMap<EndpointCrash, Timestamp>,
     /// The parts of prompts with which requests of this node have completed.
     harmless: HarmlessParts,
     changes: Vec<BlockChange>,
@@ -307,6 +310,11 @@
         self.excused_crashes.insert(crash, now);
     }
 
+    /// Records that the endpoint that was chosen for a suspected request can't be reached.
+    pub fn record_unreachable(&mut self, now: Timestamp, endpoint: EndpointCrash) {
+        self.unreachable.entry(endpoint).or_insert(now);
+    }
+
     /// Removes the run that says least: the oldest one of those to which fewest crashes were attributed.
     fn remove_weakest_run(&mut self) {
         let runs = self.runs.iter().enumerate();
@@ -441,6 +449,19 @@
         self.known_crashes.contains_key(crash) || self.excused_crashes.contains_key(crash)
     }
 
+    /// Returns whether an endpoint is left out of the choice for suspected requests.
+    ///
+    /// One that can't be reached may just have been crashed by a copy of the request at another node. That node has
+    /// reported it by the end of [`DECISION_TIMEOUT`].
+    #[must_use]
+    pub fn is_left_out(&self, now: Timestamp, endpoint: &EndpointCrash) -> bool {
+        let since = self.unreachable.get(endpoint);
+        let age = since.map(|since| now.since(*since));
+        let is_unreachable =
+            age.is_some_and(|age| (DECISION_TIMEOUT..EXCUSED_CRASH_TTL).contains(&age));
+        is_unreachable || self.has_crashed(endpoint)
+    }
+
     /// Returns whether a crash has another cause than a crash of an endpoint nearby that has just happened:
     /// it was known before, or the same request or one with the same part in its prompt was running there.
     #[must_use]
@@ -533,8 +554,9 @@
 
     /// Removes evidence that is too old. Returns the nodes that have stopped without withdrawing theirs.
     pub fn expire(&mut self, now: Timestamp) -> Vec<NodeId> {
-        self.excused_crashes
-            .retain(|_, since| now.since(*since) < EXCUSED_CRASH_TTL);
+        for endpoints in [&mut self.excused_crashes, &mut self.unreachable] {
+            endpoints.retain(|_, since| now.since(*since) < EXCUSED_CRASH_TTL);
+        }
         let before = (self.runs.len(), self.blocks.len(), self.clearances.len());
         self.runs
             .retain(|own| now.since(own.observed_at) < BLOCK_TTL);
--- a/crates/sesamecart-fleet/src/crash_tracker/tests.rs
+++ b/crates/sesamecart-fleet/src/crash_tracker/tests.rs
@@ -7,8 +7,8 @@
 
 use super::{
     BLOCK_TTL, BlockChange, BlockEnd, Clearance, ClearanceCause, CrashAdmission, CrashReport,
-    CrashTracker, CrashedRun, DECISION_TIMEOUT, DueDecision, EndpointCrash, MAX_OWN_RUNS,
-    NeighborCheck, RequestOrigin, SETTLE_TIME, SHARE_DELAY, SIMULTANEITY, Suspicion,
+    CrashTracker, CrashedRun, DECISION_TIMEOUT, DueDecision, EXCUSED_CRASH_TTL, EndpointCrash,
+    MAX_OWN_RUNS, NeighborCheck, RequestOrigin, SETTLE_TIME, SHARE_DELAY, SIMULTANEITY, Suspicion,
     UncheckedCrash, suspect_endpoint,
 };
 use crate::number::Incarnation;
@@ -301,6 +301,22 @@
     assert_eq!(due[0].suspect, culprit);
 }
 
+/// Guards against refusing a suspected request for as long as its endpoint can't be reached, and against crashing the
+/// next endpoint before the crash of this one is known.
+#[test]
+fn an_unreachable_endpoint_is_left_out_once_its_crash_would_be_known() {
+    let mut tracker = CrashTracker::default();
+    let endpoint = crash(0);
+    tracker.record_unreachable(START, endpoint.clone());
+    let later = START + DECISION_TIMEOUT - Duration::from_millis(1);
+    tracker.record_unreachable(later, endpoint.clone());
+    assert!(!tracker.is_left_out(later, &endpoint));
+    assert!(tracker.is_left_out(START + DECISION_TIMEOUT, &endpoint));
+    assert!(!tracker.is_left_out(START + DECISION_TIMEOUT, &crash(1)));
+    tracker.expire(START + EXCUSED_CRASH_TTL);
+    assert!(!tracker.is_left_out(START + EXCUSED_CRASH_TTL, &endpoint));
+}
+
 /// Guards against taking endpoints that are known to be down for a mass loss.
 #[test]
 fn a_crash_is_separate_if_it_was_known_before_or_had_the_same_cause() {
