Test invalid statuses under keys and at the own interface's node

Of MIXED (status 000) these two weren't tested: transfers under a key, which keep their answer, and completions and streams of the own interface. Services and engines that answer with 000, 1000 or letters get no answer through: callers get an error, nothing is kept under the key, and no transfer is sent twice under one.

--- a/crates/sesamecart-node/tests/whole_path/main.rs
+++ b/crates/sesamecart-node/tests/whole_path/main.rs
@@ -3,4 +3,5 @@
 mod actions;
 mod crashes;
 mod setup;
+mod statuses;
 mod streams;
