Let the tests of invalid statuses and of a chosen endpoint wait for what they need

A connection that is kept idle ends after a second in place of holding up the end of the test, and the request that shows which endpoint is chosen is repeated until one has it.

--- a/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
+++ b/crates/sesamecart-entry/tests/end_to_end/crashing_requests.rs
@@ -286,18 +286,22 @@
     }
     let arrivals = |endpoint: &Engine| endpoint.arrivals().len();
     let before: Vec<usize> = deployment.plain.iter().map(arrivals).collect();
+    let chosen = || {
+        let mut endpoints = deployment.plain.iter().zip(&before);
+        let chosen = endpoints.find(|(endpoint, before)| arrivals(endpoint) > **before);
+        chosen.map(|(endpoint, _)| endpoint.address())
+    };
     let call = CallerRequest {
         kind: RequestKind::Lookup,
         id: "without-an-answer",
         key: "key-1",
         body: CRASHING,
     };
-    deployment.send_call_to(node, &call, Duration::from_millis(300));
-    let mut chosen = deployment.plain.iter().zip(before);
-    let (chosen, _) = chosen
-        .find(|(endpoint, before)| arrivals(endpoint) > *before)
-        .expect("it was sent");
-    deployment.links.fail(LinkFault::Reset, [chosen.address()]);
+    deployment.wait_until("an endpoint is chosen", || {
+        deployment.send_call_to(node, &call, Duration::from_millis(300));
+        chosen().is_some()
+    });
+    deployment.links.fail(LinkFault::Reset, chosen());
     for endpoint in &deployment.plain {
         endpoint.set_first_event_delay(Duration::ZERO);
     }
--- a/crates/sesamecart-node/tests/whole_path/statuses.rs
+++ b/crates/sesamecart-node/tests/whole_path/statuses.rs
@@ -2,15 +2,19 @@
 
 use std::cell::RefCell;
 use std::io::{Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use crate::setup::{Answer, Deployment, wait_until};
 
 const BODY: &str = r#"{"receipt":"false"}"#;
 
+/// How long a connection may stay without a request.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Takes the place of a stand-in and answers each request with a status line of the test.
 struct RawServer {
     address: SocketAddr,
@@ -37,6 +41,8 @@
                     return;
                 }
                 let mut stream = stream.expect("a connection");
+                let limited = stream.set_read_timeout(Some(READ_TIMEOUT));
+                limited.expect("the time isn't zero");
                 let mut request = [0; 4_096];
                 // A check of the path closes its connection without a request.
                 let read = stream.read(&mut request).unwrap_or(0);
@@ -62,7 +68,7 @@
     fn drop(&mut self) {
         self.is_over.store(true, Ordering::Relaxed);
         // The listener's thread waits for a connection.
-        let _connected = std::net::TcpStream::connect(self.address);
+        let _connected = TcpStream::connect(self.address);
         if let Some(thread) = self.thread.take() {
             thread.join().expect("it ends");
         }
